--- /dev/null
+++ b/stileloom/api/__init__.py
@@ -0,0 +1,1 @@
+"""Contracts: the shapes that callers, trainers, operators and back ends see."""
--- /dev/null
+++ b/stileloom/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/stileloom/cli/emulate.py
@@ -0,0 +1,83 @@
+"""`stileloom emulate`: the platform's stand-ins, one process each."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from stileloom.cli.errors import exit_on_error
+from stileloom.emulator import servers
+from stileloom.emulator.settings import EmulatorSettings
+from stileloom.emulator.trainer import run_trainer
+from stileloom.errors import ErrorKind, StileloomError
+from stileloom.settings import load_settings
+
+app = typer.Typer(help="Stand-ins for the platform: engines, stores, lists, trainers.")
+
+ConfigOption = Annotated[Path, typer.Option("--config", help="The emulator's settings (TOML).")]
+
+
+def _load(config: Path) -> EmulatorSettings:
+    return load_settings(config, EmulatorSettings)
+
+
+@app.command("object-api")
+def object_api(config: ConfigOption) -> None:
+    """The object API: versions, watches, compare-and-swap, faults on request."""
+    with exit_on_error():
+        settings = _load(config)
+        application = servers.object_api_application(settings)
+        port = settings.object_api.port
+        asyncio.run(servers.run_until_stopped(application, settings.host, port))
+
+
+@app.command()
+def machines(config: ConfigOption) -> None:
+    """The lagging list of live and leaving machines."""
+    with exit_on_error():
+        settings = _load(config)
+        application = servers.machine_list_application(settings)
+        port = settings.machine_list.port
+        asyncio.run(servers.run_until_stopped(application, settings.host, port))
+
+
+@app.command()
+def weights(config: ConfigOption) -> None:
+    """The rate-limited weight store."""
+    with exit_on_error():
+        settings = _load(config)
+        application = servers.weight_store_application(settings)
+        port = settings.weight_store.port
+        asyncio.run(servers.run_until_stopped(application, settings.host, port))
+
+
+@app.command()
+def engine(
+    config: ConfigOption,
+    sampler: Annotated[str, typer.Option(help="Id of the sampler in the settings.")],
+) -> None:
+    """One model engine. SIGTERM: no new work, what runs is finished."""
+    with exit_on_error():
+        settings = _load(config)
+        chosen = next((s for s in settings.samplers if s.sampler_id == sampler), None)
+        if chosen is None:
+            raise StileloomError(ErrorKind.SETTINGS_INVALID, f"{config}: no sampler {sampler!r}")
+        service = servers.EngineService(settings, chosen)
+        application = servers.engine_application(service)
+        asyncio.run(servers.run_until_stopped(application, settings.host, chosen.port, service))
+
+
+@app.command()
+def trainer(
+    config: ConfigOption,
+    staleness_bound: Annotated[int, typer.Option(help="Bound that the trainer checks.")],
+) -> None:
+    """A trainer that runs a round to its end and writes its report."""
+    with exit_on_error():
+        settings = _load(config)
+        if settings.trainer is None:
+            raise StileloomError(ErrorKind.SETTINGS_INVALID, f"{config}: `$.trainer` is missing")
+        asyncio.run(run_trainer(settings, staleness_bound))
--- /dev/null
+++ b/stileloom/client.py
@@ -0,0 +1,162 @@
+"""A typed client for trainers, callers and operators.
+
+It tries the gateways it is given in turn. Every call of a trainer is idempotent, so it is
+repeated until it is answered or `give_up_s` is over.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TypeVar
+
+import msgspec
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
+
+from stileloom.errors import ErrorKind, Outcome, Problem, StileloomError
+from stileloom.http.lookups import LookupResult
+from stileloom.http.rounds import DeliveriesResult, PromptBody, PromptsBody
+
+REQUEST_TIMEOUT_S = 12.0
+CONNECT_TIMEOUT_S = 1.0
+RETRY_PAUSE_S = 0.2
+READ_WAIT_S = 5.0
+
+ResultType = TypeVar("ResultType")
+
+
+class HttpCaller:
+    """Sends requests to one gateway after another."""
+
+    def __init__(self, gateways: list[str]) -> None:
+        self._gateways = gateways
+        self._turn = 0
+        self._http = AsyncHTTPClient(force_instance=True, max_clients=512)
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: object | None = None,
+        headers: dict[str, str] | None = None,
+        timeout_s: float = REQUEST_TIMEOUT_S,
+    ) -> HTTPResponse:
+        """One request to the next gateway.
+
+        Raises `StileloomError`: what the gateway answered, or PLATFORM_UNAVAILABLE with
+        outcome unknown (not_run where nothing could be sent) if it did not.
+        """
+        gateway = self._gateways[self._turn % len(self._gateways)]
+        request = HTTPRequest(
+            f"http://{gateway}{path}",
+            method=method,
+            body=msgspec.json.encode(body) if body is not None else None,
+            headers=headers,
+            request_timeout=timeout_s,
+            connect_timeout=CONNECT_TIMEOUT_S,
+        )
+        try:
+            return await self._http.fetch(request)
+        except HTTPClientError as error:
+            self._turn += 1
+            raise _answered_error(error) from error
+        except OSError as error:
+            self._turn += 1
+            refused = isinstance(error, ConnectionRefusedError)
+            outcome = Outcome.NOT_RUN if refused else Outcome.UNKNOWN
+            raise StileloomError(ErrorKind.PLATFORM_UNAVAILABLE, str(error), outcome) from error
+
+    async def call_until_answered(
+        self,
+        method: str,
+        path: str,
+        kind: type[ResultType],
+        body: object | None = None,
+        give_up_s: float = 60.0,
+    ) -> ResultType:
+        """Repeats an idempotent request. Raises the last `StileloomError`."""
+        give_up_at = time.monotonic() + give_up_s
+        while True:
+            try:
+                response = await self.call(method, path, body)
+                return msgspec.json.decode(response.body, type=kind)
+            except StileloomError as error:
+                status = error.answer.http_status
+                final = 400 <= status < 500 and error.kind is not ErrorKind.UNKNOWN_ROUND
+                if final or time.monotonic() >= give_up_at:
+                    raise
+            await asyncio.sleep(RETRY_PAUSE_S)
+
+
+class TrainerClient:
+    """What a trainer needs of one round."""
+
+    def __init__(self, gateways: list[str], round_name: str, give_up_s: float = 60.0) -> None:
+        self._caller = HttpCaller(gateways)
+        self._path = f"/v1/rounds/{round_name}"
+        self._give_up_s = give_up_s
+
+    async def submit_prompts(self, batch_id: str, prompts: list[PromptBody]) -> None:
+        """Adds prompts; a repeat with the same batch id adds nothing."""
+        body = PromptsBody(batch_id, prompts)
+        await self._post("prompts", body)
+
+    async def read(self, offset: int, count: int) -> DeliveriesResult:
+        """Waits until `count` deliveries from `offset` on are there."""
+        path = f"{self._path}/deliveries?offset={offset}&count={count}&wait_s={READ_WAIT_S}"
+        give_up_at = time.monotonic() + self._give_up_s
+        while True:
+            result = await self._caller.call_until_answered(
+                "GET", path, DeliveriesResult, give_up_s=self._give_up_s
+            )
+            if result.deliveries:
+                return result
+            if time.monotonic() >= give_up_at:
+                raise StileloomError(ErrorKind.OVERLOADED, "the batch did not become whole")
+
+    async def acknowledge(self, offset: int) -> None:
+        """The trainer keeps everything below `offset`."""
+        await self._post("acknowledgements", {"offset": offset})
+
+    async def publish_version(self, version: int) -> None:
+        """Makes a version the current one; its weights are in the store already."""
+        await self._post("versions", {"version": version})
+
+    async def _post(self, name: str, body: object) -> None:
+        path = f"{self._path}/{name}"
+        await self._caller.call_until_answered("POST", path, dict, body, give_up_s=self._give_up_s)
+
+
+class LookupClient:
+    """Sends lookups; each is sent once, and the outcome is the caller's to act on."""
+
+    def __init__(self, gateways: list[str]) -> None:
+        self._caller = HttpCaller(gateways)
+
+    async def lookup(
+        self,
+        service: str,
+        query: str,
+        max_tokens: int,
+        headers: dict[str, str] | None = None,
+        timeout_s: float = REQUEST_TIMEOUT_S,
+    ) -> LookupResult:
+        """One lookup. Raises `StileloomError` with its outcome."""
+        body = {"query": query, "max_tokens": max_tokens}
+        response = await self._caller.call(
+            "POST", f"/v1/services/{service}/lookup", body, headers, timeout_s
+        )
+        return msgspec.json.decode(response.body, type=LookupResult)
+
+
+def _answered_error(error: HTTPClientError) -> StileloomError:
+    """The error of a problem document; anything else leaves the outcome unknown."""
+    if error.response is None or not error.response.body:
+        return StileloomError(ErrorKind.PLATFORM_UNAVAILABLE, str(error), Outcome.UNKNOWN)
+    try:
+        problem = msgspec.json.decode(error.response.body, type=Problem)
+        kind = ErrorKind(problem.code)
+        outcome = Outcome(problem.outcome)
+    except (msgspec.DecodeError, ValueError):
+        return StileloomError(ErrorKind.PLATFORM_UNAVAILABLE, str(error), Outcome.UNKNOWN)
+    return StileloomError(kind, problem.detail, outcome, problem.retry_after_s)
--- /dev/null
+++ b/stileloom/constants.py
@@ -0,0 +1,50 @@
+"""Named constants with their units, one place for all parts."""
+
+# Membership (SWIM: Das, Gupta, Motivala 2002; suspicion as in its section 4.2).
+PROBE_INTERVAL_S = 1.0
+PROBE_TIMEOUT_S = 0.35
+SUSPICION_TIMEOUT_S = 2.5
+INDIRECT_PROBES = 3
+GOSSIP_UPDATES_PER_MESSAGE = 8
+GOSSIP_RETRANSMIT_FACTOR = 3
+ZONE_SYNC_INTERVAL_S = 2.0
+DEAD_MEMBER_PROBE_INTERVAL_S = 5.0
+REPRESENTATIVES_PER_ZONE = 2
+
+# Ledger (Raft: Ongaro and Ousterhout 2014; leader stickiness from section 6 there).
+LEDGER_HEARTBEAT_S = 0.15
+ELECTION_TIMEOUT_MIN_S = 0.8
+ELECTION_TIMEOUT_MAX_S = 1.6
+LEADER_LEASE_S = 0.7
+"""Shorter than the least election timeout, so that a lease ends before a successor starts."""
+APPEND_BATCH_ENTRIES = 64
+SNAPSHOT_AFTER_ENTRIES = 512
+COMMAND_RETRY_S = 0.5
+COMMAND_TIMEOUT_S = 8.0
+
+# Configuration.
+CONFIGURATION_LEASE_S = 3.0
+CONFIGURATION_RENEW_S = 1.0
+GRANT_RENEW_S = 0.5
+READERS_PER_ZONE = 2
+MACHINE_POLL_S = 1.0
+
+# Samplers.
+LOAD_POLL_S = 0.25
+SAMPLER_REPORT_S = 0.5
+SAMPLER_REPORT_STALE_S = 4.0
+SUBSET_SIZE = 16
+ORDER_RETRY_S = 1.0
+ASSIGNMENT_LOST_S = 5.0
+CONTROLLER_SETTLE_S = 2.0
+"""A new controller listens this long for running generations before it assigns any."""
+
+# Requests.
+MAX_BODY_BYTES = 1_048_576
+DEFAULT_DEADLINE_S = 10.0
+RETRY_BUDGET_RATIO = 0.2
+RETRY_BUDGET_MIN_PER_S = 1.0
+EJECTION_FAILURES = 3
+EJECTION_S = 5.0
+MAX_ATTEMPTS = 3
+DRAIN_TIMEOUT_S = 30.0
--- /dev/null
+++ b/stileloom/daemon/engine_client.py
@@ -0,0 +1,135 @@
+"""Speaks the engines' HTTP protocol: streams, cancellation, load, fenced orders."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+from tornado.simple_httpclient import HTTPTimeoutError
+
+from stileloom.api.engine import (
+    CancelReply,
+    CancelState,
+    EngineOrder,
+    GenerateRequest,
+    LoadReport,
+    StreamChunk,
+    StreamEnd,
+)
+
+STREAM_TIMEOUT_S = 3600.0
+CONNECT_TIMEOUT_S = 1.0
+CONTROL_TIMEOUT_S = 1.0
+ORDER_TIMEOUT_S = 2.0
+
+Frame = StreamChunk | StreamEnd
+_FRAME_DECODER = msgspec.json.Decoder(Frame)
+
+
+class StreamFailure(msgspec.Struct, frozen=True):
+    """Why a stream ended without its last frame."""
+
+    surely_not_begun: bool
+    detail: str
+
+
+class FrameParser:
+    """Splits server-sent events into frames."""
+
+    def __init__(self, on_frame: Callable[[Frame], None]) -> None:
+        self._on_frame = on_frame
+        self._buffer = b""
+
+    def feed(self, data: bytes) -> None:
+        """Takes the next bytes. Raises `msgspec.DecodeError` on a malformed frame."""
+        self._buffer += data
+        while True:
+            event, separator, rest = self._buffer.partition(b"\n\n")
+            if not separator:
+                return
+            self._buffer = rest
+            if event.startswith(b"data: "):
+                self._on_frame(_FRAME_DECODER.decode(event[len(b"data: ") :]))
+
+
+class EngineClient:
+    """One client for all engines; `address` is `host:port`."""
+
+    def __init__(self) -> None:
+        self._http = AsyncHTTPClient(force_instance=True, max_clients=4096)
+
+    async def stream(
+        self, address: str, request: GenerateRequest, on_frame: Callable[[Frame], None]
+    ) -> StreamFailure | None:
+        """Runs a generation; returns None once the stream has ended whole."""
+        ended = False
+
+        def take(frame: Frame) -> None:
+            nonlocal ended
+            ended = ended or isinstance(frame, StreamEnd)
+            on_frame(frame)
+
+        parser = FrameParser(take)
+        http_request = HTTPRequest(
+            f"http://{address}/v1/completions",
+            method="POST",
+            body=msgspec.json.encode(request),
+            headers={"Content-Type": "application/json"},
+            streaming_callback=parser.feed,
+            connect_timeout=CONNECT_TIMEOUT_S,
+            request_timeout=STREAM_TIMEOUT_S,
+        )
+        try:
+            await self._http.fetch(http_request)
+        except HTTPTimeoutError as error:
+            return StreamFailure("connecting" in str(error), str(error))
+        except HTTPClientError as error:
+            # The engine answered with a refusal: it says so before it begins.
+            refused = error.code in (400, 404, 409, 429, 503)
+            return StreamFailure(refused, f"engine answered {error.code}")
+        except ConnectionRefusedError as error:
+            return StreamFailure(True, str(error))
+        except (OSError, msgspec.DecodeError) as error:
+            return StreamFailure(False, str(error))
+        return None if ended else StreamFailure(False, "the stream was cut")
+
+    async def cancel(self, address: str, request_id: str) -> CancelState | None:
+        """Cancels by id; None where the engine did not answer."""
+        request = HTTPRequest(
+            f"http://{address}/v1/cancellations",
+            method="POST",
+            body=msgspec.json.encode({"request_id": request_id}),
+            connect_timeout=CONNECT_TIMEOUT_S,
+            request_timeout=CONTROL_TIMEOUT_S,
+        )
+        body = await self._control(request)
+        return msgspec.json.decode(body, type=CancelReply).state if body is not None else None
+
+    async def load(self, address: str) -> LoadReport | None:
+        """Reads the load; None where the engine did not answer."""
+        request = HTTPRequest(
+            f"http://{address}/v1/load",
+            connect_timeout=CONNECT_TIMEOUT_S,
+            request_timeout=CONTROL_TIMEOUT_S,
+        )
+        body = await self._control(request)
+        return msgspec.json.decode(body, type=LoadReport) if body is not None else None
+
+    async def order(self, address: str, order: EngineOrder) -> None:
+        """Sends a fenced order. Whether it was taken shows in the next load report."""
+        request = HTTPRequest(
+            f"http://{address}/v1/orders",
+            method="POST",
+            body=msgspec.json.encode(order),
+            connect_timeout=CONNECT_TIMEOUT_S,
+            request_timeout=ORDER_TIMEOUT_S,
+        )
+        await self._control(request)
+
+    async def _control(self, request: HTTPRequest) -> bytes | None:
+        try:
+            response = await self._http.fetch(request)
+        except (TimeoutError, HTTPClientError, OSError):
+            return None
+        return response.body
--- /dev/null
+++ b/stileloom/daemon/platform_client.py
@@ -0,0 +1,167 @@
+"""Speaks to the platform: the object API (versions, watches, compare-and-swap), machine list."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
+
+from stileloom.api.objects import Configuration, Machine, ObjectKind, parse_spec
+from stileloom.errors import ErrorKind, Outcome, StileloomError
+
+WATCH_WAIT_S = 1.0
+REQUEST_TIMEOUT_S = 3.0
+READ_BACK_TRIES = 3
+READ_BACK_PAUSE_S = 0.2
+
+
+class StoredObject(msgspec.Struct, frozen=True):
+    """An object of any kind as the object API returns it."""
+
+    kind: str
+    name: str
+    revision: int
+    change_id: str
+    spec: dict[str, object]
+
+
+class ObjectList(msgspec.Struct, frozen=True):
+    """All objects at a revision."""
+
+    revision: int
+    objects: list[StoredObject]
+
+
+class ObjectApi:
+    """A client of the object API."""
+
+    def __init__(self, address: str) -> None:
+        self._base = f"http://{address}"
+        self._http = AsyncHTTPClient(force_instance=True, max_clients=64)
+
+    async def watch(self, after_revision: int) -> Configuration | None:
+        """The configuration once it is above a revision; None where nothing came in time.
+
+        Raises `StileloomError` (PLATFORM_UNAVAILABLE).
+        """
+        path = f"/watch?after={after_revision}&wait_s={WATCH_WAIT_S}"
+        response = await self._fetch("GET", path)
+        if response.code == 204:
+            return None
+        listed = msgspec.json.decode(response.body, type=ObjectList)
+        return _configuration(listed)
+
+    async def get(self, kind: str, name: str) -> StoredObject | None:
+        """One object, or None. Raises `StileloomError` (PLATFORM_UNAVAILABLE)."""
+        try:
+            response = await self._fetch("GET", f"/objects/{kind}/{name}")
+        except StileloomError as error:
+            if error.kind is ErrorKind.UNKNOWN_OBJECT:
+                return None
+            raise
+        return msgspec.json.decode(response.body, type=StoredObject)
+
+    async def list(self) -> ObjectList:
+        """Every object. Raises `StileloomError` (PLATFORM_UNAVAILABLE)."""
+        response = await self._fetch("GET", "/objects")
+        return msgspec.json.decode(response.body, type=ObjectList)
+
+    async def write(
+        self, kind: str, name: str, expected: int | None, change_id: str, spec: object | None
+    ) -> int:
+        """Compare-and-swap of one object; `spec` None deletes. Returns the revision.
+
+        `expected` is the revision that the object must have, 0 for "must not exist" and None
+        for "whatever it is". A lost answer is settled by reading back the change id. Raises
+        `StileloomError`: CONFLICT, or PLATFORM_UNAVAILABLE with outcome unknown.
+        """
+        headers = {"X-Change-Id": change_id}
+        if expected is not None:
+            headers["If-Match"] = str(expected)
+        method = "PUT" if spec is not None else "DELETE"
+        body = msgspec.json.encode(spec) if spec is not None else None
+        try:
+            response = await self._fetch(method, f"/objects/{kind}/{name}", body, headers)
+        except StileloomError as error:
+            if error.kind is not ErrorKind.PLATFORM_UNAVAILABLE or spec is None:
+                raise
+            return await self._read_back(kind, name, change_id, error)
+        return int(response.headers["X-Revision"])
+
+    async def _read_back(self, kind: str, name: str, change_id: str, error: StileloomError) -> int:
+        for _ in range(READ_BACK_TRIES):
+            await asyncio.sleep(READ_BACK_PAUSE_S)
+            try:
+                stored = await self.get(kind, name)
+            except StileloomError:
+                continue
+            if stored is not None and stored.change_id == change_id:
+                return stored.revision
+        raise error
+
+    async def _fetch(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> HTTPResponse:
+        request = HTTPRequest(
+            self._base + path,
+            method=method,
+            body=body,
+            headers=headers,
+            request_timeout=REQUEST_TIMEOUT_S,
+            connect_timeout=REQUEST_TIMEOUT_S,
+        )
+        try:
+            return await self._http.fetch(request)
+        except HTTPClientError as error:
+            if error.code == 404:
+                raise StileloomError(ErrorKind.UNKNOWN_OBJECT, path) from error
+            if error.code == 409 and error.response is not None:
+                detail = error.response.body.decode(errors="replace")
+                raise StileloomError(ErrorKind.CONFLICT, detail) from error
+            raise _unavailable(str(error)) from error
+        except (TimeoutError, OSError) as error:
+            raise _unavailable(str(error)) from error
+
+
+class MachineList:
+    """A client of the machine list."""
+
+    def __init__(self, address: str) -> None:
+        self._url = f"http://{address}/machines"
+        self._http = AsyncHTTPClient(force_instance=True)
+
+    async def read(self) -> list[Machine] | None:
+        """The list, or None where it did not answer."""
+        try:
+            response = await self._http.fetch(
+                HTTPRequest(self._url, request_timeout=REQUEST_TIMEOUT_S)
+            )
+        except (TimeoutError, HTTPClientError, OSError):
+            return None
+        return msgspec.json.decode(response.body, type=list[Machine])
+
+
+def _unavailable(detail: str) -> StileloomError:
+    return StileloomError(ErrorKind.PLATFORM_UNAVAILABLE, detail, Outcome.UNKNOWN)
+
+
+def _configuration(listed: ObjectList) -> Configuration:
+    """The typed objects of a list; objects of other kinds are not configuration."""
+    kinds = {kind.value: kind for kind in ObjectKind}
+    configuration = Configuration(listed.revision)
+    for stored in listed.objects:
+        kind = kinds.get(stored.kind)
+        if kind is None:
+            continue
+        try:
+            spec = parse_spec(kind, stored.spec)
+        except StileloomError:
+            # Written past this product's checks; one bad object must not hide the others.
+            continue
+        configuration = configuration.with_object(kind, stored.name, spec)
+    return configuration
--- /dev/null
+++ b/stileloom/daemon/process.py
@@ -0,0 +1,146 @@
+"""The life of the daemon's process: start, signals, drain, exit."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import time
+import uuid
+from pathlib import Path
+
+import msgspec
+from tornado.httpserver import HTTPServer
+
+from stileloom.daemon.platform_client import MachineList, ObjectApi, StoredObject
+from stileloom.daemon.shell import Shell
+from stileloom.errors import ErrorKind, StileloomError
+from stileloom.events import LogEvent
+from stileloom.http.application import make_application
+from stileloom.ledger import LedgerReplica, fresh_ledger
+from stileloom.ledger.bootstrap import VoterSetRecord, enter_voter_set
+from stileloom.ledger.commands import Voter
+from stileloom.ledger.replica import RecoveredLedger
+from stileloom.ledger.storage import LedgerStorage
+from stileloom.logging import EventLog
+from stileloom.membership import Member, Seed
+from stileloom.node import NodeCore
+from stileloom.settings import NodeSettings, split_address
+
+VOTER_SET_KIND = "voterset"
+VOTER_SET_NAME = "ledger"
+BOOTSTRAP_RETRY_S = 0.2
+LEADERSHIP_SETTLE_S = 0.3
+"""How long a drained node keeps answering, so that others notice it is leaving."""
+
+
+async def serve(settings: NodeSettings) -> None:
+    """Runs a node until it is told to stop; returns after its drain."""
+    rng = random.Random()
+    log = EventLog(settings.node_id)
+    object_api = ObjectApi(settings.platform.object_api)
+    storage = None
+    recovered = None
+    identity = None
+    if settings.ledger.data_folder:
+        storage = LedgerStorage(Path(settings.ledger.data_folder))
+        identity, recovered = await _recover(settings, storage, object_api, log)
+    now = time.monotonic()
+    replica = None
+    if identity is not None and recovered is not None:
+        replica = LedgerReplica(identity, recovered, rng, now, settings.ledger.voters)
+    core = NodeCore(_member(settings), _seeds(settings), rng, now, replica, settings.scheduler)
+    machine_list = MachineList(settings.platform.machine_list)
+    shell = Shell(core, log, object_api, machine_list, storage)
+    await shell.start(settings.host, settings.port)
+    server = HTTPServer(
+        make_application(shell, settings), max_body_size=settings.limits.max_body_bytes
+    )
+    server.listen(settings.http_port, address=settings.host)
+    log.emit(LogEvent.NODE_STARTED, {"zone": settings.zone, "port": settings.port})
+    await _wait_for_stop(shell)
+    await _drain(shell, settings.limits.drain_timeout_s)
+    server.stop()
+    shell.stop()
+    log.emit(LogEvent.NODE_STOPPED, {})
+
+
+def _member(settings: NodeSettings) -> Member:
+    return Member(
+        node_id=settings.node_id,
+        zone=settings.zone,
+        region=settings.region,
+        host=settings.host,
+        port=settings.port,
+        http_port=settings.http_port,
+        # Above that of any earlier process under this id; refuted upwards where it is not.
+        incarnation=time.time_ns() // 1_000_000,
+        voter=bool(settings.ledger.data_folder),
+    )
+
+
+def _seeds(settings: NodeSettings) -> list[Seed]:
+    own = f"{settings.host}:{settings.port}"
+    return [Seed(*split_address(seed)) for seed in settings.seeds if seed != own]
+
+
+async def _recover(
+    settings: NodeSettings, storage: LedgerStorage, object_api: ObjectApi, log: EventLog
+) -> tuple[Voter, RecoveredLedger]:
+    """The ledger of this disk; at the first start the voter set is agreed on first."""
+    identity = storage.read_identity()
+    recovered = storage.recover()
+    if identity is not None and recovered is not None:
+        return identity, recovered
+    if identity is None:
+        identity = Voter(settings.node_id, uuid.uuid4().hex)
+        storage.write_identity(identity)
+    record = await _agree_on_voters(object_api, identity, settings.ledger.voters)
+    if identity not in record.voters:
+        log.emit(LogEvent.VOTER_WITHOUT_DISK, {"disk": identity.disk_id})
+    recovered = fresh_ledger(record.voters)
+    storage.start_fresh(recovered)
+    return identity, recovered
+
+
+async def _agree_on_voters(api: ObjectApi, me: Voter, target_count: int) -> VoterSetRecord:
+    while True:
+        try:
+            stored = await api.get(VOTER_SET_KIND, VOTER_SET_NAME)
+            current = _voter_set(stored)
+            if current is not None and current.sealed:
+                return current
+            entered = enter_voter_set(current, me, target_count)
+            if entered is not None:
+                expected = stored.revision if stored is not None else 0
+                spec = msgspec.to_builtins(entered)
+                await api.write(VOTER_SET_KIND, VOTER_SET_NAME, expected, uuid.uuid4().hex, spec)
+                continue
+        except StileloomError as error:
+            # Down, or another node was first: look again.
+            if error.kind not in (ErrorKind.PLATFORM_UNAVAILABLE, ErrorKind.CONFLICT):
+                raise
+        await asyncio.sleep(BOOTSTRAP_RETRY_S)
+
+
+def _voter_set(stored: StoredObject | None) -> VoterSetRecord | None:
+    return msgspec.convert(stored.spec, VoterSetRecord) if stored is not None else None
+
+
+async def _wait_for_stop(shell: Shell) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    shell.on_drain_request = stop.set
+    await stop.wait()
+
+
+async def _drain(shell: Shell, timeout_s: float) -> None:
+    """Admits nothing more, finishes what is in flight, then goes."""
+    shell.run(shell.core.drain(shell.now()))
+    give_up_at = shell.now() + timeout_s
+    await asyncio.sleep(LEADERSHIP_SETTLE_S)
+    while not shell.core.idle and shell.now() < give_up_at:
+        await asyncio.sleep(0.05)
+    await asyncio.sleep(LEADERSHIP_SETTLE_S)
--- /dev/null
+++ b/stileloom/daemon/waiters.py
@@ -0,0 +1,84 @@
+"""Futures of the HTTP side that wait for effects of the node core."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+
+from stileloom.effects import Effect
+from stileloom.ledger.client import CommandFinished
+from stileloom.node import DeliveryFinished, StatusFinished
+from stileloom.rollout.messages import DeliveryAnswer, LeaderStatus
+from stileloom.routing import AnswerReady, LookupAnswer, TokensReady
+
+
+class LookupWaiter:
+    """Takes the tokens and the answer of one lookup."""
+
+    def __init__(self) -> None:
+        self.events: asyncio.Queue[TokensReady | LookupAnswer] = asyncio.Queue()
+
+
+class Waiters:
+    """Who waits for what."""
+
+    def __init__(self) -> None:
+        self._lookups: dict[str, LookupWaiter] = {}
+        self._commands: dict[int, asyncio.Future[CommandFinished]] = {}
+        self._deliveries: dict[int, asyncio.Future[DeliveryAnswer]] = {}
+        self._statuses: dict[int, asyncio.Future[LeaderStatus]] = {}
+        self._tickets = itertools.count(1)
+
+    def next_ticket(self) -> int:
+        """A number not used before in this process."""
+        return next(self._tickets)
+
+    def resolve(self, effect: Effect) -> None:
+        """Hands an effect to whoever waits for it; nobody may."""
+        if isinstance(effect, AnswerReady):
+            waiter = self._lookups.pop(effect.answer.request_id, None)
+            if waiter is not None:
+                waiter.events.put_nowait(effect.answer)
+        elif isinstance(effect, TokensReady):
+            waiter = self._lookups.get(effect.request_id)
+            if waiter is not None:
+                waiter.events.put_nowait(effect)
+        elif isinstance(effect, CommandFinished):
+            _set(self._commands.pop(effect.ticket, None), effect)
+        elif isinstance(effect, DeliveryFinished):
+            _set(self._deliveries.pop(effect.answer.ticket, None), effect.answer)
+        elif isinstance(effect, StatusFinished):
+            _set(self._statuses.pop(effect.status.ticket, None), effect.status)
+
+    def expect_lookup(self, request_id: str) -> LookupWaiter:
+        """Waits for a lookup's tokens and answer."""
+        waiter = LookupWaiter()
+        self._lookups[request_id] = waiter
+        return waiter
+
+    def expect_command(self, ticket: int) -> asyncio.Future[CommandFinished]:
+        """Waits for a command's answer."""
+        future: asyncio.Future[CommandFinished] = asyncio.get_running_loop().create_future()
+        self._commands[ticket] = future
+        return future
+
+    def forget_command(self, ticket: int) -> None:
+        """Nobody waits for the command any more."""
+        self._commands.pop(ticket, None)
+
+    def expect_delivery(self, ticket: int) -> asyncio.Future[DeliveryAnswer]:
+        """Waits for an answer to a read of deliveries."""
+        future: asyncio.Future[DeliveryAnswer] = asyncio.get_running_loop().create_future()
+        self._deliveries[ticket] = future
+        return future
+
+    def expect_status(self, ticket: int) -> asyncio.Future[LeaderStatus]:
+        """Waits for the leader's status."""
+        future: asyncio.Future[LeaderStatus] = asyncio.get_running_loop().create_future()
+        self._statuses[ticket] = future
+        return future
+
+
+def _set(future: asyncio.Future | None, value: object) -> None:
+    if future is not None and not future.done():
+        future.set_result(value)
--- /dev/null
+++ b/stileloom/emulator/deployment.py
@@ -0,0 +1,249 @@
+"""A deployment's description, and the settings files that follow from it."""
+
+from __future__ import annotations
+
+import json
+import socket
+from pathlib import Path
+
+import msgspec
+
+from stileloom.api.objects import SamplerRole
+from stileloom.emulator.engine_model import EngineParameters
+from stileloom.errors import ErrorKind, StileloomError
+from stileloom.settings import load_settings
+
+
+class PoolDescription(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A pool: the zone of each of its samplers."""
+
+    name: str
+    role: SamplerRole
+    model: str
+    samplers: list[str]
+
+
+class WeightStoreDescription(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The weight store's rate."""
+
+    bytes_per_s: float
+
+
+class TrainerDescription(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The trainer of the demo and the bench."""
+
+    round_name: str
+    staleness_bound: int
+    steps: int
+    samples_per_step: int
+    train_s: float
+    max_tokens: int
+    length_median_tokens: int
+    length_sigma: float
+    long_fraction: float
+    long_factor: int
+
+
+class LookupDescription(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The lookups of the demo."""
+
+    service: str
+    rate_per_s: float
+    max_tokens: int
+    tenants: list[str]
+    non_repeatable_fraction: float
+
+
+class Deployment(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A whole deployment on one machine."""
+
+    name: str
+    region: str
+    zones: list[str]
+    nodes_per_zone: int
+    objects: str
+    zone_latency_ms: float
+    client_latency_ms: float
+    pools: list[PoolDescription]
+    engine: EngineParameters
+    weight_store: WeightStoreDescription
+    trainer: TrainerDescription
+    lookups: LookupDescription
+
+
+class NodeAddress(msgspec.Struct, frozen=True):
+    """A node of a run."""
+
+    node_id: str
+    zone: str
+    port: int
+    http_port: int
+    data_folder: str
+    """Empty on nodes that keep nothing."""
+    settings_file: str
+
+
+class RunFiles(msgspec.Struct, frozen=True):
+    """The files and addresses of one run."""
+
+    folder: str
+    emulator_file: str
+    objects_file: str
+    nodes: list[NodeAddress]
+    samplers: list[str]
+    object_api_port: int
+    trainer_report: str
+
+
+def load_deployment(folder: Path) -> Deployment:
+    """Reads `deployment.toml`. Raises `StileloomError` (SETTINGS_INVALID)."""
+    path = folder / "deployment.toml"
+    if not path.exists():
+        raise StileloomError(ErrorKind.SETTINGS_INVALID, f"{path}: no such file")
+    return load_settings(path, Deployment)
+
+
+class _Ports:
+    """Ports chosen by the kernel; all sockets are held until the last one is drawn."""
+
+    def __init__(self) -> None:
+        self._held: list[socket.socket] = []
+
+    def draw(self) -> int:
+        """A port that was free for TCP and UDP a moment ago."""
+        while True:
+            tcp = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            tcp.bind(("127.0.0.1", 0))
+            port = tcp.getsockname()[1]
+            udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            self._held.append(tcp)
+            try:
+                udp.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            self._held.append(udp)
+            return port
+
+    def release(self) -> None:
+        """Lets all ports go."""
+        for held in self._held:
+            held.close()
+
+
+def write_run_files(
+    deployment: Deployment, objects_file: Path, folder: Path, seed: int, scheduler: str
+) -> RunFiles:
+    """Writes the settings of every process of a run into a folder."""
+    ports = _Ports()
+    nodes = _draw_nodes(deployment, folder, ports)
+    object_api_port, machines_port, weights_port = ports.draw(), ports.draw(), ports.draw()
+    samplers = _sampler_tables(deployment, ports)
+    ports.release()
+    report = folder / "trainer-report.json"
+    emulator = {
+        "seed": seed,
+        "object_api": {"port": object_api_port},
+        "machine_list": {"port": machines_port, "lag_s": 1.0},
+        "weight_store": {"port": weights_port, "bytes_per_s": deployment.weight_store.bytes_per_s},
+        "samplers": samplers,
+        "trainer": _trainer_table(deployment, nodes, report),
+    }
+    emulator_file = folder / "emulator.toml"
+    emulator_file.write_text(_toml(emulator))
+    for node in nodes:
+        table = _node_table(deployment, node, nodes, object_api_port, machines_port, scheduler)
+        Path(node.settings_file).write_text(_toml(table))
+    return RunFiles(
+        folder=str(folder),
+        emulator_file=str(emulator_file),
+        objects_file=str(objects_file),
+        nodes=nodes,
+        samplers=[str(sampler["sampler_id"]) for sampler in samplers],
+        object_api_port=object_api_port,
+        trainer_report=str(report),
+    )
+
+
+def _draw_nodes(deployment: Deployment, folder: Path, ports: _Ports) -> list[NodeAddress]:
+    nodes: list[NodeAddress] = []
+    for zone in deployment.zones:
+        for number in range(1, deployment.nodes_per_zone + 1):
+            node_id = f"{zone}-{number}"
+            data = str(folder / f"{node_id}.data") if number == 1 else ""
+            settings_file = str(folder / f"{node_id}.toml")
+            nodes.append(
+                NodeAddress(node_id, zone, ports.draw(), ports.draw(), data, settings_file)
+            )
+    return nodes
+
+
+def _sampler_tables(deployment: Deployment, ports: _Ports) -> list[dict[str, object]]:
+    tables: list[dict[str, object]] = []
+    engine = msgspec.to_builtins(deployment.engine)
+    for pool in deployment.pools:
+        for number, zone in enumerate(pool.samplers, start=1):
+            tables.append(
+                {
+                    "sampler_id": f"{pool.name}-{number}",
+                    "pool": pool.name,
+                    "zone": zone,
+                    "port": ports.draw(),
+                    "role": pool.role.value,
+                    "model": pool.model,
+                    "engine": engine,
+                }
+            )
+    return tables
+
+
+def _trainer_table(
+    deployment: Deployment, nodes: list[NodeAddress], report: Path
+) -> dict[str, object]:
+    table = msgspec.to_builtins(deployment.trainer)
+    del table["staleness_bound"]
+    table["gateways"] = [f"127.0.0.1:{node.http_port}" for node in nodes]
+    table["report"] = str(report)
+    return table
+
+
+def _node_table(
+    deployment: Deployment,
+    node: NodeAddress,
+    nodes: list[NodeAddress],
+    object_api_port: int,
+    machines_port: int,
+    scheduler: str,
+) -> dict[str, object]:
+    return {
+        "node_id": node.node_id,
+        "zone": node.zone,
+        "region": deployment.region,
+        "port": node.port,
+        "http_port": node.http_port,
+        "seeds": [f"127.0.0.1:{other.port}" for other in nodes if other is not node][:3],
+        "scheduler": scheduler,
+        "platform": {
+            "object_api": f"127.0.0.1:{object_api_port}",
+            "machine_list": f"127.0.0.1:{machines_port}",
+        },
+        "ledger": {
+            "data_folder": node.data_folder,
+            "voters": sum(1 for other in nodes if other.data_folder),
+        },
+    }
+
+
+def _toml(table: dict[str, object]) -> str:
+    """TOML of a table; values are written as JSON, which TOML's inline values include."""
+    lines: list[str] = []
+    for key, value in table.items():
+        lines.append(f"{key} = {_inline(value)}")
+    return "\n".join(lines) + "\n"
+
+
+def _inline(value: object) -> str:
+    if isinstance(value, dict):
+        return "{ " + ", ".join(f"{key} = {_inline(item)}" for key, item in value.items()) + " }"
+    if isinstance(value, list):
+        return "[" + ", ".join(_inline(item) for item in value) + "]"
+    return json.dumps(value)
--- /dev/null
+++ b/stileloom/emulator/lookup_load.py
@@ -0,0 +1,108 @@
+"""Stand-in callers: open-loop lookups whose answers they check themselves."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+import uuid
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from stileloom.client import LookupClient
+from stileloom.emulator.deployment import LookupDescription
+from stileloom.emulator.engine_model import (
+    EngineParameters,
+    make_tokens,
+    natural_length,
+    token_content,
+)
+from stileloom.errors import Outcome, StileloomError
+from stileloom.http.lookups import LookupResult
+
+MAX_LATENCY_US = 60_000_000
+
+
+class LookupCounts(msgspec.Struct):
+    """Lookups by what their callers were told."""
+
+    sent: int = 0
+    completed: int = 0
+    not_run: int = 0
+    unknown: int = 0
+    wrong_answer: int = 0
+
+
+class LookupLoad:
+    """Sends lookups at a rate, whether or not earlier ones were answered."""
+
+    def __init__(
+        self,
+        gateways: list[str],
+        description: LookupDescription,
+        engine: EngineParameters,
+        seed: int,
+    ) -> None:
+        self.counts = LookupCounts()
+        self.latency_us = HdrHistogram(1, MAX_LATENCY_US, 3)
+        self._clients = {gateway: LookupClient([gateway]) for gateway in gateways}
+        self._description = description
+        self._engine = engine
+        self._rng = random.Random(f"{seed}/lookups")
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._stopped = False
+
+    def remove_gateway(self, gateway: str) -> None:
+        """Callers learn that a gateway is gone."""
+        self._clients.pop(gateway, None)
+
+    async def run(self) -> None:
+        """Sends until `stop`."""
+        number = 0
+        next_at = time.monotonic()
+        while not self._stopped:
+            next_at += self._rng.expovariate(self._description.rate_per_s)
+            await asyncio.sleep(max(0.0, next_at - time.monotonic()))
+            number += 1
+            task = asyncio.get_running_loop().create_task(self._send(number))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def stop(self) -> None:
+        """Sends no more and waits for what is open."""
+        self._stopped = True
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+
+    async def _send(self, number: int) -> None:
+        client = self._clients[self._rng.choice(sorted(self._clients))]
+        query = f"parcel {number} of {self._rng.randrange(1_000_000)}"
+        headers = {"X-Tenant": self._rng.choice(self._description.tenants)}
+        if self._rng.random() < self._description.non_repeatable_fraction:
+            headers["X-Repeatable"] = "false"
+            headers["Idempotency-Key"] = uuid.UUID(int=self._rng.getrandbits(128)).hex
+        self.counts.sent += 1
+        started_at = time.monotonic()
+        try:
+            result = await client.lookup(
+                self._description.service, query, self._description.max_tokens, headers
+            )
+        except StileloomError as error:
+            self._count_error(error)
+            return
+        self.latency_us.record_value(int((time.monotonic() - started_at) * 1e6))
+        self.counts.completed += 1
+        if not self._is_right(query, result):
+            self.counts.wrong_answer += 1
+
+    def _count_error(self, error: StileloomError) -> None:
+        if error.outcome is Outcome.NOT_RUN:
+            self.counts.not_run += 1
+        else:
+            self.counts.unknown += 1
+
+    def _is_right(self, query: str, result: LookupResult) -> bool:
+        length = natural_length(query, self._description.max_tokens, self._engine)
+        expected = [token_content(token) for token in make_tokens(query, 0, length, 0)]
+        return [token_content(token) for token in result.tokens] == expected
--- /dev/null
+++ b/stileloom/errors.py
@@ -0,0 +1,175 @@
+"""The closed list of error kinds and the one table from a kind to its answers.
+
+Every failure that a caller, trainer or operator can see is an `ErrorKind`. The table
+`ANSWERS` gives its HTTP status, the exit code of the command line, the outcome that is
+stated when nothing more is known, and whether `Retry-After` goes with it.
+Problem documents follow RFC 9457.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+
+class Outcome(enum.Enum):
+    """What is known about whether a request was run."""
+
+    COMPLETED = "completed"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class ErrorKind(enum.Enum):
+    """The closed list of error kinds; the value is the `code` on the wire."""
+
+    BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_ROUND = "unknown_round"
+    UNKNOWN_OBJECT = "unknown_object"
+    DEADLINE_PASSED = "deadline_passed"
+    KEY_REUSED = "key_reused"
+    KEY_IN_USE = "key_in_use"
+    CONFLICT = "conflict"
+    POLICY_INVALID = "policy_invalid"
+    OBJECT_INVALID = "object_invalid"
+    SETTINGS_INVALID = "settings_invalid"
+    REJECTED_BY_POLICY = "rejected_by_policy"
+    OVERLOADED = "overloaded"
+    RATE_LIMITED = "rate_limited"
+    NO_SAMPLER = "no_sampler"
+    DRAINING = "draining"
+    NOT_READY = "not_ready"
+    LEDGER_UNAVAILABLE = "ledger_unavailable"
+    PLATFORM_UNAVAILABLE = "platform_unavailable"
+    SAMPLER_FAILED = "sampler_failed"
+    STALE_DELIVERIES = "stale_deliveries"
+    PROMISE_BROKEN = "promise_broken"
+    INTERNAL = "internal"
+
+
+class ErrorAnswer(msgspec.Struct, frozen=True):
+    """How one error kind is answered."""
+
+    http_status: int
+    exit_code: int
+    outcome: Outcome
+    """The outcome stated unless the place that failed knows better."""
+    retry_after_s: int | None
+    """Seconds for `Retry-After`; None where asking again can not help."""
+    title: str
+
+
+ANSWERS: dict[ErrorKind, ErrorAnswer] = {
+    ErrorKind.BAD_REQUEST: ErrorAnswer(
+        400, 2, Outcome.NOT_RUN, None, "The request is not well formed"
+    ),
+    ErrorKind.BODY_TOO_LARGE: ErrorAnswer(
+        413, 2, Outcome.NOT_RUN, None, "The body is over the limit"
+    ),
+    ErrorKind.UNKNOWN_SERVICE: ErrorAnswer(
+        404, 3, Outcome.NOT_RUN, None, "No service has this name"
+    ),
+    ErrorKind.UNKNOWN_ROUND: ErrorAnswer(404, 3, Outcome.NOT_RUN, None, "No round has this name"),
+    ErrorKind.UNKNOWN_OBJECT: ErrorAnswer(404, 3, Outcome.NOT_RUN, None, "No object has this name"),
+    ErrorKind.DEADLINE_PASSED: ErrorAnswer(
+        504, 4, Outcome.NOT_RUN, None, "The deadline has passed"
+    ),
+    ErrorKind.KEY_REUSED: ErrorAnswer(
+        422, 2, Outcome.NOT_RUN, None, "The idempotency key was used with another body"
+    ),
+    ErrorKind.KEY_IN_USE: ErrorAnswer(
+        409, 5, Outcome.UNKNOWN, None, "A request with this idempotency key was already admitted"
+    ),
+    ErrorKind.CONFLICT: ErrorAnswer(409, 5, Outcome.NOT_RUN, None, "Another change came first"),
+    ErrorKind.POLICY_INVALID: ErrorAnswer(
+        422, 6, Outcome.NOT_RUN, None, "The policy does not compile"
+    ),
+    ErrorKind.OBJECT_INVALID: ErrorAnswer(422, 6, Outcome.NOT_RUN, None, "The object is not valid"),
+    ErrorKind.SETTINGS_INVALID: ErrorAnswer(
+        422, 2, Outcome.NOT_RUN, None, "The settings are not valid"
+    ),
+    ErrorKind.REJECTED_BY_POLICY: ErrorAnswer(
+        403, 7, Outcome.NOT_RUN, None, "A policy in force refuses the request"
+    ),
+    ErrorKind.OVERLOADED: ErrorAnswer(
+        503, 8, Outcome.NOT_RUN, 1, "The queue can not serve the request before its deadline"
+    ),
+    ErrorKind.RATE_LIMITED: ErrorAnswer(429, 8, Outcome.NOT_RUN, 1, "The tenant is over its limit"),
+    ErrorKind.NO_SAMPLER: ErrorAnswer(
+        503, 8, Outcome.NOT_RUN, 2, "No sampler of the service can take the request"
+    ),
+    ErrorKind.DRAINING: ErrorAnswer(503, 8, Outcome.NOT_RUN, 1, "This node is draining"),
+    ErrorKind.NOT_READY: ErrorAnswer(
+        503, 8, Outcome.NOT_RUN, 2, "This node has not learned the configuration yet"
+    ),
+    ErrorKind.LEDGER_UNAVAILABLE: ErrorAnswer(
+        503, 9, Outcome.UNKNOWN, 2, "The ledger has no leader within reach"
+    ),
+    ErrorKind.PLATFORM_UNAVAILABLE: ErrorAnswer(
+        503, 9, Outcome.UNKNOWN, 5, "The object API did not answer"
+    ),
+    ErrorKind.SAMPLER_FAILED: ErrorAnswer(
+        502, 10, Outcome.UNKNOWN, 1, "The sampler failed while the request ran"
+    ),
+    ErrorKind.STALE_DELIVERIES: ErrorAnswer(
+        409, 5, Outcome.NOT_RUN, 1, "Unacknowledged deliveries would exceed the staleness bound"
+    ),
+    ErrorKind.PROMISE_BROKEN: ErrorAnswer(
+        500, 1, Outcome.UNKNOWN, None, "A run broke one of the promises"
+    ),
+    ErrorKind.INTERNAL: ErrorAnswer(500, 70, Outcome.UNKNOWN, None, "An internal fault"),
+}
+
+
+class StileloomError(Exception):
+    """An error of a listed kind.
+
+    Shape: `kind` from the closed list, `detail` for a person, `outcome` as far as it is
+    known, `retry_after_s` in seconds or None.
+    """
+
+    def __init__(
+        self,
+        kind: ErrorKind,
+        detail: str,
+        outcome: Outcome | None = None,
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(f"{kind.value}: {detail}")
+        answer = ANSWERS[kind]
+        self.kind = kind
+        self.detail = detail
+        self.outcome = outcome if outcome is not None else answer.outcome
+        self.retry_after_s = retry_after_s if retry_after_s is not None else answer.retry_after_s
+
+    @property
+    def answer(self) -> ErrorAnswer:
+        """The row of the table for this kind."""
+        return ANSWERS[self.kind]
+
+
+class Problem(msgspec.Struct, omit_defaults=True):
+    """A problem document (RFC 9457) with this product's `code` and `outcome`."""
+
+    title: str
+    status: int
+    code: str
+    outcome: str
+    detail: str = ""
+    retry_after_s: float | None = None
+    type: str = "about:blank"
+
+
+def problem_of(error: StileloomError) -> Problem:
+    """The problem document for an error."""
+    return Problem(
+        title=error.answer.title,
+        status=error.answer.http_status,
+        code=error.kind.value,
+        outcome=error.outcome.value,
+        detail=error.detail,
+        retry_after_s=error.retry_after_s,
+    )
--- /dev/null
+++ b/stileloom/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP for callers, trainers and operators."""
--- /dev/null
+++ b/stileloom/http/lookups.py
@@ -0,0 +1,238 @@
+"""Callers: completions in the OpenAI style, and lookups."""
+
+from __future__ import annotations
+
+import uuid
+from typing import Annotated
+
+import msgspec
+import xxhash
+
+from stileloom import constants
+from stileloom.errors import ErrorKind, StileloomError, problem_of
+from stileloom.http.base import ApiHandler
+from stileloom.routing import LookupAnswer, LookupRequest, TokensReady
+
+MAX_PRIORITY = 100
+MAX_TOKENS_LIMIT = 65_536
+MaxTokens = Annotated[int, msgspec.Meta(ge=1, le=MAX_TOKENS_LIMIT)]
+
+
+class LookupBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of `POST /v1/services/{service}/lookup`."""
+
+    query: str
+    max_tokens: MaxTokens | None = None
+    prefix_key: str = ""
+    """Lookups with the same key share a prompt prefix."""
+
+
+class CompletionBody(msgspec.Struct):
+    """Body of `POST /v1/completions`; fields that are not known here are ignored."""
+
+    model: str
+    """Name of the service."""
+    prompt: str
+    max_tokens: MaxTokens | None = None
+    stream: bool = False
+
+
+class LookupResult(msgspec.Struct):
+    """Answer to a lookup."""
+
+    request_id: str
+    outcome: str
+    tokens: list[int]
+    token_count: int
+    finish_reason: str
+    weight_versions: list[int]
+    revision: int
+    revision_age_s: float
+    """How long the configuration lease had lapsed; 0 while it holds."""
+
+
+class CompletionChoice(msgspec.Struct):
+    """The one choice of a completion. Tokens are numbers: the service holds no tokenizer."""
+
+    index: int
+    tokens: list[int]
+    text: str
+    finish_reason: str | None
+
+
+class CompletionUsage(msgspec.Struct):
+    """Token counts of a completion."""
+
+    completion_tokens: int
+
+
+class CompletionResult(msgspec.Struct):
+    """A completion, or one event of a streamed one; only the last has `usage`."""
+
+    id: str
+    object: str
+    model: str
+    choices: list[CompletionChoice]
+    usage: CompletionUsage | None = None
+    outcome: str | None = None
+    weight_versions: list[int] | None = None
+
+
+class CallHandler(ApiHandler):
+    """What both kinds of calls share."""
+
+    def prepare(self) -> None:
+        """Draws the request's id."""
+        super().prepare()
+        self.request_id = f"{self.shell.core.node_id}/{uuid.uuid4().hex}"
+
+    def on_connection_close(self) -> None:
+        """The caller went away: what runs for it is cancelled."""
+        if hasattr(self, "request_id"):
+            shell = self.shell
+            shell.run(shell.core.cancel_lookup(shell.now(), self.request_id))
+
+    def make_request(
+        self, service: str, prompt: str, max_tokens: int | None, prefix_key: str, stream: bool
+    ) -> LookupRequest:
+        """The checked request. Raises `StileloomError` (BAD_REQUEST, DEADLINE_PASSED)."""
+        headers = self.request.headers
+        key = headers.get("Idempotency-Key", "")
+        configuration = self.shell.core.configuration.store.configuration
+        known = configuration.services.get(service) if configuration is not None else None
+        default = known.default_max_tokens if known is not None else 1
+        return LookupRequest(
+            request_id=self.request_id,
+            service=service,
+            prompt=prompt,
+            max_tokens=max_tokens or default,
+            tenant=headers.get("X-Tenant", "anonymous"),
+            priority=self._priority(),
+            repeatable=self._repeatable(),
+            deadline_at=self.shell.now() + self._time_left_s(),
+            idempotency_key=key,
+            body_digest=xxhash.xxh3_64_intdigest(f"{service}\x00{prompt}\x00{max_tokens}".encode())
+            >> 1,
+            prefix_key=prefix_key,
+            stream=stream,
+        )
+
+    def _priority(self) -> int:
+        text = self.request.headers.get("X-Priority", "50")
+        if not text.isdecimal() or int(text) > MAX_PRIORITY:
+            raise StileloomError(ErrorKind.BAD_REQUEST, f"X-Priority: expected 0..{MAX_PRIORITY}")
+        return int(text)
+
+    def _repeatable(self) -> bool:
+        text = self.request.headers.get("X-Repeatable", "true")
+        if text not in ("true", "false"):
+            raise StileloomError(ErrorKind.BAD_REQUEST, "X-Repeatable: expected true or false")
+        return text == "true"
+
+    def _time_left_s(self) -> float:
+        text = self.request.headers.get("X-Deadline-Ms")
+        if text is None:
+            return constants.DEFAULT_DEADLINE_S
+        try:
+            left_s = float(text) / 1000.0
+        except ValueError as error:
+            raise StileloomError(ErrorKind.BAD_REQUEST, "X-Deadline-Ms: not a number") from error
+        if not left_s > 0:
+            raise StileloomError(ErrorKind.DEADLINE_PASSED, "X-Deadline-Ms is not positive")
+        return left_s
+
+    async def run_lookup(self, request: LookupRequest) -> LookupAnswer:
+        """Runs a request to its final answer. Raises `StileloomError`."""
+        shell = self.shell
+        waiter = shell.waiters.expect_lookup(request.request_id)
+        shell.run(shell.core.submit_lookup(shell.now(), request))
+        while True:
+            event = await waiter.events.get()
+            if isinstance(event, TokensReady):
+                self.take_tokens(event)
+                continue
+            if event.error is not None:
+                raise event.error
+            return event
+
+    def take_tokens(self, event: TokensReady) -> None:
+        """Tokens of a streamed request; others have them in their answer."""
+
+
+class LookupHandler(CallHandler):
+    """`POST /v1/services/{service}/lookup`."""
+
+    async def post(self, service: str) -> None:
+        """Runs one lookup."""
+        body = self.body_as(LookupBody)
+        request = self.make_request(service, body.query, body.max_tokens, body.prefix_key, False)
+        answer = await self.run_lookup(request)
+        self.set_header("X-Outcome", answer.outcome.value)
+        self.answer(
+            LookupResult(
+                request_id=answer.request_id,
+                outcome=answer.outcome.value,
+                tokens=answer.tokens,
+                token_count=len(answer.tokens),
+                finish_reason=answer.finish_reason,
+                weight_versions=answer.weight_versions,
+                revision=answer.revision,
+                revision_age_s=round(answer.revision_age_s, 3),
+            )
+        )
+
+
+class CompletionHandler(CallHandler):
+    """`POST /v1/completions`."""
+
+    async def post(self) -> None:
+        """Runs one completion, streamed or whole."""
+        body = self.body_as(CompletionBody)
+        self._model = body.model
+        self._stream_started = False
+        request = self.make_request(body.model, body.prompt, body.max_tokens, "", body.stream)
+        try:
+            answer = await self.run_lookup(request)
+        except StileloomError as error:
+            if not self._stream_started:
+                raise
+            # The status line is gone: the error is the last event, without a usage count.
+            self._write_event(msgspec.json.encode(problem_of(error)))
+            await self.finish()
+            return
+        if body.stream:
+            self._finish_stream(answer)
+            return
+        self.set_header("X-Outcome", answer.outcome.value)
+        self.answer(self._result(answer.tokens, answer))
+
+    def take_tokens(self, event: TokensReady) -> None:
+        """Passes tokens on as a server-sent event."""
+        self._start_stream()
+        self._write_event(msgspec.json.encode(self._result(event.tokens, None)))
+
+    def _start_stream(self) -> None:
+        if not self._stream_started:
+            self._stream_started = True
+            self.set_header("Content-Type", "text/event-stream")
+            self.set_header("Cache-Control", "no-store")
+
+    def _finish_stream(self, answer: LookupAnswer) -> None:
+        self._start_stream()
+        self._write_event(msgspec.json.encode(self._result([], answer)))
+        self._write_event(b"[DONE]")
+        self.finish()
+
+    def _write_event(self, body: bytes) -> None:
+        self.write(b"data: " + body + b"\n\n")
+        self.flush()
+
+    def _result(self, tokens: list[int], answer: LookupAnswer | None) -> CompletionResult:
+        finish_reason = answer.finish_reason if answer is not None else None
+        choice = CompletionChoice(0, tokens, " ".join(map(str, tokens)), finish_reason)
+        result = CompletionResult(self.request_id, "text_completion", self._model, [choice])
+        if answer is not None:
+            result.usage = CompletionUsage(len(answer.tokens))
+            result.outcome = answer.outcome.value
+            result.weight_versions = answer.weight_versions
+        return result
--- /dev/null
+++ b/stileloom/http/operations.py
@@ -0,0 +1,162 @@
+"""Operators: status, explain, drain; and probes and metrics for their monitoring."""
+
+from __future__ import annotations
+
+import asyncio
+import uuid
+
+import msgspec
+
+from stileloom import constants
+from stileloom.errors import ErrorKind, StileloomError
+from stileloom.http.base import ApiHandler
+from stileloom.http.metrics import render_metrics
+from stileloom.membership import Member
+from stileloom.rollout.messages import LeaderStatus
+from stileloom.routing import LookupRequest
+
+STATUS_WAIT_S = 1.5
+STATUS_TRIES = 3
+
+
+class NodeStatus(msgspec.Struct):
+    """One node as the answering node's membership sees it."""
+
+    node_id: str
+    zone: str
+    state: str
+    leaving: bool
+    voter: bool
+
+
+class Status(msgspec.Struct):
+    """Answer of `GET /v1/status`."""
+
+    node_id: str
+    zone: str
+    ready: bool
+    draining: bool
+    revision: int
+    in_force: int
+    lease_valid: bool
+    nodes: list[NodeStatus]
+    leader: LeaderStatus | None
+    """The leader's part; None where no leader answered."""
+
+
+class ExplainBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of `POST /v1/explain`."""
+
+    service: str
+    tenant: str = "anonymous"
+    priority: int = 50
+    repeatable: bool = True
+    max_tokens: int = 32
+    prefix_key: str = ""
+
+
+class StatusHandler(ApiHandler):
+    """`GET /v1/status`."""
+
+    async def get(self) -> None:
+        """The whole system as far as this node can learn it."""
+        core = self.shell.core
+        store = core.configuration.store
+        now = self.shell.now()
+        self.answer(
+            Status(
+                node_id=core.node_id,
+                zone=core.zone,
+                ready=core.ready,
+                draining=core.draining,
+                revision=store.revision,
+                in_force=store.in_force,
+                lease_valid=store.lease_valid(now),
+                nodes=[_node_status(member) for member in core.membership.members()],
+                leader=await self._leader_status(),
+            )
+        )
+
+    async def _leader_status(self) -> LeaderStatus | None:
+        shell = self.shell
+        for _ in range(STATUS_TRIES):
+            ticket = shell.waiters.next_ticket()
+            future = shell.waiters.expect_status(ticket)
+            shell.run(shell.core.ask_status(shell.now(), ticket))
+            try:
+                return await asyncio.wait_for(future, STATUS_WAIT_S / STATUS_TRIES)
+            except TimeoutError:
+                continue
+        return None
+
+
+def _node_status(member: Member) -> NodeStatus:
+    return NodeStatus(
+        member.node_id, member.zone, member.state.name.lower(), member.leaving, member.voter
+    )
+
+
+class ExplainHandler(ApiHandler):
+    """`POST /v1/explain`."""
+
+    async def post(self) -> None:
+        """Why a request would go where, rule by rule."""
+        body = self.body_as(ExplainBody)
+        now = self.shell.now()
+        request = LookupRequest(
+            request_id=f"explain/{uuid.uuid4().hex}",
+            service=body.service,
+            prompt="",
+            max_tokens=body.max_tokens,
+            tenant=body.tenant,
+            priority=body.priority,
+            repeatable=body.repeatable,
+            deadline_at=now + constants.DEFAULT_DEADLINE_S,
+            prefix_key=body.prefix_key,
+        )
+        self.answer(self.shell.core.explain(now, request))
+
+
+class DrainHandler(ApiHandler):
+    """`POST /v1/drain` (this node) and `POST /v1/samplers/{id}/drain`."""
+
+    async def post(self, sampler_id: str | None = None) -> None:
+        """Starts a drain; it sticks."""
+        shell = self.shell
+        if sampler_id is None:
+            shell.on_drain_request()
+            self.answer({"draining": shell.core.node_id}, status=202)
+            return
+        if shell.core.table.get(sampler_id) is None:
+            raise StileloomError(ErrorKind.UNKNOWN_OBJECT, f"sampler {sampler_id!r}")
+        shell.run(shell.core.drain_sampler(shell.now(), sampler_id))
+        self.answer({"draining": sampler_id}, status=202)
+
+
+class HealthHandler(ApiHandler):
+    """`GET /healthz`: the process runs."""
+
+    async def get(self) -> None:
+        """Always well while it can answer."""
+        self.answer({"status": "ok"})
+
+
+class ReadyHandler(ApiHandler):
+    """`GET /readyz`: the node may be given callers' requests."""
+
+    async def get(self) -> None:
+        """Raises NOT_READY or DRAINING otherwise."""
+        if self.shell.core.draining:
+            raise StileloomError(ErrorKind.DRAINING, "this node is draining")
+        if not self.shell.core.ready:
+            raise StileloomError(ErrorKind.NOT_READY, "no configuration learned yet")
+        self.answer({"status": "ready"})
+
+
+class MetricsHandler(ApiHandler):
+    """`GET /metrics` in Prometheus text."""
+
+    async def get(self) -> None:
+        """All metrics of this node."""
+        self.set_header("Content-Type", "text/plain; version=0.0.4")
+        self.finish(render_metrics(self.shell))
--- /dev/null
+++ b/stileloom/ledger/__init__.py
@@ -0,0 +1,19 @@
+"""The replicated, fsynced record of samples, deliveries, keys and the controller's epoch."""
+
+from stileloom.ledger.client import CommandFinished, LedgerClient
+from stileloom.ledger.effects import Applied, Dropped, Persist
+from stileloom.ledger.replica import LedgerReplica, RecoveredLedger, ReplicaRole, fresh_ledger
+from stileloom.ledger.state import LedgerState
+
+__all__ = [
+    "Applied",
+    "CommandFinished",
+    "Dropped",
+    "LedgerClient",
+    "LedgerReplica",
+    "LedgerState",
+    "Persist",
+    "RecoveredLedger",
+    "ReplicaRole",
+    "fresh_ledger",
+]
--- /dev/null
+++ b/stileloom/ledger/client.py
@@ -0,0 +1,84 @@
+"""Sends a node's commands to the ledger's leader and repeats them until they are answered.
+
+Commands are idempotent, so repeating one after a lost answer is safe.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from stileloom import constants
+from stileloom.effects import Effect, Send
+from stileloom.ledger.commands import Command, CommandResult
+from stileloom.ledger.leader_tracker import LeaderTracker
+from stileloom.ledger.messages import CommandAnswer, CommandForward
+
+
+class CommandFinished(msgspec.Struct, frozen=True):
+    """The answer to a command; `result` is None where it is not known in time."""
+
+    ticket: int
+    result: CommandResult | None
+
+
+class _Pending(msgspec.Struct):
+    """A command that waits for its answer."""
+
+    command: Command
+    give_up_at: float
+    retry_at: float
+    sent_to: str = ""
+
+
+class LedgerClient:
+    """The commands that this node waits for."""
+
+    def __init__(self, tracker: LeaderTracker, first_ticket: int = 1) -> None:
+        self._tracker = tracker
+        self._pending: dict[int, _Pending] = {}
+        self._next_ticket = first_ticket
+
+    def submit(
+        self, now: float, command: Command, timeout_s: float = constants.COMMAND_TIMEOUT_S
+    ) -> tuple[int, list[Effect]]:
+        """Sends a command; `CommandFinished` follows with the returned ticket."""
+        ticket = self._next_ticket
+        self._next_ticket += 1
+        self._pending[ticket] = _Pending(command, now + timeout_s, now)
+        return ticket, self._send(now, ticket)
+
+    def tick(self, now: float) -> list[Effect]:
+        """Repeats what is not answered and gives up what is out of time."""
+        effects: list[Effect] = []
+        for ticket, pending in list(self._pending.items()):
+            if now >= pending.give_up_at:
+                del self._pending[ticket]
+                effects.append(CommandFinished(ticket, None))
+            elif now >= pending.retry_at:
+                self._tracker.silent(pending.sent_to)
+                effects += self._send(now, ticket)
+        return effects
+
+    def handle(self, now: float, sender: str, message: CommandAnswer) -> list[Effect]:
+        """Takes the leader's answer, or a hint who the leader is."""
+        if message.result is not None:
+            if self._pending.pop(message.ticket, None) is None:
+                return []
+            return [CommandFinished(message.ticket, message.result)]
+        pending = self._pending.get(message.ticket)
+        if pending is None or message.leader in ("", sender, pending.sent_to):
+            return []
+        return self._send_to(now, message.ticket, message.leader)
+
+    def _send(self, now: float, ticket: int) -> list[Effect]:
+        target = self._tracker.ask(now)
+        if target is None:
+            self._pending[ticket].retry_at = now + constants.COMMAND_RETRY_S
+            return []
+        return self._send_to(now, ticket, target)
+
+    def _send_to(self, now: float, ticket: int, target: str) -> list[Effect]:
+        pending = self._pending[ticket]
+        pending.retry_at = now + constants.COMMAND_RETRY_S
+        pending.sent_to = target
+        return [Send(target, CommandForward(ticket, pending.command))]
--- /dev/null
+++ b/stileloom/ledger/commands.py
@@ -0,0 +1,151 @@
+"""Commands of the ledger's state machine and their results.
+
+Every command may be proposed more than once: a second application changes nothing and
+gives the same answer. That is what makes a retry after a lost answer safe.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from stileloom.api.samples import Delivery, Prompt, Sample
+from stileloom.errors import ErrorKind
+
+
+class StartEpoch(msgspec.Struct, frozen=True, tag=True):
+    """First entry of each leader; commits what earlier leaders left behind."""
+
+    leader: str
+
+
+class Voter(msgspec.Struct, frozen=True, array_like=True):
+    """A voter is a node together with its disk: a node that lost its disk is another voter."""
+
+    node_id: str
+    disk_id: str
+
+
+class ChangeVoters(msgspec.Struct, frozen=True, tag=True):
+    """Replaces the voter set; differs from the set before it by one voter."""
+
+    voters: list[Voter]
+
+
+class RegisterRound(msgspec.Struct, frozen=True, tag=True):
+    """Creates a round or revises its bound and step size."""
+
+    round_name: str
+    staleness_bound: int
+    samples_per_step: int
+    first_version: int
+
+
+class SubmitPrompts(msgspec.Struct, frozen=True, tag=True):
+    """Adds prompts; `batch_id` makes a repeat harmless."""
+
+    round_name: str
+    batch_id: str
+    prompts: list[Prompt]
+
+
+class CommitSample(msgspec.Struct, frozen=True, tag=True):
+    """Offers a sample for its slot; the first one that is young enough wins."""
+
+    round_name: str
+    sample: Sample
+
+
+class HandOver(msgspec.Struct, frozen=True, tag=True):
+    """Appends ready samples to the delivery log until it reaches `until_offset`."""
+
+    round_name: str
+    until_offset: int
+
+
+class AcknowledgeDeliveries(msgspec.Struct, frozen=True, tag=True):
+    """The trainer keeps all deliveries below `offset`; they are dropped here."""
+
+    round_name: str
+    offset: int
+
+
+class PublishVersion(msgspec.Struct, frozen=True, tag=True):
+    """Makes `version` the round's current one."""
+
+    round_name: str
+    version: int
+
+
+class ClaimKey(msgspec.Struct, frozen=True, tag=True):
+    """Claims an idempotency key for one request, cluster-wide."""
+
+    key: str
+    body_digest: int
+    request_id: str
+    repeatable: bool
+    claimed_at_s: float
+    """Wall time at the gateway, only used to expire old claims."""
+
+
+class ReleaseKey(msgspec.Struct, frozen=True, tag=True):
+    """The claiming request was surely not run: the key may be claimed again."""
+
+    key: str
+    request_id: str
+
+
+class RaiseConfigurationFloor(msgspec.Struct, frozen=True, tag=True):
+    """No node may be served a configuration revision below this one from now on."""
+
+    revision: int
+
+
+Command = (
+    StartEpoch
+    | ChangeVoters
+    | RegisterRound
+    | SubmitPrompts
+    | CommitSample
+    | HandOver
+    | AcknowledgeDeliveries
+    | PublishVersion
+    | ClaimKey
+    | ReleaseKey
+    | RaiseConfigurationFloor
+)
+
+
+class Done(msgspec.Struct, frozen=True, tag=True):
+    """The command holds, now or since an earlier application."""
+
+    duplicate: bool = False
+
+
+class Refused(msgspec.Struct, frozen=True, tag=True):
+    """The command was applied and changes nothing."""
+
+    kind: ErrorKind
+    detail: str
+
+
+class PromptsAccepted(msgspec.Struct, frozen=True, tag=True):
+    """The slots that the prompts of a batch fill."""
+
+    first_slot: int
+    count: int
+
+
+class SampleRefused(msgspec.Struct, frozen=True, tag=True):
+    """The sample is over-age or malformed; its slot stays open."""
+
+    detail: str
+
+
+class DeliveryPage(msgspec.Struct, frozen=True, tag=True):
+    """Deliveries in the log from the acknowledged offset up to the end asked for."""
+
+    deliveries: list[Delivery]
+    current_version: int
+
+
+CommandResult = Done | Refused | PromptsAccepted | SampleRefused | DeliveryPage
--- /dev/null
+++ b/stileloom/ledger/log.py
@@ -0,0 +1,76 @@
+"""The in-memory part of a replica's log: a snapshot and the entries after it."""
+
+from __future__ import annotations
+
+from stileloom.ledger.commands import ChangeVoters, Voter
+from stileloom.ledger.messages import Entry, SnapshotRecord
+
+
+class LedgerLog:
+    """Entries by index; everything up to `base_index` stands in the snapshot."""
+
+    def __init__(self, snapshot: SnapshotRecord, entries: list[Entry]) -> None:
+        self.snapshot = snapshot
+        self._entries = list(entries)
+
+    @property
+    def base_index(self) -> int:
+        """The last index that the snapshot covers."""
+        return self.snapshot.last_index
+
+    @property
+    def last_index(self) -> int:
+        """Index of the newest entry."""
+        return self.base_index + len(self._entries)
+
+    @property
+    def last_epoch(self) -> int:
+        """Epoch of the newest entry."""
+        return self._entries[-1].epoch if self._entries else self.snapshot.last_epoch
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def epoch_at(self, index: int) -> int | None:
+        """Epoch of an entry, or None where it is compacted away or not there yet."""
+        if index == self.base_index:
+            return self.snapshot.last_epoch
+        if index < self.base_index or index > self.last_index:
+            return None
+        return self._entries[index - self.base_index - 1].epoch
+
+    def entry(self, index: int) -> Entry:
+        """The entry at an index that is held."""
+        return self._entries[index - self.base_index - 1]
+
+    def after(self, index: int, limit: int) -> list[Entry]:
+        """Up to `limit` entries that follow `index`."""
+        start = index - self.base_index
+        return self._entries[start : start + limit]
+
+    def append(self, entries: list[Entry]) -> None:
+        """Adds entries that follow the newest one."""
+        self._entries.extend(entries)
+
+    def truncate_from(self, index: int) -> None:
+        """Drops the entry at `index` and all above."""
+        del self._entries[index - self.base_index - 1 :]
+
+    def compact(self, snapshot: SnapshotRecord) -> None:
+        """Puts a snapshot in place of the log up to its last index."""
+        keep_from = snapshot.last_index - self.base_index
+        matches = self.epoch_at(snapshot.last_index) == snapshot.last_epoch
+        self._entries = self._entries[keep_from:] if matches else []
+        self.snapshot = snapshot
+
+    def voters_at(self, index: int) -> list[Voter]:
+        """The voter set in effect with the log up to `index`."""
+        for entry in reversed(self._entries[: max(0, index - self.base_index)]):
+            if isinstance(entry.command, ChangeVoters):
+                return entry.command.voters
+        return self.snapshot.voters
+
+    @property
+    def voters(self) -> list[Voter]:
+        """The voter set in effect: the newest one in the log, committed or not."""
+        return self.voters_at(self.last_index)
--- /dev/null
+++ b/stileloom/ledger/replica.py
@@ -0,0 +1,527 @@
+"""A replica of the ledger: Raft with asynchronous writes, leases and disk identities.
+
+Source: Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm" (2014),
+with pre-vote and leader stickiness (dissertation, sections 9.6 and 4.2.3). Terms are called
+epochs here, because they are the epochs of the fencing tokens. Two things differ from the
+paper: a reply that vouches for something on disk is held back until that write is durable,
+and a vote counts only with the disk identity that stands in the voter set, so a node that
+lost its disk can not vote with amnesia.
+"""
+
+from __future__ import annotations
+
+import enum
+import random
+
+import msgspec
+
+from stileloom import constants
+from stileloom.effects import Effect, Emit, Send
+from stileloom.events import LogEvent
+from stileloom.lease import LeaderLease
+from stileloom.ledger.commands import ChangeVoters, Command, StartEpoch, Voter
+from stileloom.ledger.effects import Applied, Dropped, Persist
+from stileloom.ledger.log import LedgerLog
+from stileloom.ledger.messages import (
+    AppendReply,
+    AppendRequest,
+    Entry,
+    HardState,
+    LearnerHello,
+    SnapshotRecord,
+    SnapshotRequest,
+    VoteReply,
+    VoteRequest,
+)
+from stileloom.ledger.state import LedgerState
+from stileloom.ledger.voters import next_voter_set
+
+
+class ReplicaRole(enum.Enum):
+    """What a replica is at the moment."""
+
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class RecoveredLedger(msgspec.Struct):
+    """What a replica finds on its disk, or a fresh start."""
+
+    hard_state: HardState
+    snapshot: SnapshotRecord
+    entries: list[Entry]
+
+
+def fresh_ledger(voters: list[Voter]) -> RecoveredLedger:
+    """A ledger without history; `voters` is the first voter set, the same on every node."""
+    state = LedgerState(voters=voters)
+    snapshot = SnapshotRecord(0, 0, voters, msgspec.msgpack.encode(state))
+    return RecoveredLedger(HardState(0, None), snapshot, [])
+
+
+class _Progress(msgspec.Struct):
+    """What the leader knows of a follower or learner."""
+
+    next_index: int
+    match_index: int = 0
+    last_sent_at: float = float("-inf")
+    last_heard_at: float = float("-inf")
+
+
+class LedgerReplica:
+    """One replica. All calls take the monotonic time in seconds."""
+
+    def __init__(
+        self,
+        me: Voter,
+        recovered: RecoveredLedger,
+        rng: random.Random,
+        now: float,
+        target_voters: int = 3,
+    ) -> None:
+        self.me = me
+        self.role = ReplicaRole.FOLLOWER
+        self.epoch = recovered.hard_state.epoch
+        self.leader: str | None = None
+        self.unavailable: set[str] = set()
+        self._voted_for = recovered.hard_state.voted_for
+        self._log = LedgerLog(recovered.snapshot, recovered.entries)
+        self._rng = rng
+        self._target_voters = target_voters
+        self._lease = LeaderLease()
+        self._durable_index = self._log.last_index
+        self._commit_index = self._log.base_index
+        self._applied_index = self._log.base_index
+        self.state = msgspec.msgpack.decode(recovered.snapshot.state, type=LedgerState)
+        self._progress: dict[Voter, _Progress] = {}
+        self._tickets: dict[int, object] = {}
+        self._votes: set[Voter] = set()
+        self._trial = False
+        self._nonce = 0
+        self._write_id = 0
+        self._durable_write_id = 0
+        self._written_index: dict[int, int] = {}
+        self._held: list[tuple[int, Effect]] = []
+        self._next_heartbeat_at = now
+        # A restarted voter may have answered a leader just before: it waits out that lease.
+        self._heard_from_leader_at = now
+        self._election_due_at = now + self._election_timeout()
+        self._next_hello_at = now
+
+    # Reading.
+
+    @property
+    def voters(self) -> list[Voter]:
+        """The voter set in effect."""
+        return self._log.voters
+
+    @property
+    def commit_index(self) -> int:
+        """Entries up to here are committed."""
+        return self._commit_index
+
+    @property
+    def log_length(self) -> int:
+        """Entries held after the last snapshot."""
+        return len(self._log)
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this replica, with this disk, may vote."""
+        return self.me in self.voters
+
+    def may_act(self, now: float) -> bool:
+        """Whether this replica leads, holds its lease and has applied its own epoch's start."""
+        if self.role is not ReplicaRole.LEADER:
+            return False
+        if self._log.epoch_at(self._applied_index) != self.epoch:
+            return False
+        return now < self.lease_expires_at(now)
+
+    def lease_expires_at(self, now: float) -> float:
+        """When the leader's lease ends if no more confirmations come."""
+        names = [voter.node_id for voter in self.voters]
+        return self._lease.expires_at(self.me.node_id, names, now)
+
+    # Driving.
+
+    def tick(self, now: float) -> list[Effect]:
+        """Runs elections, heartbeats and changes of the voter set."""
+        if self.role is ReplicaRole.LEADER:
+            effects = self._change_voters(now)
+            if now >= self._next_heartbeat_at:
+                self._next_heartbeat_at = now + constants.LEDGER_HEARTBEAT_S
+                effects += self._replicate(now, heartbeat=True)
+            return effects
+        if not self.is_voter:
+            return self._say_hello(now)
+        if now >= self._election_due_at:
+            return self._start_election(now, trial=True)
+        return []
+
+    def propose(self, now: float, command: Command, ticket: object) -> list[Effect]:
+        """Appends a command at the leader; `Applied` or `Dropped` follows with the ticket."""
+        if self.role is not ReplicaRole.LEADER:
+            return [Dropped(ticket)]
+        entry = Entry(self._log.last_index + 1, self.epoch, command)
+        self._tickets[entry.index] = ticket
+        effects = self._append([entry])
+        return effects + self._replicate(now, heartbeat=False)
+
+    def persisted(self, now: float, write_id: int) -> list[Effect]:
+        """The driver made the write durable, and all before it."""
+        self._durable_write_id = max(self._durable_write_id, write_id)
+        for pending in sorted(self._written_index):
+            if pending <= write_id:
+                self._durable_index = self._written_index.pop(pending)
+        released = [effect for due, effect in self._held if due <= write_id]
+        self._held = [(due, effect) for due, effect in self._held if due > write_id]
+        if self.role is ReplicaRole.LEADER:
+            released += self._advance_commit(now)
+        return released
+
+    def handle(self, now: float, sender: str, message: object) -> list[Effect]:
+        """Takes one message of the ledger protocol."""
+        if isinstance(message, VoteRequest):
+            return self._on_vote_request(now, message)
+        if isinstance(message, VoteReply):
+            return self._on_vote_reply(now, message)
+        if isinstance(message, AppendRequest):
+            return self._on_append_request(now, message)
+        if isinstance(message, AppendReply):
+            return self._on_append_reply(now, message)
+        if isinstance(message, SnapshotRequest):
+            return self._on_snapshot_request(now, message)
+        if isinstance(message, LearnerHello):
+            return self._on_hello(now, message)
+        return []
+
+    # Elections.
+
+    def _election_timeout(self) -> float:
+        return self._rng.uniform(constants.ELECTION_TIMEOUT_MIN_S, constants.ELECTION_TIMEOUT_MAX_S)
+
+    def _start_election(self, now: float, trial: bool) -> list[Effect]:
+        self._election_due_at = now + self._election_timeout()
+        self._trial = trial
+        self._votes = {self.me}
+        effects: list[Effect] = []
+        asked_epoch = self.epoch + 1
+        if not trial:
+            self.role = ReplicaRole.CANDIDATE
+            self.leader = None
+            self.epoch = asked_epoch
+            self._voted_for = self.me
+            effects += self._persist_hard_state()
+            effects.append(Emit(LogEvent.ELECTION_STARTED, {"epoch": self.epoch}))
+        request = VoteRequest(
+            asked_epoch, self.me, self._log.last_index, self._log.last_epoch, trial
+        )
+        effects += self._when_durable(
+            [Send(voter.node_id, request) for voter in self.voters if voter != self.me]
+        )
+        return effects + self._count_votes(now)
+
+    def _on_vote_request(self, now: float, message: VoteRequest) -> list[Effect]:
+        sticky = now < self._heard_from_leader_at + constants.ELECTION_TIMEOUT_MIN_S
+        leading = self.role is ReplicaRole.LEADER and now < self.lease_expires_at(now)
+        if sticky or leading or not self.is_voter:
+            return []
+        effects: list[Effect] = []
+        if message.epoch > self.epoch and not message.trial:
+            effects += self._step_down(now, message.epoch)
+        up_to_date = (message.last_epoch, message.last_index) >= (
+            self._log.last_epoch,
+            self._log.last_index,
+        )
+        if message.trial:
+            granted = up_to_date and message.epoch > self.epoch
+        else:
+            granted = (
+                up_to_date
+                and message.epoch == self.epoch
+                and self._voted_for in (None, message.candidate)
+            )
+            if granted and self._voted_for is None:
+                self._voted_for = message.candidate
+                self._election_due_at = now + self._election_timeout()
+                effects += self._persist_hard_state()
+        reply = VoteReply(message.epoch, self.me, granted, message.trial)
+        return effects + self._when_durable([Send(message.candidate.node_id, reply)])
+
+    def _on_vote_reply(self, now: float, message: VoteReply) -> list[Effect]:
+        asked_epoch = self.epoch + 1 if message.trial else self.epoch
+        if not message.granted or message.epoch != asked_epoch:
+            return []
+        waiting = self._trial if message.trial else self.role is ReplicaRole.CANDIDATE
+        if not waiting or message.trial != self._trial:
+            return []
+        self._votes.add(message.voter)
+        return self._count_votes(now)
+
+    def _count_votes(self, now: float) -> list[Effect]:
+        if len(self._votes.intersection(self.voters)) <= len(self.voters) // 2:
+            return []
+        if self._trial:
+            return self._start_election(now, trial=False)
+        return self._become_leader(now)
+
+    def _become_leader(self, now: float) -> list[Effect]:
+        self.role = ReplicaRole.LEADER
+        self.leader = self.me.node_id
+        self._lease.clear()
+        self._progress = {
+            voter: _Progress(self._log.last_index + 1) for voter in self.voters if voter != self.me
+        }
+        start = Entry(self._log.last_index + 1, self.epoch, StartEpoch(self.me.node_id))
+        effects = self._append([start])
+        self._next_heartbeat_at = now + constants.LEDGER_HEARTBEAT_S
+        effects.append(Emit(LogEvent.LEADER_ELECTED, {"epoch": self.epoch}))
+        return effects + self._replicate(now, heartbeat=True)
+
+    def _step_down(self, now: float, epoch: int) -> list[Effect]:
+        effects: list[Effect] = []
+        if self.role is ReplicaRole.LEADER:
+            effects.append(Emit(LogEvent.LEADER_STEPPED_DOWN, {"epoch": self.epoch}))
+            effects += [Dropped(ticket) for ticket in self._tickets.values()]
+            self._tickets.clear()
+            self._lease.clear()
+        self.role = ReplicaRole.FOLLOWER
+        self._trial = False
+        if epoch > self.epoch:
+            self.epoch = epoch
+            self._voted_for = None
+            self.leader = None
+            effects += self._persist_hard_state()
+        self._election_due_at = now + self._election_timeout()
+        return effects
+
+    # Replication, at the leader.
+
+    def _replicate(self, now: float, heartbeat: bool) -> list[Effect]:
+        effects: list[Effect] = []
+        for follower, progress in self._progress.items():
+            if heartbeat or progress.next_index <= self._log.last_index:
+                effects += self._send_entries(now, follower, progress)
+        return effects
+
+    def _send_entries(self, now: float, follower: Voter, progress: _Progress) -> list[Effect]:
+        self._nonce += 1
+        self._lease.sent(self._nonce, now)
+        progress.last_sent_at = now
+        previous = progress.next_index - 1
+        previous_epoch = self._log.epoch_at(previous)
+        if previous_epoch is None:
+            snapshot = self._log.snapshot
+            install = SnapshotRequest(self.epoch, self.me, snapshot, self._nonce)
+            progress.next_index = snapshot.last_index + 1
+            return [Send(follower.node_id, install)]
+        entries = self._log.after(previous, constants.APPEND_BATCH_ENTRIES)
+        request = AppendRequest(
+            self.epoch,
+            self.me,
+            previous,
+            previous_epoch,
+            entries,
+            self._commit_index,
+            self._nonce,
+        )
+        # Optimistic: a lost request is found by the next one's mismatch.
+        progress.next_index += len(entries)
+        return [Send(follower.node_id, request)]
+
+    def _on_append_reply(self, now: float, message: AppendReply) -> list[Effect]:
+        if message.epoch > self.epoch:
+            return self._step_down(now, message.epoch)
+        progress = self._progress.get(message.follower)
+        if self.role is not ReplicaRole.LEADER or message.epoch != self.epoch or progress is None:
+            return []
+        progress.last_heard_at = now
+        if message.follower in self.voters:
+            self._lease.confirmed(message.follower.node_id, message.nonce)
+        if not message.success:
+            progress.next_index = max(1, min(message.match_index + 1, self._log.last_index + 1))
+            return self._send_entries(now, message.follower, progress)
+        if message.match_index > progress.match_index:
+            progress.match_index = message.match_index
+            progress.next_index = max(progress.next_index, message.match_index + 1)
+        effects = self._advance_commit(now)
+        if progress.next_index <= self._log.last_index:
+            effects += self._send_entries(now, message.follower, progress)
+        return effects
+
+    def _advance_commit(self, now: float) -> list[Effect]:
+        matches = sorted(
+            (
+                self._durable_index if voter == self.me else self._match_index(voter)
+                for voter in self.voters
+            ),
+            reverse=True,
+        )
+        agreed = matches[len(matches) // 2]
+        # Only an entry of the own epoch commits by counting (Raft, section 5.4.2).
+        if agreed <= self._commit_index or self._log.epoch_at(agreed) != self.epoch:
+            return []
+        self._commit_index = agreed
+        return self._apply(now)
+
+    def _match_index(self, voter: Voter) -> int:
+        progress = self._progress.get(voter)
+        return progress.match_index if progress is not None else 0
+
+    def _on_hello(self, now: float, message: LearnerHello) -> list[Effect]:
+        if self.role is not ReplicaRole.LEADER or message.learner in self._progress:
+            return []
+        self._progress[message.learner] = _Progress(self._log.last_index + 1)
+        return self._send_entries(now, message.learner, self._progress[message.learner])
+
+    def _say_hello(self, now: float) -> list[Effect]:
+        if now < self._next_hello_at:
+            return []
+        self._next_hello_at = now + constants.ELECTION_TIMEOUT_MAX_S
+        hello = LearnerHello(self.me)
+        targets = sorted({voter.node_id for voter in self.voters} - {self.me.node_id})
+        return [Send(target, hello) for target in targets]
+
+    def _change_voters(self, now: float) -> list[Effect]:
+        """Starts the next change once everything before it is committed."""
+        settled = self._log.voters_at(self._commit_index) == self.voters
+        if not settled or self._log.epoch_at(self._applied_index) != self.epoch:
+            return []
+        learners = [
+            learner
+            for learner, progress in self._progress.items()
+            if learner not in self.voters
+            and progress.match_index >= self._commit_index
+            and now < progress.last_heard_at + constants.ELECTION_TIMEOUT_MAX_S
+        ]
+        next_set = next_voter_set(self.voters, learners, self.unavailable, self._target_voters)
+        if next_set is None:
+            return []
+        return self.propose(now, ChangeVoters(next_set), None)
+
+    # Replication, at a follower.
+
+    def _follow(self, now: float, epoch: int, leader: str) -> list[Effect]:
+        effects: list[Effect] = []
+        if epoch > self.epoch or self.role is not ReplicaRole.FOLLOWER:
+            effects += self._step_down(now, epoch)
+        self.leader = leader
+        self._trial = False
+        self._heard_from_leader_at = now
+        self._election_due_at = now + self._election_timeout()
+        return effects
+
+    def _on_append_request(self, now: float, message: AppendRequest) -> list[Effect]:
+        if message.epoch < self.epoch:
+            reply = AppendReply(self.epoch, self.me, False, 0, message.nonce)
+            return [Send(message.leader.node_id, reply)]
+        effects = self._follow(now, message.epoch, message.leader.node_id)
+        previous = message.previous_index
+        # What the snapshot covers is committed, hence equal at the leader.
+        known = previous < self._log.base_index
+        if not known and self._log.epoch_at(previous) != message.previous_epoch:
+            hint = min(previous - 1, self._log.last_index)
+            hint = max(hint, self._commit_index)
+            reply = AppendReply(self.epoch, self.me, False, hint, message.nonce)
+            return effects + self._when_durable([Send(message.leader.node_id, reply)])
+        effects += self._take_entries(message.entries)
+        match_index = previous + len(message.entries)
+        self._commit_index = max(self._commit_index, min(message.commit_index, match_index))
+        effects += self._apply(now)
+        reply = AppendReply(self.epoch, self.me, True, match_index, message.nonce)
+        return effects + self._when_durable([Send(message.leader.node_id, reply)])
+
+    def _take_entries(self, entries: list[Entry]) -> list[Effect]:
+        """Adds what is new; an entry of another epoch at its index ends the old suffix."""
+        for position, entry in enumerate(entries):
+            if entry.index <= self._log.base_index:
+                continue
+            held_epoch = self._log.epoch_at(entry.index)
+            if held_epoch == entry.epoch:
+                continue
+            truncate = entry.index if held_epoch is not None else None
+            return self._append(entries[position:], truncate_from=truncate)
+        return []
+
+    def _on_snapshot_request(self, now: float, message: SnapshotRequest) -> list[Effect]:
+        if message.epoch < self.epoch:
+            reply = AppendReply(self.epoch, self.me, False, 0, message.nonce)
+            return [Send(message.leader.node_id, reply)]
+        effects = self._follow(now, message.epoch, message.leader.node_id)
+        snapshot = message.snapshot
+        if snapshot.last_index > self._commit_index:
+            self._log.compact(snapshot)
+            self.state = msgspec.msgpack.decode(snapshot.state, type=LedgerState)
+            self._commit_index = snapshot.last_index
+            self._applied_index = snapshot.last_index
+            # A suffix that does not continue the snapshot was dropped here: on disk as well.
+            after = snapshot.last_index + 1 if len(self._log) == 0 else None
+            effects += self._persist(Persist(0, truncate_from=after, snapshot=snapshot))
+            effects.append(Emit(LogEvent.SNAPSHOT_INSTALLED, {"index": snapshot.last_index}))
+        reply = AppendReply(self.epoch, self.me, True, snapshot.last_index, message.nonce)
+        return effects + self._when_durable([Send(message.leader.node_id, reply)])
+
+    # Applying and persisting.
+
+    def _apply(self, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        while self._applied_index < self._commit_index:
+            self._applied_index += 1
+            entry = self._log.entry(self._applied_index)
+            result = self.state.apply(entry.command)
+            ticket = self._tickets.pop(self._applied_index, None)
+            if ticket is not None:
+                effects.append(Applied(ticket, result))
+            if isinstance(entry.command, ChangeVoters):
+                effects += self._adopt_voters(now)
+        if self._applied_index - self._log.base_index >= constants.SNAPSHOT_AFTER_ENTRIES:
+            effects += self._take_snapshot()
+        return effects
+
+    def _adopt_voters(self, now: float) -> list[Effect]:
+        if self.role is not ReplicaRole.LEADER:
+            return []
+        if self.me not in self.voters:
+            return self._step_down(now, self.epoch)
+        for voter in self.voters:
+            if voter != self.me:
+                self._progress.setdefault(voter, _Progress(self._log.last_index + 1))
+        return []
+
+    def _take_snapshot(self) -> list[Effect]:
+        index = self._applied_index
+        epoch = self._log.epoch_at(index)
+        assert epoch is not None
+        snapshot = SnapshotRecord(
+            index, epoch, self._log.voters_at(index), msgspec.msgpack.encode(self.state)
+        )
+        self._log.compact(snapshot)
+        effects: list[Effect] = self._persist(Persist(0, snapshot=snapshot))
+        return [*effects, Emit(LogEvent.SNAPSHOT_TAKEN, {"index": index})]
+
+    def _append(self, entries: list[Entry], truncate_from: int | None = None) -> list[Effect]:
+        if truncate_from is not None:
+            self._log.truncate_from(truncate_from)
+            ceiling = truncate_from - 1
+            self._durable_index = min(self._durable_index, ceiling)
+            for write_id, index in self._written_index.items():
+                self._written_index[write_id] = min(index, ceiling)
+        self._log.append(entries)
+        return self._persist(Persist(0, truncate_from=truncate_from, entries=entries))
+
+    def _persist_hard_state(self) -> list[Effect]:
+        return self._persist(Persist(0, hard_state=HardState(self.epoch, self._voted_for)))
+
+    def _persist(self, write: Persist) -> list[Effect]:
+        self._write_id += 1
+        self._written_index[self._write_id] = self._log.last_index
+        return [msgspec.structs.replace(write, write_id=self._write_id)]
+
+    def _when_durable(self, effects: list[Effect]) -> list[Effect]:
+        """Holds effects back until every write so far is durable."""
+        if self._durable_write_id >= self._write_id:
+            return effects
+        self._held += [(self._write_id, effect) for effect in effects]
+        return []
--- /dev/null
+++ b/stileloom/ledger/state.py
@@ -0,0 +1,275 @@
+"""The state machine that the ledger replicates: rounds, samples, deliveries, keys.
+
+`LedgerState` is a msgspec struct, so that a snapshot is its encoding. `apply` is
+deterministic: it reads no clock and draws no random numbers.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from stileloom.api.samples import (
+    Delivery,
+    Prompt,
+    Sample,
+    oldest_version,
+    segments_add_up,
+)
+from stileloom.errors import ErrorKind
+from stileloom.ledger.commands import (
+    AcknowledgeDeliveries,
+    ChangeVoters,
+    ClaimKey,
+    Command,
+    CommandResult,
+    CommitSample,
+    DeliveryPage,
+    Done,
+    HandOver,
+    PromptsAccepted,
+    PublishVersion,
+    RaiseConfigurationFloor,
+    Refused,
+    RegisterRound,
+    ReleaseKey,
+    SampleRefused,
+    StartEpoch,
+    SubmitPrompts,
+    Voter,
+)
+
+KEY_RETENTION_S = 3600.0
+BATCHES_REMEMBERED = 256
+
+
+class OpenSlot(msgspec.Struct):
+    """A slot that has no accepted sample yet."""
+
+    prompt: Prompt
+    discarded_attempts: int = 0
+
+
+class KeyClaim(msgspec.Struct):
+    """Who holds an idempotency key."""
+
+    body_digest: int
+    request_id: str
+    claimed_at_s: float
+
+
+class RoundState(msgspec.Struct):
+    """All that is kept of one round."""
+
+    name: str
+    staleness_bound: int
+    samples_per_step: int
+    version: int
+    next_slot: int = 0
+    open_slots: dict[int, OpenSlot] = msgspec.field(default_factory=dict)
+    ready: dict[int, Sample] = msgspec.field(default_factory=dict)
+    """Accepted samples by slot, not handed over yet."""
+    slots_of_ready: dict[int, OpenSlot] = msgspec.field(default_factory=dict)
+    """What `open_slots` held for the samples in `ready`: needed if one grows over-age."""
+    deliveries: list[Delivery] = msgspec.field(default_factory=list)
+    """Handed over and not acknowledged; dense offsets from `acknowledged`."""
+    acknowledged: int = 0
+    handed_over_at_version: int = 0
+    """Samples handed over since the current version was published."""
+    discarded_tokens: int = 0
+    batches: dict[str, PromptsAccepted] = msgspec.field(default_factory=dict)
+
+    @property
+    def next_offset(self) -> int:
+        """Offset of the next delivery."""
+        return self.acknowledged + len(self.deliveries)
+
+    def age_of(self, sample: Sample) -> int:
+        """Versions between the oldest one in the sample and the current one."""
+        oldest = oldest_version(sample.segments)
+        return self.version - (oldest if oldest is not None else self.version)
+
+
+class LedgerState(msgspec.Struct):
+    """The replicated state."""
+
+    rounds: dict[str, RoundState] = msgspec.field(default_factory=dict)
+    keys: dict[str, KeyClaim] = msgspec.field(default_factory=dict)
+    voters: list[Voter] = msgspec.field(default_factory=list)
+    configuration_floor: int = 0
+
+    def apply(self, command: Command) -> CommandResult:
+        """Applies one committed command."""
+        if isinstance(command, CommitSample):
+            return self._commit_sample(command)
+        if isinstance(command, HandOver):
+            return self._hand_over(command)
+        if isinstance(command, AcknowledgeDeliveries):
+            return self._acknowledge(command)
+        if isinstance(command, SubmitPrompts):
+            return self._submit_prompts(command)
+        if isinstance(command, PublishVersion):
+            return self._publish_version(command)
+        if isinstance(command, RegisterRound):
+            return self._register_round(command)
+        if isinstance(command, ClaimKey):
+            return self._claim_key(command)
+        if isinstance(command, ReleaseKey):
+            return self._release_key(command)
+        if isinstance(command, RaiseConfigurationFloor):
+            self.configuration_floor = max(self.configuration_floor, command.revision)
+            return Done()
+        if isinstance(command, ChangeVoters):
+            self.voters = command.voters
+            return Done()
+        assert isinstance(command, StartEpoch)
+        return Done()
+
+    def _register_round(self, command: RegisterRound) -> CommandResult:
+        known = self.rounds.get(command.round_name)
+        if known is None:
+            self.rounds[command.round_name] = RoundState(
+                name=command.round_name,
+                staleness_bound=command.staleness_bound,
+                samples_per_step=command.samples_per_step,
+                version=command.first_version,
+            )
+            return Done()
+        known.staleness_bound = command.staleness_bound
+        known.samples_per_step = command.samples_per_step
+        return Done(duplicate=True)
+
+    def _submit_prompts(self, command: SubmitPrompts) -> CommandResult:
+        state = self.rounds.get(command.round_name)
+        if state is None:
+            return _no_round(command.round_name)
+        earlier = state.batches.get(command.batch_id)
+        if earlier is not None:
+            return earlier
+        first_slot = state.next_slot
+        for prompt in command.prompts:
+            state.open_slots[state.next_slot] = OpenSlot(prompt)
+            state.next_slot += 1
+        accepted = PromptsAccepted(first_slot, len(command.prompts))
+        state.batches[command.batch_id] = accepted
+        if len(state.batches) > BATCHES_REMEMBERED:
+            state.batches.pop(next(iter(state.batches)))
+        return accepted
+
+    def _commit_sample(self, command: CommitSample) -> CommandResult:
+        state = self.rounds.get(command.round_name)
+        if state is None:
+            return _no_round(command.round_name)
+        sample = command.sample
+        slot = state.open_slots.get(sample.slot)
+        if slot is None:
+            if sample.slot >= state.next_slot:
+                return Refused(ErrorKind.BAD_REQUEST, f"slot {sample.slot} does not exist")
+            return Done(duplicate=True)
+        if not segments_add_up(sample.segments, len(sample.tokens)):
+            return SampleRefused("the segments do not add up to the tokens")
+        if sample.prompt_id != slot.prompt.prompt_id:
+            return SampleRefused("the sample answers another prompt")
+        if state.age_of(sample) > state.staleness_bound:
+            slot.discarded_attempts += 1
+            state.discarded_tokens += len(sample.tokens)
+            return SampleRefused("the sample is older than the staleness bound")
+        del state.open_slots[sample.slot]
+        state.ready[sample.slot] = sample
+        state.slots_of_ready[sample.slot] = slot
+        return Done()
+
+    def _hand_over(self, command: HandOver) -> CommandResult:
+        state = self.rounds.get(command.round_name)
+        if state is None:
+            return _no_round(command.round_name)
+        self._reopen_over_age(state)
+        oldest_first = sorted(
+            state.ready, key=lambda number: (-state.age_of(state.ready[number]), number)
+        )
+        for number in oldest_first:
+            if state.next_offset >= command.until_offset:
+                break
+            sample = state.ready.pop(number)
+            del state.slots_of_ready[number]
+            state.deliveries.append(Delivery(state.next_offset, sample, state.version))
+            state.handed_over_at_version += 1
+        count = max(0, command.until_offset - state.acknowledged)
+        return DeliveryPage(state.deliveries[:count], state.version)
+
+    def _reopen_over_age(self, state: RoundState) -> None:
+        for number, sample in list(state.ready.items()):
+            if state.age_of(sample) > state.staleness_bound:
+                del state.ready[number]
+                slot = state.slots_of_ready.pop(number)
+                slot.discarded_attempts += 1
+                state.open_slots[number] = slot
+                state.discarded_tokens += len(sample.tokens)
+
+    def _acknowledge(self, command: AcknowledgeDeliveries) -> CommandResult:
+        state = self.rounds.get(command.round_name)
+        if state is None:
+            return _no_round(command.round_name)
+        if command.offset > state.next_offset:
+            return Refused(ErrorKind.BAD_REQUEST, f"offset {command.offset} is not delivered yet")
+        count = command.offset - state.acknowledged
+        if count <= 0:
+            return Done(duplicate=True)
+        state.deliveries = state.deliveries[count:]
+        state.acknowledged = command.offset
+        return Done()
+
+    def _publish_version(self, command: PublishVersion) -> CommandResult:
+        state = self.rounds.get(command.round_name)
+        if state is None:
+            return _no_round(command.round_name)
+        if command.version <= state.version:
+            return Done(duplicate=True)
+        step = command.version - state.version
+        too_old = [
+            delivery.offset
+            for delivery in state.deliveries
+            if state.age_of(delivery.sample) + step > state.staleness_bound
+        ]
+        if too_old:
+            # The trainer has these and has not said that it used them: with the new
+            # version they would break the bound, and they can not be taken back.
+            return Refused(
+                ErrorKind.STALE_DELIVERIES,
+                f"deliveries from offset {too_old[0]} must be acknowledged first",
+            )
+        state.version = command.version
+        state.handed_over_at_version = 0
+        self._reopen_over_age(state)
+        return Done()
+
+    def _claim_key(self, command: ClaimKey) -> CommandResult:
+        self._expire_keys(command.claimed_at_s)
+        claim = self.keys.get(command.key)
+        if claim is None:
+            self.keys[command.key] = KeyClaim(
+                command.body_digest, command.request_id, command.claimed_at_s
+            )
+            return Done()
+        if claim.body_digest != command.body_digest:
+            return Refused(ErrorKind.KEY_REUSED, "the key was used with another body")
+        if claim.request_id == command.request_id or command.repeatable:
+            return Done(duplicate=True)
+        return Refused(ErrorKind.KEY_IN_USE, f"admitted before as request {claim.request_id}")
+
+    def _release_key(self, command: ReleaseKey) -> CommandResult:
+        claim = self.keys.get(command.key)
+        if claim is not None and claim.request_id == command.request_id:
+            del self.keys[command.key]
+        return Done()
+
+    def _expire_keys(self, now_s: float) -> None:
+        """Claims are in order of arrival; wall clocks differ by far less than the retention."""
+        while self.keys:
+            oldest = next(iter(self.keys))
+            if self.keys[oldest].claimed_at_s + KEY_RETENTION_S > now_s:
+                return
+            del self.keys[oldest]
+
+
+def _no_round(name: str) -> Refused:
+    return Refused(ErrorKind.UNKNOWN_ROUND, f"no round is named {name!r}")
--- /dev/null
+++ b/stileloom/ledger/storage.py
@@ -0,0 +1,188 @@
+"""A ledger replica's files: an append-only journal and the newest snapshot.
+
+The journal is a sequence of records, each a length, a 64-bit hash and msgpack. A record that
+is cut or does not match its hash ends the journal: it was being written when the process
+died, so nobody was told that it is durable. A snapshot is written aside, synced and renamed;
+the journal is then begun anew.
+"""
+
+from __future__ import annotations
+
+import os
+import struct
+from pathlib import Path
+
+import msgspec
+import xxhash
+
+from stileloom.ledger.commands import Voter
+from stileloom.ledger.effects import Persist
+from stileloom.ledger.messages import Entry, HardState, SnapshotRecord
+from stileloom.ledger.replica import RecoveredLedger
+
+RECORD_HEADER = struct.Struct(">IQ")
+JOURNAL_NAME = "journal"
+SNAPSHOT_NAME = "snapshot"
+IDENTITY_NAME = "disk-id"
+
+
+class AppendRecord(msgspec.Struct, frozen=True, tag=True):
+    """Entries added after dropping those from `truncate_from` on."""
+
+    truncate_from: int | None
+    entries: list[Entry]
+
+
+class IdentityRecord(msgspec.Struct, frozen=True):
+    """Which voter this disk is."""
+
+    voter: Voter
+
+
+_JOURNAL_DECODER = msgspec.msgpack.Decoder(HardState | AppendRecord)
+_SNAPSHOT_DECODER = msgspec.msgpack.Decoder(SnapshotRecord)
+
+
+class LedgerStorage:
+    """The files in one data folder. Calls block; the driver makes them on a thread."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        folder.mkdir(parents=True, exist_ok=True)
+        self._hard_state = HardState(0, None)
+        self._entries: list[Entry] = []
+        self._journal: int | None = None
+
+    # Identity.
+
+    def read_identity(self) -> Voter | None:
+        """The voter that this disk is, or None at the first start."""
+        path = self._folder / IDENTITY_NAME
+        if not path.exists():
+            return None
+        return msgspec.json.decode(path.read_bytes(), type=IdentityRecord).voter
+
+    def write_identity(self, voter: Voter) -> None:
+        """Writes the identity, durable on return."""
+        self._replace(IDENTITY_NAME, msgspec.json.encode(IdentityRecord(voter)))
+
+    # Recovery.
+
+    def recover(self) -> RecoveredLedger | None:
+        """What the files hold, or None where there is no ledger yet."""
+        path = self._folder / SNAPSHOT_NAME
+        if not path.exists():
+            return None
+        snapshot = _SNAPSHOT_DECODER.decode(path.read_bytes())
+        self._replay_journal()
+        self._entries = [entry for entry in self._entries if entry.index > snapshot.last_index]
+        self._open_journal()
+        return RecoveredLedger(self._hard_state, snapshot, list(self._entries))
+
+    def _replay_journal(self) -> None:
+        path = self._folder / JOURNAL_NAME
+        data = path.read_bytes() if path.exists() else b""
+        position = 0
+        while position + RECORD_HEADER.size <= len(data):
+            length, digest = RECORD_HEADER.unpack_from(data, position)
+            start = position + RECORD_HEADER.size
+            body = data[start : start + length]
+            if len(body) < length or xxhash.xxh3_64_intdigest(body) != digest:
+                break
+            self._replay(_JOURNAL_DECODER.decode(body))
+            position = start + length
+        if position < len(data):
+            with path.open("r+b") as journal:
+                journal.truncate(position)
+                os.fsync(journal.fileno())
+
+    def _replay(self, record: HardState | AppendRecord) -> None:
+        if isinstance(record, HardState):
+            self._hard_state = record
+            return
+        self._add_entries(record)
+
+    def _add_entries(self, record: AppendRecord) -> None:
+        if record.truncate_from is not None:
+            limit = record.truncate_from
+            self._entries = [entry for entry in self._entries if entry.index < limit]
+        self._entries.extend(record.entries)
+
+    # Writing.
+
+    def start_fresh(self, recovered: RecoveredLedger) -> None:
+        """Writes a first snapshot."""
+        self._replace(SNAPSHOT_NAME, msgspec.msgpack.encode(recovered.snapshot))
+        self._open_journal()
+
+    def write(self, writes: list[Persist]) -> None:
+        """Makes writes durable with one sync, in order."""
+        buffer = bytearray()
+        for write in writes:
+            if write.hard_state is not None:
+                self._hard_state = write.hard_state
+                buffer += _record(write.hard_state)
+            if write.entries or write.truncate_from is not None:
+                record = AppendRecord(write.truncate_from, write.entries)
+                self._add_entries(record)
+                buffer += _record(record)
+            if write.snapshot is not None:
+                self._sync(buffer)
+                buffer.clear()
+                self._write_snapshot(write.snapshot)
+        self._sync(buffer)
+
+    def _sync(self, buffer: bytearray) -> None:
+        if not buffer:
+            return
+        assert self._journal is not None
+        _write_all(self._journal, buffer)
+        os.fsync(self._journal)
+
+    def _write_snapshot(self, snapshot: SnapshotRecord) -> None:
+        """The new snapshot first, then a journal without what it covers."""
+        self._replace(SNAPSHOT_NAME, msgspec.msgpack.encode(snapshot))
+        kept = [entry for entry in self._entries if entry.index > snapshot.last_index]
+        consecutive = bool(kept) and kept[0].index == snapshot.last_index + 1
+        self._entries = kept if consecutive else []
+        body = _record(self._hard_state) + _record(AppendRecord(None, self._entries))
+        self._replace(JOURNAL_NAME, body)
+        self._open_journal()
+
+    def _open_journal(self) -> None:
+        if self._journal is not None:
+            os.close(self._journal)
+        path = self._folder / JOURNAL_NAME
+        self._journal = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644)
+
+    def _replace(self, name: str, body: bytes) -> None:
+        """Writes a file aside, syncs it, renames it, and syncs the folder."""
+        aside = self._folder / f"{name}.new"
+        with aside.open("wb") as file:
+            file.write(body)
+            file.flush()
+            os.fsync(file.fileno())
+        aside.rename(self._folder / name)
+        folder = os.open(self._folder, os.O_RDONLY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
+
+    def close(self) -> None:
+        """Closes the journal."""
+        if self._journal is not None:
+            os.close(self._journal)
+            self._journal = None
+
+
+def _record(record: HardState | AppendRecord) -> bytes:
+    body = msgspec.msgpack.encode(record)
+    return RECORD_HEADER.pack(len(body), xxhash.xxh3_64_intdigest(body)) + body
+
+
+def _write_all(descriptor: int, buffer: bytearray) -> None:
+    view = memoryview(buffer)
+    while view:
+        written = os.write(descriptor, view)
+        view = view[written:]
--- /dev/null
+++ b/stileloom/node/core.py
@@ -0,0 +1,619 @@
+"""The node core: every part of one node, wired together, without sockets, clock or disk.
+
+The daemon and the simulator drive this same class. Parts return effects; those that concern
+another part of the node are carried out here (`_settle`), the rest is the driver's.
+"""
+
+from __future__ import annotations
+
+import itertools
+import random
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from stileloom import constants
+from stileloom.api.engine import CancelState, LoadReport, StreamChunk, StreamEnd
+from stileloom.api.objects import Configuration, Machine
+from stileloom.configuration import (
+    ConfigurationAdopted,
+    ConfigurationAuthority,
+    ConfigurationNode,
+    MachinesAdopted,
+    RaiseFloor,
+)
+from stileloom.configuration.messages import GrantReply, GrantRequest, RenewReply
+from stileloom.effects import Effect, Emit, Send
+from stileloom.events import LogEvent
+from stileloom.hashing import rendezvous_owner, rendezvous_ranked
+from stileloom.ledger import Applied, Dropped, LedgerClient, LedgerReplica
+from stileloom.ledger.client import CommandFinished
+from stileloom.ledger.commands import ClaimKey, Command, CommandResult, ReleaseKey
+from stileloom.ledger.leader_tracker import LeaderHint, LeaderTracker
+from stileloom.ledger.messages import CommandAnswer, CommandForward
+from stileloom.membership import Member, Membership, Seed
+from stileloom.node import dispatch
+from stileloom.node.status import leader_status
+from stileloom.policy import PolicyBook
+from stileloom.rollout import (
+    Controller,
+    ControllerView,
+    HandOverTicket,
+    Propose,
+    ProposeHandOver,
+    SchedulerKind,
+    make_scheduler,
+)
+from stileloom.rollout.messages import (
+    DeliveryAnswer,
+    DeliveryRequest,
+    DrainSampler,
+    LeaderStatus,
+    StatusRequest,
+)
+from stileloom.routing import Gateway, GatewayView, LookupRequest, gateway_subset
+from stileloom.routing.messages import ClaimWanted, Explanation, ReleaseWanted
+from stileloom.samplers import CommitWanted, SamplerOwner
+from stileloom.samplers.messages import (
+    GenerationInterrupted,
+    GenerationKey,
+    SamplerReport,
+    StartGeneration,
+)
+from stileloom.samplers.table import SamplerTable
+
+CONTROLLER_TICK_S = 0.1
+OWNERSHIP_REFRESH_S = 0.5
+
+
+class DeliveryFinished(msgspec.Struct, frozen=True):
+    """The answer to `read_deliveries`."""
+
+    answer: DeliveryAnswer
+
+
+class StatusFinished(msgspec.Struct, frozen=True):
+    """The answer to `ask_status`."""
+
+    status: LeaderStatus
+
+
+class _CommitTicket(msgspec.Struct, frozen=True):
+    """Ties a command's answer to a generation of this node's owner part."""
+
+    key: GenerationKey
+
+
+class _ClaimTicket(msgspec.Struct, frozen=True):
+    """Ties a command's answer to a lookup of this node's gateway."""
+
+    request_id: str
+
+
+class _ForwardTicket(msgspec.Struct, frozen=True):
+    """Ties an applied command to the node that forwarded it."""
+
+    sender: str
+    ticket: int
+
+
+_Handler = Callable[[float, str, Any], list[Effect]]
+
+
+class NodeCore:
+    """One node. Times are monotonic seconds unless they are called wall time."""
+
+    def __init__(
+        self,
+        me: Member,
+        seeds: list[Seed],
+        rng: random.Random,
+        now: float,
+        replica: LedgerReplica | None = None,
+        scheduler: SchedulerKind = SchedulerKind.DEFAULT,
+    ) -> None:
+        self.node_id = me.node_id
+        self.zone = me.zone
+        self.membership = Membership(me, seeds, rng)
+        self.configuration = ConfigurationNode(me.node_id, me.zone)
+        self.replica = replica
+        self.tracker = LeaderTracker(self._voter_names)
+        self.client = LedgerClient(self.tracker, first_ticket=rng.randrange(1 << 40))
+        self.gateway = Gateway(me.node_id, me.zone, rng, now)
+        self.owner = SamplerOwner(me.node_id)
+        self.table = SamplerTable()
+        self.controller: Controller | None = None
+        self.authority: ConfigurationAuthority | None = None
+        self.policies = PolicyBook({})
+        self.draining = False
+        self.wall_time_s = 0.0
+        self._scheduler_kind = scheduler
+        # Outlives a controller: a lease may lapse and be renewed within one epoch.
+        self._sequence = itertools.count(1)
+        self._internal_tickets: dict[int, _CommitTicket | _ClaimTicket | None] = {}
+        self._next_controller_tick_at = now
+        self._next_ownership_at = now
+        self._seen_versions = (-1, -1)
+        self._gateways_by_sampler: dict[str, list[str]] = {}
+        self._subsets: dict[str, list[str]] = {}
+        self._handlers: dict[type, _Handler] = {}
+        self._register_handlers()
+
+    # What others may read.
+
+    def leader(self, now: float) -> str | None:
+        """The ledger's leader as far as this node knows."""
+        if self.replica is not None and self.replica.leader is not None:
+            return self.replica.leader
+        return self.tracker.leader(now)
+
+    @property
+    def revision(self) -> int:
+        """The configuration revision in use here, 0 for none."""
+        return self.configuration.store.revision
+
+    @property
+    def ready(self) -> bool:
+        """Whether this node may serve callers."""
+        return self.configuration.store.configuration is not None and not self.draining
+
+    def owner_of(self, sampler_id: str) -> str | None:
+        """The node that owns a sampler: of its own zone if any is alive there."""
+        sampler = self.table.get(sampler_id)
+        if sampler is None:
+            return None
+        near = self._working_nodes(sampler.machine.zone)
+        return rendezvous_owner(sampler_id, near or self._working_nodes(None))
+
+    def readers(self) -> list[str]:
+        """The chosen readers of this node's zone."""
+        ranked = rendezvous_ranked(f"reader/{self.zone}", self._working_nodes(self.zone))
+        return ranked[: constants.READERS_PER_ZONE]
+
+    def _working_nodes(self, zone: str | None) -> list[str]:
+        return [m.node_id for m in self.membership.alive(zone) if not m.leaving]
+
+    def _voter_names(self) -> list[str]:
+        return [member.node_id for member in self.membership.alive() if member.voter]
+
+    # Driving.
+
+    def tick(self, now: float, wall_time_s: float) -> list[Effect]:
+        """Runs the timers of every part."""
+        self.wall_time_s = wall_time_s
+        leader = self.leader(now)
+        effects = self.membership.tick(now)
+        effects += self.client.tick(now)
+        effects += self._tick_replica(now)
+        asked = leader if leader is not None else self.tracker.ask(now)
+        effects += self.configuration.tick(now, self.readers(), asked)
+        effects += self._tick_ownership(now)
+        effects += self.owner.tick(now, leader, self._gateways_by_sampler)
+        effects += self.gateway.tick(now, self._gateway_view(now))
+        effects += self._tick_controller(now)
+        return self._settle(now, effects)
+
+    def receive(self, now: float, sender: str, message: object) -> list[Effect]:
+        """Takes one message from another node."""
+        return self._settle(now, self._handle(now, sender, message))
+
+    def _handle(self, now: float, sender: str, message: object) -> list[Effect]:
+        handler = self._handlers.get(type(message))
+        return handler(now, sender, message) if handler is not None else []
+
+    def _register_handlers(self) -> None:
+        groups: list[tuple[tuple[type, ...], _Handler]] = [
+            (dispatch.MEMBERSHIP_MESSAGES, self.membership.handle),
+            (dispatch.CONFIGURATION_MESSAGES, self._on_configuration_message),
+            (dispatch.LEDGER_MESSAGES, self._on_ledger_message),
+            (dispatch.OWNER_MESSAGES, self._on_owner_message),
+            (dispatch.CONTROLLER_MESSAGES, self._on_controller_message),
+        ]
+        for kinds, handler in groups:
+            for kind in kinds:
+                self._handlers[kind] = handler
+        self._handlers[GrantRequest] = self._on_grant_request
+        self._handlers[SamplerReport] = self._on_sampler_report
+        self._handlers[CommandForward] = self._on_command_forward
+        self._handlers[CommandAnswer] = self._on_command_answer
+        self._handlers[LeaderHint] = self._on_leader_hint
+        self._handlers[DeliveryRequest] = self._on_delivery_request
+        self._handlers[DeliveryAnswer] = lambda now, sender, message: [DeliveryFinished(message)]
+        self._handlers[StatusRequest] = self._on_status_request
+        self._handlers[LeaderStatus] = lambda now, sender, message: [StatusFinished(message)]
+        self._handlers[DrainSampler] = self._on_drain_sampler
+
+    # Messages.
+
+    def _on_configuration_message(self, now: float, sender: str, message: object) -> list[Effect]:
+        if isinstance(message, GrantReply):
+            self.tracker.heard(now, sender, message.epoch)
+        if isinstance(message, RenewReply):
+            self.tracker.heard(now, message.leader, message.epoch)
+        return self.configuration.handle(now, sender, message)
+
+    def _on_ledger_message(self, now: float, sender: str, message: object) -> list[Effect]:
+        return self.replica.handle(now, sender, message) if self.replica is not None else []
+
+    def _on_owner_message(self, now: float, sender: str, message: object) -> list[Effect]:
+        if isinstance(message, StartGeneration) and not self._admits_rollouts(now):
+            refused = GenerationInterrupted(
+                message.key, message.sampler_id, message.partial, failed=True
+            )
+            return [Send(sender, refused)]
+        return self.owner.handle(now, sender, message)
+
+    def _on_controller_message(self, now: float, sender: str, message: object) -> list[Effect]:
+        view = self._controller_view(now)
+        if self.controller is None or view is None:
+            return []
+        return self.controller.handle(now, sender, message, view)
+
+    def _on_sampler_report(self, now: float, sender: str, message: object) -> list[Effect]:
+        assert isinstance(message, SamplerReport)
+        return self.table.on_report(now, message)
+
+    def _on_leader_hint(self, now: float, sender: str, message: object) -> list[Effect]:
+        assert isinstance(message, LeaderHint)
+        self.tracker.heard(now, message.leader, message.epoch)
+        return []
+
+    def _on_grant_request(self, now: float, sender: str, message: object) -> list[Effect]:
+        assert isinstance(message, GrantRequest)
+        if self.authority is None or not self._may_act(now) or self.replica is None:
+            return [Send(sender, self._hint(now))]
+        floor = self.replica.state.configuration_floor
+        return self.authority.on_request(now, sender, message, floor)
+
+    def _hint(self, now: float) -> LeaderHint:
+        leader = self.leader(now)
+        epoch = self.replica.epoch if self.replica is not None else 0
+        return LeaderHint(leader if leader is not None and leader != self.node_id else "", epoch)
+
+    def _on_command_forward(self, now: float, sender: str, message: object) -> list[Effect]:
+        assert isinstance(message, CommandForward)
+        if self.replica is None or not self._may_act(now):
+            return [Send(sender, CommandAnswer(message.ticket, None, self._hint(now).leader))]
+        ticket = _ForwardTicket(sender, message.ticket)
+        return self.replica.propose(now, message.command, ticket)
+
+    def _on_command_answer(self, now: float, sender: str, message: object) -> list[Effect]:
+        assert isinstance(message, CommandAnswer)
+        return self.client.handle(now, sender, message)
+
+    def _on_delivery_request(self, now: float, sender: str, message: object) -> list[Effect]:
+        assert isinstance(message, DeliveryRequest)
+        if self.controller is None or self.replica is None or not self._may_act(now):
+            return [Send(sender, DeliveryAnswer(message.ticket, None, not_leader=True))]
+        return self.controller.desk.request(now, sender, message, self.replica.state)
+
+    def _on_status_request(self, now: float, sender: str, message: object) -> list[Effect]:
+        assert isinstance(message, StatusRequest)
+        if self.controller is None or self.replica is None or self.authority is None:
+            return [Send(sender, self._hint(now))]
+        status = leader_status(
+            now,
+            message.ticket,
+            self.node_id,
+            self.replica,
+            self.controller,
+            self.authority,
+            self.table,
+        )
+        return [Send(sender, status)]
+
+    def _on_drain_sampler(self, now: float, sender: str, message: object) -> list[Effect]:
+        assert isinstance(message, DrainSampler)
+        return self.table.mark_leaving(message.sampler_id)
+
+    # Timers of single parts.
+
+    def _may_act(self, now: float) -> bool:
+        return self.replica is not None and self.replica.may_act(now)
+
+    def _admits_rollouts(self, now: float) -> bool:
+        return self.configuration.store.lease_valid(now) and not self.draining
+
+    def _tick_replica(self, now: float) -> list[Effect]:
+        if self.replica is None:
+            return []
+        dead = {m.node_id for m in self.membership.members()} - {
+            m.node_id for m in self.membership.alive()
+        }
+        self.replica.unavailable = dead
+        return self.replica.tick(now)
+
+    def _tick_ownership(self, now: float) -> list[Effect]:
+        """Recomputes who owns and who routes where, after a change of members or samplers."""
+        versions = (self.membership.version, self.table.version)
+        if versions == self._seen_versions or now < self._next_ownership_at:
+            return []
+        self._seen_versions = versions
+        self._next_ownership_at = now + OWNERSHIP_REFRESH_S
+        self._subsets.clear()
+        owned = {
+            view.sampler_id
+            for view in self.table.views()
+            if self.owner_of(view.sampler_id) == self.node_id
+        }
+        self.owner.set_owned(now, owned)
+        self._gateways_by_sampler = self._routing_gateways(owned)
+        return []
+
+    def _routing_gateways(self, owned: set[str]) -> dict[str, list[str]]:
+        pools = {view.machine.pool for view in self.table.views() if view.sampler_id in owned}
+        gateways: dict[str, list[str]] = {}
+        for pool in pools:
+            machines = [view.machine for view in self.table.in_pool(pool)]
+            for member in self.membership.alive():
+                for sampler_id in gateway_subset(member.node_id, member.zone, machines):
+                    if sampler_id in owned:
+                        gateways.setdefault(sampler_id, []).append(member.node_id)
+        return gateways
+
+    def _subset(self, pool: str) -> list[str]:
+        if pool not in self._subsets:
+            machines = [view.machine for view in self.table.in_pool(pool)]
+            self._subsets[pool] = gateway_subset(self.node_id, self.zone, machines)
+        return self._subsets[pool]
+
+    def _tick_controller(self, now: float) -> list[Effect]:
+        if not self._may_act(now) or self.replica is None:
+            return self._stop_controller()
+        effects = self._start_controller(now)
+        view = self._controller_view(now)
+        if self.controller is None or view is None or now < self._next_controller_tick_at:
+            return effects
+        self._next_controller_tick_at = now + CONTROLLER_TICK_S
+        return effects + self.controller.tick(now, view)
+
+    def _start_controller(self, now: float) -> list[Effect]:
+        assert self.replica is not None
+        epoch = self.replica.epoch
+        if self.controller is not None and self.controller.epoch == epoch:
+            return []
+        scheduler = make_scheduler(self._scheduler_kind)
+        self.controller = Controller(epoch, scheduler, now, self._sequence)
+        self.authority = ConfigurationAuthority(epoch, now)
+        return [Emit(LogEvent.CONTROLLER_STARTED, {"epoch": epoch})]
+
+    def _stop_controller(self) -> list[Effect]:
+        """At a lapse of the lease all of the controller's memory is given up."""
+        if self.controller is None:
+            return []
+        epoch = self.controller.epoch
+        self.controller = None
+        self.authority = None
+        return [Emit(LogEvent.CONTROLLER_STOPPED, {"epoch": epoch})]
+
+    def _controller_view(self, now: float) -> ControllerView | None:
+        configuration = self.configuration.store.configuration
+        if self.replica is None or configuration is None or not self._may_act(now):
+            return None
+        return ControllerView(
+            state=self.replica.state,
+            configuration=configuration,
+            policies=self.policies,
+            table=self.table,
+            owner_of=self.owner_of,
+            wall_time_s=self.wall_time_s,
+            admits_rollouts=self.configuration.store.lease_valid(now),
+        )
+
+    def _gateway_view(self, now: float) -> GatewayView:
+        store = self.configuration.store
+        return GatewayView(
+            configuration=store.configuration,
+            policies=self.policies,
+            table=self.table,
+            subset=self._subset,
+            wall_time_s=self.wall_time_s,
+            lease_valid=store.lease_valid(now),
+            lease_age_s=store.lease_age(now),
+        )
+
+    # Inputs from the driver.
+
+    def persisted(self, now: float, write_id: int) -> list[Effect]:
+        """A `Persist` effect is durable."""
+        if self.replica is None:
+            return []
+        return self._settle(now, self.replica.persisted(now, write_id))
+
+    def configuration_fetched(
+        self, now: float, configuration: Configuration | None
+    ) -> list[Effect]:
+        """Answers `FetchConfiguration`; None where nothing is new or the API failed."""
+        leader = self.leader(now) or self.tracker.ask(now)
+        return self._settle(now, self.configuration.fetched(now, configuration, leader))
+
+    def machines_fetched(self, now: float, machines: list[Machine] | None) -> list[Effect]:
+        """Answers `FetchMachines`; None where the list did not answer."""
+        return self._settle(now, self.configuration.machines_fetched(machines))
+
+    def load_reported(self, now: float, sampler_id: str, load: LoadReport | None) -> list[Effect]:
+        """Answers `QueryLoad`; None where the engine did not answer."""
+        self.owner.load_reported(now, sampler_id, load)
+        return []
+
+    def stream_chunk(self, now: float, request_id: str, chunk: StreamChunk) -> list[Effect]:
+        """Tokens of a stream arrived."""
+        if self.owner.owns_stream(request_id):
+            return self._settle(now, self.owner.stream_chunk(request_id, chunk))
+        return self._settle(now, self.gateway.stream_chunk(now, request_id, chunk))
+
+    def stream_end(self, now: float, request_id: str, end: StreamEnd) -> list[Effect]:
+        """The counted last frame of a stream arrived."""
+        if self.owner.owns_stream(request_id):
+            return self._settle(now, self.owner.stream_end(request_id, end))
+        view = self._gateway_view(now)
+        return self._settle(now, self.gateway.stream_end(now, request_id, end, view))
+
+    def stream_failed(
+        self, now: float, request_id: str, surely_not_begun: bool, detail: str
+    ) -> list[Effect]:
+        """A stream was refused, cut or lost."""
+        if self.owner.owns_stream(request_id):
+            return self._settle(now, self.owner.stream_failed(request_id))
+        effects = self.gateway.stream_failed(
+            now, request_id, surely_not_begun, detail, self._gateway_view(now)
+        )
+        return self._settle(now, effects)
+
+    def cancel_confirmed(
+        self, now: float, request_id: str, state: CancelState | None
+    ) -> list[Effect]:
+        """Answers `ConfirmNotRun`."""
+        return self._settle(now, self.gateway.cancel_confirmed(now, request_id, state))
+
+    # Calls of the HTTP side.
+
+    def submit_lookup(self, now: float, request: LookupRequest) -> list[Effect]:
+        """Takes a lookup; one `AnswerReady` follows."""
+        return self._settle(now, self.gateway.submit(now, request, self._gateway_view(now)))
+
+    def cancel_lookup(self, now: float, request_id: str) -> list[Effect]:
+        """The caller of a lookup went away."""
+        return self._settle(now, self.gateway.cancelled_by_caller(request_id))
+
+    def explain(self, now: float, request: LookupRequest) -> Explanation:
+        """Why a lookup would go where. Raises what its admission would."""
+        return self.gateway.explain(now, request, self._gateway_view(now))
+
+    def submit_command(self, now: float, command: Command) -> tuple[int, list[Effect]]:
+        """Sends a command to the ledger; `CommandFinished` follows with the ticket."""
+        ticket, effects = self.client.submit(now, command)
+        return ticket, self._settle(now, effects)
+
+    def read_deliveries(self, now: float, request: DeliveryRequest) -> list[Effect]:
+        """Asks the leader for deliveries; `DeliveryFinished` may follow. Ask again if not."""
+        return self._ask_leader(now, request)
+
+    def ask_status(self, now: float, ticket: int) -> list[Effect]:
+        """Asks the leader for its status; `StatusFinished` may follow."""
+        return self._ask_leader(now, StatusRequest(ticket))
+
+    def _ask_leader(self, now: float, message: object) -> list[Effect]:
+        leader = self.leader(now) or self.tracker.ask(now)
+        return self._settle(now, [Send(leader, message)]) if leader is not None else []
+
+    def drain(self, now: float) -> list[Effect]:
+        """Stops admitting; what is in flight is finished. The driver ends when `idle`."""
+        if self.draining:
+            return []
+        self.draining = True
+        self.gateway.draining = True
+        effects: list[Effect] = [Emit(LogEvent.DRAIN_STARTED, {})]
+        return self._settle(now, effects + self.membership.leave())
+
+    def drain_sampler(self, now: float, sampler_id: str) -> list[Effect]:
+        """An operator's drain of a sampler, told to every node."""
+        message = DrainSampler(sampler_id)
+        targets = [member.node_id for member in self.membership.alive()]
+        return self._settle(now, [Send(target, message) for target in targets])
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is in flight here."""
+        return self.gateway.open_count == 0 and self.owner.running_count == 0
+
+    # Effects between the parts.
+
+    def _settle(self, now: float, effects: list[Effect]) -> list[Effect]:
+        """Carries out what concerns this node's own parts; returns what is the driver's."""
+        outside: list[Effect] = []
+        pending = list(reversed(effects))
+        while pending:
+            effect = pending.pop()
+            inside = self._inside(now, effect)
+            if inside is None:
+                outside.append(effect)
+            else:
+                pending.extend(reversed(inside))
+        return outside
+
+    def _inside(self, now: float, effect: Effect) -> list[Effect] | None:
+        """The effects that follow from an inner one, or None for one of the driver's."""
+        if isinstance(effect, Send):
+            return self._handle(now, self.node_id, effect.message) if self._is_me(effect) else None
+        if isinstance(effect, Applied | Dropped):
+            result = effect.result if isinstance(effect, Applied) else None
+            return self._on_applied(now, effect.ticket, result)
+        if isinstance(effect, Propose | RaiseFloor):
+            ticket = effect if isinstance(effect, RaiseFloor) else None
+            return self._propose(now, effect.command, ticket)
+        if isinstance(effect, ProposeHandOver):
+            return self._propose(now, effect.command, effect.ticket)
+        if isinstance(effect, CommitWanted):
+            return self._submit_internal(now, effect.command, _CommitTicket(effect.key))
+        if isinstance(effect, ClaimWanted):
+            return self._submit_internal(
+                now, self._claim(effect.request), _ClaimTicket(effect.request.request_id)
+            )
+        if isinstance(effect, ReleaseWanted):
+            request = effect.request
+            command = ReleaseKey(request.idempotency_key, request.request_id)
+            return self._submit_internal(now, command, None)
+        if isinstance(effect, CommandFinished) and effect.ticket in self._internal_tickets:
+            return self._on_internal_answer(now, effect)
+        if isinstance(effect, ConfigurationAdopted):
+            return self._on_configuration_adopted()
+        if isinstance(effect, MachinesAdopted):
+            return self.table.set_machines(self.configuration.store.machines)
+        return None
+
+    def _is_me(self, effect: Send) -> bool:
+        return effect.to == self.node_id
+
+    def _claim(self, request: LookupRequest) -> ClaimKey:
+        return ClaimKey(
+            request.idempotency_key,
+            request.body_digest,
+            request.request_id,
+            request.repeatable,
+            self.wall_time_s,
+        )
+
+    def _propose(self, now: float, command: Command, ticket: object) -> list[Effect]:
+        if self.replica is None or not self._may_act(now):
+            return self._on_applied(now, ticket, None)
+        return self.replica.propose(now, command, ticket)
+
+    def _submit_internal(
+        self, now: float, command: Command, ticket: _CommitTicket | _ClaimTicket | None
+    ) -> list[Effect]:
+        number, effects = self.client.submit(now, command)
+        self._internal_tickets[number] = ticket
+        return effects
+
+    def _on_internal_answer(self, now: float, effect: CommandFinished) -> list[Effect]:
+        ticket = self._internal_tickets.pop(effect.ticket)
+        if isinstance(ticket, _CommitTicket):
+            return self.owner.committed(now, ticket.key, effect.result)
+        if isinstance(ticket, _ClaimTicket):
+            return self.gateway.claimed(
+                now, ticket.request_id, effect.result, self._gateway_view(now)
+            )
+        return []
+
+    def _on_applied(self, now: float, ticket: object, result: CommandResult | None) -> list[Effect]:
+        """A command proposed here was applied, or dropped (None)."""
+        if isinstance(ticket, _ForwardTicket):
+            return [Send(ticket.sender, CommandAnswer(ticket.ticket, result, ""))]
+        if isinstance(ticket, HandOverTicket) and self.controller is not None:
+            return self.controller.desk.handed_over(ticket, result)
+        if isinstance(ticket, RaiseFloor) and result is not None:
+            return self._on_floor_raised(now)
+        return []
+
+    def _on_floor_raised(self, now: float) -> list[Effect]:
+        if self.authority is None or self.replica is None or not self._may_act(now):
+            return []
+        return self.authority.floor_raised(now, self.replica.state.configuration_floor)
+
+    def _on_configuration_adopted(self) -> list[Effect]:
+        configuration = self.configuration.store.configuration
+        assert configuration is not None
+        self.policies = PolicyBook(configuration.policies)
+        return []
--- /dev/null
+++ b/stileloom/policy/__init__.py
@@ -0,0 +1,19 @@
+"""Policies: operators' rules for priority, freshness and placement, in CEL."""
+
+from stileloom.policy.book import PolicyBook, RuleOutcome, check_policy
+from stileloom.policy.compiler import CompiledRule, RuleKind, compile_rule
+from stileloom.policy.inputs import PoolInput, RequestInput, RoundInput, RuleInputs, TimeInput
+
+__all__ = [
+    "CompiledRule",
+    "PolicyBook",
+    "PoolInput",
+    "RequestInput",
+    "RoundInput",
+    "RuleInputs",
+    "RuleKind",
+    "RuleOutcome",
+    "TimeInput",
+    "check_policy",
+    "compile_rule",
+]
--- /dev/null
+++ b/stileloom/policy/compiler.py
@@ -0,0 +1,120 @@
+"""Compiles a rule and refuses what does not fit, with line, column and what was expected.
+
+Rules are CEL (Common Expression Language): they terminate and have no side effects. Size
+and nesting are bounded here, names are checked against the closed list of inputs, and the
+result's type is checked by a trial evaluation.
+"""
+
+from __future__ import annotations
+
+import enum
+import re
+
+import cel
+import msgspec
+
+from stileloom.errors import ErrorKind, StileloomError
+from stileloom.policy.inputs import INPUT_FIELDS, RuleInputs
+
+MAX_RULE_CHARACTERS = 1024
+MAX_COMPREHENSIONS = 2
+COMPREHENSIONS = ("all", "exists", "exists_one", "filter", "map")
+
+_POSITION = re.compile(r"<input>:(\d+):(\d+): (.*)")
+_COMPREHENSION = re.compile(r"\.\s*(" + "|".join(COMPREHENSIONS) + r")\s*\(")
+_MEMBER = re.compile(r"\b(" + "|".join(INPUT_FIELDS) + r")\s*\.\s*([A-Za-z_]\w*)")
+_STRING = re.compile(r"'(?:[^'\\]|\\.)*'|\"(?:[^\"\\]|\\.)*\"")
+
+
+class RuleKind(enum.Enum):
+    """The three rules of a policy."""
+
+    PRIORITY = "priority"
+    FRESHNESS = "freshness"
+    PLACEMENT = "placement"
+
+
+RESULT_TYPES: dict[RuleKind, type] = {
+    RuleKind.PRIORITY: int,
+    RuleKind.FRESHNESS: int,
+    RuleKind.PLACEMENT: bool,
+}
+
+
+class CompiledRule:
+    """A rule that is ready to be evaluated."""
+
+    def __init__(self, kind: RuleKind, source: str, program: cel.Program) -> None:
+        self.kind = kind
+        self.source = source
+        self._program = program
+
+    def evaluate(self, inputs: RuleInputs) -> int | bool:
+        """The rule's value. Raises `StileloomError` (POLICY_INVALID) where it has none."""
+        variables = msgspec.to_builtins(inputs)
+        try:
+            value = self._program.execute(variables)
+        except (RuntimeError, TypeError, ValueError) as error:
+            raise _refusal(self.kind, 1, 1, str(error)) from error
+        expected = RESULT_TYPES[self.kind]
+        if type(value) is not expected:
+            raise _refusal(
+                self.kind, 1, 1, f"expected {expected.__name__}, got {type(value).__name__}"
+            )
+        assert isinstance(value, int)
+        return value
+
+
+def compile_rule(kind: RuleKind, source: str) -> CompiledRule:
+    """Compiles one rule.
+
+    Raises `StileloomError` of kind POLICY_INVALID with the rule's name, line and column.
+    """
+    if len(source) > MAX_RULE_CHARACTERS:
+        raise _refusal(kind, 1, MAX_RULE_CHARACTERS, f"more than {MAX_RULE_CHARACTERS} characters")
+    try:
+        program = cel.compile(source)
+    except ValueError as error:
+        raise _syntax_refusal(kind, str(error)) from error
+    _check_names(kind, source, program)
+    rule = CompiledRule(kind, source, program)
+    rule.evaluate(RuleInputs())
+    return rule
+
+
+def _check_names(kind: RuleKind, source: str, program: cel.Program) -> None:
+    bare = _STRING.sub(lambda match: " " * len(match.group()), source)
+    comprehensions = list(_COMPREHENSION.finditer(bare))
+    if len(comprehensions) > MAX_COMPREHENSIONS:
+        line, column = _place(source, comprehensions[MAX_COMPREHENSIONS].start())
+        raise _refusal(kind, line, column, f"more than {MAX_COMPREHENSIONS} comprehensions")
+    for name in sorted(program.variables()):
+        if name not in INPUT_FIELDS:
+            line, column = _place(source, max(0, bare.find(name)))
+            known = ", ".join(INPUT_FIELDS)
+            raise _refusal(kind, line, column, f"unknown name {name!r}, expected one of {known}")
+    for match in _MEMBER.finditer(bare):
+        fields = INPUT_FIELDS[match.group(1)]
+        if match.group(2) not in fields:
+            line, column = _place(source, match.start(2))
+            known = ", ".join(fields)
+            raise _refusal(
+                kind, line, column, f"unknown field {match.group(2)!r}, expected one of {known}"
+            )
+
+
+def _place(source: str, position: int) -> tuple[int, int]:
+    before = source[:position]
+    return before.count("\n") + 1, position - (before.rfind("\n") + 1) + 1
+
+
+def _syntax_refusal(kind: RuleKind, text: str) -> StileloomError:
+    match = _POSITION.search(text)
+    if match is None:
+        return _refusal(kind, 1, 1, text)
+    return _refusal(kind, int(match.group(1)), int(match.group(2)), match.group(3))
+
+
+def _refusal(kind: RuleKind, line: int, column: int, detail: str) -> StileloomError:
+    place = f"{kind.value}: line {line}, column {column}"
+    return StileloomError(ErrorKind.POLICY_INVALID, f"{place}: {detail}")
--- /dev/null
+++ b/stileloom/rollout/__init__.py
@@ -0,0 +1,25 @@
+"""Rollouts: which slot is generated where, and when samples are handed to their trainer."""
+
+from stileloom.rollout.controller import Controller, ControllerView, Propose
+from stileloom.rollout.delivery import DeliveryDesk, HandOverTicket, ProposeHandOver
+from stileloom.rollout.scheduler import (
+    BaselineScheduler,
+    DefaultScheduler,
+    Scheduler,
+    SchedulerKind,
+    make_scheduler,
+)
+
+__all__ = [
+    "BaselineScheduler",
+    "Controller",
+    "ControllerView",
+    "DefaultScheduler",
+    "DeliveryDesk",
+    "HandOverTicket",
+    "Propose",
+    "ProposeHandOver",
+    "Scheduler",
+    "SchedulerKind",
+    "make_scheduler",
+]
--- /dev/null
+++ b/stileloom/rollout/assignments.py
@@ -0,0 +1,156 @@
+"""The controller's table of assignments: what runs where, adopted, lost or interrupted."""
+
+from __future__ import annotations
+
+from stileloom import constants
+from stileloom.api.samples import Prompt
+from stileloom.effects import Effect, Emit, Send
+from stileloom.events import LogEvent
+from stileloom.ledger.state import LedgerState, RoundState
+from stileloom.rollout.work import NO_PARTIAL, Assignment
+from stileloom.samplers.messages import (
+    GenerationFinished,
+    GenerationInterrupted,
+    GenerationKey,
+    PartialGeneration,
+    RunningGeneration,
+    StopGeneration,
+)
+
+SlotId = tuple[str, int]
+
+
+class AssignmentTable:
+    """Assignments by slot, and the partial generations that wait to be resumed."""
+
+    def __init__(self) -> None:
+        self._by_slot: dict[SlotId, Assignment] = {}
+        self._partials: dict[SlotId, PartialGeneration] = {}
+
+    def of_round(self, round_name: str) -> list[Assignment]:
+        """The assignments of a round."""
+        return [a for a in self._by_slot.values() if a.key.round_name == round_name]
+
+    def on_sampler(self, sampler_id: str) -> list[Assignment]:
+        """The assignments on a sampler."""
+        return [a for a in self._by_slot.values() if a.sampler_id == sampler_id]
+
+    def count_by_sampler(self) -> dict[str, int]:
+        """Assignments by sampler."""
+        counts: dict[str, int] = {}
+        for assignment in self._by_slot.values():
+            counts[assignment.sampler_id] = counts.get(assignment.sampler_id, 0) + 1
+        return counts
+
+    def is_assigned(self, round_name: str, slot: int) -> bool:
+        """Whether somebody generates for a slot."""
+        return (round_name, slot) in self._by_slot
+
+    def partial(self, round_name: str, slot: int) -> PartialGeneration:
+        """What an earlier attempt left of a slot."""
+        return self._partials.get((round_name, slot), NO_PARTIAL)
+
+    def partial_slots(self, round_name: str) -> list[int]:
+        """Slots of a round that have a partial generation."""
+        return [slot for name, slot in self._partials if name == round_name]
+
+    def drop_partial(self, round_name: str, slot: int) -> int:
+        """Forgets a partial; returns the tokens given up."""
+        partial = self._partials.pop((round_name, slot), NO_PARTIAL)
+        return len(partial.tokens)
+
+    def add(self, assignment: Assignment) -> None:
+        """Somebody generates for a slot from now on."""
+        slot_id = (assignment.key.round_name, assignment.key.slot)
+        self._by_slot[slot_id] = assignment
+        self._partials.pop(slot_id, None)
+
+    def finished(self, message: GenerationFinished) -> Assignment | None:
+        """The ledger has answered an attempt's sample."""
+        return self._remove(message.key)
+
+    def interrupted(self, message: GenerationInterrupted) -> Assignment | None:
+        """An attempt ended without a sample; what counts of it is kept."""
+        assignment = self._remove(message.key)
+        if assignment is not None and message.partial.tokens:
+            slot_id = (message.key.round_name, message.key.slot)
+            self._partials[slot_id] = message.partial
+        return assignment
+
+    def _remove(self, key: GenerationKey) -> Assignment | None:
+        slot_id = (key.round_name, key.slot)
+        assignment = self._by_slot.get(slot_id)
+        if assignment is None or assignment.key != key:
+            return None
+        del self._by_slot[slot_id]
+        return assignment
+
+    def reported(
+        self, now: float, sender: str, running: list[RunningGeneration], state: LedgerState
+    ) -> list[Effect]:
+        """An owner reported what it runs: confirms, adopts, or stops."""
+        effects: list[Effect] = []
+        for generation in running:
+            key = generation.key
+            round_state = state.rounds.get(key.round_name)
+            slot = round_state.open_slots.get(key.slot) if round_state is not None else None
+            known = self._by_slot.get((key.round_name, key.slot))
+            if slot is None or (known is not None and known.key != key):
+                effects.append(Send(sender, StopGeneration(key)))
+            elif known is None:
+                self.add(_adopted(now, sender, generation, slot.prompt))
+            else:
+                known.confirmed_at = now
+                known.stopping = False
+                known.tokens_at_start = generation.token_count
+                if generation.oldest_version is not None:
+                    known.oldest_version = generation.oldest_version
+        return effects
+
+    def drop_closed(self, state: LedgerState) -> None:
+        """Forgets slots that have their sample."""
+        for name, slot in list(self._by_slot):
+            round_state = state.rounds.get(name)
+            if round_state is None or slot not in round_state.open_slots:
+                del self._by_slot[(name, slot)]
+        for name, slot in list(self._partials):
+            round_state = state.rounds.get(name)
+            if round_state is None or slot not in round_state.open_slots:
+                del self._partials[(name, slot)]
+
+    def drop_lost(self, now: float) -> list[Effect]:
+        """Forgets assignments that their owner has not reported for too long."""
+        effects: list[Effect] = []
+        for slot_id, assignment in list(self._by_slot.items()):
+            if now >= assignment.confirmed_at + constants.ASSIGNMENT_LOST_S:
+                del self._by_slot[slot_id]
+                fields: dict[str, object] = {
+                    "round": slot_id[0],
+                    "slot": slot_id[1],
+                    "sampler": assignment.sampler_id,
+                }
+                effects.append(Emit(LogEvent.GENERATION_LOST, fields))
+        return effects
+
+    def drop_over_age_partials(self, state: RoundState, bound: int) -> int:
+        """Forgets partials that could never be committed; returns the tokens given up."""
+        dropped = 0
+        for slot in self.partial_slots(state.name):
+            segments = self.partial(state.name, slot).segments
+            oldest = min(segment.weight_version for segment in segments)
+            if state.version - oldest > bound:
+                dropped += self.drop_partial(state.name, slot)
+        return dropped
+
+
+def _adopted(now: float, owner: str, generation: RunningGeneration, prompt: Prompt) -> Assignment:
+    return Assignment(
+        key=generation.key,
+        prompt=prompt,
+        sampler_id=generation.sampler_id,
+        owner=owner,
+        started_at=now,
+        tokens_at_start=generation.token_count,
+        oldest_version=generation.oldest_version,
+        confirmed_at=now,
+    )
--- /dev/null
+++ b/stileloom/rollout/controller.py
@@ -0,0 +1,449 @@
+"""The controller: lives on the ledger's leader, for one epoch.
+
+Each tick it compares what the ledger, the configuration and the samplers' reports say with
+what ought to be, and sends orders. It keeps nothing that a successor could not learn again:
+samples and versions stand in the ledger, running generations are reported by their owners.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+import msgspec
+
+from stileloom import constants
+from stileloom.api.engine import EngineState
+from stileloom.api.objects import Configuration, Round, SamplerRole
+from stileloom.effects import Effect, Emit, Send
+from stileloom.events import LogEvent
+from stileloom.ledger.commands import Command, RegisterRound
+from stileloom.ledger.state import LedgerState, RoundState
+from stileloom.policy import PolicyBook, PoolInput, RequestInput, RoundInput, RuleInputs
+from stileloom.rollout.assignments import AssignmentTable
+from stileloom.rollout.delivery import DeliveryDesk
+from stileloom.rollout.scheduler import Scheduler
+from stileloom.rollout.staleness import may_start_count
+from stileloom.rollout.work import (
+    Assignment,
+    PendingSlot,
+    RoundWork,
+    SamplerCapacity,
+    Shift,
+    Start,
+)
+from stileloom.samplers.messages import (
+    GenerationFinished,
+    GenerationInterrupted,
+    GenerationKey,
+    OrderSampler,
+    RunningReport,
+    StartGeneration,
+    StopGeneration,
+)
+from stileloom.samplers.table import SamplerTable, SamplerView
+from stileloom.weights import PoolDemand, RoleShifter, SwapPlanner, SwapTarget
+
+AVOID_AFTER_FAILURE_S = 1.0
+PENDING_LOOKAHEAD = 4
+"""Open slots that are looked at for each that may start, so that long ones go first."""
+REGISTER_RETRY_S = 1.0
+
+
+class Propose(msgspec.Struct, frozen=True):
+    """Propose a command to the ledger; nobody waits for the result."""
+
+    command: Command
+
+
+class ControllerView(msgspec.Struct):
+    """What the controller may look at in one call."""
+
+    state: LedgerState
+    configuration: Configuration
+    policies: PolicyBook
+    table: SamplerTable
+    owner_of: Callable[[str], str | None]
+    wall_time_s: float
+    admits_rollouts: bool
+    """Whether this node's configuration lease holds."""
+
+
+class Controller:
+    """Rounds, weight rollout, placement and role shifts, for one epoch."""
+
+    def __init__(
+        self, epoch: int, scheduler: Scheduler, now: float, sequence: Iterator[int]
+    ) -> None:
+        """`sequence` never yields a number twice within an epoch."""
+        self.epoch = epoch
+        self.assignments = AssignmentTable()
+        self.desk = DeliveryDesk()
+        self.discarded_partial_tokens = 0
+        self._scheduler = scheduler
+        self._swaps = SwapPlanner(epoch, sequence)
+        self._shifters: dict[str, RoleShifter] = {}
+        self._settled_at = now + constants.CONTROLLER_SETTLE_S
+        self._sequence = sequence
+        self._avoid_until: dict[str, float] = {}
+        self._registered_at: dict[str, float] = {}
+
+    # Driving.
+
+    def tick(self, now: float, view: ControllerView) -> list[Effect]:
+        """One round of comparing and ordering."""
+        self.assignments.drop_closed(view.state)
+        effects = self.assignments.drop_lost(now)
+        effects += self._register_rounds(now, view)
+        lent = self._lent_samplers(now, view)
+        effects += self._swap_weights(now, view, lent)
+        reserved: dict[str, int] = {}
+        for name in sorted(view.configuration.rounds):
+            round_state = view.state.rounds.get(name)
+            if round_state is None:
+                continue
+            work = self._work(now, view, name, round_state, lent)
+            reserved[name] = self._scheduler.reserved(work)
+            if now >= self._settled_at and view.admits_rollouts:
+                effects += self._plan(now, view, name, work)
+        return effects + self.desk.tick(now, view.state, reserved)
+
+    def handle(
+        self, now: float, sender: str, message: object, view: ControllerView
+    ) -> list[Effect]:
+        """Takes a message of an owner."""
+        if isinstance(message, RunningReport):
+            return self.assignments.reported(now, sender, message.running, view.state)
+        if isinstance(message, GenerationFinished):
+            assignment = self.assignments.finished(message)
+            if assignment is not None:
+                self._scheduler.observe(assignment.prompt.group, message.token_count)
+            return []
+        if isinstance(message, GenerationInterrupted):
+            self.assignments.interrupted(message)
+            if message.failed:
+                self._avoid_until[message.sampler_id] = now + AVOID_AFTER_FAILURE_S
+            return []
+        return []
+
+    def under_way(self, round_name: str) -> int:
+        """Generations of a round under way."""
+        return len(self.assignments.of_round(round_name))
+
+    # Rounds.
+
+    def _register_rounds(self, now: float, view: ControllerView) -> list[Effect]:
+        effects: list[Effect] = []
+        for name, spec in view.configuration.rounds.items():
+            bound = self._staleness_bound(view, name, spec)
+            known = view.state.rounds.get(name)
+            if (
+                known is not None
+                and known.staleness_bound == bound
+                and known.samples_per_step == spec.samples_per_step
+            ):
+                continue
+            if now < self._registered_at.get(name, float("-inf")) + REGISTER_RETRY_S:
+                continue
+            self._registered_at[name] = now
+            command = RegisterRound(name, bound, spec.samples_per_step, spec.first_version)
+            effects.append(Propose(command))
+        return effects
+
+    def _staleness_bound(self, view: ControllerView, name: str, spec: Round) -> int:
+        inputs = RuleInputs(
+            request=RequestInput(target=name, kind="rollout"),
+            round=RoundInput(
+                staleness_bound=spec.staleness_bound, samples_per_step=spec.samples_per_step
+            ),
+        )
+        return view.policies.staleness_bound(inputs, view.wall_time_s)
+
+    # Weights and roles.
+
+    def _lent_samplers(self, now: float, view: ControllerView) -> dict[str, str]:
+        """By lent sampler, the round that it works for."""
+        lent: dict[str, str] = {}
+        if not self._scheduler.shifts_roles:
+            return lent
+        for pool_name, pool in view.configuration.pools.items():
+            if not pool.lend_to_rounds or pool.home_role is not SamplerRole.LOOKUP:
+                continue
+            borrowers = [
+                name
+                for name, spec in sorted(view.configuration.rounds.items())
+                if pool_name in spec.borrow_from
+            ]
+            if not borrowers:
+                continue
+            shifter = self._shifters.setdefault(pool_name, RoleShifter())
+            demand = self._demand(now, view, pool_name, pool.keep_home, shifter.lent)
+            for position, sampler_id in enumerate(shifter.update(now, demand)):
+                lent[sampler_id] = borrowers[position % len(borrowers)]
+        return lent
+
+    def _demand(
+        self, now: float, view: ControllerView, pool_name: str, keep_home: int, lent: list[str]
+    ) -> PoolDemand:
+        samplers = [
+            sampler
+            for sampler in view.table.in_pool(pool_name)
+            if not sampler.leaving and not sampler.unreachable and sampler.load is not None
+        ]
+        at_home = [sampler for sampler in samplers if sampler.sampler_id not in lent]
+        capacity = min((s.load.max_running for s in samplers if s.load is not None), default=1)
+        return PoolDemand(
+            samplers=sorted(sampler.sampler_id for sampler in samplers),
+            keep_home=keep_home,
+            running=sum(sampler.running for sampler in at_home),
+            capacity_per_sampler=capacity,
+        )
+
+    def _swap_weights(self, now: float, view: ControllerView, lent: dict[str, str]) -> list[Effect]:
+        targets: dict[str, SwapTarget] = {}
+        for sampler in view.table.views():
+            target = self._target(view, sampler, lent)
+            if target is not None:
+                targets[sampler.sampler_id] = target
+        effects: list[Effect] = []
+        style = self._scheduler.swap_style
+        for sampler_id, order in self._swaps.plan(now, view.table.views(), targets, style):
+            owner = view.owner_of(sampler_id)
+            if owner is None:
+                continue
+            effects += self._clear_for_role(view, sampler_id, targets[sampler_id])
+            effects.append(Send(owner, OrderSampler(sampler_id, order)))
+        return effects
+
+    def _target(
+        self, view: ControllerView, sampler: SamplerView, lent: dict[str, str]
+    ) -> SwapTarget | None:
+        pool = view.configuration.pools.get(sampler.machine.pool)
+        if pool is None:
+            return None
+        round_name = lent.get(sampler.sampler_id)
+        if round_name is None and pool.home_role is SamplerRole.LOOKUP:
+            return SwapTarget(SamplerRole.LOOKUP, pool.model, pool.model_version)
+        if round_name is None:
+            round_name = next(
+                (
+                    name
+                    for name, spec in sorted(view.configuration.rounds.items())
+                    if spec.pool == sampler.machine.pool
+                ),
+                None,
+            )
+        round_state = view.state.rounds.get(round_name) if round_name is not None else None
+        if round_name is None or round_state is None:
+            return None
+        spec = view.configuration.rounds[round_name]
+        return SwapTarget(SamplerRole.ROLLOUT, spec.model, round_state.version)
+
+    def _clear_for_role(
+        self, view: ControllerView, sampler_id: str, target: SwapTarget
+    ) -> list[Effect]:
+        """A change of model would kill what runs: it is stopped and goes on elsewhere."""
+        sampler = view.table.get(sampler_id)
+        if sampler is None or sampler.load is None or sampler.load.model == target.model:
+            return []
+        effects: list[Effect] = [
+            Emit(LogEvent.ROLE_SHIFTED, {"sampler": sampler_id, "role": target.role.value})
+        ]
+        for assignment in self.assignments.on_sampler(sampler_id):
+            effects += self._stop(assignment)
+        return effects
+
+    # Planning a round.
+
+    def _work(
+        self,
+        now: float,
+        view: ControllerView,
+        name: str,
+        round_state: RoundState,
+        lent: dict[str, str],
+    ) -> RoundWork:
+        bound = round_state.staleness_bound
+        self.discarded_partial_tokens += self.assignments.drop_over_age_partials(round_state, bound)
+        assignments = self.assignments.of_round(name)
+        budget = may_start_count(round_state, bound, len(assignments))
+        return RoundWork(
+            state=round_state,
+            staleness_bound=bound,
+            pending=self._pending(view, round_state, budget),
+            assignments=assignments,
+            samplers=self._capacities(now, view, name, round_state, lent),
+        )
+
+    def _pending(
+        self, view: ControllerView, round_state: RoundState, budget: int
+    ) -> list[PendingSlot]:
+        name = round_state.name
+        limit = budget * PENDING_LOOKAHEAD
+        found: list[PendingSlot] = []
+        resumable = set(self.assignments.partial_slots(name))
+        priorities: dict[tuple[str, int], int] = {}
+        for number in sorted(resumable):
+            if not self.assignments.is_assigned(name, number):
+                found.append(self._pending_slot(view, round_state, number, priorities))
+        fresh = 0
+        for number in round_state.open_slots:
+            if fresh >= limit:
+                break
+            if number in resumable or self.assignments.is_assigned(name, number):
+                continue
+            fresh += 1
+            found.append(self._pending_slot(view, round_state, number, priorities))
+        return found
+
+    def _pending_slot(
+        self,
+        view: ControllerView,
+        round_state: RoundState,
+        number: int,
+        priorities: dict[tuple[str, int], int],
+    ) -> PendingSlot:
+        prompt = round_state.open_slots[number].prompt
+        key = (prompt.group, prompt.max_tokens)
+        if key not in priorities:
+            inputs = RuleInputs(
+                request=RequestInput(
+                    target=round_state.name,
+                    kind="rollout",
+                    max_tokens=prompt.max_tokens,
+                    group=prompt.group,
+                ),
+                round=_round_input(round_state),
+            )
+            priorities[key] = view.policies.priority(inputs, view.wall_time_s)
+        partial = self.assignments.partial(round_state.name, number)
+        return PendingSlot(number, prompt, priorities[key], partial)
+
+    def _capacities(
+        self,
+        now: float,
+        view: ControllerView,
+        name: str,
+        round_state: RoundState,
+        lent: dict[str, str],
+    ) -> list[SamplerCapacity]:
+        spec = view.configuration.rounds[name]
+        counts = self.assignments.count_by_sampler()
+        placeable: dict[tuple[str, str], bool] = {}
+        capacities: list[SamplerCapacity] = []
+        for sampler in view.table.views():
+            pool_name = sampler.machine.pool
+            borrowed = lent.get(sampler.sampler_id) == name
+            if (pool_name != spec.pool or sampler.sampler_id in lent) and not borrowed:
+                continue
+            if not self._may_take(now, sampler, spec):
+                continue
+            place = (pool_name, sampler.machine.zone)
+            if place not in placeable:
+                placeable[place] = self._may_place(view, round_state, place)
+            if not placeable[place]:
+                continue
+            assert sampler.load is not None
+            limit = min(sampler.load.max_running, spec.max_concurrency_per_sampler)
+            assigned = counts.get(sampler.sampler_id, 0)
+            current = sampler.load.weight_version == round_state.version
+            capacities.append(SamplerCapacity(sampler, assigned, limit, current))
+        return capacities
+
+    def _may_take(self, now: float, sampler: SamplerView, spec: Round) -> bool:
+        load = sampler.load
+        if load is None or not sampler.usable(now):
+            # A sampler that swaps in flight takes new work again as soon as it serves.
+            return False
+        if now < self._avoid_until.get(sampler.sampler_id, float("-inf")):
+            return False
+        return (
+            load.state is EngineState.SERVING
+            and load.role is SamplerRole.ROLLOUT
+            and load.model == spec.model
+        )
+
+    def _may_place(
+        self, view: ControllerView, round_state: RoundState, place: tuple[str, str]
+    ) -> bool:
+        pool_name, zone = place
+        pool = view.configuration.pools.get(pool_name)
+        home_role = pool.home_role.value if pool is not None else ""
+        inputs = RuleInputs(
+            request=RequestInput(target=round_state.name, kind="rollout"),
+            round=_round_input(round_state),
+            pool=PoolInput(pool_name, zone, home_role),
+        )
+        return view.policies.may_place(inputs, view.wall_time_s)
+
+    def _plan(self, now: float, view: ControllerView, name: str, work: RoundWork) -> list[Effect]:
+        effects: list[Effect] = []
+        spec = view.configuration.rounds[name]
+        for start in self._scheduler.plan_starts(work):
+            effects += self._start(now, view, name, spec, start)
+        for shift in self._scheduler.plan_shifts(work, now):
+            effects += self._shift(shift)
+        return effects + self._move_off_leaving(view, work)
+
+    def _move_off_leaving(self, view: ControllerView, work: RoundWork) -> list[Effect]:
+        """A planned stop interrupts nothing, but a long tail is better off elsewhere."""
+        effects: list[Effect] = []
+        if not any(sampler.free > 0 for sampler in work.samplers):
+            return effects
+        for assignment in work.assignments:
+            sampler = view.table.get(assignment.sampler_id)
+            if sampler is not None and sampler.leaving and not assignment.stopping:
+                effects += self._stop(assignment)
+        return effects
+
+    def _start(
+        self, now: float, view: ControllerView, name: str, spec: Round, start: Start
+    ) -> list[Effect]:
+        owner = view.owner_of(start.sampler_id)
+        if owner is None:
+            return []
+        pending = start.pending
+        key = GenerationKey(name, pending.slot, f"{self.epoch}.{next(self._sequence)}")
+        self.assignments.add(
+            Assignment(
+                key=key,
+                prompt=pending.prompt,
+                sampler_id=start.sampler_id,
+                owner=owner,
+                started_at=now,
+                tokens_at_start=len(pending.partial.tokens),
+                oldest_version=self._version_at_start(view, pending, start.sampler_id),
+                confirmed_at=now,
+            )
+        )
+        message = StartGeneration(
+            key, start.sampler_id, spec.model, pending.prompt, pending.priority, pending.partial
+        )
+        return [Send(owner, message)]
+
+    def _version_at_start(
+        self, view: ControllerView, pending: PendingSlot, sampler_id: str
+    ) -> int | None:
+        sampler = view.table.get(sampler_id)
+        version = sampler.load.weight_version if sampler is not None and sampler.load else None
+        oldest = pending.oldest_version
+        return oldest if oldest is not None else version
+
+    def _shift(self, shift: Shift) -> list[Effect]:
+        for assignment in self.assignments.of_round(shift.key.round_name):
+            if assignment.key == shift.key:
+                fields: dict[str, object] = {
+                    "round": shift.key.round_name,
+                    "slot": shift.key.slot,
+                    "from": assignment.sampler_id,
+                }
+                return [Emit(LogEvent.GENERATION_SHIFTED, fields), *self._stop(assignment)]
+        return []
+
+    def _stop(self, assignment: Assignment) -> list[Effect]:
+        # If the message is lost, the next running report clears the mark again.
+        assignment.stopping = True
+        return [Send(assignment.owner, StopGeneration(assignment.key))]
+
+
+def _round_input(state: RoundState) -> RoundInput:
+    return RoundInput(state.version, state.staleness_bound, state.samples_per_step)
--- /dev/null
+++ b/stileloom/routing/__init__.py
@@ -0,0 +1,15 @@
+"""Routing of lookups: limits, choice of a sampler, retries, outcomes."""
+
+from stileloom.routing.gateway import Gateway, GatewayView
+from stileloom.routing.messages import AnswerReady, LookupAnswer, LookupRequest, TokensReady
+from stileloom.routing.subset import gateway_subset
+
+__all__ = [
+    "AnswerReady",
+    "Gateway",
+    "GatewayView",
+    "LookupAnswer",
+    "LookupRequest",
+    "TokensReady",
+    "gateway_subset",
+]
--- /dev/null
+++ b/stileloom/samplers/table.py
@@ -0,0 +1,117 @@
+"""What a node knows of all samplers: the machine list joined with load reports and drains."""
+
+from __future__ import annotations
+
+import msgspec
+
+from stileloom import constants
+from stileloom.api.engine import EngineState, LoadReport
+from stileloom.api.objects import Machine, MachineState
+from stileloom.effects import Effect, Emit
+from stileloom.events import LogEvent
+from stileloom.samplers.messages import SamplerReport
+
+
+class SamplerView(msgspec.Struct):
+    """One sampler as this node sees it."""
+
+    machine: Machine
+    load: LoadReport | None = None
+    heard_at: float = float("-inf")
+    leaving: bool = False
+    unreachable: bool = False
+
+    @property
+    def sampler_id(self) -> str:
+        """The sampler's id."""
+        return self.machine.sampler_id
+
+    @property
+    def running(self) -> int:
+        """Generations running or waiting on the engine, by its last report."""
+        return self.load.running + self.load.waiting if self.load is not None else 0
+
+    def usable(self, now: float) -> bool:
+        """Whether it may be given work: heard of lately, not leaving, version known."""
+        if self.leaving or self.unreachable or self.load is None:
+            return False
+        if now > self.heard_at + constants.SAMPLER_REPORT_STALE_S:
+            return False
+        return self.load.state is EngineState.SERVING
+
+
+class SamplerTable:
+    """All samplers by id. The earliest sign of leaving wins and sticks."""
+
+    def __init__(self) -> None:
+        self._views: dict[str, SamplerView] = {}
+        self.version = 0
+        """Raised whenever the set of samplers, or who is leaving, changes."""
+
+    def get(self, sampler_id: str) -> SamplerView | None:
+        """One sampler, or None."""
+        return self._views.get(sampler_id)
+
+    def views(self) -> list[SamplerView]:
+        """All samplers."""
+        return list(self._views.values())
+
+    def in_pool(self, pool: str) -> list[SamplerView]:
+        """The samplers of a pool."""
+        return [view for view in self._views.values() if view.machine.pool == pool]
+
+    def set_machines(self, machines: list[Machine]) -> list[Effect]:
+        """Takes a new machine list. A sampler that went and came back is a new one."""
+        effects: list[Effect] = []
+        listed = {machine.sampler_id: machine for machine in machines}
+        for sampler_id in self._views.keys() - listed.keys():
+            del self._views[sampler_id]
+        for sampler_id, machine in listed.items():
+            view = self._views.get(sampler_id)
+            if view is None:
+                view = SamplerView(machine)
+                self._views[sampler_id] = view
+            view.machine = machine
+            if machine.state is MachineState.LEAVING:
+                effects += self.mark_leaving(sampler_id)
+        self.version += 1
+        return effects
+
+    def on_report(self, now: float, report: SamplerReport) -> list[Effect]:
+        """Takes an owner's report."""
+        effects: list[Effect] = []
+        for load in report.loads:
+            view = self._views.get(load.sampler_id)
+            if view is None:
+                continue
+            effects += _version_events(view.load, load)
+            view.load = load
+            view.heard_at = now
+            view.unreachable = False
+            if load.state is EngineState.LEAVING:
+                effects += self.mark_leaving(load.sampler_id)
+        for sampler_id in report.unreachable:
+            view = self._views.get(sampler_id)
+            if view is not None:
+                view.unreachable = True
+        return effects
+
+    def mark_leaving(self, sampler_id: str) -> list[Effect]:
+        """No new work from now on, whatever is heard later."""
+        view = self._views.get(sampler_id)
+        if view is None or view.leaving:
+            return []
+        view.leaving = True
+        self.version += 1
+        return [Emit(LogEvent.SAMPLER_LEAVING, {"sampler": sampler_id})]
+
+
+def _version_events(before: LoadReport | None, after: LoadReport) -> list[Effect]:
+    fields: dict[str, object] = {"sampler": after.sampler_id, "version": after.weight_version}
+    if before is None:
+        return []
+    if after.state is EngineState.UNKNOWN_VERSION and before.state is not after.state:
+        return [Emit(LogEvent.SAMPLER_UNKNOWN_VERSION, fields)]
+    if after.weight_version != before.weight_version and after.weight_version is not None:
+        return [Emit(LogEvent.SAMPLER_LOADED, fields)]
+    return []
--- /dev/null
+++ b/stileloom/transport/__init__.py
@@ -0,0 +1,5 @@
+"""Sockets between the nodes."""
+
+from stileloom.transport.network import Network, TrafficCount
+
+__all__ = ["Network", "TrafficCount"]
