Role changes drain first; a dead owner's generations are taken back early

Ruled out: the retry path itself (streams were resumed at their token offset). Change: a change of model is two orders, first the role alone; engines refuse the wrong role; refusals no longer count towards ejection; suspects get no new work; the new leader announces itself, and settles as soon as every owner has reported. The load generator no longer sends after its stop (that was the lookup in no count).

--- a/stileloom/api/engine.py
+++ b/stileloom/api/engine.py
@@ -24,6 +24,8 @@
     first_token: int = 0
     """Token offset to resume at; earlier tokens are known to the caller."""
     priority: int = 50
+    role: SamplerRole = SamplerRole.LOOKUP
+    """An engine in another role refuses, so a stale view at the sender does no harm."""
     prefix_key: str = ""
     """Requests with the same key share a prompt prefix."""
 
--- a/stileloom/constants.py
+++ b/stileloom/constants.py
@@ -32,10 +32,12 @@
 # Samplers.
 LOAD_POLL_S = 0.25
 SAMPLER_REPORT_S = 0.5
-SAMPLER_REPORT_STALE_S = 4.0
+SAMPLER_REPORT_STALE_S = 2.0
 SUBSET_SIZE = 16
 ORDER_RETRY_S = 1.0
 ASSIGNMENT_LOST_S = 5.0
+ASSIGNMENT_LOST_SUSPECT_S = 2.5
+"""The same for an owner that membership suspects; longer than a running report's interval."""
 CONTROLLER_SETTLE_S = 2.0
 """A new controller listens this long for running generations before it assigns any."""
 
--- a/stileloom/emulator/engine_model.py
+++ b/stileloom/emulator/engine_model.py
@@ -157,6 +157,8 @@
             return EngineRefusal("leaving")
         if self.state is not EngineState.SERVING:
             return EngineRefusal(self.state.value)
+        if request.role is not self.role:
+            return EngineRefusal("wrong_role", f"works as {self.role.value}")
         if request.model != self.model:
             return EngineRefusal("wrong_model", f"holds {self.model}")
         self._remember(request.request_id, CancelState.BEGAN)
--- a/stileloom/emulator/lookup_load.py
+++ b/stileloom/emulator/lookup_load.py
@@ -64,6 +64,8 @@
         while not self._stopped:
             next_at += self._rng.expovariate(self._description.rate_per_s)
             await asyncio.sleep(max(0.0, next_at - time.monotonic()))
+            if self._stopped:
+                return
             number += 1
             task = asyncio.get_running_loop().create_task(self._send(number))
             self._tasks.add(task)
--- a/stileloom/node/core.py
+++ b/stileloom/node/core.py
@@ -32,7 +32,7 @@
 from stileloom.ledger.commands import ClaimKey, Command, CommandResult, ReleaseKey
 from stileloom.ledger.leader_tracker import LeaderHint, LeaderTracker
 from stileloom.ledger.messages import CommandAnswer, CommandForward
-from stileloom.membership import Member, Membership, Seed
+from stileloom.membership import Member, Membership, MemberState, Seed
 from stileloom.node import dispatch
 from stileloom.node.status import leader_status
 from stileloom.policy import PolicyBook
@@ -172,7 +172,16 @@
         return ranked[: constants.READERS_PER_ZONE]
 
     def _working_nodes(self, zone: str | None) -> list[str]:
-        return [m.node_id for m in self.membership.alive(zone) if not m.leaving]
+        """Nodes to give new work to; a suspect is passed over until it has refuted."""
+        return [
+            member.node_id
+            for member in self.membership.alive(zone)
+            if member.state is MemberState.ALIVE and not member.leaving
+        ]
+
+    def _is_working(self, node_id: str) -> bool:
+        member = self.membership.get(node_id)
+        return member is not None and member.state is MemberState.ALIVE
 
     def _voter_names(self) -> list[str]:
         return [member.node_id for member in self.membership.alive() if member.voter]
@@ -376,7 +385,11 @@
         scheduler = make_scheduler(self._scheduler_kind)
         self.controller = Controller(epoch, scheduler, now, self._sequence)
         self.authority = ConfigurationAuthority(epoch, now)
-        return [Emit(LogEvent.CONTROLLER_STARTED, {"epoch": epoch})]
+        # Owners report what they run to a leader that is new to them: tell them at once.
+        hint = LeaderHint(self.node_id, epoch)
+        others = [m.node_id for m in self.membership.alive() if m.node_id != self.node_id]
+        announcement: list[Effect] = [Send(node_id, hint) for node_id in others]
+        return [Emit(LogEvent.CONTROLLER_STARTED, {"epoch": epoch}), *announcement]
 
     def _stop_controller(self) -> list[Effect]:
         """At a lapse of the lease all of the controller's memory is given up."""
@@ -397,6 +410,7 @@
             policies=self.policies,
             table=self.table,
             owner_of=self.owner_of,
+            is_working=self._is_working,
             wall_time_s=self.wall_time_s,
             admits_rollouts=self.configuration.store.lease_valid(now),
         )
--- a/stileloom/rollout/assignments.py
+++ b/stileloom/rollout/assignments.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from stileloom import constants
 from stileloom.api.samples import Prompt
 from stileloom.effects import Effect, Emit, Send
@@ -118,11 +120,14 @@
             if round_state is None or slot not in round_state.open_slots:
                 del self._partials[(name, slot)]
 
-    def drop_lost(self, now: float) -> list[Effect]:
+    def drop_lost(self, now: float, is_working: Callable[[str], bool]) -> list[Effect]:
         """Forgets assignments that their owner has not reported for too long."""
         effects: list[Effect] = []
         for slot_id, assignment in list(self._by_slot.items()):
-            if now >= assignment.confirmed_at + constants.ASSIGNMENT_LOST_S:
+            silence_s = constants.ASSIGNMENT_LOST_S
+            if not is_working(assignment.owner):
+                silence_s = constants.ASSIGNMENT_LOST_SUSPECT_S
+            if now >= assignment.confirmed_at + silence_s:
                 del self._by_slot[slot_id]
                 fields: dict[str, object] = {
                     "round": slot_id[0],
--- a/stileloom/rollout/controller.py
+++ b/stileloom/rollout/controller.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from stileloom import constants
-from stileloom.api.engine import EngineState
+from stileloom.api.engine import EngineOrder, EngineState
 from stileloom.api.objects import Configuration, Round, SamplerRole
 from stileloom.effects import Effect, Emit, Send
 from stileloom.events import LogEvent
@@ -63,6 +63,8 @@
     policies: PolicyBook
     table: SamplerTable
     owner_of: Callable[[str], str | None]
+    is_working: Callable[[str], bool]
+    """Whether a node is neither suspected nor dead."""
     wall_time_s: float
     admits_rollouts: bool
     """Whether this node's configuration lease holds."""
@@ -83,6 +85,7 @@
         self._swaps = SwapPlanner(epoch, sequence)
         self._shifters: dict[str, RoleShifter] = {}
         self._settled_at = now + constants.CONTROLLER_SETTLE_S
+        self._reported: set[str] = set()
         self._sequence = sequence
         self._avoid_until: dict[str, float] = {}
         self._registered_at: dict[str, float] = {}
@@ -92,7 +95,7 @@
     def tick(self, now: float, view: ControllerView) -> list[Effect]:
         """One round of comparing and ordering."""
         self.assignments.drop_closed(view.state)
-        effects = self.assignments.drop_lost(now)
+        effects = self.assignments.drop_lost(now, view.is_working)
         effects += self._register_rounds(now, view)
         lent = self._lent_samplers(now, view)
         effects += self._swap_weights(now, view, lent)
@@ -103,7 +106,7 @@
                 continue
             work = self._work(now, view, name, round_state, lent)
             reserved[name] = self._scheduler.reserved(work)
-            if now >= self._settled_at and view.admits_rollouts:
+            if self._is_settled(now, view) and view.admits_rollouts:
                 effects += self._plan(now, view, name, work)
         return effects + self.desk.tick(now, view.state, reserved)
 
@@ -112,6 +115,7 @@
     ) -> list[Effect]:
         """Takes a message of an owner."""
         if isinstance(message, RunningReport):
+            self._reported.add(sender)
             return self.assignments.reported(now, sender, message.running, view.state)
         if isinstance(message, GenerationFinished):
             assignment = self.assignments.finished(message)
@@ -125,6 +129,13 @@
             return []
         return []
 
+    def _is_settled(self, now: float, view: ControllerView) -> bool:
+        """Whether every owner has said what it runs, or has had the time to."""
+        if now >= self._settled_at:
+            return True
+        owners = {view.owner_of(sampler.sampler_id) for sampler in view.table.views()}
+        return owners <= self._reported
+
     def under_way(self, round_name: str) -> int:
         """Generations of a round under way."""
         return len(self.assignments.of_round(round_name))
@@ -210,7 +221,7 @@
             owner = view.owner_of(sampler_id)
             if owner is None:
                 continue
-            effects += self._clear_for_role(view, sampler_id, targets[sampler_id])
+            effects += self._clear_for_role(view, sampler_id, order)
             effects.append(Send(owner, OrderSampler(sampler_id, order)))
         return effects
 
@@ -239,14 +250,14 @@
         return SwapTarget(SamplerRole.ROLLOUT, spec.model, round_state.version)
 
     def _clear_for_role(
-        self, view: ControllerView, sampler_id: str, target: SwapTarget
+        self, view: ControllerView, sampler_id: str, order: EngineOrder
     ) -> list[Effect]:
-        """A change of model would kill what runs: it is stopped and goes on elsewhere."""
+        """Generations on a sampler that leaves the role are stopped and go on elsewhere."""
         sampler = view.table.get(sampler_id)
-        if sampler is None or sampler.load is None or sampler.load.model == target.model:
+        if sampler is None or sampler.load is None or sampler.load.role is order.role:
             return []
         effects: list[Effect] = [
-            Emit(LogEvent.ROLE_SHIFTED, {"sampler": sampler_id, "role": target.role.value})
+            Emit(LogEvent.ROLE_SHIFTED, {"sampler": sampler_id, "role": order.role.value})
         ]
         for assignment in self.assignments.on_sampler(sampler_id):
             effects += self._stop(assignment)
--- a/stileloom/routing/execution.py
+++ b/stileloom/routing/execution.py
@@ -16,6 +16,11 @@
 from stileloom.routing.messages import LookupRequest
 
 
+def is_attempt_id(request_id: str) -> bool:
+    """Whether a stream's id is that of a lookup's attempt, not of a generation."""
+    return "#" in request_id
+
+
 class ExecutionState(enum.Enum):
     """Where a request is."""
 
--- a/stileloom/routing/gateway.py
+++ b/stileloom/routing/gateway.py
@@ -16,7 +16,7 @@
 from stileloom.ledger.commands import CommandResult, Done, Refused
 from stileloom.policy import PolicyBook, PoolInput, RequestInput, RuleInputs, RuleKind
 from stileloom.routing.choice import Candidate, choose_sampler
-from stileloom.routing.execution import Execution, ExecutionState
+from stileloom.routing.execution import Execution, ExecutionState, is_attempt_id
 from stileloom.routing.limits import Ejections, RetryBudget, TenantLimits
 from stileloom.routing.messages import (
     AnswerReady,
@@ -294,7 +294,7 @@
         """Tokens of an attempt. Those of an earlier attempt are dropped."""
         execution = self._current(attempt_id)
         if execution is None:
-            return [Emit(LogEvent.LATE_ANSWER_DROPPED, {"attempt": attempt_id})]
+            return _late(attempt_id)
         first_token = len(execution.tokens)
         fresh = execution.take_chunk(now, chunk)
         if fresh is None:
@@ -312,7 +312,7 @@
         """The counted last frame of an attempt."""
         execution = self._current(attempt_id)
         if execution is None:
-            return [Emit(LogEvent.LATE_ANSWER_DROPPED, {"attempt": attempt_id})]
+            return _late(attempt_id)
         if not execution.is_whole(end):
             return self._attempt_failed(now, execution, False, "the stream was cut", view)
         self._ejections.succeeded(execution.sampler_id)
@@ -353,7 +353,8 @@
         view: GatewayView,
     ) -> list[Effect]:
         effects: list[Effect] = []
-        if self._ejections.failed(now, execution.sampler_id):
+        # A refusal is the sampler's right (it swaps, or has left the role), not a fault.
+        if not surely_not_begun and self._ejections.failed(now, execution.sampler_id):
             effects.append(Emit(LogEvent.SAMPLER_EJECTED, {"sampler": execution.sampler_id}))
         self._end_attempt(execution)
         if surely_not_begun:
@@ -505,5 +506,11 @@
     )
 
 
+def _late(attempt_id: str) -> list[Effect]:
+    if not is_attempt_id(attempt_id):
+        return []
+    return [Emit(LogEvent.LATE_ANSWER_DROPPED, {"attempt": attempt_id})]
+
+
 def _refusal(request_id: str, error: StileloomError) -> LookupAnswer:
     return LookupAnswer(request_id, [], [], error.outcome, error=error)
--- a/stileloom/samplers/owner.py
+++ b/stileloom/samplers/owner.py
@@ -11,6 +11,7 @@
 
 from stileloom import constants
 from stileloom.api.engine import GenerateRequest, LoadReport, StreamChunk, StreamEnd
+from stileloom.api.objects import SamplerRole
 from stileloom.api.samples import Sample, Segment, extend_segments, oldest_version
 from stileloom.effects import Effect, Send
 from stileloom.ledger.commands import CommandResult, CommitSample, Done
@@ -179,6 +180,7 @@
             max_tokens=message.prompt.max_tokens,
             first_token=len(partial.tokens),
             priority=message.priority,
+            role=SamplerRole.ROLLOUT,
             prefix_key=message.prompt.group,
         )
         return [OpenStream(message.sampler_id, request)]
--- a/stileloom/weights/swap.py
+++ b/stileloom/weights/swap.py
@@ -67,9 +67,15 @@
         loading_from = self._loads_by_source(now, samplers, targets)
         orders: list[tuple[str, EngineOrder]] = []
         for view in sorted(samplers, key=lambda view: view.sampler_id):
-            target = targets.get(view.sampler_id)
+            final = targets.get(view.sampler_id)
+            if final is None:
+                continue
+            target = next_step(view, final)
             if target is None or not self._wants_order(now, view, target, style):
                 continue
+            if target != final:
+                orders.append((view.sampler_id, self._order(now, view.sampler_id, target, "")))
+                continue
             source = self._source(now, view, target, samplers, loading_from)
             if source is None:
                 continue
@@ -103,7 +109,8 @@
                 return waited >= ORDER_LOST_S
             if load.state is EngineState.SERVING and waited < ORDER_LOST_S:
                 return load.weight_version != target.version and waited >= constants.ORDER_RETRY_S
-        if load.state is EngineState.UNKNOWN_VERSION:
+        role_only = (load.model, load.weight_version) == (target.model, target.version)
+        if load.state is EngineState.UNKNOWN_VERSION or role_only:
             return True
         return style is SwapStyle.IN_FLIGHT or view.running == 0
 
@@ -149,6 +156,20 @@
         return None
 
 
+def next_step(view: SamplerView, final: SwapTarget) -> SwapTarget | None:
+    """The next target on the way to `final`; None to wait.
+
+    A change of model would cut what runs. So first the role is changed, which stops new work
+    and lets the old go on, and the weights only once nothing runs.
+    """
+    load = view.load
+    if load is None or load.model == final.model or load.state is not EngineState.SERVING:
+        return final
+    if load.role is not final.role and load.weight_version is not None:
+        return SwapTarget(final.role, load.model, load.weight_version)
+    return final if view.running == 0 else None
+
+
 def holds(view: SamplerView, target: SwapTarget) -> bool:
     """Whether a sampler serves what it is meant to."""
     load = view.load
