Simulator in virtual time with an oracle; one test for each promise

Cause: the promises had no proof. Change: stileloom.simulator drives the node cores of the daemon with loss, doubling, late messages, cuts, kills, pauses, lost disks, platform faults.

--- a/stileloom/daemon/platform_client.py
+++ b/stileloom/daemon/platform_client.py
@@ -50,7 +50,7 @@
         if response.code == 204:
             return None
         listed = msgspec.json.decode(response.body, type=ObjectList)
-        return _configuration(listed)
+        return configuration_of(listed)
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """One object, or None. Raises `StileloomError` (PLATFORM_UNAVAILABLE)."""
@@ -150,7 +150,7 @@
     return StileloomError(ErrorKind.PLATFORM_UNAVAILABLE, detail, Outcome.UNKNOWN)
 
 
-def _configuration(listed: ObjectList) -> Configuration:
+def configuration_of(listed: ObjectList) -> Configuration:
     """The typed objects of a list; objects of other kinds are not configuration."""
     kinds = {kind.value: kind for kind in ObjectKind}
     configuration = Configuration(listed.revision)
--- a/stileloom/emulator/engine_model.py
+++ b/stileloom/emulator/engine_model.py
@@ -100,7 +100,6 @@
         self._waiting: list[tuple[int, int, GenerateRequest]] = []
         self._arrivals = 0
         self._finished: dict[str, _Sequence] = {}
-        self._cut: set[str] = set()
         self._seen: collections.OrderedDict[str, CancelState] = collections.OrderedDict()
         self._version_steps: list[tuple[float, int | None]] = [(0.0, version)]
         self._prefixes: collections.OrderedDict[str, int] = collections.OrderedDict()
@@ -119,21 +118,26 @@
 
     def advance(self, now: float) -> None:
         """Brings the engine to a time: sequences grow, end, and others start."""
-        while self._now < now:
-            if self._stands_still() or not self._running:
-                self._now = now
-                return
+        while self._running and not self._stands_still():
             self._drop_stale_ends()
             step_time = self._step_time()
-            end_step = self._ends[0][0] if self._ends else math.inf
+            end_step, request_id = self._ends[0]
             end_at = self._now + (end_step - self._steps) * step_time
-            until = min(now, end_at)
-            self._steps += max(0.0, until - self._now) / step_time
-            self.busy_s += max(0.0, until - self._now)
-            self._now = max(self._now, until)
-            if end_at <= now:
-                self._steps = max(self._steps, end_step)
-                self._end_sequence(heapq.heappop(self._ends)[1])
+            # An end that is due within a rounding error must not be put off for ever.
+            if end_at > now + ROUNDING:
+                self._grow(now, step_time)
+                break
+            self._grow(min(now, end_at), step_time)
+            self._steps = max(self._steps, end_step)
+            heapq.heappop(self._ends)
+            self._end_sequence(request_id)
+        self._now = max(self._now, now)
+
+    def _grow(self, until: float, step_time: float) -> None:
+        elapsed = max(0.0, until - self._now)
+        self._steps += elapsed / step_time
+        self.busy_s += elapsed
+        self._now = max(self._now, until)
 
     def _drop_stale_ends(self) -> None:
         while self._ends and self._ends[0][1] not in self._running:
@@ -208,11 +212,8 @@
         self._start_waiting()
 
     def poll(self, now: float, request_id: str) -> list[StreamChunk | StreamEnd] | None:
-        """What is new of a generation; None where it was cut off or is not known."""
+        """What is new of a generation; None where it was cut off or is not known any more."""
         self.advance(now)
-        if request_id in self._cut:
-            self._cut.discard(request_id)
-            return None
         sequence = self._running.get(request_id)
         if sequence is not None:
             made = math.floor(self._steps - sequence.started_at_step + ROUNDING)
@@ -226,6 +227,10 @@
         is_waiting = any(entry[2].request_id == request_id for entry in self._waiting)
         return [] if is_waiting else None
 
+    def ended_ids(self) -> list[str]:
+        """Generations that have ended and were not fetched to their end."""
+        return list(self._finished)
+
     def _chunks(self, sequence: _Sequence, up_to: int) -> list[StreamChunk]:
         """Tokens not handed out yet, split where the version changed."""
         chunks: list[StreamChunk] = []
@@ -259,13 +264,9 @@
             self._remember(request_id, CancelState.NEVER_BEGAN)
         state = self._seen[request_id]
         if self._running.pop(request_id, None) is not None:
-            self._cut.add(request_id)
             self._start_waiting()
-        before = len(self._waiting)
         self._waiting = [entry for entry in self._waiting if entry[2].request_id != request_id]
-        if len(self._waiting) < before:
-            heapq.heapify(self._waiting)
-            self._cut.add(request_id)
+        heapq.heapify(self._waiting)
         self._finished.pop(request_id, None)
         return state
 
@@ -328,8 +329,6 @@
         self.version = None
 
     def _cut_everything(self) -> None:
-        self._cut.update(self._running)
-        self._cut.update(entry[2].request_id for entry in self._waiting)
         self._running.clear()
         self._waiting.clear()
         self._ends.clear()
--- a/stileloom/http/rounds.py
+++ b/stileloom/http/rounds.py
@@ -145,7 +145,7 @@
         if answer is None or answer.page is None:
             self.answer(DeliveriesResult([], None))
             return
-        deliveries = [_delivery_result(delivery) for delivery in answer.page.deliveries]
+        deliveries = [delivery_result(delivery) for delivery in answer.page.deliveries]
         self.answer(DeliveriesResult(deliveries, answer.page.current_version))
 
     async def _read(
@@ -175,7 +175,7 @@
             await asyncio.sleep(0.1)
 
 
-def _delivery_result(delivery: Delivery) -> DeliveryResult:
+def delivery_result(delivery: Delivery) -> DeliveryResult:
     sample = delivery.sample
     return DeliveryResult(
         offset=delivery.offset,
--- a/stileloom/ledger/log.py
+++ b/stileloom/ledger/log.py
@@ -2,16 +2,27 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from stileloom.ledger.commands import ChangeVoters, Voter
 from stileloom.ledger.messages import Entry, SnapshotRecord
 
 
+class VoterChange(msgspec.Struct, frozen=True):
+    """A voter set and the index of the entry that brought it."""
+
+    index: int
+    voters: list[Voter]
+
+
 class LedgerLog:
     """Entries by index; everything up to `base_index` stands in the snapshot."""
 
     def __init__(self, snapshot: SnapshotRecord, entries: list[Entry]) -> None:
         self.snapshot = snapshot
-        self._entries = list(entries)
+        self._entries: list[Entry] = []
+        self._voter_changes: list[VoterChange] = []
+        self.append(entries)
 
     @property
     def base_index(self) -> int:
@@ -51,23 +62,31 @@
     def append(self, entries: list[Entry]) -> None:
         """Adds entries that follow the newest one."""
         self._entries.extend(entries)
+        self._voter_changes += [
+            VoterChange(entry.index, entry.command.voters)
+            for entry in entries
+            if isinstance(entry.command, ChangeVoters)
+        ]
 
     def truncate_from(self, index: int) -> None:
         """Drops the entry at `index` and all above."""
         del self._entries[index - self.base_index - 1 :]
+        self._voter_changes = [change for change in self._voter_changes if change.index < index]
 
     def compact(self, snapshot: SnapshotRecord) -> None:
         """Puts a snapshot in place of the log up to its last index."""
         keep_from = snapshot.last_index - self.base_index
         matches = self.epoch_at(snapshot.last_index) == snapshot.last_epoch
         self._entries = self._entries[keep_from:] if matches else []
+        kept = self._voter_changes if matches else []
+        self._voter_changes = [change for change in kept if change.index > snapshot.last_index]
         self.snapshot = snapshot
 
     def voters_at(self, index: int) -> list[Voter]:
         """The voter set in effect with the log up to `index`."""
-        for entry in reversed(self._entries[: max(0, index - self.base_index)]):
-            if isinstance(entry.command, ChangeVoters):
-                return entry.command.voters
+        for change in reversed(self._voter_changes):
+            if change.index <= index:
+                return change.voters
         return self.snapshot.voters
 
     @property
--- a/stileloom/routing/gateway.py
+++ b/stileloom/routing/gateway.py
@@ -459,6 +459,7 @@
         fields: dict[str, object] = {
             "request": request_id,
             "code": error.kind.value,
+            "detail": error.detail,
             "outcome": outcome.value,
         }
         return [Emit(LogEvent.REQUEST_FAILED, fields), AnswerReady(answer)]
--- /dev/null
+++ b/stileloom/simulator/disk.py
@@ -0,0 +1,56 @@
+"""A simulated disk: writes become durable in order, a crash loses those that are not."""
+
+from __future__ import annotations
+
+from stileloom.ledger.commands import Voter
+from stileloom.ledger.effects import Persist
+from stileloom.ledger.messages import Entry, HardState
+from stileloom.ledger.replica import RecoveredLedger
+
+
+class SimulatedDisk:
+    """What a node has on its disk."""
+
+    def __init__(self, identity: Voter, ledger: RecoveredLedger) -> None:
+        self.identity = identity
+        self._hard_state = ledger.hard_state
+        self._snapshot = ledger.snapshot
+        self._entries: list[Entry] = list(ledger.entries)
+        self._pending: list[Persist] = []
+
+    def submit(self, write: Persist) -> None:
+        """A write is on its way."""
+        self._pending.append(write)
+
+    def complete(self, write_id: int) -> None:
+        """Every write up to this one is durable."""
+        while self._pending and self._pending[0].write_id <= write_id:
+            self._apply(self._pending.pop(0))
+
+    def crash(self, landed: int) -> None:
+        """The process dies; only the first `landed` of the pending writes reached the disk."""
+        for write in self._pending[:landed]:
+            self._apply(write)
+        self._pending.clear()
+
+    @property
+    def pending_count(self) -> int:
+        """Writes that are not durable yet."""
+        return len(self._pending)
+
+    def recover(self) -> RecoveredLedger:
+        """What a new process finds."""
+        return RecoveredLedger(self._hard_state, self._snapshot, list(self._entries))
+
+    def _apply(self, write: Persist) -> None:
+        if write.hard_state is not None:
+            self._hard_state = HardState(write.hard_state.epoch, write.hard_state.voted_for)
+        if write.truncate_from is not None:
+            limit = write.truncate_from
+            self._entries = [entry for entry in self._entries if entry.index < limit]
+        self._entries.extend(write.entries)
+        if write.snapshot is not None:
+            self._snapshot = write.snapshot
+            kept = [e for e in self._entries if e.index > write.snapshot.last_index]
+            consecutive = bool(kept) and kept[0].index == write.snapshot.last_index + 1
+            self._entries = kept if consecutive else []
--- /dev/null
+++ b/tests/test_promises.py
@@ -0,0 +1,241 @@
+"""One named test for each promise of the brief, in virtual time, under failure."""
+
+from __future__ import annotations
+
+import testtools
+
+from stileloom.api.objects import MachineState
+from stileloom.errors import Outcome
+from stileloom.events import LogEvent
+from stileloom.simulator.callers import CallerParameters
+from stileloom.simulator.cluster import Cluster
+from stileloom.simulator.oracle import LookupFact, Oracle
+from tests.clusters import SERVICE, ZONES, service_spec, start_cluster
+
+
+class PromiseTest(testtools.TestCase):
+    """Each test brings about the faults that its promise is about."""
+
+    def leader_of(self, cluster: Cluster) -> str:
+        """The leader; there must be one."""
+        leader = cluster.leader()
+        self.assertIsNotNone(leader)
+        assert leader is not None
+        return leader
+
+    def assert_kept(self, cluster: Cluster, settle_s: float = 12.0) -> None:
+        """Everything heals, the system settles, and no promise was broken."""
+        before = cluster.trainer.steps_done
+        self.assertEqual([], cluster.finish(settle_s))
+        self.assertGreater(cluster.trainer.steps_done, before, "the round came to a halt")
+
+    def test_samples_name_their_versions(self) -> None:
+        """Swaps in flight, swaps that fail partway, engines that crash."""
+        cluster = start_cluster(seed=11)
+        for engine in cluster.directory.engines.values():
+            parameters = engine.model.parameters
+            engine.model.parameters = type(parameters)(
+                max_running=8, weight_bytes=400_000_000, load_failure_probability=0.3
+            )
+        cluster.run_for(10)
+        cluster.crash_engine("rollouts-1", 1.0)
+        cluster.run_for(10)
+        self.assertTrue(cluster.events(LogEvent.SAMPLER_UNKNOWN_VERSION))
+        spans = cluster.trainer.audit.report
+        self.assertGreater(spans.delivered, 20)
+        self.assert_kept(cluster)
+
+    def test_samples_keep_the_staleness_bound(self) -> None:
+        """Versions come faster than long samples finish, and samplers stall."""
+        cluster = start_cluster(seed=12)
+        for _ in range(4):
+            cluster.run_for(4)
+            cluster.crash_engine("rollouts-2", 0.5)
+            cluster.cut("a", "c", 2.0, both_ways=True)
+        ages = cluster.trainer.audit.report.ages
+        self.assertIn(1, ages)
+        self.assert_kept(cluster)
+
+    def test_samples_reach_their_trainer_exactly_once(self) -> None:
+        """The leader dies, an owner dies, the trainer dies between reading and acknowledging."""
+        cluster = start_cluster(seed=13)
+        cluster.unsettle_network(loss=0.05, duplication=0.1, late=0.1)
+        for _ in range(3):
+            cluster.run_for(4)
+            leader = self.leader_of(cluster)
+            cluster.kill(leader)
+            cluster.trainer.crash(0.5)
+            cluster.run_for(5)
+            cluster.restart(leader)
+        self.assert_kept(cluster)
+
+    def test_lookups_get_their_own_whole_answer(self) -> None:
+        """Answers arrive late and doubled, streams are cut in the middle."""
+        cluster = start_cluster(seed=14, lookups_per_s=10.0)
+        cluster.unsettle_network(loss=0.1, duplication=0.2, late=0.2)
+        for sampler in ("lookups-1", "lookups-2", "lookups-3"):
+            cluster.run_for(3)
+            cluster.crash_engine(sampler, 1.0)
+        cluster.run_for(3)
+        self.assertGreater(cluster.callers.totals.completed, 60)
+        self.assert_kept(cluster)
+
+    def test_not_run_is_true(self) -> None:
+        """Samplers refuse, crash and are cut off while callers are told what happened."""
+        cluster = start_cluster(seed=15, lookups_per_s=10.0)
+        for sampler in ("lookups-1", "lookups-2", "lookups-3"):
+            cluster.crash_engine(sampler, 3.0)
+        cluster.run_for(4)
+        cluster.cut("a", "b", 3.0, both_ways=False)
+        cluster.run_for(4)
+        self.assertGreater(cluster.callers.totals.not_run, 0)
+        self.assert_kept(cluster)
+
+    def test_non_repeatable_runs_at_most_once(self) -> None:
+        """The same key arrives at two gateways, one of which dies; engines crash mid-run."""
+        cluster = start_cluster(seed=16, lookups_per_s=15.0)
+        cluster.unsettle_network(loss=0.05, duplication=0.2, late=0.2)
+        for name in ("a-2", "b-2", "c-2"):
+            cluster.run_for(2)
+            cluster.kill(name)
+            cluster.crash_engine("lookups-2", 0.5)
+            cluster.run_for(2)
+            cluster.restart(name)
+        self.assertGreater(cluster.callers.totals.completed, 60)
+        self.assert_kept(cluster)
+
+    def test_leaving_back_end_gets_no_new_work(self) -> None:
+        """The list says that a sampler leaves, though the engine goes on to accept."""
+        cluster = start_cluster(seed=17, lookups_per_s=10.0)
+        cluster.run_for(2)
+        for sampler in ("lookups-1", "rollouts-1"):
+            cluster.platform.set_machine_state(sampler, MachineState.LEAVING)
+        cluster.run_for(cluster.plan.machine_lag_s)
+        for sampler in ("lookups-1", "rollouts-1"):
+            cluster.oracle.sampler_leaving(cluster.world.now, sampler)
+        # A flap of the list must not bring it back.
+        cluster.platform.set_machine_state("lookups-1", MachineState.LIVE)
+        cluster.run_for(10)
+        self.assert_kept(cluster)
+
+    def test_planned_stop_interrupts_nothing(self) -> None:
+        """Gateways are drained in turn, the leader among them, with nothing else wrong."""
+        callers = CallerParameters(service="charts", max_tokens=20, non_repeatable_fraction=0.4)
+        cluster = start_cluster(seed=18, lookups_per_s=20.0, callers=callers)
+        cluster.run_for(3)
+        for name in ("a-2", self.leader_of(cluster), "c-2"):
+            cluster.drain(name)
+            cluster.run_for(4)
+            self.assertFalse(cluster.machine(name).alive, f"{name} did not end")
+            cluster.restart(name)
+            cluster.run_for(4)
+        cluster.callers.stop()
+        cluster.run_for(3)
+        self.assertEqual(0, cluster.callers.totals.unknown)
+        self.assertEqual(0, cluster.callers.open_count)
+        self.assert_kept(cluster)
+
+    def test_configuration_takes_effect_and_never_reverts(self) -> None:
+        """Operators race, nodes restart, a zone is cut off and the API loses answers."""
+        cluster = start_cluster(seed=19)
+        cluster.run_for(5)
+        kind, name = SERVICE
+        for limit in range(10, 16):
+            cluster.lose_answers(0.3)
+            held = cluster.platform.objects.get(kind.value, name)
+            assert held is not None
+            first = cluster.change_object(kind, name, service_spec(limit), held.revision)
+            second = cluster.change_object(kind, name, service_spec(limit + 50), held.revision)
+            self.assertFalse(first is not None and second is not None, "both racers won")
+            cluster.isolate_zone(ZONES[limit % 3], 2.0)
+            cluster.kill(f"{ZONES[(limit + 1) % 3]}-2")
+            cluster.run_for(4)
+            cluster.restart(f"{ZONES[(limit + 1) % 3]}-2")
+        self.assert_kept(cluster)
+        stored = cluster.platform.objects.revision
+        held_by = {cluster.machine(node).core.revision for node in cluster.nodes}  # type: ignore[union-attr]
+        self.assertEqual({stored}, held_by)
+        in_force = cluster.events(LogEvent.REVISION_IN_FORCE)[-1]
+        self.assertEqual(stored, in_force[2]["revision"])
+
+    def test_configuration_is_in_force_within_seconds(self) -> None:
+        """With nothing wrong, every zone has confirmed within four seconds."""
+        cluster = start_cluster(seed=20, lookups_per_s=0)
+        cluster.run_for(5)
+        kind, name = SERVICE
+        for limit in range(20, 25):
+            revision = cluster.change_object(kind, name, service_spec(limit))
+            stored_at = cluster.world.now
+            cluster.run_for(4)
+            events = cluster.events(LogEvent.REVISION_IN_FORCE)
+            times = [at for at, _, fields in events if fields["revision"] == revision]
+            self.assertTrue(times, f"revision {revision} is not in force after 4 s")
+            self.assertLess(times[0] - stored_at, 4.0)
+
+    def test_rounds_go_on_while_the_object_api_is_down(self) -> None:
+        """Ten minutes without the object API, with a change of leader within."""
+        cluster = start_cluster(seed=21, lookups_per_s=0)
+        cluster.run_for(3)
+        cluster.object_api_down(600.0)
+        before = cluster.trainer.steps_done
+        cluster.run_for(15)
+        cluster.kill(self.leader_of(cluster))
+        cluster.run_for(15)
+        self.assertGreater(cluster.trainer.steps_done, before + 5)
+        self.assert_kept(cluster)
+
+    def test_a_node_without_its_disk_does_not_vote(self) -> None:
+        """Two of three voters lose their disks, one after the other, and become voters again."""
+        cluster = start_cluster(seed=22, lookups_per_s=0)
+        cluster.run_for(3)
+        for _ in range(2):
+            leader = self.leader_of(cluster)
+            victim = next(name for name in cluster.voters if name != leader)
+            cluster.replace_disk(victim)
+            cluster.run_for(8)
+            core = cluster.machine(self.leader_of(cluster)).core
+            assert core is not None and core.replica is not None
+            disks = {voter.node_id: voter.disk_id for voter in core.replica.voters}
+            disk = cluster.machine(victim).disk
+            assert disk is not None
+            self.assertEqual(disk.identity.disk_id, disks[victim])
+        self.assert_kept(cluster)
+
+    def test_a_paused_leader_wakes_without_its_lease(self) -> None:
+        """SIGSTOP past the lease: when it wakes, another leads and its orders are refused."""
+        cluster = start_cluster(seed=23)
+        cluster.run_for(3)
+        leader = self.leader_of(cluster)
+        core = cluster.machine(leader).core
+        assert core is not None and core.replica is not None
+        epoch = core.replica.epoch
+        cluster.pause(leader, 6.0)
+        cluster.run_for(5.9)
+        self.assertNotEqual(leader, self.leader_of(cluster))
+        self.assertFalse(core.replica.may_act(cluster.world.now))
+        cluster.run_for(3)
+        self.assertGreater(core.replica.epoch, epoch)
+        self.assert_kept(cluster)
+
+
+class OracleTest(testtools.TestCase):
+    """The oracle itself must see a broken promise."""
+
+    def test_two_answers(self) -> None:
+        oracle = Oracle()
+        oracle.sent(LookupFact("r", "prompt", 3, False, ""))
+        oracle.answered("r", Outcome.NOT_RUN, [])
+        oracle.answered("r", Outcome.UNKNOWN, [])
+        oracle.engine_began(0.0, "s", "r#1")
+        oracle.engine_began(0.0, "s", "r#2")
+        oracle.check_lookups()
+        self.assertEqual(2, len(oracle.violations))
+
+    def test_wrong_answer_and_reverted_configuration(self) -> None:
+        oracle = Oracle()
+        oracle.sent(LookupFact("r", "prompt", 3, True, ""))
+        oracle.answered("r", Outcome.COMPLETED, [1, 2])
+        oracle.in_force(5)
+        oracle.node_acts_on("n", 5, True)
+        oracle.node_acts_on("n", 4, True)
+        self.assertEqual(3, len(oracle.violations))
