--- a/stileloom/simulator/cluster.py
+++ b/stileloom/simulator/cluster.py
@@ -232,8 +232,10 @@
         self.platform.down_until = 0.0
         self.platform.lost_answer_probability = 0.0
         for name in self.nodes:
-            if not self.machine(name).alive:
-                self.restart(name)
+            core = self.machine(name).core
+            if core is not None and core.draining:
+                self.machine(name).kill()
+            self.restart(name)
 
     def kill(self, name: str) -> None:
         """SIGKILL."""
--- a/stileloom/simulator/trainer.py
+++ b/stileloom/simulator/trainer.py
@@ -102,7 +102,17 @@
         self._call_number += 1
         self._batch = []
         self._waiting_since = None
-        self._world.after(down_s, self._next_step)
+        # Answers to calls of the life before must not reach this one.
+        self._expected_command = None
+        self._expected_ticket = 0
+        self._on_result = None
+        life = self._life
+
+        def come_back() -> None:
+            if life == self._life:
+                self._next_step()
+
+        self._world.after(down_s, come_back)
 
     # Steps.
 
--- /dev/null
+++ b/tests/ledger_spec.py
@@ -0,0 +1,269 @@
+"""A small specification of the ledger: epochs, votes with disk identities, commitment.
+
+Three voters and one spare disk that may take the place of a lost one. Each entry of a log is
+the epoch that wrote it. Actions are named after the code's messages and effects:
+
+    StartElection   a voter raises its epoch and votes for itself (durable)
+    VoteReply       a voter grants its vote in an epoch
+    BecomeLeader    a majority of the voter set has granted
+    Append          the leader adds an entry of its epoch
+    AppendRequest   a follower takes the leader's log up to some length (durable)
+    LearnEpoch      a node hears of a higher epoch
+    Commit          an entry of the leader's epoch stands on a majority
+    LoseDisk        a voter's disk is replaced: its identity is not in the voter set
+    ChangeVoters    the leader removes the lost identity, then adds the new one
+
+Invariants: at most one leader in an epoch, and a committed entry is never lost.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from minicheck import Protocol
+
+NODES = 3
+NOBODY = -1
+LOST_IDENTITY = -2
+
+
+class Spec(NamedTuple):
+    """One state. Tuples are indexed by node."""
+
+    epochs: tuple[int, ...]
+    votes: tuple[int, ...]
+    """Whom each node voted for in its epoch."""
+    logs: tuple[tuple[int, ...], ...]
+    leaders: tuple[int, ...]
+    """By epoch, the node that leads it."""
+    second_leader: bool
+    """An epoch got two leaders."""
+    committed: tuple[int, ...]
+    """The longest log prefix that was ever committed."""
+    lost: bool
+    """A leader exists whose log does not hold what was committed."""
+    disk_lost: tuple[bool, ...]
+    """The node's disk was replaced and its identity is not in the voter set."""
+    losses: int
+    candidates: tuple[bool, ...]
+    """Who asks for votes; following a leader of the same epoch ends it."""
+
+
+class Bounds(NamedTuple):
+    """How far the states are explored."""
+
+    max_epoch: int = 2
+    max_log: int = 2
+    max_losses: int = 1
+
+
+def initial_state(bounds: Bounds) -> Spec:
+    """Three voters that know nothing."""
+    return Spec(
+        epochs=(0,) * NODES,
+        votes=(NOBODY,) * NODES,
+        logs=((),) * NODES,
+        leaders=(NOBODY,) * (bounds.max_epoch + 1),
+        second_leader=False,
+        committed=(),
+        lost=False,
+        disk_lost=(False,) * NODES,
+        losses=0,
+        candidates=(False,) * NODES,
+    )
+
+
+def put(values: tuple, index: int, value: object) -> tuple:
+    """A tuple with one element replaced."""
+    return (*values[:index], value, *values[index + 1 :])
+
+
+def up_to_date(candidate: tuple[int, ...], voter: tuple[int, ...]) -> bool:
+    """Raft, section 5.4.1."""
+    last = lambda log: log[-1] if log else 0  # noqa: E731
+    return (last(candidate), len(candidate)) >= (last(voter), len(voter))
+
+
+def make_ledger_protocol(
+    bounds: Bounds, amnesia: bool = False, count_only_own_epoch: bool = True
+) -> Protocol:
+    """The protocol, or a mutation of it that the checker must refute.
+
+    `amnesia` lets a replaced disk vote as if nothing was lost; without
+    `count_only_own_epoch` a leader commits entries of earlier epochs by counting.
+    """
+
+    def may_vote(state: Spec, node: int) -> bool:
+        return amnesia or not state.disk_lost[node]
+
+    def transitions(raw: tuple) -> list[tuple[str, tuple]]:
+        state = Spec(*raw)
+        found: list[tuple[str, tuple]] = []
+        for node in range(NODES):
+            found += elections(state, node)
+            found += leading(state, node)
+            found += learned(state, node)
+            if state.losses < bounds.max_losses:
+                found.append((f"LoseDisk({node})", lose_disk(state, node)))
+        return found
+
+    def elections(state: Spec, node: int) -> list[tuple[str, tuple]]:
+        found: list[tuple[str, tuple]] = []
+        epoch = state.epochs[node]
+        if may_vote(state, node) and epoch < bounds.max_epoch:
+            started = state._replace(
+                epochs=put(state.epochs, node, epoch + 1),
+                votes=put(state.votes, node, node),
+                candidates=put(state.candidates, node, True),
+            )
+            found.append((f"StartElection({node})", tuple(started)))
+        for voter in range(NODES):
+            if voter != node and may_vote(state, voter):
+                found += votes_for(state, node, voter)
+        votes = sum(
+            1
+            for voter in range(NODES)
+            if state.epochs[voter] == epoch and state.votes[voter] == node
+        )
+        if votes * 2 > NODES and state.candidates[node] and state.leaders[epoch] != node:
+            holds = state.logs[node][: len(state.committed)] == state.committed
+            led = state._replace(
+                leaders=put(state.leaders, epoch, node),
+                second_leader=state.second_leader or state.leaders[epoch] != NOBODY,
+                lost=state.lost or not holds,
+                candidates=put(state.candidates, node, False),
+            )
+            found.append((f"BecomeLeader({node})", tuple(led)))
+        return found
+
+    def votes_for(state: Spec, node: int, voter: int) -> list[tuple[str, tuple]]:
+        """A grant in the candidate's epoch, or to a late request of an earlier one."""
+        found: list[tuple[str, tuple]] = []
+        own = state.votes[node] == node
+        for epoch in range(max(1, state.epochs[voter]), state.epochs[node] + 1):
+            if epoch == state.epochs[node] and not own:
+                continue
+            newer = state.epochs[voter] < epoch
+            free = newer or state.votes[voter] in (NOBODY, node)
+            if free and up_to_date(state.logs[node], state.logs[voter]):
+                granted = state._replace(
+                    epochs=put(state.epochs, voter, epoch),
+                    votes=put(state.votes, voter, node),
+                    candidates=put(
+                        state.candidates, voter, state.candidates[voter] and not newer
+                    ),
+                )
+                if granted != state:
+                    found.append((f"VoteReply({voter},{node})", tuple(granted)))
+        return found
+
+    def leading(state: Spec, node: int) -> list[tuple[str, tuple]]:
+        found: list[tuple[str, tuple]] = []
+        epoch = state.epochs[node]
+        if not epoch or state.leaders[epoch] != node:
+            return found
+        log = state.logs[node]
+        if len(log) < bounds.max_log:
+            grown = state._replace(logs=put(state.logs, node, (*log, epoch)))
+            found.append((f"Append({node})", tuple(grown)))
+        for follower in range(NODES):
+            if follower != node and state.epochs[follower] <= epoch:
+                found += appends(state, node, follower)
+        found += commits(state, node, log, epoch)
+        found += voter_changes(state, node, log)
+        return found
+
+    def appends(state: Spec, node: int, follower: int) -> list[tuple[str, tuple]]:
+        found: list[tuple[str, tuple]] = []
+        epoch, log = state.epochs[node], state.logs[node]
+        vote = state.votes[follower] if state.epochs[follower] == epoch else NOBODY
+        for length in range(len(log) + 1):
+            held = state.logs[follower]
+            taken = held if held[:length] == log[:length] else log[:length]
+            followed = state._replace(
+                epochs=put(state.epochs, follower, epoch),
+                votes=put(state.votes, follower, vote),
+                logs=put(state.logs, follower, taken),
+                candidates=put(state.candidates, follower, False),
+            )
+            if followed != state:
+                found.append((f"AppendRequest({node},{follower})", tuple(followed)))
+        return found
+
+    def learned(state: Spec, node: int) -> list[tuple[str, tuple]]:
+        found: list[tuple[str, tuple]] = []
+        for epoch in {other for other in state.epochs if other > state.epochs[node]}:
+            heard = state._replace(
+                epochs=put(state.epochs, node, epoch),
+                votes=put(state.votes, node, NOBODY),
+                candidates=put(state.candidates, node, False),
+            )
+            found.append((f"LearnEpoch({node})", tuple(heard)))
+        return found
+
+    def commits(
+        state: Spec, node: int, log: tuple[int, ...], epoch: int
+    ) -> list[tuple[str, tuple]]:
+        found: list[tuple[str, tuple]] = []
+        for length in range(len(state.committed) + 1, len(log) + 1):
+            holders = sum(
+                1
+                for other in range(NODES)
+                if may_vote(state, other) and state.logs[other][:length] == log[:length]
+            )
+            own = log[length - 1] == epoch or not count_only_own_epoch
+            if holders * 2 > NODES and own:
+                done = state._replace(committed=log[:length])
+                found.append((f"Commit({node},{length})", tuple(done)))
+        return found
+
+    def voter_changes(state: Spec, node: int, log: tuple[int, ...]) -> list[tuple[str, tuple]]:
+        """The new identity votes once it holds the whole log of a leader that commits.
+
+        The lost identity is removed first: the set of two that remains commits only with
+        both, so both follow this leader in its epoch and hold its log.
+        """
+        found: list[tuple[str, tuple]] = []
+        epoch = state.epochs[node]
+        own = bool(log) and state.committed == log and log[-1] == epoch
+        remaining = [voter for voter in range(NODES) if not state.disk_lost[voter]]
+        settled = own and all(
+            state.epochs[voter] == epoch
+            and not state.candidates[voter]
+            and state.logs[voter] == log
+            for voter in remaining
+        )
+        for other in range(NODES):
+            if settled and state.disk_lost[other] and state.logs[other] == log:
+                added = state._replace(disk_lost=put(state.disk_lost, other, False))
+                found.append((f"ChangeVoters({node},{other})", tuple(added)))
+        return found
+
+    def lose_disk(state: Spec, node: int) -> tuple:
+        leaders = tuple(NOBODY if held == node else held for held in state.leaders)
+        # A vote names a disk: those given to the old one are spent and help nobody.
+        votes = tuple(LOST_IDENTITY if vote == node else vote for vote in state.votes)
+        votes = votes if not amnesia else state.votes
+        return tuple(
+            state._replace(
+                epochs=put(state.epochs, node, 0),
+                votes=put(votes, node, NOBODY),
+                logs=put(state.logs, node, ()),
+                leaders=leaders if not amnesia else state.leaders,
+                disk_lost=put(state.disk_lost, node, True),
+                candidates=put(state.candidates, node, False),
+                losses=state.losses + 1,
+            )
+        )
+
+    return Protocol(
+        name="ledger",
+        candidate=False,
+        fields=Spec._fields,
+        initial=tuple(initial_state(bounds)),
+        transitions=transitions,
+        invariants={
+            "one_leader_an_epoch": lambda state: not state["second_leader"],
+            "committed_is_never_lost": lambda state: not state["lost"],
+        },
+    )
