--- a/stileloom/configuration/node.py
+++ b/stileloom/configuration/node.py
@@ -146,6 +146,12 @@
         return effects
 
     def _on_configuration(self, now: float, configuration: Configuration) -> list[Effect]:
+        if configuration.revision < self.store.revision:
+            fields: dict[str, object] = {
+                "offered": configuration.revision,
+                "held": self.store.revision,
+            }
+            return [Emit(LogEvent.CONFIGURATION_REFUSED, fields)]
         if self.reader is not None:
             return self.reader.adopt(now, configuration)
         if self.store.adopt(now, configuration):
--- a/stileloom/daemon/engine_client.py
+++ b/stileloom/daemon/engine_client.py
@@ -116,8 +116,11 @@
         body = await self._control(request)
         return msgspec.json.decode(body, type=LoadReport) if body is not None else None
 
-    async def order(self, address: str, order: EngineOrder) -> None:
-        """Sends a fenced order. Whether it was taken shows in the next load report."""
+    async def order(self, address: str, order: EngineOrder) -> bool:
+        """Sends a fenced order; False where it was refused or the engine did not answer.
+
+        Whether it was carried out shows only in the next load report.
+        """
         request = HTTPRequest(
             f"http://{address}/v1/orders",
             method="POST",
@@ -125,7 +128,7 @@
             connect_timeout=CONNECT_TIMEOUT_S,
             request_timeout=ORDER_TIMEOUT_S,
         )
-        await self._control(request)
+        return await self._control(request) is not None
 
     async def _control(self, request: HTTPRequest) -> bytes | None:
         try:
--- a/stileloom/daemon/process.py
+++ b/stileloom/daemon/process.py
@@ -59,7 +59,7 @@
     server.listen(settings.http_port, address=settings.host)
     log.emit(LogEvent.NODE_STARTED, {"zone": settings.zone, "port": settings.port})
     await _wait_for_stop(shell)
-    await _drain(shell, settings.limits.drain_timeout_s)
+    await _drain(shell, log, settings.limits.drain_timeout_s)
     server.stop()
     shell.stop()
     log.emit(LogEvent.NODE_STOPPED, {})
@@ -136,11 +136,12 @@
     await stop.wait()
 
 
-async def _drain(shell: Shell, timeout_s: float) -> None:
+async def _drain(shell: Shell, log: EventLog, timeout_s: float) -> None:
     """Admits nothing more, finishes what is in flight, then goes."""
     shell.run(shell.core.drain(shell.now()))
     give_up_at = shell.now() + timeout_s
     await asyncio.sleep(LEADERSHIP_SETTLE_S)
     while not shell.core.idle and shell.now() < give_up_at:
         await asyncio.sleep(0.05)
+    log.emit(LogEvent.DRAIN_FINISHED, {"idle": shell.core.idle})
     await asyncio.sleep(LEADERSHIP_SETTLE_S)
--- a/stileloom/daemon/shell.py
+++ b/stileloom/daemon/shell.py
@@ -187,8 +187,9 @@
 
     async def _send_order(self, effect: SendOrder) -> None:
         address = self._address_of(effect.sampler_id)
-        if address is not None:
-            await self.engines.order(address, effect.order)
+        if address is not None and not await self.engines.order(address, effect.order):
+            fields: dict[str, object] = {"sampler": effect.sampler_id}
+            self._log.emit(LogEvent.ORDER_REFUSED, fields)
 
     # Platform.
 
--- a/stileloom/rollout/controller.py
+++ b/stileloom/rollout/controller.py
@@ -88,6 +88,7 @@
         self._reported: set[str] = set()
         self._sequence = sequence
         self._avoid_until: dict[str, float] = {}
+        self._versions: dict[str, int] = {}
         self._registered_at: dict[str, float] = {}
 
     # Driving.
@@ -104,6 +105,7 @@
             round_state = view.state.rounds.get(name)
             if round_state is None:
                 continue
+            effects += self._note_version(name, round_state.version)
             work = self._work(now, view, name, round_state, lent)
             reserved[name] = self._scheduler.reserved(work)
             if self._is_settled(now, view) and view.admits_rollouts:
@@ -160,6 +162,12 @@
             effects.append(Propose(command))
         return effects
 
+    def _note_version(self, name: str, version: int) -> list[Effect]:
+        if self._versions.get(name) == version:
+            return []
+        self._versions[name] = version
+        return [Emit(LogEvent.VERSION_PUBLISHED, {"round": name, "version": version})]
+
     def _staleness_bound(self, view: ControllerView, name: str, spec: Round) -> int:
         inputs = RuleInputs(
             request=RequestInput(target=name, kind="rollout"),
@@ -276,13 +284,15 @@
         bound = round_state.staleness_bound
         self.discarded_partial_tokens += self.assignments.drop_over_age_partials(round_state, bound)
         assignments = self.assignments.of_round(name)
-        budget = may_start_count(round_state, bound, len(assignments))
+        wanted_until = self.desk.wanted_until(name)
+        budget = may_start_count(round_state, bound, len(assignments), wanted_until)
         return RoundWork(
             state=round_state,
             staleness_bound=bound,
             pending=self._pending(view, round_state, budget),
             assignments=assignments,
             samplers=self._capacities(now, view, name, round_state, lent),
+            wanted_until=wanted_until,
         )
 
     def _pending(
--- a/stileloom/rollout/delivery.py
+++ b/stileloom/rollout/delivery.py
@@ -59,6 +59,15 @@
         self._waiting[key] = _WaitingRead(reader, request, now)
         return []
 
+    def wanted_until(self, round_name: str) -> int:
+        """The offset up to which somebody waits for deliveries of a round."""
+        waiting = [
+            read.request.offset + read.request.count
+            for read in self._waiting.values()
+            if read.request.round_name == round_name
+        ]
+        return max(waiting, default=0)
+
     def tick(self, now: float, state: LedgerState, reserved: dict[str, int]) -> list[Effect]:
         """Proposes the hand-overs that are due. `reserved` is by round."""
         effects: list[Effect] = []
--- a/stileloom/rollout/scheduler.py
+++ b/stileloom/rollout/scheduler.py
@@ -70,7 +70,8 @@
 
     def plan_starts(self, work: RoundWork) -> list[Start]:
         """Starts as many as the staleness budget allows, each on the next sampler in turn."""
-        budget = may_start_count(work.state, work.staleness_bound, len(work.assignments))
+        under_way = len(work.assignments)
+        budget = may_start_count(work.state, work.staleness_bound, under_way, work.wanted_until)
         # A sampler with old weights must drain, so that it can swap.
         samplers = [sampler for sampler in work.samplers if sampler.current]
         samplers.sort(key=lambda sampler: sampler.view.sampler_id)
@@ -112,7 +113,7 @@
         resumed = [slot for slot in work.pending if slot.partial.tokens]
         fresh = [slot for slot in work.pending if not slot.partial.tokens]
         under_way = len(work.assignments) + len(resumed)
-        budget = may_start_count(work.state, work.staleness_bound, under_way)
+        budget = may_start_count(work.state, work.staleness_bound, under_way, work.wanted_until)
         ordered = sorted(resumed, key=self._urgency) + sorted(fresh, key=self._urgency)[:budget]
         starts: list[Start] = []
         for pending in ordered:
--- a/stileloom/rollout/work.py
+++ b/stileloom/rollout/work.py
@@ -66,6 +66,8 @@
     pending: list[PendingSlot]
     assignments: list[Assignment]
     samplers: list[SamplerCapacity]
+    wanted_until: int = 0
+    """Offset up to which a trainer waits for deliveries now."""
 
 
 class Start(msgspec.Struct, frozen=True):
--- a/stileloom/samplers/owner.py
+++ b/stileloom/samplers/owner.py
@@ -13,8 +13,9 @@
 from stileloom.api.engine import GenerateRequest, LoadReport, StreamChunk, StreamEnd
 from stileloom.api.objects import SamplerRole
 from stileloom.api.samples import Sample, Segment, extend_segments, oldest_version
-from stileloom.effects import Effect, Send
-from stileloom.ledger.commands import CommandResult, CommitSample, Done
+from stileloom.effects import Effect, Emit, Send
+from stileloom.events import LogEvent
+from stileloom.ledger.commands import CommandResult, CommitSample, Done, SampleRefused
 from stileloom.samplers.effects import CloseStream, OpenStream, QueryLoad, SendOrder
 from stileloom.samplers.messages import (
     GenerationFinished,
@@ -262,7 +263,15 @@
             len(generation.tokens),
             accepted=isinstance(result, Done) and not result.duplicate,
         )
-        return self._tell_controller(finished)
+        effects = self._tell_controller(finished)
+        if isinstance(result, SampleRefused):
+            fields: dict[str, object] = {
+                "round": key.round_name,
+                "slot": key.slot,
+                "detail": result.detail,
+            }
+            effects.append(Emit(LogEvent.SAMPLE_REFUSED, fields))
+        return effects
 
     def _interrupt(self, request_id: str, failed: bool) -> list[Effect]:
         generation = self._generations.pop(request_id)
--- a/stileloom/simulator/trainer.py
+++ b/stileloom/simulator/trainer.py
@@ -42,6 +42,7 @@
     train_s: float
     lengths: LengthDistribution
     prompts_ahead: int = 3
+    steps_per_version: int = 1
     steps: int | None = None
     """Steps until it stops; None: goes on."""
 
@@ -64,6 +65,7 @@
         self._directory = directory
         self._seed = seed
         self._submitted_steps = 0
+        self._acknowledged_steps = 0
         self._waiting_since: float | None = None
         self._turn = 0
         self._tickets = itertools.count(1)
@@ -117,6 +119,10 @@
     # Steps.
 
     def _next_step(self) -> None:
+        """Goes on from the last checkpoint, finishing what a crash left open of its step."""
+        if self._acknowledged_steps < self.steps_done:
+            self._acknowledge()
+            return
         if self.finished:
             return
         limit = self.steps_done + self.parameters.prompts_ahead
@@ -176,13 +182,23 @@
 
     def _acknowledge(self) -> None:
         name = self.parameters.round_name
-        self._command(AcknowledgeDeliveries(name, self.offset), lambda result: self._publish())
+        steps = self.steps_done
+
+        def acknowledged(result: CommandResult) -> None:
+            if steps % self.parameters.steps_per_version == 0:
+                self._publish()
+            else:
+                self._acknowledged_steps = steps
+                self._next_step()
+
+        self._command(AcknowledgeDeliveries(name, self.offset), acknowledged)
 
     def _publish(self) -> None:
         version = self.version + 1
 
         def published(result: CommandResult) -> None:
             self.version = version
+            self._acknowledged_steps = self.steps_done
             self._next_step()
 
         self._command(PublishVersion(self.parameters.round_name, version), published)
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,117 @@
+"""Policies: what is refused and where, how rules combine, the examples of the docs."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import testtools
+
+from stileloom.api.objects import Policy
+from stileloom.cli.manifests import load_manifests
+from stileloom.errors import ErrorKind, StileloomError
+from stileloom.policy import (
+    PolicyBook,
+    PoolInput,
+    RequestInput,
+    RoundInput,
+    RuleInputs,
+    RuleKind,
+    check_policy,
+    compile_rule,
+)
+
+ROOT = Path(__file__).resolve().parents[1]
+NOON_UTC_S = 1_700_049_600.0 + 12 * 3600 - 1_700_049_600.0 % 86_400
+
+
+class CompileTest(testtools.TestCase):
+    """A rule that does not fit is refused with its place and what was expected."""
+
+    def refusal(self, kind: RuleKind, source: str) -> str:
+        """The detail of the refusal."""
+        error = self.assertRaises(StileloomError, compile_rule, kind, source)
+        self.assertEqual(ErrorKind.POLICY_INVALID, error.kind)
+        return error.detail
+
+    def test_syntax(self) -> None:
+        detail = self.refusal(RuleKind.PRIORITY, "request.priority +\n  ")
+        self.assertIn("priority: line ", detail)
+        self.assertIn("column", detail)
+        self.assertIn("expecting", detail)
+
+    def test_unknown_names(self) -> None:
+        detail = self.refusal(RuleKind.PLACEMENT, "true &&\n zone == 'a'")
+        self.assertIn("line 2, column 2", detail)
+        self.assertIn("expected one of request, round, pool, time", detail)
+        self.assertIn("unknown field 'size'", self.refusal(RuleKind.PLACEMENT, "pool.size > 1"))
+
+    def test_types(self) -> None:
+        self.assertIn("expected bool", self.refusal(RuleKind.PLACEMENT, "1 + 1"))
+        self.assertIn("expected int", self.refusal(RuleKind.PRIORITY, "true"))
+        self.assertIn("overload", self.refusal(RuleKind.PRIORITY, "1 + 'a'"))
+
+    def test_bounds(self) -> None:
+        self.assertIn("characters", self.refusal(RuleKind.PRIORITY, "1 + " * 400 + "1"))
+        nested = "[1].all(a, [1].all(b, [1].all(c, true)))"
+        self.assertIn("comprehensions", self.refusal(RuleKind.PLACEMENT, nested))
+
+    def test_time_zones(self) -> None:
+        policy = Policy(priority="1", time_zone="Europe/Nowhere")
+        error = self.assertRaises(StileloomError, check_policy, "p", policy)
+        self.assertIn("time_zone", error.detail)
+
+
+class BookTest(testtools.TestCase):
+    """How the rules of several policies combine."""
+
+    def test_priority_goes_by_rank_then_name(self) -> None:
+        book = PolicyBook(
+            {
+                "b": Policy(priority="10"),
+                "a": Policy(priority="20"),
+                "high": Policy(priority="request.tenant == 'x' ? 900 : 30", rank=1),
+            }
+        )
+        self.assertEqual(30, book.priority(RuleInputs(), 0.0))
+        capped = RuleInputs(request=RequestInput(tenant="x"))
+        self.assertEqual(100, book.priority(capped, 0.0))
+
+    def test_freshness_only_tightens(self) -> None:
+        book = PolicyBook({"loose": Policy(freshness="9"), "tight": Policy(freshness="1")})
+        inputs = RuleInputs(round=RoundInput(staleness_bound=4))
+        self.assertEqual(1, book.staleness_bound(inputs, 0.0))
+        loose = PolicyBook({"loose": Policy(freshness="9")})
+        self.assertEqual(4, loose.staleness_bound(inputs, 0.0))
+
+    def test_placement_needs_all(self) -> None:
+        book = PolicyBook(
+            {
+                "zone": Policy(placement="pool.zone != 'c'"),
+                "charts": Policy(placement="pool.name == 'p'", applies_to=["charts"]),
+            }
+        )
+        self.assertFalse(book.may_place(RuleInputs(pool=PoolInput("p", "c")), 0.0))
+        charts = RequestInput(target="charts")
+        self.assertFalse(book.may_place(RuleInputs(charts, pool=PoolInput("q", "a")), 0.0))
+        self.assertTrue(book.may_place(RuleInputs(pool=PoolInput("q", "a")), 0.0))
+
+    def test_rules_see_the_clock_of_their_zone(self) -> None:
+        source = "time.hour"
+        book = PolicyBook({"p": Policy(priority=source, time_zone="America/Costa_Rica")})
+        self.assertEqual(6, book.priority(RuleInputs(), NOON_UTC_S))
+
+
+class ExampleTest(testtools.TestCase):
+    """Examples that operators copy must work."""
+
+    def test_object_files(self) -> None:
+        for name in ("corrib", "cartas"):
+            self.assertTrue(load_manifests(ROOT / "examples" / name / "objects.toml"))
+
+    def test_policies_of_the_page(self) -> None:
+        page = (ROOT / "docs" / "POLICIES.md").read_text()
+        rules = re.findall(r"```cel (\w+)\n(.*?)```", page, re.DOTALL)
+        self.assertGreater(len(rules), 3)
+        for kind, source in rules:
+            compile_rule(RuleKind(kind), source.strip())
