A window for the order of hand-over, so that long samples are not put off for ever

Ruled out: an unfair load. Change: reorder_window_steps (default 1) bounds by how many steps a sample may be late against the order of its prompt; blocking slots start whatever the budget. It holds for both schedulers.

--- a/stileloom/api/objects.py
+++ b/stileloom/api/objects.py
@@ -54,6 +54,12 @@
     samples_per_step: int
     staleness_bound: int
     """Versions by which a sample may lag behind the current one at its hand-over."""
+    reorder_window_steps: int = 1
+    """Steps by which a sample may be handed over later than its place in the order of prompts.
+
+    0: each step holds exactly its own prompts. It bounds how long a long sample can be put off,
+    and with it the bias towards short ones.
+    """
     borrow_from: list[str] = msgspec.field(default_factory=list)
     """Pools whose lent samplers may work for this round."""
     first_version: int = 1
--- a/stileloom/ledger/commands.py
+++ b/stileloom/ledger/commands.py
@@ -37,6 +37,7 @@
     round_name: str
     staleness_bound: int
     samples_per_step: int
+    reorder_window_steps: int
     first_version: int
 
 
--- a/stileloom/ledger/state.py
+++ b/stileloom/ledger/state.py
@@ -63,6 +63,7 @@
     name: str
     staleness_bound: int
     samples_per_step: int
+    reorder_window_steps: int
     version: int
     next_slot: int = 0
     open_slots: dict[int, OpenSlot] = msgspec.field(default_factory=dict)
@@ -83,6 +84,19 @@
         """Offset of the next delivery."""
         return self.acknowledged + len(self.deliveries)
 
+    def due_before(self, until_offset: int) -> int:
+        """Slots below this must be handed over before the log may reach `until_offset`."""
+        steps = until_offset // self.samples_per_step - self.reorder_window_steps
+        return max(0, steps) * self.samples_per_step
+
+    def hand_over_order(self) -> list[int]:
+        """Ready slots: first those that the next version makes too old, then in their order."""
+
+        def key(number: int) -> tuple[bool, int]:
+            return (self.age_of(self.ready[number]) < self.staleness_bound, number)
+
+        return sorted(self.ready, key=key)
+
     def age_of(self, sample: Sample) -> int:
         """Versions between the oldest one in the sample and the current one."""
         oldest = oldest_version(sample.segments)
@@ -131,11 +145,13 @@
                 name=command.round_name,
                 staleness_bound=command.staleness_bound,
                 samples_per_step=command.samples_per_step,
+                reorder_window_steps=command.reorder_window_steps,
                 version=command.first_version,
             )
             return Done()
         known.staleness_bound = command.staleness_bound
         known.samples_per_step = command.samples_per_step
+        known.reorder_window_steps = command.reorder_window_steps
         return Done(duplicate=True)
 
     def _submit_prompts(self, command: SubmitPrompts) -> CommandResult:
@@ -183,10 +199,7 @@
         if state is None:
             return _no_round(command.round_name)
         self._reopen_over_age(state)
-        oldest_first = sorted(
-            state.ready, key=lambda number: (-state.age_of(state.ready[number]), number)
-        )
-        for number in oldest_first:
+        for number in state.hand_over_order():
             if state.next_offset >= command.until_offset:
                 break
             sample = state.ready.pop(number)
@@ -202,7 +215,7 @@
                 del state.ready[number]
                 slot = state.slots_of_ready.pop(number)
                 slot.discarded_attempts += 1
-                state.open_slots[number] = slot
+                state.open_slots = {number: slot, **state.open_slots}
                 state.discarded_tokens += len(sample.tokens)
 
     def _acknowledge(self, command: AcknowledgeDeliveries) -> CommandResult:
--- a/stileloom/rollout/controller.py
+++ b/stileloom/rollout/controller.py
@@ -153,12 +153,15 @@
                 known is not None
                 and known.staleness_bound == bound
                 and known.samples_per_step == spec.samples_per_step
+                and known.reorder_window_steps == spec.reorder_window_steps
             ):
                 continue
             if now < self._registered_at.get(name, float("-inf")) + REGISTER_RETRY_S:
                 continue
             self._registered_at[name] = now
-            command = RegisterRound(name, bound, spec.samples_per_step, spec.first_version)
+            command = RegisterRound(
+                name, bound, spec.samples_per_step, spec.reorder_window_steps, spec.first_version
+            )
             effects.append(Propose(command))
         return effects
 
@@ -289,23 +292,25 @@
         return RoundWork(
             state=round_state,
             staleness_bound=bound,
-            pending=self._pending(view, round_state, budget),
+            pending=self._pending(view, round_state, budget, wanted_until),
             assignments=assignments,
             samplers=self._capacities(now, view, name, round_state, lent),
             wanted_until=wanted_until,
         )
 
     def _pending(
-        self, view: ControllerView, round_state: RoundState, budget: int
+        self, view: ControllerView, round_state: RoundState, budget: int, wanted_until: int
     ) -> list[PendingSlot]:
         name = round_state.name
-        limit = budget * PENDING_LOOKAHEAD
+        limit = max(budget, round_state.samples_per_step) * PENDING_LOOKAHEAD
+        due_before = round_state.due_before(wanted_until)
         found: list[PendingSlot] = []
         resumable = set(self.assignments.partial_slots(name))
         priorities: dict[tuple[str, int], int] = {}
         for number in sorted(resumable):
             if not self.assignments.is_assigned(name, number):
                 found.append(self._pending_slot(view, round_state, number, priorities))
+        # Open slots stand in the order of their numbers but for those that were reopened.
         fresh = 0
         for number in round_state.open_slots:
             if fresh >= limit:
@@ -314,6 +319,8 @@
                 continue
             fresh += 1
             found.append(self._pending_slot(view, round_state, number, priorities))
+        for pending in found:
+            pending.blocking = pending.slot < due_before
         return found
 
     def _pending_slot(
--- a/stileloom/rollout/delivery.py
+++ b/stileloom/rollout/delivery.py
@@ -122,6 +122,8 @@
     if missing <= 0:
         return True
     oldest_allowed = state.staleness_bound
+    if any(number < state.due_before(until) for number in state.open_slots):
+        return False
     young_enough = sum(1 for s in state.ready.values() if state.age_of(s) <= oldest_allowed)
     if young_enough < missing:
         return False
--- a/stileloom/rollout/scheduler.py
+++ b/stileloom/rollout/scheduler.py
@@ -76,7 +76,8 @@
         samplers = [sampler for sampler in work.samplers if sampler.current]
         samplers.sort(key=lambda sampler: sampler.view.sampler_id)
         starts: list[Start] = []
-        for pending in sorted(work.pending, key=lambda slot: slot.slot)[:budget]:
+        ordered = sorted(work.pending, key=lambda slot: slot.slot)
+        for pending in within_budget(ordered, budget):
             sampler = self._next(samplers)
             if sampler is None:
                 break
@@ -114,7 +115,8 @@
         fresh = [slot for slot in work.pending if not slot.partial.tokens]
         under_way = len(work.assignments) + len(resumed)
         budget = may_start_count(work.state, work.staleness_bound, under_way, work.wanted_until)
-        ordered = sorted(resumed, key=self._urgency) + sorted(fresh, key=self._urgency)[:budget]
+        ordered = sorted(resumed, key=self._urgency)
+        ordered += within_budget(sorted(fresh, key=self._urgency), budget)
         starts: list[Start] = []
         for pending in ordered:
             sampler = _emptiest(work.samplers)
@@ -124,13 +126,14 @@
             starts.append(Start(pending, sampler.view.sampler_id))
         return starts
 
-    def _urgency(self, pending: PendingSlot) -> tuple[int, int, float, int]:
-        """Priority by policy, then oldest tokens, then longest expected, then arrival."""
+    def _urgency(self, pending: PendingSlot) -> tuple[bool, int, int, float, int]:
+        """Blocking, priority by policy, oldest tokens, longest expected, then arrival."""
         oldest = pending.oldest_version
         expected = self._lengths.expected(
             pending.prompt.group, pending.prompt.max_tokens, len(pending.partial.tokens)
         )
         return (
+            not pending.blocking,
             -pending.priority,
             oldest if oldest is not None else VERSION_UNKNOWN,
             -expected,
@@ -193,6 +196,13 @@
         return sum(1 for version in oldest if version is not None and version <= limit)
 
 
+def within_budget(ordered: list[PendingSlot], budget: int) -> list[PendingSlot]:
+    """The first `budget` slots, and every blocking one: without it nothing would go on."""
+    blocking = [slot for slot in ordered if slot.blocking]
+    others = [slot for slot in ordered if not slot.blocking]
+    return blocking + others[: max(0, budget - len(blocking))]
+
+
 def _emptiest(samplers: list[SamplerCapacity]) -> SamplerCapacity | None:
     free = [sampler for sampler in samplers if sampler.free > 0]
     return min(
--- a/stileloom/rollout/work.py
+++ b/stileloom/rollout/work.py
@@ -36,6 +36,8 @@
     prompt: Prompt
     priority: int
     partial: PartialGeneration
+    blocking: bool = False
+    """The step that a trainer waits for can not be handed over without it."""
 
     @property
     def oldest_version(self) -> int | None:
--- a/stileloom/simulator/trainer.py
+++ b/stileloom/simulator/trainer.py
@@ -61,6 +61,7 @@
         self.step_ended_at: list[float] = []
         self.step_idle_s: list[float] = []
         self.submitted_tokens = 0
+        self.trained_tokens = 0
         self._world = world
         self._directory = directory
         self._seed = seed
@@ -82,6 +83,16 @@
         for machine in self._directory.machines.values():
             machine.listeners.append(functools.partial(self._heard, machine.node_id))
 
+    def idle_so_far(self) -> float:
+        """Seconds spent waiting, with the wait that goes on."""
+        waiting = self._world.now - self._waiting_since if self._waiting_since is not None else 0.0
+        return self.idle_s + waiting
+
+    def mean_length(self) -> float:
+        """Mean tokens of the prompts that were submitted."""
+        prompts = self._submitted_steps * self.parameters.samples_per_step
+        return self.submitted_tokens / prompts if prompts else 0.0
+
     @property
     def offset(self) -> int:
         """Offset of the next step's first sample."""
@@ -176,6 +187,7 @@
             return
         for delivery in self._batch:
             self.audit.check(delivery, self.version)
+            self.trained_tokens += len(delivery.tokens)
         self.steps_done += 1
         self.step_ended_at.append(self._world.now)
         self._acknowledge()
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -204,7 +204,7 @@
     def setUp(self) -> None:
         super().setUp()
         self.state = LedgerState()
-        self.state.apply(RegisterRound("r", 1, 2, 1))
+        self.state.apply(RegisterRound("r", 1, 2, 1, 1))
         prompts = [Prompt(f"p{slot}", "text", 9) for slot in range(4)]
         self.state.apply(SubmitPrompts("r", "batch", prompts))
 
