--- a/stileloom/cli/main.py
+++ b/stileloom/cli/main.py
@@ -8,7 +8,7 @@
 
 import typer
 
-from stileloom.cli import emulate, operate
+from stileloom.cli import bench, emulate, operate
 from stileloom.cli.demo import demo
 from stileloom.cli.errors import exit_on_error
 from stileloom.daemon.process import serve as serve_node
@@ -21,6 +21,7 @@
     pretty_exceptions_enable=False,
 )
 app.add_typer(emulate.app, name="emulate")
+app.add_typer(bench.app, name="bench")
 app.command()(demo)
 operate.register(app)
 
--- a/stileloom/emulator/engine_model.py
+++ b/stileloom/emulator/engine_model.py
@@ -386,8 +386,3 @@
 def token_content(token: int) -> int:
     """The part of a token that does not depend on the version."""
     return token >> VERSION_BITS
-
-
-def token_version(token: int) -> int:
-    """The version that made a token."""
-    return token & ((1 << VERSION_BITS) - 1)
--- a/stileloom/emulator/sample_audit.py
+++ b/stileloom/emulator/sample_audit.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from stileloom.emulator.engine_model import make_tokens, token_content, token_version
+from stileloom.emulator.engine_model import make_tokens, token_content
 from stileloom.http.rounds import DeliveryResult
 
 
@@ -48,32 +48,29 @@
             report.duplicated += 1
         self._seen.add(delivery.prompt_id)
         self._offsets.add(delivery.offset)
-        if not self._tokens_fit(delivery):
-            report.wrong_tokens += 1
-        if not _versions_fit(delivery):
-            report.wrong_versions += 1
+        self._check_tokens(delivery)
         oldest = min(segment.weight_version for segment in delivery.segments)
         age = current_version - oldest
         report.ages.append(age)
         if age > self._bound:
             report.over_age += 1
 
-    def _tokens_fit(self, delivery: DeliveryResult) -> bool:
-        if delivery.prompt_id not in self._expected:
-            return False
-        text, length = self._expected[delivery.prompt_id]
-        expected = [token_content(token) for token in make_tokens(text, 0, length, 0)]
-        return [token_content(token) for token in delivery.tokens] == expected
-
-
-def _versions_fit(delivery: DeliveryResult) -> bool:
-    """Whether the segments cover the tokens and name the version inside each."""
-    position = 0
-    for segment in delivery.segments:
-        if segment.first_token != position:
-            return False
-        position += segment.token_count
-        made_by = delivery.tokens[segment.first_token : position]
-        if any(token_version(token) != segment.weight_version for token in made_by):
-            return False
-    return position == len(delivery.tokens)
+    def _check_tokens(self, delivery: DeliveryResult) -> None:
+        """Each token must be its prompt's at its place, made by the version that is named."""
+        text, length = self._expected.get(delivery.prompt_id, ("", -1))
+        position = 0
+        right = True
+        for segment in delivery.segments:
+            end = segment.first_token + segment.token_count
+            made = delivery.tokens[segment.first_token : end]
+            named = make_tokens(text, segment.first_token, end, segment.weight_version)
+            if segment.first_token != position or made != named:
+                right = False
+            position = end
+        if right and position == len(delivery.tokens) == length:
+            return
+        content = [token_content(token) for token in make_tokens(text, 0, max(0, length), 0)]
+        if [token_content(token) for token in delivery.tokens] != content:
+            self.report.wrong_tokens += 1
+        else:
+            self.report.wrong_versions += 1
--- a/stileloom/ledger/state.py
+++ b/stileloom/ledger/state.py
@@ -90,10 +90,16 @@
         return max(0, steps) * self.samples_per_step
 
     def hand_over_order(self) -> list[int]:
-        """Ready slots: first those that the next version makes too old, then in their order."""
+        """Ready slots: first those that the next version makes too old, then in their order.
 
-        def key(number: int) -> tuple[bool, int]:
-            return (self.age_of(self.ready[number]) < self.staleness_bound, number)
+        Of those, long ones go first: if not all have a place, the least work is lost.
+        """
+
+        def key(number: int) -> tuple[bool, int, int]:
+            sample = self.ready[number]
+            if self.age_of(sample) < self.staleness_bound:
+                return (True, 0, number)
+            return (False, -len(sample.tokens), number)
 
         return sorted(self.ready, key=key)
 
--- a/stileloom/node/core.py
+++ b/stileloom/node/core.py
@@ -40,6 +40,7 @@
     Controller,
     ControllerView,
     HandOverTicket,
+    Mechanism,
     Propose,
     ProposeHandOver,
     SchedulerKind,
@@ -112,7 +113,9 @@
         now: float,
         replica: LedgerReplica | None = None,
         scheduler: SchedulerKind = SchedulerKind.DEFAULT,
+        without: frozenset[Mechanism] = frozenset(),
     ) -> None:
+        """`without` leaves parts of the default scheduler out, for benches."""
         self.node_id = me.node_id
         self.zone = me.zone
         self.membership = Membership(me, seeds, rng)
@@ -129,6 +132,7 @@
         self.draining = False
         self.wall_time_s = 0.0
         self._scheduler_kind = scheduler
+        self._without = without
         # Outlives a controller: a lease may lapse and be renewed within one epoch.
         self._sequence = itertools.count(1)
         self._internal_tickets: dict[int, _CommitTicket | _ClaimTicket | None] = {}
@@ -382,7 +386,7 @@
         epoch = self.replica.epoch
         if self.controller is not None and self.controller.epoch == epoch:
             return []
-        scheduler = make_scheduler(self._scheduler_kind)
+        scheduler = make_scheduler(self._scheduler_kind, self._without)
         self.controller = Controller(epoch, scheduler, now, self._sequence)
         self.authority = ConfigurationAuthority(epoch, now)
         # Owners report what they run to a leader that is new to them: tell them at once.
--- a/stileloom/rollout/__init__.py
+++ b/stileloom/rollout/__init__.py
@@ -5,6 +5,7 @@
 from stileloom.rollout.scheduler import (
     BaselineScheduler,
     DefaultScheduler,
+    Mechanism,
     Scheduler,
     SchedulerKind,
     make_scheduler,
@@ -17,6 +18,7 @@
     "DefaultScheduler",
     "DeliveryDesk",
     "HandOverTicket",
+    "Mechanism",
     "Propose",
     "ProposeHandOver",
     "Scheduler",
--- a/stileloom/rollout/assignments.py
+++ b/stileloom/rollout/assignments.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from stileloom import constants
-from stileloom.api.samples import Prompt
+from stileloom.api.samples import Prompt, oldest_version
 from stileloom.effects import Effect, Emit, Send
 from stileloom.events import LogEvent
 from stileloom.ledger.state import LedgerState, RoundState
@@ -26,6 +26,10 @@
     """Assignments by slot, and the partial generations that wait to be resumed."""
 
     def __init__(self) -> None:
+        self.ends = 0
+        """Raised whenever an assignment has its sample: there is room on a sampler."""
+        self.interruptions = 0
+        """Raised whenever a slot may have to be started again, or was adopted."""
         self._by_slot: dict[SlotId, Assignment] = {}
         self._partials: dict[SlotId, PartialGeneration] = {}
 
@@ -61,6 +65,13 @@
         partial = self._partials.pop((round_name, slot), NO_PARTIAL)
         return len(partial.tokens)
 
+    def oldest_versions(self, round_name: str) -> list[int]:
+        """The oldest version in each generation of a round that has tokens."""
+        versions = [a.oldest_version for a in self.of_round(round_name)]
+        for slot in self.partial_slots(round_name):
+            versions.append(oldest_version(self.partial(round_name, slot).segments))
+        return [version for version in versions if version is not None]
+
     def add(self, assignment: Assignment) -> None:
         """Somebody generates for a slot from now on."""
         slot_id = (assignment.key.round_name, assignment.key.slot)
@@ -69,10 +80,15 @@
 
     def finished(self, message: GenerationFinished) -> Assignment | None:
         """The ledger has answered an attempt's sample."""
+        if message.accepted:
+            self.ends += 1
+        else:
+            self.interruptions += 1
         return self._remove(message.key)
 
     def interrupted(self, message: GenerationInterrupted) -> Assignment | None:
         """An attempt ended without a sample; what counts of it is kept."""
+        self.interruptions += 1
         assignment = self._remove(message.key)
         if assignment is not None and message.partial.tokens:
             slot_id = (message.key.round_name, message.key.slot)
@@ -100,6 +116,7 @@
             if slot is None or (known is not None and known.key != key):
                 effects.append(Send(sender, StopGeneration(key)))
             elif known is None:
+                self.interruptions += 1
                 self.add(_adopted(now, sender, generation, slot.prompt))
             else:
                 known.confirmed_at = now
@@ -129,6 +146,7 @@
                 silence_s = constants.ASSIGNMENT_LOST_SUSPECT_S
             if now >= assignment.confirmed_at + silence_s:
                 del self._by_slot[slot_id]
+                self.interruptions += 1
                 fields: dict[str, object] = {
                     "round": slot_id[0],
                     "slot": slot_id[1],
@@ -156,6 +174,7 @@
         owner=owner,
         started_at=now,
         tokens_at_start=generation.token_count,
+        first_token=generation.token_count,
         oldest_version=generation.oldest_version,
         confirmed_at=now,
     )
--- a/stileloom/rollout/controller.py
+++ b/stileloom/rollout/controller.py
@@ -21,8 +21,8 @@
 from stileloom.policy import PolicyBook, PoolInput, RequestInput, RoundInput, RuleInputs
 from stileloom.rollout.assignments import AssignmentTable
 from stileloom.rollout.delivery import DeliveryDesk
+from stileloom.rollout.lead import LeadEstimate
 from stileloom.rollout.scheduler import Scheduler
-from stileloom.rollout.staleness import may_start_count
 from stileloom.rollout.work import (
     Assignment,
     PendingSlot,
@@ -44,8 +44,8 @@
 from stileloom.weights import PoolDemand, RoleShifter, SwapPlanner, SwapTarget
 
 AVOID_AFTER_FAILURE_S = 1.0
-PENDING_LOOKAHEAD = 4
-"""Open slots that are looked at for each that may start, so that long ones go first."""
+PLAN_AT_LEAST_EVERY_S = 1.0
+"""A round is planned again when something changed, and this often in any case."""
 REGISTER_RETRY_S = 1.0
 
 
@@ -55,6 +55,28 @@
     command: Command
 
 
+class PlanBasis(msgspec.Struct, frozen=True):
+    """What the last plan of a round was based on."""
+
+    version: int
+    next_slot: int
+    next_offset: int
+    wanted_until: int
+    interruptions: int
+    samplers: int
+
+
+class Planned(msgspec.Struct):
+    """The last plan of a round, and when the next one is due in any case."""
+
+    basis: PlanBasis
+    again_at: float
+    ends: int
+    """Ends of generations before it."""
+    waits_for_room: bool = False
+    """Whether something was due and found no room."""
+
+
 class ControllerView(msgspec.Struct):
     """What the controller may look at in one call."""
 
@@ -88,7 +110,10 @@
         self._reported: set[str] = set()
         self._sequence = sequence
         self._avoid_until: dict[str, float] = {}
+        self._planned: dict[str, Planned] = {}
         self._versions: dict[str, int] = {}
+        self._version_seen_at: dict[str, float] = {}
+        self._leads: dict[str, LeadEstimate] = {}
         self._registered_at: dict[str, float] = {}
 
     # Driving.
@@ -100,17 +125,49 @@
         effects += self._register_rounds(now, view)
         lent = self._lent_samplers(now, view)
         effects += self._swap_weights(now, view, lent)
-        reserved: dict[str, int] = {}
         for name in sorted(view.configuration.rounds):
             round_state = view.state.rounds.get(name)
             if round_state is None:
                 continue
-            effects += self._note_version(name, round_state.version)
-            work = self._work(now, view, name, round_state, lent)
-            reserved[name] = self._scheduler.reserved(work)
-            if self._is_settled(now, view) and view.admits_rollouts:
-                effects += self._plan(now, view, name, work)
-        return effects + self.desk.tick(now, view.state, reserved)
+            effects += self._note_version(now, name, round_state.version)
+            if self._needs_plan(now, view, name, round_state):
+                work = self._work(now, view, name, round_state, lent)
+                if self._is_settled(now, view) and view.admits_rollouts:
+                    effects += self._plan(now, view, name, work)
+                self._planned[name].waits_for_room = self._scheduler.may_start_more(work)
+        return effects + self.desk.tick(now, view.state, self._reserved(view.state))
+
+    def _reserved(self, state: LedgerState) -> dict[str, int]:
+        """By round that a trainer waits for, the places kept for generations under way."""
+        reserved: dict[str, int] = {}
+        for name in self.desk.waiting_rounds():
+            round_state = state.rounds.get(name)
+            if round_state is not None:
+                oldest_allowed = round_state.version - round_state.staleness_bound
+                versions = self.assignments.oldest_versions(name)
+                reserved[name] = self._scheduler.reserved(oldest_allowed, versions)
+        return reserved
+
+    def _needs_plan(
+        self, now: float, view: ControllerView, name: str, round_state: RoundState
+    ) -> bool:
+        """Whether anything that a plan looks at has changed since the last one."""
+        seen = PlanBasis(
+            version=round_state.version,
+            next_slot=round_state.next_slot,
+            next_offset=round_state.next_offset,
+            wanted_until=self.desk.wanted_until(name),
+            interruptions=self.assignments.interruptions,
+            samplers=view.table.changes,
+        )
+        planned = self._planned.get(name)
+        if planned is not None and planned.basis == seen and now < planned.again_at:
+            room_made = self.assignments.ends != planned.ends
+            if not (planned.waits_for_room and room_made):
+                return False
+        again_at = now + PLAN_AT_LEAST_EVERY_S
+        self._planned[name] = Planned(seen, again_at, self.assignments.ends)
+        return True
 
     def handle(
         self, now: float, sender: str, message: object, view: ControllerView
@@ -122,7 +179,7 @@
         if isinstance(message, GenerationFinished):
             assignment = self.assignments.finished(message)
             if assignment is not None:
-                self._scheduler.observe(assignment.prompt.group, message.token_count)
+                self._observe(now, assignment, message)
             return []
         if isinstance(message, GenerationInterrupted):
             self.assignments.interrupted(message)
@@ -165,9 +222,18 @@
             effects.append(Propose(command))
         return effects
 
-    def _note_version(self, name: str, version: int) -> list[Effect]:
+    def _observe(self, now: float, assignment: Assignment, message: GenerationFinished) -> None:
+        self._scheduler.observe(assignment.prompt.group, message.token_count)
+        lead = self._leads.get(assignment.key.round_name)
+        made = message.token_count - assignment.first_token
+        if lead is not None:
+            lead.observe_generation(now - assignment.started_at, made)
+
+    def _note_version(self, now: float, name: str, version: int) -> list[Effect]:
         if self._versions.get(name) == version:
             return []
+        if name in self._versions:
+            self._version_seen_at[name] = now
         self._versions[name] = version
         return [Emit(LogEvent.VERSION_PUBLISHED, {"round": name, "version": version})]
 
@@ -285,42 +351,40 @@
         lent: dict[str, str],
     ) -> RoundWork:
         bound = round_state.staleness_bound
+        lead = self._leads.setdefault(name, LeadEstimate())
+        lead.observe_step(now, round_state.next_offset // round_state.samples_per_step)
         self.discarded_partial_tokens += self.assignments.drop_over_age_partials(round_state, bound)
         assignments = self.assignments.of_round(name)
         wanted_until = self.desk.wanted_until(name)
-        budget = may_start_count(round_state, bound, len(assignments), wanted_until)
+        pending = self._pending(view, round_state, wanted_until)
         return RoundWork(
             state=round_state,
             staleness_bound=bound,
-            pending=self._pending(view, round_state, budget, wanted_until),
+            pending=pending,
+            has_blocking=any(slot.blocking for slot in pending),
             assignments=assignments,
             samplers=self._capacities(now, view, name, round_state, lent),
             wanted_until=wanted_until,
+            version_age_s=now - self._version_seen_at.get(name, now),
+            lead=lead,
         )
 
     def _pending(
-        self, view: ControllerView, round_state: RoundState, budget: int, wanted_until: int
+        self, view: ControllerView, round_state: RoundState, wanted_until: int
     ) -> list[PendingSlot]:
+        """Open slots that nobody generates for, up to the last step that may start by now."""
         name = round_state.name
-        limit = max(budget, round_state.samples_per_step) * PENDING_LOOKAHEAD
+        size = round_state.samples_per_step
+        steps = round_state.next_offset // size + round_state.staleness_bound + 1
+        horizon = max(steps * size, wanted_until)
         due_before = round_state.due_before(wanted_until)
-        found: list[PendingSlot] = []
-        resumable = set(self.assignments.partial_slots(name))
         priorities: dict[tuple[str, int], int] = {}
-        for number in sorted(resumable):
-            if not self.assignments.is_assigned(name, number):
-                found.append(self._pending_slot(view, round_state, number, priorities))
-        # Open slots stand in the order of their numbers but for those that were reopened.
-        fresh = 0
+        found: list[PendingSlot] = []
         for number in round_state.open_slots:
-            if fresh >= limit:
-                break
-            if number in resumable or self.assignments.is_assigned(name, number):
-                continue
-            fresh += 1
-            found.append(self._pending_slot(view, round_state, number, priorities))
-        for pending in found:
-            pending.blocking = pending.slot < due_before
+            if number < horizon and not self.assignments.is_assigned(name, number):
+                pending = self._pending_slot(view, round_state, number, priorities)
+                pending.blocking = number < due_before
+                found.append(pending)
         return found
 
     def _pending_slot(
@@ -439,6 +503,7 @@
                 owner=owner,
                 started_at=now,
                 tokens_at_start=len(pending.partial.tokens),
+                first_token=len(pending.partial.tokens),
                 oldest_version=self._version_at_start(view, pending, start.sampler_id),
                 confirmed_at=now,
             )
--- a/stileloom/rollout/delivery.py
+++ b/stileloom/rollout/delivery.py
@@ -59,6 +59,10 @@
         self._waiting[key] = _WaitingRead(reader, request, now)
         return []
 
+    def waiting_rounds(self) -> list[str]:
+        """Rounds that somebody waits for."""
+        return sorted({read.request.round_name for read in self._waiting.values()})
+
     def wanted_until(self, round_name: str) -> int:
         """The offset up to which somebody waits for deliveries of a round."""
         waiting = [
@@ -122,14 +126,14 @@
     if missing <= 0:
         return True
     oldest_allowed = state.staleness_bound
-    if any(number < state.due_before(until) for number in state.open_slots):
+    if state.open_slots and min(state.open_slots) < state.due_before(until):
+        return False
+    if len(state.ready) < missing:
         return False
     young_enough = sum(1 for s in state.ready.values() if state.age_of(s) <= oldest_allowed)
     if young_enough < missing:
         return False
-    expiring = sum(1 for s in state.ready.values() if state.age_of(s) >= oldest_allowed)
-    room = missing - min(missing, expiring)
-    return min(reserved, room) == 0
+    return min(reserved, missing) == 0
 
 
 def _refuse(reader: str, request: DeliveryRequest, kind: ErrorKind) -> Effect:
--- a/stileloom/rollout/scheduler.py
+++ b/stileloom/rollout/scheduler.py
@@ -9,6 +9,7 @@
 import abc
 import enum
 
+from stileloom.api.samples import Prompt
 from stileloom.rollout.length_estimate import LengthEstimate
 from stileloom.rollout.staleness import may_start_count
 from stileloom.rollout.work import (
@@ -25,6 +26,12 @@
 """Generations by which two samplers must differ before one is shifted between them."""
 SHIFT_MIN_REMAINING_TOKENS = 64
 SHIFTS_PER_PLAN = 2
+LONG_FACTOR = 4.0
+"""Times the ordinary length from which a generation counts as long."""
+LONG_WEIGHT = 6
+"""Ordinary generations that one long one counts for when a sampler is chosen."""
+SWAP_EXPECTED_S = 10.0
+"""After this, samplers that still hold an older version are used all the same."""
 VERSION_UNKNOWN = 1 << 60
 """Sorts slots without any tokens behind those that have some."""
 
@@ -54,10 +61,18 @@
         """A generation finished; a scheduler that learns nothing ignores it."""
         del group, token_count
 
-    def reserved(self, work: RoundWork) -> int:
-        """Places of the step being gathered that are kept for generations under way."""
+    def reserved(self, oldest_allowed: int, oldest_versions: list[int]) -> int:
+        """Places of the step being gathered that are kept for generations under way.
+
+        `oldest_versions` has the oldest version in each of them; `oldest_allowed` is the
+        oldest that may be handed over now.
+        """
         return 0
 
+    def may_start_more(self, work: RoundWork) -> bool:
+        """Whether something waits only for room, so that each end calls for a new plan."""
+        return bool(work.pending)
+
 
 class BaselineScheduler(Scheduler):
     """Round robin over samplers, slots in order of arrival."""
@@ -94,16 +109,40 @@
         return None
 
 
-class DefaultScheduler(Scheduler):
-    """Oldest and longest first, onto the emptiest sampler; shifts work off the tail."""
+class Mechanism(enum.Enum):
+    """Parts of the default scheduler that a bench can leave out, to see what each is worth."""
+
+    LONGEST_FIRST = "longest_first"
+    """Fresh slots in the order of their expected length."""
+    LATE_START = "late_start"
+    """A slot starts no earlier than its expected duration asks for."""
+    CURRENT_ONLY = "current_only"
+    """Fresh slots start only on samplers that hold the current version already."""
+    ISOLATE_LONG = "isolate_long"
+    """Samplers with long generations get fewer others, so that the long ones step faster."""
+    PROTECT_EXPIRING = "protect_expiring"
+    """A step waits for what the next version would make too old."""
+    SHIFT_TAIL = "shift_tail"
+    """Long generations are moved from full samplers to empty ones."""
+    IN_FLIGHT_SWAP = "in_flight_swap"
+    """Weights are swapped under running generations."""
+    LEND_SAMPLERS = "lend_samplers"
+    """Idle lookup samplers work for rounds."""
 
-    swap_style = SwapStyle.IN_FLIGHT
-    shifts_roles = True
 
-    def __init__(self, protect_expiring: bool = True, shift_tail: bool = True) -> None:
+class DefaultScheduler(Scheduler):
+    """Blocking and oldest first, each as late as it can, onto the emptiest sampler."""
+
+    def __init__(self, without: frozenset[Mechanism] = frozenset()) -> None:
         self._lengths = LengthEstimate()
-        self._protect_expiring = protect_expiring
-        self._shift_tail = shift_tail
+        self._without = without
+        self._left_over = 0
+        in_flight = self._has(Mechanism.IN_FLIGHT_SWAP)
+        self.swap_style = SwapStyle.IN_FLIGHT if in_flight else SwapStyle.DRAIN
+        self.shifts_roles = self._has(Mechanism.LEND_SAMPLERS)
+
+    def _has(self, mechanism: Mechanism) -> bool:
+        return mechanism not in self._without
 
     def observe(self, group: str, token_count: int) -> None:
         """Feeds the length estimate."""
@@ -112,20 +151,49 @@
     def plan_starts(self, work: RoundWork) -> list[Start]:
         """Resumed slots do not count against the budget again: they are under way already."""
         resumed = [slot for slot in work.pending if slot.partial.tokens]
-        fresh = [slot for slot in work.pending if not slot.partial.tokens]
         under_way = len(work.assignments) + len(resumed)
         budget = may_start_count(work.state, work.staleness_bound, under_way, work.wanted_until)
+        fresh = self._due(work) if budget or work.has_blocking else []
         ordered = sorted(resumed, key=self._urgency)
         ordered += within_budget(sorted(fresh, key=self._urgency), budget)
+        self._left_over = 0
+        if not ordered:
+            return []
+        self._count_long(work)
         starts: list[Start] = []
+        self._left_over = len(ordered)
         for pending in ordered:
-            sampler = _emptiest(work.samplers)
+            sampler = self._sampler_for(work, pending)
             if sampler is None:
-                break
+                continue
             sampler.assigned += 1
+            sampler.long_count += self._is_long(pending.prompt, len(pending.partial.tokens))
+            self._left_over -= 1
             starts.append(Start(pending, sampler.view.sampler_id))
         return starts
 
+    def _due(self, work: RoundWork) -> list[PendingSlot]:
+        """Fresh slots that have to start by now to be done in time for their step."""
+        fresh = [slot for slot in work.pending if not slot.partial.tokens]
+        if not self._has(Mechanism.LATE_START):
+            return fresh
+        size = work.state.samples_per_step
+        step = work.state.next_offset // size
+        leads: dict[tuple[str, int], int] = {}
+        due: list[PendingSlot] = []
+        for slot in fresh:
+            group = (slot.prompt.group, slot.prompt.max_tokens)
+            if group not in leads:
+                expected = self._lengths.expected(*group, 0)
+                leads[group] = work.lead.lead_steps(expected, max(1, work.staleness_bound))
+            if slot.blocking or slot.slot // size - step < leads[group]:
+                due.append(slot)
+        return due
+
+    def may_start_more(self, work: RoundWork) -> bool:
+        """Whether the last plan found no room for something that is due."""
+        return self._left_over > 0
+
     def _urgency(self, pending: PendingSlot) -> tuple[bool, int, int, float, int]:
         """Blocking, priority by policy, oldest tokens, longest expected, then arrival."""
         oldest = pending.oldest_version
@@ -136,13 +204,39 @@
             not pending.blocking,
             -pending.priority,
             oldest if oldest is not None else VERSION_UNKNOWN,
-            -expected,
+            -expected if self._has(Mechanism.LONGEST_FIRST) else 0.0,
             pending.slot,
         )
 
+    def _sampler_for(self, work: RoundWork, pending: PendingSlot) -> SamplerCapacity | None:
+        free = [sampler for sampler in work.samplers if sampler.free > 0]
+        swap_is_near = work.version_age_s < SWAP_EXPECTED_S
+        if self._has(Mechanism.CURRENT_ONLY) and swap_is_near and not pending.partial.tokens:
+            free = [sampler for sampler in free if sampler.current]
+        return min(free, key=self._crowding, default=None)
+
+    def _crowding(self, sampler: SamplerCapacity) -> tuple[float, bool, str]:
+        weight = LONG_WEIGHT if self._has(Mechanism.ISOLATE_LONG) else 0
+        load = sampler.assigned + weight * sampler.long_count
+        return (load / max(1, sampler.limit), not sampler.current, sampler.view.sampler_id)
+
+    def _count_long(self, work: RoundWork) -> None:
+        by_name = {sampler.view.sampler_id: sampler for sampler in work.samplers}
+        for assignment in work.assignments:
+            sampler = by_name.get(assignment.sampler_id)
+            if sampler is not None:
+                sampler.long_count += self._is_long(assignment.prompt, assignment.tokens_at_start)
+
+    def _is_long(self, prompt: Prompt, so_far: int) -> bool:
+        """Whether much more is expected than of an ordinary generation."""
+        expected = self._lengths.expected(prompt.group, prompt.max_tokens, so_far)
+        return expected > LONG_FACTOR * self._lengths.ordinary(prompt.max_tokens)
+
     def plan_shifts(self, work: RoundWork, now: float) -> list[Shift]:
         """While nothing is left to start, evens out samplers: an emptier batch steps faster."""
-        if not self._shift_tail or work.pending or len(work.samplers) < 2:
+        if not self._has(Mechanism.SHIFT_TAIL) or len(work.samplers) < 2:
+            return []
+        if any(slot.partial.tokens for slot in work.pending) or self._due(work):
             return []
         shifts: list[Shift] = []
         by_load = sorted(work.samplers, key=lambda sampler: sampler.assigned)
@@ -186,14 +280,11 @@
             return None
         return max(long_enough, key=lambda row: (row[0], -row[1].key.slot))[1]
 
-    def reserved(self, work: RoundWork) -> int:
+    def reserved(self, oldest_allowed: int, oldest_versions: list[int]) -> int:
         """Generations that the next version would make too old belong to this step."""
-        if not self._protect_expiring:
+        if not self._has(Mechanism.PROTECT_EXPIRING):
             return 0
-        limit = work.state.version - work.staleness_bound
-        oldest = [assignment.oldest_version for assignment in work.assignments]
-        oldest += [slot.oldest_version for slot in work.pending]
-        return sum(1 for version in oldest if version is not None and version <= limit)
+        return sum(1 for version in oldest_versions if version <= oldest_allowed)
 
 
 def within_budget(ordered: list[PendingSlot], budget: int) -> list[PendingSlot]:
@@ -203,15 +294,8 @@
     return blocking + others[: max(0, budget - len(blocking))]
 
 
-def _emptiest(samplers: list[SamplerCapacity]) -> SamplerCapacity | None:
-    free = [sampler for sampler in samplers if sampler.free > 0]
-    return min(
-        free,
-        key=lambda s: (s.assigned / max(1, s.limit), not s.current, s.view.sampler_id),
-        default=None,
-    )
-
-
-def make_scheduler(kind: SchedulerKind) -> Scheduler:
-    """The scheduler of a name."""
-    return BaselineScheduler() if kind is SchedulerKind.BASELINE else DefaultScheduler()
+def make_scheduler(kind: SchedulerKind, without: frozenset[Mechanism] = frozenset()) -> Scheduler:
+    """The scheduler of a name; `without` only concerns the default one."""
+    if kind is SchedulerKind.BASELINE:
+        return BaselineScheduler()
+    return DefaultScheduler(without)
--- a/stileloom/rollout/work.py
+++ b/stileloom/rollout/work.py
@@ -6,6 +6,7 @@
 
 from stileloom.api.samples import Prompt, oldest_version
 from stileloom.ledger.state import RoundState
+from stileloom.rollout.lead import LeadEstimate
 from stileloom.samplers.messages import GenerationKey, PartialGeneration
 from stileloom.samplers.table import SamplerView
 
@@ -22,6 +23,9 @@
     """Node that runs it; it may own the sampler no longer."""
     started_at: float
     tokens_at_start: int
+    """Tokens when it was last heard of."""
+    first_token: int
+    """Tokens that an earlier attempt had made."""
     oldest_version: int | None
     """Oldest version in its tokens, as far as known here."""
     confirmed_at: float
@@ -53,6 +57,8 @@
     limit: int
     current: bool
     """Whether it holds the round's current version."""
+    long_count: int = 0
+    """Long generations on it, as the scheduler counts them."""
 
     @property
     def free(self) -> int:
@@ -68,8 +74,14 @@
     pending: list[PendingSlot]
     assignments: list[Assignment]
     samplers: list[SamplerCapacity]
+    has_blocking: bool = False
+    """Whether a pending slot is blocking."""
     wanted_until: int = 0
     """Offset up to which a trainer waits for deliveries now."""
+    version_age_s: float = 0.0
+    """How long ago the current version was first seen here."""
+    lead: LeadEstimate = msgspec.field(default_factory=LeadEstimate)
+    """The round's measured pace."""
 
 
 class Start(msgspec.Struct, frozen=True):
--- a/stileloom/samplers/owner.py
+++ b/stileloom/samplers/owner.py
@@ -29,6 +29,7 @@
     StartGeneration,
     StopGeneration,
 )
+from stileloom.samplers.table import differs
 
 LOAD_SILENCE_S = 2.0
 """A sampler that did not answer for this long is reported as unreachable."""
@@ -124,6 +125,9 @@
         owned = self._owned.get(sampler_id)
         if owned is None or load is None:
             return
+        if owned.load is not None and differs(owned.load, load):
+            # Others wait for this: a swap is done, or the sampler left its role.
+            self._next_report_at = now
         owned.load = load
         owned.heard_at = now
 
--- a/stileloom/samplers/table.py
+++ b/stileloom/samplers/table.py
@@ -45,6 +45,8 @@
 
     def __init__(self) -> None:
         self._views: dict[str, SamplerView] = {}
+        self.changes = 0
+        """Raised whenever a sampler's state, role, model or version changes, or it is silent."""
         self.version = 0
         """Raised whenever the set of samplers, or who is leaving, changes."""
 
@@ -75,6 +77,7 @@
             if machine.state is MachineState.LEAVING:
                 effects += self.mark_leaving(sampler_id)
         self.version += 1
+        self.changes += 1
         return effects
 
     def on_report(self, now: float, report: SamplerReport) -> list[Effect]:
@@ -84,6 +87,8 @@
             view = self._views.get(load.sampler_id)
             if view is None:
                 continue
+            if view.load is None or differs(view.load, load) or view.unreachable:
+                self.changes += 1
             effects += _version_events(view.load, load)
             view.load = load
             view.heard_at = now
@@ -92,8 +97,9 @@
                 effects += self.mark_leaving(load.sampler_id)
         for sampler_id in report.unreachable:
             view = self._views.get(sampler_id)
-            if view is not None:
+            if view is not None and not view.unreachable:
                 view.unreachable = True
+                self.changes += 1
         return effects
 
     def mark_leaving(self, sampler_id: str) -> list[Effect]:
@@ -103,9 +109,20 @@
             return []
         view.leaving = True
         self.version += 1
+        self.changes += 1
         return [Emit(LogEvent.SAMPLER_LEAVING, {"sampler": sampler_id})]
 
 
+def differs(before: LoadReport, after: LoadReport) -> bool:
+    """Whether a report says more than that the load is another."""
+    return (before.state, before.role, before.model, before.weight_version) != (
+        after.state,
+        after.role,
+        after.model,
+        after.weight_version,
+    )
+
+
 def _version_events(before: LoadReport | None, after: LoadReport) -> list[Effect]:
     fields: dict[str, object] = {"sampler": after.sampler_id, "version": after.weight_version}
     if before is None:
--- a/stileloom/simulator/bench.py
+++ b/stileloom/simulator/bench.py
@@ -15,9 +15,10 @@
 
 from stileloom.emulator.demo import StalenessReport, staleness_report
 from stileloom.emulator.engine_model import EngineParameters
-from stileloom.rollout import SchedulerKind
+from stileloom.rollout import Mechanism, SchedulerKind
 from stileloom.simulator.cluster import Cluster, ClusterPlan
 from stileloom.simulator.plans import plan_of
+from stileloom.simulator.trainer import SubmittedStep
 
 WARM_UP_S = 8.0
 SAMPLE_EVERY_S = 5.0
@@ -32,18 +33,20 @@
     scheduler: SchedulerKind
     seed: int
     duration_s: float = 3600.0
+    without: frozenset[Mechanism] = frozenset()
+    """Parts of the default scheduler that are left out."""
     """Virtual time; one whole day's curve is squeezed into it."""
     peak_lookups_per_s: float = 20.0
     training: bool = True
     """Off: the lookups alone, as their yardstick."""
-    samples_per_step: int = 64
-    train_s: float = 20.0
-    length_median_tokens: int = 250
+    samples_per_step: int = 192
+    train_s: float = 120.0
+    length_median_tokens: int = 800
     length_sigma: float = 0.5
     long_fraction: float = 0.03
     long_factor: int = 20
     """A few samples are this many times longer than the median."""
-    max_tokens: int = 8000
+    max_tokens: int = 24_000
     staleness_bound: int = 2
 
 
@@ -59,9 +62,9 @@
     """What no scheduler can beat, from the work and the engines' speed."""
 
     step_s: float
-    """The longer of: training, and the step's tokens at all engines' full speed."""
-    longest_sample_s: float
-    """A longest sample alone on an engine."""
+    """Mean over the steps of the longest of: training; the step's tokens at the full speed of
+    all rollout engines; its longest sample alone on an engine, over the versions that it may
+    span (`staleness_bound`, at least 1)."""
     trainer_idle_fraction: float
     """Idle that is left if steps take `step_s`."""
 
@@ -144,6 +147,7 @@
         callers=callers,
         objects=objects,
         scheduler=parameters.scheduler,
+        without=parameters.without,
         tick_s=0.2,
         poll_s=2.0,
         encode=False,
@@ -217,7 +221,7 @@
         goodput_tokens_per_s=round(trainer.trained_tokens / parameters.duration_s, 1),
         discarded_tokens=discarded,
         generated_tokens=sum(e.model.generated_tokens for e in cluster.directory.engines.values()),
-        lower_bound=lower_bound(cluster.plan, parameters, trainer.mean_length()),
+        lower_bound=lower_bound(cluster.plan, parameters, trainer.submitted_steps),
         violations=cluster.oracle.violations,
         wall_s=round(wall_s, 1),
         points=points,
@@ -232,17 +236,22 @@
     return list(core.replica.state.rounds.values())
 
 
-def lower_bound(plan: ClusterPlan, parameters: BenchParameters, mean_length: float) -> LowerBound:
-    """Step time that the rollout engines' full speed, or training, allows at best."""
+def lower_bound(
+    plan: ClusterPlan, parameters: BenchParameters, steps: list[SubmittedStep]
+) -> LowerBound:
+    """Step time that the work, the engines and the staleness bound allow at best."""
     engine = plan.engine
     rollout = sum(len(pool.zones) for pool in plan.pools if pool.role.value == "rollout")
-    rate = rollout * _full_speed(engine)
-    tokens = parameters.samples_per_step * mean_length
-    step_s = max(parameters.train_s, tokens / rate if rate else 0.0)
-    longest = parameters.length_median_tokens * parameters.long_factor
-    alone_s = longest * (engine.step_base_s + engine.step_per_sequence_s)
+    rate = max(1e-9, rollout * _full_speed(engine))
+    alone_s = engine.step_base_s + engine.step_per_sequence_s
+    spans = max(1, parameters.staleness_bound)
+    times = [
+        max(parameters.train_s, step.tokens / rate, step.longest_tokens * alone_s / spans)
+        for step in steps
+    ]
+    step_s = sum(times) / len(times) if times else parameters.train_s
     idle = max(0.0, 1.0 - parameters.train_s / step_s)
-    return LowerBound(round(step_s, 2), round(alone_s, 2), round(idle, 4))
+    return LowerBound(round(step_s, 2), round(idle, 4))
 
 
 def _full_speed(engine: EngineParameters) -> float:
--- a/stileloom/simulator/cluster.py
+++ b/stileloom/simulator/cluster.py
@@ -12,7 +12,7 @@
 from stileloom.ledger import fresh_ledger
 from stileloom.ledger.commands import Voter
 from stileloom.membership import Member
-from stileloom.rollout import SchedulerKind
+from stileloom.rollout import Mechanism, SchedulerKind
 from stileloom.simulator.callers import CallerParameters, SimulatedCallers
 from stileloom.simulator.disk import SimulatedDisk
 from stileloom.simulator.engines import SimulatedEngine
@@ -52,6 +52,7 @@
     tick_s: float = 0.05
     poll_s: float = 0.05
     scheduler: SchedulerKind = SchedulerKind.DEFAULT
+    without: frozenset[Mechanism] = frozenset()
     encode: bool = True
     """Whether messages go through the wire's encoding, as in the daemon."""
     network: NetworkParameters = msgspec.field(default_factory=NetworkParameters)
@@ -152,6 +153,7 @@
                 disk,
                 self.plan.tick_s,
                 self.plan.scheduler,
+                self.plan.without,
                 self.plan.encode,
             )
 
--- a/stileloom/simulator/machine.py
+++ b/stileloom/simulator/machine.py
@@ -14,7 +14,7 @@
 from stileloom.membership import Member, Seed
 from stileloom.node import NodeCore
 from stileloom.node.dispatch import DECODER, ENCODER, Envelope
-from stileloom.rollout import SchedulerKind
+from stileloom.rollout import Mechanism, SchedulerKind
 from stileloom.samplers.effects import CloseStream, ConfirmNotRun, OpenStream, QueryLoad, SendOrder
 from stileloom.simulator.disk import SimulatedDisk
 from stileloom.simulator.engines import SimulatedEngine, StreamReader
@@ -54,6 +54,7 @@
         disk: SimulatedDisk | None,
         tick_s: float,
         scheduler: SchedulerKind,
+        without: frozenset[Mechanism],
         encode: bool,
     ) -> None:
         self.member = member
@@ -68,6 +69,7 @@
         self._seeds = seeds
         self._tick_s = tick_s
         self._scheduler = scheduler
+        self._without = without
         self._encode = encode
         self._life = 0
         self._paused_until = 0.0
@@ -111,7 +113,7 @@
         if self.disk is not None:
             replica = LedgerReplica(self.disk.identity, self.disk.recover(), rng, now)
         seeds = [Seed(seed.host, seed.port) for seed in self._seeds if seed != self.member]
-        self.core = NodeCore(self.member, seeds, rng, now, replica, self._scheduler)
+        self.core = NodeCore(self.member, seeds, rng, now, replica, self._scheduler, self._without)
         self._paused_until = 0.0
         self._inbox.clear()
         self._schedule_tick(self._life, self._world.rng.random() * self._tick_s)
--- a/stileloom/simulator/trainer.py
+++ b/stileloom/simulator/trainer.py
@@ -47,6 +47,13 @@
     """Steps until it stops; None: goes on."""
 
 
+class SubmittedStep(msgspec.Struct, frozen=True):
+    """The work in one step's prompts."""
+
+    tokens: int
+    longest_tokens: int
+
+
 class SimulatedTrainer:
     """Submits, reads, trains, acknowledges, publishes; measures its idle time."""
 
@@ -60,7 +67,7 @@
         self.version = 1
         self.step_ended_at: list[float] = []
         self.step_idle_s: list[float] = []
-        self.submitted_tokens = 0
+        self.submitted_steps: list[SubmittedStep] = []
         self.trained_tokens = 0
         self._world = world
         self._directory = directory
@@ -88,11 +95,6 @@
         waiting = self._world.now - self._waiting_since if self._waiting_since is not None else 0.0
         return self.idle_s + waiting
 
-    def mean_length(self) -> float:
-        """Mean tokens of the prompts that were submitted."""
-        prompts = self._submitted_steps * self.parameters.samples_per_step
-        return self.submitted_tokens / prompts if prompts else 0.0
-
     @property
     def offset(self) -> int:
         """Offset of the next step's first sample."""
@@ -160,7 +162,9 @@
         prompts = [Prompt(p.prompt_id, p.text, p.max_tokens, p.group) for p in drawn]
 
         def submitted(result: CommandResult) -> None:
-            self.submitted_tokens += sum(prompt.length for prompt in drawn)
+            if step >= self._submitted_steps:
+                lengths = [prompt.length for prompt in drawn]
+                self.submitted_steps.append(SubmittedStep(sum(lengths), max(lengths)))
             self._submitted_steps = max(self._submitted_steps, step + 1)
             self._next_step()
 
