Scale run with hollow nodes; load reports cut to who needs them

Change: only pools that serve lookups are reported to gateways, once a second; the controller hears every two seconds; a change of state goes at once; rows without field names.

--- a/stileloom/cli/emulate.py
+++ b/stileloom/cli/emulate.py
@@ -10,6 +10,7 @@
 
 from stileloom.cli.errors import exit_on_error
 from stileloom.emulator import servers
+from stileloom.emulator.hollow import HollowSettings, run_hollow
 from stileloom.emulator.settings import EmulatorSettings
 from stileloom.emulator.trainer import run_trainer
 from stileloom.errors import ErrorKind, StileloomError
@@ -70,6 +71,13 @@
         asyncio.run(servers.run_until_stopped(application, settings.host, chosen.port, service))
 
 
+@app.command()
+def hollow(config: ConfigOption) -> None:
+    """Hollow nodes, many in one process, for scale runs."""
+    with exit_on_error():
+        asyncio.run(run_hollow(load_settings(config, HollowSettings)))
+
+
 @app.command()
 def trainer(
     config: ConfigOption,
--- a/stileloom/cli/main.py
+++ b/stileloom/cli/main.py
@@ -11,6 +11,7 @@
 from stileloom.cli import bench, emulate, operate
 from stileloom.cli.demo import demo
 from stileloom.cli.errors import exit_on_error
+from stileloom.cli.scale import scale
 from stileloom.daemon.process import serve as serve_node
 from stileloom.logging import configure_logs
 from stileloom.settings import NodeSettings, load_settings
@@ -23,6 +24,7 @@
 app.add_typer(emulate.app, name="emulate")
 app.add_typer(bench.app, name="bench")
 app.command()(demo)
+app.command()(scale)
 operate.register(app)
 
 
--- a/stileloom/constants.py
+++ b/stileloom/constants.py
@@ -31,8 +31,11 @@
 
 # Samplers.
 LOAD_POLL_S = 0.25
-SAMPLER_REPORT_S = 0.5
-SAMPLER_REPORT_STALE_S = 2.0
+GATEWAY_REPORT_S = 1.0
+"""How often an owner sends load to the gateways that route to a sampler."""
+CONTROLLER_REPORT_S = 2.0
+"""How often it sends it to the controller; a change of state goes at once to both."""
+SAMPLER_REPORT_STALE_S = 5.0
 SUBSET_SIZE = 16
 ORDER_RETRY_S = 1.0
 ASSIGNMENT_LOST_S = 5.0
--- a/stileloom/emulator/deployment.py
+++ b/stileloom/emulator/deployment.py
@@ -103,7 +103,7 @@
     return load_settings(path, Deployment)
 
 
-class _Ports:
+class Ports:
     """Ports chosen by the kernel; all sockets are held until the last one is drawn."""
 
     def __init__(self) -> None:
@@ -134,7 +134,7 @@
     deployment: Deployment, objects_file: Path, folder: Path, seed: int, scheduler: str
 ) -> RunFiles:
     """Writes the settings of every process of a run into a folder."""
-    ports = _Ports()
+    ports = Ports()
     nodes = _draw_nodes(deployment, folder, ports)
     object_api_port, machines_port, weights_port = ports.draw(), ports.draw(), ports.draw()
     samplers = _sampler_tables(deployment, ports)
@@ -149,10 +149,10 @@
         "trainer": _trainer_table(deployment, nodes, report),
     }
     emulator_file = folder / "emulator.toml"
-    emulator_file.write_text(_toml(emulator))
+    emulator_file.write_text(toml_of(emulator))
     for node in nodes:
         table = _node_table(deployment, node, nodes, object_api_port, machines_port, scheduler)
-        Path(node.settings_file).write_text(_toml(table))
+        Path(node.settings_file).write_text(toml_of(table))
     return RunFiles(
         folder=str(folder),
         emulator_file=str(emulator_file),
@@ -164,7 +164,7 @@
     )
 
 
-def _draw_nodes(deployment: Deployment, folder: Path, ports: _Ports) -> list[NodeAddress]:
+def _draw_nodes(deployment: Deployment, folder: Path, ports: Ports) -> list[NodeAddress]:
     nodes: list[NodeAddress] = []
     for zone in deployment.zones:
         for number in range(1, deployment.nodes_per_zone + 1):
@@ -177,7 +177,7 @@
     return nodes
 
 
-def _sampler_tables(deployment: Deployment, ports: _Ports) -> list[dict[str, object]]:
+def _sampler_tables(deployment: Deployment, ports: Ports) -> list[dict[str, object]]:
     tables: list[dict[str, object]] = []
     engine = msgspec.to_builtins(deployment.engine)
     for pool in deployment.pools:
@@ -233,7 +233,7 @@
     }
 
 
-def _toml(table: dict[str, object]) -> str:
+def toml_of(table: dict[str, object]) -> str:
     """TOML of a table; values are written as JSON, which TOML's inline values include."""
     lines: list[str] = []
     for key, value in table.items():
--- a/stileloom/emulator/processes.py
+++ b/stileloom/emulator/processes.py
@@ -66,6 +66,10 @@
         process = self._running.get(name)
         return process is not None and process.poll() is None
 
+    def pid(self, name: str) -> int:
+        """The process id of a process of this run."""
+        return self._running[name].pid
+
     def exit_code(self, name: str) -> int | None:
         """The exit code of a process that has ended."""
         return self._running[name].poll()
--- /dev/null
+++ b/stileloom/emulator/scale.py
@@ -0,0 +1,305 @@
+"""The scale run: hollow nodes beside three real daemons, and what a node costs."""
+
+from __future__ import annotations
+
+import asyncio
+import statistics
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+
+from stileloom.client import HttpCaller
+from stileloom.emulator.deployment import NodeAddress, Ports, RunFiles, toml_of
+from stileloom.emulator.hollow import HollowReport
+from stileloom.emulator.processes import Processes
+from stileloom.errors import ErrorKind, StileloomError
+from stileloom.http.operations import Status
+
+ZONES = 9
+VOTERS = 3
+HOLLOW_PER_PROCESS = 50
+SAMPLERS_PER_NODE = 1200 / 390
+LOOKUP_EVERY = 6
+"""One sampler in so many belongs to the lookup pool."""
+START_TIMEOUT_S = 90.0
+SETTLE_S = 12.0
+POLL_S = 0.2
+CLOCK_TICKS_PER_S = 100
+
+
+class Spread(msgspec.Struct):
+    """A measure over nodes."""
+
+    mean: float
+    p99: float
+    max: float
+
+
+class ScaleResult(msgspec.Struct):
+    """Costs at one number of nodes, measured over a quiet window."""
+
+    nodes: int
+    samplers: int
+    window_s: float
+    sent_bytes_per_s: Spread
+    """By hollow node."""
+    received_bytes_per_s: Spread
+    sent_messages_per_s: Spread
+    cpu_fraction: float
+    """Of a core, by hollow node, its process's whole time shared out."""
+    memory_mb: float
+    """By hollow node, its process's resident size shared out."""
+    leader_sent_bytes_per_s: float
+    leader_received_bytes_per_s: float
+    leader_cpu_fraction: float
+    leader_memory_mb: float
+    joined_s: float
+    """From the start of the last process until every node knows every other."""
+    in_force_s: float
+    """From storing a change until it is in force in every zone."""
+
+
+class _Moment(msgspec.Struct):
+    """Counts at one time."""
+
+    at_s: float
+    reports: list[HollowReport]
+    leader: dict[str, float]
+
+
+class ScaleRun:
+    """One number of nodes."""
+
+    def __init__(self, folder: Path, nodes: int, progress: Callable[[str], None]) -> None:
+        self._folder = folder
+        self._nodes = nodes
+        self._samplers = round(nodes * SAMPLERS_PER_NODE)
+        self._progress = progress
+        self._ports = Ports()
+        self._real: list[NodeAddress] = []
+        self._reports: list[Path] = []
+        self._processes: Processes | None = None
+
+    async def run(self, window_s: float) -> ScaleResult:
+        """Starts, settles, measures, ends. Raises `StileloomError`."""
+        try:
+            await self._start()
+            joined_s = await self._wait_joined()
+            self._progress(f"{self._nodes} nodes: all joined after {joined_s:.0f} s, settling")
+            await asyncio.sleep(SETTLE_S)
+            before = await self._moment()
+            await asyncio.sleep(window_s)
+            after = await self._moment()
+            in_force_s = await self._change_and_wait()
+            return self._result(before, after, joined_s, in_force_s)
+        finally:
+            if self._processes is not None:
+                self._processes.stop_all()
+
+    # Starting.
+
+    def _write_files(self) -> RunFiles:
+        zones = [f"zone-{number}" for number in range(ZONES)]
+        api_port, list_port, store_port = (self._ports.draw() for _ in range(3))
+        for number in range(VOTERS):
+            name = f"voter-{number}"
+            self._real.append(
+                NodeAddress(
+                    name,
+                    zones[number],
+                    self._ports.draw(),
+                    self._ports.draw(),
+                    str(self._folder / f"{name}.data"),
+                    str(self._folder / f"{name}.toml"),
+                )
+            )
+        seeds = [f"127.0.0.1:{node.port}" for node in self._real]
+        platform = {
+            "object_api": f"127.0.0.1:{api_port}",
+            "machine_list": f"127.0.0.1:{list_port}",
+        }
+        hollow = [
+            {
+                "node_id": f"hollow-{number}",
+                "zone": zones[number % ZONES],
+                "port": self._ports.draw(),
+            }
+            for number in range(self._nodes - VOTERS)
+        ]
+        self._ports.release()
+        for start in range(0, len(hollow), HOLLOW_PER_PROCESS):
+            report = self._folder / f"hollow-{start}.json"
+            self._reports.append(report)
+            table: dict[str, object] = {
+                "seeds": seeds,
+                **platform,
+                "report": str(report),
+                "nodes": hollow[start : start + HOLLOW_PER_PROCESS],
+            }
+            (self._folder / f"hollow-{start}.toml").write_text(toml_of(table))
+        for node in self._real:
+            table = {
+                "node_id": node.node_id,
+                "zone": node.zone,
+                "region": "region",
+                "port": node.port,
+                "http_port": node.http_port,
+                "seeds": seeds,
+                "platform": platform,
+                "ledger": {"data_folder": node.data_folder, "voters": VOTERS},
+                "log": {"level": "error"},
+            }
+            Path(node.settings_file).write_text(toml_of(table))
+        emulator: dict[str, object] = {
+            "seed": 1,
+            "object_api": {"port": api_port},
+            "machine_list": {"port": list_port},
+            "weight_store": {"port": store_port},
+            "samplers": [self._sampler(number, zones) for number in range(self._samplers)],
+        }
+        emulator_file = self._folder / "emulator.toml"
+        emulator_file.write_text(toml_of(emulator))
+        return RunFiles(str(self._folder), str(emulator_file), "", self._real, [], api_port, "")
+
+    def _sampler(self, number: int, zones: list[str]) -> dict[str, object]:
+        lookup = number % LOOKUP_EVERY == 0
+        return {
+            "sampler_id": f"sampler-{number}",
+            "pool": "lookups" if lookup else "rollouts",
+            "zone": zones[number % ZONES],
+            "port": 1,
+            "role": "lookup" if lookup else "rollout",
+            "model": "model",
+        }
+
+    async def _start(self) -> None:
+        files = self._write_files()
+        processes = Processes(files)
+        self._processes = processes
+        config = ("--config", files.emulator_file)
+        processes.start("object-api", "emulate", "object-api", *config)
+        processes.start("machines", "emulate", "machines", *config)
+        await processes.wait_listening(files.object_api_port)
+        for node in self._real:
+            processes.start_node(node)
+        for node in self._real:
+            await processes.wait_listening(node.http_port)
+        await self._put("pool", "rollouts", {"home_role": "rollout", "model": "model"})
+        await self._put("pool", "lookups", {"home_role": "lookup", "model": "model"})
+        await self._put("service", "charts", {"pool": "lookups"})
+        for report in self._reports:
+            settings = str(report.with_suffix(".toml"))
+            processes.start(report.stem, "emulate", "hollow", "--config", settings)
+
+    async def _put(self, kind: str, name: str, spec: dict[str, object]) -> int:
+        caller = HttpCaller([f"127.0.0.1:{node.http_port}" for node in self._real])
+        response = await caller.call("PUT", f"/v1/objects/{kind}/{name}", spec)
+        return int(msgspec.json.decode(response.body)["revision"])
+
+    # Waiting.
+
+    async def _wait_joined(self) -> float:
+        started_at = time.monotonic()
+        while time.monotonic() < started_at + START_TIMEOUT_S:
+            reports = [_read(path) for path in self._reports if path.exists()]
+            counts = [count for report in reports for count in report.nodes]
+            whole = [c for c in counts if c.members >= self._nodes and c.revision > 0]
+            if len(whole) == self._nodes - VOTERS:
+                return time.monotonic() - started_at
+            await asyncio.sleep(POLL_S)
+        raise StileloomError(ErrorKind.NOT_READY, "not every node learned of every other in time")
+
+    async def _status(self) -> Status:
+        caller = HttpCaller([f"127.0.0.1:{self._real[0].http_port}"])
+        response = await caller.call("GET", "/v1/status")
+        return msgspec.json.decode(response.body, type=Status)
+
+    async def _change_and_wait(self) -> float:
+        """Stores a change and waits until the leader says that it is in force everywhere."""
+        revision = await self._put("service", "charts", {"pool": "lookups", "queue_limit": 65})
+        stored_at = time.monotonic()
+        while time.monotonic() < stored_at + START_TIMEOUT_S:
+            status = await self._status()
+            if status.leader is not None and status.leader.in_force >= revision:
+                return time.monotonic() - stored_at
+            await asyncio.sleep(POLL_S / 4)
+        raise StileloomError(ErrorKind.NOT_READY, "the change did not come in force in time")
+
+    # Measuring.
+
+    async def _moment(self) -> _Moment:
+        return _Moment(
+            time.monotonic(), [_read(path) for path in self._reports], await self._leader_counts()
+        )
+
+    async def _leader_counts(self) -> dict[str, float]:
+        status = await self._status()
+        name = status.leader.leader if status.leader is not None else self._real[0].node_id
+        node = next(node for node in self._real if node.node_id == name)
+        response = await HttpCaller([f"127.0.0.1:{node.http_port}"]).call("GET", "/metrics")
+        counts = {
+            line.split()[0]: float(line.split()[1])
+            for line in response.body.decode().splitlines()
+            if line.startswith("stileloom_internal")
+        }
+        assert self._processes is not None
+        pid = self._processes.pid(name)
+        fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+        counts["cpu_s"] = (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
+        counts["memory"] = int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * 4096.0
+        return counts
+
+    def _result(
+        self, before: _Moment, after: _Moment, joined_s: float, in_force_s: float
+    ) -> ScaleResult:
+        window_s = after.at_s - before.at_s
+        rates = _rates(before, after)
+        cpu_s = sum(report.cpu_s for report in after.reports)
+        cpu_s -= sum(report.cpu_s for report in before.reports)
+        report_s = after.reports[0].at_s - before.reports[0].at_s
+        hollow = self._nodes - VOTERS
+        memory = sum(report.memory_bytes for report in after.reports)
+
+        def leader(name: str) -> float:
+            return (after.leader[name] - before.leader[name]) / window_s
+
+        return ScaleResult(
+            nodes=self._nodes,
+            samplers=self._samplers,
+            window_s=round(window_s, 1),
+            sent_bytes_per_s=_spread(rates["sent_bytes"]),
+            received_bytes_per_s=_spread(rates["received_bytes"]),
+            sent_messages_per_s=_spread(rates["sent_messages"]),
+            cpu_fraction=round(cpu_s / report_s / hollow, 5),
+            memory_mb=round(memory / hollow / 1e6, 2),
+            leader_sent_bytes_per_s=round(leader("stileloom_internal_sent_bytes_total")),
+            leader_received_bytes_per_s=round(leader("stileloom_internal_received_bytes_total")),
+            leader_cpu_fraction=round(leader("cpu_s"), 4),
+            leader_memory_mb=round(after.leader["memory"] / 1e6, 1),
+            joined_s=round(joined_s, 1),
+            in_force_s=round(in_force_s, 2),
+        )
+
+
+def _read(path: Path) -> HollowReport:
+    return msgspec.json.decode(path.read_bytes(), type=HollowReport)
+
+
+def _rates(before: _Moment, after: _Moment) -> dict[str, list[float]]:
+    """By measure, the rate of each hollow node."""
+    rates: dict[str, list[float]] = {}
+    for earlier, later in zip(before.reports, after.reports, strict=True):
+        seconds = later.at_s - earlier.at_s
+        for first, last in zip(earlier.nodes, later.nodes, strict=True):
+            for name in ("sent_bytes", "received_bytes", "sent_messages"):
+                rate = (getattr(last, name) - getattr(first, name)) / seconds
+                rates.setdefault(name, []).append(rate)
+    return rates
+
+
+def _spread(values: list[float]) -> Spread:
+    ordered = sorted(values)
+    p99 = ordered[min(len(ordered) - 1, int(0.99 * len(ordered)))]
+    return Spread(round(statistics.fmean(ordered), 1), round(p99, 1), round(ordered[-1], 1))
--- a/stileloom/node/core.py
+++ b/stileloom/node/core.py
@@ -138,7 +138,7 @@
         self._internal_tickets: dict[int, _CommitTicket | _ClaimTicket | None] = {}
         self._next_controller_tick_at = now
         self._next_ownership_at = now
-        self._seen_versions = (-1, -1)
+        self._seen_versions = (-1, -1, -1)
         self._gateways_by_sampler: dict[str, list[str]] = {}
         self._subsets: dict[str, list[str]] = {}
         self._handlers: dict[type, _Handler] = {}
@@ -339,7 +339,7 @@
 
     def _tick_ownership(self, now: float) -> list[Effect]:
         """Recomputes who owns and who routes where, after a change of members or samplers."""
-        versions = (self.membership.version, self.table.version)
+        versions = (self.membership.version, self.table.version, self.revision)
         if versions == self._seen_versions or now < self._next_ownership_at:
             return []
         self._seen_versions = versions
@@ -351,11 +351,15 @@
             if self.owner_of(view.sampler_id) == self.node_id
         }
         self.owner.set_owned(now, owned)
+        before = self._gateways_by_sampler
         self._gateways_by_sampler = self._routing_gateways(owned)
+        if self._gateways_by_sampler != before:
+            self.owner.report_soon()
         return []
 
     def _routing_gateways(self, owned: set[str]) -> dict[str, list[str]]:
         pools = {view.machine.pool for view in self.table.views() if view.sampler_id in owned}
+        pools &= self._served_pools()
         gateways: dict[str, list[str]] = {}
         for pool in pools:
             machines = [view.machine for view in self.table.in_pool(pool)]
@@ -365,6 +369,13 @@
                         gateways.setdefault(sampler_id, []).append(member.node_id)
         return gateways
 
+    def _served_pools(self) -> set[str]:
+        """Pools of lookup services: only their load concerns gateways."""
+        configuration = self.configuration.store.configuration
+        if configuration is None:
+            return set()
+        return {service.pool for service in configuration.services.values()}
+
     def _subset(self, pool: str) -> list[str]:
         if pool not in self._subsets:
             machines = [view.machine for view in self.table.in_pool(pool)]
--- a/stileloom/samplers/messages.py
+++ b/stileloom/samplers/messages.py
@@ -76,10 +76,14 @@
     oldest_version: int | None
 
 
+class LoadRow(LoadReport, frozen=True, array_like=True):
+    """A load report as it goes between nodes: without the names of its fields."""
+
+
 class SamplerReport(msgspec.Struct, frozen=True, tag=True):
     """Owner to controller and gateways: the newest load of its samplers."""
 
-    loads: list[LoadReport]
+    loads: list[LoadRow]
     unreachable: list[str]
     """Samplers that do not answer."""
 
--- a/stileloom/samplers/owner.py
+++ b/stileloom/samplers/owner.py
@@ -21,6 +21,7 @@
     GenerationFinished,
     GenerationInterrupted,
     GenerationKey,
+    LoadRow,
     OrderSampler,
     PartialGeneration,
     RunningGeneration,
@@ -70,7 +71,8 @@
         self._node_id = node_id
         self._owned: dict[str, _OwnedSampler] = {}
         self._generations: dict[str, _Generation] = {}
-        self._next_report_at = float("-inf")
+        self._next_gateway_report_at = float("-inf")
+        self._next_controller_report_at = float("-inf")
         self._next_running_report_at = float("-inf")
         self._reported_to: str | None = None
 
@@ -84,6 +86,10 @@
         """Generations under way."""
         return len(self._generations)
 
+    def report_soon(self) -> None:
+        """Those who route to the samplers have changed: they know no load yet."""
+        self._next_gateway_report_at = float("-inf")
+
     def set_owned(self, now: float, sampler_ids: set[str]) -> None:
         """Takes the outcome of the hashing; generations under way are finished regardless."""
         for sampler_id in sampler_ids - self._owned.keys():
@@ -98,9 +104,12 @@
             if now >= owned.next_poll_at:
                 owned.next_poll_at = now + constants.LOAD_POLL_S
                 effects.append(QueryLoad(sampler_id))
-        if now >= self._next_report_at:
-            self._next_report_at = now + constants.SAMPLER_REPORT_S
-            effects += self._report(now, leader, gateways)
+        if now >= self._next_gateway_report_at:
+            self._next_gateway_report_at = now + constants.GATEWAY_REPORT_S
+            effects += self._report_to_gateways(now, gateways)
+        if leader is not None and now >= self._next_controller_report_at:
+            self._next_controller_report_at = now + constants.CONTROLLER_REPORT_S
+            effects += self._report(now, {leader: set(self._owned)})
         new_leader = leader is not None and leader != self._reported_to
         if leader is not None and (now >= self._next_running_report_at or new_leader):
             self._next_running_report_at = now + RUNNING_REPORT_S
@@ -127,30 +136,34 @@
             return
         if owned.load is not None and differs(owned.load, load):
             # Others wait for this: a swap is done, or the sampler left its role.
-            self._next_report_at = now
+            self._next_gateway_report_at = now
+            self._next_controller_report_at = now
         owned.load = load
         owned.heard_at = now
 
-    def _report(
-        self, now: float, leader: str | None, gateways: dict[str, list[str]]
-    ) -> list[Effect]:
-        loads = {s: owned.load for s, owned in self._owned.items() if owned.load is not None}
+    def _report_to_gateways(self, now: float, gateways: dict[str, list[str]]) -> list[Effect]:
+        by_target: dict[str, set[str]] = {}
+        for sampler_id in self._owned:
+            for target in gateways.get(sampler_id, []):
+                by_target.setdefault(target, set()).add(sampler_id)
+        return self._report(now, by_target)
+
+    def _report(self, now: float, by_target: dict[str, set[str]]) -> list[Effect]:
+        rows = {
+            sampler_id: LoadRow(*msgspec.structs.astuple(owned.load))
+            for sampler_id, owned in self._owned.items()
+            if owned.load is not None
+        }
         unreachable = [
             sampler_id
             for sampler_id, owned in self._owned.items()
             if now >= max(owned.heard_at, owned.owned_since) + LOAD_SILENCE_S
         ]
-        by_target: dict[str, set[str]] = {}
-        for sampler_id in self._owned:
-            for target in gateways.get(sampler_id, []):
-                by_target.setdefault(target, set()).add(sampler_id)
-        if leader is not None:
-            by_target[leader] = set(self._owned)
         effects: list[Effect] = []
         for target in sorted(by_target):
             wanted = by_target[target]
             report = SamplerReport(
-                [load for sampler_id, load in loads.items() if sampler_id in wanted],
+                [row for sampler_id, row in rows.items() if sampler_id in wanted],
                 [sampler_id for sampler_id in unreachable if sampler_id in wanted],
             )
             if report.loads or report.unreachable:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -30,6 +30,7 @@
 from stileloom.emulator.trainer import TrainerProgress, TrainerReport
 from stileloom.errors import StileloomError
 from stileloom.http.operations import Status
+from stileloom.routing.messages import Explanation
 
 EXAMPLES = Path(__file__).resolve().parents[1] / "examples"
 WAIT_S = 60.0
@@ -190,6 +191,14 @@
         async def run() -> None:
             await self.start()
             node = self.files.nodes[1]
+
+            async def routes() -> bool:
+                caller = HttpCaller([self.address(node)])
+                body = {"service": "viewer-app"}
+                response = await caller.call("POST", "/v1/explain", body)
+                return msgspec.json.decode(response.body, type=Explanation).chosen is not None
+
+            await self.until(routes, "the gateway has heard of a sampler")
             client = LookupClient([self.address(node)])
             query = "len:150|a long outline"
             running = asyncio.create_task(client.lookup("viewer-app", query, 150))
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -6,7 +6,7 @@
 
 import testtools
 
-from stileloom.api.engine import CancelState, EngineState, LoadReport, StreamChunk, StreamEnd
+from stileloom.api.engine import CancelState, EngineState, StreamChunk, StreamEnd
 from stileloom.api.objects import Configuration, Machine, Pool, SamplerRole, Service
 from stileloom.effects import Effect
 from stileloom.errors import ErrorKind, Outcome
@@ -16,13 +16,13 @@
 from stileloom.routing.choice import Candidate, choose_sampler
 from stileloom.routing.limits import Ejections, RetryBudget, TenantLimits
 from stileloom.samplers.effects import ConfirmNotRun, OpenStream
-from stileloom.samplers.messages import SamplerReport
+from stileloom.samplers.messages import LoadRow, SamplerReport
 from stileloom.samplers.table import SamplerTable
 
 
-def load(sampler_id: str, running: int = 0) -> LoadReport:
+def load(sampler_id: str, running: int = 0) -> LoadRow:
     """A serving lookup sampler."""
-    return LoadReport(
+    return LoadRow(
         sampler_id, EngineState.SERVING, SamplerRole.LOOKUP, "m", 1, running, 0, 8,
         FencingToken(0, 0),
     )  # fmt: skip
