--- a/stileloom/api/objects.py
+++ b/stileloom/api/objects.py
@@ -29,6 +29,10 @@
     """Whether idle lookup samplers may work for rounds while demand is low."""
     keep_home: int = 1
     """Samplers that are never lent."""
+    lend_below: float = 1.0
+    """Lookups under way by home sampler, counted after lending, under which one more is lent."""
+    return_above: float = 2.0
+    """Lookups under way by home sampler over which a lent one goes home."""
 
 
 class Service(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/stileloom/cli/bench.py
+++ b/stileloom/cli/bench.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import tempfile
 from pathlib import Path
 from typing import Annotated
 
@@ -31,8 +33,9 @@
     ),
     scheduler: Annotated[SchedulerKind, typer.Option(help="Scheduler.")] = SchedulerKind.DEFAULT,
     seed: Annotated[int, typer.Option(help="The same seed gives the same result.")] = 1,
-    duration_s: Annotated[float, typer.Option(help="Virtual seconds; one day's curve.")] = 3600.0,
+    duration_s: Annotated[float, typer.Option(help="Virtual seconds; one day's curve.")] = 1800.0,
     staleness_bound: Annotated[int, typer.Option(help="Bound of the round, in versions.")] = 2,
+    samples_per_step: Annotated[int, typer.Option(help="Samples of one training step.")] = 384,
     training: Annotated[bool, typer.Option(help="Off: lookups alone.")] = True,
     without: Annotated[
         list[Mechanism] | None, typer.Option(help="Leave a mechanism of the default out.")
@@ -51,6 +54,7 @@
         seed=seed,
         duration_s=duration_s,
         staleness_bound=staleness_bound,
+        samples_per_step=samples_per_step,
         training=training,
         without=frozenset(without or []),
     )
@@ -81,6 +85,18 @@
         _print_results(results)
 
 
+@app.command()
+def ledger(
+    seconds: Annotated[float, typer.Option(help="How long samples are committed.")] = 10.0,
+) -> None:
+    """Three ledger nodes over loopback with fsync: commits a second, bytes, failover."""
+    from stileloom.emulator.ledger_bench import run_ledger_bench  # noqa: PLC0415 (rarely used)
+
+    with exit_on_error(), tempfile.TemporaryDirectory(prefix="stileloom-ledger-") as folder:
+        result = asyncio.run(run_ledger_bench(Path(folder), seconds))
+        typer.echo(msgspec.json.format(msgspec.json.encode(result), indent=2).decode())
+
+
 def _read(path: Path) -> BenchResult:
     try:
         return msgspec.json.decode(path.read_bytes(), type=BenchResult)
--- a/stileloom/daemon/shell.py
+++ b/stileloom/daemon/shell.py
@@ -56,6 +56,7 @@
         self._writes: list[Persist] = []
         self._writing = False
         self._platform_up = True
+        self._stopped = False
         self._ticker = PeriodicCallback(self._tick, TICK_MS)
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -66,6 +67,7 @@
 
     def stop(self) -> None:
         """Stops timers and closes sockets."""
+        self._stopped = True
         self._ticker.stop()
         self.network.stop()
         for task in self._tasks:
@@ -79,7 +81,9 @@
         return time.monotonic()
 
     def run(self, effects: list[Effect]) -> None:
-        """Carries out effects in order."""
+        """Carries out effects in order; after `stop` there is nothing left to act with."""
+        if self._stopped:
+            return
         for effect in effects:
             self._carry_out(effect)
 
@@ -138,6 +142,8 @@
         # A disk that fails must stop the node: nothing may be said about what it holds.
         done.result()
         self._writing = False
+        if self._stopped:
+            return
         self.run(self.core.persisted(self.now(), write_id))
         self._start_writing()
 
--- a/stileloom/rollout/controller.py
+++ b/stileloom/rollout/controller.py
@@ -13,7 +13,7 @@
 
 from stileloom import constants
 from stileloom.api.engine import EngineOrder, EngineState
-from stileloom.api.objects import Configuration, Round, SamplerRole
+from stileloom.api.objects import Configuration, Pool, Round, SamplerRole
 from stileloom.effects import Effect, Emit, Send
 from stileloom.events import LogEvent
 from stileloom.ledger.commands import Command, RegisterRound
@@ -264,13 +264,13 @@
             if not borrowers:
                 continue
             shifter = self._shifters.setdefault(pool_name, RoleShifter())
-            demand = self._demand(now, view, pool_name, pool.keep_home, shifter.lent)
+            demand = self._demand(view, pool_name, pool, shifter.lent)
             for position, sampler_id in enumerate(shifter.update(now, demand)):
                 lent[sampler_id] = borrowers[position % len(borrowers)]
         return lent
 
     def _demand(
-        self, now: float, view: ControllerView, pool_name: str, keep_home: int, lent: list[str]
+        self, view: ControllerView, pool_name: str, pool: Pool, lent: list[str]
     ) -> PoolDemand:
         samplers = [
             sampler
@@ -278,12 +278,12 @@
             if not sampler.leaving and not sampler.unreachable and sampler.load is not None
         ]
         at_home = [sampler for sampler in samplers if sampler.sampler_id not in lent]
-        capacity = min((s.load.max_running for s in samplers if s.load is not None), default=1)
         return PoolDemand(
             samplers=sorted(sampler.sampler_id for sampler in samplers),
-            keep_home=keep_home,
+            keep_home=pool.keep_home,
             running=sum(sampler.running for sampler in at_home),
-            capacity_per_sampler=capacity,
+            lend_below=pool.lend_below,
+            return_above=pool.return_above,
         )
 
     def _swap_weights(self, now: float, view: ControllerView, lent: dict[str, str]) -> list[Effect]:
--- a/stileloom/simulator/bench.py
+++ b/stileloom/simulator/bench.py
@@ -32,14 +32,14 @@
     deployment: str
     scheduler: SchedulerKind
     seed: int
-    duration_s: float = 3600.0
+    duration_s: float = 1800.0
     without: frozenset[Mechanism] = frozenset()
     """Parts of the default scheduler that are left out."""
     """Virtual time; one whole day's curve is squeezed into it."""
     peak_lookups_per_s: float = 20.0
     training: bool = True
     """Off: the lookups alone, as their yardstick."""
-    samples_per_step: int = 192
+    samples_per_step: int = 384
     train_s: float = 120.0
     length_median_tokens: int = 800
     length_sigma: float = 0.5
--- a/stileloom/transport/network.py
+++ b/stileloom/transport/network.py
@@ -74,7 +74,7 @@
 
     def stop(self) -> None:
         """Closes every socket."""
-        self._server.stop()
+        self._server.close()
         if self._datagrams is not None:
             self._datagrams.close()
         for peer in self._peers.values():
@@ -108,9 +108,17 @@
     def __init__(self, received: Callable[[bytes], None]) -> None:
         super().__init__(max_buffer_size=MAX_FRAME_BYTES)
         self._received = received
+        self._accepted: set[IOStream] = set()
+
+    def close(self) -> None:
+        """Stops listening and closes what was accepted."""
+        self.stop()
+        for stream in list(self._accepted):
+            stream.close()
 
     async def handle_stream(self, stream: IOStream, address: tuple) -> None:
         """Reads frames until the peer closes."""
+        self._accepted.add(stream)
         try:
             while True:
                 header = await stream.read_bytes(FRAME_HEADER.size)
@@ -121,6 +129,8 @@
                 self._received(await stream.read_bytes(length))
         except StreamClosedError:
             return
+        finally:
+            self._accepted.discard(stream)
 
 
 class _Peer:
--- a/stileloom/weights/roles.py
+++ b/stileloom/weights/roles.py
@@ -1,15 +1,15 @@
-"""Role shifts: lookup samplers are lent to rounds while demand is low, with hysteresis."""
+"""Role shifts: lookup samplers are lent to rounds while demand is low, with hysteresis.
+
+Demand is the number of lookups under way on each home sampler: their latency grows with it, long
+before the sampler is full.
+"""
 
 from __future__ import annotations
 
 import msgspec
 
-LEND_BELOW = 0.25
-"""Use of the lookup samplers under which one more may be lent."""
-RETURN_ABOVE = 0.6
-"""Use over which a lent sampler goes home."""
 LEND_AFTER_S = 20.0
-"""How long use must stay low before a sampler is lent; going home takes no waiting."""
+"""How long demand must stay low before a sampler is lent; going home takes no waiting."""
 RETURN_SPACING_S = 1.0
 SMOOTHING_S = 5.0
 
@@ -22,7 +22,10 @@
     keep_home: int
     running: int
     """Lookups running or waiting on the samplers that are at home."""
-    capacity_per_sampler: int
+    lend_below: float
+    """Lookups by sampler, after lending, under which one more may be lent."""
+    return_above: float
+    """Lookups by sampler over which a lent one goes home."""
 
 
 class RoleShifter:
@@ -39,9 +42,9 @@
         """The samplers to be lent from now on."""
         self.lent = [sampler for sampler in self.lent if sampler in demand.samplers]
         home = max(1, len(demand.samplers) - len(self.lent))
-        use = demand.running / (home * max(1, demand.capacity_per_sampler))
+        use = demand.running / home
         self._smooth(now, use)
-        self._return_some(now, demand, use)
+        self._return_some(now, demand)
         self._lend_one(now, demand, home)
         return self.lent
 
@@ -50,18 +53,17 @@
         self._seen_at = now
         self._use += min(1.0, elapsed / SMOOTHING_S) * (use - self._use)
 
-    def _return_some(self, now: float, demand: PoolDemand, use: float) -> None:
+    def _return_some(self, now: float, demand: PoolDemand) -> None:
         too_few = len(demand.samplers) - len(self.lent) < demand.keep_home
-        pressed = max(use, self._use) > RETURN_ABOVE
+        pressed = self._use > demand.return_above
         if self.lent and (too_few or (pressed and now >= self._returned_at + RETURN_SPACING_S)):
             self.lent = self.lent[:-1]
             self._returned_at = now
             self._low_since = None
 
     def _lend_one(self, now: float, demand: PoolDemand, home: int) -> None:
-        # The use that would follow with one sampler fewer must also stay clear of returning.
         after = self._use * home / max(1, home - 1)
-        if self._use >= LEND_BELOW or after >= RETURN_ABOVE / 2 or home <= demand.keep_home:
+        if after >= demand.lend_below or home <= demand.keep_home:
             self._low_since = None
             return
         if self._low_since is None:
