Control costs at 100 nodes and 1,200 samplers; isolating long samples reverted

Cause: (1) stileloom scale did not converge at 100 nodes: both hollow processes stood at 100 % of a core, probes timed out, and each false suspicion made every node recompute owners and subsets of all samplers (each owner lookup scanned all members). Ruled out: message volume (2.3 KB/s at 50 nodes). (2) bench controller at 16 rounds x 1024 and 1,200 samplers: one tick took 2,144 ms, three times the leader's lease. (3) a trainer with a bound of 1 waited for steps that could have been started while it waited for the one before. Change: working nodes cached, ownership only of samplers that can be one's own, subsets only where they can hold one; rounds planned in turn within a budget of slots, a heap for samplers, assignments indexed; the step of a slot counted by version; isolate_long taken out.

--- a/stileloom/cli/bench.py
+++ b/stileloom/cli/bench.py
@@ -97,6 +97,34 @@
         typer.echo(msgspec.json.format(msgspec.json.encode(result), indent=2).decode())
 
 
+@app.command()
+def weights(
+    samplers: Annotated[int, typer.Option(help="Samplers of the round's pool.")] = 1200,
+    zones: Annotated[int, typer.Option(help="Zones that they are spread over.")] = 9,
+) -> None:
+    """How long a new version takes to reach every sampler past the rate-limited store."""
+    from stileloom.simulator.weights_bench import (  # noqa: PLC0415 (rarely used)
+        WeightsBenchParameters,
+        run_weights_bench,
+    )
+
+    result = run_weights_bench(WeightsBenchParameters(samplers=samplers, zones=zones))
+    typer.echo(msgspec.json.format(msgspec.json.encode(result), indent=2).decode())
+
+
+@app.command()
+def controller(
+    rounds: Annotated[int, typer.Option(help="Rounds, each with a pool of its own.")] = 16,
+    samples_per_step: Annotated[int, typer.Option(help="Samples of a step.")] = 1024,
+    samplers: Annotated[int, typer.Option(help="Samplers of all pools.")] = 1200,
+) -> None:
+    """Processor time of the controller's tick."""
+    from stileloom.emulator.controller_bench import run_controller_bench  # noqa: PLC0415
+
+    result = run_controller_bench(rounds, samples_per_step, samplers)
+    typer.echo(msgspec.json.format(msgspec.json.encode(result), indent=2).decode())
+
+
 def _read(path: Path) -> BenchResult:
     try:
         return msgspec.json.decode(path.read_bytes(), type=BenchResult)
--- a/stileloom/hashing.py
+++ b/stileloom/hashing.py
@@ -14,7 +14,7 @@
 
 def rendezvous_ranked(key: str, nodes: Iterable[str]) -> list[str]:
     """All nodes for a key, owner first."""
-    return sorted(nodes, key=lambda node: (-rendezvous_score(key, node), node))
+    return [node for _, node in sorted((-rendezvous_score(key, node), node) for node in nodes)]
 
 
 def rendezvous_owner(key: str, nodes: Iterable[str]) -> str | None:
--- a/stileloom/membership/swim.py
+++ b/stileloom/membership/swim.py
@@ -68,8 +68,10 @@
         self._next_zone_sync_at = 0.0
         self._next_dead_probe_at = 0.0
         self._digest: int | None = None
-        self.version = 0
-        """Raised at every change of the table; others use it to notice changes."""
+        self._alive: dict[str | None, list[Member]] = {}
+        self._working: dict[str | None, list[str]] = {}
+        self.working_version = 0
+        """Raised whenever the set of working nodes changes; others use it to notice that."""
 
     # Reading the table.
 
@@ -93,11 +95,24 @@
 
     def alive(self, zone: str | None = None) -> list[Member]:
         """Members not known to be dead, in one zone or in all."""
-        return [
-            member
-            for member in self._members.values()
-            if member.state != MemberState.DEAD and (zone is None or member.zone == zone)
-        ]
+        if zone not in self._alive:
+            self._alive[zone] = [
+                member
+                for member in self._members.values()
+                if member.state != MemberState.DEAD and (zone is None or member.zone == zone)
+            ]
+        return self._alive[zone]
+
+    def working(self, zone: str | None = None) -> list[str]:
+        """Nodes to give new work to, in one zone or in all.
+
+        A suspect is passed over until it has refuted.
+        """
+        if zone not in self._working:
+            self._working[zone] = [
+                member.node_id for member in self.alive(zone) if _is_working(member)
+            ]
+        return self._working[zone]
 
     def zones(self) -> list[str]:
         """All zones that have a member that is not dead, sorted."""
@@ -288,10 +303,14 @@
     def _store(self, member: Member) -> None:
         if member.node_id == self.me.node_id:
             self.me = member
+        before = self._members.get(member.node_id)
         self._members[member.node_id] = member
+        self._alive.clear()
+        if before is None or _is_working(before) != _is_working(member):
+            self._working.clear()
+            self.working_version += 1
         self._gossip_left[member.node_id] = self._retransmissions()
         self._digest = None
-        self.version += 1
 
     def _retransmissions(self) -> int:
         return constants.GOSSIP_RETRANSMIT_FACTOR * max(1, len(self._members).bit_length())
@@ -332,6 +351,10 @@
         return [Send(target, MembershipDigest(self._table_digest())) for target in targets]
 
 
+def _is_working(member: Member) -> bool:
+    return member.state is MemberState.ALIVE and not member.leaving
+
+
 def _newer(known: Member | None, update: Member) -> Member | None:
     """The record to store after hearing `update`, or None where nothing changes."""
     if known is None or update.incarnation > known.incarnation:
--- a/stileloom/node/core.py
+++ b/stileloom/node/core.py
@@ -53,7 +53,7 @@
     LeaderStatus,
     StatusRequest,
 )
-from stileloom.routing import Gateway, GatewayView, LookupRequest, gateway_subset
+from stileloom.routing import Gateway, GatewayView, LookupRequest, PoolMachines, gateway_subset
 from stileloom.routing.messages import ClaimWanted, Explanation, ReleaseWanted
 from stileloom.samplers import CommitWanted, SamplerOwner
 from stileloom.samplers.messages import (
@@ -65,7 +65,7 @@
 from stileloom.samplers.table import SamplerTable
 
 CONTROLLER_TICK_S = 0.1
-OWNERSHIP_REFRESH_S = 0.5
+OWNERSHIP_REFRESH_S = 1.0
 
 
 class DeliveryFinished(msgspec.Struct, frozen=True):
@@ -139,6 +139,8 @@
         self._next_controller_tick_at = now
         self._next_ownership_at = now
         self._seen_versions = (-1, -1, -1)
+        self._readers: list[str] = []
+        self._readers_version = -1
         self._gateways_by_sampler: dict[str, list[str]] = {}
         self._subsets: dict[str, list[str]] = {}
         self._handlers: dict[type, _Handler] = {}
@@ -167,21 +169,17 @@
         sampler = self.table.get(sampler_id)
         if sampler is None:
             return None
-        near = self._working_nodes(sampler.machine.zone)
-        return rendezvous_owner(sampler_id, near or self._working_nodes(None))
+        near = self.membership.working(sampler.machine.zone)
+        return rendezvous_owner(sampler_id, near or self.membership.working())
 
     def readers(self) -> list[str]:
         """The chosen readers of this node's zone."""
-        ranked = rendezvous_ranked(f"reader/{self.zone}", self._working_nodes(self.zone))
-        return ranked[: constants.READERS_PER_ZONE]
-
-    def _working_nodes(self, zone: str | None) -> list[str]:
-        """Nodes to give new work to; a suspect is passed over until it has refuted."""
-        return [
-            member.node_id
-            for member in self.membership.alive(zone)
-            if member.state is MemberState.ALIVE and not member.leaving
-        ]
+        version = self.membership.working_version
+        if self._readers_version != version:
+            ranked = rendezvous_ranked(f"reader/{self.zone}", self.membership.working(self.zone))
+            self._readers = ranked[: constants.READERS_PER_ZONE]
+            self._readers_version = version
+        return self._readers
 
     def _is_working(self, node_id: str) -> bool:
         member = self.membership.get(node_id)
@@ -339,16 +337,20 @@
 
     def _tick_ownership(self, now: float) -> list[Effect]:
         """Recomputes who owns and who routes where, after a change of members or samplers."""
-        versions = (self.membership.version, self.table.version, self.revision)
+        versions = (self.membership.working_version, self.table.version, self.revision)
         if versions == self._seen_versions or now < self._next_ownership_at:
             return []
         self._seen_versions = versions
         self._next_ownership_at = now + OWNERSHIP_REFRESH_S
         self._subsets.clear()
+        # Samplers of a zone with working nodes are owned there: the others need no hashing.
+        served_elsewhere = set(self.membership.zones()) - {self.zone}
+        served_elsewhere = {zone for zone in served_elsewhere if self.membership.working(zone)}
         owned = {
             view.sampler_id
             for view in self.table.views()
-            if self.owner_of(view.sampler_id) == self.node_id
+            if view.machine.zone not in served_elsewhere
+            and self.owner_of(view.sampler_id) == self.node_id
         }
         self.owner.set_owned(now, owned)
         before = self._gateways_by_sampler
@@ -362,8 +364,11 @@
         pools &= self._served_pools()
         gateways: dict[str, list[str]] = {}
         for pool in pools:
-            machines = [view.machine for view in self.table.in_pool(pool)]
+            machines = PoolMachines([view.machine for view in self.table.in_pool(pool)])
             for member in self.membership.alive():
+                if member.zone != self.zone and machines.fill_subset(member.zone):
+                    # Its own zone fills its subset: none of the samplers here are in it.
+                    continue
                 for sampler_id in gateway_subset(member.node_id, member.zone, machines):
                     if sampler_id in owned:
                         gateways.setdefault(sampler_id, []).append(member.node_id)
@@ -378,7 +383,7 @@
 
     def _subset(self, pool: str) -> list[str]:
         if pool not in self._subsets:
-            machines = [view.machine for view in self.table.in_pool(pool)]
+            machines = PoolMachines([view.machine for view in self.table.in_pool(pool)])
             self._subsets[pool] = gateway_subset(self.node_id, self.zone, machines)
         return self._subsets[pool]
 
@@ -528,13 +533,18 @@
         return self._settle(now, [Send(leader, message)]) if leader is not None else []
 
     def drain(self, now: float) -> list[Effect]:
-        """Stops admitting; what is in flight is finished. The driver ends when `idle`."""
+        """Stops admitting and gives generations back; lookups in flight are finished.
+
+        The driver ends the process once the node is `idle`.
+        """
         if self.draining:
             return []
         self.draining = True
         self.gateway.draining = True
         effects: list[Effect] = [Emit(LogEvent.DRAIN_STARTED, {})]
-        return self._settle(now, effects + self.membership.leave())
+        # The others learn that it leaves before they learn of work to be placed anew.
+        effects += self.membership.leave()
+        return self._settle(now, effects + self.owner.hand_over())
 
     def drain_sampler(self, now: float, sampler_id: str) -> list[Effect]:
         """An operator's drain of a sampler, told to every node."""
--- a/stileloom/rollout/assignments.py
+++ b/stileloom/rollout/assignments.py
@@ -19,8 +19,6 @@
     StopGeneration,
 )
 
-SlotId = tuple[str, int]
-
 
 class AssignmentTable:
     """Assignments by slot, and the partial generations that wait to be resumed."""
@@ -30,39 +28,48 @@
         """Raised whenever an assignment has its sample: there is room on a sampler."""
         self.interruptions = 0
         """Raised whenever a slot may have to be started again, or was adopted."""
-        self._by_slot: dict[SlotId, Assignment] = {}
-        self._partials: dict[SlotId, PartialGeneration] = {}
+        self._by_round: dict[str, dict[int, Assignment]] = {}
+        self._count_by_sampler: dict[str, int] = {}
+        self._partials: dict[str, dict[int, PartialGeneration]] = {}
 
     def of_round(self, round_name: str) -> list[Assignment]:
         """The assignments of a round."""
-        return [a for a in self._by_slot.values() if a.key.round_name == round_name]
+        return list(self._by_round.get(round_name, {}).values())
 
     def on_sampler(self, sampler_id: str) -> list[Assignment]:
         """The assignments on a sampler."""
-        return [a for a in self._by_slot.values() if a.sampler_id == sampler_id]
+        return [a for a in self._all() if a.sampler_id == sampler_id]
 
-    def count_by_sampler(self) -> dict[str, int]:
-        """Assignments by sampler."""
-        counts: dict[str, int] = {}
-        for assignment in self._by_slot.values():
-            counts[assignment.sampler_id] = counts.get(assignment.sampler_id, 0) + 1
-        return counts
+    def count_on(self, sampler_id: str) -> int:
+        """How many assignments are on a sampler."""
+        return self._count_by_sampler.get(sampler_id, 0)
 
     def is_assigned(self, round_name: str, slot: int) -> bool:
         """Whether somebody generates for a slot."""
-        return (round_name, slot) in self._by_slot
+        return slot in self._by_round.get(round_name, {})
+
+    def _all(self) -> list[Assignment]:
+        return [a for slots in self._by_round.values() for a in slots.values()]
+
+    def _get(self, round_name: str, slot: int) -> Assignment | None:
+        return self._by_round.get(round_name, {}).get(slot)
+
+    def _drop(self, assignment: Assignment) -> None:
+        key = assignment.key
+        del self._by_round[key.round_name][key.slot]
+        self._count_by_sampler[assignment.sampler_id] -= 1
 
     def partial(self, round_name: str, slot: int) -> PartialGeneration:
         """What an earlier attempt left of a slot."""
-        return self._partials.get((round_name, slot), NO_PARTIAL)
+        return self._partials.get(round_name, {}).get(slot, NO_PARTIAL)
 
     def partial_slots(self, round_name: str) -> list[int]:
         """Slots of a round that have a partial generation."""
-        return [slot for name, slot in self._partials if name == round_name]
+        return list(self._partials.get(round_name, {}))
 
     def drop_partial(self, round_name: str, slot: int) -> int:
         """Forgets a partial; returns the tokens given up."""
-        partial = self._partials.pop((round_name, slot), NO_PARTIAL)
+        partial = self._partials.get(round_name, {}).pop(slot, NO_PARTIAL)
         return len(partial.tokens)
 
     def oldest_versions(self, round_name: str) -> list[int]:
@@ -74,9 +81,14 @@
 
     def add(self, assignment: Assignment) -> None:
         """Somebody generates for a slot from now on."""
-        slot_id = (assignment.key.round_name, assignment.key.slot)
-        self._by_slot[slot_id] = assignment
-        self._partials.pop(slot_id, None)
+        key = assignment.key
+        before = self._get(key.round_name, key.slot)
+        if before is not None:
+            self._drop(before)
+        self._by_round.setdefault(key.round_name, {})[key.slot] = assignment
+        count = self._count_by_sampler.get(assignment.sampler_id, 0)
+        self._count_by_sampler[assignment.sampler_id] = count + 1
+        self.drop_partial(key.round_name, key.slot)
 
     def finished(self, message: GenerationFinished) -> Assignment | None:
         """The ledger has answered an attempt's sample."""
@@ -91,16 +103,15 @@
         self.interruptions += 1
         assignment = self._remove(message.key)
         if assignment is not None and message.partial.tokens:
-            slot_id = (message.key.round_name, message.key.slot)
-            self._partials[slot_id] = message.partial
+            partials = self._partials.setdefault(message.key.round_name, {})
+            partials[message.key.slot] = message.partial
         return assignment
 
     def _remove(self, key: GenerationKey) -> Assignment | None:
-        slot_id = (key.round_name, key.slot)
-        assignment = self._by_slot.get(slot_id)
+        assignment = self._get(key.round_name, key.slot)
         if assignment is None or assignment.key != key:
             return None
-        del self._by_slot[slot_id]
+        self._drop(assignment)
         return assignment
 
     def reported(
@@ -112,7 +123,7 @@
             key = generation.key
             round_state = state.rounds.get(key.round_name)
             slot = round_state.open_slots.get(key.slot) if round_state is not None else None
-            known = self._by_slot.get((key.round_name, key.slot))
+            known = self._get(key.round_name, key.slot)
             if slot is None or (known is not None and known.key != key):
                 effects.append(Send(sender, StopGeneration(key)))
             elif known is None:
@@ -128,28 +139,30 @@
 
     def drop_closed(self, state: LedgerState) -> None:
         """Forgets slots that have their sample."""
-        for name, slot in list(self._by_slot):
-            round_state = state.rounds.get(name)
-            if round_state is None or slot not in round_state.open_slots:
-                del self._by_slot[(name, slot)]
-        for name, slot in list(self._partials):
+        for assignment in self._all():
+            key = assignment.key
+            round_state = state.rounds.get(key.round_name)
+            if round_state is None or key.slot not in round_state.open_slots:
+                self._drop(assignment)
+        for name, partials in self._partials.items():
             round_state = state.rounds.get(name)
-            if round_state is None or slot not in round_state.open_slots:
-                del self._partials[(name, slot)]
+            for slot in list(partials):
+                if round_state is None or slot not in round_state.open_slots:
+                    del partials[slot]
 
     def drop_lost(self, now: float, is_working: Callable[[str], bool]) -> list[Effect]:
         """Forgets assignments that their owner has not reported for too long."""
         effects: list[Effect] = []
-        for slot_id, assignment in list(self._by_slot.items()):
+        for assignment in self._all():
             silence_s = constants.ASSIGNMENT_LOST_S
             if not is_working(assignment.owner):
                 silence_s = constants.ASSIGNMENT_LOST_SUSPECT_S
             if now >= assignment.confirmed_at + silence_s:
-                del self._by_slot[slot_id]
+                self._drop(assignment)
                 self.interruptions += 1
                 fields: dict[str, object] = {
-                    "round": slot_id[0],
-                    "slot": slot_id[1],
+                    "round": assignment.key.round_name,
+                    "slot": assignment.key.slot,
                     "sampler": assignment.sampler_id,
                 }
                 effects.append(Emit(LogEvent.GENERATION_LOST, fields))
--- a/stileloom/rollout/controller.py
+++ b/stileloom/rollout/controller.py
@@ -47,6 +47,10 @@
 PLAN_AT_LEAST_EVERY_S = 1.0
 """A round is planned again when something changed, and this often in any case."""
 REGISTER_RETRY_S = 1.0
+SWEEP_EVERY_S = 0.5
+"""How often assignments are compared with the ledger and with what owners report."""
+SLOTS_PER_TICK = 1000
+"""Pending slots and samplers that one tick looks at before the other rounds have to wait."""
 
 
 class Propose(msgspec.Struct, frozen=True):
@@ -110,6 +114,8 @@
         self._reported: set[str] = set()
         self._sequence = sequence
         self._avoid_until: dict[str, float] = {}
+        self._next_sweep_at = float("-inf")
+        self._next_round = 0
         self._planned: dict[str, Planned] = {}
         self._versions: dict[str, int] = {}
         self._version_seen_at: dict[str, float] = {}
@@ -120,22 +126,41 @@
 
     def tick(self, now: float, view: ControllerView) -> list[Effect]:
         """One round of comparing and ordering."""
-        self.assignments.drop_closed(view.state)
-        effects = self.assignments.drop_lost(now, view.is_working)
-        effects += self._register_rounds(now, view)
+        effects: list[Effect] = []
+        if now >= self._next_sweep_at:
+            self._next_sweep_at = now + SWEEP_EVERY_S
+            self.assignments.drop_closed(view.state)
+            effects += self.assignments.drop_lost(now, view.is_working)
+            effects += self._register_rounds(now, view)
         lent = self._lent_samplers(now, view)
         effects += self._swap_weights(now, view, lent)
-        for name in sorted(view.configuration.rounds):
+        effects += self._plan_rounds(now, view, lent)
+        return effects + self.desk.tick(now, view.state, self._reserved(view.state))
+
+    def _plan_rounds(self, now: float, view: ControllerView, lent: dict[str, str]) -> list[Effect]:
+        """Plans rounds in turn; those that find the tick's time used up come first next time.
+
+        A long tick would hold up the heartbeats that the leader's lease lives on.
+        """
+        effects: list[Effect] = []
+        budget = SLOTS_PER_TICK
+        names = sorted(view.configuration.rounds)
+        first = self._next_round % max(1, len(names))
+        for position, name in enumerate(names[first:] + names[:first]):
             round_state = view.state.rounds.get(name)
             if round_state is None:
                 continue
             effects += self._note_version(now, name, round_state.version)
+            if budget <= 0:
+                self._next_round = first + position
+                break
             if self._needs_plan(now, view, name, round_state):
                 work = self._work(now, view, name, round_state, lent)
+                budget -= len(work.pending) + len(work.samplers)
                 if self._is_settled(now, view) and view.admits_rollouts:
                     effects += self._plan(now, view, name, work)
                 self._planned[name].waits_for_room = self._scheduler.may_start_more(work)
-        return effects + self.desk.tick(now, view.state, self._reserved(view.state))
+        return effects
 
     def _reserved(self, state: LedgerState) -> dict[str, int]:
         """By round that a trainer waits for, the places kept for generations under way."""
@@ -419,10 +444,10 @@
         lent: dict[str, str],
     ) -> list[SamplerCapacity]:
         spec = view.configuration.rounds[name]
-        counts = self.assignments.count_by_sampler()
         placeable: dict[tuple[str, str], bool] = {}
         capacities: list[SamplerCapacity] = []
-        for sampler in view.table.views():
+        pools = dict.fromkeys([spec.pool, *spec.borrow_from])
+        for sampler in [s for pool in pools for s in view.table.in_pool(pool)]:
             pool_name = sampler.machine.pool
             borrowed = lent.get(sampler.sampler_id) == name
             if (pool_name != spec.pool or sampler.sampler_id in lent) and not borrowed:
@@ -436,7 +461,7 @@
                 continue
             assert sampler.load is not None
             limit = min(sampler.load.max_running, spec.max_concurrency_per_sampler)
-            assigned = counts.get(sampler.sampler_id, 0)
+            assigned = self.assignments.count_on(sampler.sampler_id)
             current = sampler.load.weight_version == round_state.version
             capacities.append(SamplerCapacity(sampler, assigned, limit, current))
         return capacities
--- a/stileloom/rollout/length_estimate.py
+++ b/stileloom/rollout/length_estimate.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import statistics
-
 SMOOTHING = 0.2
 UNSEEN_FRACTION = 0.5
 """Of `max_tokens`, for a group of which no sample is finished yet."""
@@ -23,12 +21,6 @@
         else:
             self._mean[group] = known + SMOOTHING * (token_count - known)
 
-    def ordinary(self, max_tokens: int) -> float:
-        """The median of the groups' means: an ordinary length."""
-        if not self._mean:
-            return max_tokens * UNSEEN_FRACTION
-        return statistics.median(self._mean.values())
-
     def expected(self, group: str, max_tokens: int, so_far: int) -> float:
         """Expected final length of a generation that has `so_far` tokens already."""
         mean = self._mean.get(group, max_tokens * UNSEEN_FRACTION)
--- a/stileloom/rollout/scheduler.py
+++ b/stileloom/rollout/scheduler.py
@@ -8,8 +8,8 @@
 
 import abc
 import enum
+import heapq
 
-from stileloom.api.samples import Prompt
 from stileloom.rollout.length_estimate import LengthEstimate
 from stileloom.rollout.staleness import may_start_count
 from stileloom.rollout.work import (
@@ -26,10 +26,6 @@
 """Generations by which two samplers must differ before one is shifted between them."""
 SHIFT_MIN_REMAINING_TOKENS = 64
 SHIFTS_PER_PLAN = 2
-LONG_FACTOR = 4.0
-"""Times the ordinary length from which a generation counts as long."""
-LONG_WEIGHT = 6
-"""Ordinary generations that one long one counts for when a sampler is chosen."""
 SWAP_EXPECTED_S = 10.0
 """After this, samplers that still hold an older version are used all the same."""
 VERSION_UNKNOWN = 1 << 60
@@ -118,8 +114,6 @@
     """A slot starts no earlier than its expected duration asks for."""
     CURRENT_ONLY = "current_only"
     """Fresh slots start only on samplers that hold the current version already."""
-    ISOLATE_LONG = "isolate_long"
-    """Samplers with long generations get fewer others, so that the long ones step faster."""
     PROTECT_EXPIRING = "protect_expiring"
     """A step waits for what the next version would make too old."""
     SHIFT_TAIL = "shift_tail"
@@ -130,6 +124,35 @@
     """Idle lookup samplers work for rounds."""
 
 
+class _SamplerChoice:
+    """The least crowded sampler with room, again and again, while they fill up."""
+
+    def __init__(self, samplers: list[SamplerCapacity]) -> None:
+        self._by_name = {sampler.view.sampler_id: sampler for sampler in samplers}
+        self._heap = [(_crowding(sampler), sampler.view.sampler_id) for sampler in samplers]
+        heapq.heapify(self._heap)
+
+    def take(self) -> SamplerCapacity | None:
+        """The sampler to use; the caller then adds to its load."""
+        while self._heap:
+            known, name = self._heap[0]
+            sampler = self._by_name[name]
+            crowding = _crowding(sampler)
+            if sampler.free <= 0:
+                heapq.heappop(self._heap)
+            elif crowding != known:
+                # Its load has grown since it was put here.
+                heapq.heapreplace(self._heap, (crowding, name))
+            else:
+                return sampler
+        return None
+
+
+def _crowding(sampler: SamplerCapacity) -> tuple[float, bool]:
+    """How full a sampler is; at a tie one that holds the current version goes first."""
+    return (sampler.assigned / max(1, sampler.limit), not sampler.current)
+
+
 class DefaultScheduler(Scheduler):
     """Blocking and oldest first, each as late as it can, onto the emptiest sampler."""
 
@@ -159,15 +182,18 @@
         self._left_over = 0
         if not ordered:
             return []
-        self._count_long(work)
         starts: list[Start] = []
         self._left_over = len(ordered)
+        choice = _SamplerChoice(work.samplers)
+        fresh_choice = choice
+        if self._has(Mechanism.CURRENT_ONLY) and work.version_age_s < SWAP_EXPECTED_S:
+            current = [sampler for sampler in work.samplers if sampler.current]
+            fresh_choice = _SamplerChoice(current)
         for pending in ordered:
-            sampler = self._sampler_for(work, pending)
+            sampler = (choice if pending.partial.tokens else fresh_choice).take()
             if sampler is None:
                 continue
             sampler.assigned += 1
-            sampler.long_count += self._is_long(pending.prompt, len(pending.partial.tokens))
             self._left_over -= 1
             starts.append(Start(pending, sampler.view.sampler_id))
         return starts
@@ -178,7 +204,10 @@
         if not self._has(Mechanism.LATE_START):
             return fresh
         size = work.state.samples_per_step
+        # The step that belongs to the current version, handed over already or waited for.
         step = work.state.next_offset // size
+        if work.state.handed_over_at_version >= size:
+            step -= 1
         leads: dict[tuple[str, int], int] = {}
         due: list[PendingSlot] = []
         for slot in fresh:
@@ -186,7 +215,7 @@
             if group not in leads:
                 expected = self._lengths.expected(*group, 0)
                 leads[group] = work.lead.lead_steps(expected, max(1, work.staleness_bound))
-            if slot.blocking or slot.slot // size - step < leads[group]:
+            if slot.blocking or slot.slot // size - step <= leads[group]:
                 due.append(slot)
         return due
 
@@ -208,30 +237,6 @@
             pending.slot,
         )
 
-    def _sampler_for(self, work: RoundWork, pending: PendingSlot) -> SamplerCapacity | None:
-        free = [sampler for sampler in work.samplers if sampler.free > 0]
-        swap_is_near = work.version_age_s < SWAP_EXPECTED_S
-        if self._has(Mechanism.CURRENT_ONLY) and swap_is_near and not pending.partial.tokens:
-            free = [sampler for sampler in free if sampler.current]
-        return min(free, key=self._crowding, default=None)
-
-    def _crowding(self, sampler: SamplerCapacity) -> tuple[float, bool, str]:
-        weight = LONG_WEIGHT if self._has(Mechanism.ISOLATE_LONG) else 0
-        load = sampler.assigned + weight * sampler.long_count
-        return (load / max(1, sampler.limit), not sampler.current, sampler.view.sampler_id)
-
-    def _count_long(self, work: RoundWork) -> None:
-        by_name = {sampler.view.sampler_id: sampler for sampler in work.samplers}
-        for assignment in work.assignments:
-            sampler = by_name.get(assignment.sampler_id)
-            if sampler is not None:
-                sampler.long_count += self._is_long(assignment.prompt, assignment.tokens_at_start)
-
-    def _is_long(self, prompt: Prompt, so_far: int) -> bool:
-        """Whether much more is expected than of an ordinary generation."""
-        expected = self._lengths.expected(prompt.group, prompt.max_tokens, so_far)
-        return expected > LONG_FACTOR * self._lengths.ordinary(prompt.max_tokens)
-
     def plan_shifts(self, work: RoundWork, now: float) -> list[Shift]:
         """While nothing is left to start, evens out samplers: an emptier batch steps faster."""
         if not self._has(Mechanism.SHIFT_TAIL) or len(work.samplers) < 2:
--- a/stileloom/rollout/work.py
+++ b/stileloom/rollout/work.py
@@ -57,8 +57,6 @@
     limit: int
     current: bool
     """Whether it holds the round's current version."""
-    long_count: int = 0
-    """Long generations on it, as the scheduler counts them."""
 
     @property
     def free(self) -> int:
--- a/stileloom/routing/__init__.py
+++ b/stileloom/routing/__init__.py
@@ -2,7 +2,7 @@
 
 from stileloom.routing.gateway import Gateway, GatewayView
 from stileloom.routing.messages import AnswerReady, LookupAnswer, LookupRequest, TokensReady
-from stileloom.routing.subset import gateway_subset
+from stileloom.routing.subset import PoolMachines, gateway_subset
 
 __all__ = [
     "AnswerReady",
@@ -10,6 +10,7 @@
     "GatewayView",
     "LookupAnswer",
     "LookupRequest",
+    "PoolMachines",
     "TokensReady",
     "gateway_subset",
 ]
--- a/stileloom/routing/subset.py
+++ b/stileloom/routing/subset.py
@@ -11,9 +11,32 @@
 from stileloom.hashing import rendezvous_ranked
 
 
-def gateway_subset(gateway: str, gateway_zone: str, machines: list[Machine]) -> list[str]:
+class PoolMachines:
+    """The samplers of one pool by zone."""
+
+    def __init__(self, machines: list[Machine]) -> None:
+        self._by_zone: dict[str, list[str]] = {}
+        for machine in machines:
+            self._by_zone.setdefault(machine.zone, []).append(machine.sampler_id)
+
+    def near(self, zone: str) -> list[str]:
+        """Samplers of a zone."""
+        return self._by_zone.get(zone, [])
+
+    def far(self, zone: str) -> list[str]:
+        """Samplers of every other zone."""
+        others = [names for other, names in self._by_zone.items() if other != zone]
+        return [name for names in others for name in names]
+
+    def fill_subset(self, zone: str) -> bool:
+        """Whether a zone has enough samplers for the subsets of its gateways."""
+        return len(self.near(zone)) >= constants.SUBSET_SIZE
+
+
+def gateway_subset(gateway: str, gateway_zone: str, machines: PoolMachines) -> list[str]:
     """The samplers of one pool that a gateway routes to."""
-    near = [m.sampler_id for m in machines if m.zone == gateway_zone]
-    far = [m.sampler_id for m in machines if m.zone != gateway_zone]
-    ranked = rendezvous_ranked(gateway, near) + rendezvous_ranked(gateway, far)
-    return ranked[: constants.SUBSET_SIZE]
+    chosen = rendezvous_ranked(gateway, machines.near(gateway_zone))[: constants.SUBSET_SIZE]
+    missing = constants.SUBSET_SIZE - len(chosen)
+    if missing > 0:
+        chosen += rendezvous_ranked(gateway, machines.far(gateway_zone))[:missing]
+    return chosen
--- a/stileloom/samplers/owner.py
+++ b/stileloom/samplers/owner.py
@@ -211,6 +211,13 @@
         close = CloseStream(generation.order.sampler_id, request_id)
         return [close, *self._interrupt(request_id, failed=False)]
 
+    def hand_over(self) -> list[Effect]:
+        """Gives every generation back with its tokens, to go on at another owner."""
+        effects: list[Effect] = []
+        for generation in list(self._generations.values()):
+            effects += self._stop(generation.order.key)
+        return effects
+
     def owns_stream(self, request_id: str) -> bool:
         """Whether a stream belongs to a generation of this part."""
         return request_id in self._generations
--- a/stileloom/samplers/table.py
+++ b/stileloom/samplers/table.py
@@ -45,6 +45,7 @@
 
     def __init__(self) -> None:
         self._views: dict[str, SamplerView] = {}
+        self._by_pool: dict[str, dict[str, SamplerView]] = {}
         self.changes = 0
         """Raised whenever a sampler's state, role, model or version changes, or it is silent."""
         self.version = 0
@@ -60,7 +61,7 @@
 
     def in_pool(self, pool: str) -> list[SamplerView]:
         """The samplers of a pool."""
-        return [view for view in self._views.values() if view.machine.pool == pool]
+        return list(self._by_pool.get(pool, {}).values())
 
     def set_machines(self, machines: list[Machine]) -> list[Effect]:
         """Takes a new machine list. A sampler that went and came back is a new one."""
@@ -76,6 +77,9 @@
             view.machine = machine
             if machine.state is MachineState.LEAVING:
                 effects += self.mark_leaving(sampler_id)
+        self._by_pool = {}
+        for view in self._views.values():
+            self._by_pool.setdefault(view.machine.pool, {})[view.sampler_id] = view
         self.version += 1
         self.changes += 1
         return effects
--- a/stileloom/simulator/bench.py
+++ b/stileloom/simulator/bench.py
@@ -63,8 +63,10 @@
 
     step_s: float
     """Mean over the steps of the longest of: training; the step's tokens at the full speed of
-    all rollout engines; its longest sample alone on an engine, over the versions that it may
-    span (`staleness_bound`, at least 1)."""
+    all rollout engines; and what its longest sample asks for. That one takes L alone on an
+    engine; from the publication of the version it starts at to its hand-over, `staleness_bound`
+    versions later, lie as many whole steps and one more wait, so step_s >= (L + train_s) /
+    (staleness_bound + 1)."""
     trainer_idle_fraction: float
     """Idle that is left if steps take `step_s`."""
 
@@ -244,9 +246,13 @@
     rollout = sum(len(pool.zones) for pool in plan.pools if pool.role.value == "rollout")
     rate = max(1e-9, rollout * _full_speed(engine))
     alone_s = engine.step_base_s + engine.step_per_sequence_s
-    spans = max(1, parameters.staleness_bound)
+    spans = parameters.staleness_bound + 1
     times = [
-        max(parameters.train_s, step.tokens / rate, step.longest_tokens * alone_s / spans)
+        max(
+            parameters.train_s,
+            step.tokens / rate,
+            (step.longest_tokens * alone_s + parameters.train_s) / spans,
+        )
         for step in steps
     ]
     step_s = sum(times) / len(times) if times else parameters.train_s
