Large modules split; tables compared by every node; early start only where it pays

(2) 200 nodes took 85 s from cold until every node knew every other: gossip forgets an update after its share of sends, and only representatives compared tables, with one peer in two seconds.

--- a/stileloom/cli/emulate.py
+++ b/stileloom/cli/emulate.py
@@ -9,8 +9,9 @@
 import typer
 
 from stileloom.cli.errors import exit_on_error
-from stileloom.emulator import servers
+from stileloom.emulator import engine_server, object_api_server, platform_servers
 from stileloom.emulator.hollow import HollowSettings, run_hollow
+from stileloom.emulator.run_server import run_until_stopped
 from stileloom.emulator.settings import EmulatorSettings
 from stileloom.emulator.trainer import run_trainer
 from stileloom.errors import ErrorKind, StileloomError
@@ -30,9 +31,9 @@
     """The object API: versions, watches, compare-and-swap, faults on request."""
     with exit_on_error():
         settings = _load(config)
-        application = servers.object_api_application(settings)
+        application = object_api_server.object_api_application(settings)
         port = settings.object_api.port
-        asyncio.run(servers.run_until_stopped(application, settings.host, port))
+        asyncio.run(run_until_stopped(application, settings.host, port))
 
 
 @app.command()
@@ -40,9 +41,9 @@
     """The lagging list of live and leaving machines."""
     with exit_on_error():
         settings = _load(config)
-        application = servers.machine_list_application(settings)
+        application = platform_servers.machine_list_application(settings)
         port = settings.machine_list.port
-        asyncio.run(servers.run_until_stopped(application, settings.host, port))
+        asyncio.run(run_until_stopped(application, settings.host, port))
 
 
 @app.command()
@@ -50,9 +51,9 @@
     """The rate-limited weight store."""
     with exit_on_error():
         settings = _load(config)
-        application = servers.weight_store_application(settings)
+        application = platform_servers.weight_store_application(settings)
         port = settings.weight_store.port
-        asyncio.run(servers.run_until_stopped(application, settings.host, port))
+        asyncio.run(run_until_stopped(application, settings.host, port))
 
 
 @app.command()
@@ -66,9 +67,9 @@
         chosen = next((s for s in settings.samplers if s.sampler_id == sampler), None)
         if chosen is None:
             raise StileloomError(ErrorKind.SETTINGS_INVALID, f"{config}: no sampler {sampler!r}")
-        service = servers.EngineService(settings, chosen)
-        application = servers.engine_application(service)
-        asyncio.run(servers.run_until_stopped(application, settings.host, chosen.port, service))
+        service = engine_server.EngineService(settings, chosen)
+        application = engine_server.engine_application(service)
+        asyncio.run(run_until_stopped(application, settings.host, chosen.port, service))
 
 
 @app.command()
--- a/stileloom/constants.py
+++ b/stileloom/constants.py
@@ -8,6 +8,8 @@
 GOSSIP_UPDATES_PER_MESSAGE = 8
 GOSSIP_RETRANSMIT_FACTOR = 3
 ZONE_SYNC_INTERVAL_S = 2.0
+NODE_SYNC_INTERVAL_S = 8.0
+"""How often an ordinary node compares its table with a representative's: gossip may miss some."""
 DEAD_MEMBER_PROBE_INTERVAL_S = 5.0
 REPRESENTATIVES_PER_ZONE = 2
 
--- a/stileloom/emulator/controller_bench.py
+++ b/stileloom/emulator/controller_bench.py
@@ -16,8 +16,9 @@
 from stileloom.ledger.commands import RegisterRound, SubmitPrompts
 from stileloom.ledger.state import LedgerState
 from stileloom.policy import PolicyBook
-from stileloom.rollout.controller import Controller, ControllerView
+from stileloom.rollout.controller import Controller
 from stileloom.rollout.scheduler import DefaultScheduler
+from stileloom.rollout.view import ControllerView
 from stileloom.samplers.messages import (
     GenerationFinished,
     LoadRow,
--- /dev/null
+++ b/stileloom/emulator/object_api_server.py
@@ -0,0 +1,139 @@
+"""The object API over HTTP, with its faults."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+
+import msgspec
+from tornado.web import Application
+
+from stileloom.emulator.json_handler import JsonHandler
+from stileloom.emulator.object_api_model import CasConflictError, ObjectApiModel
+from stileloom.emulator.settings import EmulatorSettings
+
+WATCH_POLL_S = 0.02
+
+
+class ObjectApiState:
+    """The store with its faults."""
+
+    def __init__(self, settings: EmulatorSettings) -> None:
+        self.model = ObjectApiModel()
+        self.delay_s = settings.object_api.delay_s
+        self.lost_answer_probability = settings.object_api.lost_answer_probability
+        self.down_until = 0.0
+        self.rng = random.Random(f"{settings.seed}/object-api")
+
+
+class ObjectApiHandler(JsonHandler):
+    """Base: applies the faults."""
+
+    def initialize(self, state: ObjectApiState) -> None:
+        """Takes the shared state."""
+        self.state = state
+
+    async def prepare(self) -> None:
+        """Slow, or down."""
+        if self.state.delay_s:
+            await asyncio.sleep(self.state.delay_s)
+        if time.monotonic() < self.state.down_until:
+            self.set_status(503)
+            self.finish()
+
+
+class ObjectListHandler(ObjectApiHandler):
+    """`GET /objects`."""
+
+    def get(self) -> None:
+        """Everything at one revision."""
+        model = self.state.model
+        self.answer({"revision": model.revision, "objects": model.list()})
+
+
+class WatchHandler(ObjectApiHandler):
+    """`GET /watch?after=&wait_s=`."""
+
+    async def get(self) -> None:
+        """Everything as soon as the revision is above `after`, or 204."""
+        after = int(self.get_query_argument("after"))
+        give_up_at = time.monotonic() + float(self.get_query_argument("wait_s", "1"))
+        model = self.state.model
+        while model.revision <= after:
+            if time.monotonic() >= give_up_at:
+                self.set_status(204)
+                self.finish()
+                return
+            await asyncio.sleep(WATCH_POLL_S)
+        self.answer({"revision": model.revision, "objects": model.list()})
+
+
+class ObjectHandler(ObjectApiHandler):
+    """`GET`, `PUT`, `DELETE /objects/{kind}/{name}`."""
+
+    def get(self, kind: str, name: str) -> None:
+        """One object."""
+        stored = self.state.model.get(kind, name)
+        if stored is None:
+            self.answer({"error": "no such object"}, 404)
+        else:
+            self.answer(stored)
+
+    def put(self, kind: str, name: str) -> None:
+        """Compare-and-swap."""
+        self._write(kind, name, msgspec.json.decode(self.request.body))
+
+    def delete(self, kind: str, name: str) -> None:
+        """Compare-and-swap to nothing."""
+        self._write(kind, name, None)
+
+    def _write(self, kind: str, name: str, spec: dict[str, object] | None) -> None:
+        expected = self.request.headers.get("If-Match")
+        change_id = self.request.headers.get("X-Change-Id", "")
+        try:
+            revision = self.state.model.write(
+                kind, name, int(expected) if expected is not None else None, change_id, spec
+            )
+        except CasConflictError as error:
+            self.answer({"error": str(error)}, 409)
+            return
+        if self.state.rng.random() < self.state.lost_answer_probability:
+            self.set_status(503)
+            self.finish()
+            return
+        self.set_header("X-Revision", str(revision))
+        self.answer({"revision": revision})
+
+
+class FaultHandler(JsonHandler):
+    """`POST /faults`: sets `down_s`, `delay_s` or `lost_answer_probability` from now on."""
+
+    def initialize(self, state: ObjectApiState) -> None:
+        """Takes the shared state."""
+        self.state = state
+
+    def post(self) -> None:
+        """Brings a fault about."""
+        body = msgspec.json.decode(self.request.body, type=dict[str, float])
+        if "down_s" in body:
+            self.state.down_until = time.monotonic() + body["down_s"]
+        self.state.delay_s = body.get("delay_s", self.state.delay_s)
+        self.state.lost_answer_probability = body.get(
+            "lost_answer_probability", self.state.lost_answer_probability
+        )
+        self.answer({})
+
+
+def object_api_application(settings: EmulatorSettings) -> Application:
+    """The object API."""
+    shared = {"state": ObjectApiState(settings)}
+    return Application(
+        [
+            (r"/objects", ObjectListHandler, shared),
+            (r"/objects/([^/]+)/([^/]+)", ObjectHandler, shared),
+            (r"/watch", WatchHandler, shared),
+            (r"/faults", FaultHandler, shared),
+        ],
+        log_function=lambda handler: None,
+    )
--- /dev/null
+++ b/stileloom/emulator/run_server.py
@@ -0,0 +1,30 @@
+"""Serves a stand-in until SIGTERM."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+
+from tornado.web import Application
+
+from stileloom.emulator.engine_server import EngineService
+
+LEAVE_POLL_S = 0.05
+
+
+async def run_until_stopped(
+    application: Application, host: str, port: int, engine: EngineService | None = None
+) -> None:
+    """Serves until SIGTERM; an engine first finishes what it runs."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    server = application.listen(port, address=host)
+    await stop.wait()
+    if engine is not None:
+        engine.model.leave(time.monotonic())
+        while engine.model.open_count > 0:
+            await asyncio.sleep(LEAVE_POLL_S)
+    server.stop()
--- a/stileloom/membership/swim.py
+++ b/stileloom/membership/swim.py
@@ -66,6 +66,7 @@
         self._gossip_left: dict[str, int] = {}
         self._next_probe_at = 0.0
         self._next_zone_sync_at = 0.0
+        self._next_node_sync_at = 0.0
         self._next_dead_probe_at = 0.0
         self._digest: int | None = None
         self._alive: dict[str | None, list[Member]] = {}
@@ -137,6 +138,9 @@
         if now >= self._next_zone_sync_at:
             self._next_zone_sync_at = now + constants.ZONE_SYNC_INTERVAL_S
             effects += self._sync_zones()
+        if now >= self._next_node_sync_at:
+            self._next_node_sync_at = now + constants.NODE_SYNC_INTERVAL_S
+            effects += self._sync_with_representative()
         if now >= self._next_dead_probe_at:
             self._next_dead_probe_at = now + constants.DEAD_MEMBER_PROBE_INTERVAL_S
             effects += self._probe_dead(now)
@@ -337,6 +341,12 @@
             self._digest = xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(rows))
         return self._digest
 
+    def _sync_with_representative(self) -> list[Effect]:
+        others = [r for r in self.representatives(self.me.zone) if r != self.node_id]
+        if not others:
+            return []
+        return [Send(self._rng.choice(others), MembershipDigest(self._table_digest()))]
+
     def _sync_zones(self) -> list[Effect]:
         """A representative compares its table with one of another zone, and one of its own."""
         if self.node_id not in self.representatives(self.me.zone):
--- a/stileloom/node/core.py
+++ b/stileloom/node/core.py
@@ -13,7 +13,6 @@
 
 import msgspec
 
-from stileloom import constants
 from stileloom.api.engine import CancelState, LoadReport, StreamChunk, StreamEnd
 from stileloom.api.objects import Configuration, Machine
 from stileloom.configuration import (
@@ -26,7 +25,6 @@
 from stileloom.configuration.messages import GrantReply, GrantRequest, RenewReply
 from stileloom.effects import Effect, Emit, Send
 from stileloom.events import LogEvent
-from stileloom.hashing import rendezvous_owner, rendezvous_ranked
 from stileloom.ledger import Applied, Dropped, LedgerClient, LedgerReplica
 from stileloom.ledger.client import CommandFinished
 from stileloom.ledger.commands import ClaimKey, Command, CommandResult, ReleaseKey
@@ -34,6 +32,7 @@
 from stileloom.ledger.messages import CommandAnswer, CommandForward
 from stileloom.membership import Member, Membership, MemberState, Seed
 from stileloom.node import dispatch
+from stileloom.node.ownership import Ownership
 from stileloom.node.status import leader_status
 from stileloom.policy import PolicyBook
 from stileloom.rollout import (
@@ -53,7 +52,7 @@
     LeaderStatus,
     StatusRequest,
 )
-from stileloom.routing import Gateway, GatewayView, LookupRequest, PoolMachines, gateway_subset
+from stileloom.routing import Gateway, GatewayView, LookupRequest
 from stileloom.routing.messages import ClaimWanted, Explanation, ReleaseWanted
 from stileloom.samplers import CommitWanted, SamplerOwner
 from stileloom.samplers.messages import (
@@ -65,7 +64,6 @@
 from stileloom.samplers.table import SamplerTable
 
 CONTROLLER_TICK_S = 0.1
-OWNERSHIP_REFRESH_S = 1.0
 
 
 class DeliveryFinished(msgspec.Struct, frozen=True):
@@ -126,6 +124,7 @@
         self.gateway = Gateway(me.node_id, me.zone, rng, now)
         self.owner = SamplerOwner(me.node_id)
         self.table = SamplerTable()
+        self.ownership = Ownership(self.membership, self.table)
         self.controller: Controller | None = None
         self.authority: ConfigurationAuthority | None = None
         self.policies = PolicyBook({})
@@ -137,12 +136,6 @@
         self._sequence = itertools.count(1)
         self._internal_tickets: dict[int, _CommitTicket | _ClaimTicket | None] = {}
         self._next_controller_tick_at = now
-        self._next_ownership_at = now
-        self._seen_versions = (-1, -1, -1)
-        self._readers: list[str] = []
-        self._readers_version = -1
-        self._gateways_by_sampler: dict[str, list[str]] = {}
-        self._subsets: dict[str, list[str]] = {}
         self._handlers: dict[type, _Handler] = {}
         self._register_handlers()
 
@@ -164,23 +157,6 @@
         """Whether this node may serve callers."""
         return self.configuration.store.configuration is not None and not self.draining
 
-    def owner_of(self, sampler_id: str) -> str | None:
-        """The node that owns a sampler: of its own zone if any is alive there."""
-        sampler = self.table.get(sampler_id)
-        if sampler is None:
-            return None
-        near = self.membership.working(sampler.machine.zone)
-        return rendezvous_owner(sampler_id, near or self.membership.working())
-
-    def readers(self) -> list[str]:
-        """The chosen readers of this node's zone."""
-        version = self.membership.working_version
-        if self._readers_version != version:
-            ranked = rendezvous_ranked(f"reader/{self.zone}", self.membership.working(self.zone))
-            self._readers = ranked[: constants.READERS_PER_ZONE]
-            self._readers_version = version
-        return self._readers
-
     def _is_working(self, node_id: str) -> bool:
         member = self.membership.get(node_id)
         return member is not None and member.state is MemberState.ALIVE
@@ -198,9 +174,9 @@
         effects += self.client.tick(now)
         effects += self._tick_replica(now)
         asked = leader if leader is not None else self.tracker.ask(now)
-        effects += self.configuration.tick(now, self.readers(), asked)
-        effects += self._tick_ownership(now)
-        effects += self.owner.tick(now, leader, self._gateways_by_sampler)
+        effects += self.configuration.tick(now, self.ownership.readers(), asked)
+        self._tick_ownership(now)
+        effects += self.owner.tick(now, leader, self.ownership.gateways_by_sampler)
         effects += self.gateway.tick(now, self._gateway_view(now))
         effects += self._tick_controller(now)
         return self._settle(now, effects)
@@ -335,57 +311,11 @@
         self.replica.unavailable = dead
         return self.replica.tick(now)
 
-    def _tick_ownership(self, now: float) -> list[Effect]:
-        """Recomputes who owns and who routes where, after a change of members or samplers."""
-        versions = (self.membership.working_version, self.table.version, self.revision)
-        if versions == self._seen_versions or now < self._next_ownership_at:
-            return []
-        self._seen_versions = versions
-        self._next_ownership_at = now + OWNERSHIP_REFRESH_S
-        self._subsets.clear()
-        # Samplers of a zone with working nodes are owned there: the others need no hashing.
-        served_elsewhere = set(self.membership.zones()) - {self.zone}
-        served_elsewhere = {zone for zone in served_elsewhere if self.membership.working(zone)}
-        owned = {
-            view.sampler_id
-            for view in self.table.views()
-            if view.machine.zone not in served_elsewhere
-            and self.owner_of(view.sampler_id) == self.node_id
-        }
-        self.owner.set_owned(now, owned)
-        before = self._gateways_by_sampler
-        self._gateways_by_sampler = self._routing_gateways(owned)
-        if self._gateways_by_sampler != before:
+    def _tick_ownership(self, now: float) -> None:
+        changed = self.ownership.refresh(now, self.configuration.store.configuration)
+        self.owner.set_owned(now, self.ownership.owned)
+        if changed:
             self.owner.report_soon()
-        return []
-
-    def _routing_gateways(self, owned: set[str]) -> dict[str, list[str]]:
-        pools = {view.machine.pool for view in self.table.views() if view.sampler_id in owned}
-        pools &= self._served_pools()
-        gateways: dict[str, list[str]] = {}
-        for pool in pools:
-            machines = PoolMachines([view.machine for view in self.table.in_pool(pool)])
-            for member in self.membership.alive():
-                if member.zone != self.zone and machines.fill_subset(member.zone):
-                    # Its own zone fills its subset: none of the samplers here are in it.
-                    continue
-                for sampler_id in gateway_subset(member.node_id, member.zone, machines):
-                    if sampler_id in owned:
-                        gateways.setdefault(sampler_id, []).append(member.node_id)
-        return gateways
-
-    def _served_pools(self) -> set[str]:
-        """Pools of lookup services: only their load concerns gateways."""
-        configuration = self.configuration.store.configuration
-        if configuration is None:
-            return set()
-        return {service.pool for service in configuration.services.values()}
-
-    def _subset(self, pool: str) -> list[str]:
-        if pool not in self._subsets:
-            machines = PoolMachines([view.machine for view in self.table.in_pool(pool)])
-            self._subsets[pool] = gateway_subset(self.node_id, self.zone, machines)
-        return self._subsets[pool]
 
     def _tick_controller(self, now: float) -> list[Effect]:
         if not self._may_act(now) or self.replica is None:
@@ -429,7 +359,7 @@
             configuration=configuration,
             policies=self.policies,
             table=self.table,
-            owner_of=self.owner_of,
+            owner_of=self.ownership.owner_of,
             is_working=self._is_working,
             wall_time_s=self.wall_time_s,
             admits_rollouts=self.configuration.store.lease_valid(now),
@@ -441,7 +371,7 @@
             configuration=store.configuration,
             policies=self.policies,
             table=self.table,
-            subset=self._subset,
+            subset=self.ownership.subset,
             wall_time_s=self.wall_time_s,
             lease_valid=store.lease_valid(now),
             lease_age_s=store.lease_age(now),
--- a/stileloom/rollout/__init__.py
+++ b/stileloom/rollout/__init__.py
@@ -1,6 +1,6 @@
 """Rollouts: which slot is generated where, and when samples are handed to their trainer."""
 
-from stileloom.rollout.controller import Controller, ControllerView, Propose
+from stileloom.rollout.controller import Controller
 from stileloom.rollout.delivery import DeliveryDesk, HandOverTicket, ProposeHandOver
 from stileloom.rollout.scheduler import (
     BaselineScheduler,
@@ -10,6 +10,7 @@
     SchedulerKind,
     make_scheduler,
 )
+from stileloom.rollout.view import ControllerView, Propose
 
 __all__ = [
     "BaselineScheduler",
--- a/stileloom/rollout/controller.py
+++ b/stileloom/rollout/controller.py
@@ -7,22 +7,22 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
-
-import msgspec
+from collections.abc import Iterator
 
 from stileloom import constants
 from stileloom.api.engine import EngineOrder, EngineState
-from stileloom.api.objects import Configuration, Pool, Round, SamplerRole
+from stileloom.api.objects import Round, SamplerRole
 from stileloom.effects import Effect, Emit, Send
 from stileloom.events import LogEvent
-from stileloom.ledger.commands import Command, RegisterRound
+from stileloom.ledger.commands import RegisterRound
 from stileloom.ledger.state import LedgerState, RoundState
-from stileloom.policy import PolicyBook, PoolInput, RequestInput, RoundInput, RuleInputs
+from stileloom.policy import PoolInput, RequestInput, RoundInput, RuleInputs
 from stileloom.rollout.assignments import AssignmentTable
 from stileloom.rollout.delivery import DeliveryDesk
 from stileloom.rollout.lead import LeadEstimate
+from stileloom.rollout.roles import SamplerRoles
 from stileloom.rollout.scheduler import Scheduler
+from stileloom.rollout.view import ControllerView, PlanBasis, Planned, Propose
 from stileloom.rollout.work import (
     Assignment,
     PendingSlot,
@@ -40,8 +40,8 @@
     StartGeneration,
     StopGeneration,
 )
-from stileloom.samplers.table import SamplerTable, SamplerView
-from stileloom.weights import PoolDemand, RoleShifter, SwapPlanner, SwapTarget
+from stileloom.samplers.table import SamplerView
+from stileloom.weights import SwapPlanner, SwapTarget
 
 AVOID_AFTER_FAILURE_S = 1.0
 PLAN_AT_LEAST_EVERY_S = 1.0
@@ -53,49 +53,6 @@
 """Pending slots and samplers that one tick looks at before the other rounds have to wait."""
 
 
-class Propose(msgspec.Struct, frozen=True):
-    """Propose a command to the ledger; nobody waits for the result."""
-
-    command: Command
-
-
-class PlanBasis(msgspec.Struct, frozen=True):
-    """What the last plan of a round was based on."""
-
-    version: int
-    next_slot: int
-    next_offset: int
-    wanted_until: int
-    interruptions: int
-    samplers: int
-
-
-class Planned(msgspec.Struct):
-    """The last plan of a round, and when the next one is due in any case."""
-
-    basis: PlanBasis
-    again_at: float
-    ends: int
-    """Ends of generations before it."""
-    waits_for_room: bool = False
-    """Whether something was due and found no room."""
-
-
-class ControllerView(msgspec.Struct):
-    """What the controller may look at in one call."""
-
-    state: LedgerState
-    configuration: Configuration
-    policies: PolicyBook
-    table: SamplerTable
-    owner_of: Callable[[str], str | None]
-    is_working: Callable[[str], bool]
-    """Whether a node is neither suspected nor dead."""
-    wall_time_s: float
-    admits_rollouts: bool
-    """Whether this node's configuration lease holds."""
-
-
 class Controller:
     """Rounds, weight rollout, placement and role shifts, for one epoch."""
 
@@ -109,7 +66,7 @@
         self.discarded_partial_tokens = 0
         self._scheduler = scheduler
         self._swaps = SwapPlanner(epoch, sequence)
-        self._shifters: dict[str, RoleShifter] = {}
+        self._roles = SamplerRoles()
         self._settled_at = now + constants.CONTROLLER_SETTLE_S
         self._reported: set[str] = set()
         self._sequence = sequence
@@ -132,7 +89,9 @@
             self.assignments.drop_closed(view.state)
             effects += self.assignments.drop_lost(now, view.is_working)
             effects += self._register_rounds(now, view)
-        lent = self._lent_samplers(now, view)
+        lent: dict[str, str] = {}
+        if self._scheduler.shifts_roles:
+            lent = self._roles.lent_samplers(now, view)
         effects += self._swap_weights(now, view, lent)
         effects += self._plan_rounds(now, view, lent)
         return effects + self.desk.tick(now, view.state, self._reserved(view.state))
@@ -273,48 +232,10 @@
 
     # Weights and roles.
 
-    def _lent_samplers(self, now: float, view: ControllerView) -> dict[str, str]:
-        """By lent sampler, the round that it works for."""
-        lent: dict[str, str] = {}
-        if not self._scheduler.shifts_roles:
-            return lent
-        for pool_name, pool in view.configuration.pools.items():
-            if not pool.lend_to_rounds or pool.home_role is not SamplerRole.LOOKUP:
-                continue
-            borrowers = [
-                name
-                for name, spec in sorted(view.configuration.rounds.items())
-                if pool_name in spec.borrow_from
-            ]
-            if not borrowers:
-                continue
-            shifter = self._shifters.setdefault(pool_name, RoleShifter())
-            demand = self._demand(view, pool_name, pool, shifter.lent)
-            for position, sampler_id in enumerate(shifter.update(now, demand)):
-                lent[sampler_id] = borrowers[position % len(borrowers)]
-        return lent
-
-    def _demand(
-        self, view: ControllerView, pool_name: str, pool: Pool, lent: list[str]
-    ) -> PoolDemand:
-        samplers = [
-            sampler
-            for sampler in view.table.in_pool(pool_name)
-            if not sampler.leaving and not sampler.unreachable and sampler.load is not None
-        ]
-        at_home = [sampler for sampler in samplers if sampler.sampler_id not in lent]
-        return PoolDemand(
-            samplers=sorted(sampler.sampler_id for sampler in samplers),
-            keep_home=pool.keep_home,
-            running=sum(sampler.running for sampler in at_home),
-            lend_below=pool.lend_below,
-            return_above=pool.return_above,
-        )
-
     def _swap_weights(self, now: float, view: ControllerView, lent: dict[str, str]) -> list[Effect]:
         targets: dict[str, SwapTarget] = {}
         for sampler in view.table.views():
-            target = self._target(view, sampler, lent)
+            target = self._roles.target(view, sampler, lent)
             if target is not None:
                 targets[sampler.sampler_id] = target
         effects: list[Effect] = []
@@ -327,30 +248,6 @@
             effects.append(Send(owner, OrderSampler(sampler_id, order)))
         return effects
 
-    def _target(
-        self, view: ControllerView, sampler: SamplerView, lent: dict[str, str]
-    ) -> SwapTarget | None:
-        pool = view.configuration.pools.get(sampler.machine.pool)
-        if pool is None:
-            return None
-        round_name = lent.get(sampler.sampler_id)
-        if round_name is None and pool.home_role is SamplerRole.LOOKUP:
-            return SwapTarget(SamplerRole.LOOKUP, pool.model, pool.model_version)
-        if round_name is None:
-            round_name = next(
-                (
-                    name
-                    for name, spec in sorted(view.configuration.rounds.items())
-                    if spec.pool == sampler.machine.pool
-                ),
-                None,
-            )
-        round_state = view.state.rounds.get(round_name) if round_name is not None else None
-        if round_name is None or round_state is None:
-            return None
-        spec = view.configuration.rounds[round_name]
-        return SwapTarget(SamplerRole.ROLLOUT, spec.model, round_state.version)
-
     def _clear_for_role(
         self, view: ControllerView, sampler_id: str, order: EngineOrder
     ) -> list[Effect]:
--- a/stileloom/rollout/scheduler.py
+++ b/stileloom/rollout/scheduler.py
@@ -204,9 +204,11 @@
         if not self._has(Mechanism.LATE_START):
             return fresh
         size = work.state.samples_per_step
-        # The step that belongs to the current version, handed over already or waited for.
+        # The last step that is handed over, or, with a bound that leaves no other slack, the
+        # one that belongs to the current version, even while it is waited for: then the next
+        # one starts beside what the trainer waits for, and slows that down a little.
         step = work.state.next_offset // size
-        if work.state.handed_over_at_version >= size:
+        if work.staleness_bound > 1 or work.state.handed_over_at_version >= size:
             step -= 1
         leads: dict[tuple[str, int], int] = {}
         due: list[PendingSlot] = []
--- a/stileloom/routing/gateway.py
+++ b/stileloom/routing/gateway.py
@@ -14,9 +14,10 @@
 from stileloom.errors import ErrorKind, Outcome, StileloomError
 from stileloom.events import LogEvent
 from stileloom.ledger.commands import CommandResult, Done, Refused
-from stileloom.policy import PolicyBook, PoolInput, RequestInput, RuleInputs, RuleKind
+from stileloom.policy import PolicyBook, PoolInput
 from stileloom.routing.choice import Candidate, choose_sampler
 from stileloom.routing.execution import Execution, ExecutionState, is_attempt_id
+from stileloom.routing.explain import explanation, rule_inputs
 from stileloom.routing.limits import Ejections, RetryBudget, TenantLimits
 from stileloom.routing.messages import (
     AnswerReady,
@@ -118,7 +119,7 @@
         return service, pool
 
     def _priority(self, request: LookupRequest, view: GatewayView) -> int:
-        return view.policies.priority(_inputs(request), view.wall_time_s)
+        return view.policies.priority(rule_inputs(request), view.wall_time_s)
 
     def claimed(
         self, now: float, request_id: str, result: CommandResult | None, view: GatewayView
@@ -274,7 +275,7 @@
         pool = view.configuration.pools.get(service.pool) if view.configuration else None
         home_role = pool.home_role.value if pool is not None else ""
         place = PoolInput(service.pool, sampler.machine.zone, home_role)
-        inputs = msgspec.structs.replace(_inputs(request), pool=place)
+        inputs = msgspec.structs.replace(rule_inputs(request), pool=place)
         if not view.policies.may_place(inputs, view.wall_time_s):
             return "refused by a placement rule"
         return ""
@@ -469,42 +470,21 @@
     def explain(self, now: float, request: LookupRequest, view: GatewayView) -> Explanation:
         """Why a request would go where; raises what admission would."""
         service, pool = self._admit(now, request, view)
-        rows: list[CandidateView] = []
-        candidates: list[Candidate] = []
-        for sampler in self._samplers(service, view):
-            fault = self._fault(now, sampler, pool.model, request, service, view)
-            load = self._load(sampler)
-            zone = sampler.machine.zone
-            rows.append(CandidateView(sampler.sampler_id, zone, fault == "", fault, load))
-            if fault == "":
-                candidates.append(Candidate(sampler.sampler_id, zone, load))
-        outcomes = [
-            outcome
-            for kind in (RuleKind.PRIORITY, RuleKind.PLACEMENT)
-            for outcome in view.policies.outcomes(kind, _inputs(request), view.wall_time_s)
+        rows = [
+            CandidateView(
+                sampler.sampler_id,
+                sampler.machine.zone,
+                fault == "",
+                fault,
+                self._load(sampler),
+            )
+            for sampler in self._samplers(service, view)
+            for fault in [self._fault(now, sampler, pool.model, request, service, view)]
         ]
-        chosen = choose_sampler(candidates, self._zone, request.prefix_key, random.Random(0))
-        return Explanation(
-            service=request.service,
-            pool=service.pool,
-            priority=self._priority(request, view),
-            chosen=chosen,
-            rules=[f"{o.policy}: {o.rule} = {o.value}" for o in outcomes],
-            candidates=rows,
-        )
-
-
-def _inputs(request: LookupRequest) -> RuleInputs:
-    return RuleInputs(
-        request=RequestInput(
-            target=request.service,
-            kind="lookup",
-            tenant=request.tenant,
-            priority=request.priority,
-            repeatable=request.repeatable,
-            max_tokens=request.max_tokens,
+        inputs = rule_inputs(request)
+        return explanation(
+            request, service.pool, rows, self._zone, view.policies, inputs, view.wall_time_s
         )
-    )
 
 
 def _late(attempt_id: str) -> list[Effect]:
--- a/stileloom/samplers/owner.py
+++ b/stileloom/samplers/owner.py
@@ -54,6 +54,23 @@
     committing: bool = False
 
 
+def _request_id(key: GenerationKey) -> str:
+    return f"{key.round_name}/{key.slot}/{key.attempt}"
+
+
+def _commit_wanted(generation: _Generation) -> CommitWanted:
+    """Offers a finished generation to the ledger."""
+    key = generation.order.key
+    sample = Sample(
+        key.slot,
+        key.attempt,
+        generation.order.prompt.prompt_id,
+        generation.tokens,
+        generation.segments,
+    )
+    return CommitWanted(key, CommitSample(key.round_name, sample))
+
+
 class _OwnedSampler(msgspec.Struct):
     """What the owner knows of one of its samplers."""
 
@@ -184,7 +201,7 @@
 
     def _start(self, message: StartGeneration) -> list[Effect]:
         key = message.key
-        request_id = f"{key.round_name}/{key.slot}/{key.attempt}"
+        request_id = _request_id(key)
         if request_id in self._generations:
             return []
         partial = message.partial
@@ -204,7 +221,7 @@
         return [OpenStream(message.sampler_id, request)]
 
     def _stop(self, key: GenerationKey) -> list[Effect]:
-        request_id = f"{key.round_name}/{key.slot}/{key.attempt}"
+        request_id = _request_id(key)
         generation = self._generations.get(request_id)
         if generation is None or generation.committing:
             return []
@@ -246,15 +263,7 @@
         if not whole:
             return self._interrupt(request_id, failed=True)
         generation.committing = True
-        key = generation.order.key
-        sample = Sample(
-            key.slot,
-            key.attempt,
-            generation.order.prompt.prompt_id,
-            generation.tokens,
-            generation.segments,
-        )
-        return [CommitWanted(key, CommitSample(key.round_name, sample))]
+        return [_commit_wanted(generation)]
 
     def stream_failed(self, request_id: str) -> list[Effect]:
         """The stream was refused, cut or lost."""
@@ -267,19 +276,12 @@
         self, now: float, key: GenerationKey, result: CommandResult | None
     ) -> list[Effect]:
         """The ledger answered; None means that it did not in time, so it is asked again."""
-        request_id = f"{key.round_name}/{key.slot}/{key.attempt}"
+        request_id = _request_id(key)
         generation = self._generations.get(request_id)
         if generation is None:
             return []
         if result is None:
-            sample = Sample(
-                key.slot,
-                key.attempt,
-                generation.order.prompt.prompt_id,
-                generation.tokens,
-                generation.segments,
-            )
-            return [CommitWanted(key, CommitSample(key.round_name, sample))]
+            return [_commit_wanted(generation)]
         del self._generations[request_id]
         finished = GenerationFinished(
             key,
--- a/stileloom/simulator/platform.py
+++ b/stileloom/simulator/platform.py
@@ -9,7 +9,7 @@
 from stileloom.api.objects import Configuration, Machine, MachineState
 from stileloom.daemon.platform_client import ObjectList, StoredObject, configuration_of
 from stileloom.emulator.object_api_model import CasConflictError, ObjectApiModel
-from stileloom.emulator.servers import RateLimit
+from stileloom.emulator.rate_limit import RateLimit
 from stileloom.simulator.network import PLATFORM_ZONE, SimulatedNetwork
 from stileloom.simulator.world import World
 
