--- a/stileloom/emulator/scale.py
+++ b/stileloom/emulator/scale.py
@@ -23,9 +23,11 @@
 SAMPLERS_PER_NODE = 1200 / 390
 LOOKUP_EVERY = 6
 """One sampler in so many belongs to the lookup pool."""
-START_TIMEOUT_S = 90.0
+START_TIMEOUT_S = 150.0
 SETTLE_S = 12.0
 POLL_S = 0.2
+STAGGER_S = 4.0
+"""Between the starts of two processes: whole clusters do not start at one moment."""
 CLOCK_TICKS_PER_S = 100
 
 
@@ -192,6 +194,7 @@
         for report in self._reports:
             settings = str(report.with_suffix(".toml"))
             processes.start(report.stem, "emulate", "hollow", "--config", settings)
+            await asyncio.sleep(STAGGER_S)
 
     async def _put(self, kind: str, name: str, spec: dict[str, object]) -> int:
         caller = HttpCaller([f"127.0.0.1:{node.http_port}" for node in self._real])
--- a/stileloom/membership/swim.py
+++ b/stileloom/membership/swim.py
@@ -246,7 +246,11 @@
         if alone:
             table = MembershipTable([self.me], reply_wanted=True)
             self._next_dead_probe_at = now + constants.PROBE_INTERVAL_S
-            return [SendToAddress(seed.host, seed.port, table) for seed in self._seeds]
+            if not self._seeds:
+                return []
+            # One at a time: when a whole cluster starts, the seeds answer everybody.
+            seed = self._rng.choice(self._seeds)
+            return [SendToAddress(seed.host, seed.port, table)]
         is_representative = self.node_id in self.representatives(self.me.zone)
         if not dead or not is_representative:
             return []
