--- /dev/null
+++ b/stileloom/api/jobs.py
@@ -0,0 +1,56 @@
+"""Batch jobs: many requests that are submitted at once and run later."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+
+class JobItem(msgspec.Struct, frozen=True, array_like=True):
+    """One request of a job."""
+
+    item_id: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    group: str
+    """Items of a group share their prompt; empty where there is none."""
+
+
+class JobSubmission(msgspec.Struct, frozen=True):
+    """A job as its trainer sends it."""
+
+    job_id: str
+    host: str
+    path: str
+    step: int
+    model: str
+    min_version: int
+    """Oldest version of the weights that may make its tokens."""
+    desired_groups: int
+    items: list[JobItem]
+
+
+class ItemState(enum.Enum):
+    """How an item ended."""
+
+    SUCCEEDED = "succeeded"
+    GIVEN_UP = "given_up"
+
+
+class ItemResult(msgspec.Struct, frozen=True, array_like=True):
+    """The result of an item; its position in the job never changes."""
+
+    item_id: str
+    state: ItemState
+    text: str
+    versions: list[int]
+
+
+class ResultPage(msgspec.Struct, frozen=True):
+    """Results from a position on."""
+
+    total_items: int
+    next_position: int
+    results: list[ItemResult]
--- a/stileloom/cli/emulate.py
+++ b/stileloom/cli/emulate.py
@@ -15,7 +15,7 @@
 from stileloom.emulator.settings import EmulatorSettings
 from stileloom.emulator.trainer import run_trainer
 from stileloom.errors import ErrorKind, StileloomError
-from stileloom.settings import load_settings
+from stileloom.settings_file import load_settings
 
 app = typer.Typer(help="Stand-ins for the platform: engines, stores, lists, trainers.")
 
--- a/stileloom/cli/main.py
+++ b/stileloom/cli/main.py
@@ -14,7 +14,8 @@
 from stileloom.cli.scale import scale
 from stileloom.daemon.process import serve as serve_node
 from stileloom.logging import configure_logs
-from stileloom.settings import NodeSettings, load_settings
+from stileloom.settings import NodeSettings
+from stileloom.settings_file import load_settings
 
 app = typer.Typer(
     no_args_is_help=True,
--- a/stileloom/cli/operate.py
+++ b/stileloom/cli/operate.py
@@ -23,7 +23,8 @@
 from stileloom.errors import ErrorKind, StileloomError
 from stileloom.http.operations import Status
 from stileloom.routing.messages import Explanation
-from stileloom.settings import NodeSettings, load_settings
+from stileloom.settings import NodeSettings
+from stileloom.settings_file import load_settings
 
 IN_FORCE_POLL_S = 0.1
 
--- a/stileloom/constants.py
+++ b/stileloom/constants.py
@@ -23,6 +23,8 @@
 ELECTION_TIMEOUT_MAX_S = 1.6
 LEADER_LEASE_S = 0.7
 """Shorter than the least election timeout, so that a lease ends before a successor starts."""
+VOTER_SILENT_S = 1.5
+"""A voter that did not answer for so long gives its place to a learner, if there is one."""
 APPEND_BATCH_ENTRIES = 64
 SNAPSHOT_AFTER_ENTRIES = 512
 COMMAND_RETRY_S = 0.5
--- /dev/null
+++ b/stileloom/daemon/directory.py
@@ -0,0 +1,147 @@
+"""What a node knows from the store: routes in force, and samplers."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from stileloom.api.dialect import Dialect
+from stileloom.api.object_store import ObjectEvent, ObjectRecord, ObjectStore
+from stileloom.api.sampler_directory import SamplerEntry
+from stileloom.daemon.object_watch import ObjectWatcher
+from stileloom.errors import StileloomError
+from stileloom.events import LogEvent
+from stileloom.logging import EventLog
+from stileloom.proxy.route_table import RouteTable
+from stileloom.proxy.sampler_table import SamplerTable
+from stileloom.service_settings import TimeBounds
+
+PAUSE_SHARE_OF_BOUND = 0.4
+"""Changes that come within this share of their bound are fetched by one call."""
+
+
+class Directory:
+    """Follows the configuration and the list of samplers."""
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        dialect: Dialect,
+        bounds: TimeBounds,
+        log: EventLog,
+        rng: random.Random,
+    ) -> None:
+        self.routes = RouteTable(rng)
+        self.samplers = SamplerTable()
+        self.on_sampler: Callable[[SamplerEntry], None] = lambda entry: None
+        self.on_sampler_gone: Callable[[str], None] = lambda sampler_id: None
+        self.on_routes: Callable[[], None] = lambda: None
+        self._dialect = dialect
+        self._log = log
+        self._tasks: list[asyncio.Task[None]] = []
+        kinds = dialect.kinds
+        self._watchers = [
+            ObjectWatcher(
+                store,
+                kinds.configuration,
+                self._configurations_listed,
+                self._configuration_changed,
+                bounds.configuration_s * PAUSE_SHARE_OF_BOUND * 0.5,
+                log,
+                rng,
+            ),
+            ObjectWatcher(
+                store,
+                kinds.samplers,
+                self._samplers_listed,
+                self._sampler_changed,
+                bounds.sampler_drain_s * PAUSE_SHARE_OF_BOUND,
+                log,
+                rng,
+            ),
+        ]
+
+    @property
+    def complete(self) -> bool:
+        """Whether routes and samplers are known."""
+        return self.routes.version > 0 and self.samplers.listed_once
+
+    def start(self) -> None:
+        """Begins to follow."""
+        loop = asyncio.get_running_loop()
+        self._tasks = [loop.create_task(watcher.run()) for watcher in self._watchers]
+
+    def stop(self) -> None:
+        """Follows no more."""
+        for task in self._tasks:
+            task.cancel()
+
+    def _configurations_listed(self, records: list[ObjectRecord]) -> None:
+        for record in records:
+            self._adopt_configuration(record)
+
+    def _configuration_changed(self, event: ObjectEvent) -> None:
+        if not event.gone:
+            self._adopt_configuration(event.record)
+
+    def _adopt_configuration(self, record: ObjectRecord) -> None:
+        if record.name != self._dialect.kinds.configuration_name:
+            return
+        try:
+            configuration = self._dialect.decode_configuration(record.spec)
+        except StileloomError as error:
+            self._not_understood("configuration", record, error)
+            return
+        before = self.routes.version
+        adopted = self.routes.adopt(configuration)
+        event = LogEvent.ROUTES_ADOPTED if adopted else LogEvent.ROUTES_REFUSED
+        if adopted or configuration.version < before:
+            fields: dict[str, object] = {
+                "version": configuration.version,
+                "before": before,
+                "revision": record.revision,
+            }
+            self._log.emit(event, fields)
+        if adopted:
+            self.on_routes()
+
+    def _samplers_listed(self, records: list[ObjectRecord]) -> None:
+        entries = [entry for record in records if (entry := self._decode(record)) is not None]
+        for sampler_id in self.samplers.replace_all(entries):
+            self._gone(sampler_id, "no longer listed")
+        for entry in entries:
+            self.on_sampler(entry)
+
+    def _sampler_changed(self, event: ObjectEvent) -> None:
+        if event.gone:
+            self.samplers.remove(event.record.name)
+            self._gone(event.record.name, "entry removed")
+            return
+        entry = self._decode(event.record)
+        if entry is None:
+            return
+        if self.samplers.put(entry):
+            self._gone(entry.sampler_id, "draining")
+        self.on_sampler(entry)
+
+    def _gone(self, sampler_id: str, sign: str) -> None:
+        self._log.emit(LogEvent.SAMPLER_UNLISTED, {"sampler": sampler_id, "sign": sign})
+        self.on_sampler_gone(sampler_id)
+
+    def _decode(self, record: ObjectRecord) -> SamplerEntry | None:
+        try:
+            entry = self._dialect.decode_sampler(record)
+        except StileloomError as error:
+            self._not_understood("sampler", record, error)
+            return None
+        if self.samplers.get(entry.sampler_id) is None and not entry.draining:
+            fields: dict[str, object] = {"sampler": entry.sampler_id, "service": entry.service}
+            self._log.emit(LogEvent.SAMPLER_LISTED, fields)
+        return entry
+
+    def _not_understood(self, what: str, record: ObjectRecord, error: StileloomError) -> None:
+        self._log.emit(
+            LogEvent.OBJECT_NOT_UNDERSTOOD,
+            {"what": what, "name": record.name, "detail": error.detail},
+        )
--- /dev/null
+++ b/stileloom/daemon/gateway.py
@@ -0,0 +1,157 @@
+"""The gateway process: callers in front, samplers and ledger nodes behind."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import time
+
+from prometheus_client import CollectorRegistry
+from tornado.httpserver import HTTPServer
+
+from stileloom.api.dialect import Dialect
+from stileloom.api.object_store import ObjectStore
+from stileloom.daemon.directory import Directory
+from stileloom.daemon.metrics_server import make_metrics_server
+from stileloom.daemon.readiness import make_ready_server
+from stileloom.errors import StileloomError
+from stileloom.events import LogEvent
+from stileloom.jobs.client import JobClient, LedgerNodes
+from stileloom.logging import EventLog
+from stileloom.proxy.forwarder import Forwarder
+from stileloom.proxy.front import Front
+from stileloom.proxy.metrics import ProxyMetrics
+from stileloom.service_settings import ServiceSettings
+from stileloom.settings_file import split_address
+
+DRAIN_POLL_S = 0.05
+DRAIN_MARGIN_S = 1.5
+"""Kept back of the grace period for closing."""
+DRAIN_NOTICE_S = 2.5
+"""How long a draining gateway still takes requests: until callers are sent elsewhere."""
+RELOOKUP_PAUSE_S = 1.0
+MAX_HEADER_BYTES = 65_536
+IDLE_MARGIN_S = 2.0
+
+
+class Gateway:
+    """All parts of a gateway."""
+
+    def __init__(self, settings: ServiceSettings, store: ObjectStore, dialect: Dialect) -> None:
+        self._settings = settings
+        self._store = store
+        self._dialect = dialect
+        self._rng = random.Random()
+        self._log = EventLog(settings.node_id)
+        self._registry = CollectorRegistry()
+        self._stopping = asyncio.Event()
+        metrics = ProxyMetrics(self._registry)
+        self.directory = Directory(store, dialect, settings.bounds, self._log, self._rng)
+        self._nodes = LedgerNodes([_calls_address(peer, settings) for peer in settings.peers])
+        self._jobs = JobClient(self._nodes, self._log, self._look_up_ledger_nodes)
+        self._forwarder = Forwarder(
+            settings.zone, self.directory.samplers, dialect.names, self._log, metrics, self._rng
+        )
+        self.directory.on_sampler_gone = self._forwarder.forget
+        self.front = Front(
+            dialect, self.directory.routes, self._forwarder, self._jobs, self._log, metrics
+        )
+        self._looked_up_at = float("-inf")
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Serves until SIGTERM; returns after the drain."""
+        started_at = time.monotonic()
+        servers = self._listen()
+        self.directory.start()
+        self._look_up_ledger_nodes()
+        self._log.emit(LogEvent.NODE_STARTED, {"role": "gateway", "zone": self._settings.zone})
+        self._handle_signals()
+        await self._stopping.wait()
+        await self._drain()
+        for server in servers:
+            server.stop()
+            await server.close_all_connections()
+        self.directory.stop()
+        self._jobs.close()
+        lived_s = round(time.monotonic() - started_at, 1)
+        self._log.emit(LogEvent.NODE_STOPPED, {"lived_s": lived_s})
+
+    def _listen(self) -> list[HTTPServer]:
+        front = HTTPServer(
+            self.front,
+            max_header_size=MAX_HEADER_BYTES,
+            max_body_size=self.front.max_body_bytes,
+            max_buffer_size=self.front.max_body_bytes + MAX_HEADER_BYTES,
+            idle_connection_timeout=self.front.idle_timeout_s + IDLE_MARGIN_S,
+        )
+        host, port = split_address(self._settings.front)
+        front.listen(port, address=host, backlog=1024)
+        ready = make_ready_server(self._is_ready)
+        host, port = split_address(self._settings.ready)
+        ready.listen(port, address=host)
+        servers = [front, ready]
+        if self._settings.metrics_port:
+            metrics = make_metrics_server(self._registry)
+            metrics.listen(self._settings.metrics_port, address=self._settings.host)
+            servers.append(metrics)
+        return servers
+
+    def _is_ready(self) -> bool:
+        return not self.front.draining and self.directory.complete
+
+    def _handle_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+
+    def _reload(self) -> None:
+        """Settings name only addresses and bounds of this start: nothing is taken over."""
+        self._log.emit(LogEvent.SETTINGS_RELOADED, {})
+
+    async def _drain(self) -> None:
+        """Not ready at once; finishes what comes until callers are sent elsewhere."""
+        self.front.draining = True
+        began_at = time.monotonic()
+        self._log.emit(LogEvent.DRAIN_STARTED, {"open": self.front.open_requests})
+        give_up_at = began_at + self._settings.bounds.stop_grace_s - DRAIN_MARGIN_S
+        notice_until = began_at + DRAIN_NOTICE_S
+        while time.monotonic() < give_up_at:
+            if time.monotonic() >= notice_until and not self.front.open_requests:
+                break
+            await asyncio.sleep(DRAIN_POLL_S)
+        self._log.emit(LogEvent.DRAIN_FINISHED, {"open": self.front.open_requests})
+
+    # Ledger nodes.
+
+    def _look_up_ledger_nodes(self) -> None:
+        """Asks the store where ledger nodes are, at most once a while."""
+        now = time.monotonic()
+        if now < self._looked_up_at + RELOOKUP_PAUSE_S:
+            return
+        self._looked_up_at = now
+        task = asyncio.get_running_loop().create_task(self._read_ledger_nodes())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _read_ledger_nodes(self) -> None:
+        try:
+            page = await self._store.list_objects(self._dialect.kinds.ledger_nodes)
+        except StileloomError:
+            return
+        addresses = [
+            split_address(str(record.spec["calls"])) for record in page.records if record.spec
+        ]
+        self._nodes.learn(addresses)
+
+
+def _calls_address(peer: str, settings: ServiceSettings) -> tuple[str, int]:
+    """Where a ledger node takes calls: its own host, the deployment's port."""
+    return (split_address(peer)[0], settings.calls_port)
+
+
+async def serve_gateway(settings: ServiceSettings, store: ObjectStore, dialect: Dialect) -> None:
+    """Runs a gateway until it is told to stop."""
+    await Gateway(settings, store, dialect).run()
--- /dev/null
+++ b/stileloom/daemon/ledger_driver.py
@@ -0,0 +1,158 @@
+"""Drives a ledger replica: monotonic clock, sockets to the other replicas, disk."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from tornado.ioloop import IOLoop, PeriodicCallback
+
+from stileloom.effects import Effect, Emit, Send
+from stileloom.errors import ErrorKind, StileloomError
+from stileloom.ledger import LedgerReplica
+from stileloom.ledger.commands import Command, CommandResult
+from stileloom.ledger.effects import Applied, Dropped, Persist
+from stileloom.ledger.messages import LearnerHello
+from stileloom.ledger.state import LedgerState
+from stileloom.ledger.storage import LedgerStorage
+from stileloom.ledger.wire import LedgerCodec, Sender
+from stileloom.logging import EventLog
+from stileloom.transport import Network
+
+TICK_MS = 50.0
+HELLO_INTERVAL_S = 0.4
+
+
+class LedgerDriver:
+    """One replica of this process."""
+
+    def __init__(
+        self,
+        replica: LedgerReplica,
+        storage: LedgerStorage,
+        me: Sender,
+        seeds: list[tuple[str, int]],
+        log: EventLog,
+    ) -> None:
+        self.replica = replica
+        self._storage = storage
+        self._me = me
+        self._seeds = list(seeds)
+        self._log = log
+        self._codec = LedgerCodec(me)
+        self._network = Network(self._codec, self._received)
+        self._disk = ThreadPoolExecutor(max_workers=1, thread_name_prefix="ledger")
+        self._writes: list[Persist] = []
+        self._writing = False
+        self._stopped = False
+        self._next_hello_at = 0.0
+        self._ticker = PeriodicCallback(self._tick, TICK_MS)
+
+    async def start(self) -> None:
+        """Listens and starts the clock. Raises `OSError` where the port is taken."""
+        await self._network.start(self._me.host, self._me.port)
+        self._ticker.start()
+
+    def stop(self) -> None:
+        """Stops the clock, sockets and disk."""
+        self._stopped = True
+        self._ticker.stop()
+        self._network.stop()
+        self._disk.shutdown(wait=True)
+        self._storage.close()
+
+    @property
+    def state(self) -> LedgerState:
+        """The replicated state as far as this replica has applied it."""
+        return self.replica.state
+
+    def may_act(self) -> bool:
+        """Whether this replica leads and holds its lease now."""
+        return not self._stopped and self.replica.may_act(time.monotonic())
+
+    def leader_address(self) -> tuple[str, int] | None:
+        """Where the leader is, as far as this replica knows."""
+        leader = self.replica.leader
+        if leader is None:
+            return None
+        if leader == self.replica.me.node_id:
+            return (self._me.host, self._me.port)
+        return self._codec.addresses.get(leader)
+
+    def learn_address(self, node_id: str, address: tuple[str, int]) -> None:
+        """The store says where a node is; a frame from the node itself counts more."""
+        self._codec.addresses.setdefault(node_id, address)
+        if address not in self._seeds:
+            self._seeds.append(address)
+
+    async def propose(self, command: Command) -> CommandResult:
+        """Commits a command.
+
+        Raises `StileloomError` (LEDGER_UNAVAILABLE, outcome unknown) where leadership is lost.
+        """
+        future: asyncio.Future[CommandResult] = asyncio.get_running_loop().create_future()
+        self._run(self.replica.propose(time.monotonic(), command, future))
+        return await future
+
+    def _tick(self) -> None:
+        now = time.monotonic()
+        self._run(self.replica.tick(now))
+        if not self.replica.is_voter and now >= self._next_hello_at:
+            self._next_hello_at = now + HELLO_INTERVAL_S
+            self._say_hello()
+
+    def _say_hello(self) -> None:
+        """A replica outside the voter set asks every address that it knows for the log."""
+        hello = LearnerHello(self.replica.me)
+        known = {*self._seeds, *self._codec.addresses.values()}
+        for address in known - {(self._me.host, self._me.port)}:
+            self._network.send(address, hello)
+
+    def _received(self, sender: str, message: object) -> None:
+        self._run(self.replica.handle(time.monotonic(), sender, message))
+
+    def _run(self, effects: list[Effect]) -> None:
+        if self._stopped:
+            return
+        for effect in effects:
+            if isinstance(effect, Send):
+                address = self._codec.addresses.get(effect.to)
+                if address is not None:
+                    self._network.send(address, effect.message)
+            elif isinstance(effect, Persist):
+                self._writes.append(effect)
+                self._start_writing()
+            elif isinstance(effect, Emit):
+                self._log.emit(effect.event, effect.fields)
+            elif isinstance(effect, Applied | Dropped):
+                self._resolve(effect)
+
+    def _resolve(self, effect: Applied | Dropped) -> None:
+        future = effect.ticket
+        if not isinstance(future, asyncio.Future) or future.done():
+            return
+        if isinstance(effect, Applied):
+            future.set_result(effect.result)
+        else:
+            future.set_exception(
+                StileloomError(ErrorKind.LEDGER_UNAVAILABLE, "leadership was lost")
+            )
+
+    def _start_writing(self) -> None:
+        """Everything that piled up during one sync goes into the next."""
+        if self._writing or not self._writes:
+            return
+        self._writing = True
+        batch, self._writes = self._writes, []
+        future = IOLoop.current().run_in_executor(self._disk, self._storage.write, batch)
+        IOLoop.current().add_future(future, lambda done: self._written(done, batch[-1].write_id))
+
+    def _written(self, done: asyncio.Future[None], write_id: int) -> None:
+        # A disk that fails must stop the node: nothing may be said about what it holds.
+        done.result()
+        self._writing = False
+        if self._stopped:
+            return
+        self._run(self.replica.persisted(time.monotonic(), write_id))
+        self._start_writing()
--- /dev/null
+++ b/stileloom/daemon/object_watch.py
@@ -0,0 +1,82 @@
+"""Follows one kind of objects in the store: a list, then watches, with a pause between them."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+
+from stileloom.api.object_store import ObjectEvent, ObjectRecord, ObjectStore
+from stileloom.errors import ErrorKind, StileloomError
+from stileloom.events import LogEvent
+from stileloom.logging import EventLog
+
+WATCH_WAIT_S = 25.0
+RETRY_MIN_S = 0.15
+RETRY_MAX_S = 0.8
+
+
+class ObjectWatcher:
+    """Keeps a copy of a kind current; callbacks run in the order of the store's changes."""
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        kind: str,
+        on_list: Callable[[list[ObjectRecord]], None],
+        on_event: Callable[[ObjectEvent], None],
+        pause_s: float,
+        log: EventLog,
+        rng: random.Random,
+    ) -> None:
+        self.synced_at: float | None = None
+        """Monotonic time of the last answer, None before the first."""
+        self._store = store
+        self._kind = kind
+        self._on_list = on_list
+        self._on_event = on_event
+        self._pause_s = pause_s
+        self._log = log
+        self._rng = rng
+        self._revision: int | None = None
+        self._failures = 0
+
+    async def run(self) -> None:
+        """Follows until it is cancelled."""
+        while True:
+            try:
+                await self._follow()
+                self._note_answer()
+            except StileloomError as error:
+                if error.kind is ErrorKind.HISTORY_LOST:
+                    self._revision = None
+                    continue
+                self._note_failure(error)
+                pause_s = min(RETRY_MAX_S, RETRY_MIN_S * 2**self._failures)
+                await asyncio.sleep(pause_s * self._rng.uniform(0.7, 1.3))
+
+    async def _follow(self) -> None:
+        if self._revision is None:
+            page = await self._store.list_objects(self._kind)
+            self._revision = page.store_revision
+            self._on_list(page.records)
+            return
+        batch = await self._store.watch_objects(self._kind, self._revision, WATCH_WAIT_S)
+        self._revision = max(self._revision, batch.store_revision)
+        for event in batch.events:
+            self._on_event(event)
+        if batch.events:
+            # Changes come in bursts: one later call takes all of them.
+            await asyncio.sleep(self._pause_s * self._rng.uniform(0.8, 1.0))
+
+    def _note_answer(self) -> None:
+        self.synced_at = time.monotonic()
+        if self._failures:
+            self._log.emit(LogEvent.STORE_REGAINED, {"kind": self._kind, "after": self._failures})
+        self._failures = 0
+
+    def _note_failure(self, error: StileloomError) -> None:
+        self._failures += 1
+        if self._failures == 1:
+            self._log.emit(LogEvent.STORE_LOST, {"kind": self._kind, "detail": error.detail})
--- a/stileloom/daemon/process.py
+++ b/stileloom/daemon/process.py
@@ -25,7 +25,8 @@
 from stileloom.logging import EventLog
 from stileloom.membership import Member, Seed
 from stileloom.node import NodeCore
-from stileloom.settings import NodeSettings, split_address
+from stileloom.settings import NodeSettings
+from stileloom.settings_file import split_address
 
 VOTER_SET_KIND = "voterset"
 VOTER_SET_NAME = "ledger"
--- a/stileloom/daemon/shell.py
+++ b/stileloom/daemon/shell.py
@@ -24,6 +24,7 @@
 from stileloom.ledger.storage import LedgerStorage
 from stileloom.logging import EventLog
 from stileloom.node import NodeCore
+from stileloom.node.dispatch import NodeCodec
 from stileloom.samplers.effects import CloseStream, ConfirmNotRun, OpenStream, QueryLoad, SendOrder
 from stileloom.transport import Network
 
@@ -45,7 +46,7 @@
     ) -> None:
         self.core = core
         self.waiters = Waiters()
-        self.network = Network(core.node_id, self._received)
+        self.network = Network(NodeCodec(core.node_id), self._received)
         self.object_api = object_api
         self.engines = EngineClient()
         self.on_drain_request: Callable[[], None] = lambda: None
--- a/stileloom/emulator/deployment.py
+++ b/stileloom/emulator/deployment.py
@@ -11,7 +11,7 @@
 from stileloom.api.objects import SamplerRole
 from stileloom.emulator.engine_model import EngineParameters
 from stileloom.errors import ErrorKind, StileloomError
-from stileloom.settings import load_settings
+from stileloom.settings_file import load_settings
 
 
 class PoolDescription(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/stileloom/emulator/hollow.py
+++ b/stileloom/emulator/hollow.py
@@ -25,7 +25,7 @@
 from stileloom.membership import Member, Seed
 from stileloom.node import NodeCore
 from stileloom.samplers.effects import OpenStream, QueryLoad, SendOrder
-from stileloom.settings import Address, Port, split_address
+from stileloom.settings_file import Address, Port, split_address
 
 MAX_RUNNING = 32
 REPORT_EVERY_S = 1.0
--- a/stileloom/emulator/settings.py
+++ b/stileloom/emulator/settings.py
@@ -6,7 +6,7 @@
 
 from stileloom.api.objects import SamplerRole
 from stileloom.emulator.engine_model import EngineParameters
-from stileloom.settings import Address, Name, Port
+from stileloom.settings_file import Address, Name, Port
 
 
 class ObjectApiSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/stileloom/errors.py
+++ b/stileloom/errors.py
@@ -29,6 +29,8 @@
     UNKNOWN_SERVICE = "unknown_service"
     UNKNOWN_ROUND = "unknown_round"
     UNKNOWN_OBJECT = "unknown_object"
+    UNKNOWN_ROUTE = "unknown_route"
+    UNKNOWN_JOB = "unknown_job"
     DEADLINE_PASSED = "deadline_passed"
     KEY_REUSED = "key_reused"
     KEY_IN_USE = "key_in_use"
@@ -44,6 +46,7 @@
     NOT_READY = "not_ready"
     LEDGER_UNAVAILABLE = "ledger_unavailable"
     PLATFORM_UNAVAILABLE = "platform_unavailable"
+    HISTORY_LOST = "history_lost"
     SAMPLER_FAILED = "sampler_failed"
     STALE_DELIVERIES = "stale_deliveries"
     PROMISE_BROKEN = "promise_broken"
@@ -74,6 +77,10 @@
     ),
     ErrorKind.UNKNOWN_ROUND: ErrorAnswer(404, 3, Outcome.NOT_RUN, None, "No round has this name"),
     ErrorKind.UNKNOWN_OBJECT: ErrorAnswer(404, 3, Outcome.NOT_RUN, None, "No object has this name"),
+    ErrorKind.UNKNOWN_ROUTE: ErrorAnswer(
+        404, 3, Outcome.NOT_RUN, None, "No route matches the host and path"
+    ),
+    ErrorKind.UNKNOWN_JOB: ErrorAnswer(404, 3, Outcome.NOT_RUN, None, "No job has this id"),
     ErrorKind.DEADLINE_PASSED: ErrorAnswer(
         504, 4, Outcome.NOT_RUN, None, "The deadline has passed"
     ),
@@ -111,6 +118,9 @@
     ErrorKind.PLATFORM_UNAVAILABLE: ErrorAnswer(
         503, 9, Outcome.UNKNOWN, 5, "The object API did not answer"
     ),
+    ErrorKind.HISTORY_LOST: ErrorAnswer(
+        410, 9, Outcome.NOT_RUN, None, "The store's history no longer reaches back so far"
+    ),
     ErrorKind.SAMPLER_FAILED: ErrorAnswer(
         502, 10, Outcome.UNKNOWN, 1, "The sampler failed while the request ran"
     ),
--- /dev/null
+++ b/stileloom/http1/caller.py
@@ -0,0 +1,56 @@
+"""Single calls over kept connections, with a time limit."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from stileloom.http1.pool import ConnectionPool
+from stileloom.http1.request_encoder import encode_request
+from stileloom.http1.response_decoder import ResponseHead
+from stileloom.http1.whole_answer import WholeAnswer
+
+
+class CallAnswer(msgspec.Struct, frozen=True):
+    """A whole answer."""
+
+    head: ResponseHead
+    body: bytes
+
+
+async def call(
+    pool: ConnectionPool,
+    peer_id: str,
+    address: tuple[str, int],
+    method: str,
+    target: str,
+    headers: list[tuple[str, str]],
+    body: bytes,
+    timeout_s: float,
+) -> CallAnswer | None:
+    """Sends one request; None where no whole answer came in time.
+
+    A connection that did not answer is closed: nothing more can be expected of it.
+    """
+    all_headers = [("Host", f"{address[0]}:{address[1]}"), *headers]
+    if body:
+        all_headers.append(("Content-Type", "application/json"))
+    try:
+        connection = await pool.acquire(peer_id, address)
+    except (OSError, TimeoutError):
+        return None
+    answer = WholeAnswer()
+    connection.exchange(encode_request(method, target, all_headers, body), answer)
+    try:
+        await asyncio.wait_for(answer.done, timeout_s)
+    except TimeoutError:
+        connection.close()
+        return None
+    except asyncio.CancelledError:
+        connection.close()
+        raise
+    pool.release(peer_id, connection)
+    if not answer.whole or answer.head is None:
+        return None
+    return CallAnswer(answer.head, answer.body)
--- /dev/null
+++ b/stileloom/http1/connection.py
@@ -0,0 +1,160 @@
+"""A connection to a sampler that carries one request at a time."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import re
+import socket
+import time
+from typing import Protocol
+
+from stileloom.http1.response_decoder import MalformedResponse, ResponseDecoder, ResponseHead
+
+CONNECT_TIMEOUT_S = 1.0
+TCP_USER_TIMEOUT_MS = 2000
+KEEP_ALIVE_IDLE_S = 2
+KEEP_ALIVE_INTERVAL_S = 1
+KEEP_ALIVE_PROBES = 2
+KEEP_ALIVE_MARGIN_S = 1.0
+_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
+
+
+class ExchangeEnd(enum.Enum):
+    """How an exchange ended."""
+
+    COMPLETE = "complete"
+    NO_ANSWER = "no_answer"
+    """The connection ended before a response head: the request may have run."""
+    CUT = "cut"
+    """The response is not whole."""
+    MALFORMED = "malformed"
+
+
+class ExchangeSink(Protocol):
+    """Takes the parts of one response."""
+
+    def on_head(self, head: ResponseHead) -> None:
+        """The status and headers."""
+
+    def on_body(self, data: bytes) -> None:
+        """A part of the body."""
+
+    def on_end(self, end: ExchangeEnd) -> None:
+        """Nothing more follows."""
+
+
+class SamplerConnection(asyncio.Protocol):
+    """One connection. Bytes that belong to no request close it."""
+
+    def __init__(self) -> None:
+        self._transport: asyncio.Transport | None = None
+        self._sink: ExchangeSink | None = None
+        self._decoder = ResponseDecoder()
+        self._reusable = True
+        self._idle_until = float("inf")
+        self._rested_since = time.monotonic()
+
+    @classmethod
+    async def open(cls, address: tuple[str, int]) -> SamplerConnection:
+        """Connects. Raises `OSError` or `TimeoutError`."""
+        loop = asyncio.get_running_loop()
+        connecting = loop.create_connection(cls, address[0], address[1])
+        _, protocol = await asyncio.wait_for(connecting, CONNECT_TIMEOUT_S)
+        return protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """asyncio: the connection stands."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        _set_options(transport.get_extra_info("socket"))
+
+    @property
+    def usable(self) -> bool:
+        """Whether another request may be sent now."""
+        return (
+            self._transport is not None
+            and not self._transport.is_closing()
+            and self._sink is None
+            and self._reusable
+            and time.monotonic() < self._idle_until
+        )
+
+    def exchange(self, request: bytes, sink: ExchangeSink) -> None:
+        """Sends a request; its response goes to `sink`."""
+        assert self._sink is None and self._transport is not None
+        self._sink = sink
+        self._decoder = ResponseDecoder()
+        self._transport.write(request)
+
+    def close(self) -> None:
+        """Closes at once; an exchange under way hears nothing more."""
+        self._sink = None
+        self._reusable = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        """asyncio: bytes arrived."""
+        sink = self._sink
+        if sink is None:
+            self.close()
+            return
+        head_known = self._decoder.head is not None
+        try:
+            parts = self._decoder.feed(data)
+        except MalformedResponse:
+            self._finish(ExchangeEnd.MALFORMED)
+            return
+        if not head_known and self._decoder.head is not None:
+            self._note_keep_alive(self._decoder.head)
+            sink.on_head(self._decoder.head)
+        for part in parts:
+            if self._sink is sink:
+                sink.on_body(part)
+        if self._sink is sink and self._decoder.done:
+            if self._decoder.has_excess:
+                self._reusable = False
+            self._finish(ExchangeEnd.COMPLETE)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """asyncio: the connection is gone."""
+        self._reusable = False
+        if self._sink is None:
+            return
+        self._decoder.closed(clean=exc is None)
+        if self._decoder.done:
+            self._finish(ExchangeEnd.COMPLETE)
+        elif self._decoder.head is None:
+            self._finish(ExchangeEnd.NO_ANSWER)
+        else:
+            self._finish(ExchangeEnd.CUT)
+
+    def _finish(self, end: ExchangeEnd) -> None:
+        sink = self._sink
+        self._sink = None
+        if end is not ExchangeEnd.COMPLETE:
+            self._reusable = False
+        if not self._reusable and self._transport is not None:
+            self._transport.abort()
+        if sink is not None:
+            sink.on_end(end)
+
+    def _note_keep_alive(self, head: ResponseHead) -> None:
+        if "close" in head.headers.get("Connection", "").lower():
+            self._reusable = False
+        match = _KEEP_ALIVE_TIMEOUT.search(head.headers.get("Keep-Alive", ""))
+        if match is not None:
+            rest_s = max(0.0, int(match.group(1)) - KEEP_ALIVE_MARGIN_S)
+            self._idle_until = time.monotonic() + rest_s
+
+
+def _set_options(connected: socket.socket) -> None:
+    """No delay of small writes; a peer that is silent on the link is noticed within seconds."""
+    tcp = socket.IPPROTO_TCP
+    connected.setsockopt(tcp, socket.TCP_NODELAY, 1)
+    connected.setsockopt(tcp, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+    connected.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    connected.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
+    connected.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S)
+    connected.setsockopt(tcp, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
--- /dev/null
+++ b/stileloom/http1/request_encoder.py
@@ -0,0 +1,40 @@
+"""Encodes a request to a sampler."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+    }
+)
+"""Headers of a single connection (RFC 9110, section 7.6.1); never passed on."""
+
+
+def encode_request(
+    method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes
+) -> bytes:
+    """The bytes of a request; `headers` without those of a single connection."""
+    lines = [f"{method} {target} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    if body or method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+        lines.append(f"Content-Length: {len(body)}")
+    head = "\r\n".join(lines) + "\r\n\r\n"
+    return head.encode("latin1") + body
+
+
+def end_to_end(headers: Iterable[tuple[str, str]], connection: str = "") -> list[tuple[str, str]]:
+    """Headers that go on to the next hop; `connection` names more of a single connection."""
+    named = {name.strip().lower() for name in connection.split(",")}
+    dropped = HOP_BY_HOP | named | {"content-length"}
+    return [(name, value) for name, value in headers if name.lower() not in dropped]
--- /dev/null
+++ b/stileloom/http1/response_decoder.py
@@ -0,0 +1,189 @@
+"""Decodes one HTTP/1.1 response from bytes as they arrive.
+
+No socket here. The decoder is strict: what is not an answer in the protocol, or stands
+behind the end of an answer, is told apart from it and reaches nobody.
+Source: RFC 9112, sections 6 and 7.
+"""
+
+from __future__ import annotations
+
+import enum
+import re
+
+import msgspec
+from tornado.httputil import HTTPHeaders
+
+MAX_HEAD_BYTES = 65_536
+MAX_CHUNK_LINE_BYTES = 256
+_STATUS_LINE = re.compile(rb"^HTTP/1\.[01] ([1-9][0-9][0-9])(?: ([^\r\n]*))?$")
+_HEX = re.compile(rb"^[0-9a-fA-F]{1,8}$")
+
+
+class MalformedResponse(Exception):
+    """The bytes are no answer in the protocol."""
+
+
+class ResponseHead(msgspec.Struct, frozen=True):
+    """Status and headers of a response."""
+
+    status: int
+    reason: str
+    headers: HTTPHeaders
+
+
+class _Stage(enum.Enum):
+    HEAD = "head"
+    LENGTH = "length"
+    CHUNK_SIZE = "chunk_size"
+    CHUNK_DATA = "chunk_data"
+    CHUNK_END = "chunk_end"
+    TRAILER = "trailer"
+    UNTIL_CLOSE = "until_close"
+    DONE = "done"
+
+
+class ResponseDecoder:
+    """Takes bytes; tells the head, the body's parts and the end."""
+
+    def __init__(self) -> None:
+        self.head: ResponseHead | None = None
+        self._buffer = bytearray()
+        self._stage = _Stage.HEAD
+        self._left = 0
+
+    @property
+    def done(self) -> bool:
+        """Whether the whole answer was read."""
+        return self._stage is _Stage.DONE
+
+    @property
+    def has_excess(self) -> bool:
+        """Whether bytes follow the end of the answer."""
+        return self.done and bool(self._buffer)
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Takes bytes and returns the parts of the body in them.
+
+        Raises `MalformedResponse`.
+        """
+        self._buffer += data
+        parts: list[bytes] = []
+        while self._step(parts):
+            pass
+        return parts
+
+    def closed(self, clean: bool) -> None:
+        """The peer closed the connection; ends an answer without a length if cleanly."""
+        if self._stage is _Stage.UNTIL_CLOSE and clean:
+            self._stage = _Stage.DONE
+
+    def _step(self, parts: list[bytes]) -> bool:
+        """One step of decoding; False where more bytes are needed."""
+        if self._stage is _Stage.HEAD:
+            return self._read_head()
+        if self._stage in (_Stage.LENGTH, _Stage.CHUNK_DATA):
+            return self._read_counted(parts)
+        if self._stage is _Stage.CHUNK_SIZE:
+            return self._read_chunk_size()
+        if self._stage is _Stage.CHUNK_END:
+            return self._read_chunk_end()
+        if self._stage is _Stage.TRAILER:
+            return self._read_trailer()
+        if self._stage is _Stage.UNTIL_CLOSE and self._buffer:
+            parts.append(bytes(self._buffer))
+            self._buffer.clear()
+        return False
+
+    def _read_head(self) -> bool:
+        end = self._buffer.find(b"\r\n\r\n")
+        if end < 0:
+            if len(self._buffer) > MAX_HEAD_BYTES or not b"HTTP/1.".startswith(
+                bytes(self._buffer[:7])
+            ):
+                raise MalformedResponse("no response head")
+            return False
+        head = bytes(self._buffer[:end])
+        del self._buffer[: end + 4]
+        status_line, _, rest = head.partition(b"\r\n")
+        match = _STATUS_LINE.match(status_line)
+        if match is None:
+            raise MalformedResponse("bad status line")
+        status = int(match.group(1))
+        if status < 200:
+            return True
+        try:
+            headers = HTTPHeaders.parse(rest.decode("latin1"))
+        except Exception as error:
+            raise MalformedResponse("bad header") from error
+        reason = (match.group(2) or b"").decode("latin1")
+        self.head = ResponseHead(status, reason, headers)
+        self._choose_framing(status, headers)
+        return True
+
+    def _choose_framing(self, status: int, headers: HTTPHeaders) -> None:
+        lengths = headers.get_list("Content-Length")
+        coding = headers.get("Transfer-Encoding")
+        if status in (204, 304):
+            self._stage = _Stage.DONE
+        elif coding is not None:
+            if coding.strip().lower() != "chunked" or lengths:
+                raise MalformedResponse("bad transfer coding")
+            self._stage = _Stage.CHUNK_SIZE
+        elif lengths:
+            if len(set(lengths)) != 1 or not lengths[0].isdecimal():
+                raise MalformedResponse("bad length")
+            self._left = int(lengths[0])
+            self._stage = _Stage.LENGTH if self._left else _Stage.DONE
+        else:
+            self._stage = _Stage.UNTIL_CLOSE
+
+    def _read_counted(self, parts: list[bytes]) -> bool:
+        if not self._buffer:
+            return False
+        part = bytes(self._buffer[: self._left])
+        del self._buffer[: self._left]
+        self._left -= len(part)
+        parts.append(part)
+        if self._left == 0:
+            in_chunk = self._stage is _Stage.CHUNK_DATA
+            self._stage = _Stage.CHUNK_END if in_chunk else _Stage.DONE
+        return True
+
+    def _read_line(self) -> bytes | None:
+        end = self._buffer.find(b"\r\n")
+        if end < 0:
+            if len(self._buffer) > MAX_CHUNK_LINE_BYTES:
+                raise MalformedResponse("chunk line too long")
+            return None
+        line = bytes(self._buffer[:end])
+        del self._buffer[: end + 2]
+        return line
+
+    def _read_chunk_size(self) -> bool:
+        line = self._read_line()
+        if line is None:
+            return False
+        digits = line.partition(b";")[0].strip()
+        if not _HEX.match(digits):
+            raise MalformedResponse("bad chunk size")
+        self._left = int(digits, 16)
+        self._stage = _Stage.CHUNK_DATA if self._left else _Stage.TRAILER
+        return True
+
+    def _read_chunk_end(self) -> bool:
+        if len(self._buffer) < 2:
+            return False
+        if self._buffer[:2] != b"\r\n":
+            raise MalformedResponse("chunk without its end")
+        del self._buffer[:2]
+        self._stage = _Stage.CHUNK_SIZE
+        return True
+
+    def _read_trailer(self) -> bool:
+        line = self._read_line()
+        if line is None:
+            return False
+        if not line:
+            self._stage = _Stage.DONE
+            return False
+        return True
--- /dev/null
+++ b/stileloom/jobs/client.py
@@ -0,0 +1,146 @@
+"""A gateway's side of job calls: finds the ledger's leader and asks again where it is safe."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from stileloom.errors import ErrorKind, Outcome, StileloomError
+from stileloom.events import LogEvent
+from stileloom.jobs.messages import (
+    NotLeader,
+    OutcomeUnknown,
+    ReadResultsCall,
+    Reply,
+    Request,
+    SubmitJobCall,
+)
+from stileloom.logging import EventLog
+from stileloom.settings_file import split_address
+from stileloom.transport.calls import CallConnection, CallFailed
+
+CALL_TIMEOUT_S = 1.2
+"""Time for one answer: a commit takes some milliseconds, an election up to two seconds."""
+RETRY_PAUSE_S = 0.1
+RETRY_AFTER_S = 0.3
+
+
+class LedgerNodes:
+    """Addresses of ledger nodes, from settings and the store, and who leads."""
+
+    def __init__(self, seeds: list[tuple[str, int]]) -> None:
+        self.leader: tuple[str, int] | None = None
+        self._addresses = list(seeds)
+        self._turn = 0
+
+    def learn(self, addresses: list[tuple[str, int]]) -> None:
+        """Adds addresses that were not known."""
+        for address in addresses:
+            if address not in self._addresses:
+                self._addresses.insert(0, address)
+
+    def next_target(self) -> tuple[str, int] | None:
+        """The leader, or the next node in turn."""
+        if self.leader is not None:
+            return self.leader
+        if not self._addresses:
+            return None
+        self._turn += 1
+        return self._addresses[self._turn % len(self._addresses)]
+
+
+class JobClient:
+    """Sends job calls to the leader. All calls are idempotent."""
+
+    def __init__(
+        self, nodes: LedgerNodes, log: EventLog, on_lost_leader: Callable[[], None]
+    ) -> None:
+        self._nodes = nodes
+        self._log = log
+        self._on_lost_leader = on_lost_leader
+        self._connections: dict[tuple[str, int], CallConnection] = {}
+        self._connecting: dict[tuple[str, int], asyncio.Lock] = {}
+
+    async def call(self, request: Request, request_id: str, timeout_s: float) -> Reply:
+        """The leader's answer.
+
+        Raises `StileloomError` (LEDGER_UNAVAILABLE): outcome NOT_RUN where no node can have
+        carried the call out, UNKNOWN otherwise.
+        """
+        give_up_at = time.monotonic() + timeout_s
+        may_have_run = False
+        tries = 0
+        while True:
+            left_s = give_up_at - time.monotonic()
+            if left_s <= 0:
+                break
+            target = self._nodes.next_target()
+            if target is not None:
+                tries += 1
+                try:
+                    reply = await self._call_node(target, request, left_s)
+                    if not isinstance(reply, NotLeader | OutcomeUnknown):
+                        self._nodes.leader = target
+                        return reply
+                    may_have_run |= isinstance(reply, OutcomeUnknown)
+                    moved = self._note_not_leader(target, reply)
+                    if moved:
+                        continue
+                except CallFailed as failure:
+                    may_have_run |= failure.sent
+                    self._note_silent(target, request_id, str(failure))
+            await asyncio.sleep(min(RETRY_PAUSE_S, max(0.0, give_up_at - time.monotonic())))
+        outcome = Outcome.UNKNOWN if may_have_run else Outcome.NOT_RUN
+        detail = f"no leader answered in {tries} tries"
+        raise StileloomError(ErrorKind.LEDGER_UNAVAILABLE, detail, outcome, RETRY_AFTER_S)
+
+    def _note_not_leader(self, target: tuple[str, int], reply: NotLeader | OutcomeUnknown) -> bool:
+        """Follows a hint; False where there is none."""
+        self._nodes.leader = None
+        hint = reply.leader if isinstance(reply, NotLeader) else ""
+        if not hint or split_address(hint) == target:
+            return False
+        self._nodes.leader = split_address(hint)
+        return True
+
+    def _note_silent(self, target: tuple[str, int], request_id: str, detail: str) -> None:
+        if self._nodes.leader == target:
+            self._nodes.leader = None
+        self._on_lost_leader()
+        self._log.emit(
+            LogEvent.LEDGER_NODE_SILENT,
+            {"request": request_id, "node": f"{target[0]}:{target[1]}", "detail": detail},
+        )
+
+    async def _call_node(self, target: tuple[str, int], request: Request, left_s: float) -> Reply:
+        connection = await self._connected(target)
+        timeout_s = CALL_TIMEOUT_S
+        if isinstance(request, ReadResultsCall):
+            timeout_s += request.wait_s
+        elif isinstance(request, SubmitJobCall):
+            timeout_s += CALL_TIMEOUT_S
+        try:
+            return await connection.call(request, min(timeout_s, left_s))
+        except CallFailed as failure:
+            if failure.sent:
+                connection.close()
+            raise
+
+    async def _connected(self, target: tuple[str, int]) -> CallConnection:
+        lock = self._connecting.setdefault(target, asyncio.Lock())
+        async with lock:
+            connection = self._connections.get(target)
+            if connection is not None and connection.usable:
+                return connection
+            try:
+                connection = await CallConnection.open(target)
+            except (OSError, TimeoutError) as error:
+                raise CallFailed(type(error).__name__, sent=False) from error
+            self._connections[target] = connection
+            return connection
+
+    def close(self) -> None:
+        """Closes every connection."""
+        for connection in self._connections.values():
+            connection.close()
--- /dev/null
+++ b/stileloom/jobs/item_stream.py
@@ -0,0 +1,117 @@
+"""One run of an item: reads the sampler's stream and keeps the chain of events whole."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Callable
+
+from stileloom.api.headers import HeaderNames
+from stileloom.http1.connection import ExchangeEnd
+from stileloom.http1.event_stream import EventStreamParser, MalformedEvent
+from stileloom.http1.response_decoder import ResponseHead
+from stileloom.jobs.partial_text import BrokenChain, PartialText
+
+
+class RunOutcome(enum.Enum):
+    """How a run ended."""
+
+    WHOLE = "whole"
+    REFUSED = "refused"
+    """The sampler did not run it."""
+    MISDIRECTED = "misdirected"
+    """Another sampler, or another version of the weights, has the address."""
+    FAILED = "failed"
+    """A 500: a failed attempt of the item itself."""
+    IMPOSSIBLE = "impossible"
+    """The sampler says that the item can never be done."""
+    TOO_OLD = "too_old"
+    """The sampler's weights are older than the job allows."""
+    BROKEN = "broken"
+    """The stream ended early or was no stream; it goes on elsewhere."""
+
+
+class ItemStream:
+    """Takes one response; tells each event, and the outcome once."""
+
+    def __init__(
+        self,
+        item_id: str,
+        partial: PartialText,
+        min_version: int,
+        names: HeaderNames,
+        on_event: Callable[[int], None],
+        on_outcome: Callable[[RunOutcome, str], None],
+    ) -> None:
+        self.version = 0
+        self._item_id = item_id
+        self._partial = partial
+        self._min_version = min_version
+        self._names = names
+        self._on_event = on_event
+        self._on_outcome = on_outcome
+        self._parser = EventStreamParser(names.versions)
+        self._head: ResponseHead | None = None
+        self._over = False
+
+    def on_head(self, head: ResponseHead) -> None:
+        """The status and headers."""
+        self._head = head
+        if head.headers.get(self._names.request_id, self._item_id) != self._item_id:
+            self._end(RunOutcome.BROKEN, "answer to another request")
+        elif head.status == 200:
+            text = head.headers.get(self._names.versions, "").strip()
+            if not text.isdecimal():
+                self._end(RunOutcome.BROKEN, "no version")
+            else:
+                self._note_version(int(text))
+
+    def on_body(self, data: bytes) -> None:
+        """A part of the body."""
+        if self._over or self._head is None or self._head.status != 200:
+            return
+        try:
+            for event in self._parser.feed(data):
+                if event.version is not None:
+                    self._note_version(event.version)
+                if self._over:
+                    return
+                self._partial.add(event.event_id, event.data, self.version)
+                self._on_event(event.event_id)
+        except (MalformedEvent, BrokenChain) as error:
+            self._end(RunOutcome.BROKEN, str(error))
+
+    def on_end(self, end: ExchangeEnd) -> None:
+        """Nothing more follows."""
+        if self._over:
+            return
+        if end is not ExchangeEnd.COMPLETE or self._head is None:
+            self._end(RunOutcome.BROKEN, end.value)
+        elif self._head.status == 200:
+            if self._parser.has_partial or self._partial.last_event_id is None:
+                self._end(RunOutcome.BROKEN, "ended within an event")
+            else:
+                self._end(RunOutcome.WHOLE, "")
+        else:
+            self._end(*self._judge_status(self._head))
+
+    def _judge_status(self, head: ResponseHead) -> tuple[RunOutcome, str]:
+        detail = str(head.status)
+        if head.status == 421:
+            return RunOutcome.MISDIRECTED, detail
+        if self._names.not_run in head.headers:
+            return RunOutcome.REFUSED, detail
+        if head.status == 500:
+            return RunOutcome.FAILED, detail
+        if head.status == 422:
+            return RunOutcome.IMPOSSIBLE, detail
+        return RunOutcome.BROKEN, detail
+
+    def _note_version(self, version: int) -> None:
+        self.version = version
+        if version < self._min_version:
+            self._end(RunOutcome.TOO_OLD, f"version {version} below {self._min_version}")
+
+    def _end(self, outcome: RunOutcome, detail: str) -> None:
+        if not self._over:
+            self._over = True
+            self._on_outcome(outcome, detail)
--- /dev/null
+++ b/stileloom/jobs/runner.py
@@ -0,0 +1,539 @@
+"""Runs the items of open jobs at the ledger's leader, and loads weight versions.
+
+Everything here is memory: a new leader begins from the ledger's jobs and from what the
+samplers and the store say.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Coroutine
+from typing import Protocol
+
+from stileloom.api.dialect import Dialect, LoadOrder
+from stileloom.api.jobs import ItemResult, ItemState
+from stileloom.api.routes import Route, RouteKind, Service
+from stileloom.errors import StileloomError
+from stileloom.events import LogEvent
+from stileloom.http1.connection import SamplerConnection
+from stileloom.http1.pool import ConnectionPool
+from stileloom.http1.request_encoder import encode_request, end_to_end
+from stileloom.jobs.book import JobBook, JobRecord
+from stileloom.jobs.engine_control import ControlTarget, EngineControl, OrderOutcome
+from stileloom.jobs.item_stream import ItemStream, RunOutcome
+from stileloom.jobs.metrics import JobMetrics
+from stileloom.jobs.partial_text import PartialText
+from stileloom.jobs.scheduler import ItemScheduler, OpenItem, StartRun
+from stileloom.jobs.version_planner import Load, VersionPlanner
+from stileloom.ledger.commands import Command, CommandResult, ForgetJob, RecordResults
+from stileloom.logging import EventLog
+from stileloom.proxy.route_table import RouteTable
+from stileloom.proxy.sampler_table import SamplerTable
+
+FLUSH_S = 0.02
+"""Results that come within this time are committed together."""
+RETRY_S = 0.05
+REFUSED_PAUSE_S = 0.15
+GIVE_UP_MARGIN_S = 2.0
+LOAD_S = 0.9
+REPORT_INTERVAL_S = 0.3
+LOAD_PATIENCE_S = 4.0
+ORDER_RETRY_S = 1.2
+IMPOSSIBLE_ATTEMPTS = 1
+
+
+class Proposer(Protocol):
+    """The ledger as the runner sees it."""
+
+    async def propose(self, command: Command) -> CommandResult:
+        """Commits a command. Raises `StileloomError`."""
+
+
+class JobRunner:
+    """Lives as long as one leadership."""
+
+    def __init__(
+        self,
+        node_id: str,
+        epoch: int,
+        orders_from: float,
+        book: JobBook,
+        ledger: Proposer,
+        routes: RouteTable,
+        samplers: SamplerTable,
+        dialect: Dialect,
+        log: EventLog,
+        metrics: JobMetrics,
+    ) -> None:
+        self.scheduler = ItemScheduler(samplers)
+        self.planner = VersionPlanner(self.scheduler, samplers)
+        self._node_id = node_id
+        self._epoch = epoch
+        self._orders_from = orders_from
+        """No order before this monotonic time: an earlier leader's last one must be past."""
+        self._book = book
+        self._ledger = ledger
+        self._routes = routes
+        self._samplers = samplers
+        self._dialect = dialect
+        self._log = log
+        self._metrics = metrics
+        self._pool = ConnectionPool()
+        self._control = EngineControl(dialect, self._pool)
+        self._connections: dict[tuple[str, str], SamplerConnection] = {}
+        self._adopted: dict[str, float] = {}
+        self._finished: dict[str, list[ItemResult]] = {}
+        self._flush_due = False
+        self._stopped = False
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._waiters: dict[str, list[asyncio.Future[None]]] = {}
+
+    def stop(self) -> None:
+        """Leadership is over: closes every stream."""
+        self._stopped = True
+        for connection in self._connections.values():
+            connection.close()
+        self._connections.clear()
+        for task in self._tasks:
+            task.cancel()
+        for futures in self._waiters.values():
+            for future in futures:
+                if not future.done():
+                    future.set_result(None)
+        self._waiters.clear()
+
+    def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    # What the rest of the node tells.
+
+    def version_named(self, model: str, version: int) -> None:
+        """A trainer has named a version."""
+        if self.planner.named(model, version, time.monotonic()):
+            self._log.emit(LogEvent.VERSION_NAMED, {"model": model, "version": version})
+
+    def sampler_seen(self, sampler_id: str, versions: dict[str, int]) -> None:
+        """The directory lists a sampler."""
+        models = self.scheduler.models_of(sampler_id)
+        for model, version in versions.items():
+            models.saw(model, version)
+
+    def sampler_gone(self, sampler_id: str) -> None:
+        """The sampler leaves or is gone; its runs go on while it makes events."""
+        self._pool.forget(sampler_id)
+
+    def results_wait(self, job_id: str) -> asyncio.Future[None]:
+        """Resolved when the job has new results or has ended."""
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._waiters.setdefault(job_id, []).append(future)
+        return future
+
+    # The loop of decisions.
+
+    def step(self) -> None:
+        """Takes in what has changed and starts what is due."""
+        if self._stopped:
+            return
+        now = time.monotonic()
+        self._follow_book(now)
+        for open_item in self.scheduler.plan_moves(now):
+            self._stop_run(open_item, "moved")
+            open_item.not_before = 0.0
+        for service in self._routes.services():
+            if service.engine is not None and service.engine.models:
+                self._plan_service(now, service)
+
+    def _plan_service(self, now: float, service: Service) -> None:
+        assert service.engine is not None
+        models = service.engine.models
+        self.scheduler.share_out(service.name, models)
+        if now >= self._orders_from:
+            single = {item.model for item in self.scheduler.items.values() if item.single_version}
+            for load in self.planner.plan(now, service.name, models, single):
+                self.scheduler.models_of(load.sampler_id).loading = load.model
+                self._spawn(self._load(load))
+        for start in self.scheduler.plan_starts(now, models):
+            self._spawn(self._run_item(start))
+
+    def _follow_book(self, now: float) -> None:
+        for job_id, record in list(self._book.jobs.items()):
+            if job_id not in self._adopted:
+                self._adopted[job_id] = now
+            if record.is_open:
+                self._adopt(record, now)
+        for job_id in [job_id for job_id, _ in self.scheduler.items]:
+            ended = self._book.jobs.get(job_id)
+            if ended is None or not ended.is_open:
+                self._drop(job_id)
+        for open_item in list(self.scheduler.items.values()):
+            if now >= open_item.give_up_at and not open_item.finished:
+                self._finish(open_item, ItemState.GIVEN_UP, "out of time")
+
+    def _adopt(self, record: JobRecord, now: float) -> None:
+        submission = record.submission
+        first = submission.items[0].item_id if submission.items else ""
+        known = any(
+            (submission.job_id, item.item_id) in self.scheduler.items for item in submission.items
+        )
+        if known or not first:
+            return
+        route = self._route_of(record)
+        if route is None:
+            return
+        self._reuse_listed(record, route.single_version)
+        expected = {item.item_id: self._expected_tokens(item.headers) for item in submission.items}
+        self.planner.named(submission.model, submission.min_version, now)
+        self.scheduler.adopt_job(
+            record,
+            route.backends[0].service,
+            route.single_version,
+            route.max_attempts,
+            route.max_wait_s + GIVE_UP_MARGIN_S - (now - self._adopted[submission.job_id]),
+            expected,
+            now,
+        )
+        self._log.emit(
+            LogEvent.JOB_ADOPTED,
+            {
+                "job": submission.job_id,
+                "step": submission.step,
+                "model": submission.model,
+                "min_version": submission.min_version,
+                "items": len(submission.items),
+                "listed": len(record.results),
+            },
+        )
+
+    def _route_of(self, record: JobRecord) -> Route | None:
+        route = self._routes.match(record.submission.host, record.submission.path)
+        return route if route is not None and route.kind is RouteKind.BATCH else None
+
+    def _reuse_listed(self, record: JobRecord, single_version: bool) -> None:
+        """Items that an earlier job has finished are listed again where their versions fit."""
+        wanted = {item.item_id for item in record.submission.items} - record.listed
+        min_version = record.submission.min_version
+        for other in self._book.jobs.values():
+            if other is record or other.submission.model != record.submission.model:
+                continue
+            for result in other.results:
+                fits = result.state is ItemState.SUCCEEDED and all(
+                    version >= min_version for version in result.versions
+                )
+                if result.item_id in wanted and fits:
+                    if single_version and len(result.versions) > 1:
+                        continue
+                    wanted.discard(result.item_id)
+                    self._queue_result(record.submission.job_id, result)
+
+    def _expected_tokens(self, headers: dict[str, str]) -> float:
+        names = self._dialect.names
+        by_name = {name.lower(): value for name, value in headers.items()}
+        hint = by_name.get(names.length_hint.lower(), "")
+        try:
+            return float(hint)
+        except ValueError:
+            usage = by_name.get(names.token_usage.lower(), "").split(",")
+            return float(usage[1]) / 2 if len(usage) == 2 and usage[1].isdecimal() else 1000.0
+
+    def _drop(self, job_id: str) -> None:
+        for open_item in self.scheduler.drop_job(job_id):
+            self._stop_run(open_item, "job ended")
+        self._wake(job_id)
+
+    # Runs.
+
+    async def _run_item(self, start: StartRun) -> None:
+        open_item = start.item
+        belief = self._samplers.get(start.sampler_id)
+        run = open_item.run
+        if belief is None or run is None:
+            self.scheduler.run_ended(open_item)
+            return
+        entry = belief.entry
+        try:
+            connection = await self._pool.acquire(entry.sampler_id, entry.address)
+        except (OSError, TimeoutError) as error:
+            self._samplers.failed(entry.sampler_id, time.monotonic())
+            self._note_run(open_item, entry.sampler_id, RunOutcome.BROKEN, type(error).__name__)
+            if open_item.run is run:
+                self.scheduler.run_ended(open_item)
+                open_item.not_before = time.monotonic() + RETRY_S
+            return
+        if open_item.run is not run or self._stopped:
+            self._pool.release(entry.sampler_id, connection)
+            return
+        # The text is copied: an end of this run that comes late must not touch a later one's.
+        partial = PartialText(
+            list(open_item.partial.parts),
+            open_item.partial.last_event_id,
+            list(open_item.partial.versions),
+        )
+        open_item.partial = partial
+        stream = ItemStream(
+            open_item.item.item_id,
+            partial,
+            open_item.min_version,
+            self._dialect.names,
+            lambda _: self.scheduler.event(open_item, time.monotonic()),
+            lambda outcome, detail: self._ended(open_item, entry.sampler_id, outcome, detail),
+        )
+        self._connections[open_item.key] = connection
+        self._metrics.runs_started.inc()
+        self._log.emit(
+            LogEvent.ITEM_SENT,
+            {
+                "item": open_item.item.item_id,
+                "job": open_item.key[0],
+                "sampler": entry.sampler_id,
+                "after_event": partial.last_event_id,
+            },
+        )
+        connection.exchange(self._encode(open_item, entry.sampler_id), stream)
+
+    def _encode(self, open_item: OpenItem, sampler_id: str) -> bytes:
+        names = self._dialect.names
+        item = open_item.item
+        own = {
+            names.request_id.lower(),
+            names.expect_sampler.lower(),
+            names.deadline_ms.lower(),
+            names.last_event_id.lower(),
+            "host",
+        }
+        headers = [("Host", self._host_of(open_item)), (names.request_id, item.item_id)]
+        headers += [
+            (name, value)
+            for name, value in end_to_end(item.headers.items())
+            if name.lower() not in own
+        ]
+        left_ms = max(1, int((open_item.give_up_at - time.monotonic()) * 1000))
+        headers += [(names.deadline_ms, str(left_ms)), (names.expect_sampler, sampler_id)]
+        if open_item.partial.last_event_id is not None:
+            headers.append((names.last_event_id, str(open_item.partial.last_event_id)))
+        return encode_request("POST", item.path, headers, item.body)
+
+    def _host_of(self, open_item: OpenItem) -> str:
+        record = self._book.jobs.get(open_item.key[0])
+        return record.submission.host if record is not None else ""
+
+    def _stop_run(self, open_item: OpenItem, reason: str) -> None:
+        """Closes the sampler's connection; the text so far is kept."""
+        connection = self._connections.pop(open_item.key, None)
+        if connection is not None:
+            connection.close()
+        if open_item.run is not None:
+            self._log.emit(
+                LogEvent.ITEM_STOPPED,
+                {
+                    "item": open_item.item.item_id,
+                    "job": open_item.key[0],
+                    "sampler": open_item.run.sampler_id,
+                    "events": len(open_item.partial.parts),
+                    "reason": reason,
+                },
+            )
+        self.scheduler.run_ended(open_item)
+
+    def _ended(
+        self, open_item: OpenItem, sampler_id: str, outcome: RunOutcome, detail: str
+    ) -> None:
+        connection = self._connections.pop(open_item.key, None)
+        now = time.monotonic()
+        self.scheduler.run_ended(open_item)
+        if connection is not None:
+            if outcome in (RunOutcome.TOO_OLD, RunOutcome.BROKEN):
+                connection.close()
+            else:
+                asyncio.get_running_loop().call_soon(self._pool.release, sampler_id, connection)
+        self._metrics.runs_ended.labels(outcome.value).inc()
+        if outcome is RunOutcome.WHOLE:
+            self._samplers.answered(sampler_id)
+            self._finish(open_item, ItemState.SUCCEEDED, "")
+            return
+        self._note_run(open_item, sampler_id, outcome, detail)
+        open_item.not_before = now + RETRY_S
+        if outcome is RunOutcome.REFUSED:
+            self.scheduler.pace(sampler_id).refused_until = now + REFUSED_PAUSE_S
+        elif outcome is RunOutcome.MISDIRECTED:
+            self._samplers.mark_leaving(sampler_id)
+        elif outcome is RunOutcome.FAILED:
+            open_item.failures += 1
+            if open_item.failures >= open_item.max_attempts:
+                self._finish(open_item, ItemState.GIVEN_UP, f"{open_item.failures} failed runs")
+        elif outcome is RunOutcome.IMPOSSIBLE:
+            open_item.rejections += 1
+            if open_item.rejections >= IMPOSSIBLE_ATTEMPTS:
+                self._finish(open_item, ItemState.GIVEN_UP, "the sampler says it can't be done")
+        self._step_soon()
+
+    def _note_run(
+        self, open_item: OpenItem, sampler_id: str, outcome: RunOutcome, detail: str
+    ) -> None:
+        self._log.emit(
+            LogEvent.ITEM_RUN_FAILED,
+            {
+                "item": open_item.item.item_id,
+                "job": open_item.key[0],
+                "sampler": sampler_id,
+                "outcome": outcome.value,
+                "detail": detail,
+                "events": len(open_item.partial.parts),
+            },
+        )
+
+    def _step_soon(self) -> None:
+        asyncio.get_running_loop().call_later(0.005, self.step)
+
+    # Results.
+
+    def _finish(self, open_item: OpenItem, state: ItemState, reason: str) -> None:
+        self._stop_run(open_item, reason) if open_item.run is not None else None
+        open_item.finished = True
+        succeeded = state is ItemState.SUCCEEDED
+        result = ItemResult(
+            open_item.item.item_id,
+            state,
+            open_item.partial.text if succeeded else "",
+            list(open_item.partial.versions) if succeeded else [],
+        )
+        if not succeeded:
+            self._log.emit(
+                LogEvent.ITEM_GIVEN_UP,
+                {
+                    "item": result.item_id,
+                    "job": open_item.key[0],
+                    "reason": reason,
+                    "failures": open_item.failures,
+                },
+            )
+        self._queue_result(open_item.key[0], result)
+
+    def _queue_result(self, job_id: str, result: ItemResult) -> None:
+        self._finished.setdefault(job_id, []).append(result)
+        if not self._flush_due:
+            self._flush_due = True
+            asyncio.get_running_loop().call_later(FLUSH_S, self._flush)
+
+    def _flush(self) -> None:
+        self._flush_due = False
+        finished, self._finished = self._finished, {}
+        if not self._stopped:
+            for job_id, results in finished.items():
+                self._spawn(self._record(job_id, results))
+
+    async def _record(self, job_id: str, results: list[ItemResult]) -> None:
+        try:
+            await self._ledger.propose(RecordResults(job_id, results))
+        except StileloomError:
+            return
+        for result in results:
+            self.scheduler.listed((job_id, result.item_id))
+        self._metrics.results_listed.inc(len(results))
+        record = self._book.jobs.get(job_id)
+        self._log.emit(
+            LogEvent.RESULTS_LISTED,
+            {
+                "job": job_id,
+                "items": [result.item_id for result in results[:8]],
+                "count": len(results),
+                "listed": len(record.results) if record is not None else 0,
+            },
+        )
+        self._wake(job_id)
+        self._step_soon()
+
+    def _wake(self, job_id: str) -> None:
+        for future in self._waiters.pop(job_id, []):
+            if not future.done():
+                future.set_result(None)
+
+    def expired(self, retention_s: float) -> list[ForgetJob]:
+        """Commands that drop jobs nobody may ask for any more."""
+        now = time.monotonic()
+        return [
+            ForgetJob(job_id)
+            for job_id, adopted_at in self._adopted.items()
+            if now - adopted_at > retention_s
+            and job_id in self._book.jobs
+            and not self._book.jobs[job_id].is_open
+        ]
+
+    # Loads of weights.
+
+    async def _load(self, load: Load) -> None:
+        models = self.scheduler.models_of(load.sampler_id)
+        try:
+            outcome = await self._order(load)
+            self._metrics.orders.labels(outcome.value).inc()
+            if outcome is OrderOutcome.ACCEPTED:
+                await asyncio.sleep(LOAD_S)
+            if outcome in (OrderOutcome.ACCEPTED, OrderOutcome.BUSY, OrderOutcome.UNKNOWN):
+                await self._await_version(load)
+        finally:
+            models.loading = None
+            self._step_soon()
+
+    async def _order(self, load: Load) -> OrderOutcome:
+        belief = self._samplers.get(load.sampler_id)
+        if belief is None:
+            return OrderOutcome.GONE
+        target = ControlTarget(load.sampler_id, belief.entry.address)
+        report = await self._control.report(target)
+        if report is None:
+            self.planner.postpone(load.sampler_id, time.monotonic() + RETRY_S * 4)
+            return OrderOutcome.REFUSED
+        self.sampler_seen(load.sampler_id, report.model_versions)
+        if report.model_versions.get(load.model, 0) >= load.version:
+            return OrderOutcome.HOLDS_ALREADY
+        if report.busy:
+            return OrderOutcome.BUSY
+        order = LoadOrder(
+            load.model,
+            load.version,
+            load.strategy,
+            self._node_id,
+            self._epoch,
+            report.orders_taken,
+        )
+        if self._stopped:
+            return OrderOutcome.REFUSED
+        outcome = await self._control.order(target, order)
+        self._log.emit(
+            LogEvent.VERSION_ORDERED,
+            {
+                "sampler": load.sampler_id,
+                "model": load.model,
+                "version": load.version,
+                "strategy": load.strategy.value,
+                "fence": self._epoch,
+                "expected": report.orders_taken,
+                "outcome": outcome.value,
+            },
+        )
+        if outcome is OrderOutcome.GONE:
+            self._samplers.mark_leaving(load.sampler_id)
+        if outcome in (OrderOutcome.REFUSED, OrderOutcome.FENCED):
+            self.planner.postpone(load.sampler_id, time.monotonic() + ORDER_RETRY_S)
+        return outcome
+
+    async def _await_version(self, load: Load) -> None:
+        """Asks for reports until the version is there, or nothing is under way any more."""
+        give_up_at = time.monotonic() + LOAD_PATIENCE_S
+        quiet = 0
+        while time.monotonic() < give_up_at:
+            belief = self._samplers.get(load.sampler_id)
+            if belief is None:
+                return
+            target = ControlTarget(load.sampler_id, belief.entry.address)
+            report = await self._control.report(target)
+            if report is not None:
+                self.sampler_seen(load.sampler_id, report.model_versions)
+                if report.model_versions.get(load.model, 0) >= load.version:
+                    return
+                quiet = 0 if report.busy else quiet + 1
+                if quiet >= 2:
+                    return
+            await asyncio.sleep(REPORT_INTERVAL_S)
--- /dev/null
+++ b/stileloom/jobs/scheduler.py
@@ -0,0 +1,333 @@
+"""Decides which item runs on which sampler, and when a run moves. No I/O, no clock.
+
+Rules, in their order: an item needs a sampler of its model with a version that its job
+allows; carried and old work first, then the longest expected; of the samplers with a free
+slot the fastest, with a bonus where the group's prompt was read already.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from stileloom.api.jobs import JobItem
+from stileloom.jobs.book import JobRecord
+from stileloom.jobs.model_versions import SamplerModels, share_samplers
+from stileloom.jobs.partial_text import PartialText
+from stileloom.proxy.sampler_table import SamplerBelief, SamplerTable
+
+ItemKey = tuple[str, str]
+"""Job id and item id: a later job may carry an item again under the same id."""
+
+SILENCE_S = 1.3
+"""A run that made no event for so long is resumed elsewhere."""
+LOAD_SILENCE_S = 4.0
+"""The same while the sampler loads weights."""
+GROUP_BONUS = 0.85
+MOVE_IF_SLOWER = 1.7
+MOVE_MIN_EVENTS_LEFT = 5.0
+MOVES_PER_PLAN = 4
+DEMAND_CHANGE = 1.4
+"""Samplers are shared out anew when a model's part of the work changes by this factor."""
+DEFAULT_EXPECTED_TOKENS = 1000.0
+FIRST_INTERVAL_S = 0.045
+INTERVAL_WEIGHT = 0.2
+KEPT_TEXTS = 2000
+
+
+class OpenItem(msgspec.Struct):
+    """An item without a listed result."""
+
+    key: ItemKey
+    item: JobItem
+    model: str
+    step: int
+    min_version: int
+    single_version: bool
+    service: str
+    max_attempts: int
+    expected_tokens: float
+    adopted_at: float
+    give_up_at: float
+    carried: bool = False
+    partial: PartialText = msgspec.field(default_factory=PartialText)
+    failures: int = 0
+    rejections: int = 0
+    not_before: float = 0.0
+    run: ItemRun | None = None
+    finished: bool = False
+    """Its result is on the way to the ledger."""
+
+
+class ItemRun(msgspec.Struct):
+    """An item that runs at a sampler."""
+
+    sampler_id: str
+    started_at: float
+    last_event_at: float
+    events: int = 0
+    version: int = 0
+
+
+class StartRun(msgspec.Struct, frozen=True):
+    """Start an item at a sampler, from where its text ends."""
+
+    item: OpenItem
+    sampler_id: str
+
+
+class SamplerPace(msgspec.Struct):
+    """How fast a sampler makes events, and what runs there."""
+
+    interval_s: float = FIRST_INTERVAL_S
+    running: int = 0
+    refused_until: float = 0.0
+    groups: set[str] = msgspec.field(default_factory=set)
+
+
+class ItemScheduler:
+    """All open items at the leader."""
+
+    def __init__(self, samplers: SamplerTable) -> None:
+        self.items: dict[ItemKey, OpenItem] = {}
+        self.models: dict[str, SamplerModels] = {}
+        self._samplers = samplers
+        self._paces: dict[str, SamplerPace] = {}
+        self._share: dict[str, str] = {}
+        self._share_of: tuple[frozenset[str], frozenset[str]] | None = None
+        self._demand: dict[str, float] = {}
+        self._demand_used: dict[str, float] = {}
+        self._kept: dict[str, PartialText] = {}
+        self._seen_items: set[str] = set()
+
+    # Jobs.
+
+    def adopt_job(
+        self,
+        record: JobRecord,
+        service: str,
+        single_version: bool,
+        max_attempts: int,
+        max_wait_s: float,
+        expected: dict[str, float],
+        now: float,
+    ) -> None:
+        """Takes the items of a job that are not listed yet."""
+        submission = record.submission
+        for item in submission.items:
+            key = (submission.job_id, item.item_id)
+            if item.item_id in record.listed or key in self.items:
+                continue
+            partial = self._kept.pop(item.item_id, None)
+            if partial is None or not partial.fits(submission.min_version, single_version):
+                partial = PartialText()
+            self.items[key] = OpenItem(
+                key=key,
+                item=item,
+                model=submission.model,
+                step=submission.step,
+                min_version=submission.min_version,
+                single_version=single_version,
+                service=service,
+                max_attempts=max_attempts,
+                expected_tokens=expected.get(item.item_id, DEFAULT_EXPECTED_TOKENS),
+                adopted_at=now,
+                give_up_at=now + max_wait_s,
+                carried=item.item_id in self._seen_items,
+                partial=partial,
+            )
+            self._seen_items.add(item.item_id)
+        self._demand[submission.model] = sum(
+            expected.get(item.item_id, DEFAULT_EXPECTED_TOKENS) for item in submission.items
+        )
+
+    def drop_job(self, job_id: str) -> list[OpenItem]:
+        """The job has ended: returns its items; the caller stops their runs."""
+        dropped = [item for key, item in self.items.items() if key[0] == job_id]
+        for open_item in dropped:
+            del self.items[open_item.key]
+            if open_item.partial.parts:
+                self._keep(open_item)
+        return dropped
+
+    def _keep(self, open_item: OpenItem) -> None:
+        """A later job may carry the item: its text so far is not made again."""
+        self._kept[open_item.item.item_id] = open_item.partial
+        while len(self._kept) > KEPT_TEXTS:
+            self._kept.pop(next(iter(self._kept)))
+
+    def listed(self, key: ItemKey) -> None:
+        """The item's result is durable."""
+        self.items.pop(key, None)
+
+    # Samplers.
+
+    def pace(self, sampler_id: str) -> SamplerPace:
+        """Pace of a sampler."""
+        return self._paces.setdefault(sampler_id, SamplerPace())
+
+    def models_of(self, sampler_id: str) -> SamplerModels:
+        """Beliefs on a sampler's models."""
+        return self.models.setdefault(sampler_id, SamplerModels())
+
+    def share_out(self, service: str, models: list[str]) -> dict[str, str]:
+        """The model of each sampler of the service; empty where each serves all."""
+        ids = frozenset(belief.entry.sampler_id for belief in self._samplers.of_service(service))
+        demand = {model: self._demand.get(model, DEFAULT_EXPECTED_TOKENS) for model in models}
+        state = (ids, frozenset(models))
+        if state != self._share_of or self._demand_changed(demand):
+            self._share = share_samplers(sorted(ids), demand, self._share)
+            self._share_of = state
+            self._demand_used = demand
+        return self._share
+
+    def _demand_changed(self, demand: dict[str, float]) -> bool:
+        if set(demand) != set(self._demand_used):
+            return True
+        total = sum(demand.values()) or 1.0
+        used_total = sum(self._demand_used.values()) or 1.0
+        for model, amount in demand.items():
+            part = amount / total
+            used = self._demand_used[model] / used_total
+            if part > used * DEMAND_CHANGE or used > part * DEMAND_CHANGE:
+                return True
+        return False
+
+    def serves(self, sampler_id: str, model: str) -> bool:
+        """Whether the sampler is one of the model's."""
+        return self._share.get(sampler_id, model) == model
+
+    # Planning.
+
+    def waiting(self, model: str) -> list[OpenItem]:
+        """Items of a model that do not run, in the order in which they start."""
+        items = [
+            item
+            for item in self.items.values()
+            if item.model == model and item.run is None and not item.finished
+        ]
+        items.sort(key=lambda item: (not item.carried, item.step, -item.expected_tokens))
+        return items
+
+    def plan_starts(self, now: float, models: list[str]) -> list[StartRun]:
+        """Runs to start now; they count as running from here on."""
+        starts: list[StartRun] = []
+        for model in models:
+            for open_item in self.waiting(model):
+                if now < open_item.not_before:
+                    continue
+                belief = self._best_sampler(open_item, now)
+                if belief is None:
+                    continue
+                starts.append(self._start(open_item, belief.entry.sampler_id, now))
+        return starts
+
+    def _start(self, open_item: OpenItem, sampler_id: str, now: float) -> StartRun:
+        open_item.run = ItemRun(sampler_id, now, now)
+        pace = self.pace(sampler_id)
+        pace.running += 1
+        pace.groups.add(open_item.item.group)
+        return StartRun(open_item, sampler_id)
+
+    def _best_sampler(self, open_item: OpenItem, now: float) -> SamplerBelief | None:
+        candidates = [
+            belief
+            for belief in self._samplers.of_service(open_item.service)
+            if self._may_run(open_item, belief, now)
+        ]
+        if not candidates:
+            return None
+        return min(candidates, key=lambda belief: self._cost(open_item, belief, now))
+
+    def _may_run(self, open_item: OpenItem, belief: SamplerBelief, now: float) -> bool:
+        sampler_id = belief.entry.sampler_id
+        if not self.serves(sampler_id, open_item.model):
+            return False
+        pace = self.pace(sampler_id)
+        if pace.running >= belief.entry.slots or now < pace.refused_until:
+            return False
+        models = self.models_of(sampler_id)
+        if models.loading == open_item.model:
+            return False
+        version = models.versions.get(open_item.model, 0)
+        if version < open_item.min_version:
+            return False
+        made_under = open_item.partial.versions
+        return not (open_item.single_version and made_under and made_under != [version])
+
+    def _cost(self, open_item: OpenItem, belief: SamplerBelief, now: float) -> tuple[bool, float]:
+        pace = self.pace(belief.entry.sampler_id)
+        cost = pace.interval_s * (1.0 + pace.running / max(1, belief.entry.slots))
+        if open_item.item.group and open_item.item.group in pace.groups:
+            cost *= GROUP_BONUS
+        return (belief.suspect_until > now, cost)
+
+    def plan_moves(self, now: float) -> list[OpenItem]:
+        """Runs to take from their sampler: it is silent, gone, or much slower than another."""
+        moves: list[OpenItem] = []
+        slow: list[tuple[float, OpenItem]] = []
+        for open_item in self.items.values():
+            run = open_item.run
+            if run is None:
+                continue
+            loading = self.models_of(run.sampler_id).loading == open_item.model
+            limit_s = LOAD_SILENCE_S if loading else SILENCE_S
+            if now - run.last_event_at > limit_s:
+                self._samplers.failed(run.sampler_id, now)
+                moves.append(open_item)
+            elif not loading and self._gains_by_move(open_item, now):
+                slow.append((self._events_left(open_item), open_item))
+        slow.sort(key=lambda pair: -pair[0])
+        return moves + [open_item for _, open_item in slow[:MOVES_PER_PLAN]]
+
+    def _events_left(self, open_item: OpenItem) -> float:
+        expected = max(3.0, open_item.expected_tokens / 58.0)
+        return max(MOVE_MIN_EVENTS_LEFT, expected - len(open_item.partial.parts))
+
+    def _gains_by_move(self, open_item: OpenItem, now: float) -> bool:
+        run = open_item.run
+        if run is None or run.events < 2:
+            return False
+        here_s = self.pace(run.sampler_id).interval_s
+        best = self._best_sampler(open_item, now)
+        if best is None or best.suspect_until > now:
+            return False
+        there_s = self.pace(best.entry.sampler_id).interval_s
+        return here_s > there_s * MOVE_IF_SLOWER
+
+    # Signs from runs.
+
+    def event(self, open_item: OpenItem, now: float) -> None:
+        """A run made an event."""
+        run = open_item.run
+        if run is None:
+            return
+        if run.events > 0:
+            pace = self.pace(run.sampler_id)
+            interval_s = now - run.last_event_at
+            pace.interval_s += (
+                INTERVAL_WEIGHT * (interval_s - pace.interval_s) / max(1, pace.running)
+            )
+        run.events += 1
+        run.last_event_at = now
+
+    def run_ended(self, open_item: OpenItem) -> None:
+        """A run is over, whatever it came to."""
+        run = open_item.run
+        if run is None:
+            return
+        self.pace(run.sampler_id).running -= 1
+        open_item.run = None
+
+    def forget_sampler(self, sampler_id: str) -> None:
+        """The incarnation is gone."""
+        self.models.pop(sampler_id, None)
+        if self.pace(sampler_id).running == 0:
+            self._paces.pop(sampler_id, None)
+
+    def running_on(self, sampler_id: str, model: str) -> int:
+        """Runs of a model at a sampler."""
+        return sum(
+            1
+            for item in self.items.values()
+            if item.model == model and item.run is not None and item.run.sampler_id == sampler_id
+        )
--- /dev/null
+++ b/stileloom/jobs/service.py
@@ -0,0 +1,146 @@
+"""Answers job calls at a ledger node: the leader serves them, others say who leads."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Protocol
+
+from stileloom.errors import StileloomError
+from stileloom.events import LogEvent
+from stileloom.jobs.book import JobRecord
+from stileloom.jobs.messages import (
+    EndJobCall,
+    ItemRead,
+    JobEnded,
+    JobTaken,
+    NoSuchJob,
+    NotLeader,
+    OutcomeUnknown,
+    ReadItemCall,
+    ReadResultsCall,
+    Reply,
+    Request,
+    ResultsRead,
+    SubmitJobCall,
+)
+from stileloom.jobs.runner import JobRunner
+from stileloom.ledger.commands import Command, CommandResult, EndJob, Refused, SubmitJob
+from stileloom.ledger.state import LedgerState
+from stileloom.logging import EventLog
+
+
+class LeaderLedger(Protocol):
+    """The ledger as this service sees it."""
+
+    @property
+    def state(self) -> LedgerState:
+        """The replicated state."""
+
+    def may_act(self) -> bool:
+        """Whether this replica leads and holds its lease now."""
+
+    def leader_address(self) -> tuple[str, int] | None:
+        """Where the leader is."""
+
+    async def propose(self, command: Command) -> CommandResult:
+        """Commits a command. Raises `StileloomError`."""
+
+
+class JobService:
+    """Handles the calls of gateways."""
+
+    def __init__(self, ledger: LeaderLedger, log: EventLog) -> None:
+        self.runner: JobRunner | None = None
+        """Set while this node leads."""
+        self._ledger = ledger
+        self._log = log
+
+    async def handle(self, request: Request) -> Reply:
+        """The answer to one call."""
+        if not self._ledger.may_act():
+            return self._not_leader()
+        if isinstance(request, SubmitJobCall):
+            return await self._submit(request)
+        if isinstance(request, ReadResultsCall):
+            return await self._read_results(request)
+        if isinstance(request, ReadItemCall):
+            return self._read_item(request)
+        return await self._end(request)
+
+    def _not_leader(self) -> NotLeader:
+        address = self._ledger.leader_address()
+        return NotLeader(f"{address[0]}:{address[1]}" if address is not None else "")
+
+    def _job(self, job_id: str) -> JobRecord | None:
+        return self._ledger.state.job_book.jobs.get(job_id)
+
+    async def _submit(self, request: SubmitJobCall) -> Reply:
+        submission = request.submission
+        known = self._job(submission.job_id) is not None
+        if not known:
+            try:
+                await self._ledger.propose(SubmitJob(submission))
+            except StileloomError:
+                return OutcomeUnknown()
+        self._log.emit(
+            LogEvent.JOB_TAKEN,
+            {
+                "job": submission.job_id,
+                "step": submission.step,
+                "items": len(submission.items),
+                "repeat": known,
+            },
+        )
+        if self.runner is not None:
+            self.runner.step()
+        return JobTaken()
+
+    async def _read_results(self, request: ReadResultsCall) -> Reply:
+        job = self._job(request.job_id)
+        give_up_at = time.monotonic() + request.wait_s
+        while job is not None and len(job.results) <= request.position and not job.ended:
+            left_s = give_up_at - time.monotonic()
+            if left_s <= 0 or self.runner is None:
+                break
+            try:
+                await asyncio.wait_for(self.runner.results_wait(request.job_id), left_s)
+            except TimeoutError:
+                break
+            job = self._job(request.job_id)
+        if not self._ledger.may_act():
+            return self._not_leader()
+        job = self._job(request.job_id)
+        if job is None:
+            return NoSuchJob()
+        return ResultsRead(job.page(request.position))
+
+    def _read_item(self, request: ReadItemCall) -> Reply:
+        job = self._job(request.job_id)
+        item = job.item(request.item_id) if job is not None else None
+        if item is None:
+            return NoSuchJob()
+        return ItemRead(item.body)
+
+    async def _end(self, request: EndJobCall) -> Reply:
+        job = self._job(request.job_id)
+        if job is None:
+            return NoSuchJob()
+        if not job.ended:
+            try:
+                result = await self._ledger.propose(EndJob(request.job_id))
+            except StileloomError:
+                return OutcomeUnknown()
+            if isinstance(result, Refused):
+                return NoSuchJob()
+            self._log.emit(
+                LogEvent.JOB_ENDED,
+                {
+                    "job": request.job_id,
+                    "listed": len(job.results),
+                    "items": len(job.submission.items),
+                },
+            )
+        if self.runner is not None:
+            self.runner.step()
+        return JobEnded()
--- /dev/null
+++ b/stileloom/jobs/version_planner.py
@@ -0,0 +1,109 @@
+"""Decides which sampler loads which weight version next. No I/O, no clock.
+
+A load makes a sampler useless for a moment, so it waits for an idle one: a step may run on
+the version before. Work that needs the newer version makes it due at once. At most
+`MAX_LOADING` samplers of a service load together; more would slow all of them.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from stileloom.api.dialect import LoadStrategy
+from stileloom.jobs.scheduler import ItemScheduler
+from stileloom.proxy.sampler_table import SamplerTable
+
+MAX_LOADING = 2
+SETTLE_S = 0.4
+"""After a version was named the step that goes with it is given time to arrive and start."""
+OVERDUE_S = 2.6
+"""A version that is this old is loaded beside running work."""
+FEW_RUNNING_SHARE = 0.3
+
+
+class Load(msgspec.Struct, frozen=True):
+    """Load a version at a sampler."""
+
+    sampler_id: str
+    model: str
+    version: int
+    strategy: LoadStrategy
+
+
+class VersionPlanner:
+    """Targets by model, and what is loaded next."""
+
+    def __init__(self, scheduler: ItemScheduler, samplers: SamplerTable) -> None:
+        self.targets: dict[str, int] = {}
+        self._named_at: dict[str, float] = {}
+        self._scheduler = scheduler
+        self._samplers = samplers
+        self._not_before: dict[str, float] = {}
+
+    def named(self, model: str, version: int, now: float) -> bool:
+        """A trainer has named a version; True where it is new."""
+        if version <= self.targets.get(model, 0):
+            return False
+        self.targets[model] = version
+        self._named_at[model] = now
+        return True
+
+    def postpone(self, sampler_id: str, until: float) -> None:
+        """No order to this sampler before then."""
+        self._not_before[sampler_id] = until
+
+    def plan(
+        self, now: float, service: str, models: list[str], single_version: set[str]
+    ) -> list[Load]:
+        """Loads to order now."""
+        beliefs = self._samplers.of_service(service)
+        loading = sum(
+            1
+            for belief in beliefs
+            if self._scheduler.models_of(belief.entry.sampler_id).loading is not None
+        )
+        candidates: list[tuple[int, int, Load]] = []
+        for model in models:
+            candidates += self._candidates(now, service, model, model in single_version)
+        candidates.sort(key=lambda row: (row[0], row[1], row[2].sampler_id))
+        return [load for _, _, load in candidates[: max(0, MAX_LOADING - loading)]]
+
+    def _candidates(
+        self, now: float, service: str, model: str, single_version: bool
+    ) -> list[tuple[int, int, Load]]:
+        target = self.targets.get(model, 0)
+        waiting = self._scheduler.waiting(model)
+        needed = max((item.min_version for item in waiting), default=0)
+        rows: list[tuple[int, int, Load]] = []
+        for belief in self._samplers.of_service(service):
+            sampler_id = belief.entry.sampler_id
+            models = self._scheduler.models_of(sampler_id)
+            version = models.versions.get(model, 0)
+            if version >= target or models.loading is not None:
+                continue
+            if not self._scheduler.serves(sampler_id, model):
+                continue
+            if now < self._not_before.get(sampler_id, 0.0) or belief.suspect_until > now:
+                continue
+            running = self._scheduler.running_on(sampler_id, model)
+            rank = self._rank(now, model, version < needed, running, belief.entry.slots, waiting)
+            if rank is not None:
+                retain = running > 0 and not single_version
+                strategy = LoadStrategy.RETAIN if retain else LoadStrategy.WAIT
+                rows.append((rank, running, Load(sampler_id, model, target, strategy)))
+        return rows
+
+    def _rank(
+        self, now: float, model: str, needed: bool, running: int, slots: int, waiting: list
+    ) -> int | None:
+        """0 for work that waits, 1 for an idle moment, 2 for a version long due."""
+        if needed:
+            return 0
+        age_s = now - self._named_at.get(model, now)
+        if waiting or age_s < SETTLE_S:
+            return None
+        if running == 0:
+            return 1
+        if age_s > OVERDUE_S and running <= slots * FEW_RUNNING_SHARE:
+            return 2
+        return None
--- a/stileloom/ledger/commands.py
+++ b/stileloom/ledger/commands.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from stileloom.api.jobs import ItemResult, JobSubmission
 from stileloom.api.samples import Delivery, Prompt, Sample
 from stileloom.errors import ErrorKind
 
@@ -101,6 +102,37 @@
     revision: int
 
 
+class SubmitJob(msgspec.Struct, frozen=True, tag=True):
+    """Takes a batch job, once."""
+
+    submission: JobSubmission
+
+
+class RecordResults(msgspec.Struct, frozen=True, tag=True):
+    """Lists results of items; an item that is listed keeps its position and result."""
+
+    job_id: str
+    results: list[ItemResult]
+
+
+class EndJob(msgspec.Struct, frozen=True, tag=True):
+    """Ends a batch job: its items need not run any more."""
+
+    job_id: str
+
+
+class ForgetJob(msgspec.Struct, frozen=True, tag=True):
+    """Drops a job after its retention."""
+
+    job_id: str
+
+
+class RetireNode(msgspec.Struct, frozen=True, tag=True):
+    """The node is to be emptied: it leaves the voter set and does not come back."""
+
+    node_id: str
+
+
 Command = (
     StartEpoch
     | ChangeVoters
@@ -113,6 +145,11 @@
     | ClaimKey
     | ReleaseKey
     | RaiseConfigurationFloor
+    | SubmitJob
+    | RecordResults
+    | EndJob
+    | ForgetJob
+    | RetireNode
 )
 
 
--- a/stileloom/ledger/replica.py
+++ b/stileloom/ledger/replica.py
@@ -85,6 +85,7 @@
         self.epoch = recovered.hard_state.epoch
         self.leader: str | None = None
         self.unavailable: set[str] = set()
+        self._lost_disks: set[Voter] = set()
         self._voted_for = recovered.hard_state.voted_for
         self._log = LedgerLog(recovered.snapshot, recovered.entries)
         self._rng = rng
@@ -141,7 +142,7 @@
 
     def lease_expires_at(self, now: float) -> float:
         """When the leader's lease ends if no more confirmations come."""
-        names = [voter.node_id for voter in self.voters]
+        names = [voter.node_id for voter in self._electorate()]
         return self._lease.expires_at(self.me.node_id, names, now)
 
     # Driving.
@@ -261,7 +262,8 @@
         return self._count_votes(now)
 
     def _count_votes(self, now: float) -> list[Effect]:
-        if len(self._votes.intersection(self.voters)) <= len(self.voters) // 2:
+        electorate = self._electorate()
+        if len(self._votes.intersection(electorate)) <= len(electorate) // 2:
             return []
         if self._trial:
             return self._start_election(now, trial=False)
@@ -355,7 +357,7 @@
         matches = sorted(
             (
                 self._durable_index if voter == self.me else self._match_index(voter)
-                for voter in self.voters
+                for voter in self._electorate()
             ),
             reverse=True,
         )
@@ -370,7 +372,24 @@
         progress = self._progress.get(voter)
         return progress.match_index if progress is not None else 0
 
+    def _electorate(self) -> list[Voter]:
+        """The voters whose majority decides.
+
+        Of two voters both must agree, so what was committed stands on either disk. Once one
+        disk is proved lost the other decides alone: nobody else ever can. The set itself must
+        be committed, or an older and larger one might still decide something.
+        """
+        voters = self.voters
+        if len(voters) != 2 or self._log.voters_at(self._commit_index) != voters:
+            return voters
+        return [voter for voter in voters if voter not in self._lost_disks] or voters
+
     def _on_hello(self, now: float, message: LearnerHello) -> list[Effect]:
+        for voter in self.voters:
+            same_node = voter.node_id == message.learner.node_id
+            if same_node and voter != message.learner and voter != self.me:
+                self._lost_disks.add(voter)
+                self._progress.pop(voter, None)
         if self.role is not ReplicaRole.LEADER or message.learner in self._progress:
             return []
         self._progress[message.learner] = _Progress(self._log.last_index + 1)
@@ -389,6 +408,11 @@
         settled = self._log.voters_at(self._commit_index) == self.voters
         if not settled or self._log.epoch_at(self._applied_index) != self.epoch:
             return []
+        silent = {
+            voter.node_id
+            for voter, progress in self._progress.items()
+            if voter in self.voters and now >= progress.last_heard_at + constants.VOTER_SILENT_S
+        }
         learners = [
             learner
             for learner, progress in self._progress.items()
@@ -396,7 +420,13 @@
             and progress.match_index >= self._commit_index
             and now < progress.last_heard_at + constants.ELECTION_TIMEOUT_MAX_S
         ]
-        next_set = next_voter_set(self.voters, learners, self.unavailable, self._target_voters)
+        next_set = next_voter_set(
+            self.voters,
+            learners,
+            self.unavailable | silent,
+            self._target_voters,
+            frozenset(self.state.retired_nodes),
+        )
         if next_set is None:
             return []
         return self.propose(now, ChangeVoters(next_set), None)
--- a/stileloom/ledger/state.py
+++ b/stileloom/ledger/state.py
@@ -16,6 +16,7 @@
     segments_add_up,
 )
 from stileloom.errors import ErrorKind
+from stileloom.jobs.book import JobBook
 from stileloom.ledger.commands import (
     AcknowledgeDeliveries,
     ChangeVoters,
@@ -25,15 +26,20 @@
     CommitSample,
     DeliveryPage,
     Done,
+    EndJob,
+    ForgetJob,
     HandOver,
     PromptsAccepted,
     PublishVersion,
     RaiseConfigurationFloor,
+    RecordResults,
     Refused,
     RegisterRound,
     ReleaseKey,
+    RetireNode,
     SampleRefused,
     StartEpoch,
+    SubmitJob,
     SubmitPrompts,
     Voter,
 )
@@ -116,6 +122,9 @@
     keys: dict[str, KeyClaim] = msgspec.field(default_factory=dict)
     voters: list[Voter] = msgspec.field(default_factory=list)
     configuration_floor: int = 0
+    job_book: JobBook = msgspec.field(default_factory=JobBook)
+    retired_nodes: set[str] = msgspec.field(default_factory=set)
+    """Nodes that are to be emptied or were; they do not become voters again."""
 
     def apply(self, command: Command) -> CommandResult:
         """Applies one committed command."""
@@ -141,9 +150,30 @@
         if isinstance(command, ChangeVoters):
             self.voters = command.voters
             return Done()
+        if isinstance(command, RetireNode):
+            self.retired_nodes.add(command.node_id)
+            return Done()
+        if isinstance(command, SubmitJob | RecordResults | EndJob | ForgetJob):
+            return self._apply_to_jobs(command)
         assert isinstance(command, StartEpoch)
         return Done()
 
+    def _apply_to_jobs(
+        self, command: SubmitJob | RecordResults | EndJob | ForgetJob
+    ) -> CommandResult:
+        book = self.job_book
+        if isinstance(command, SubmitJob):
+            return Done(duplicate=not book.submit(command.submission))
+        if isinstance(command, RecordResults):
+            book.record(command.job_id, command.results)
+            return Done()
+        if isinstance(command, ForgetJob):
+            book.forget(command.job_id)
+            return Done()
+        if not book.end(command.job_id):
+            return Refused(ErrorKind.UNKNOWN_JOB, f"no job has the id {command.job_id!r}")
+        return Done()
+
     def _register_round(self, command: RegisterRound) -> CommandResult:
         known = self.rounds.get(command.round_name)
         if known is None:
--- a/stileloom/ledger/voters.py
+++ b/stileloom/ledger/voters.py
@@ -16,10 +16,11 @@
     caught_up_learners: list[Voter],
     unavailable: set[str],
     target_count: int,
+    leaving: frozenset[str] = frozenset(),
 ) -> list[Voter] | None:
     """The next voter set, one step from `voters`, or None where nothing is to change.
 
-    `unavailable` names nodes that are gone for good as far as membership knows.
+    `unavailable` names nodes that do not answer, `leaving` those that are to be emptied.
     """
     for learner in caught_up_learners:
         for voter in voters:
@@ -27,9 +28,17 @@
             if lost_disk and len(voters) > 1:
                 return [other for other in voters if other != voter]
     held_by = {voter.node_id for voter in voters}
-    newcomers = [learner for learner in caught_up_learners if learner.node_id not in held_by]
-    if newcomers and len(voters) < target_count:
+    newcomers = [
+        learner
+        for learner in caught_up_learners
+        if learner.node_id not in held_by and learner.node_id not in leaving
+    ]
+    going = [voter for voter in voters if voter.node_id in leaving]
+    staying = len(voters) - len(going)
+    if newcomers and staying < target_count:
         return sorted([*voters, newcomers[0]], key=lambda voter: voter.node_id)
+    if going and staying > 0:
+        return [other for other in voters if other != going[0]]
     if newcomers:
         for voter in voters:
             if voter.node_id in unavailable:
--- /dev/null
+++ b/stileloom/ledger/wire.py
@@ -0,0 +1,63 @@
+"""Frames between ledger nodes: each carries its sender's name and address.
+
+A node that comes back elsewhere, or with another disk, is found by what it sends.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from stileloom.ledger.messages import (
+    AppendReply,
+    AppendRequest,
+    LearnerHello,
+    SnapshotRequest,
+    VoteReply,
+    VoteRequest,
+)
+
+LedgerMessage = (
+    VoteRequest | VoteReply | AppendRequest | AppendReply | SnapshotRequest | LearnerHello
+)
+
+
+class Sender(msgspec.Struct, frozen=True, array_like=True):
+    """Who sent a frame and where answers go."""
+
+    node_id: str
+    host: str
+    port: int
+
+
+class LedgerFrame(msgspec.Struct, frozen=True, array_like=True):
+    """One message with its sender."""
+
+    sender: Sender
+    message: LedgerMessage
+
+
+_DECODER = msgspec.msgpack.Decoder(LedgerFrame)
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+class LedgerCodec:
+    """Encodes frames of one ledger node; learns addresses from those of others."""
+
+    def __init__(self, me: Sender) -> None:
+        self.addresses: dict[str, tuple[str, int]] = {}
+        self._me = me
+
+    def encode(self, message: object) -> bytes:
+        """A message as a frame."""
+        return _ENCODER.encode(LedgerFrame(self._me, message))  # type: ignore[arg-type]
+
+    def decode(self, frame: bytes) -> tuple[str, LedgerMessage]:
+        """The sender and the message. Raises `msgspec.DecodeError`."""
+        decoded = _DECODER.decode(frame)
+        sender = decoded.sender
+        self.addresses[sender.node_id] = (sender.host, sender.port)
+        return sender.node_id, decoded.message
+
+    def fits_datagram(self, message: object) -> bool:
+        """All go by TCP: their order on a connection saves repeats."""
+        return False
--- a/stileloom/node/dispatch.py
+++ b/stileloom/node/dispatch.py
@@ -105,3 +105,23 @@
 
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder(Envelope)
+
+
+class NodeCodec:
+    """Frames of the internal protocol of one node."""
+
+    def __init__(self, node_id: str) -> None:
+        self._node_id = node_id
+
+    def encode(self, message: object) -> bytes:
+        """A message in its envelope."""
+        return ENCODER.encode(Envelope(self._node_id, message))  # type: ignore[arg-type]
+
+    def decode(self, frame: bytes) -> tuple[str, Message]:
+        """The sender and the message. Raises `msgspec.DecodeError`."""
+        envelope = DECODER.decode(frame)
+        return envelope.sender, envelope.message
+
+    def fits_datagram(self, message: object) -> bool:
+        """Whether the message may be lost, and so go by UDP."""
+        return isinstance(message, DATAGRAM_MESSAGES)
--- /dev/null
+++ b/stileloom/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""Opaque HTTP lookups: routes, choice of samplers, attempts."""
--- /dev/null
+++ b/stileloom/proxy/forwarder.py
@@ -0,0 +1,249 @@
+"""Carries one lookup to samplers, within its attempts and its time."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+
+import msgspec
+
+from stileloom.api.headers import HeaderNames
+from stileloom.api.routes import Route, RouteKind
+from stileloom.errors import ErrorKind, StileloomError
+from stileloom.events import LogEvent
+from stileloom.http1.pool import ConnectionPool
+from stileloom.http1.request_encoder import encode_request, end_to_end
+from stileloom.http1.response_decoder import ResponseHead
+from stileloom.logging import EventLog
+from stileloom.proxy.attempt_plan import FULL_PAUSE_S, AttemptPlan
+from stileloom.proxy.exchange import Attempt, AttemptOutcome, run_exchange
+from stileloom.proxy.metrics import ProxyMetrics
+from stileloom.proxy.sampler_table import SamplerBelief, SamplerTable
+
+REFUSE_SHARE_OF_TARGET = 0.22
+"""A lookup that no sampler takes is refused within this share of its target latency, while the
+caller still has time to ask elsewhere."""
+RETRY_AFTER_S = 0.05
+
+
+class Lookup(msgspec.Struct, frozen=True):
+    """A request as the caller sent it."""
+
+    request_id: str
+    method: str
+    target: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    arrived_at: float
+    """Monotonic seconds."""
+    deadline_at: float
+    """Monotonic seconds: when the caller or the route gives up."""
+
+
+class LookupAnswer(msgspec.Struct, frozen=True):
+    """A sampler's whole answer."""
+
+    head: ResponseHead
+    body: bytes
+
+
+class Forwarder:
+    """Owns the connections to samplers of lookups."""
+
+    def __init__(
+        self,
+        zone: str,
+        samplers: SamplerTable,
+        names: HeaderNames,
+        log: EventLog,
+        metrics: ProxyMetrics,
+        rng: random.Random,
+    ) -> None:
+        self._zone = zone
+        self._samplers = samplers
+        self._names = names
+        self._log = log
+        self._metrics = metrics
+        self._rng = rng
+        self._pool = ConnectionPool()
+
+    def forget(self, sampler_id: str) -> None:
+        """A sampler is gone: its kept connections close."""
+        self._pool.forget(sampler_id)
+
+    @property
+    def connections_opened(self) -> int:
+        """Connections opened since the start."""
+        return self._pool.opened_total
+
+    async def forward(self, lookup: Lookup, route: Route, service: str) -> LookupAnswer:
+        """The answer of a sampler.
+
+        Raises `StileloomError`: OVERLOADED or NO_SAMPLER where it did not run, SAMPLER_FAILED
+        or DEADLINE_PASSED where it may have. Cancelling closes what is under way.
+        """
+        plan = AttemptPlan(
+            service=service,
+            zone=self._zone,
+            repeatable=route.kind is RouteKind.SAFE,
+            max_attempts=route.max_attempts,
+            target_latency_s=route.target_latency_s,
+            started_at=lookup.arrived_at,
+        )
+        running: set[asyncio.Task[Attempt]] = set()
+        try:
+            return await self._run(lookup, plan, running)
+        finally:
+            for task in running:
+                task.cancel()
+
+    async def _run(
+        self, lookup: Lookup, plan: AttemptPlan, running: set[asyncio.Task[Attempt]]
+    ) -> LookupAnswer:
+        last_failure: Attempt | None = None
+        while True:
+            now = time.monotonic()
+            if now >= lookup.deadline_at:
+                raise self._out_of_time(plan)
+            wait_until = lookup.deadline_at
+            if plan.may_start():
+                if plan.running and now < plan.hedge_at():
+                    wait_until = min(wait_until, plan.hedge_at())
+                elif self._start(lookup, plan, running, now):
+                    continue
+                elif not running:
+                    await self._pause_or_refuse(lookup, plan, now, last_failure)
+                    continue
+            elif not running:
+                return self._give_up(plan, last_failure)
+            done, _ = await asyncio.wait(
+                running, timeout=wait_until - now, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                running.discard(task)
+                attempt = task.result()
+                if self._note(lookup, plan, attempt) and attempt.head is not None:
+                    if attempt.head.status < 500:
+                        self._log_answer(lookup, plan, attempt)
+                        return LookupAnswer(attempt.head, attempt.body)
+                    last_failure = attempt
+
+    def _log_answer(self, lookup: Lookup, plan: AttemptPlan, attempt: Attempt) -> None:
+        fields: dict[str, object] = {
+            "request": lookup.request_id,
+            "service": plan.service,
+            "sampler": attempt.sampler_id,
+            "attempts": len(plan.tried),
+            "took_ms": round((time.monotonic() - lookup.arrived_at) * 1000),
+        }
+        self._log.emit(LogEvent.REQUEST_ANSWERED, fields)
+
+    def _start(
+        self,
+        lookup: Lookup,
+        plan: AttemptPlan,
+        running: set[asyncio.Task[Attempt]],
+        now: float,
+    ) -> bool:
+        belief = plan.choose(self._samplers, now, self._rng)
+        if belief is None:
+            return False
+        plan.started(belief.entry.sampler_id, now)
+        running.add(asyncio.get_running_loop().create_task(self._attempt(lookup, belief)))
+        return True
+
+    async def _pause_or_refuse(
+        self, lookup: Lookup, plan: AttemptPlan, now: float, last_failure: Attempt | None
+    ) -> None:
+        """Every sampler refused or none is known: asks again soon, or refuses in time."""
+        if plan.may_have_run:
+            # No promise can be made any more; the next best is another try.
+            plan.refused_by.clear()
+            await asyncio.sleep(FULL_PAUSE_S)
+            return
+        waited = now - lookup.arrived_at
+        if waited + FULL_PAUSE_S > plan.target_latency_s * REFUSE_SHARE_OF_TARGET:
+            known = self._samplers.of_service(plan.service)
+            kind = ErrorKind.OVERLOADED if known else ErrorKind.NO_SAMPLER
+            detail = f"{len(plan.refused_by)} of {len(known)} samplers refused"
+            raise StileloomError(kind, detail, retry_after_s=RETRY_AFTER_S)
+        plan.refused_by.clear()
+        await asyncio.sleep(FULL_PAUSE_S)
+
+    def _give_up(self, plan: AttemptPlan, last_failure: Attempt | None) -> LookupAnswer:
+        """All attempts are used: the sampler's own failure, or ours."""
+        if last_failure is not None and last_failure.head is not None:
+            return LookupAnswer(last_failure.head, last_failure.body)
+        raise StileloomError(ErrorKind.SAMPLER_FAILED, f"{plan.may_have_run} attempts broke off")
+
+    def _out_of_time(self, plan: AttemptPlan) -> StileloomError:
+        if plan.may_have_run or plan.running:
+            return StileloomError(ErrorKind.DEADLINE_PASSED, "no answer in time")
+        return StileloomError(ErrorKind.OVERLOADED, "not begun in time", None, RETRY_AFTER_S)
+
+    def _note(self, lookup: Lookup, plan: AttemptPlan, attempt: Attempt) -> bool:
+        """Takes the outcome into the plan; True where there is an answer to pass on."""
+        now = time.monotonic()
+        sampler_id = attempt.sampler_id
+        outcome = attempt.outcome
+        self._metrics.attempts.labels(outcome.value).inc()
+        if outcome is AttemptOutcome.ANSWERED:
+            self._samplers.answered(sampler_id)
+            plan.ran()
+            return True
+        if outcome is AttemptOutcome.REFUSED:
+            plan.refused(sampler_id)
+        elif outcome is AttemptOutcome.MISDIRECTED:
+            self._samplers.mark_leaving(sampler_id)
+            plan.refused(sampler_id)
+        elif outcome is AttemptOutcome.NOT_CONNECTED:
+            self._samplers.failed(sampler_id, now)
+            plan.not_sent()
+        else:
+            self._samplers.failed(sampler_id, now)
+            plan.ran()
+        self._log.emit(
+            LogEvent.ATTEMPT_FAILED,
+            {
+                "request": lookup.request_id,
+                "sampler": sampler_id,
+                "outcome": outcome.value,
+                "detail": attempt.detail,
+                "ran": plan.may_have_run,
+                "left_ms": round((lookup.deadline_at - now) * 1000),
+            },
+        )
+        return False
+
+    async def _attempt(self, lookup: Lookup, belief: SamplerBelief) -> Attempt:
+        entry = belief.entry
+        belief.open_requests += 1
+        try:
+            try:
+                connection = await self._pool.acquire(entry.sampler_id, entry.address)
+            except (OSError, TimeoutError) as error:
+                return Attempt(
+                    entry.sampler_id, AttemptOutcome.NOT_CONNECTED, detail=type(error).__name__
+                )
+            request = self._encode(lookup, entry.sampler_id)
+            attempt = await run_exchange(
+                connection, request, entry.sampler_id, lookup.request_id, self._names
+            )
+            self._pool.release(entry.sampler_id, connection)
+            return attempt
+        finally:
+            belief.open_requests -= 1
+
+    def _encode(self, lookup: Lookup, sampler_id: str) -> bytes:
+        names = self._names
+        left_ms = max(1, int((lookup.deadline_at - time.monotonic()) * 1000))
+        own = {names.deadline_ms.lower(), names.expect_sampler.lower()}
+        headers = [(name, value) for name, value in lookup.headers if name.lower() not in own]
+        headers += [(names.deadline_ms, str(left_ms)), (names.expect_sampler, sampler_id)]
+        return encode_request(lookup.method, lookup.target, headers, lookup.body)
+
+
+def caller_headers(pairs: list[tuple[str, str]], connection: str) -> list[tuple[str, str]]:
+    """The caller's headers that go on to a sampler."""
+    return end_to_end(pairs, connection)
--- /dev/null
+++ b/stileloom/proxy/front.py
@@ -0,0 +1,332 @@
+"""The door of a gateway: lookups by route, and calls about batch jobs."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+import msgspec
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+
+from stileloom.api.dialect import Dialect, EndJob, JobCall, ReadItem, ReadResults
+from stileloom.api.routes import IngressLimits, Route, RouteKind
+from stileloom.errors import ErrorKind, Outcome, StileloomError, problem_of
+from stileloom.events import LogEvent
+from stileloom.http1.request_encoder import end_to_end
+from stileloom.jobs.client import JobClient
+from stileloom.jobs.messages import (
+    EndJobCall,
+    ItemRead,
+    JobEnded,
+    JobTaken,
+    NoSuchJob,
+    ReadItemCall,
+    ReadResultsCall,
+    Reply,
+    Request,
+    ResultsRead,
+    SubmitJobCall,
+)
+from stileloom.logging import EventLog
+from stileloom.proxy.forwarder import Forwarder, Lookup
+from stileloom.proxy.metrics import ProxyMetrics
+from stileloom.proxy.route_table import RouteTable
+
+DEFAULT_DEADLINE_S = 10.0
+JOB_CALL_DEADLINE_S = 4.0
+"""For calls that state no deadline."""
+DEADLINE_MARGIN_S = 0.05
+UNKNOWN_OUTCOME_STATUS = 504
+"""A job call whose outcome is not known must not be answered with a promise."""
+
+
+class CallerRequest(msgspec.Struct):
+    """A whole request of a caller."""
+
+    method: str
+    target: str
+    headers: HTTPHeaders
+    body: bytes
+    arrived_at: float
+
+    @property
+    def path(self) -> str:
+        """The target without its query."""
+        return self.target.partition("?")[0]
+
+
+class CallerAnswer(msgspec.Struct, frozen=True):
+    """What goes back to the caller."""
+
+    status: int
+    reason: str
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+class Front(HTTPServerConnectionDelegate):
+    """Serves callers. One per gateway."""
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        routes: RouteTable,
+        forwarder: Forwarder,
+        jobs: JobClient,
+        log: EventLog,
+        metrics: ProxyMetrics,
+    ) -> None:
+        self.draining = False
+        self.max_body_bytes = IngressLimits().max_body_bytes
+        self.idle_timeout_s = IngressLimits().idle_timeout_s
+        self._dialect = dialect
+        self._routes = routes
+        self._forwarder = forwarder
+        self._jobs = jobs
+        self._log = log
+        self._metrics = metrics
+        self._open = 0
+
+    @property
+    def open_requests(self) -> int:
+        """Requests without a final answer."""
+        return self._open
+
+    def start_request(self, server_conn: object, request_conn: HTTPConnection) -> _Exchange:
+        """tornado: a request begins on a connection."""
+        return _Exchange(self, request_conn)
+
+    async def serve(self, request: CallerRequest) -> CallerAnswer:
+        """The answer to a request. Cancelled when the caller leaves."""
+        self._open += 1
+        route_name = "job call"
+        try:
+            names = self._dialect.names
+            call = self._dialect.job_call(request.method, request.target, request.headers)
+            if call is not None:
+                return await self._serve_job_call(request, call)
+            route = self._find_route(request)
+            route_name = route.name
+            if route.kind is RouteKind.BATCH and request.method == "POST":
+                return await self._submit_job(request, route)
+            return await self._serve_lookup(request, route, names.request_id)
+        except StileloomError as error:
+            return self._refuse(request, error)
+        finally:
+            self._open -= 1
+            self._metrics.latency.labels(route_name).observe(time.monotonic() - request.arrived_at)
+
+    def _find_route(self, request: CallerRequest) -> Route:
+        if self._routes.version == 0:
+            raise StileloomError(ErrorKind.NOT_READY, "no configuration is known yet", None, 0.2)
+        route = self._routes.match(request.headers.get("Host", ""), request.path)
+        if route is None:
+            raise StileloomError(
+                ErrorKind.UNKNOWN_ROUTE, f"version {self._routes.version} has no such route"
+            )
+        return route
+
+    def _deadline_s(self, request: CallerRequest, default_s: float) -> float:
+        text = request.headers.get(self._dialect.names.deadline_ms, "")
+        try:
+            return max(0.0, float(text) / 1000.0) if text else default_s
+        except ValueError as error:
+            raise StileloomError(ErrorKind.BAD_REQUEST, "the deadline is no number") from error
+
+    # Lookups.
+
+    async def _serve_lookup(
+        self, request: CallerRequest, route: Route, id_header: str
+    ) -> CallerAnswer:
+        request_id = request.headers.get(id_header)
+        if not request_id:
+            raise StileloomError(ErrorKind.BAD_REQUEST, f"{id_header} is missing")
+        limit_s = min(self._deadline_s(request, DEFAULT_DEADLINE_S), route.timeout_s)
+        lookup = Lookup(
+            request_id=request_id,
+            method=request.method,
+            target=request.target,
+            headers=end_to_end(request.headers.get_all(), request.headers.get("Connection", "")),
+            body=request.body,
+            arrived_at=request.arrived_at,
+            deadline_at=request.arrived_at + max(0.001, limit_s - DEADLINE_MARGIN_S),
+        )
+        service = self._routes.choose_backend(route)
+        answer = await self._forwarder.forward(lookup, route, service)
+        head = answer.head
+        headers = end_to_end(head.headers.get_all(), head.headers.get("Connection", ""))
+        self._metrics.requests.labels(route.name, str(head.status)).inc()
+        return CallerAnswer(head.status, head.reason, headers, answer.body)
+
+    # Jobs.
+
+    async def _submit_job(self, request: CallerRequest, route: Route) -> CallerAnswer:
+        job_id = request.headers.get(self._dialect.names.request_id)
+        if not job_id:
+            raise StileloomError(ErrorKind.BAD_REQUEST, "the job has no id")
+        host = request.headers.get("Host", "")
+        submission = self._dialect.decode_job(job_id, host, request.path, request.body)
+        timeout_s = min(self._deadline_s(request, route.timeout_s), route.timeout_s)
+        reply = await self._call(SubmitJobCall(submission), job_id, timeout_s)
+        self._log.emit(
+            LogEvent.JOB_SUBMITTED,
+            {
+                "job": job_id,
+                "route": route.name,
+                "configuration": self._routes.version,
+                "items": len(submission.items),
+                "taken_ms": round((time.monotonic() - request.arrived_at) * 1000),
+            },
+        )
+        if not isinstance(reply, JobTaken):
+            raise StileloomError(ErrorKind.INTERNAL, "unexpected answer of the ledger")
+        return _json_answer(202, b"{}")
+
+    async def _serve_job_call(self, request: CallerRequest, call: JobCall) -> CallerAnswer:
+        timeout_s = self._deadline_s(request, JOB_CALL_DEADLINE_S)
+        if isinstance(call, ReadResults):
+            read = ReadResultsCall(call.job_id, call.position, call.wait_s)
+            reply = await self._call(read, call.job_id, timeout_s + call.wait_s)
+        elif isinstance(call, ReadItem):
+            reply = await self._call(
+                ReadItemCall(call.job_id, call.item_id), call.job_id, timeout_s
+            )
+        else:
+            assert isinstance(call, EndJob)
+            reply = await self._call(EndJobCall(call.job_id), call.job_id, timeout_s)
+        return self._answer_of(reply)
+
+    def _answer_of(self, reply: Reply) -> CallerAnswer:
+        if isinstance(reply, ResultsRead):
+            return _json_answer(200, self._dialect.encode_page(reply.page))
+        if isinstance(reply, ItemRead):
+            headers = [("Content-Type", "application/octet-stream")]
+            return CallerAnswer(200, "OK", headers, reply.body)
+        if isinstance(reply, JobEnded):
+            return _json_answer(200, b"{}")
+        if isinstance(reply, NoSuchJob):
+            raise StileloomError(ErrorKind.UNKNOWN_JOB, "the ledger has no such job or item")
+        raise StileloomError(ErrorKind.INTERNAL, "unexpected answer of the ledger")
+
+    async def _call(self, request: Request, job_id: str, timeout_s: float) -> Reply:
+        return await self._jobs.call(request, job_id, max(0.1, timeout_s - DEADLINE_MARGIN_S))
+
+    # Failures.
+
+    def report_fault(self, request: CallerRequest, error: Exception) -> None:
+        """A fault of ours: it is logged with the request's id."""
+        fields: dict[str, object] = {
+            "request": request.headers.get(self._dialect.names.request_id, ""),
+            "error": repr(error),
+        }
+        self._log.emit(LogEvent.INTERNAL_FAULT, fields)
+
+    def _refuse(self, request: CallerRequest, error: StileloomError) -> CallerAnswer:
+        problem = problem_of(error)
+        status = problem.status
+        if status == 503 and error.outcome is Outcome.UNKNOWN:
+            is_read = request.method == "GET"
+            status = 503 if is_read else UNKNOWN_OUTCOME_STATUS
+        self._metrics.refusals.labels(error.kind.value).inc()
+        self._log.emit(
+            LogEvent.REQUEST_REFUSED,
+            {
+                "request": request.headers.get(self._dialect.names.request_id, ""),
+                "target": request.path[:80],
+                "host": request.headers.get("Host", "")[:80],
+                "code": error.kind.value,
+                "status": status,
+                "detail": error.detail,
+                "configuration": self._routes.version,
+                "after_ms": round((time.monotonic() - request.arrived_at) * 1000),
+            },
+        )
+        headers = [("Content-Type", "application/problem+json")]
+        if status in (429, 503) and problem.retry_after_s is not None:
+            headers.append(("Retry-After", f"{problem.retry_after_s:g}"))
+        problem.status = status
+        return CallerAnswer(status, problem.title, headers, msgspec.json.encode(problem))
+
+
+def _json_answer(status: int, body: bytes) -> CallerAnswer:
+    reason = "Accepted" if status == 202 else "OK"
+    return CallerAnswer(status, reason, [("Content-Type", "application/json")], body)
+
+
+class _Exchange(HTTPMessageDelegate):
+    """One request on a caller's connection."""
+
+    def __init__(self, front: Front, connection: HTTPConnection) -> None:
+        self._front = front
+        self._connection = connection
+        self._start: RequestStartLine | None = None
+        self._headers = HTTPHeaders()
+        self._parts: list[bytes] = []
+        self._size = 0
+        self._task: asyncio.Task[None] | None = None
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        """tornado: the request's head."""
+        assert isinstance(start_line, RequestStartLine)
+        self._start = start_line
+        self._headers = headers
+
+    def data_received(self, chunk: bytes) -> None:
+        """tornado: a part of the body."""
+        self._size += len(chunk)
+        self._parts.append(chunk)
+
+    def finish(self) -> None:
+        """tornado: the request is whole."""
+        assert self._start is not None
+        request = CallerRequest(
+            self._start.method,
+            self._start.path,
+            self._headers,
+            b"".join(self._parts),
+            time.monotonic(),
+        )
+        self._parts.clear()
+        set_close_callback: Callable[[Callable[[], None]], None] | None = getattr(
+            self._connection, "set_close_callback", None
+        )
+        if set_close_callback is not None:
+            set_close_callback(self._caller_left)
+        self._task = asyncio.get_running_loop().create_task(self._serve(request))
+
+    def on_connection_close(self) -> None:
+        """tornado: the connection closed before the request was whole."""
+        self._caller_left()
+
+    def _caller_left(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _serve(self, request: CallerRequest) -> None:
+        try:
+            answer = await self._front.serve(request)
+        except asyncio.CancelledError:
+            raise
+        except Exception as error:
+            self._front.report_fault(request, error)
+            answer = CallerAnswer(500, "Internal Server Error", [], b"")
+        headers = HTTPHeaders()
+        for name, value in answer.headers:
+            headers.add(name, value)
+        headers["Content-Length"] = str(len(answer.body))
+        if self._front.draining:
+            headers["Connection"] = "close"
+        start_line = ResponseStartLine("HTTP/1.1", answer.status, answer.reason)
+        body = answer.body if request.method != "HEAD" else b""
+        self._connection.write_headers(start_line, headers, body)
+        self._connection.finish()
--- a/stileloom/transport/network.py
+++ b/stileloom/transport/network.py
@@ -8,15 +8,17 @@
 
 import asyncio
 import collections
+import socket
 import struct
 from collections.abc import Callable
+from typing import Any
 
 import msgspec
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpclient import TCPClient
 from tornado.tcpserver import TCPServer
 
-from stileloom.node.dispatch import DATAGRAM_MESSAGES, DECODER, ENCODER, Envelope, Message
+from stileloom.transport.codec import Codec
 
 FRAME_HEADER = struct.Struct(">I")
 MAX_FRAME_BYTES = 256 * 1024 * 1024
@@ -26,7 +28,10 @@
 CONNECT_TIMEOUT_S = 1.0
 RECONNECT_PAUSE_S = 0.2
 
-Receiver = Callable[[str, Message], None]
+TCP_USER_TIMEOUT_MS = 1500
+"""How long sent bytes may go without an acknowledgement before the connection ends."""
+
+Receiver = Callable[[str, Any], None]
 
 
 class TrafficCount(msgspec.Struct):
@@ -41,9 +46,9 @@
 class Network:
     """Sends and receives messages of one node."""
 
-    def __init__(self, node_id: str, receiver: Receiver) -> None:
+    def __init__(self, codec: Codec, receiver: Receiver) -> None:
         self.traffic = TrafficCount()
-        self._node_id = node_id
+        self._codec = codec
         self._receiver = receiver
         self._peers: dict[tuple[str, int], _Peer] = {}
         self._datagrams: asyncio.DatagramTransport | None = None
@@ -59,10 +64,10 @@
 
     def send(self, address: tuple[str, int], message: object) -> None:
         """Sends a message, best effort."""
-        frame = ENCODER.encode(Envelope(self._node_id, message))  # type: ignore[arg-type]
+        frame = self._codec.encode(message)
         self.traffic.sent_bytes += len(frame)
         self.traffic.sent_messages += 1
-        small = isinstance(message, DATAGRAM_MESSAGES) and len(frame) <= MAX_DATAGRAM_BYTES
+        small = len(frame) <= MAX_DATAGRAM_BYTES and self._codec.fits_datagram(message)
         if small and self._datagrams is not None:
             self._datagrams.sendto(frame, address)
             return
@@ -84,11 +89,11 @@
         self.traffic.received_bytes += len(frame)
         self.traffic.received_messages += 1
         try:
-            envelope = DECODER.decode(frame)
+            sender, message = self._codec.decode(frame)
         except msgspec.DecodeError:
             # Not from a node of this version: nothing can be done with it.
             return
-        self._receiver(envelope.sender, envelope.message)
+        self._receiver(sender, message)
 
 
 class _DatagramProtocol(asyncio.DatagramProtocol):
@@ -174,4 +179,6 @@
         host, port = self._address
         self._stream = await TCPClient().connect(host, port, timeout=CONNECT_TIMEOUT_S)
         self._stream.set_nodelay(True)
+        connected = self._stream.socket
+        connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
         return self._stream
