Ledger nodes that never spoke to each other find one another

Two followers knew only the leader's address: each had listed the store before the others had registered, and frames went only to the leader. Ruled out: pre-vote stickiness, disk, exceptions (no election_started line at all, ticks went on). Change: PeerAddresses: unnamed addresses serve for unknown nodes; the store is asked while one is missing.

--- a/stileloom/daemon/ledger_driver.py
+++ b/stileloom/daemon/ledger_driver.py
@@ -14,6 +14,7 @@
 from stileloom.ledger.commands import Command, CommandResult
 from stileloom.ledger.effects import Applied, Dropped, Persist
 from stileloom.ledger.messages import LearnerHello
+from stileloom.ledger.peer_addresses import PeerAddresses
 from stileloom.ledger.state import LedgerState
 from stileloom.ledger.storage import LedgerStorage
 from stileloom.ledger.wire import LedgerCodec, Sender
@@ -38,10 +39,9 @@
         self.replica = replica
         self._storage = storage
         self._me = me
-        self._seeds = list(seeds)
         self._log = log
-        self._codec = LedgerCodec(me)
-        self._network = Network(self._codec, self._received)
+        self._addresses = PeerAddresses((me.host, me.port), seeds)
+        self._network = Network(LedgerCodec(me, self._addresses), self._received)
         self._disk = ThreadPoolExecutor(max_workers=1, thread_name_prefix="ledger")
         self._writes: list[Persist] = []
         self._writing = False
@@ -78,13 +78,17 @@
             return None
         if leader == self.replica.me.node_id:
             return (self._me.host, self._me.port)
-        return self._codec.addresses.get(leader)
+        return self._addresses.of(leader)
 
     def learn_address(self, node_id: str, address: tuple[str, int]) -> None:
-        """The store says where a node is; a frame from the node itself counts more."""
-        self._codec.addresses.setdefault(node_id, address)
-        if address not in self._seeds:
-            self._seeds.append(address)
+        """The store says where a node is."""
+        self._addresses.listed(node_id, address)
+
+    def misses_peers(self) -> bool:
+        """Whether a voter's address is not known, or nobody leads as far as is known."""
+        others = [voter.node_id for voter in self.replica.voters if voter != self.replica.me]
+        unknown = any(self._addresses.of(node_id) is None for node_id in others)
+        return unknown or self.replica.leader is None
 
     async def propose(self, command: Command) -> CommandResult:
         """Commits a command.
@@ -105,8 +109,7 @@
     def _say_hello(self) -> None:
         """A replica outside the voter set asks every address that it knows for the log."""
         hello = LearnerHello(self.replica.me)
-        known = {*self._seeds, *self._codec.addresses.values()}
-        for address in known - {(self._me.host, self._me.port)}:
+        for address in self._addresses.everyone():
             self._network.send(address, hello)
 
     def _received(self, sender: str, message: object) -> None:
@@ -117,8 +120,7 @@
             return
         for effect in effects:
             if isinstance(effect, Send):
-                address = self._codec.addresses.get(effect.to)
-                if address is not None:
+                for address in self._addresses.targets(effect.to):
                     self._network.send(address, effect.message)
             elif isinstance(effect, Persist):
                 self._writes.append(effect)
--- a/stileloom/daemon/ledger_node.py
+++ b/stileloom/daemon/ledger_node.py
@@ -40,7 +40,7 @@
 
 VOTER_SET_NAME = "ledger"
 BOOTSTRAP_RETRY_S = 0.2
-REGISTER_RETRY_S = 0.5
+REGISTER_INTERVAL_S = 0.7
 STEP_MS = 100.0
 VERSIONS_PAUSE_S = 0.1
 REMOVALS_PAUSE_S = 0.5
@@ -98,7 +98,7 @@
             metrics = make_metrics_server(self._registry)
             metrics.listen(settings.metrics_port, address=settings.host)
         self._directory.start()
-        self._spawn(self._register(identity))
+        self._spawn(self._follow_peers(identity))
         ticker = PeriodicCallback(self._step, STEP_MS)
         ticker.start()
         self._log.emit(
@@ -167,27 +167,36 @@
                     raise
             await asyncio.sleep(BOOTSTRAP_RETRY_S)
 
-    async def _register(self, identity: Voter) -> None:
-        """Writes this node's address to the store, and learns the others'."""
+    async def _follow_peers(self, identity: Voter) -> None:
+        """Registers this node, and asks the store for the others while one is not known."""
+        registered = False
+        while True:
+            try:
+                if not registered or self._driver.misses_peers():
+                    registered = await self._register(identity)
+            except StileloomError as error:
+                self._log.emit(
+                    LogEvent.STORE_LOST, {"kind": "ledger nodes", "detail": error.detail}
+                )
+            await asyncio.sleep(REGISTER_INTERVAL_S)
+
+    async def _register(self, identity: Voter) -> bool:
+        """Learns the others; True once the own entry stands."""
         kind = self._dialect.kinds.ledger_nodes
         spec = {
             "ledger": self._settings.ledger,
             "calls": f"{self._settings.host}:{self._settings.calls_port}",
             "disk": identity.disk_id,
         }
-        while True:
-            try:
-                page = await self._store.list_objects(kind)
-                self._learn_nodes(page.records)
-                mine = [r for r in page.records if r.name == self._settings.node_id]
-                if not mine:
-                    await self._store.create_object(kind, self._settings.node_id, spec)
-                elif mine[0].spec != spec:
-                    changed = msgspec.structs.replace(mine[0], spec=spec)
-                    await self._store.replace_object(kind, changed)
-                return
-            except StileloomError:
-                await asyncio.sleep(REGISTER_RETRY_S)
+        page = await self._store.list_objects(kind)
+        self._learn_nodes(page.records)
+        mine = [record for record in page.records if record.name == self._settings.node_id]
+        if not mine:
+            await self._store.create_object(kind, self._settings.node_id, spec)
+        elif mine[0].spec != spec:
+            changed = msgspec.structs.replace(mine[0], spec=spec)
+            await self._store.replace_object(kind, changed)
+        return True
 
     def _learn_nodes(self, records: list[ObjectRecord]) -> None:
         for record in records:
--- a/stileloom/ledger/wire.py
+++ b/stileloom/ledger/wire.py
@@ -15,6 +15,7 @@
     VoteReply,
     VoteRequest,
 )
+from stileloom.ledger.peer_addresses import PeerAddresses
 
 LedgerMessage = (
     VoteRequest | VoteReply | AppendRequest | AppendReply | SnapshotRequest | LearnerHello
@@ -43,9 +44,9 @@
 class LedgerCodec:
     """Encodes frames of one ledger node; learns addresses from those of others."""
 
-    def __init__(self, me: Sender) -> None:
-        self.addresses: dict[str, tuple[str, int]] = {}
+    def __init__(self, me: Sender, addresses: PeerAddresses) -> None:
         self._me = me
+        self._addresses = addresses
 
     def encode(self, message: object) -> bytes:
         """A message as a frame."""
@@ -55,7 +56,7 @@
         """The sender and the message. Raises `msgspec.DecodeError`."""
         decoded = _DECODER.decode(frame)
         sender = decoded.sender
-        self.addresses[sender.node_id] = (sender.host, sender.port)
+        self._addresses.heard_from(sender.node_id, (sender.host, sender.port))
         return sender.node_id, decoded.message
 
     def fits_datagram(self, message: object) -> bool:
