--- a/stileloom/cli/main.py
+++ b/stileloom/cli/main.py
@@ -8,7 +8,7 @@
 
 import typer
 
-from stileloom.cli import bench, emulate, operate
+from stileloom.cli import bench, emulate, operate, services
 from stileloom.cli.demo import demo
 from stileloom.cli.errors import exit_on_error
 from stileloom.cli.scale import scale
@@ -27,6 +27,7 @@
 app.command()(demo)
 app.command()(scale)
 operate.register(app)
+services.register(app)
 
 
 @app.command()
--- /dev/null
+++ b/stileloom/cli/services.py
@@ -0,0 +1,53 @@
+"""`stileloom gateway` and `stileloom ledger-node`: the two programs of routes and batch jobs."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from stileloom.cli.errors import exit_on_error
+from stileloom.daemon.gateway import serve_gateway
+from stileloom.daemon.ledger_node import serve_ledger_node
+from stileloom.daemon.native_object_store import NativeObjectStore
+from stileloom.daemon.platform_client import ObjectApi
+from stileloom.http.native_dialect import NativeDialect
+from stileloom.logging import configure_logs, open_output_stream
+from stileloom.service_settings import ServiceSettings
+from stileloom.settings_file import load_settings
+
+Config = Annotated[Path, typer.Option(help="Settings of the program (TOML).")]
+
+
+def gateway(config: Config) -> None:
+    """Runs a gateway for routes and batch jobs until SIGTERM, which drains it.
+
+    Example: stileloom gateway --config gateway.toml
+    """
+    with exit_on_error():
+        settings = load_settings(config, ServiceSettings)
+        configure_logs(settings.log.level, open_output_stream())
+        asyncio.run(serve_gateway(settings, _store(settings), NativeDialect()))
+
+
+def ledger_node(config: Config) -> None:
+    """Runs a ledger node: a replica of the jobs, and their runs while it leads.
+
+    Example: stileloom ledger-node --config ledger.toml
+    """
+    with exit_on_error():
+        settings = load_settings(config, ServiceSettings)
+        configure_logs(settings.log.level, open_output_stream())
+        asyncio.run(serve_ledger_node(settings, _store(settings), NativeDialect()))
+
+
+def _store(settings: ServiceSettings) -> NativeObjectStore:
+    return NativeObjectStore(ObjectApi(settings.store))
+
+
+def register(app: typer.Typer) -> None:
+    """Adds the commands."""
+    app.command()(gateway)
+    app.command()(ledger_node)
--- a/stileloom/daemon/directory.py
+++ b/stileloom/daemon/directory.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 from collections.abc import Callable
 
 from stileloom.api.dialect import Dialect
 from stileloom.api.object_store import ObjectEvent, ObjectRecord, ObjectStore
 from stileloom.api.sampler_directory import SamplerEntry
+from stileloom.background import BackgroundTasks
 from stileloom.daemon.object_watch import ObjectWatcher
 from stileloom.errors import StileloomError
 from stileloom.events import LogEvent
@@ -39,7 +39,7 @@
         self.on_routes: Callable[[], None] = lambda: None
         self._dialect = dialect
         self._log = log
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks = BackgroundTasks(log)
         kinds = dialect.kinds
         self._watchers = [
             ObjectWatcher(
@@ -69,13 +69,12 @@
 
     def start(self) -> None:
         """Begins to follow."""
-        loop = asyncio.get_running_loop()
-        self._tasks = [loop.create_task(watcher.run()) for watcher in self._watchers]
+        for watcher in self._watchers:
+            self._tasks.spawn(watcher.run())
 
     def stop(self) -> None:
         """Follows no more."""
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel()
 
     def _configurations_listed(self, records: list[ObjectRecord]) -> None:
         for record in records:
--- a/stileloom/daemon/gateway.py
+++ b/stileloom/daemon/gateway.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-import signal
 import time
 
 from prometheus_client import CollectorRegistry
@@ -12,9 +11,11 @@
 
 from stileloom.api.dialect import Dialect
 from stileloom.api.object_store import ObjectStore
+from stileloom.background import BackgroundTasks
 from stileloom.daemon.directory import Directory
 from stileloom.daemon.metrics_server import make_metrics_server
 from stileloom.daemon.readiness import make_ready_server
+from stileloom.daemon.signals import handle_signals
 from stileloom.errors import StileloomError
 from stileloom.events import LogEvent
 from stileloom.jobs.client import JobClient, LedgerNodes
@@ -45,6 +46,7 @@
         self._rng = random.Random()
         self._log = EventLog(settings.node_id)
         self._registry = CollectorRegistry()
+        self.started = asyncio.Event()
         self._stopping = asyncio.Event()
         metrics = ProxyMetrics(self._registry)
         self.directory = Directory(store, dialect, settings.bounds, self._log, self._rng)
@@ -58,16 +60,16 @@
             dialect, self.directory.routes, self._forwarder, self._jobs, self._log, metrics
         )
         self._looked_up_at = float("-inf")
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = BackgroundTasks(self._log)
 
     async def run(self) -> None:
         """Serves until SIGTERM; returns after the drain."""
         started_at = time.monotonic()
         servers = self._listen()
+        self.started.set()
         self.directory.start()
         self._look_up_ledger_nodes()
         self._log.emit(LogEvent.NODE_STARTED, {"role": "gateway", "zone": self._settings.zone})
-        self._handle_signals()
         await self._stopping.wait()
         await self._drain()
         for server in servers:
@@ -101,13 +103,11 @@
     def _is_ready(self) -> bool:
         return not self.front.draining and self.directory.complete
 
-    def _handle_signals(self) -> None:
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+    def stop(self) -> None:
+        """Begins the drain."""
+        self._stopping.set()
 
-    def _reload(self) -> None:
+    def reload(self) -> None:
         """Settings name only addresses and bounds of this start: nothing is taken over."""
         self._log.emit(LogEvent.SETTINGS_RELOADED, {})
 
@@ -132,9 +132,7 @@
         if now < self._looked_up_at + RELOOKUP_PAUSE_S:
             return
         self._looked_up_at = now
-        task = asyncio.get_running_loop().create_task(self._read_ledger_nodes())
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.spawn(self._read_ledger_nodes())
 
     async def _read_ledger_nodes(self) -> None:
         try:
@@ -154,4 +152,6 @@
 
 async def serve_gateway(settings: ServiceSettings, store: ObjectStore, dialect: Dialect) -> None:
     """Runs a gateway until it is told to stop."""
-    await Gateway(settings, store, dialect).run()
+    gateway = Gateway(settings, store, dialect)
+    handle_signals(gateway)
+    await gateway.run()
--- /dev/null
+++ b/stileloom/daemon/leadership.py
@@ -0,0 +1,168 @@
+"""What a ledger node does while it leads: items, weight versions, the emptying of nodes."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+
+from stileloom.api.dialect import Dialect
+from stileloom.api.object_store import ObjectEvent, ObjectRecord, ObjectStore
+from stileloom.background import BackgroundTasks
+from stileloom.daemon.directory import Directory
+from stileloom.daemon.ledger_driver import LedgerDriver
+from stileloom.daemon.object_watch import ObjectWatcher
+from stileloom.errors import StileloomError
+from stileloom.events import LogEvent
+from stileloom.jobs.metrics import JobMetrics
+from stileloom.jobs.runner import JobRunner
+from stileloom.ledger.commands import RetireNode
+from stileloom.logging import EventLog
+from stileloom.service_settings import ServiceSettings
+
+VERSIONS_PAUSE_S = 0.1
+REMOVALS_PAUSE_S = 0.5
+REMOVALS_INTERVAL_S = 0.2
+EXPIRE_INTERVAL_S = 10.0
+RETENTION_MARGIN_S = 30.0
+
+
+class Leadership:
+    """One term of leading; everything here is memory."""
+
+    def __init__(
+        self,
+        settings: ServiceSettings,
+        store: ObjectStore,
+        dialect: Dialect,
+        driver: LedgerDriver,
+        directory: Directory,
+        log: EventLog,
+        metrics: JobMetrics,
+        rng: random.Random,
+    ) -> None:
+        self.epoch = driver.replica.epoch
+        self.runner = JobRunner(
+            settings.node_id,
+            self.epoch,
+            time.monotonic() + settings.bounds.order_lease_s,
+            driver.state.job_book,
+            driver,
+            directory.routes,
+            directory.samplers,
+            dialect,
+            log,
+            metrics,
+        )
+        self._retention_s = settings.bounds.job_retention_s + RETENTION_MARGIN_S
+        self._store = store
+        self._dialect = dialect
+        self._driver = driver
+        self._log = log
+        self._removals: dict[str, bool] = {}
+        """Nodes to be emptied, and whether the end was written."""
+        for belief in directory.samplers.all():
+            self.runner.sampler_seen(belief.entry.sampler_id, belief.entry.model_versions)
+        kinds = dialect.kinds
+        versions = ObjectWatcher(
+            store,
+            kinds.versions,
+            self._versions_listed,
+            self._version_changed,
+            VERSIONS_PAUSE_S,
+            log,
+            rng,
+        )
+        removals = ObjectWatcher(
+            store,
+            kinds.removals,
+            self._removals_listed,
+            self._removal_changed,
+            REMOVALS_PAUSE_S,
+            log,
+            rng,
+        )
+        self._tasks = BackgroundTasks(log)
+        for work in (versions.run(), removals.run(), self._carry_out_removals(), self._expire()):
+            self._tasks.spawn(work)
+
+    def stop(self) -> None:
+        """Leads no more."""
+        self._tasks.cancel()
+        self.runner.stop()
+
+    # Versions.
+
+    def _versions_listed(self, records: list[ObjectRecord]) -> None:
+        for record in records:
+            self._note_version(record)
+
+    def _version_changed(self, event: ObjectEvent) -> None:
+        if not event.gone:
+            self._note_version(event.record)
+
+    def _note_version(self, record: ObjectRecord) -> None:
+        try:
+            named = self._dialect.decode_version(record.spec)
+        except StileloomError as error:
+            fields: dict[str, object] = {"name": record.name, "detail": error.detail}
+            self._log.emit(LogEvent.OBJECT_NOT_UNDERSTOOD, {"what": "version", **fields})
+            return
+        self.runner.version_named(named.model, named.version)
+
+    # Jobs that nobody may ask for any more.
+
+    async def _expire(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRE_INTERVAL_S)
+            for command in self.runner.expired(self._retention_s):
+                try:
+                    await self._driver.propose(command)
+                except StileloomError:
+                    break
+
+    # Emptying of nodes.
+
+    def _removals_listed(self, records: list[ObjectRecord]) -> None:
+        for record in records:
+            self._note_removal(record)
+
+    def _removal_changed(self, event: ObjectEvent) -> None:
+        if not event.gone:
+            self._note_removal(event.record)
+
+    def _note_removal(self, record: ObjectRecord) -> None:
+        finished = record.status == self._dialect.removal_status(finished=True)
+        if record.name not in self._removals:
+            self._log.emit(LogEvent.LEDGER_NODE_RETIRING, {"retiring": record.name})
+        self._removals[record.name] = finished or self._removals.get(record.name, False)
+
+    async def _carry_out_removals(self) -> None:
+        """Empties nodes: out of the voter set first, then the status is written."""
+        while True:
+            await asyncio.sleep(REMOVALS_INTERVAL_S)
+            for node_id, finished in list(self._removals.items()):
+                if finished:
+                    continue
+                try:
+                    await self._remove(node_id)
+                except StileloomError:
+                    # The store or the majority is away: the next round tries again.
+                    continue
+
+    async def _remove(self, node_id: str) -> None:
+        kind = self._dialect.kinds.removals
+        if node_id not in self._driver.state.retired_nodes:
+            await self._driver.propose(RetireNode(node_id))
+            running = self._dialect.removal_status(finished=False)
+            await self._store.write_status(kind, node_id, running)
+        if self._is_out(node_id):
+            finished = self._dialect.removal_status(finished=True)
+            await self._store.write_status(kind, node_id, finished)
+            self._removals[node_id] = True
+
+    def _is_out(self, node_id: str) -> bool:
+        """Whether the node has left the voter set, by a committed change."""
+        in_state = {voter.node_id for voter in self._driver.state.voters}
+        in_log = {voter.node_id for voter in self._driver.replica.voters}
+        return node_id not in in_state | in_log and self._driver.may_act()
--- /dev/null
+++ b/stileloom/daemon/ledger_start.py
@@ -0,0 +1,134 @@
+"""How a ledger node starts: its disk's identity, the first voter set, its entry in the store."""
+
+from __future__ import annotations
+
+import asyncio
+import uuid
+from pathlib import Path
+
+import msgspec
+
+from stileloom.api.object_store import ObjectRecord, ObjectStore
+from stileloom.daemon.ledger_driver import LedgerDriver
+from stileloom.errors import ErrorKind, StileloomError
+from stileloom.events import LogEvent
+from stileloom.ledger import fresh_ledger
+from stileloom.ledger.bootstrap import VoterSetRecord, enter_voter_set
+from stileloom.ledger.commands import Voter
+from stileloom.ledger.replica import RecoveredLedger
+from stileloom.ledger.storage import LedgerStorage
+from stileloom.logging import EventLog
+from stileloom.service_settings import ServiceSettings
+from stileloom.settings_file import split_address
+
+VOTER_SET_NAME = "ledger"
+BOOTSTRAP_RETRY_S = 0.2
+REGISTER_INTERVAL_S = 0.7
+
+
+class OpenedLedger(msgspec.Struct, frozen=True):
+    """What a disk holds, opened for writing."""
+
+    identity: Voter
+    recovered: RecoveredLedger
+    storage: LedgerStorage
+
+
+async def open_ledger(
+    settings: ServiceSettings, store: ObjectStore, voter_set_kind: str, log: EventLog
+) -> OpenedLedger:
+    """The ledger of this disk; at the deployment's first start the voters agree first.
+
+    A disk that is empty later is a learner without a voter set: it waits for a leader.
+    """
+    storage = LedgerStorage(Path(settings.data_folder))
+    identity = storage.read_identity()
+    recovered = storage.recover()
+    if identity is None:
+        identity = Voter(settings.node_id, uuid.uuid4().hex)
+        storage.write_identity(identity)
+    if recovered is not None:
+        return OpenedLedger(identity, recovered, storage)
+    voters: list[Voter] = []
+    if settings.first_start:
+        voters = await _agree_on_voters(store, voter_set_kind, identity, settings.voters)
+    if identity not in voters:
+        log.emit(LogEvent.VOTER_WITHOUT_DISK, {"disk": identity.disk_id})
+    recovered = fresh_ledger(voters)
+    storage.start_fresh(recovered)
+    return OpenedLedger(identity, recovered, storage)
+
+
+async def _agree_on_voters(
+    store: ObjectStore, kind: str, me: Voter, target_count: int
+) -> list[Voter]:
+    while True:
+        try:
+            record = await store.get_object(kind, VOTER_SET_NAME)
+            current = msgspec.convert(record.spec, VoterSetRecord) if record is not None else None
+            if current is not None and current.sealed:
+                return current.voters
+            entered = enter_voter_set(current, me, target_count)
+            if entered is not None:
+                spec = msgspec.to_builtins(entered)
+                if record is None:
+                    await store.create_object(kind, VOTER_SET_NAME, spec)
+                else:
+                    await store.replace_object(kind, msgspec.structs.replace(record, spec=spec))
+                continue
+        except StileloomError as error:
+            # Down, or another node was first: look again.
+            if error.kind not in (ErrorKind.PLATFORM_UNAVAILABLE, ErrorKind.CONFLICT):
+                raise
+        await asyncio.sleep(BOOTSTRAP_RETRY_S)
+
+
+class PeerRegistry:
+    """This node's entry in the store, and the entries of the others."""
+
+    def __init__(
+        self,
+        settings: ServiceSettings,
+        store: ObjectStore,
+        kind: str,
+        driver: LedgerDriver,
+        log: EventLog,
+    ) -> None:
+        self._settings = settings
+        self._store = store
+        self._kind = kind
+        self._driver = driver
+        self._log = log
+
+    async def follow(self) -> None:
+        """Registers this node, and asks the store for the others while one is not known."""
+        registered = False
+        while True:
+            try:
+                if not registered or self._driver.misses_peers():
+                    await self._register()
+                    registered = True
+            except StileloomError as error:
+                fields: dict[str, object] = {"kind": "ledger nodes", "detail": error.detail}
+                self._log.emit(LogEvent.STORE_LOST, fields)
+            await asyncio.sleep(REGISTER_INTERVAL_S)
+
+    async def _register(self) -> None:
+        spec = {
+            "ledger": self._settings.ledger,
+            "calls": f"{self._settings.host}:{self._settings.calls_port}",
+            "disk": self._driver.replica.me.disk_id,
+        }
+        page = await self._store.list_objects(self._kind)
+        self._learn(page.records)
+        mine = [record for record in page.records if record.name == self._settings.node_id]
+        if not mine:
+            await self._store.create_object(self._kind, self._settings.node_id, spec)
+        elif mine[0].spec != spec:
+            changed = msgspec.structs.replace(mine[0], spec=spec)
+            await self._store.replace_object(self._kind, changed)
+
+    def _learn(self, records: list[ObjectRecord]) -> None:
+        for record in records:
+            if record.name != self._settings.node_id:
+                self._driver.learn_address(record.name, split_address(record.spec["ledger"]))
--- /dev/null
+++ b/stileloom/daemon/native_object_store.py
@@ -0,0 +1,88 @@
+"""The product's own object API behind the port `ObjectStore`.
+
+The API lists and watches everything at once; changes of one kind are found by comparing with
+the list before. A status is kept as an object of its own kind.
+"""
+
+from __future__ import annotations
+
+import uuid
+from typing import Any
+
+from stileloom.api.object_store import ObjectEvent, ObjectPage, ObjectRecord, WatchBatch
+from stileloom.daemon.platform_client import ObjectApi, ObjectList, StoredObject
+from stileloom.errors import ErrorKind, StileloomError
+
+STATUS_SUFFIX = "-status"
+
+
+class NativeObjectStore:
+    """Implements `stileloom.api.object_store.ObjectStore`."""
+
+    def __init__(self, api: ObjectApi) -> None:
+        self._api = api
+        self._known: dict[str, dict[str, ObjectRecord]] = {}
+
+    async def list_objects(self, kind: str) -> ObjectPage:
+        """All objects of a kind."""
+        listed = await self._api.list()
+        records = _records(listed, kind)
+        self._known[kind] = records
+        return ObjectPage(list(records.values()), listed.revision)
+
+    async def get_object(self, kind: str, name: str) -> ObjectRecord | None:
+        """One object, or None."""
+        stored = await self._api.get(kind, name)
+        return _record(stored, None) if stored is not None else None
+
+    async def watch_objects(self, kind: str, after_revision: int, wait_s: float) -> WatchBatch:
+        """Changes after a revision."""
+        listed = await self._api.watch_all(after_revision, wait_s)
+        if listed is None:
+            return WatchBatch([], after_revision)
+        records = _records(listed, kind)
+        before = self._known.get(kind, {})
+        self._known[kind] = records
+        gone = [ObjectEvent(True, record) for name, record in before.items() if name not in records]
+        changed = [
+            ObjectEvent(False, record)
+            for name, record in records.items()
+            if before.get(name) != record
+        ]
+        return WatchBatch(gone + changed, listed.revision)
+
+    async def create_object(self, kind: str, name: str, spec: Any) -> ObjectRecord:
+        """Adds an object."""
+        return await self._write(kind, name, 0, spec)
+
+    async def replace_object(self, kind: str, record: ObjectRecord) -> ObjectRecord:
+        """Replaces the spec if the revision still holds."""
+        return await self._write(kind, record.name, record.revision, record.spec)
+
+    async def write_status(self, kind: str, name: str, status: Any) -> None:
+        """Replaces the status, whatever the revision."""
+        await self._write(kind + STATUS_SUFFIX, name, None, status)
+
+    async def _write(self, kind: str, name: str, expected: int | None, spec: Any) -> ObjectRecord:
+        try:
+            revision = await self._api.write(kind, name, expected, uuid.uuid4().hex, spec)
+        except StileloomError as error:
+            if error.kind is ErrorKind.UNKNOWN_OBJECT:
+                raise StileloomError(ErrorKind.CONFLICT, error.detail) from error
+            raise
+        return ObjectRecord(name, revision, spec)
+
+
+def _records(listed: ObjectList, kind: str) -> dict[str, ObjectRecord]:
+    statuses = {
+        stored.name: stored.spec for stored in listed.objects if stored.kind == kind + STATUS_SUFFIX
+    }
+    return {
+        stored.name: _record(stored, statuses.get(stored.name))
+        for stored in listed.objects
+        if stored.kind == kind
+    }
+
+
+def _record(stored: StoredObject, status: Any) -> ObjectRecord:
+    return ObjectRecord(stored.name, stored.revision, stored.spec, status)
--- a/stileloom/daemon/platform_client.py
+++ b/stileloom/daemon/platform_client.py
@@ -45,12 +45,19 @@
 
         Raises `StileloomError` (PLATFORM_UNAVAILABLE).
         """
-        path = f"/watch?after={after_revision}&wait_s={WATCH_WAIT_S}"
-        response = await self._fetch("GET", path)
+        listed = await self.watch_all(after_revision, WATCH_WAIT_S)
+        return configuration_of(listed) if listed is not None else None
+
+    async def watch_all(self, after_revision: int, wait_s: float) -> ObjectList | None:
+        """Every object once the revision is above one; None where nothing came in time.
+
+        Raises `StileloomError` (PLATFORM_UNAVAILABLE).
+        """
+        path = f"/watch?after={after_revision}&wait_s={wait_s}"
+        response = await self._fetch("GET", path, timeout_s=REQUEST_TIMEOUT_S + wait_s)
         if response.code == 204:
             return None
-        listed = msgspec.json.decode(response.body, type=ObjectList)
-        return configuration_of(listed)
+        return msgspec.json.decode(response.body, type=ObjectList)
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """One object, or None. Raises `StileloomError` (PLATFORM_UNAVAILABLE)."""
@@ -106,13 +113,14 @@
         path: str,
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
+        timeout_s: float = REQUEST_TIMEOUT_S,
     ) -> HTTPResponse:
         request = HTTPRequest(
             self._base + path,
             method=method,
             body=body,
             headers=headers,
-            request_timeout=REQUEST_TIMEOUT_S,
+            request_timeout=timeout_s,
             connect_timeout=REQUEST_TIMEOUT_S,
         )
         try:
--- /dev/null
+++ b/stileloom/emulator/http_sampler.py
@@ -0,0 +1,165 @@
+"""A sampler that speaks HTTP/1.1 with event streams: a stand-in for tests and trials.
+
+Its output is a function of the request alone, so that a text resumed elsewhere can be
+compared with one made in a single run. Faults are set from outside.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import time
+
+import msgspec
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.netutil import bind_sockets
+
+from stileloom.api.dialect import LoadOrder, SamplerReport
+from stileloom.api.headers import HeaderNames
+from stileloom.http.native_dialect import ORDER_TARGET, REPORT_TARGET
+
+EVENT_INTERVAL_S = 0.002
+LOAD_S = 0.02
+
+
+class SamplerFaults(msgspec.Struct):
+    """What goes wrong at a sampler from now on."""
+
+    cut_after_events: int | None = None
+    """Streams break off after so many events."""
+    fail_status: int | None = None
+    """Requests are answered with this status, as run."""
+    refuse: bool = False
+    """Requests are refused as not run."""
+    silent: bool = False
+    """Requests get no answer."""
+
+
+class RunRecord(msgspec.Struct, frozen=True):
+    """A request that this sampler ran."""
+
+    request_id: str
+    target: str
+    body: bytes
+    after_event: int | None
+
+
+def expected_events(item_id: str, count: int) -> list[str]:
+    """The data of all events of an item."""
+    return [
+        hashlib.blake2s(f"{item_id}/{n}".encode()).hexdigest()[:12] for n in range(1, count + 1)
+    ]
+
+
+class HttpSampler:
+    """One incarnation of a sampler."""
+
+    def __init__(self, sampler_id: str, model_versions: dict[str, int], events: int = 6) -> None:
+        self.sampler_id = sampler_id
+        self.model_versions = dict(model_versions)
+        self.faults = SamplerFaults()
+        self.runs: list[RunRecord] = []
+        self.orders: list[LoadOrder] = []
+        self._names = HeaderNames()
+        self._events = events
+        self._fence = 0
+        self._busy_until = 0.0
+        self._server = HTTPServer(self._serve)
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def listen(self, host: str) -> int:
+        """Listens on a port that the kernel chooses, and returns it."""
+        sockets = bind_sockets(0, address=host)
+        self._server.add_sockets(sockets)
+        return int(sockets[0].getsockname()[1])
+
+    async def stop(self) -> None:
+        """Ends at once, with everything under way."""
+        self._server.stop()
+        for task in self._tasks:
+            task.cancel()
+        await self._server.close_all_connections()
+
+    def _serve(self, request: HTTPServerRequest) -> None:
+        task = asyncio.get_running_loop().create_task(self._answer(request))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _answer(self, request: HTTPServerRequest) -> None:
+        names = self._names
+        expected = request.headers.get(names.expect_sampler, self.sampler_id)
+        if expected != self.sampler_id:
+            self._reply(request, 421, {names.not_run: "1"})
+        elif request.path == REPORT_TARGET:
+            self._reply(request, 200, {}, msgspec.json.encode(self._report()))
+        elif request.path == ORDER_TARGET:
+            self._reply(request, self._order(msgspec.json.decode(request.body, type=LoadOrder)), {})
+        elif self.faults.refuse:
+            self._reply(request, 503, {names.not_run: "1"})
+        else:
+            await self._run(request)
+
+    def _report(self) -> SamplerReport:
+        return SamplerReport(
+            dict(self.model_versions), time.monotonic() < self._busy_until, len(self.orders)
+        )
+
+    def _order(self, order: LoadOrder) -> int:
+        if order.fence < self._fence:
+            return 412
+        self._fence = order.fence
+        if order.expected_orders != len(self.orders):
+            return 409
+        self.orders.append(order)
+        self.model_versions[order.model] = order.version
+        self._busy_until = time.monotonic() + LOAD_S
+        return 202
+
+    async def _run(self, request: HTTPServerRequest) -> None:
+        names = self._names
+        request_id = request.headers.get(names.request_id, "")
+        after = request.headers.get(names.last_event_id)
+        after_event = int(after) if after is not None else None
+        target = request.uri or ""
+        self.runs.append(RunRecord(request_id, target, request.body, after_event))
+        if self.faults.silent:
+            return
+        headers = {names.request_id: request_id, names.signature: f"{self.sampler_id}/{request_id}"}
+        if self.faults.fail_status is not None:
+            self._reply(request, self.faults.fail_status, headers)
+        elif "model" in request.headers:
+            await self._stream(request, headers, request_id, after_event or 0)
+        else:
+            self._reply(request, 200, headers, b"echo:" + request.body)
+
+    async def _stream(
+        self, request: HTTPServerRequest, headers: dict[str, str], request_id: str, after: int
+    ) -> None:
+        version = self.model_versions.get(request.headers["model"], 0)
+        connection = request.connection
+        assert connection is not None
+        headers |= {"Content-Type": "text/event-stream"}
+        headers[self._names.versions] = str(version)
+        connection.write_headers(ResponseStartLine("HTTP/1.1", 200, "OK"), HTTPHeaders(headers))
+        events = expected_events(request_id, self._events)
+        for number, data in enumerate(events[after:], start=after + 1):
+            await asyncio.sleep(EVENT_INTERVAL_S)
+            cut = self.faults.cut_after_events
+            if cut is not None and number - after > cut:
+                connection.stream.close()  # type: ignore[attr-defined]
+                return
+            now = self.model_versions.get(request.headers["model"], 0)
+            change = f"{self._names.versions.lower()}: {now}\n" if now != version else ""
+            version = now
+            connection.write(f"{change}id: {number}\ndata: {data}\n\n".encode())
+        connection.finish()
+
+    def _reply(
+        self, request: HTTPServerRequest, status: int, headers: dict[str, str], body: bytes = b""
+    ) -> None:
+        assert request.connection is not None
+        all_headers = HTTPHeaders({**headers, "Content-Length": str(len(body))})
+        start_line = ResponseStartLine("HTTP/1.1", status, "-")
+        request.connection.write_headers(start_line, all_headers, body)
+        request.connection.finish()
--- /dev/null
+++ b/stileloom/http/native_dialect.py
@@ -0,0 +1,161 @@
+"""The product's own spelling of job calls, objects and orders: JSON of the `api` types."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any, TypeVar
+from urllib.parse import parse_qs
+
+import msgspec
+
+from stileloom.api.dialect import (
+    EndJob,
+    EngineCall,
+    JobCall,
+    LoadOrder,
+    NamedVersion,
+    ObjectKinds,
+    ReadItem,
+    ReadResults,
+    SamplerReport,
+)
+from stileloom.api.headers import HeaderNames
+from stileloom.api.jobs import JobItem, JobSubmission, ResultPage
+from stileloom.api.object_store import ObjectRecord
+from stileloom.api.routes import RouteConfiguration
+from stileloom.api.sampler_directory import SamplerEntry
+from stileloom.errors import ErrorKind, StileloomError
+from stileloom.settings_file import split_address
+
+JOBS_PREFIX = "/v1/jobs/"
+REPORT_TARGET = "/v1/report"
+ORDER_TARGET = "/v1/load-order"
+
+Value = TypeVar("Value")
+
+
+class JobBody(msgspec.Struct, frozen=True):
+    """A job as a trainer sends it; item bodies are base64."""
+
+    model: str
+    items: list[JobItem]
+    step: int = 0
+    min_version: int = 0
+    desired_groups: int = 0
+
+
+class SamplerBody(msgspec.Struct, frozen=True):
+    """A sampler's entry in the store."""
+
+    service: str
+    address: str
+    zone: str
+    slots: int
+    draining: bool = False
+    model_versions: dict[str, int] = {}
+
+
+class RemovalStatus(msgspec.Struct, frozen=True):
+    """How far the emptying of a ledger node is."""
+
+    finished: bool
+
+
+def convert(value: Any, kind: type[Value]) -> Value:
+    """A plain value as a typed one. Raises `StileloomError` (OBJECT_INVALID)."""
+    try:
+        return msgspec.convert(value, kind)
+    except (msgspec.ValidationError, RecursionError) as error:
+        raise StileloomError(ErrorKind.OBJECT_INVALID, str(error)) from error
+
+
+def decode(body: bytes, kind: type[Value]) -> Value:
+    """JSON as a typed value. Raises `StileloomError` (BAD_REQUEST)."""
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise StileloomError(ErrorKind.BAD_REQUEST, str(error)) from error
+
+
+class NativeDialect:
+    """Implements `stileloom.api.dialect.Dialect`."""
+
+    names = HeaderNames()
+    kinds = ObjectKinds()
+
+    def job_call(self, method: str, target: str, headers: Mapping[str, str]) -> JobCall | None:
+        """`/v1/jobs/ID`, `/v1/jobs/ID/results` and `/v1/jobs/ID/items/ITEM`."""
+        path, _, query = target.partition("?")
+        if not path.startswith(JOBS_PREFIX):
+            return None
+        parts = path[len(JOBS_PREFIX) :].split("/")
+        if method == "DELETE" and len(parts) == 1:
+            return EndJob(parts[0])
+        if method == "GET" and len(parts) == 2 and parts[1] == "results":
+            arguments = parse_qs(query)
+            position = _number(arguments, "position")
+            return ReadResults(parts[0], int(position), _number(arguments, "wait_s"))
+        if method == "GET" and len(parts) == 3 and parts[1] == "items":
+            return ReadItem(parts[0], parts[2])
+        return None
+
+    def decode_job(self, job_id: str, host: str, path: str, body: bytes) -> JobSubmission:
+        """A job's body."""
+        job = decode(body, JobBody)
+        if len({item.item_id for item in job.items}) < len(job.items):
+            raise StileloomError(ErrorKind.BAD_REQUEST, "two items have one id")
+        return JobSubmission(
+            job_id, host, path, job.step, job.model, job.min_version, job.desired_groups, job.items
+        )
+
+    def encode_page(self, page: ResultPage) -> bytes:
+        """A page of results."""
+        return msgspec.json.encode(page)
+
+    def decode_configuration(self, spec: Any) -> RouteConfiguration:
+        """A configuration object."""
+        return convert(spec, RouteConfiguration)
+
+    def decode_sampler(self, record: ObjectRecord) -> SamplerEntry:
+        """A sampler's entry."""
+        body = convert(record.spec, SamplerBody)
+        return SamplerEntry(
+            record.name,
+            body.service,
+            split_address(body.address),
+            body.zone,
+            body.slots,
+            body.draining,
+            body.model_versions,
+        )
+
+    def decode_version(self, spec: Any) -> NamedVersion:
+        """A named version."""
+        return convert(spec, NamedVersion)
+
+    def report_call(self) -> EngineCall:
+        """Asks for a report."""
+        return EngineCall("GET", REPORT_TARGET)
+
+    def decode_report(self, body: bytes) -> SamplerReport:
+        """A report."""
+        return decode(body, SamplerReport)
+
+    def order_call(self, order: LoadOrder) -> EngineCall:
+        """Gives an order."""
+        return EngineCall("POST", ORDER_TARGET, msgspec.json.encode(order))
+
+    def removal_status(self, finished: bool) -> Any:
+        """The status of a removal."""
+        return msgspec.to_builtins(RemovalStatus(finished))
+
+
+def _number(arguments: dict[str, list[str]], name: str) -> float:
+    text = arguments.get(name, ["0"])[0]
+    try:
+        value = float(text)
+    except ValueError as error:
+        raise StileloomError(ErrorKind.BAD_REQUEST, f"{name}: not a number") from error
+    if not 0 <= value < 1e9:
+        raise StileloomError(ErrorKind.BAD_REQUEST, f"{name}: out of range")
+    return value
--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -8,12 +8,12 @@
 
 import asyncio
 import time
-from collections.abc import Coroutine
 from typing import Protocol
 
 from stileloom.api.dialect import Dialect, LoadOrder
 from stileloom.api.jobs import ItemResult, ItemState
 from stileloom.api.routes import Route, RouteKind, Service
+from stileloom.background import BackgroundTasks
 from stileloom.errors import StileloomError
 from stileloom.events import LogEvent
 from stileloom.http1.connection import SamplerConnection
@@ -86,7 +86,7 @@
         self._finished: dict[str, list[ItemResult]] = {}
         self._flush_due = False
         self._stopped = False
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = BackgroundTasks(log)
         self._waiters: dict[str, list[asyncio.Future[None]]] = {}
 
     def stop(self) -> None:
@@ -95,19 +95,13 @@
         for connection in self._connections.values():
             connection.close()
         self._connections.clear()
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel()
         for futures in self._waiters.values():
             for future in futures:
                 if not future.done():
                     future.set_result(None)
         self._waiters.clear()
 
-    def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     # What the rest of the node tells.
 
     def version_named(self, model: str, version: int) -> None:
@@ -154,9 +148,9 @@
             single = {item.model for item in self.scheduler.items.values() if item.single_version}
             for load in self.planner.plan(now, service.name, models, single):
                 self.scheduler.models_of(load.sampler_id).loading = load.model
-                self._spawn(self._load(load))
+                self._tasks.spawn(self._load(load))
         for start in self.scheduler.plan_starts(now, models):
-            self._spawn(self._run_item(start))
+            self._tasks.spawn(self._run_item(start))
 
     def _follow_book(self, now: float) -> None:
         for job_id, record in list(self._book.jobs.items()):
@@ -422,7 +416,7 @@
         finished, self._finished = self._finished, {}
         if not self._stopped:
             for job_id, results in finished.items():
-                self._spawn(self._record(job_id, results))
+                self._tasks.spawn(self._record(job_id, results))
 
     async def _record(self, job_id: str, results: list[ItemResult]) -> None:
         try:
--- a/stileloom/proxy/sampler_table.py
+++ b/stileloom/proxy/sampler_table.py
@@ -80,6 +80,10 @@
         """A sampler that may take requests."""
         return self._beliefs.get(sampler_id)
 
+    def all(self) -> list[SamplerBelief]:
+        """Samplers that may take requests."""
+        return list(self._beliefs.values())
+
     def of_service(self, service: str) -> list[SamplerBelief]:
         """Samplers of a service that may take requests."""
         return [belief for belief in self._beliefs.values() if belief.entry.service == service]
--- /dev/null
+++ b/tests/service_cluster.py
@@ -0,0 +1,272 @@
+"""Gateways, ledger nodes and samplers in one event loop, over real sockets, for tests.
+
+Ports are chosen by the kernel. Nothing is timed: tests wait for what must come about.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import tempfile
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+
+from stileloom.daemon.gateway import Gateway
+from stileloom.daemon.ledger_node import LedgerNode
+from stileloom.daemon.native_object_store import NativeObjectStore
+from stileloom.daemon.platform_client import ObjectApi
+from stileloom.emulator.http_sampler import HttpSampler
+from stileloom.emulator.object_api_server import object_api_application
+from stileloom.emulator.settings import EmulatorSettings, MachineListSettings, WeightStoreSettings
+from stileloom.emulator.settings import ObjectApiSettings as ApiSettings
+from stileloom.http.native_dialect import NativeDialect
+from stileloom.service_settings import ServiceSettings, TimeBounds
+
+HOST = "127.0.0.1"
+HOSTNAME = "rollouts.example"
+MODEL = "drafts"
+ATTEMPTS = 3
+BOUNDS = TimeBounds(stop_grace_s=4.0, order_lease_s=0.3)
+GIVE_UP_S = 30.0
+
+
+def free_port() -> int:
+    """A port that the kernel has just given out and taken back."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return int(probe.getsockname()[1])
+
+
+def configuration(version: int, **changes: Any) -> dict[str, Any]:
+    """Two routes over two services."""
+    lookup = {
+        "name": "charts",
+        "host": HOSTNAME,
+        "path_prefix": "/charts/",
+        "kind": "safe",
+        "backends": [{"service": "charts", "weight": 1}],
+        "timeout_s": 5.0,
+        "target_latency_s": 1.0,
+        "max_attempts": ATTEMPTS,
+    }
+    batch = {
+        **lookup,
+        "name": "drafts",
+        "path_prefix": "/drafts/",
+        "kind": "batch",
+        "backends": [{"service": "drafts", "weight": 1}],
+        "max_wait_s": 60.0,
+        "job_deadline_s": 30.0,
+    }
+    engine = {"slots": 4, "cache_tokens": 10000, "models": [MODEL]}
+    services = [
+        {"name": "charts", "max_connections": 50},
+        {"name": "drafts", "max_connections": 50, "engine": engine},
+    ]
+    return {"version": version, "routes": [lookup | changes, batch], "services": services}
+
+
+class ServiceCluster:
+    """Three ledger nodes, some gateways and samplers, and the object API."""
+
+    def __init__(self, gateways: int = 2) -> None:
+        self.samplers: dict[str, HttpSampler] = {}
+        self.ledger_nodes: dict[str, LedgerNode] = {}
+        self.gateways: list[Gateway] = []
+        self.fronts: list[int] = []
+        self._gateway_count = gateways
+        self._folder = tempfile.TemporaryDirectory()
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._http = AsyncHTTPClient(force_instance=True, max_clients=100)
+        self._settings: dict[str, ServiceSettings] = {}
+        self._api_server: HTTPServer
+        self.api: ObjectApi
+
+    async def __aenter__(self) -> ServiceCluster:
+        """Starts everything and waits until a job could be taken."""
+        application = object_api_application(
+            EmulatorSettings(
+                seed=1,
+                object_api=ApiSettings(port=1),
+                machine_list=MachineListSettings(port=1),
+                weight_store=WeightStoreSettings(port=1),
+                samplers=[],
+            )
+        )
+        sockets = bind_sockets(0, address=HOST)
+        self._api_server = HTTPServer(application)
+        self._api_server.add_sockets(sockets)
+        self._api_address = f"{HOST}:{sockets[0].getsockname()[1]}"
+        self.api = ObjectApi(self._api_address)
+        await self.write("configuration", "main", configuration(1))
+        for number in (1, 2):
+            await self.add_sampler(f"chart-{number}", "charts")
+            await self.add_sampler(f"draft-{number}", "drafts")
+        # Ledger nodes of one deployment share their port for calls and differ in the host.
+        self._calls_port = free_port()
+        self._ledger_port = free_port()
+        for number in (1, 2, 3):
+            self.start_ledger_node(f"ledger-{number}", f"127.0.0.{number + 1}")
+        for number in range(self._gateway_count):
+            self._start_gateway(f"gateway-{number}")
+        for gateway in self.gateways:
+            await self.until(lambda: gateway.directory.complete)  # noqa: B023
+            await self.until(lambda: len(gateway.directory.samplers.of_service("charts")) == 2)  # noqa: B023
+        await self.until(lambda: self.leader() is not None)
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        """Ends everything."""
+        for task in self._tasks.values():
+            task.cancel()
+        for gateway in self.gateways:
+            gateway.directory.stop()
+        for node in self.ledger_nodes.values():
+            node.abort()
+        for sampler in self.samplers.values():
+            await sampler.stop()
+        self._api_server.stop()
+        self._folder.cleanup()
+
+    async def until(self, holds: Callable[[], bool]) -> None:
+        """Waits until a condition holds."""
+        async with asyncio.timeout(GIVE_UP_S):
+            while not holds():
+                await asyncio.sleep(0.01)
+
+    async def write(self, kind: str, name: str, spec: dict[str, Any]) -> None:
+        """Writes an object as an operator or trainer does."""
+        await self.api.write(kind, name, None, f"{kind}/{name}", spec)
+
+    async def add_sampler(self, name: str, service: str) -> HttpSampler:
+        """Starts a sampler and lists it."""
+        versions = {MODEL: 1} if service == "drafts" else {}
+        sampler = HttpSampler(name, versions)
+        port = sampler.listen(HOST)
+        self.samplers[name] = sampler
+        spec = {
+            "service": service,
+            "address": f"{HOST}:{port}",
+            "zone": "a",
+            "slots": 4,
+            "model_versions": versions,
+        }
+        await self.write("samplers", name, spec)
+        return sampler
+
+    def start_ledger_node(self, name: str, host: str, first_start: bool = True) -> None:
+        """Starts a ledger node on its folder."""
+        peers = [f"127.0.0.{number + 1}:{self._ledger_port}" for number in (1, 2, 3)]
+        settings = ServiceSettings(
+            node_id=name,
+            zone="a",
+            host=host,
+            store=self._api_address,
+            peers=peers,
+            ledger=f"{host}:{self._ledger_port}",
+            calls_port=self._calls_port,
+            data_folder=str(Path(self._folder.name) / name),
+            first_start=first_start,
+            bounds=BOUNDS,
+        )
+        node = LedgerNode(settings, NativeObjectStore(self.api), NativeDialect())
+        self.ledger_nodes[name] = node
+        self._settings[name] = settings
+        self._tasks[name] = asyncio.get_running_loop().create_task(node.run())
+
+    def wipe(self, name: str) -> None:
+        """Removes the files of a node that does not run."""
+        folder = Path(self._folder.name) / name
+        for file in folder.iterdir():
+            file.unlink()
+
+    def restart(self, name: str) -> None:
+        """Starts a ledger node that was killed, not for the first time."""
+        settings = self._settings[name]
+        self.start_ledger_node(name, settings.host, first_start=False)
+
+    async def kill(self, name: str) -> None:
+        """Ends a ledger node without any goodbye."""
+        node = self.ledger_nodes.pop(name)
+        self._tasks.pop(name).cancel()
+        node.abort()
+
+    def leader(self) -> str | None:
+        """The node that may act as leader."""
+        for name, node in self.ledger_nodes.items():
+            if node.leads():
+                return name
+        return None
+
+    def _start_gateway(self, name: str) -> None:
+        front = free_port()
+        settings = ServiceSettings(
+            node_id=name,
+            zone="a",
+            host=HOST,
+            store=self._api_address,
+            peers=[f"127.0.0.{number + 1}:{self._ledger_port}" for number in (1, 2, 3)],
+            front=f"{HOST}:{front}",
+            ready=f"{HOST}:{free_port()}",
+            calls_port=self._calls_port,
+            bounds=BOUNDS,
+        )
+        gateway = Gateway(settings, NativeObjectStore(self.api), NativeDialect())
+        self.gateways.append(gateway)
+        self.fronts.append(front)
+        self._tasks[name] = asyncio.get_running_loop().create_task(gateway.run())
+
+    # Callers.
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        body: bytes | None = None,
+        gateway: int = 0,
+        **headers: str,
+    ) -> HTTPResponse:
+        """One call at a gateway."""
+        names = NativeDialect.names
+        all_headers = {"Host": HOSTNAME}
+        if "request_id" in headers:
+            all_headers[names.request_id] = headers["request_id"]
+        if "deadline_ms" in headers:
+            all_headers[names.deadline_ms] = headers["deadline_ms"]
+        request = HTTPRequest(
+            f"http://{HOST}:{self.fronts[gateway]}{target}",
+            method=method,
+            headers=all_headers,
+            body=body,
+            request_timeout=GIVE_UP_S,
+            allow_nonstandard_methods=True,
+        )
+        return await self._http.fetch(request, raise_error=False)
+
+    async def submit(self, job_id: str, items: list[str], **fields: Any) -> HTTPResponse:
+        """Submits a job."""
+        body = {
+            "model": MODEL,
+            "items": [
+                [item, f"/drafts/{item}", {"model": MODEL}, "Ym9keQ==", "g"] for item in items
+            ],
+            **fields,
+        }
+        return await self.call("POST", "/drafts/j", msgspec.json.encode(body), request_id=job_id)
+
+    async def results(self, job_id: str, count: int, gateway: int = 0) -> list[list[Any]]:
+        """Reads results until there are so many."""
+        results: list[list[Any]] = []
+        async with asyncio.timeout(GIVE_UP_S):
+            while len(results) < count:
+                target = f"/v1/jobs/{job_id}/results?position={len(results)}&wait_s=0.5"
+                answer = await self.call("GET", target, gateway=gateway)
+                if answer.code == 200:
+                    results += msgspec.json.decode(answer.body)["results"]
+        return results
--- /dev/null
+++ b/tests/test_services.py
@@ -0,0 +1,210 @@
+"""The whole path over real sockets in one process: lookups, batch jobs, loads, lost nodes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import testtools
+
+from stileloom.emulator.http_sampler import expected_events
+from stileloom.logging import configure_logs
+from tests.service_cluster import MODEL, ServiceCluster, configuration
+
+EVENTS = 6
+
+
+def with_cluster(scenario: Callable[[ServiceCluster], Awaitable[None]]) -> None:
+    """Runs a scenario on a fresh cluster."""
+
+    async def run() -> None:
+        async with ServiceCluster() as cluster:
+            await scenario(cluster)
+
+    configure_logs("error")
+    asyncio.run(run())
+
+
+class LookupTest(testtools.TestCase):
+    """Opaque lookups through a gateway."""
+
+    def test_answers_come_back_unchanged(self) -> None:
+        async def scenario(cluster: ServiceCluster) -> None:
+            answer = await cluster.call("POST", "/charts/7?z=1", b"abc", request_id="r1")
+            self.assertEqual(200, answer.code)
+            self.assertEqual(b"echo:abc", answer.body)
+            runs = [run for sampler in cluster.samplers.values() for run in sampler.runs]
+            self.assertEqual(
+                [("r1", "/charts/7?z=1", b"abc")],
+                [(run.request_id, run.target, run.body) for run in runs],
+            )
+
+        with_cluster(scenario)
+
+    def test_a_refusing_sampler_is_passed_over_and_all_refusing_say_when_to_come_back(self) -> None:
+        async def scenario(cluster: ServiceCluster) -> None:
+            cluster.samplers["chart-1"].faults.refuse = True
+            for number in range(4):
+                answer = await cluster.call("POST", "/charts/7", b"x", request_id=f"r{number}")
+                self.assertEqual(200, answer.code)
+            cluster.samplers["chart-2"].faults.refuse = True
+            answer = await cluster.call("POST", "/charts/7", b"x", request_id="r9")
+            self.assertEqual(503, answer.code)
+            self.assertIn("Retry-After", answer.headers)
+
+        with_cluster(scenario)
+
+    def test_a_failing_lookup_keeps_to_its_attempts(self) -> None:
+        async def scenario(cluster: ServiceCluster) -> None:
+            for name in ("chart-1", "chart-2"):
+                cluster.samplers[name].faults.fail_status = 500
+            answer = await cluster.call("POST", "/charts/7", b"x", request_id="r1")
+            self.assertEqual(500, answer.code)
+            runs = sum(len(sampler.runs) for sampler in cluster.samplers.values())
+            self.assertLessEqual(runs, 3)
+
+        with_cluster(scenario)
+
+    def test_an_unsafe_lookup_runs_once(self) -> None:
+        async def scenario(cluster: ServiceCluster) -> None:
+            await cluster.write("configuration", "main", configuration(2, kind="unsafe"))
+            gateway = cluster.gateways[0]
+            await cluster.until(lambda: gateway.directory.routes.version == 2)
+            for name in ("chart-1", "chart-2"):
+                cluster.samplers[name].faults.fail_status = 500
+            answer = await cluster.call("POST", "/charts/7", b"x", request_id="r1")
+            self.assertEqual(500, answer.code)
+            runs = sum(len(sampler.runs) for sampler in cluster.samplers.values())
+            self.assertEqual(1, runs)
+
+        with_cluster(scenario)
+
+    def test_unknown_routes_and_bad_input_are_refused_clearly(self) -> None:
+        async def scenario(cluster: ServiceCluster) -> None:
+            answer = await cluster.call("POST", "/nowhere/7", b"x", request_id="r1")
+            self.assertEqual(404, answer.code)
+            deep = b"[" * 100_000
+            for body in (b"", b"{", b"\xff", deep, b'{"items":' + deep, b'{"items":[1]}'):
+                answer = await cluster.call("POST", "/drafts/j", body, request_id="bad")
+                self.assertEqual(400, answer.code, body[:20])
+            answer = await cluster.submit("twice", ["a", "a"])
+            self.assertEqual(400, answer.code)
+            for target in ("/v1/jobs/x/results?position=no", "/v1/jobs/x/results?position=-1"):
+                self.assertEqual(400, (await cluster.call("GET", target)).code)
+            self.assertEqual(404, (await cluster.call("GET", "/v1/jobs/none/results")).code)
+            self.assertEqual(404, (await cluster.call("DELETE", "/v1/jobs/none")).code)
+            answer = await cluster.call("POST", "/charts/7", b"ok", request_id="r2")
+            self.assertEqual(200, answer.code)
+
+        with_cluster(scenario)
+
+
+class JobTest(testtools.TestCase):
+    """Batch jobs through gateways, ledger and samplers."""
+
+    def check_texts(self, results: list[list[object]]) -> None:
+        """Each text is the whole output of its item."""
+        for item_id, state, text, _ in results:
+            self.assertEqual("succeeded", state)
+            self.assertEqual("\n".join(expected_events(str(item_id), EVENTS)), text)
+
+    def test_a_job_runs_and_is_read_alike_everywhere(self) -> None:
+        async def scenario(cluster: ServiceCluster) -> None:
+            items = [f"i{number}" for number in range(12)]
+            self.assertEqual(202, (await cluster.submit("job", items)).code)
+            self.assertEqual(202, (await cluster.submit("job", items)).code)
+            results = await cluster.results("job", 12)
+            self.check_texts(results)
+            self.assertEqual(sorted(items), sorted(str(result[0]) for result in results))
+            self.assertEqual(results, await cluster.results("job", 12, gateway=1))
+            body = await cluster.call("GET", "/v1/jobs/job/items/i3")
+            self.assertEqual(b"body", body.body)
+            self.assertEqual(404, (await cluster.call("GET", "/v1/jobs/job/items/x")).code)
+            self.assertEqual(200, (await cluster.call("DELETE", "/v1/jobs/job")).code)
+            self.assertEqual(200, (await cluster.call("DELETE", "/v1/jobs/job")).code)
+
+        with_cluster(scenario)
+
+    def test_broken_streams_are_resumed_into_one_chain(self) -> None:
+        async def scenario(cluster: ServiceCluster) -> None:
+            cluster.samplers["draft-1"].faults.cut_after_events = 2
+            items = [f"i{number}" for number in range(8)]
+            await cluster.submit("job", items)
+            self.check_texts(await cluster.results("job", 8))
+
+        with_cluster(scenario)
+
+    def test_an_item_that_always_fails_is_given_up_after_its_attempts(self) -> None:
+        async def scenario(cluster: ServiceCluster) -> None:
+            for name in ("draft-1", "draft-2"):
+                cluster.samplers[name].faults.fail_status = 500
+            await cluster.submit("job", ["i1"])
+            results = await cluster.results("job", 1)
+            self.assertEqual([["i1", "given_up", "", []]], results)
+            runs = sum(len(sampler.runs) for sampler in cluster.samplers.values())
+            self.assertEqual(3, runs)
+
+        with_cluster(scenario)
+
+    def test_a_version_that_work_needs_is_loaded_and_stated(self) -> None:
+        async def scenario(cluster: ServiceCluster) -> None:
+            await cluster.write("versions", MODEL, {"model": MODEL, "version": 3})
+            await cluster.submit("job", ["i1", "i2"], min_version=3)
+            results = await cluster.results("job", 2)
+            self.check_texts(results)
+            self.assertEqual([[3], [3]], [result[3] for result in results])
+            for name in ("draft-1", "draft-2"):
+                fences = [order.fence for order in cluster.samplers[name].orders]
+                self.assertEqual(sorted(fences), fences)
+
+        with_cluster(scenario)
+
+    def test_results_survive_the_loss_of_the_leader_and_of_its_disk(self) -> None:
+        async def scenario(cluster: ServiceCluster) -> None:
+            items = [f"i{number}" for number in range(6)]
+            await cluster.submit("job", items)
+            before = await cluster.results("job", 6)
+            await cluster.submit("next", items)
+            first = cluster.leader()
+            assert first is not None
+            await cluster.kill(first)
+            cluster.wipe(first)
+            await cluster.until(lambda: cluster.leader() is not None)
+            self.assertEqual(before, await cluster.results("job", 6))
+            self.check_texts(await cluster.results("next", 6, gateway=1))
+            cluster.restart(first)
+            node = cluster.ledger_nodes[first]
+            await cluster.until(node.is_voter)
+            second = cluster.leader()
+            assert second is not None
+            await cluster.kill(second)
+            await cluster.until(lambda: cluster.leader() is not None)
+            self.assertEqual(before, await cluster.results("job", 6))
+
+        with_cluster(scenario)
+
+    def test_a_removed_ledger_node_leaves_the_voter_set(self) -> None:
+        async def scenario(cluster: ServiceCluster) -> None:
+            await cluster.submit("job", ["i1"])
+            before = await cluster.results("job", 1)
+            await cluster.write("removals", "ledger-1", {})
+            node = cluster.ledger_nodes["ledger-2"]
+            await cluster.until(lambda: "ledger-1" not in node.voter_names())
+
+            async def finished() -> bool:
+                status = await cluster.api.get("removals-status", "ledger-1")
+                return status is not None and status.spec == {"finished": True}
+
+            while not await finished():
+                await asyncio.sleep(0.05)
+            await cluster.kill("ledger-1")
+            await cluster.until(lambda: cluster.leader() is not None)
+            self.assertEqual(before, await cluster.results("job", 1))
+            # Of the two that are left one loses its disk: the other goes on alone.
+            await cluster.kill("ledger-2")
+            cluster.wipe("ledger-2")
+            cluster.restart("ledger-2")
+            await cluster.until(lambda: cluster.ledger_nodes["ledger-2"].is_voter())
+            self.assertEqual(before, await cluster.results("job", 1))
+
+        with_cluster(scenario)
