A new leader keeps the samplers' share and goes on from saved events; loads after evacuation

The new leader shared samplers anew, so most had no version that jobs allow, and loads wait out the order lease. Long items began from their first event after each election, and loads with 'retain' paused just the long ones. Ruled out: slow recovery of the ledger (leader_elected 1.6 s after power), store down. Change: share derived from the samplers' versions; SaveProgress every 0.5 s for items with 8 new events; runs go elsewhere before a load; memory of samplers is respected; long runs move to faster samplers. Tests: tests/test_item_scheduler.py (the share test is red with the old rule).

--- a/stileloom/api/jobs.py
+++ b/stileloom/api/jobs.py
@@ -48,6 +48,30 @@
     versions: list[int]
 
 
+class FinishedItem(msgspec.Struct, frozen=True, array_like=True):
+    """The end of an item, on top of the events that were saved before."""
+
+    item_id: str
+    state: ItemState
+    saved_parts: int
+    """How many saved events the text begins with."""
+    parts: list[str]
+    """The events after those."""
+    versions: list[int]
+
+
+class ItemProgress(msgspec.Struct, frozen=True, array_like=True):
+    """Events of an item that were made after those saved before."""
+
+    item_id: str
+    first_part: int
+    """How many saved events they follow; what was saved beyond those is replaced."""
+    parts: list[str]
+    last_event_id: int
+    versions: list[int]
+    """Versions of all events so far, in the order of their first event."""
+
+
 class ResultPage(msgspec.Struct, frozen=True):
     """Results from a position on."""
 
--- a/stileloom/jobs/book.py
+++ b/stileloom/jobs/book.py
@@ -4,7 +4,16 @@
 
 import msgspec
 
-from stileloom.api.jobs import ItemResult, JobItem, JobSubmission, ResultPage
+from stileloom.api.jobs import (
+    FinishedItem,
+    ItemProgress,
+    ItemResult,
+    ItemState,
+    JobItem,
+    JobSubmission,
+    ResultPage,
+)
+from stileloom.jobs.partial_text import PartialText
 
 PAGE_BYTES = 900_000
 
@@ -16,6 +25,8 @@
     results: list[ItemResult] = msgspec.field(default_factory=list)
     listed: set[str] = msgspec.field(default_factory=set)
     ended: bool = False
+    progress: dict[str, PartialText] = msgspec.field(default_factory=dict)
+    """Saved events of items that are not listed, by item id."""
 
     @property
     def is_open(self) -> bool:
@@ -53,16 +64,33 @@
         self.jobs[submission.job_id] = JobRecord(submission)
         return True
 
-    def record(self, job_id: str, results: list[ItemResult]) -> None:
+    def save(self, job_id: str, items: list[ItemProgress]) -> None:
+        """Adds events to what is saved of items that are not listed yet."""
+        job = self.jobs.get(job_id)
+        if job is None:
+            return
+        for item in items:
+            if item.item_id in job.listed:
+                continue
+            saved = job.progress.setdefault(item.item_id, PartialText())
+            saved.parts[item.first_part :] = item.parts
+            saved.last_event_id = item.last_event_id
+            saved.versions = list(item.versions)
+
+    def record(self, job_id: str, finished: list[FinishedItem]) -> None:
         """Lists results of items that are not listed yet, in the order given."""
         job = self.jobs.get(job_id)
         if job is None:
             return
         known = {item.item_id for item in job.submission.items}
-        for result in results:
-            if result.item_id in known and result.item_id not in job.listed:
-                job.listed.add(result.item_id)
-                job.results.append(result)
+        for item in finished:
+            if item.item_id not in known or item.item_id in job.listed:
+                continue
+            saved = job.progress.pop(item.item_id, None)
+            parts = saved.parts[: item.saved_parts] if saved is not None else []
+            text = "\n".join([*parts, *item.parts]) if item.state is ItemState.SUCCEEDED else ""
+            job.listed.add(item.item_id)
+            job.results.append(ItemResult(item.item_id, item.state, text, item.versions))
 
     def end(self, job_id: str) -> bool:
         """Ends a job; False where there is none."""
--- a/stileloom/jobs/partial_text.py
+++ b/stileloom/jobs/partial_text.py
@@ -30,6 +30,10 @@
         if version not in self.versions:
             self.versions.append(version)
 
+    def copy(self) -> PartialText:
+        """An independent copy."""
+        return PartialText(list(self.parts), self.last_event_id, list(self.versions))
+
     def fits(self, min_version: int, single_version: bool) -> bool:
         """Whether the text so far may be part of a result with these bounds."""
         if any(version < min_version for version in self.versions):
--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -11,7 +11,7 @@
 from typing import Protocol
 
 from stileloom.api.dialect import Dialect, LoadOrder
-from stileloom.api.jobs import ItemResult, ItemState
+from stileloom.api.jobs import FinishedItem, ItemProgress, ItemState
 from stileloom.api.routes import Route, RouteKind, Service
 from stileloom.background import BackgroundTasks
 from stileloom.errors import StileloomError
@@ -23,10 +23,9 @@
 from stileloom.jobs.engine_control import ControlTarget, EngineControl, OrderOutcome
 from stileloom.jobs.item_stream import ItemStream, RunOutcome
 from stileloom.jobs.metrics import JobMetrics
-from stileloom.jobs.partial_text import PartialText
-from stileloom.jobs.scheduler import ItemScheduler, OpenItem, StartRun
+from stileloom.jobs.scheduler import ItemScheduler, ItemSize, OpenItem, StartRun
 from stileloom.jobs.version_planner import Load, VersionPlanner
-from stileloom.ledger.commands import Command, CommandResult, ForgetJob, RecordResults
+from stileloom.ledger.commands import Command, CommandResult, ForgetJob, RecordResults, SaveProgress
 from stileloom.logging import EventLog
 from stileloom.proxy.route_table import RouteTable
 from stileloom.proxy.sampler_table import SamplerTable
@@ -41,6 +40,7 @@
 LOAD_PATIENCE_S = 4.0
 ORDER_RETRY_S = 1.2
 IMPOSSIBLE_ATTEMPTS = 1
+SAVE_INTERVAL_S = 0.5
 
 
 class Proposer(Protocol):
@@ -83,9 +83,10 @@
         self._control = EngineControl(dialect, self._pool)
         self._connections: dict[tuple[str, str], SamplerConnection] = {}
         self._adopted: dict[str, float] = {}
-        self._finished: dict[str, list[ItemResult]] = {}
+        self._finished: dict[str, list[FinishedItem]] = {}
         self._flush_due = False
         self._stopped = False
+        self._next_save_at = 0.0
         self._tasks = BackgroundTasks(log)
         self._waiters: dict[str, list[asyncio.Future[None]]] = {}
 
@@ -139,15 +140,22 @@
         for service in self._routes.services():
             if service.engine is not None and service.engine.models:
                 self._plan_service(now, service)
+        if now >= self._next_save_at:
+            self._next_save_at = now + SAVE_INTERVAL_S
+            self._save_progress()
 
     def _plan_service(self, now: float, service: Service) -> None:
         assert service.engine is not None
         models = service.engine.models
+        self.scheduler.cache_tokens[service.name] = service.engine.cache_tokens
         self.scheduler.share_out(service.name, models)
         if now >= self._orders_from:
             single = {item.model for item in self.scheduler.items.values() if item.single_version}
             for load in self.planner.plan(now, service.name, models, single):
                 self.scheduler.models_of(load.sampler_id).loading = load.model
+                for open_item in load.evacuate:
+                    self._stop_run(open_item, "the sampler loads")
+                    open_item.not_before = 0.0
                 self._tasks.spawn(self._load(load))
         for start in self.scheduler.plan_starts(now, models):
             self._tasks.spawn(self._run_item(start))
@@ -178,7 +186,7 @@
         if route is None:
             return
         self._reuse_listed(record, route.single_version)
-        expected = {item.item_id: self._expected_tokens(item.headers) for item in submission.items}
+        sizes = {item.item_id: self._size(item.headers) for item in submission.items}
         self.planner.named(submission.model, submission.min_version, now)
         self.scheduler.adopt_job(
             record,
@@ -186,7 +194,7 @@
             route.single_version,
             route.max_attempts,
             route.max_wait_s + GIVE_UP_MARGIN_S - (now - self._adopted[submission.job_id]),
-            expected,
+            sizes,
             now,
         )
         self._log.emit(
@@ -220,17 +228,22 @@
                     if single_version and len(result.versions) > 1:
                         continue
                     wanted.discard(result.item_id)
-                    self._queue_result(record.submission.job_id, result)
+                    finished = FinishedItem(
+                        result.item_id, result.state, 0, [result.text], result.versions
+                    )
+                    self._queue_result(record.submission.job_id, finished)
 
-    def _expected_tokens(self, headers: dict[str, str]) -> float:
+    def _size(self, headers: dict[str, str]) -> ItemSize:
+        """Prompt and expected output: the caller's hint, or half of what it allows."""
         names = self._dialect.names
         by_name = {name.lower(): value for name, value in headers.items()}
-        hint = by_name.get(names.length_hint.lower(), "")
-        try:
-            return float(hint)
-        except ValueError:
-            usage = by_name.get(names.token_usage.lower(), "").split(",")
-            return float(usage[1]) / 2 if len(usage) == 2 and usage[1].isdecimal() else 1000.0
+        usage = [_tokens(part) for part in by_name.get(names.token_usage.lower(), "").split(",")]
+        prompt, limit = (usage[0], usage[1]) if len(usage) == 2 else (None, None)
+        hint = _tokens(by_name.get(names.length_hint.lower(), ""))
+        if hint is None and limit is not None:
+            hint = limit / 2
+        expected = hint if hint is not None else ItemSize().expected_tokens
+        return ItemSize(expected, prompt or 0.0)
 
     def _drop(self, job_id: str) -> None:
         for open_item in self.scheduler.drop_job(job_id):
@@ -260,11 +273,7 @@
             self._pool.release(entry.sampler_id, connection)
             return
         # The text is copied: an end of this run that comes late must not touch a later one's.
-        partial = PartialText(
-            list(open_item.partial.parts),
-            open_item.partial.last_event_id,
-            list(open_item.partial.versions),
-        )
+        partial = open_item.partial.copy()
         open_item.partial = partial
         stream = ItemStream(
             open_item.item.item_id,
@@ -387,10 +396,11 @@
         self._stop_run(open_item, reason) if open_item.run is not None else None
         open_item.finished = True
         succeeded = state is ItemState.SUCCEEDED
-        result = ItemResult(
+        result = FinishedItem(
             open_item.item.item_id,
             state,
-            open_item.partial.text if succeeded else "",
+            open_item.saved_parts if succeeded else 0,
+            open_item.partial.parts[open_item.saved_parts :] if succeeded else [],
             list(open_item.partial.versions) if succeeded else [],
         )
         if not succeeded:
@@ -405,7 +415,7 @@
             )
         self._queue_result(open_item.key[0], result)
 
-    def _queue_result(self, job_id: str, result: ItemResult) -> None:
+    def _queue_result(self, job_id: str, result: FinishedItem) -> None:
         self._finished.setdefault(job_id, []).append(result)
         if not self._flush_due:
             self._flush_due = True
@@ -418,7 +428,7 @@
             for job_id, results in finished.items():
                 self._tasks.spawn(self._record(job_id, results))
 
-    async def _record(self, job_id: str, results: list[ItemResult]) -> None:
+    async def _record(self, job_id: str, results: list[FinishedItem]) -> None:
         try:
             await self._ledger.propose(RecordResults(job_id, results))
         except StileloomError:
@@ -439,6 +449,33 @@
         self._wake(job_id)
         self._step_soon()
 
+    def _save_progress(self) -> None:
+        """Events of long items go to the ledger: a new leader goes on from there."""
+        by_job: dict[str, list[ItemProgress]] = {}
+        for open_item in self.scheduler.unsaved():
+            partial = open_item.partial
+            if partial.last_event_id is None:
+                continue
+            by_job.setdefault(open_item.key[0], []).append(
+                ItemProgress(
+                    open_item.item.item_id,
+                    open_item.saved_parts,
+                    partial.parts[open_item.saved_parts :],
+                    partial.last_event_id,
+                    list(partial.versions),
+                )
+            )
+            open_item.saved_parts = len(partial.parts)
+        for job_id, items in by_job.items():
+            self._tasks.spawn(self._save(job_id, items))
+
+    async def _save(self, job_id: str, items: list[ItemProgress]) -> None:
+        try:
+            await self._ledger.propose(SaveProgress(job_id, items))
+        except StileloomError:
+            # Leadership is lost: the next leader goes on from what is saved.
+            return
+
     def _wake(self, job_id: str) -> None:
         for future in self._waiters.pop(job_id, []):
             if not future.done():
@@ -531,3 +568,12 @@
                 if quiet >= 2:
                     return
             await asyncio.sleep(REPORT_INTERVAL_S)
+
+
+def _tokens(text: str) -> float | None:
+    """A number of tokens, or None where the text is none."""
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if 0 <= value < 1e9 else None
--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -24,7 +24,16 @@
 """The same while the sampler loads weights."""
 GROUP_BONUS = 0.85
 MOVE_IF_SLOWER = 1.7
+MOVE_LONG_IF_SLOWER = 1.25
+LONG_EVENTS_LEFT = 20.0
 MOVE_MIN_EVENTS_LEFT = 5.0
+TOKENS_PER_EVENT = 58.0
+"""Used only to turn expected tokens into expected events; refined by what runs show."""
+LEFT_OF_MADE = 0.5
+"""Lengths have heavy tails: what was longer than expected goes on for about half as long."""
+CACHE_SHARE = 0.95
+SAVE_EVENTS = 8
+"""So many events that are not saved yet are worth a write to the ledger."""
 MOVES_PER_PLAN = 4
 DEMAND_CHANGE = 1.4
 """Samplers are shared out anew when a model's part of the work changes by this factor."""
@@ -34,6 +43,13 @@
 KEPT_TEXTS = 2000
 
 
+class ItemSize(msgspec.Struct, frozen=True):
+    """What an item is expected to take, in tokens."""
+
+    expected_tokens: float = DEFAULT_EXPECTED_TOKENS
+    prompt_tokens: float = 0.0
+
+
 class OpenItem(msgspec.Struct):
     """An item without a listed result."""
 
@@ -46,6 +62,7 @@
     service: str
     max_attempts: int
     expected_tokens: float
+    prompt_tokens: float
     adopted_at: float
     give_up_at: float
     carried: bool = False
@@ -56,6 +73,14 @@
     run: ItemRun | None = None
     finished: bool = False
     """Its result is on the way to the ledger."""
+    saved_parts: int = 0
+    """Events that the ledger holds, or that are on their way there."""
+
+    @property
+    def tokens_held(self) -> float:
+        """Tokens that a sampler holds for it, now or by what is expected."""
+        made = len(self.partial.parts) * TOKENS_PER_EVENT
+        return self.prompt_tokens + max(self.expected_tokens, made)
 
 
 class ItemRun(msgspec.Struct):
@@ -65,7 +90,7 @@
     started_at: float
     last_event_at: float
     events: int = 0
-    version: int = 0
+    tokens: float = 0.0
 
 
 class StartRun(msgspec.Struct, frozen=True):
@@ -80,6 +105,8 @@
 
     interval_s: float = FIRST_INTERVAL_S
     running: int = 0
+    tokens: float = 0.0
+    """Tokens that its runs are expected to hold."""
     refused_until: float = 0.0
     groups: set[str] = msgspec.field(default_factory=set)
 
@@ -90,6 +117,8 @@
     def __init__(self, samplers: SamplerTable) -> None:
         self.items: dict[ItemKey, OpenItem] = {}
         self.models: dict[str, SamplerModels] = {}
+        self.cache_tokens: dict[str, float] = {}
+        """Tokens that a sampler of a service can hold."""
         self._samplers = samplers
         self._paces: dict[str, SamplerPace] = {}
         self._share: dict[str, str] = {}
@@ -108,7 +137,7 @@
         single_version: bool,
         max_attempts: int,
         max_wait_s: float,
-        expected: dict[str, float],
+        sizes: dict[str, ItemSize],
         now: float,
     ) -> None:
         """Takes the items of a job that are not listed yet."""
@@ -117,9 +146,12 @@
             key = (submission.job_id, item.item_id)
             if item.item_id in record.listed or key in self.items:
                 continue
-            partial = self._kept.pop(item.item_id, None)
+            saved = record.progress.get(item.item_id)
+            kept = self._kept.pop(item.item_id, None)
+            partial = saved.copy() if saved is not None else kept
             if partial is None or not partial.fits(submission.min_version, single_version):
                 partial = PartialText()
+            size = sizes.get(item.item_id, ItemSize())
             self.items[key] = OpenItem(
                 key=key,
                 item=item,
@@ -129,15 +161,17 @@
                 single_version=single_version,
                 service=service,
                 max_attempts=max_attempts,
-                expected_tokens=expected.get(item.item_id, DEFAULT_EXPECTED_TOKENS),
+                expected_tokens=size.expected_tokens,
+                prompt_tokens=size.prompt_tokens,
                 adopted_at=now,
                 give_up_at=now + max_wait_s,
                 carried=item.item_id in self._seen_items,
                 partial=partial,
+                saved_parts=len(partial.parts) if saved is not None else 0,
             )
             self._seen_items.add(item.item_id)
         self._demand[submission.model] = sum(
-            expected.get(item.item_id, DEFAULT_EXPECTED_TOKENS) for item in submission.items
+            sizes.get(item.item_id, ItemSize()).expected_tokens for item in submission.items
         )
 
     def drop_job(self, job_id: str) -> list[OpenItem]:
@@ -175,11 +209,27 @@
         demand = {model: self._demand.get(model, DEFAULT_EXPECTED_TOKENS) for model in models}
         state = (ids, frozenset(models))
         if state != self._share_of or self._demand_changed(demand):
-            self._share = share_samplers(sorted(ids), demand, self._share)
+            current = {**self._share_by_versions(ids, models), **self._share}
+            self._share = share_samplers(sorted(ids), demand, current)
             self._share_of = state
             self._demand_used = demand
         return self._share
 
+    def _share_by_versions(self, sampler_ids: frozenset[str], models: list[str]) -> dict[str, str]:
+        """The share that an earlier leader gave, as the samplers' versions show it.
+
+        Only the models that a sampler serves get new versions, so a new leader that shared
+        anew would have to load nearly all of them first.
+        """
+        share: dict[str, str] = {}
+        for sampler_id in sampler_ids:
+            versions = self.models_of(sampler_id).versions
+            newest = max(models, key=lambda model: versions.get(model, 0))
+            behind = [model for model in models if versions.get(model, 0) < versions.get(newest, 0)]
+            if behind:
+                share[sampler_id] = newest
+        return share
+
     def _demand_changed(self, demand: dict[str, float]) -> bool:
         if set(demand) != set(self._demand_used):
             return True
@@ -225,6 +275,8 @@
         open_item.run = ItemRun(sampler_id, now, now)
         pace = self.pace(sampler_id)
         pace.running += 1
+        open_item.run.tokens = open_item.tokens_held
+        pace.tokens += open_item.run.tokens
         pace.groups.add(open_item.item.group)
         return StartRun(open_item, sampler_id)
 
@@ -245,6 +297,8 @@
         pace = self.pace(sampler_id)
         if pace.running >= belief.entry.slots or now < pace.refused_until:
             return False
+        if pace.running and pace.tokens + open_item.tokens_held > self._cache_tokens(open_item):
+            return False
         models = self.models_of(sampler_id)
         if models.loading == open_item.model:
             return False
@@ -275,13 +329,18 @@
                 self._samplers.failed(run.sampler_id, now)
                 moves.append(open_item)
             elif not loading and self._gains_by_move(open_item, now):
-                slow.append((self._events_left(open_item), open_item))
+                slow.append((self.events_left(open_item), open_item))
         slow.sort(key=lambda pair: -pair[0])
         return moves + [open_item for _, open_item in slow[:MOVES_PER_PLAN]]
 
-    def _events_left(self, open_item: OpenItem) -> float:
-        expected = max(3.0, open_item.expected_tokens / 58.0)
-        return max(MOVE_MIN_EVENTS_LEFT, expected - len(open_item.partial.parts))
+    def _cache_tokens(self, open_item: OpenItem) -> float:
+        return self.cache_tokens.get(open_item.service, float("inf")) * CACHE_SHARE
+
+    def events_left(self, open_item: OpenItem) -> float:
+        """Expected events to come."""
+        made = len(open_item.partial.parts)
+        expected = open_item.expected_tokens / TOKENS_PER_EVENT
+        return max(MOVE_MIN_EVENTS_LEFT, expected - made, made * LEFT_OF_MADE)
 
     def _gains_by_move(self, open_item: OpenItem, now: float) -> bool:
         run = open_item.run
@@ -292,7 +351,32 @@
         if best is None or best.suspect_until > now:
             return False
         there_s = self.pace(best.entry.sampler_id).interval_s
-        return here_s > there_s * MOVE_IF_SLOWER
+        is_long = self.events_left(open_item) >= LONG_EVENTS_LEFT
+        return here_s > there_s * (MOVE_LONG_IF_SLOWER if is_long else MOVE_IF_SLOWER)
+
+    def evacuees(self, sampler_id: str, model: str, now: float) -> list[OpenItem] | None:
+        """Runs of a model at a sampler, if others have room for all of them; else None."""
+        runs = [
+            item
+            for item in self.items.values()
+            if item.model == model and item.run is not None and item.run.sampler_id == sampler_id
+        ]
+        room = 0
+        for belief in self._samplers.all():
+            other_id = belief.entry.sampler_id
+            if other_id == sampler_id or belief.suspect_until > now:
+                continue
+            if runs and all(self._may_run(item, belief, now) for item in runs):
+                room += belief.entry.slots - self.pace(other_id).running
+        return runs if room >= len(runs) else None
+
+    def unsaved(self) -> list[OpenItem]:
+        """Items with events that are worth saving."""
+        return [
+            item
+            for item in self.items.values()
+            if not item.finished and len(item.partial.parts) - item.saved_parts >= SAVE_EVENTS
+        ]
 
     # Signs from runs.
 
@@ -315,7 +399,9 @@
         run = open_item.run
         if run is None:
             return
-        self.pace(run.sampler_id).running -= 1
+        pace = self.pace(run.sampler_id)
+        pace.running -= 1
+        pace.tokens -= run.tokens
         open_item.run = None
 
     def forget_sampler(self, sampler_id: str) -> None:
--- a/stileloom/jobs/version_planner.py
+++ b/stileloom/jobs/version_planner.py
@@ -1,8 +1,9 @@
 """Decides which sampler loads which weight version next. No I/O, no clock.
 
-A load makes a sampler useless for a moment, so it waits for an idle one: a step may run on
-the version before. Work that needs the newer version makes it due at once. At most
-`MAX_LOADING` samplers of a service load together; more would slow all of them.
+A load makes a sampler useless for a moment, so it waits until its runs are done or have room
+elsewhere: a step may run on the version before. Work that needs the newer version makes the
+load due at once. At most `MAX_LOADING` samplers of a service load together; more would slow
+all of them.
 """
 
 from __future__ import annotations
@@ -10,15 +11,14 @@
 import msgspec
 
 from stileloom.api.dialect import LoadStrategy
-from stileloom.jobs.scheduler import ItemScheduler
-from stileloom.proxy.sampler_table import SamplerTable
+from stileloom.jobs.scheduler import ItemScheduler, OpenItem
+from stileloom.proxy.sampler_table import SamplerBelief, SamplerTable
 
 MAX_LOADING = 2
 SETTLE_S = 0.4
 """After a version was named the step that goes with it is given time to arrive and start."""
-OVERDUE_S = 2.6
-"""A version that is this old is loaded beside running work."""
-FEW_RUNNING_SHARE = 0.3
+EVACUATE_SHARE = 0.4
+"""A sampler with at most this share of its slots in use hands its runs over and loads."""
 
 
 class Load(msgspec.Struct, frozen=True):
@@ -28,6 +28,8 @@
     model: str
     version: int
     strategy: LoadStrategy
+    evacuate: list[OpenItem] = msgspec.field(default_factory=list)
+    """Runs that go on at other samplers first."""
 
 
 class VersionPlanner:
@@ -85,25 +87,32 @@
                 continue
             if now < self._not_before.get(sampler_id, 0.0) or belief.suspect_until > now:
                 continue
-            running = self._scheduler.running_on(sampler_id, model)
-            rank = self._rank(now, model, version < needed, running, belief.entry.slots, waiting)
-            if rank is not None:
-                retain = running > 0 and not single_version
-                strategy = LoadStrategy.RETAIN if retain else LoadStrategy.WAIT
-                rows.append((rank, running, Load(sampler_id, model, target, strategy)))
+            load = self._load(now, belief, model, target, version < needed, bool(waiting))
+            if load is not None:
+                rank = 0 if version < needed else 1
+                running = self._scheduler.running_on(sampler_id, model)
+                if load.strategy is LoadStrategy.RETAIN and single_version:
+                    load = msgspec.structs.replace(load, strategy=LoadStrategy.WAIT)
+                rows.append((rank, running, load))
         return rows
 
-    def _rank(
-        self, now: float, model: str, needed: bool, running: int, slots: int, waiting: list
-    ) -> int | None:
-        """0 for work that waits, 1 for an idle moment, 2 for a version long due."""
-        if needed:
-            return 0
-        age_s = now - self._named_at.get(model, now)
-        if waiting or age_s < SETTLE_S:
-            return None
-        if running == 0:
-            return 1
-        if age_s > OVERDUE_S and running <= slots * FEW_RUNNING_SHARE:
-            return 2
-        return None
+    def _load(
+        self,
+        now: float,
+        belief: SamplerBelief,
+        model: str,
+        target: int,
+        needed: bool,
+        work_waits: bool,
+    ) -> Load | None:
+        """The load of a sampler, or None where it has to wait."""
+        sampler_id = belief.entry.sampler_id
+        evacuees = self._scheduler.evacuees(sampler_id, model, now)
+        if not needed:
+            if work_waits or now - self._named_at.get(model, now) < SETTLE_S:
+                return None
+            if evacuees is None or len(evacuees) > belief.entry.slots * EVACUATE_SHARE:
+                return None
+        if evacuees is not None:
+            return Load(sampler_id, model, target, LoadStrategy.WAIT, evacuees)
+        return Load(sampler_id, model, target, LoadStrategy.RETAIN)
--- a/stileloom/ledger/commands.py
+++ b/stileloom/ledger/commands.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from stileloom.api.jobs import ItemResult, JobSubmission
+from stileloom.api.jobs import FinishedItem, ItemProgress, JobSubmission
 from stileloom.api.samples import Delivery, Prompt, Sample
 from stileloom.errors import ErrorKind
 
@@ -112,7 +112,14 @@
     """Lists results of items; an item that is listed keeps its position and result."""
 
     job_id: str
-    results: list[ItemResult]
+    finished: list[FinishedItem]
+
+
+class SaveProgress(msgspec.Struct, frozen=True, tag=True):
+    """Keeps events of items under way, so that a new leader goes on from them."""
+
+    job_id: str
+    items: list[ItemProgress]
 
 
 class EndJob(msgspec.Struct, frozen=True, tag=True):
@@ -147,6 +154,7 @@
     | RaiseConfigurationFloor
     | SubmitJob
     | RecordResults
+    | SaveProgress
     | EndJob
     | ForgetJob
     | RetireNode
--- a/stileloom/ledger/state.py
+++ b/stileloom/ledger/state.py
@@ -38,6 +38,7 @@
     ReleaseKey,
     RetireNode,
     SampleRefused,
+    SaveProgress,
     StartEpoch,
     SubmitJob,
     SubmitPrompts,
@@ -153,19 +154,22 @@
         if isinstance(command, RetireNode):
             self.retired_nodes.add(command.node_id)
             return Done()
-        if isinstance(command, SubmitJob | RecordResults | EndJob | ForgetJob):
+        if isinstance(command, SubmitJob | RecordResults | SaveProgress | EndJob | ForgetJob):
             return self._apply_to_jobs(command)
         assert isinstance(command, StartEpoch)
         return Done()
 
     def _apply_to_jobs(
-        self, command: SubmitJob | RecordResults | EndJob | ForgetJob
+        self, command: SubmitJob | RecordResults | SaveProgress | EndJob | ForgetJob
     ) -> CommandResult:
         book = self.job_book
         if isinstance(command, SubmitJob):
             return Done(duplicate=not book.submit(command.submission))
         if isinstance(command, RecordResults):
-            book.record(command.job_id, command.results)
+            book.record(command.job_id, command.finished)
+            return Done()
+        if isinstance(command, SaveProgress):
+            book.save(command.job_id, command.items)
             return Done()
         if isinstance(command, ForgetJob):
             book.forget(command.job_id)
--- /dev/null
+++ b/tests/test_item_scheduler.py
@@ -0,0 +1,207 @@
+"""Which item runs where, what moves, which versions are loaded. By hand, without a clock."""
+
+from __future__ import annotations
+
+import testtools
+
+from stileloom.api.dialect import LoadStrategy
+from stileloom.api.jobs import ItemProgress, JobItem, JobSubmission
+from stileloom.api.sampler_directory import SamplerEntry
+from stileloom.jobs.book import JobBook, JobRecord
+from stileloom.jobs.model_versions import share_samplers
+from stileloom.jobs.scheduler import SILENCE_S, ItemScheduler, ItemSize
+from stileloom.jobs.version_planner import MAX_LOADING, SETTLE_S, VersionPlanner
+from stileloom.proxy.sampler_table import SamplerTable
+
+SERVICE = "engines"
+LATER = 100.0
+
+
+def entry(name: str, slots: int = 2, versions: dict[str, int] | None = None) -> SamplerEntry:
+    """A sampler of the one service."""
+    return SamplerEntry(name, SERVICE, ("10.0.0.1", 1), "a", slots, False, versions or {"m": 1})
+
+
+def record(job_id: str, items: int, **fields: object) -> JobRecord:
+    """A job of model m."""
+    items_list = [JobItem(f"{job_id}-i{n}", "/p", {}, b"", f"g{n}") for n in range(items)]
+    values = {"step": 0, "model": "m", "min_version": 1, "desired_groups": 1, **fields}
+    return JobRecord(JobSubmission(job_id, "h", "/p", items=items_list, **values))  # type: ignore[arg-type]
+
+
+class Desk:
+    """A scheduler and a planner over some samplers."""
+
+    def __init__(self, *entries: SamplerEntry, models: tuple[str, ...] = ("m",)) -> None:
+        self.samplers = SamplerTable()
+        self.samplers.replace_all(list(entries))
+        self.scheduler = ItemScheduler(self.samplers)
+        self.planner = VersionPlanner(self.scheduler, self.samplers)
+        self.models = list(models)
+        for sampler in entries:
+            for model, version in sampler.model_versions.items():
+                self.scheduler.models_of(sampler.sampler_id).saw(model, version)
+        self.scheduler.share_out(SERVICE, self.models)
+
+    def adopt(
+        self, job: JobRecord, now: float = 0.0, sizes: dict[str, ItemSize] | None = None
+    ) -> None:
+        """Takes a job."""
+        self.scheduler.adopt_job(job, SERVICE, False, 3, 60.0, sizes or {}, now)
+
+    def starts(self, now: float = 0.0) -> dict[str, str]:
+        """Starts what is due; the sampler by item."""
+        self.scheduler.share_out(SERVICE, self.models)
+        starts = self.scheduler.plan_starts(now, self.models)
+        return {start.item.item.item_id: start.sampler_id for start in starts}
+
+    def loads(self, now: float) -> list[tuple[str, int, LoadStrategy, int]]:
+        """What the planner would load."""
+        return [
+            (load.sampler_id, load.version, load.strategy, len(load.evacuate))
+            for load in self.planner.plan(now, SERVICE, self.models, set())
+        ]
+
+
+class SchedulerTest(testtools.TestCase):
+    """Starts and moves."""
+
+    def test_no_sampler_gets_more_runs_than_slots(self) -> None:
+        desk = Desk(entry("a"), entry("b"))
+        desk.adopt(record("j", 9))
+        placed = list(desk.starts().values())
+        self.assertEqual({"a": 2, "b": 2}, {name: placed.count(name) for name in placed})
+
+    def test_an_item_waits_for_a_version_that_its_job_allows(self) -> None:
+        desk = Desk(entry("a"))
+        desk.adopt(record("j", 1, min_version=2))
+        self.assertEqual({}, desk.starts())
+        desk.scheduler.models_of("a").saw("m", 2)
+        self.assertEqual({"j-i0": "a"}, desk.starts())
+
+    def test_longest_first(self) -> None:
+        desk = Desk(entry("a", slots=1))
+        desk.adopt(record("j", 2), sizes={"j-i1": ItemSize(9000.0)})
+        self.assertEqual({"j-i1": "a"}, desk.starts())
+
+    def test_a_sampler_whose_memory_is_spoken_for_gets_nothing_more(self) -> None:
+        desk = Desk(entry("a", slots=8))
+        desk.scheduler.cache_tokens[SERVICE] = 1000
+        desk.adopt(record("j", 3), sizes={f"j-i{n}": ItemSize(400.0, 50.0) for n in range(3)})
+        self.assertEqual(2, len(desk.starts()))
+
+    def test_a_silent_run_moves(self) -> None:
+        desk = Desk(entry("a"))
+        desk.adopt(record("j", 1))
+        desk.starts()
+        self.assertEqual([], desk.scheduler.plan_moves(SILENCE_S - 0.1))
+        self.assertEqual(1, len(desk.scheduler.plan_moves(SILENCE_S + 0.1)))
+
+    def test_a_long_run_on_a_slow_sampler_moves_to_a_faster_one(self) -> None:
+        desk = Desk(entry("a", slots=1), entry("b", slots=1))
+        desk.adopt(record("j", 1), sizes={"j-i0": ItemSize(20000.0)})
+        (sampler,) = desk.starts().values()
+        (item,) = desk.scheduler.items.values()
+        for number in range(1, 20):
+            item.partial.add(number, "x", 1)
+            desk.scheduler.event(item, number * 0.3)
+        moved = desk.scheduler.plan_moves(19 * 0.3)
+        self.assertEqual([item], moved)
+        desk.scheduler.run_ended(item)
+        self.assertNotEqual([sampler], list(desk.starts(19 * 0.3).values()))
+
+    def test_a_new_leader_goes_on_from_saved_events(self) -> None:
+        book = JobBook()
+        job = record("j", 1)
+        book.submit(job.submission)
+        book.save("j", [ItemProgress("j-i0", 0, ["a", "b"], 2, [1])])
+        desk = Desk(entry("a"))
+        desk.adopt(book.jobs["j"])
+        (item,) = desk.scheduler.items.values()
+        self.assertEqual(["a", "b"], item.partial.parts)
+        self.assertEqual(2, item.partial.last_event_id)
+        self.assertEqual(2, item.saved_parts)
+
+    def test_a_carried_item_goes_on_only_if_its_versions_fit(self) -> None:
+        for min_version, kept in ((1, 1), (2, 0)):
+            desk = Desk(entry("a"))
+            first = record("j", 1)
+            desk.adopt(first)
+            (item,) = desk.scheduler.items.values()
+            item.partial.add(1, "x", 1)
+            desk.scheduler.drop_job("j")
+            later = JobRecord(
+                JobSubmission("k", "h", "/p", 1, "m", min_version, 1, list(first.submission.items))
+            )
+            desk.adopt(later)
+            (item,) = desk.scheduler.items.values()
+            self.assertEqual(kept, len(item.partial.parts))
+            self.assertTrue(item.carried)
+
+
+class ShareTest(testtools.TestCase):
+    """Samplers by model."""
+
+    def test_in_proportion_and_with_few_moves(self) -> None:
+        share = share_samplers(list("abcde"), {"m": 2.0, "n": 1.0}, {})
+        counts = {model: list(share.values()).count(model) for model in ("m", "n")}
+        self.assertEqual({"m": 3, "n": 2}, counts)
+        again = share_samplers(list("abcdef"), {"m": 2.0, "n": 1.0}, share)
+        self.assertEqual(share, {name: again[name] for name in share})
+
+    def test_too_few_samplers_serve_all(self) -> None:
+        self.assertEqual({}, share_samplers(["a"], {"m": 1.0, "n": 1.0}, {}))
+
+    def test_a_new_leader_keeps_the_share_of_the_one_before(self) -> None:
+        """Otherwise work would wait until nearly all samplers have loaded another model."""
+        versions = {
+            "a": {"m": 1, "n": 6},
+            "b": {"m": 1, "n": 6},
+            "c": {"m": 7, "n": 1},
+            "d": {"m": 7, "n": 1},
+        }
+        entries = [entry(name, versions=held) for name, held in versions.items()]
+        desk = Desk(*entries, models=("m", "n"))
+        desk.adopt(record("j", 2, min_version=7))
+        self.assertEqual({"c", "d"}, set(desk.starts().values()))
+
+
+class VersionPlannerTest(testtools.TestCase):
+    """Loads."""
+
+    def test_idle_samplers_load_a_few_at_a_time_once_the_step_has_started(self) -> None:
+        desk = Desk(*(entry(name) for name in "abc"))
+        desk.planner.named("m", 2, 0.0)
+        self.assertEqual([], desk.loads(SETTLE_S / 2))
+        loads = desk.loads(SETTLE_S + 0.1)
+        self.assertEqual(MAX_LOADING, len(loads))
+        self.assertEqual({LoadStrategy.WAIT}, {load[2] for load in loads})
+
+    def test_a_busy_sampler_is_left_alone_while_no_work_needs_the_version(self) -> None:
+        desk = Desk(entry("a"))
+        desk.adopt(record("j", 2))
+        desk.starts()
+        desk.planner.named("m", 2, 0.0)
+        self.assertEqual([], desk.loads(LATER))
+
+    def test_work_that_needs_the_version_makes_it_due_beside_running_work(self) -> None:
+        desk = Desk(entry("a"))
+        desk.adopt(record("j", 1))
+        desk.starts()
+        desk.adopt(record("k", 1, min_version=2))
+        desk.planner.named("m", 2, 0.0)
+        self.assertEqual([("a", 2, LoadStrategy.RETAIN, 0)], desk.loads(0.0))
+
+    def test_few_runs_go_elsewhere_before_a_load(self) -> None:
+        desk = Desk(entry("a", slots=8), entry("b", slots=8))
+        desk.adopt(record("j", 2))
+        desk.starts()
+        desk.planner.named("m", 2, 0.0)
+        (load,) = [load for load in desk.loads(SETTLE_S + 0.1) if load[3]][:1]
+        self.assertEqual(LoadStrategy.WAIT, load[2])
+
+    def test_a_version_never_goes_back(self) -> None:
+        desk = Desk(entry("a", versions={"m": 5}))
+        desk.planner.named("m", 4, 0.0)
+        self.assertEqual([], desk.loads(LATER))
+        self.assertFalse(desk.planner.named("m", 3, 1.0))
