Ticks by the monotonic clock: a step of the time of day no longer stops a ledger node

Ruled out: leader's disk and lease (no step down was logged; no tick ran at all). Change: Ticker on the event loop's monotonic clock, also in the daemon's shell. Test: tests/test_background.py; with PeriodicCallback put in its place it fails (run aside).

--- a/stileloom/daemon/ledger_driver.py
+++ b/stileloom/daemon/ledger_driver.py
@@ -6,8 +6,9 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 
-from tornado.ioloop import IOLoop, PeriodicCallback
+from tornado.ioloop import IOLoop
 
+from stileloom.background import Ticker
 from stileloom.effects import Effect, Emit, Send
 from stileloom.errors import ErrorKind, StileloomError
 from stileloom.ledger import LedgerReplica
@@ -21,7 +22,7 @@
 from stileloom.logging import EventLog
 from stileloom.transport import Network
 
-TICK_MS = 50.0
+TICK_S = 0.05
 HELLO_INTERVAL_S = 0.4
 
 
@@ -47,7 +48,7 @@
         self._writing = False
         self._stopped = False
         self._next_hello_at = 0.0
-        self._ticker = PeriodicCallback(self._tick, TICK_MS)
+        self._ticker = Ticker(self._tick, TICK_S)
 
     async def start(self) -> None:
         """Listens and starts the clock. Raises `OSError` where the port is taken."""
--- a/stileloom/daemon/ledger_node.py
+++ b/stileloom/daemon/ledger_node.py
@@ -8,12 +8,11 @@
 
 from prometheus_client import CollectorRegistry
 from tornado.httpserver import HTTPServer
-from tornado.ioloop import PeriodicCallback
 
 from stileloom.api.dialect import Dialect
 from stileloom.api.object_store import ObjectStore
 from stileloom.api.sampler_directory import SamplerEntry
-from stileloom.background import BackgroundTasks
+from stileloom.background import BackgroundTasks, Ticker
 from stileloom.daemon.directory import Directory
 from stileloom.daemon.leadership import Leadership
 from stileloom.daemon.ledger_driver import LedgerDriver
@@ -32,7 +31,7 @@
 from stileloom.settings_file import split_address
 from stileloom.transport.calls import CallServer
 
-STEP_MS = 100.0
+STEP_S = 0.1
 
 
 class LedgerNode:
@@ -51,7 +50,7 @@
         self._directory.on_sampler_gone = self._sampler_gone
         self._stopping = asyncio.Event()
         self._voters_told: list[Voter] = []
-        self._ticker = PeriodicCallback(self._step, STEP_MS)
+        self._ticker = Ticker(self._step, STEP_S)
         self._driver: LedgerDriver | None = None
         self._service: JobService | None = None
         self._leadership: Leadership | None = None
--- a/stileloom/daemon/shell.py
+++ b/stileloom/daemon/shell.py
@@ -8,10 +8,11 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import msgspec
-from tornado.ioloop import IOLoop, PeriodicCallback
+from tornado.ioloop import IOLoop
 
 from stileloom import constants
 from stileloom.api.engine import StreamChunk, StreamEnd
+from stileloom.background import Ticker
 from stileloom.configuration import FetchConfiguration, FetchMachines
 from stileloom.daemon.engine_client import EngineClient
 from stileloom.daemon.platform_client import MachineList, ObjectApi
@@ -28,7 +29,7 @@
 from stileloom.samplers.effects import CloseStream, ConfirmNotRun, OpenStream, QueryLoad, SendOrder
 from stileloom.transport import Network
 
-TICK_MS = 50.0
+TICK_S = 0.05
 PLATFORM_RETRY_S = 0.5
 COMMAND_WAIT_S = constants.COMMAND_TIMEOUT_S + 1.0
 
@@ -58,7 +59,7 @@
         self._writing = False
         self._platform_up = True
         self._stopped = False
-        self._ticker = PeriodicCallback(self._tick, TICK_MS)
+        self._ticker = Ticker(self._tick, TICK_S)
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self, host: str, port: int) -> None:
--- /dev/null
+++ b/tests/test_background.py
@@ -0,0 +1,67 @@
+"""Ticks and background tasks."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from unittest import mock
+
+import testtools
+
+from stileloom.background import BackgroundTasks, Ticker
+from stileloom.logging import EventLog, configure_logs
+
+STEP_S = 300.0
+TICKS = 5
+GIVE_UP_S = 20.0
+
+
+class TickerTest(testtools.TestCase):
+    """Ticks follow the monotonic clock."""
+
+    def test_a_step_of_the_time_of_day_does_not_stop_the_ticks(self) -> None:
+        """A ledger node whose clock went ahead and back must go on sending heartbeats."""
+        wall = time.time
+
+        async def run() -> None:
+            enough = asyncio.Event()
+            ticks = 0
+            offset_s = STEP_S
+
+            def tick() -> None:
+                nonlocal ticks, offset_s
+                ticks += 1
+                if ticks == 2:
+                    offset_s = 0.0
+                if ticks == 2 + TICKS:
+                    enough.set()
+
+            with mock.patch("time.time", lambda: wall() + offset_s):
+                ticker = Ticker(tick, 0.01)
+                ticker.start()
+                await asyncio.wait_for(enough.wait(), GIVE_UP_S)
+                ticker.stop()
+
+        asyncio.run(run())
+
+
+class BackgroundTasksTest(testtools.TestCase):
+    """Faults of tasks are told."""
+
+    def test_a_fault_is_logged(self) -> None:
+        configure_logs("critical")
+        log = EventLog("n")
+        told: list[str] = []
+
+        async def fail() -> None:
+            raise ValueError("x")
+
+        async def run() -> None:
+            tasks = BackgroundTasks(log)
+            tasks.spawn(fail())
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+
+        with mock.patch.object(log, "emit", lambda event, fields: told.append(event.name)):
+            asyncio.run(run())
+        self.assertEqual(["INTERNAL_FAULT"], told)
