Runs move only for a gain that outweighs the move

Ruled out: silent samplers (all stops say 'moved', no failed runs). Change: a run moves after 0.7 s at the earliest and for an expected gain over 0.35 s.

--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -23,9 +23,11 @@
 LOAD_SILENCE_S = 4.0
 """The same while the sampler loads weights."""
 GROUP_BONUS = 0.85
-MOVE_IF_SLOWER = 1.7
-MOVE_LONG_IF_SLOWER = 1.25
-LONG_EVENTS_LEFT = 20.0
+MOVE_IF_SLOWER = 1.2
+MOVE_MIN_GAIN_S = 0.35
+"""A move reads the prompt and all that was made again, and may cost a connection."""
+MOVE_MIN_AGE_S = 0.7
+"""A run that has just begun says little about its sampler."""
 MOVE_MIN_EVENTS_LEFT = 5.0
 TOKENS_PER_EVENT = 58.0
 """Used only to turn expected tokens into expected events; refined by what runs show."""
@@ -34,7 +36,7 @@
 CACHE_SHARE = 0.95
 SAVE_EVENTS = 8
 """So many events that are not saved yet are worth a write to the ledger."""
-MOVES_PER_PLAN = 4
+MOVES_PER_PLAN = 3
 DEMAND_CHANGE = 1.4
 """Samplers are shared out anew when a model's part of the work changes by this factor."""
 DEFAULT_EXPECTED_TOKENS = 1000.0
@@ -344,15 +346,15 @@
 
     def _gains_by_move(self, open_item: OpenItem, now: float) -> bool:
         run = open_item.run
-        if run is None or run.events < 2:
+        if run is None or run.events < 2 or now - run.started_at < MOVE_MIN_AGE_S:
             return False
         here_s = self.pace(run.sampler_id).interval_s
         best = self._best_sampler(open_item, now)
         if best is None or best.suspect_until > now:
             return False
         there_s = self.pace(best.entry.sampler_id).interval_s
-        is_long = self.events_left(open_item) >= LONG_EVENTS_LEFT
-        return here_s > there_s * (MOVE_LONG_IF_SLOWER if is_long else MOVE_IF_SLOWER)
+        gain_s = (here_s - there_s) * self.events_left(open_item)
+        return here_s > there_s * MOVE_IF_SLOWER and gain_s > MOVE_MIN_GAIN_S
 
     def evacuees(self, sampler_id: str, model: str, now: float) -> list[OpenItem] | None:
         """Runs of a model at a sampler, if others have room for all of them; else None."""
