A stopping gateway passes nothing on before its connections close

Ruled out: sampler breaking off (it ended as 'cut' by us), grace time (2.5 of 8 s). Change: after the notice period new requests get 503 as not run, then what is open ends, then all closes.

--- a/stileloom/daemon/gateway.py
+++ b/stileloom/daemon/gateway.py
@@ -117,10 +117,10 @@
         began_at = time.monotonic()
         self._log.emit(LogEvent.DRAIN_STARTED, {"open": self.front.open_requests})
         give_up_at = began_at + self._settings.bounds.stop_grace_s - DRAIN_MARGIN_S
-        notice_until = began_at + DRAIN_NOTICE_S
-        while time.monotonic() < give_up_at:
-            if time.monotonic() >= notice_until and not self.front.open_requests:
-                break
+        await asyncio.sleep(DRAIN_NOTICE_S)
+        # From here on nothing is passed on, so a request that crosses the close is not lost.
+        self.front.closing = True
+        while self.front.open_requests and time.monotonic() < give_up_at:
             await asyncio.sleep(DRAIN_POLL_S)
         self._log.emit(LogEvent.DRAIN_FINISHED, {"open": self.front.open_requests})
 
--- a/stileloom/proxy/front.py
+++ b/stileloom/proxy/front.py
@@ -44,6 +44,7 @@
 JOB_CALL_DEADLINE_S = 4.0
 """For calls that state no deadline."""
 DEADLINE_MARGIN_S = 0.05
+CLOSING_RETRY_S = 0.05
 UNKNOWN_OUTCOME_STATUS = 504
 """A job call whose outcome is not known must not be answered with a promise."""
 
@@ -85,6 +86,9 @@
         metrics: ProxyMetrics,
     ) -> None:
         self.draining = False
+        """Answers state that the connection closes."""
+        self.closing = False
+        """New requests are refused as not run: connections may close at any moment."""
         self.max_body_bytes = IngressLimits().max_body_bytes
         self.idle_timeout_s = IngressLimits().idle_timeout_s
         self._dialect = dialect
@@ -109,6 +113,8 @@
         self._open += 1
         route_name = "job call"
         try:
+            if self.closing:
+                raise StileloomError(ErrorKind.DRAINING, "the node stops", None, CLOSING_RETRY_S)
             names = self._dialect.names
             call = self._dialect.job_call(request.method, request.target, request.headers)
             if call is not None:
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -4,11 +4,15 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
 import testtools
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders
 
 from stileloom.emulator.http_sampler import expected_events
 from stileloom.logging import configure_logs
+from stileloom.proxy.front import CallerRequest
 from tests.service_cluster import MODEL, ServiceCluster, configuration
 
 EVENTS = 6
@@ -79,6 +83,30 @@
 
         with_cluster(scenario)
 
+    def test_a_stopping_gateway_passes_nothing_on_before_it_closes(self) -> None:
+        """A request that crosses the close of its connection must not have run."""
+
+        async def scenario(cluster: ServiceCluster) -> None:
+            gateway = cluster.gateways[0]
+            seen_open: list[int] = []
+            close_all = HTTPServer.close_all_connections
+
+            async def observed(server: HTTPServer) -> None:
+                answer = await gateway.front.serve(
+                    CallerRequest("POST", "/charts/7", HTTPHeaders(), b"", 0.0)
+                )
+                seen_open.append(answer.status)
+                await close_all(server)
+
+            with mock.patch.object(HTTPServer, "close_all_connections", observed):
+                gateway.stop()
+                await cluster.until(lambda: len(seen_open) > 0)
+            self.assertEqual({503}, set(seen_open))
+            runs = [run for sampler in cluster.samplers.values() for run in sampler.runs]
+            self.assertEqual([], runs)
+
+        with_cluster(scenario)
+
     def test_unknown_routes_and_bad_input_are_refused_clearly(self) -> None:
         async def scenario(cluster: ServiceCluster) -> None:
             answer = await cluster.call("POST", "/nowhere/7", b"x", request_id="r1")
