Metrics of gateways and ledger nodes, stileloom trace, tests of logs

Change: histograms and counters at the metrics address of the deploy file; trace gathers an id's lines and the state changes around it; METRICS.md compared with the code. Tests: tests/test_logging.py: budget with counted suppression, a blocked and a closed output, trace.

--- a/stileloom/cli/main.py
+++ b/stileloom/cli/main.py
@@ -12,6 +12,7 @@
 from stileloom.cli.demo import demo
 from stileloom.cli.errors import exit_on_error
 from stileloom.cli.scale import scale
+from stileloom.cli.trace import trace
 from stileloom.daemon.process import serve as serve_node
 from stileloom.logging import configure_logs
 from stileloom.settings import NodeSettings
@@ -26,6 +27,7 @@
 app.add_typer(bench.app, name="bench")
 app.command()(demo)
 app.command()(scale)
+app.command()(trace)
 operate.register(app)
 services.register(app)
 
--- a/stileloom/daemon/directory.py
+++ b/stileloom/daemon/directory.py
@@ -4,12 +4,14 @@
 
 import random
 from collections.abc import Callable
+from functools import partial
 
 from stileloom.api.dialect import Dialect
 from stileloom.api.object_store import ObjectEvent, ObjectRecord, ObjectStore
 from stileloom.api.sampler_directory import SamplerEntry
 from stileloom.background import BackgroundTasks
 from stileloom.daemon.object_watch import ObjectWatcher
+from stileloom.daemon.process_metrics import ProcessMetrics
 from stileloom.errors import StileloomError
 from stileloom.events import LogEvent
 from stileloom.logging import EventLog
@@ -31,6 +33,7 @@
         bounds: TimeBounds,
         log: EventLog,
         rng: random.Random,
+        metrics: ProcessMetrics,
     ) -> None:
         self.routes = RouteTable(rng)
         self.samplers = SamplerTable()
@@ -41,6 +44,10 @@
         self._log = log
         self._tasks = BackgroundTasks(log)
         kinds = dialect.kinds
+
+        def count(kind: str, outcome: str) -> None:
+            metrics.store_calls.labels(kind, outcome).inc()
+
         self._watchers = [
             ObjectWatcher(
                 store,
@@ -50,6 +57,7 @@
                 bounds.configuration_s * PAUSE_SHARE_OF_BOUND * 0.5,
                 log,
                 rng,
+                count=count,
             ),
             ObjectWatcher(
                 store,
@@ -59,8 +67,14 @@
                 bounds.sampler_drain_s * PAUSE_SHARE_OF_BOUND,
                 log,
                 rng,
+                count=count,
             ),
         ]
+        metrics.observe_routes(lambda: self.routes.version)
+        for kind, watcher in zip(
+            (kinds.configuration, kinds.samplers), self._watchers, strict=True
+        ):
+            metrics.observe_age(kind, partial(getattr, watcher, "synced_at"))
 
     @property
     def complete(self) -> bool:
--- a/stileloom/daemon/gateway.py
+++ b/stileloom/daemon/gateway.py
@@ -13,7 +13,8 @@
 from stileloom.api.object_store import ObjectStore
 from stileloom.background import BackgroundTasks
 from stileloom.daemon.directory import Directory
-from stileloom.daemon.metrics_server import make_metrics_server
+from stileloom.daemon.metrics_server import start_metrics_server
+from stileloom.daemon.process_metrics import ProcessMetrics
 from stileloom.daemon.readiness import make_ready_server
 from stileloom.daemon.signals import handle_signals
 from stileloom.errors import StileloomError
@@ -49,7 +50,10 @@
         self.started = asyncio.Event()
         self._stopping = asyncio.Event()
         metrics = ProxyMetrics(self._registry)
-        self.directory = Directory(store, dialect, settings.bounds, self._log, self._rng)
+        process_metrics = ProcessMetrics(self._registry, self._log)
+        self.directory = Directory(
+            store, dialect, settings.bounds, self._log, self._rng, process_metrics
+        )
         self._nodes = LedgerNodes([_calls_address(peer, settings) for peer in settings.peers])
         self._jobs = JobClient(self._nodes, self._log, self._look_up_ledger_nodes)
         self._forwarder = Forwarder(
@@ -59,6 +63,7 @@
         self.front = Front(
             dialect, self.directory.routes, self._forwarder, self._jobs, self._log, metrics
         )
+        metrics.observe_open(lambda: self.front.open_requests)
         self._looked_up_at = float("-inf")
         self._tasks = BackgroundTasks(self._log)
 
@@ -95,9 +100,10 @@
         ready.listen(port, address=host)
         servers = [front, ready]
         if self._settings.metrics_port:
-            metrics = make_metrics_server(self._registry)
-            metrics.listen(self._settings.metrics_port, address=self._settings.host)
-            servers.append(metrics)
+            metrics = start_metrics_server(
+                self._registry, self._settings.host, self._settings.metrics_port, self._log
+            )
+            servers += [metrics] if metrics is not None else []
         return servers
 
     def _is_ready(self) -> bool:
--- a/stileloom/daemon/ledger_driver.py
+++ b/stileloom/daemon/ledger_driver.py
@@ -11,6 +11,7 @@
 from stileloom.background import Ticker
 from stileloom.effects import Effect, Emit, Send
 from stileloom.errors import ErrorKind, StileloomError
+from stileloom.jobs.metrics import JobMetrics
 from stileloom.ledger import LedgerReplica
 from stileloom.ledger.commands import Command, CommandResult
 from stileloom.ledger.effects import Applied, Dropped, Persist
@@ -36,16 +37,19 @@
         me: Sender,
         seeds: list[tuple[str, int]],
         log: EventLog,
+        metrics: JobMetrics,
     ) -> None:
         self.replica = replica
         self._storage = storage
         self._me = me
         self._log = log
+        self._metrics = metrics
         self._addresses = PeerAddresses((me.host, me.port), seeds)
         self._network = Network(LedgerCodec(me, self._addresses), self._received)
         self._disk = ThreadPoolExecutor(max_workers=1, thread_name_prefix="ledger")
         self._writes: list[Persist] = []
         self._writing = False
+        self._write_began_at = 0.0
         self._stopped = False
         self._next_hello_at = 0.0
         self._ticker = Ticker(self._tick, TICK_S)
@@ -97,8 +101,11 @@
         Raises `StileloomError` (LEDGER_UNAVAILABLE, outcome unknown) where leadership is lost.
         """
         future: asyncio.Future[CommandResult] = asyncio.get_running_loop().create_future()
-        self._run(self.replica.propose(time.monotonic(), command, future))
-        return await future
+        proposed_at = time.monotonic()
+        self._run(self.replica.propose(proposed_at, command, future))
+        result = await future
+        self._metrics.commit.observe(time.monotonic() - proposed_at)
+        return result
 
     def _tick(self) -> None:
         now = time.monotonic()
@@ -148,12 +155,14 @@
             return
         self._writing = True
         batch, self._writes = self._writes, []
+        self._write_began_at = time.monotonic()
         future = IOLoop.current().run_in_executor(self._disk, self._storage.write, batch)
         IOLoop.current().add_future(future, lambda done: self._written(done, batch[-1].write_id))
 
     def _written(self, done: asyncio.Future[None], write_id: int) -> None:
         # A disk that fails must stop the node: nothing may be said about what it holds.
         done.result()
+        self._metrics.sync.observe(time.monotonic() - self._write_began_at)
         self._writing = False
         if self._stopped:
             return
--- a/stileloom/daemon/ledger_node.py
+++ b/stileloom/daemon/ledger_node.py
@@ -17,7 +17,8 @@
 from stileloom.daemon.leadership import Leadership
 from stileloom.daemon.ledger_driver import LedgerDriver
 from stileloom.daemon.ledger_start import PeerRegistry, open_ledger
-from stileloom.daemon.metrics_server import make_metrics_server
+from stileloom.daemon.metrics_server import start_metrics_server
+from stileloom.daemon.process_metrics import ProcessMetrics
 from stileloom.daemon.signals import handle_signals
 from stileloom.events import LogEvent
 from stileloom.jobs.metrics import JobMetrics
@@ -45,7 +46,10 @@
         self._log = EventLog(settings.node_id)
         self._registry = CollectorRegistry()
         self._metrics = JobMetrics(self._registry)
-        self._directory = Directory(store, dialect, settings.bounds, self._log, self._rng)
+        process_metrics = ProcessMetrics(self._registry, self._log)
+        self._directory = Directory(
+            store, dialect, settings.bounds, self._log, self._rng, process_metrics
+        )
         self._directory.on_sampler = self._sampler_seen
         self._directory.on_sampler_gone = self._sampler_gone
         self._stopping = asyncio.Event()
@@ -75,15 +79,22 @@
         )
         me = Sender(settings.node_id, *split_address(settings.ledger))
         seeds = [split_address(peer) for peer in settings.peers]
-        driver = LedgerDriver(replica, opened.storage, me, seeds, self._log)
+        driver = LedgerDriver(replica, opened.storage, me, seeds, self._log, self._metrics)
+        self._metrics.observe_replica(
+            self.leads,
+            lambda: replica.epoch,
+            lambda: replica.commit_index,
+            lambda: replica.follower_lag,
+        )
         self._driver = driver
         self._service = JobService(_CallsLedger(driver, settings.calls_port), self._log)
         self._calls = CallServer(self._service.handle)
         await self._calls.start(settings.host, settings.calls_port)
         await driver.start()
         if settings.metrics_port:
-            self._metrics_server = make_metrics_server(self._registry)
-            self._metrics_server.listen(settings.metrics_port, address=settings.host)
+            self._metrics_server = start_metrics_server(
+                self._registry, settings.host, settings.metrics_port, self._log
+            )
         self._directory.start()
         registry = PeerRegistry(settings, self._store, kinds.ledger_nodes, driver, self._log)
         self._tasks.spawn(registry.follow())
--- a/stileloom/daemon/metrics_server.py
+++ b/stileloom/daemon/metrics_server.py
@@ -6,11 +6,19 @@
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 
+from stileloom.events import LogEvent
+from stileloom.logging import EventLog
+
 CONTENT_TYPE = "text/plain; version=0.0.4"
 
 
-def make_metrics_server(registry: CollectorRegistry) -> HTTPServer:
-    """Answers any request with all metrics."""
+def start_metrics_server(
+    registry: CollectorRegistry, host: str, port: int, log: EventLog
+) -> HTTPServer | None:
+    """Answers any request at the address with all metrics.
+
+    A port that is taken costs the metrics, not the process: None, and a log line.
+    """
 
     def answer(request: HTTPServerRequest) -> None:
         body = generate_latest(registry)
@@ -19,4 +27,11 @@
         request.connection.write_headers(ResponseStartLine("HTTP/1.1", 200, "OK"), headers, body)
         request.connection.finish()
 
-    return HTTPServer(answer)
+    server = HTTPServer(answer)
+    try:
+        server.listen(port, address=host)
+    except OSError as error:
+        fields: dict[str, object] = {"error": f"no metrics at port {port}: {error}"}
+        log.emit(LogEvent.INTERNAL_FAULT, fields)
+        return None
+    return server
--- a/stileloom/daemon/object_watch.py
+++ b/stileloom/daemon/object_watch.py
@@ -31,6 +31,7 @@
         log: EventLog,
         rng: random.Random,
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+        count: Callable[[str, str], None] = lambda kind, outcome: None,
     ) -> None:
         self.synced_at: float | None = None
         """Monotonic time of the last answer, None before the first."""
@@ -42,6 +43,7 @@
         self._log = log
         self._rng = rng
         self._sleep = sleep
+        self._count = count
         self._revision: int | None = None
         self._failures = 0
 
@@ -50,8 +52,10 @@
         while True:
             try:
                 await self._follow()
+                self._count(self._kind, "answered")
                 self._note_answer()
             except StileloomError as error:
+                self._count(self._kind, error.kind.value)
                 if error.kind is ErrorKind.HISTORY_LOST:
                     self._revision = None
                     continue
--- /dev/null
+++ b/stileloom/daemon/process_metrics.py
@@ -0,0 +1,50 @@
+"""Metrics that gateways and ledger nodes share: the store, what is in force, logs."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+from prometheus_client import CollectorRegistry, Counter, Gauge
+
+from stileloom.logging import EventLog
+
+
+class ProcessMetrics:
+    """Counters of one process."""
+
+    def __init__(self, registry: CollectorRegistry, log: EventLog) -> None:
+        self.store_calls = Counter(
+            "stileloom_store_calls",
+            "Calls that follow the store, by kind of objects and outcome",
+            ["kind", "outcome"],
+            registry=registry,
+        )
+        self._ages = Gauge(
+            "stileloom_store_age_seconds",
+            "Time since the store last answered about a kind of objects",
+            ["kind"],
+            registry=registry,
+        )
+        self._routes = Gauge(
+            "stileloom_routes_version", "Version of the routes in force", registry=registry
+        )
+        suppressed = Gauge(
+            "stileloom_log_lines_suppressed",
+            "Log lines left out since the start, over their budget",
+            registry=registry,
+        )
+        suppressed.set_function(lambda: float(log.budget.suppressed_total))
+
+    def observe_routes(self, version: Callable[[], int]) -> None:
+        """Where the version in force is read."""
+        self._routes.set_function(version)
+
+    def observe_age(self, kind: str, synced_at: Callable[[], float | None]) -> None:
+        """Where the time of the last answer about a kind is read."""
+
+        def age_s() -> float:
+            at = synced_at()
+            return time.monotonic() - at if at is not None else float("inf")
+
+        self._ages.labels(kind).set_function(age_s)
--- a/stileloom/http1/pool.py
+++ b/stileloom/http1/pool.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from stileloom.http1.connection import SamplerConnection
 
 
 class ConnectionPool:
     """Idle connections of each sampler; the one used last is taken first."""
 
-    def __init__(self) -> None:
-        self.opened_total = 0
+    def __init__(self, on_open: Callable[[], None] = lambda: None) -> None:
+        self._on_open = on_open
         self._idle: dict[str, list[SamplerConnection]] = {}
 
     async def acquire(self, sampler_id: str, address: tuple[str, int]) -> SamplerConnection:
@@ -20,7 +22,7 @@
             if connection.usable:
                 return connection
             connection.close()
-        self.opened_total += 1
+        self._on_open()
         return await SamplerConnection.open(address)
 
     def release(self, sampler_id: str, connection: SamplerConnection) -> None:
--- a/stileloom/jobs/metrics.py
+++ b/stileloom/jobs/metrics.py
@@ -1,23 +1,115 @@
-"""Counters of the job runner."""
+"""Metrics of a ledger node: items, results, orders, the replica and its disk."""
 
 from __future__ import annotations
 
-from prometheus_client import CollectorRegistry, Counter
+from collections.abc import Callable
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+EVENT_BUCKETS_S = (0.02, 0.04, 0.06, 0.1, 0.15, 0.3, 0.6, 1.0, 2.0, 5.0)
+SYNC_BUCKETS_S = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5, 1.0)
+JOB_BUCKETS_S = (1.0, 2.0, 3.0, 4.0, 5.0, 7.5, 10.0, 15.0, 30.0)
 
 
 class JobMetrics:
-    """Metrics of items, results and orders at one ledger node."""
+    """Counters and histograms of one ledger node."""
 
     def __init__(self, registry: CollectorRegistry) -> None:
         self.runs_started = Counter(
             "stileloom_item_runs_started", "Runs of items begun", registry=registry
         )
         self.runs_ended = Counter(
-            "stileloom_item_runs_ended", "Runs of items by outcome", ["outcome"], registry=registry
+            "stileloom_item_runs_ended",
+            "Runs of items that ended by themselves, by outcome",
+            ["outcome"],
+            registry=registry,
+        )
+        self.runs_stopped = Counter(
+            "stileloom_item_runs_stopped",
+            "Runs of items stopped by the leader, by reason",
+            ["reason"],
+            registry=registry,
+        )
+        self.queue_wait = Histogram(
+            "stileloom_item_queue_wait_seconds",
+            "Time from an item's adoption to its first run",
+            buckets=EVENT_BUCKETS_S,
+            registry=registry,
+        )
+        self.first_event = Histogram(
+            "stileloom_item_first_event_seconds",
+            "Time from the start of a run to its first event",
+            buckets=EVENT_BUCKETS_S,
+            registry=registry,
+        )
+        self.event_gap = Histogram(
+            "stileloom_item_event_gap_seconds",
+            "Time between two events of a run",
+            buckets=EVENT_BUCKETS_S,
+            registry=registry,
         )
         self.results_listed = Counter(
             "stileloom_results_listed", "Results committed to the ledger", registry=registry
         )
+        self.job_time = Histogram(
+            "stileloom_job_seconds",
+            "Time from a job's adoption to its end",
+            buckets=JOB_BUCKETS_S,
+            registry=registry,
+        )
         self.orders = Counter(
-            "stileloom_orders", "Orders to samplers by outcome", ["outcome"], registry=registry
+            "stileloom_orders", "Orders to samplers, by outcome", ["outcome"], registry=registry
+        )
+        self.sync = Histogram(
+            "stileloom_ledger_sync_seconds",
+            "Time of one write with its sync at this node's disk",
+            buckets=SYNC_BUCKETS_S,
+            registry=registry,
+        )
+        self.commit = Histogram(
+            "stileloom_ledger_commit_seconds",
+            "Time from a command's proposal to its commitment, at the leader",
+            buckets=SYNC_BUCKETS_S,
+            registry=registry,
         )
+        self.items_open = Gauge(
+            "stileloom_items_open",
+            "Items without a listed result, at the leader",
+            registry=registry,
+        )
+        self.items_running = Gauge(
+            "stileloom_items_running", "Items that run at a sampler now", registry=registry
+        )
+        self.sampler_version = Gauge(
+            "stileloom_sampler_version",
+            "Newest weight version seen at a sampler, by sampler and model",
+            ["sampler", "model"],
+            registry=registry,
+        )
+        self._leader = Gauge(
+            "stileloom_leader", "1 while this node leads and holds its lease", registry=registry
+        )
+        self._epoch = Gauge(
+            "stileloom_replica_epoch", "Epoch of this node's replica", registry=registry
+        )
+        self._committed = Gauge(
+            "stileloom_replica_commit_index", "Committed entries at this replica", registry=registry
+        )
+        self._lag = Gauge(
+            "stileloom_replica_lag_entries",
+            "Entries that the slowest follower lacks, at the leader",
+            registry=registry,
+        )
+
+    def observe_replica(
+        self,
+        leads: Callable[[], bool],
+        epoch: Callable[[], int],
+        committed: Callable[[], int],
+        lag: Callable[[], int],
+    ) -> None:
+        """Where the state of the replica is read."""
+        self._leader.set_function(lambda: float(leads()))
+        self._epoch.set_function(epoch)
+        self._committed.set_function(committed)
+        self._lag.set_function(lag)
--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -115,10 +115,13 @@
         models = self.scheduler.models_of(sampler_id)
         for model, version in versions.items():
             models.saw(model, version)
+            self._metrics.sampler_version.labels(sampler_id, model).set(models.versions[model])
 
     def sampler_gone(self, sampler_id: str) -> None:
         """The sampler leaves or is gone; its runs go on while it makes events."""
         self._pool.forget(sampler_id)
+        for model in self.scheduler.models_of(sampler_id).versions:
+            self._metrics.sampler_version.remove(sampler_id, model)
 
     def results_wait(self, job_id: str) -> asyncio.Future[None]:
         """Resolved when the job has new results or has ended."""
@@ -140,6 +143,8 @@
         for service in self._routes.services():
             if service.engine is not None and service.engine.models:
                 self._plan_service(now, service)
+        self._metrics.items_open.set(len(self.scheduler.items))
+        self._metrics.items_running.set(len(self._connections))
         if now >= self._next_save_at:
             self._next_save_at = now + SAVE_INTERVAL_S
             self._save_progress()
@@ -166,7 +171,7 @@
                 self._adopted[job_id] = now
             if record.is_open:
                 self._adopt(record, now)
-        for job_id in [job_id for job_id, _ in self.scheduler.items]:
+        for job_id in {job_id for job_id, _ in self.scheduler.items}:
             ended = self._book.jobs.get(job_id)
             if ended is None or not ended.is_open:
                 self._drop(job_id)
@@ -246,6 +251,7 @@
         return ItemSize(expected, prompt or 0.0)
 
     def _drop(self, job_id: str) -> None:
+        self._metrics.job_time.observe(time.monotonic() - self._adopted[job_id])
         for open_item in self.scheduler.drop_job(job_id):
             self._stop_run(open_item, "job ended")
         self._wake(job_id)
@@ -280,11 +286,14 @@
             partial,
             open_item.min_version,
             self._dialect.names,
-            lambda _: self.scheduler.event(open_item, time.monotonic()),
+            lambda _: self._event(open_item),
             lambda outcome, detail: self._ended(open_item, entry.sampler_id, outcome, detail),
         )
         self._connections[open_item.key] = connection
         self._metrics.runs_started.inc()
+        if not open_item.began:
+            open_item.began = True
+            self._metrics.queue_wait.observe(time.monotonic() - open_item.adopted_at)
         self._log.emit(
             LogEvent.ITEM_SENT,
             {
@@ -318,6 +327,14 @@
             headers.append((names.last_event_id, str(open_item.partial.last_event_id)))
         return encode_request("POST", item.path, headers, item.body)
 
+    def _event(self, open_item: OpenItem) -> None:
+        now = time.monotonic()
+        run = open_item.run
+        if run is not None:
+            metric = self._metrics.event_gap if run.events else self._metrics.first_event
+            metric.observe(now - run.last_event_at)
+        self.scheduler.event(open_item, now)
+
     def _host_of(self, open_item: OpenItem) -> str:
         record = self._book.jobs.get(open_item.key[0])
         return record.submission.host if record is not None else ""
@@ -328,6 +345,7 @@
         if connection is not None:
             connection.close()
         if open_item.run is not None:
+            self._metrics.runs_stopped.labels(reason).inc()
             self._log.emit(
                 LogEvent.ITEM_STOPPED,
                 {
--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -75,6 +75,8 @@
     run: ItemRun | None = None
     finished: bool = False
     """Its result is on the way to the ledger."""
+    began: bool = False
+    """Whether it ever ran under this leader."""
     saved_parts: int = 0
     """Events that the ledger holds, or that are on their way there."""
 
--- a/stileloom/ledger/replica.py
+++ b/stileloom/ledger/replica.py
@@ -127,6 +127,14 @@
         """Entries held after the last snapshot."""
         return len(self._log)
 
+    @property
+    def follower_lag(self) -> int:
+        """Entries that the slowest voter among the followers lacks; 0 where not the leader."""
+        if self.role is not ReplicaRole.LEADER:
+            return 0
+        others = [voter for voter in self.voters if voter != self.me]
+        return max((self._log.last_index - self._match_index(v) for v in others), default=0)
+
     @property
     def is_voter(self) -> bool:
         """Whether this replica, with this disk, may vote."""
--- a/stileloom/proxy/forwarder.py
+++ b/stileloom/proxy/forwarder.py
@@ -13,7 +13,7 @@
 from stileloom.errors import ErrorKind, StileloomError
 from stileloom.events import LogEvent
 from stileloom.http1.pool import ConnectionPool
-from stileloom.http1.request_encoder import encode_request, end_to_end
+from stileloom.http1.request_encoder import encode_request
 from stileloom.http1.response_decoder import ResponseHead
 from stileloom.logging import EventLog
 from stileloom.proxy.attempt_plan import FULL_PAUSE_S, AttemptPlan
@@ -66,17 +66,12 @@
         self._log = log
         self._metrics = metrics
         self._rng = rng
-        self._pool = ConnectionPool()
+        self._pool = ConnectionPool(metrics.connection_opened)
 
     def forget(self, sampler_id: str) -> None:
         """A sampler is gone: its kept connections close."""
         self._pool.forget(sampler_id)
 
-    @property
-    def connections_opened(self) -> int:
-        """Connections opened since the start."""
-        return self._pool.opened_total
-
     async def forward(self, lookup: Lookup, route: Route, service: str) -> LookupAnswer:
         """The answer of a sampler.
 
@@ -242,8 +237,3 @@
         headers = [(name, value) for name, value in lookup.headers if name.lower() not in own]
         headers += [(names.deadline_ms, str(left_ms)), (names.expect_sampler, sampler_id)]
         return encode_request(lookup.method, lookup.target, headers, lookup.body)
-
-
-def caller_headers(pairs: list[tuple[str, str]], connection: str) -> list[tuple[str, str]]:
-    """The caller's headers that go on to a sampler."""
-    return end_to_end(pairs, connection)
--- a/stileloom/proxy/metrics.py
+++ b/stileloom/proxy/metrics.py
@@ -1,32 +1,56 @@
-"""Counters and histograms of a gateway."""
+"""Metrics of a gateway: lookups, attempts, refusals, calls about jobs."""
 
 from __future__ import annotations
 
-from prometheus_client import CollectorRegistry, Counter, Histogram
+from collections.abc import Callable
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 LATENCY_BUCKETS_S = (0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0)
 
 
 class ProxyMetrics:
-    """Metrics of lookups and job calls at one gateway."""
+    """Counters and histograms of one gateway."""
 
     def __init__(self, registry: CollectorRegistry) -> None:
         self.requests = Counter(
             "stileloom_requests",
-            "Requests by route and status",
+            "Answers passed on, by route and status",
             ["route", "status"],
             registry=registry,
         )
         self.latency = Histogram(
             "stileloom_request_latency_seconds",
-            "Time from a request's arrival to its answer",
+            "Time from a request's arrival to its final answer, by route",
             ["route"],
             buckets=LATENCY_BUCKETS_S,
             registry=registry,
         )
         self.attempts = Counter(
-            "stileloom_attempts", "Attempts at samplers by outcome", ["outcome"], registry=registry
+            "stileloom_attempts",
+            "Attempts of lookups at samplers, by outcome",
+            ["outcome"],
+            registry=registry,
         )
         self.refusals = Counter(
-            "stileloom_refusals", "Refused requests by error code", ["code"], registry=registry
+            "stileloom_refusals",
+            "Final answers of our own, by error code",
+            ["code"],
+            registry=registry,
+        )
+        self._open = Gauge(
+            "stileloom_requests_open", "Requests without a final answer", registry=registry
         )
+        self._connections = Counter(
+            "stileloom_sampler_connections",
+            "Connections to samplers opened since the start",
+            registry=registry,
+        )
+
+    def observe_open(self, open_requests: Callable[[], int]) -> None:
+        """Where the number of open requests is read."""
+        self._open.set_function(open_requests)
+
+    def connection_opened(self) -> None:
+        """A connection to a sampler was opened."""
+        self._connections.inc()
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -6,10 +6,15 @@
 from pathlib import Path
 
 import testtools
+from prometheus_client import CollectorRegistry
 
+from stileloom.daemon.process_metrics import ProcessMetrics
 from stileloom.errors import ANSWERS, ErrorKind
 from stileloom.events import LogEvent
 from stileloom.http.metrics import Metric
+from stileloom.jobs.metrics import JobMetrics
+from stileloom.logging import EventLog
+from stileloom.proxy.metrics import ProxyMetrics
 
 ROOT = Path(__file__).resolve().parents[1]
 DOCS = ROOT / "docs"
@@ -23,6 +28,15 @@
     ]
 
 
+def service_metrics() -> dict[str, str]:
+    """Names and meanings of the metrics of gateways and ledger nodes."""
+    registry = CollectorRegistry()
+    ProxyMetrics(registry)
+    JobMetrics(registry)
+    ProcessMetrics(registry, EventLog("n"))
+    return {family.name: family.documentation for family in registry.collect()}
+
+
 class CatalogueTest(testtools.TestCase):
     """Each catalogue names exactly what the code has."""
 
@@ -59,7 +73,8 @@
         documented = {
             row[0]: row[1] for row in rows("METRICS.md") if row[0].startswith("stileloom_")
         }
-        self.assertEqual({metric.name: metric.value for metric in Metric}, documented)
+        expected = {metric.name: metric.value for metric in Metric}
+        self.assertEqual(expected | service_metrics(), documented)
 
     def test_pinned_requirements_name_no_host(self) -> None:
         text = (ROOT / "requirements.txt").read_text()
--- /dev/null
+++ b/tests/test_logging.py
@@ -0,0 +1,124 @@
+"""Decision logs: bounded, never blocking, and enough to tell a request's story."""
+
+from __future__ import annotations
+
+import json
+import os
+from typing import Any
+
+import testtools
+
+from stileloom.events import LogEvent
+from stileloom.logging import (
+    BURST_S,
+    OTHER_LINES_PER_S,
+    EventLog,
+    LineBudget,
+    OutputStream,
+    configure_logs,
+)
+from stileloom.trace import gather, render
+
+FLOOD = 10_000
+
+
+class BudgetTest(testtools.TestCase):
+    """So many lines of an event, and a count of the rest."""
+
+    def test_a_flood_is_cut_and_counted_and_other_events_still_pass(self) -> None:
+        budget = LineBudget()
+        admitted = sum(budget.admits(LogEvent.ATTEMPT_FAILED, 1.0) for _ in range(FLOOD))
+        self.assertEqual(OTHER_LINES_PER_S * BURST_S, admitted)
+        self.assertEqual(FLOOD - admitted, budget.suppressed_total)
+        self.assertTrue(budget.admits(LogEvent.LEADER_ELECTED, 1.0))
+        self.assertEqual({"attempt_failed": FLOOD - admitted}, budget.take_notice(2.0))
+        self.assertIsNone(budget.take_notice(3.0))
+        self.assertTrue(budget.admits(LogEvent.ATTEMPT_FAILED, 2.0))
+
+    def test_the_count_is_told_by_a_line(self) -> None:
+        read, write = os.pipe()
+        configure_logs("info", OutputStream(write))
+        self.addCleanup(configure_logs, "error")
+        now = [0.0]
+        log = EventLog("n", clock=lambda: now[0])
+        for _ in range(100):
+            log.emit(LogEvent.ATTEMPT_FAILED, {"request": "r"})
+        now[0] = 5.0
+        log.emit(LogEvent.ATTEMPT_FAILED, {"request": "r"})
+        os.close(write)
+        with os.fdopen(read) as lines:
+            events = [json.loads(line) for line in lines]
+        told = [event for event in events if event["event"] == "lines_suppressed"]
+        self.assertEqual(40, sum(event["counts"]["attempt_failed"] for event in told))
+
+
+class OutputStreamTest(testtools.TestCase):
+    """A reader that does not read."""
+
+    def test_a_blocked_output_stops_nothing_and_is_counted(self) -> None:
+        read, write = os.pipe()
+        self.addCleanup(os.close, read)
+        self.addCleanup(os.close, write)
+        stream = OutputStream(write)
+        line = "x" * 999
+        for _ in range(1000):
+            stream.write(line)
+        self.assertGreater(stream.dropped_total, 900)
+
+    def test_lines_stay_whole(self) -> None:
+        read, write = os.pipe()
+        stream = OutputStream(write)
+        for number in range(4000):
+            stream.write(json.dumps({"n": number, "pad": "y" * 40}))
+            if number % 1500 == 1499:
+                os.read(read, 200_000)
+        os.set_blocking(read, False)
+        rest = os.read(read, 1_000_000).decode()
+        os.close(write)
+        os.close(read)
+        for line in rest.splitlines()[1:]:
+            json.loads(line)
+
+    def test_a_closed_output_stops_nothing(self) -> None:
+        read, write = os.pipe()
+        stream = OutputStream(write)
+        os.close(read)
+        stream.write("x")
+        os.close(write)
+        self.assertEqual(1, stream.dropped_total)
+
+
+def line(second: float, node: str, event: str, **fields: Any) -> str:
+    """A log line, with something before it as collectors add."""
+    stamp = f"2026-01-01T00:00:{second:09.6f}Z"
+    body = {"node": node, "number": "STL-0", "event": event, "timestamp": stamp, **fields}
+    return f"  {second} {node} {json.dumps(body)}"
+
+
+class TraceTest(testtools.TestCase):
+    """The story of an id."""
+
+    def test_own_lines_and_state_changes_around_them_in_order(self) -> None:
+        texts = [
+            line(10.0, "g1", "attempt_failed", request="r1", sampler="s1"),
+            line(9.0, "l1", "sampler_unlisted", sampler="s1", sign="entry removed"),
+            line(9.5, "l1", "sampler_unlisted", sampler="s2", sign="entry removed"),
+            line(10.2, "g1", "request_refused", request="r1", code="overloaded"),
+            line(10.1, "g2", "request_refused", request="r2", code="overloaded"),
+            line(8.0, "g1", "store_lost", kind="samplers"),
+            line(1.0, "g1", "routes_adopted", version=3),
+            "no json at all",
+            "{broken",
+        ]
+        story = gather("r1", texts)
+        self.assertEqual(
+            ["store_lost", "sampler_unlisted", "attempt_failed", "request_refused"],
+            [entry.event for entry in story.lines],
+        )
+        self.assertIn("code=overloaded", render(story))
+
+    def test_items_are_found_in_lists(self) -> None:
+        texts = [line(1.0, "l1", "results_listed", job="j", items=["a", "b"])]
+        self.assertEqual(1, len(gather("b", texts).lines))
+        self.assertEqual(1, len(gather("j", texts).lines))
+        self.assertEqual([], gather("c", texts).lines)
