--- a/stileloom/daemon/ledger_driver.py
+++ b/stileloom/daemon/ledger_driver.py
@@ -72,6 +72,10 @@
         """The replicated state as far as this replica has applied it."""
         return self.replica.state
 
+    def hand_over(self) -> None:
+        """Gives leadership to another replica, if this one has it."""
+        self._run(self.replica.hand_over(time.monotonic()))
+
     def may_act(self) -> bool:
         """Whether this replica leads and holds its lease now."""
         return not self._stopped and self.replica.may_act(time.monotonic())
--- a/stileloom/daemon/ledger_node.py
+++ b/stileloom/daemon/ledger_node.py
@@ -33,6 +33,8 @@
 from stileloom.transport.calls import CallServer
 
 STEP_S = 0.1
+HAND_OVER_S = 0.3
+"""Time for the successor's election, in which this node still votes."""
 
 
 class LedgerNode:
@@ -67,6 +69,11 @@
         await self._start()
         await self._stopping.wait()
         self._log.emit(LogEvent.DRAIN_STARTED, {"leading": self.leads()})
+        self._ticker.stop()
+        self._stop_leading("stopped")
+        if self._driver is not None:
+            self._driver.hand_over()
+            await asyncio.sleep(HAND_OVER_S)
         self.abort()
         self._log.emit(LogEvent.NODE_STOPPED, {})
 
--- a/stileloom/daemon/ledger_start.py
+++ b/stileloom/daemon/ledger_start.py
@@ -103,14 +103,18 @@
     async def follow(self) -> None:
         """Registers this node, and asks the store for the others while one is not known."""
         registered = False
+        failing = False
         while True:
             try:
                 if not registered or self._driver.misses_peers():
                     await self._register()
                     registered = True
+                    failing = False
             except StileloomError as error:
-                fields: dict[str, object] = {"kind": "ledger nodes", "detail": error.detail}
-                self._log.emit(LogEvent.STORE_LOST, fields)
+                fields: dict[str, object] = {"kind": self._kind, "detail": error.detail}
+                if not failing:
+                    self._log.emit(LogEvent.STORE_LOST, fields)
+                failing = True
             await asyncio.sleep(REGISTER_INTERVAL_S)
 
     async def _register(self) -> None:
--- a/stileloom/http1/connection.py
+++ b/stileloom/http1/connection.py
@@ -80,11 +80,11 @@
             and time.monotonic() < self._idle_until
         )
 
-    def exchange(self, request: bytes, sink: ExchangeSink) -> None:
+    def exchange(self, request: bytes, sink: ExchangeSink, method: str = "GET") -> None:
         """Sends a request; its response goes to `sink`."""
         assert self._sink is None and self._transport is not None
         self._sink = sink
-        self._decoder = ResponseDecoder()
+        self._decoder = ResponseDecoder(method)
         self._transport.write(request)
 
     def close(self) -> None:
--- a/stileloom/http1/response_decoder.py
+++ b/stileloom/http1/response_decoder.py
@@ -45,7 +45,8 @@
 class ResponseDecoder:
     """Takes bytes; tells the head, the body's parts and the end."""
 
-    def __init__(self) -> None:
+    def __init__(self, method: str = "GET") -> None:
+        self._method = method
         self.head: ResponseHead | None = None
         self._buffer = bytearray()
         self._stage = _Stage.HEAD
@@ -123,7 +124,7 @@
     def _choose_framing(self, status: int, headers: HTTPHeaders) -> None:
         lengths = headers.get_list("Content-Length")
         coding = headers.get("Transfer-Encoding")
-        if status in (204, 304):
+        if status in (204, 304) or self._method == "HEAD":
             self._stage = _Stage.DONE
         elif coding is not None:
             if coding.strip().lower() != "chunked" or lengths:
--- a/stileloom/jobs/partial_text.py
+++ b/stileloom/jobs/partial_text.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+FIRST_EVENT_ID = 1
+
 
 class BrokenChain(Exception):
     """An event does not follow the one before."""
@@ -23,8 +25,9 @@
 
     def add(self, event_id: int, data: str, version: int) -> None:
         """Adds the next event. Raises `BrokenChain` where it is not the next one."""
-        if self.last_event_id is not None and event_id != self.last_event_id + 1:
-            raise BrokenChain(f"event {event_id} after {self.last_event_id}")
+        last = self.last_event_id if self.last_event_id is not None else FIRST_EVENT_ID - 1
+        if event_id != last + 1:
+            raise BrokenChain(f"event {event_id} after {last}")
         self.parts.append(data)
         self.last_event_id = event_id
         if version not in self.versions:
--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -43,9 +43,12 @@
 SAVE_INTERVAL_S = 0.5
 
 
-class Proposer(Protocol):
+class LeaderLedger(Protocol):
     """The ledger as the runner sees it."""
 
+    def may_act(self) -> bool:
+        """Whether this replica leads and holds its lease now."""
+
     async def propose(self, command: Command) -> CommandResult:
         """Commits a command. Raises `StileloomError`."""
 
@@ -59,7 +62,7 @@
         epoch: int,
         orders_from: float,
         book: JobBook,
-        ledger: Proposer,
+        ledger: LeaderLedger,
         routes: RouteTable,
         samplers: SamplerTable,
         dialect: Dialect,
@@ -129,11 +132,15 @@
         self._waiters.setdefault(job_id, []).append(future)
         return future
 
+    def _may_act(self) -> bool:
+        """Checked right before anything leaves: a process may have slept since its last step."""
+        return not self._stopped and self._ledger.may_act()
+
     # The loop of decisions.
 
     def step(self) -> None:
         """Takes in what has changed and starts what is due."""
-        if self._stopped:
+        if not self._may_act():
             return
         now = time.monotonic()
         self._follow_book(now)
@@ -275,7 +282,7 @@
                 self.scheduler.run_ended(open_item)
                 open_item.not_before = time.monotonic() + RETRY_S
             return
-        if open_item.run is not run or self._stopped:
+        if open_item.run is not run or not self._may_act():
             self._pool.release(entry.sampler_id, connection)
             return
         # The text is copied: an end of this run that comes late must not touch a later one's.
@@ -547,7 +554,7 @@
             self._epoch,
             report.orders_taken,
         )
-        if self._stopped:
+        if not self._may_act():
             return OrderOutcome.REFUSED
         outcome = await self._control.order(target, order)
         self._log.emit(
--- a/stileloom/ledger/messages.py
+++ b/stileloom/ledger/messages.py
@@ -40,6 +40,14 @@
     last_index: int
     last_epoch: int
     trial: bool
+    handed_over: bool = False
+    """The leader itself has asked for the election: its lease stands in nobody's way."""
+
+
+class HandOver(msgspec.Struct, frozen=True, tag=True):
+    """The leader stops and asks this follower to be elected now."""
+
+    epoch: int
 
 
 class VoteReply(msgspec.Struct, frozen=True, tag=True):
--- a/stileloom/ledger/replica.py
+++ b/stileloom/ledger/replica.py
@@ -26,6 +26,7 @@
     AppendReply,
     AppendRequest,
     Entry,
+    HandOver,
     HardState,
     LearnerHello,
     SnapshotRecord,
@@ -204,14 +205,33 @@
             return self._on_snapshot_request(now, message)
         if isinstance(message, LearnerHello):
             return self._on_hello(now, message)
+        if isinstance(message, HandOver):
+            return self._on_hand_over(now, sender, message)
         return []
 
+    def hand_over(self, now: float) -> list[Effect]:
+        """Gives leadership to the most advanced follower; this replica must not act any more.
+
+        Source: Ongaro's dissertation, section 3.10.
+        """
+        followers = [v for v in self.voters if v != self.me and v in self._progress]
+        if self.role is not ReplicaRole.LEADER or not followers:
+            return []
+        successor = max(followers, key=self._match_index)
+        effects = self._step_down(now, self.epoch)
+        return [*effects, Send(successor.node_id, HandOver(self.epoch))]
+
+    def _on_hand_over(self, now: float, sender: str, message: HandOver) -> list[Effect]:
+        if message.epoch != self.epoch or sender != self.leader or not self.is_voter:
+            return []
+        return self._start_election(now, trial=False, handed_over=True)
+
     # Elections.
 
     def _election_timeout(self) -> float:
         return self._rng.uniform(constants.ELECTION_TIMEOUT_MIN_S, constants.ELECTION_TIMEOUT_MAX_S)
 
-    def _start_election(self, now: float, trial: bool) -> list[Effect]:
+    def _start_election(self, now: float, trial: bool, handed_over: bool = False) -> list[Effect]:
         self._election_due_at = now + self._election_timeout()
         self._trial = trial
         self._votes = {self.me}
@@ -225,7 +245,12 @@
             effects += self._persist_hard_state()
             effects.append(Emit(LogEvent.ELECTION_STARTED, {"epoch": self.epoch}))
         request = VoteRequest(
-            asked_epoch, self.me, self._log.last_index, self._log.last_epoch, trial
+            asked_epoch,
+            self.me,
+            self._log.last_index,
+            self._log.last_epoch,
+            trial,
+            handed_over,
         )
         effects += self._when_durable(
             [Send(voter.node_id, request) for voter in self.voters if voter != self.me]
@@ -235,7 +260,7 @@
     def _on_vote_request(self, now: float, message: VoteRequest) -> list[Effect]:
         sticky = now < self._heard_from_leader_at + constants.ELECTION_TIMEOUT_MIN_S
         leading = self.role is ReplicaRole.LEADER and now < self.lease_expires_at(now)
-        if sticky or leading or not self.is_voter:
+        if ((sticky or leading) and not message.handed_over) or not self.is_voter:
             return []
         effects: list[Effect] = []
         if message.epoch > self.epoch and not message.trial:
--- a/stileloom/ledger/wire.py
+++ b/stileloom/ledger/wire.py
@@ -10,6 +10,7 @@
 from stileloom.ledger.messages import (
     AppendReply,
     AppendRequest,
+    HandOver,
     LearnerHello,
     SnapshotRequest,
     VoteReply,
@@ -18,7 +19,13 @@
 from stileloom.ledger.peer_addresses import PeerAddresses
 
 LedgerMessage = (
-    VoteRequest | VoteReply | AppendRequest | AppendReply | SnapshotRequest | LearnerHello
+    VoteRequest
+    | VoteReply
+    | AppendRequest
+    | AppendReply
+    | SnapshotRequest
+    | LearnerHello
+    | HandOver
 )
 
 
--- a/stileloom/proxy/exchange.py
+++ b/stileloom/proxy/exchange.py
@@ -43,10 +43,11 @@
     sampler_id: str,
     request_id: str,
     names: HeaderNames,
+    method: str = "GET",
 ) -> Attempt:
     """Sends a request on a connection and judges the answer."""
     answer = WholeAnswer()
-    connection.exchange(request, answer)
+    connection.exchange(request, answer, method)
     try:
         end = await answer.done
     except asyncio.CancelledError:
--- a/stileloom/proxy/forwarder.py
+++ b/stileloom/proxy/forwarder.py
@@ -223,7 +223,12 @@
                 )
             request = self._encode(lookup, entry.sampler_id)
             attempt = await run_exchange(
-                connection, request, entry.sampler_id, lookup.request_id, self._names
+                connection,
+                request,
+                entry.sampler_id,
+                lookup.request_id,
+                self._names,
+                lookup.method,
             )
             self._pool.release(entry.sampler_id, connection)
             return attempt
--- /dev/null
+++ b/tests/test_item_stream.py
@@ -0,0 +1,114 @@
+"""One run of an item: the chain of events and how a run ends."""
+
+from __future__ import annotations
+
+import testtools
+from tornado.httputil import HTTPHeaders
+
+from stileloom.api.headers import HeaderNames
+from stileloom.http1.connection import ExchangeEnd
+from stileloom.http1.response_decoder import ResponseHead
+from stileloom.jobs.item_stream import ItemStream, RunOutcome
+from stileloom.jobs.partial_text import BrokenChain, PartialText
+
+NAMES = HeaderNames()
+
+
+class Run:
+    """A stream that records what it tells."""
+
+    def __init__(self, partial: PartialText | None = None, min_version: int = 1) -> None:
+        self.partial = partial or PartialText()
+        self.events: list[int] = []
+        self.outcomes: list[RunOutcome] = []
+        self.stream = ItemStream(
+            "i",
+            self.partial,
+            min_version,
+            NAMES,
+            self.events.append,
+            lambda outcome, detail: self.outcomes.append(outcome),
+        )
+
+    def head(self, status: int = 200, **headers: str) -> None:
+        """The head of the response."""
+        values = {NAMES.request_id: "i", NAMES.versions: "1"}
+        values |= {getattr(NAMES, name): value for name, value in headers.items()}
+        self.stream.on_head(ResponseHead(status, "", HTTPHeaders(values)))
+
+
+def event(number: int, version: int | None = None) -> bytes:
+    """The bytes of an event."""
+    change = f"{NAMES.versions.lower()}: {version}\n" if version is not None else ""
+    return f"{change}id: {number}\ndata: d{number}\n\n".encode()
+
+
+class ItemStreamTest(testtools.TestCase):
+    """Runs."""
+
+    def test_a_whole_run_with_a_change_of_version(self) -> None:
+        run = Run()
+        run.head()
+        run.stream.on_body(event(1) + event(2, version=2))
+        run.stream.on_end(ExchangeEnd.COMPLETE)
+        self.assertEqual([RunOutcome.WHOLE], run.outcomes)
+        self.assertEqual(("d1\nd2", [1, 2]), (run.partial.text, run.partial.versions))
+
+    def test_a_resumed_run_states_only_versions_that_made_events(self) -> None:
+        partial = PartialText(["d1"], 1, [3])
+        run = Run(partial)
+        run.head(versions="4")
+        run.stream.on_body(event(2, version=5))
+        run.stream.on_end(ExchangeEnd.COMPLETE)
+        self.assertEqual([3, 5], partial.versions)
+
+    def test_a_gap_a_repeat_or_a_missing_first_event_breaks_the_run(self) -> None:
+        for events in (event(1) + event(3), event(1) + event(1), event(2)):
+            run = Run()
+            run.head()
+            run.stream.on_body(events)
+            self.assertEqual([RunOutcome.BROKEN], run.outcomes)
+        self.assertRaises(BrokenChain, PartialText().add, 2, "x", 1)
+
+    def test_an_event_that_was_cut_does_not_count(self) -> None:
+        run = Run()
+        run.head()
+        run.stream.on_body(event(1) + event(2)[:-3])
+        run.stream.on_end(ExchangeEnd.CUT)
+        self.assertEqual(([RunOutcome.BROKEN], ["d1"]), (run.outcomes, run.partial.parts))
+
+    def test_a_clean_end_within_an_event_or_without_any_is_not_whole(self) -> None:
+        for body in (event(1) + b"id: 2\nda", b""):
+            run = Run()
+            run.head()
+            run.stream.on_body(body)
+            run.stream.on_end(ExchangeEnd.COMPLETE)
+            self.assertEqual([RunOutcome.BROKEN], run.outcomes)
+
+    def test_weights_older_than_the_job_allows_make_no_event(self) -> None:
+        run = Run(min_version=2)
+        run.head()
+        run.stream.on_body(event(1))
+        self.assertEqual(([RunOutcome.TOO_OLD], []), (run.outcomes, run.partial.parts))
+
+    def test_an_answer_to_another_request_is_not_taken(self) -> None:
+        run = Run()
+        run.head(request_id="other")
+        run.stream.on_body(event(1))
+        self.assertEqual(([RunOutcome.BROKEN], []), (run.outcomes, run.partial.parts))
+
+    def test_statuses(self) -> None:
+        for status, expected in (
+            (500, RunOutcome.FAILED),
+            (422, RunOutcome.IMPOSSIBLE),
+            (421, RunOutcome.MISDIRECTED),
+            (504, RunOutcome.BROKEN),
+        ):
+            run = Run()
+            run.head(status)
+            run.stream.on_end(ExchangeEnd.COMPLETE)
+            self.assertEqual([expected], run.outcomes)
+        run = Run()
+        run.head(503, not_run="1")
+        run.stream.on_end(ExchangeEnd.COMPLETE)
+        self.assertEqual([RunOutcome.REFUSED], run.outcomes)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -36,6 +36,7 @@
     VoteReply,
     VoteRequest,
 )
+from stileloom.ledger.messages import HandOver as HandOverMessage
 from stileloom.ledger.storage import JOURNAL_NAME, LedgerStorage
 from stileloom.ledger.voters import next_voter_set
 
@@ -268,3 +269,41 @@
         self.assertEqual(ErrorKind.KEY_REUSED, claim("r2", digest=2).kind)
         self.assertEqual(Done(True), claim("r3", repeatable=True))
         self.assertEqual(Done(False), claim("r4", at=10_000.0))
+
+
+class HandOverTest(testtools.TestCase):
+    """A leader that stops gives leadership away instead of letting it lapse."""
+
+    def test_the_successor_is_elected_at_once_and_the_old_leader_is_done(self) -> None:
+        replicas = {
+            voter.node_id: LedgerReplica(voter, fresh_ledger(VOTERS), random.Random(n), 0.0)
+            for n, voter in enumerate(VOTERS)
+        }
+        now = LATER
+
+        def carry(sender: str, effects: list) -> None:
+            """Delivers messages and makes writes durable at once."""
+            for effect in effects:
+                if isinstance(effect, Persist):
+                    carry(sender, replicas[sender].persisted(now, effect.write_id))
+                elif isinstance(effect, Send):
+                    receiver = replicas[effect.to]
+                    carry(effect.to, receiver.handle(now, sender, effect.message))
+
+        carry("a", replicas["a"].tick(now))
+        now += 0.2
+        carry("a", replicas["a"].tick(now))
+        self.assertTrue(replicas["a"].may_act(now))
+        # The followers have just heard the leader: without the hand-over they would not vote.
+        carry("a", replicas["a"].hand_over(now))
+        self.assertFalse(replicas["a"].may_act(now))
+        leaders = [name for name, replica in replicas.items() if replica.role.value == "leader"]
+        self.assertEqual(1, len(leaders))
+        self.assertNotEqual(["a"], leaders)
+        self.assertGreater(replicas[leaders[0]].epoch, 1)
+
+    def test_only_the_leader_of_the_epoch_hands_over(self) -> None:
+        replica = LedgerReplica(VOTERS[1], fresh_ledger(VOTERS), random.Random(1), 0.0)
+        replica.handle(LATER, "a", AppendRequest(1, VOTERS[0], 0, 0, [], 0, nonce=1))
+        self.assertEqual([], replica.handle(LATER, "c", HandOverMessage(1)))
+        self.assertEqual([], replica.handle(LATER, "a", HandOverMessage(2)))
