--- a/stileloom/constants.py
+++ b/stileloom/constants.py
@@ -23,6 +23,9 @@
 ELECTION_TIMEOUT_MAX_S = 1.6
 LEADER_LEASE_S = 0.7
 """Shorter than the least election timeout, so that a lease ends before a successor starts."""
+FOLLOWER_SILENT_S = 1.0
+"""A follower that did not answer for so long gets no entries until it does."""
+SNAPSHOT_RETRY_S = 3.0
 VOTER_SILENT_S = 1.5
 """A voter that did not answer for so long gives its place to a learner, if there is one."""
 APPEND_BATCH_ENTRIES = 64
--- a/stileloom/ledger/replica.py
+++ b/stileloom/ledger/replica.py
@@ -61,12 +61,26 @@
     return RecoveredLedger(HardState(0, None), snapshot, [])
 
 
+class _FollowerState(enum.Enum):
+    """How the leader feeds a follower (as in etcd's raft: probe, replicate, snapshot)."""
+
+    REPLICATE = "replicate"
+    """Entries go out as they come, without waiting for answers."""
+    PROBE = "probe"
+    """Where the logs meet is not known: one empty request at a time looks for it."""
+    SNAPSHOT = "snapshot"
+    """A snapshot is on its way; nothing else but heartbeats goes out."""
+
+
 class _Progress(msgspec.Struct):
     """What the leader knows of a follower or learner."""
 
     next_index: int
     match_index: int = 0
-    last_sent_at: float = float("-inf")
+    state: _FollowerState = _FollowerState.REPLICATE
+    awaited_nonce: int = 0
+    """Only the answer to this request ends a probe or a snapshot."""
+    snapshot_sent_at: float = float("-inf")
     last_heard_at: float = float("-inf")
 
 
@@ -337,22 +351,58 @@
     def _replicate(self, now: float, heartbeat: bool) -> list[Effect]:
         effects: list[Effect] = []
         for follower, progress in self._progress.items():
-            if heartbeat or progress.next_index <= self._log.last_index:
-                effects += self._send_entries(now, follower, progress)
+            silent = now >= progress.last_heard_at + constants.FOLLOWER_SILENT_S
+            if silent and progress.state is _FollowerState.REPLICATE:
+                # What is sent to a follower that does not answer only piles up.
+                progress.state = _FollowerState.PROBE
+                progress.next_index = min(progress.next_index, self._log.last_index + 1)
+            if progress.state is _FollowerState.REPLICATE:
+                if heartbeat or progress.next_index <= self._log.last_index:
+                    effects += self._send_entries(now, follower, progress)
+            elif heartbeat:
+                effects += self._send_probe(now, follower, progress)
         return effects
 
-    def _send_entries(self, now: float, follower: Voter, progress: _Progress) -> list[Effect]:
+    def _send_probe(self, now: float, follower: Voter, progress: _Progress) -> list[Effect]:
+        """One empty request; or the snapshot, where the log no longer reaches back so far."""
+        snapshot_due = now >= progress.snapshot_sent_at + constants.SNAPSHOT_RETRY_S
+        if progress.state is _FollowerState.SNAPSHOT and not snapshot_due:
+            return self._send_request(now, follower, self._log.base_index, [])
+        previous = progress.next_index - 1
+        if self._log.epoch_at(previous) is None:
+            return self._send_snapshot(now, follower, progress)
+        progress.state = _FollowerState.PROBE
+        effects = self._send_request(now, follower, previous, [])
+        progress.awaited_nonce = self._nonce
+        return effects
+
+    def _send_snapshot(self, now: float, follower: Voter, progress: _Progress) -> list[Effect]:
         self._nonce += 1
         self._lease.sent(self._nonce, now)
-        progress.last_sent_at = now
+        snapshot = self._log.snapshot
+        progress.state = _FollowerState.SNAPSHOT
+        progress.awaited_nonce = self._nonce
+        progress.snapshot_sent_at = now
+        progress.next_index = snapshot.last_index + 1
+        install = SnapshotRequest(self.epoch, self.me, snapshot, self._nonce)
+        return [Send(follower.node_id, install)]
+
+    def _send_entries(self, now: float, follower: Voter, progress: _Progress) -> list[Effect]:
         previous = progress.next_index - 1
-        previous_epoch = self._log.epoch_at(previous)
-        if previous_epoch is None:
-            snapshot = self._log.snapshot
-            install = SnapshotRequest(self.epoch, self.me, snapshot, self._nonce)
-            progress.next_index = snapshot.last_index + 1
-            return [Send(follower.node_id, install)]
+        if self._log.epoch_at(previous) is None:
+            return self._send_snapshot(now, follower, progress)
         entries = self._log.after(previous, constants.APPEND_BATCH_ENTRIES)
+        # Optimistic: a lost request is found by the next one's mismatch.
+        progress.next_index += len(entries)
+        return self._send_request(now, follower, previous, entries)
+
+    def _send_request(
+        self, now: float, follower: Voter, previous: int, entries: list[Entry]
+    ) -> list[Effect]:
+        self._nonce += 1
+        self._lease.sent(self._nonce, now)
+        previous_epoch = self._log.epoch_at(previous)
+        assert previous_epoch is not None
         request = AppendRequest(
             self.epoch,
             self.me,
@@ -362,8 +412,6 @@
             self._commit_index,
             self._nonce,
         )
-        # Optimistic: a lost request is found by the next one's mismatch.
-        progress.next_index += len(entries)
         return [Send(follower.node_id, request)]
 
     def _on_append_reply(self, now: float, message: AppendReply) -> list[Effect]:
@@ -376,16 +424,33 @@
         if message.follower in self.voters:
             self._lease.confirmed(message.follower.node_id, message.nonce)
         if not message.success:
-            progress.next_index = max(1, min(message.match_index + 1, self._log.last_index + 1))
-            return self._send_entries(now, message.follower, progress)
+            return self._on_mismatch(now, message, progress)
         if message.match_index > progress.match_index:
             progress.match_index = message.match_index
+        if progress.state is _FollowerState.REPLICATE:
             progress.next_index = max(progress.next_index, message.match_index + 1)
+        elif message.nonce == progress.awaited_nonce:
+            progress.state = _FollowerState.REPLICATE
+            progress.next_index = message.match_index + 1
         effects = self._advance_commit(now)
-        if progress.next_index <= self._log.last_index:
+        replicating = progress.state is _FollowerState.REPLICATE
+        if replicating and progress.next_index <= self._log.last_index:
             effects += self._send_entries(now, message.follower, progress)
         return effects
 
+    def _on_mismatch(self, now: float, message: AppendReply, progress: _Progress) -> list[Effect]:
+        """The logs do not meet where the request said.
+
+        While requests are under way their mismatches are answered by one probe in all: an
+        answer to each would send the same entries again and again.
+        """
+        replicating = progress.state is _FollowerState.REPLICATE
+        if not replicating and message.nonce != progress.awaited_nonce:
+            return []
+        progress.state = _FollowerState.PROBE
+        progress.next_index = max(1, min(message.match_index + 1, self._log.last_index + 1))
+        return self._send_probe(now, message.follower, progress)
+
     def _advance_commit(self, now: float) -> list[Effect]:
         matches = sorted(
             (
@@ -426,7 +491,7 @@
         if self.role is not ReplicaRole.LEADER or message.learner in self._progress:
             return []
         self._progress[message.learner] = _Progress(self._log.last_index + 1)
-        return self._send_entries(now, message.learner, self._progress[message.learner])
+        return self._send_probe(now, message.learner, self._progress[message.learner])
 
     def _say_hello(self, now: float) -> list[Effect]:
         if now < self._next_hello_at:
@@ -485,8 +550,7 @@
         # What the snapshot covers is committed, hence equal at the leader.
         known = previous < self._log.base_index
         if not known and self._log.epoch_at(previous) != message.previous_epoch:
-            hint = min(previous - 1, self._log.last_index)
-            hint = max(hint, self._commit_index)
+            hint = self._meeting_hint(previous)
             reply = AppendReply(self.epoch, self.me, False, hint, message.nonce)
             return effects + self._when_durable([Send(message.leader.node_id, reply)])
         effects += self._take_entries(message.entries)
@@ -496,6 +560,14 @@
         reply = AppendReply(self.epoch, self.me, True, match_index, message.nonce)
         return effects + self._when_durable([Send(message.leader.node_id, reply)])
 
+    def _meeting_hint(self, previous: int) -> int:
+        """Where the logs may meet: before the epoch that conflicts, not below what is committed."""
+        hint = min(previous - 1, self._log.last_index)
+        conflicting = self._log.epoch_at(previous)
+        while hint > self._commit_index and self._log.epoch_at(hint) == conflicting:
+            hint -= 1
+        return max(hint, self._commit_index)
+
     def _take_entries(self, entries: list[Entry]) -> list[Effect]:
         """Adds what is new; an entry of another epoch at its index ends the old suffix."""
         for position, entry in enumerate(entries):
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -307,3 +307,77 @@
         replica.handle(LATER, "a", AppendRequest(1, VOTERS[0], 0, 0, [], 0, nonce=1))
         self.assertEqual([], replica.handle(LATER, "c", HandOverMessage(1)))
         self.assertEqual([], replica.handle(LATER, "a", HandOverMessage(2)))
+
+
+class ReplicationFlowTest(testtools.TestCase):
+    """How a leader feeds followers that answer late, differ, or do not answer."""
+
+    def leader(self) -> tuple[LedgerReplica, float]:
+        """A leader of epoch 1 whose followers have both answered."""
+        replica = LedgerReplica(VOTERS[0], fresh_ledger(VOTERS), random.Random(1), 0.0)
+        now = LATER
+        replica.tick(now)
+        replica.handle(now, "b", VoteReply(1, VOTERS[1], True, True))
+        replica.handle(now, "b", VoteReply(1, VOTERS[1], True, False))
+        replica.persisted(now, 10)
+        self.answer_all(replica, now, replica.tick(now + 0.2))
+        return replica, now + 0.2
+
+    def requests(self, effects: list, to: str) -> list[AppendRequest]:
+        """Append requests to a follower among effects."""
+        return [
+            effect.message
+            for effect in effects
+            if isinstance(effect, Send)
+            and effect.to == to
+            and isinstance(effect.message, AppendRequest)
+        ]
+
+    def answer_all(self, replica: LedgerReplica, now: float, effects: list) -> None:
+        """Followers agree with all they are sent."""
+        for voter in VOTERS[1:]:
+            for request in self.requests(effects, voter.node_id):
+                match = request.previous_index + len(request.entries)
+                reply = AppendReply(request.epoch, voter, True, match, request.nonce)
+                self.answer_all(replica, now, replica.handle(now, voter.node_id, reply))
+
+    def test_mismatches_of_requests_under_way_are_answered_by_one_probe(self) -> None:
+        """A probe for each would send the same entries again and again, without an end."""
+        replica, now = self.leader()
+        under_way: list[AppendRequest] = []
+        for number in range(20):
+            effects = replica.propose(now, RaiseConfigurationFloor(number), object())
+            under_way += self.requests(effects, "b")
+        self.assertEqual(20, len(under_way))
+        answers: list[AppendRequest] = []
+        for request in under_way:
+            reply = AppendReply(1, VOTERS[1], False, request.previous_index - 1, request.nonce)
+            answers += self.requests(replica.handle(now, "b", reply), "b")
+        self.assertEqual([0], [len(answer.entries) for answer in answers])
+        # The probe's own answer starts the flow again, from where the logs meet.
+        (probe,) = answers
+        found = AppendReply(1, VOTERS[1], True, probe.previous_index, probe.nonce)
+        sent = self.requests(replica.handle(now, "b", found), "b")
+        self.assertEqual([probe.previous_index], [request.previous_index for request in sent])
+        self.assertGreater(len(sent[0].entries), 0)
+
+    def test_a_follower_that_does_not_answer_gets_no_entries(self) -> None:
+        replica, now = self.leader()
+        now += 1.5
+        sizes = []
+        for number in range(10):
+            effects = replica.propose(now, RaiseConfigurationFloor(number), object())
+            sizes += [len(request.entries) for request in self.requests(effects, "b")]
+        self.assertEqual([], sizes)
+
+    def test_the_hint_skips_the_whole_epoch_that_conflicts(self) -> None:
+        replica = LedgerReplica(VOTERS[1], fresh_ledger(VOTERS), random.Random(1), 0.0)
+        old = [entry(index, epoch=1) for index in range(1, 31)]
+        effects = replica.handle(LATER, "a", AppendRequest(1, VOTERS[0], 0, 0, old, 4, nonce=1))
+        replica.persisted(LATER, [e for e in effects if isinstance(e, Persist)][-1].write_id)
+        request = AppendRequest(2, VOTERS[0], 30, 2, [], 4, nonce=2)
+        effects = replica.handle(LATER, "a", request)
+        effects += replica.persisted(LATER, 99)
+        (reply,) = [e.message for e in effects if isinstance(e, Send)]
+        assert isinstance(reply, AppendReply)
+        self.assertEqual((False, 4), (reply.success, reply.match_index))
