--- a/stileloom/jobs/client.py
+++ b/stileloom/jobs/client.py
@@ -60,6 +60,7 @@
         self._log = log
         self._on_lost_leader = on_lost_leader
         self._connections: dict[tuple[str, int], CallConnection] = {}
+        self._silent: set[tuple[str, int]] = set()
         self._connecting: dict[tuple[str, int], asyncio.Lock] = {}
 
     async def call(self, request: Request, request_id: str, timeout_s: float) -> Reply:
@@ -80,6 +81,7 @@
                 tries += 1
                 try:
                     reply = await self._call_node(target, request, left_s)
+                    self._note_answer(target)
                     if not isinstance(reply, NotLeader | OutcomeUnknown):
                         self._nodes.leader = target
                         return reply
@@ -104,13 +106,20 @@
         self._nodes.leader = split_address(hint)
         return True
 
+    def _note_answer(self, target: tuple[str, int]) -> None:
+        if target in self._silent:
+            self._silent.discard(target)
+            fields: dict[str, object] = {"ledger_node": f"{target[0]}:{target[1]}"}
+            self._log.emit(LogEvent.LEDGER_NODE_REGAINED, fields)
+
     def _note_silent(self, target: tuple[str, int], request_id: str, detail: str) -> None:
         if self._nodes.leader == target:
             self._nodes.leader = None
         self._on_lost_leader()
+        self._silent.add(target)
         self._log.emit(
             LogEvent.LEDGER_NODE_SILENT,
-            {"request": request_id, "node": f"{target[0]}:{target[1]}", "detail": detail},
+            {"request": request_id, "ledger_node": f"{target[0]}:{target[1]}", "detail": detail},
         )
 
     async def _call_node(self, target: tuple[str, int], request: Request, left_s: float) -> Reply:
--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -75,6 +75,8 @@
     run: ItemRun | None = None
     finished: bool = False
     """Its result is on the way to the ledger."""
+    avoid: str = ""
+    """The sampler that its last run was taken from: any other one comes first."""
     began: bool = False
     """Whether it ever ran under this leader."""
     saved_parts: int = 0
@@ -312,12 +314,15 @@
         made_under = open_item.partial.versions
         return not (open_item.single_version and made_under and made_under != [version])
 
-    def _cost(self, open_item: OpenItem, belief: SamplerBelief, now: float) -> tuple[bool, float]:
+    def _cost(
+        self, open_item: OpenItem, belief: SamplerBelief, now: float
+    ) -> tuple[bool, bool, float]:
         pace = self.pace(belief.entry.sampler_id)
         cost = pace.interval_s * (1.0 + pace.running / max(1, belief.entry.slots))
         if open_item.item.group and open_item.item.group in pace.groups:
             cost *= GROUP_BONUS
-        return (belief.suspect_until > now, cost)
+        left_before = belief.entry.sampler_id == open_item.avoid
+        return (belief.suspect_until > now, left_before, cost)
 
     def plan_moves(self, now: float) -> list[OpenItem]:
         """Runs to take from their sampler: it is silent, gone, or much slower than another."""
--- a/stileloom/ledger/replica.py
+++ b/stileloom/ledger/replica.py
@@ -81,6 +81,8 @@
     awaited_nonce: int = 0
     """Only the answer to this request ends a probe or a snapshot."""
     snapshot_sent_at: float = float("-inf")
+    silent: bool = False
+    """Whether it was told that this follower does not answer."""
     last_heard_at: float = float("-inf")
 
 
@@ -356,6 +358,9 @@
                 # What is sent to a follower that does not answer only piles up.
                 progress.state = _FollowerState.PROBE
                 progress.next_index = min(progress.next_index, self._log.last_index + 1)
+                progress.silent = True
+                fields: dict[str, object] = {"follower": follower.node_id, "epoch": self.epoch}
+                effects.append(Emit(LogEvent.FOLLOWER_SILENT, fields))
             if progress.state is _FollowerState.REPLICATE:
                 if heartbeat or progress.next_index <= self._log.last_index:
                     effects += self._send_entries(now, follower, progress)
@@ -420,11 +425,16 @@
         progress = self._progress.get(message.follower)
         if self.role is not ReplicaRole.LEADER or message.epoch != self.epoch or progress is None:
             return []
+        effects: list[Effect] = []
         progress.last_heard_at = now
+        if progress.silent:
+            progress.silent = False
+            fields: dict[str, object] = {"follower": message.follower.node_id, "epoch": self.epoch}
+            effects.append(Emit(LogEvent.FOLLOWER_REGAINED, fields))
         if message.follower in self.voters:
             self._lease.confirmed(message.follower.node_id, message.nonce)
         if not message.success:
-            return self._on_mismatch(now, message, progress)
+            return effects + self._on_mismatch(now, message, progress)
         if message.match_index > progress.match_index:
             progress.match_index = message.match_index
         if progress.state is _FollowerState.REPLICATE:
@@ -432,7 +442,7 @@
         elif message.nonce == progress.awaited_nonce:
             progress.state = _FollowerState.REPLICATE
             progress.next_index = message.match_index + 1
-        effects = self._advance_commit(now)
+        effects += self._advance_commit(now)
         replicating = progress.state is _FollowerState.REPLICATE
         if replicating and progress.next_index <= self._log.last_index:
             effects += self._send_entries(now, message.follower, progress)
