--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -145,6 +145,8 @@
         now = time.monotonic()
         self._follow_book(now)
         for open_item in self.scheduler.plan_moves(now):
+            if open_item.run is not None:
+                open_item.avoid = open_item.run.sampler_id
             self._stop_run(open_item, "moved")
             open_item.not_before = 0.0
         for service in self._routes.services():
@@ -308,6 +310,10 @@
                 "job": open_item.key[0],
                 "sampler": entry.sampler_id,
                 "after_event": partial.last_event_id,
+                "version": self.scheduler.models_of(entry.sampler_id).versions.get(
+                    open_item.model, 0
+                ),
+                "running_there": self.scheduler.pace(entry.sampler_id).running,
             },
         )
         connection.exchange(self._encode(open_item, entry.sampler_id), stream)
@@ -351,15 +357,19 @@
         connection = self._connections.pop(open_item.key, None)
         if connection is not None:
             connection.close()
-        if open_item.run is not None:
+        run = open_item.run
+        if run is not None:
             self._metrics.runs_stopped.labels(reason).inc()
             self._log.emit(
                 LogEvent.ITEM_STOPPED,
                 {
                     "item": open_item.item.item_id,
                     "job": open_item.key[0],
-                    "sampler": open_item.run.sampler_id,
+                    "sampler": run.sampler_id,
                     "events": len(open_item.partial.parts),
+                    "events_left": round(self.scheduler.events_left(open_item)),
+                    "event_ms": round(self.scheduler.pace(run.sampler_id).interval_s * 1000),
+                    "silent_ms": round((time.monotonic() - run.last_event_at) * 1000),
                     "reason": reason,
                 },
             )
