--- /dev/null
+++ b/stileloom/jobs/intake.py
@@ -0,0 +1,52 @@
+"""What a leader learns of a job when it takes it up: sizes of items, results to list again."""
+
+from __future__ import annotations
+
+from stileloom.api.headers import HeaderNames
+from stileloom.api.jobs import FinishedItem, ItemState
+from stileloom.jobs.book import JobBook, JobRecord
+from stileloom.jobs.scheduler import ItemSize
+
+MAX_TOKENS = 1e9
+
+
+def item_size(headers: dict[str, str], names: HeaderNames) -> ItemSize:
+    """Prompt and expected output: the caller's hint, or half of what it allows."""
+    by_name = {name.lower(): value for name, value in headers.items()}
+    usage = [_tokens(part) for part in by_name.get(names.token_usage.lower(), "").split(",")]
+    prompt, limit = (usage[0], usage[1]) if len(usage) == 2 else (None, None)
+    hint = _tokens(by_name.get(names.length_hint.lower(), ""))
+    if hint is None and limit is not None:
+        hint = limit / 2
+    expected = hint if hint is not None else ItemSize().expected_tokens
+    return ItemSize(expected, prompt or 0.0)
+
+
+def reusable_results(book: JobBook, record: JobRecord, single_version: bool) -> list[FinishedItem]:
+    """Results of earlier jobs for items that this job carries, where their versions fit."""
+    wanted = {item.item_id for item in record.submission.items} - record.listed
+    min_version = record.submission.min_version
+    found: list[FinishedItem] = []
+    for other in book.jobs.values():
+        if other is record or other.submission.model != record.submission.model:
+            continue
+        for result in other.results:
+            if result.item_id not in wanted or result.state is not ItemState.SUCCEEDED:
+                continue
+            too_old = any(version < min_version for version in result.versions)
+            if too_old or (single_version and len(result.versions) > 1):
+                continue
+            wanted.discard(result.item_id)
+            found.append(
+                FinishedItem(result.item_id, result.state, 0, [result.text], result.versions)
+            )
+    return found
+
+
+def _tokens(text: str) -> float | None:
+    """A number of tokens, or None where the text is none."""
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if 0 <= value < MAX_TOKENS else None
--- /dev/null
+++ b/stileloom/jobs/result_writer.py
@@ -0,0 +1,137 @@
+"""Commits results and saved events to the ledger, and wakes those who wait for them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+from stileloom.api.jobs import FinishedItem, ItemProgress
+from stileloom.background import BackgroundTasks
+from stileloom.errors import StileloomError
+from stileloom.events import LogEvent
+from stileloom.jobs.book import JobBook
+from stileloom.jobs.metrics import JobMetrics
+from stileloom.jobs.scheduler import ItemScheduler
+from stileloom.ledger.commands import Command, CommandResult, RecordResults, SaveProgress
+from stileloom.logging import EventLog
+
+FLUSH_S = 0.02
+"""Results that come within this time are committed together."""
+ITEMS_LOGGED = 8
+
+
+class LeaderLedger(Protocol):
+    """The ledger as the leader's parts see it."""
+
+    def may_act(self) -> bool:
+        """Whether this replica leads and holds its lease now."""
+
+    async def propose(self, command: Command) -> CommandResult:
+        """Commits a command. Raises `StileloomError`."""
+
+
+class ResultWriter:
+    """Writes of one leadership."""
+
+    def __init__(
+        self,
+        book: JobBook,
+        ledger: LeaderLedger,
+        scheduler: ItemScheduler,
+        tasks: BackgroundTasks,
+        log: EventLog,
+        metrics: JobMetrics,
+        on_listed: Callable[[], None],
+    ) -> None:
+        self._book = book
+        self._ledger = ledger
+        self._scheduler = scheduler
+        self._tasks = tasks
+        self._log = log
+        self._metrics = metrics
+        self._on_listed = on_listed
+        self._finished: dict[str, list[FinishedItem]] = {}
+        self._flush_due = False
+        self._stopped = False
+        self._waiters: dict[str, list[asyncio.Future[None]]] = {}
+
+    def stop(self) -> None:
+        """Leadership is over: nothing more is written, and nobody waits on."""
+        self._stopped = True
+        for job_id in list(self._waiters):
+            self.wake(job_id)
+
+    def wait(self, job_id: str) -> asyncio.Future[None]:
+        """Resolved when the job has new results or has ended."""
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._waiters.setdefault(job_id, []).append(future)
+        return future
+
+    def list_result(self, job_id: str, result: FinishedItem) -> None:
+        """Lists a result soon, together with others."""
+        self._finished.setdefault(job_id, []).append(result)
+        if not self._flush_due:
+            self._flush_due = True
+            asyncio.get_running_loop().call_later(FLUSH_S, self._flush)
+
+    def _flush(self) -> None:
+        self._flush_due = False
+        finished, self._finished = self._finished, {}
+        if not self._stopped:
+            for job_id, results in finished.items():
+                self._tasks.spawn(self._record(job_id, results))
+
+    async def _record(self, job_id: str, results: list[FinishedItem]) -> None:
+        try:
+            await self._ledger.propose(RecordResults(job_id, results))
+        except StileloomError:
+            return
+        for result in results:
+            self._scheduler.listed((job_id, result.item_id))
+        self._metrics.results_listed.inc(len(results))
+        record = self._book.jobs.get(job_id)
+        self._log.emit(
+            LogEvent.RESULTS_LISTED,
+            {
+                "job": job_id,
+                "items": [result.item_id for result in results[:ITEMS_LOGGED]],
+                "count": len(results),
+                "listed": len(record.results) if record is not None else 0,
+            },
+        )
+        self.wake(job_id)
+        self._on_listed()
+
+    def save_progress(self) -> None:
+        """Events of long items go to the ledger: a new leader goes on from there."""
+        by_job: dict[str, list[ItemProgress]] = {}
+        for open_item in self._scheduler.unsaved():
+            partial = open_item.partial
+            if partial.last_event_id is None:
+                continue
+            by_job.setdefault(open_item.key[0], []).append(
+                ItemProgress(
+                    open_item.item.item_id,
+                    open_item.saved_parts,
+                    partial.parts[open_item.saved_parts :],
+                    partial.last_event_id,
+                    list(partial.versions),
+                )
+            )
+            open_item.saved_parts = len(partial.parts)
+        for job_id, items in by_job.items():
+            self._tasks.spawn(self._save(job_id, items))
+
+    async def _save(self, job_id: str, items: list[ItemProgress]) -> None:
+        try:
+            await self._ledger.propose(SaveProgress(job_id, items))
+        except StileloomError:
+            # Leadership is lost: the next leader goes on from what is saved.
+            return
+
+    def wake(self, job_id: str) -> None:
+        """Resolves all that wait for a job."""
+        for future in self._waiters.pop(job_id, []):
+            if not future.done():
+                future.set_result(None)
--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -8,49 +8,34 @@
 
 import asyncio
 import time
-from typing import Protocol
 
-from stileloom.api.dialect import Dialect, LoadOrder
-from stileloom.api.jobs import FinishedItem, ItemProgress, ItemState
+from stileloom.api.dialect import Dialect
+from stileloom.api.jobs import FinishedItem, ItemState
 from stileloom.api.routes import Route, RouteKind, Service
 from stileloom.background import BackgroundTasks
-from stileloom.errors import StileloomError
 from stileloom.events import LogEvent
 from stileloom.http1.connection import SamplerConnection
 from stileloom.http1.pool import ConnectionPool
 from stileloom.http1.request_encoder import encode_request, end_to_end
 from stileloom.jobs.book import JobBook, JobRecord
-from stileloom.jobs.engine_control import ControlTarget, EngineControl, OrderOutcome
+from stileloom.jobs.intake import item_size, reusable_results
 from stileloom.jobs.item_stream import ItemStream, RunOutcome
 from stileloom.jobs.metrics import JobMetrics
-from stileloom.jobs.scheduler import ItemScheduler, ItemSize, OpenItem, StartRun
+from stileloom.jobs.result_writer import LeaderLedger, ResultWriter
+from stileloom.jobs.scheduler import ItemScheduler, OpenItem, StartRun
 from stileloom.jobs.version_planner import Load, VersionPlanner
-from stileloom.ledger.commands import Command, CommandResult, ForgetJob, RecordResults, SaveProgress
+from stileloom.jobs.weight_loader import WeightLoader
+from stileloom.ledger.commands import ForgetJob
 from stileloom.logging import EventLog
 from stileloom.proxy.route_table import RouteTable
 from stileloom.proxy.sampler_table import SamplerTable
 
-FLUSH_S = 0.02
-"""Results that come within this time are committed together."""
 RETRY_S = 0.05
 REFUSED_PAUSE_S = 0.15
 GIVE_UP_MARGIN_S = 2.0
-LOAD_S = 0.9
-REPORT_INTERVAL_S = 0.3
-LOAD_PATIENCE_S = 4.0
-ORDER_RETRY_S = 1.2
 IMPOSSIBLE_ATTEMPTS = 1
 SAVE_INTERVAL_S = 0.5
-
-
-class LeaderLedger(Protocol):
-    """The ledger as the runner sees it."""
-
-    def may_act(self) -> bool:
-        """Whether this replica leads and holds its lease now."""
-
-    async def propose(self, command: Command) -> CommandResult:
-        """Commits a command. Raises `StileloomError`."""
+STEP_SOON_S = 0.005
 
 
 class JobRunner:
@@ -71,8 +56,6 @@
     ) -> None:
         self.scheduler = ItemScheduler(samplers)
         self.planner = VersionPlanner(self.scheduler, samplers)
-        self._node_id = node_id
-        self._epoch = epoch
         self._orders_from = orders_from
         """No order before this monotonic time: an earlier leader's last one must be past."""
         self._book = book
@@ -83,15 +66,26 @@
         self._log = log
         self._metrics = metrics
         self._pool = ConnectionPool()
-        self._control = EngineControl(dialect, self._pool)
         self._connections: dict[tuple[str, str], SamplerConnection] = {}
         self._adopted: dict[str, float] = {}
-        self._finished: dict[str, list[FinishedItem]] = {}
-        self._flush_due = False
         self._stopped = False
         self._next_save_at = 0.0
         self._tasks = BackgroundTasks(log)
-        self._waiters: dict[str, list[asyncio.Future[None]]] = {}
+        self._writer = ResultWriter(
+            book, ledger, self.scheduler, self._tasks, log, metrics, self._step_soon
+        )
+        self._loader = WeightLoader(
+            node_id,
+            epoch,
+            self.scheduler,
+            self.planner,
+            samplers,
+            dialect,
+            self._pool,
+            log,
+            metrics,
+            self._may_act,
+        )
 
     def stop(self) -> None:
         """Leadership is over: closes every stream."""
@@ -100,11 +94,7 @@
             connection.close()
         self._connections.clear()
         self._tasks.cancel()
-        for futures in self._waiters.values():
-            for future in futures:
-                if not future.done():
-                    future.set_result(None)
-        self._waiters.clear()
+        self._writer.stop()
 
     # What the rest of the node tells.
 
@@ -115,22 +105,16 @@
 
     def sampler_seen(self, sampler_id: str, versions: dict[str, int]) -> None:
         """The directory lists a sampler."""
-        models = self.scheduler.models_of(sampler_id)
-        for model, version in versions.items():
-            models.saw(model, version)
-            self._metrics.sampler_version.labels(sampler_id, model).set(models.versions[model])
+        self._loader.saw_versions(sampler_id, versions)
 
     def sampler_gone(self, sampler_id: str) -> None:
         """The sampler leaves or is gone; its runs go on while it makes events."""
         self._pool.forget(sampler_id)
-        for model in self.scheduler.models_of(sampler_id).versions:
-            self._metrics.sampler_version.remove(sampler_id, model)
+        self._loader.forget(sampler_id)
 
     def results_wait(self, job_id: str) -> asyncio.Future[None]:
         """Resolved when the job has new results or has ended."""
-        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._waiters.setdefault(job_id, []).append(future)
-        return future
+        return self._writer.wait(job_id)
 
     def _may_act(self) -> bool:
         """Checked right before anything leaves: a process may have slept since its last step."""
@@ -156,7 +140,7 @@
         self._metrics.items_running.set(len(self._connections))
         if now >= self._next_save_at:
             self._next_save_at = now + SAVE_INTERVAL_S
-            self._save_progress()
+            self._writer.save_progress()
 
     def _plan_service(self, now: float, service: Service) -> None:
         assert service.engine is not None
@@ -199,8 +183,10 @@
         route = self._route_of(record)
         if route is None:
             return
-        self._reuse_listed(record, route.single_version)
-        sizes = {item.item_id: self._size(item.headers) for item in submission.items}
+        for finished in reusable_results(self._book, record, route.single_version):
+            self._writer.list_result(submission.job_id, finished)
+        names = self._dialect.names
+        sizes = {item.item_id: item_size(item.headers, names) for item in submission.items}
         self.planner.named(submission.model, submission.min_version, now)
         self.scheduler.adopt_job(
             record,
@@ -227,43 +213,11 @@
         route = self._routes.match(record.submission.host, record.submission.path)
         return route if route is not None and route.kind is RouteKind.BATCH else None
 
-    def _reuse_listed(self, record: JobRecord, single_version: bool) -> None:
-        """Items that an earlier job has finished are listed again where their versions fit."""
-        wanted = {item.item_id for item in record.submission.items} - record.listed
-        min_version = record.submission.min_version
-        for other in self._book.jobs.values():
-            if other is record or other.submission.model != record.submission.model:
-                continue
-            for result in other.results:
-                fits = result.state is ItemState.SUCCEEDED and all(
-                    version >= min_version for version in result.versions
-                )
-                if result.item_id in wanted and fits:
-                    if single_version and len(result.versions) > 1:
-                        continue
-                    wanted.discard(result.item_id)
-                    finished = FinishedItem(
-                        result.item_id, result.state, 0, [result.text], result.versions
-                    )
-                    self._queue_result(record.submission.job_id, finished)
-
-    def _size(self, headers: dict[str, str]) -> ItemSize:
-        """Prompt and expected output: the caller's hint, or half of what it allows."""
-        names = self._dialect.names
-        by_name = {name.lower(): value for name, value in headers.items()}
-        usage = [_tokens(part) for part in by_name.get(names.token_usage.lower(), "").split(",")]
-        prompt, limit = (usage[0], usage[1]) if len(usage) == 2 else (None, None)
-        hint = _tokens(by_name.get(names.length_hint.lower(), ""))
-        if hint is None and limit is not None:
-            hint = limit / 2
-        expected = hint if hint is not None else ItemSize().expected_tokens
-        return ItemSize(expected, prompt or 0.0)
-
     def _drop(self, job_id: str) -> None:
         self._metrics.job_time.observe(time.monotonic() - self._adopted[job_id])
         for open_item in self.scheduler.drop_job(job_id):
             self._stop_run(open_item, "job ended")
-        self._wake(job_id)
+        self._writer.wake(job_id)
 
     # Runs.
 
@@ -423,7 +377,7 @@
         )
 
     def _step_soon(self) -> None:
-        asyncio.get_running_loop().call_later(0.005, self.step)
+        asyncio.get_running_loop().call_later(STEP_SOON_S, self.step)
 
     # Results.
 
@@ -448,73 +402,11 @@
                     "failures": open_item.failures,
                 },
             )
-        self._queue_result(open_item.key[0], result)
-
-    def _queue_result(self, job_id: str, result: FinishedItem) -> None:
-        self._finished.setdefault(job_id, []).append(result)
-        if not self._flush_due:
-            self._flush_due = True
-            asyncio.get_running_loop().call_later(FLUSH_S, self._flush)
-
-    def _flush(self) -> None:
-        self._flush_due = False
-        finished, self._finished = self._finished, {}
-        if not self._stopped:
-            for job_id, results in finished.items():
-                self._tasks.spawn(self._record(job_id, results))
-
-    async def _record(self, job_id: str, results: list[FinishedItem]) -> None:
-        try:
-            await self._ledger.propose(RecordResults(job_id, results))
-        except StileloomError:
-            return
-        for result in results:
-            self.scheduler.listed((job_id, result.item_id))
-        self._metrics.results_listed.inc(len(results))
-        record = self._book.jobs.get(job_id)
-        self._log.emit(
-            LogEvent.RESULTS_LISTED,
-            {
-                "job": job_id,
-                "items": [result.item_id for result in results[:8]],
-                "count": len(results),
-                "listed": len(record.results) if record is not None else 0,
-            },
-        )
-        self._wake(job_id)
-        self._step_soon()
-
-    def _save_progress(self) -> None:
-        """Events of long items go to the ledger: a new leader goes on from there."""
-        by_job: dict[str, list[ItemProgress]] = {}
-        for open_item in self.scheduler.unsaved():
-            partial = open_item.partial
-            if partial.last_event_id is None:
-                continue
-            by_job.setdefault(open_item.key[0], []).append(
-                ItemProgress(
-                    open_item.item.item_id,
-                    open_item.saved_parts,
-                    partial.parts[open_item.saved_parts :],
-                    partial.last_event_id,
-                    list(partial.versions),
-                )
-            )
-            open_item.saved_parts = len(partial.parts)
-        for job_id, items in by_job.items():
-            self._tasks.spawn(self._save(job_id, items))
+        self._writer.list_result(open_item.key[0], result)
 
-    async def _save(self, job_id: str, items: list[ItemProgress]) -> None:
-        try:
-            await self._ledger.propose(SaveProgress(job_id, items))
-        except StileloomError:
-            # Leadership is lost: the next leader goes on from what is saved.
-            return
-
-    def _wake(self, job_id: str) -> None:
-        for future in self._waiters.pop(job_id, []):
-            if not future.done():
-                future.set_result(None)
+    async def _load(self, load: Load) -> None:
+        await self._loader.load(load)
+        self._step_soon()
 
     def expired(self, retention_s: float) -> list[ForgetJob]:
         """Commands that drop jobs nobody may ask for any more."""
@@ -526,89 +418,3 @@
             and job_id in self._book.jobs
             and not self._book.jobs[job_id].is_open
         ]
-
-    # Loads of weights.
-
-    async def _load(self, load: Load) -> None:
-        models = self.scheduler.models_of(load.sampler_id)
-        try:
-            outcome = await self._order(load)
-            self._metrics.orders.labels(outcome.value).inc()
-            if outcome is OrderOutcome.ACCEPTED:
-                await asyncio.sleep(LOAD_S)
-            if outcome in (OrderOutcome.ACCEPTED, OrderOutcome.BUSY, OrderOutcome.UNKNOWN):
-                await self._await_version(load)
-        finally:
-            models.loading = None
-            self._step_soon()
-
-    async def _order(self, load: Load) -> OrderOutcome:
-        belief = self._samplers.get(load.sampler_id)
-        if belief is None:
-            return OrderOutcome.GONE
-        target = ControlTarget(load.sampler_id, belief.entry.address)
-        report = await self._control.report(target)
-        if report is None:
-            self.planner.postpone(load.sampler_id, time.monotonic() + RETRY_S * 4)
-            return OrderOutcome.REFUSED
-        self.sampler_seen(load.sampler_id, report.model_versions)
-        if report.model_versions.get(load.model, 0) >= load.version:
-            return OrderOutcome.HOLDS_ALREADY
-        if report.busy:
-            return OrderOutcome.BUSY
-        order = LoadOrder(
-            load.model,
-            load.version,
-            load.strategy,
-            self._node_id,
-            self._epoch,
-            report.orders_taken,
-        )
-        if not self._may_act():
-            return OrderOutcome.REFUSED
-        outcome = await self._control.order(target, order)
-        self._log.emit(
-            LogEvent.VERSION_ORDERED,
-            {
-                "sampler": load.sampler_id,
-                "model": load.model,
-                "version": load.version,
-                "strategy": load.strategy.value,
-                "fence": self._epoch,
-                "expected": report.orders_taken,
-                "outcome": outcome.value,
-            },
-        )
-        if outcome is OrderOutcome.GONE:
-            self._samplers.mark_leaving(load.sampler_id)
-        if outcome in (OrderOutcome.REFUSED, OrderOutcome.FENCED):
-            self.planner.postpone(load.sampler_id, time.monotonic() + ORDER_RETRY_S)
-        return outcome
-
-    async def _await_version(self, load: Load) -> None:
-        """Asks for reports until the version is there, or nothing is under way any more."""
-        give_up_at = time.monotonic() + LOAD_PATIENCE_S
-        quiet = 0
-        while time.monotonic() < give_up_at:
-            belief = self._samplers.get(load.sampler_id)
-            if belief is None:
-                return
-            target = ControlTarget(load.sampler_id, belief.entry.address)
-            report = await self._control.report(target)
-            if report is not None:
-                self.sampler_seen(load.sampler_id, report.model_versions)
-                if report.model_versions.get(load.model, 0) >= load.version:
-                    return
-                quiet = 0 if report.busy else quiet + 1
-                if quiet >= 2:
-                    return
-            await asyncio.sleep(REPORT_INTERVAL_S)
-
-
-def _tokens(text: str) -> float | None:
-    """A number of tokens, or None where the text is none."""
-    try:
-        value = float(text)
-    except ValueError:
-        return None
-    return value if 0 <= value < 1e9 else None
--- /dev/null
+++ b/stileloom/jobs/weight_loader.py
@@ -0,0 +1,137 @@
+"""Carries out loads of weight versions: report, fenced order, and reports until it is done."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from stileloom.api.dialect import Dialect, LoadOrder
+from stileloom.events import LogEvent
+from stileloom.http1.pool import ConnectionPool
+from stileloom.jobs.engine_control import ControlTarget, EngineControl, OrderOutcome
+from stileloom.jobs.metrics import JobMetrics
+from stileloom.jobs.scheduler import ItemScheduler
+from stileloom.jobs.version_planner import Load, VersionPlanner
+from stileloom.logging import EventLog
+from stileloom.proxy.sampler_table import SamplerTable
+
+LOAD_S = 0.9
+REPORT_INTERVAL_S = 0.3
+LOAD_PATIENCE_S = 4.0
+ORDER_RETRY_S = 1.2
+REPORT_RETRY_S = 0.2
+
+
+class WeightLoader:
+    """Orders of one leadership; `may_act` is asked right before each."""
+
+    def __init__(
+        self,
+        node_id: str,
+        epoch: int,
+        scheduler: ItemScheduler,
+        planner: VersionPlanner,
+        samplers: SamplerTable,
+        dialect: Dialect,
+        pool: ConnectionPool,
+        log: EventLog,
+        metrics: JobMetrics,
+        may_act: Callable[[], bool],
+    ) -> None:
+        self._node_id = node_id
+        self._epoch = epoch
+        self._scheduler = scheduler
+        self._planner = planner
+        self._samplers = samplers
+        self._control = EngineControl(dialect, pool)
+        self._log = log
+        self._metrics = metrics
+        self._may_act = may_act
+
+    def saw_versions(self, sampler_id: str, versions: dict[str, int]) -> None:
+        """A listing or report says which versions a sampler has."""
+        models = self._scheduler.models_of(sampler_id)
+        for model, version in versions.items():
+            models.saw(model, version)
+            self._metrics.sampler_version.labels(sampler_id, model).set(models.versions[model])
+
+    def forget(self, sampler_id: str) -> None:
+        """The sampler leaves or is gone."""
+        for model in self._scheduler.models_of(sampler_id).versions:
+            self._metrics.sampler_version.remove(sampler_id, model)
+
+    async def load(self, load: Load) -> None:
+        """Loads a version; the sampler counts as loading until this returns."""
+        models = self._scheduler.models_of(load.sampler_id)
+        try:
+            outcome = await self._order(load)
+            self._metrics.orders.labels(outcome.value).inc()
+            if outcome is OrderOutcome.ACCEPTED:
+                await asyncio.sleep(LOAD_S)
+            if outcome in (OrderOutcome.ACCEPTED, OrderOutcome.BUSY, OrderOutcome.UNKNOWN):
+                await self._await_version(load)
+        finally:
+            models.loading = None
+
+    async def _order(self, load: Load) -> OrderOutcome:
+        belief = self._samplers.get(load.sampler_id)
+        if belief is None:
+            return OrderOutcome.GONE
+        target = ControlTarget(load.sampler_id, belief.entry.address)
+        report = await self._control.report(target)
+        if report is None:
+            self._planner.postpone(load.sampler_id, time.monotonic() + REPORT_RETRY_S)
+            return OrderOutcome.REFUSED
+        self.saw_versions(load.sampler_id, report.model_versions)
+        if report.model_versions.get(load.model, 0) >= load.version:
+            return OrderOutcome.HOLDS_ALREADY
+        if report.busy:
+            return OrderOutcome.BUSY
+        order = LoadOrder(
+            load.model,
+            load.version,
+            load.strategy,
+            self._node_id,
+            self._epoch,
+            report.orders_taken,
+        )
+        if not self._may_act():
+            return OrderOutcome.REFUSED
+        outcome = await self._control.order(target, order)
+        self._log.emit(
+            LogEvent.VERSION_ORDERED,
+            {
+                "sampler": load.sampler_id,
+                "model": load.model,
+                "version": load.version,
+                "strategy": load.strategy.value,
+                "fence": self._epoch,
+                "expected": report.orders_taken,
+                "outcome": outcome.value,
+            },
+        )
+        if outcome is OrderOutcome.GONE:
+            self._samplers.mark_leaving(load.sampler_id)
+        if outcome in (OrderOutcome.REFUSED, OrderOutcome.FENCED):
+            self._planner.postpone(load.sampler_id, time.monotonic() + ORDER_RETRY_S)
+        return outcome
+
+    async def _await_version(self, load: Load) -> None:
+        """Asks for reports until the version is there, or nothing is under way any more."""
+        give_up_at = time.monotonic() + LOAD_PATIENCE_S
+        quiet = 0
+        while time.monotonic() < give_up_at:
+            belief = self._samplers.get(load.sampler_id)
+            if belief is None:
+                return
+            target = ControlTarget(load.sampler_id, belief.entry.address)
+            report = await self._control.report(target)
+            if report is not None:
+                self.saw_versions(load.sampler_id, report.model_versions)
+                if report.model_versions.get(load.model, 0) >= load.version:
+                    return
+                quiet = 0 if report.busy else quiet + 1
+                if quiet >= 2:
+                    return
+            await asyncio.sleep(REPORT_INTERVAL_S)
