--- a/stileloom/node/core.py
+++ b/stileloom/node/core.py
@@ -170,7 +170,8 @@
         """Runs the timers of every part."""
         self.wall_time_s = wall_time_s
         leader = self.leader(now)
-        effects = self.membership.tick(now)
+        effects = self._tell_failed_rules()
+        effects += self.membership.tick(now)
         effects += self.client.tick(now)
         effects += self._tick_replica(now)
         asked = leader if leader is not None else self.tracker.ask(now)
@@ -581,6 +582,12 @@
             return []
         return self.authority.floor_raised(now, self.replica.state.configuration_floor)
 
+    def _tell_failed_rules(self) -> list[Effect]:
+        return [
+            Emit(LogEvent.RULE_FAILED, msgspec.to_builtins(failure))
+            for failure in self.policies.take_failures()
+        ]
+
     def _on_configuration_adopted(self) -> list[Effect]:
         configuration = self.configuration.store.configuration
         assert configuration is not None
--- a/stileloom/policy/book.py
+++ b/stileloom/policy/book.py
@@ -13,7 +13,7 @@
 
 from stileloom.api.objects import Policy
 from stileloom.errors import ErrorKind, StileloomError
-from stileloom.policy.compiler import CompiledRule, RuleKind, compile_rule
+from stileloom.policy.compiler import RuleKind, compile_rule
 from stileloom.policy.inputs import RuleInputs, time_input
 
 MIN_PRIORITY = 0
@@ -28,6 +28,23 @@
     value: int | bool
 
 
+class RuleFailure(msgspec.Struct, frozen=True):
+    """A rule that had no value, and how often since it was last told."""
+
+    policy: str
+    rule: str
+    detail: str
+    count: int
+
+
+FAILED_VALUES: dict[RuleKind, int | bool | None] = {
+    RuleKind.PRIORITY: None,
+    RuleKind.FRESHNESS: 0,
+    RuleKind.PLACEMENT: False,
+}
+"""What a rule without a value stands for: the request's own priority, and else the strictest."""
+
+
 class _CompiledPolicy:
     """A policy with its rules compiled."""
 
@@ -61,6 +78,7 @@
 
     def __init__(self, policies: dict[str, Policy]) -> None:
         ordered = sorted(policies, key=lambda name: (-policies[name].rank, name))
+        self._failures: dict[tuple[str, RuleKind], RuleFailure] = {}
         self._policies = [_CompiledPolicy(name, policies[name]) for name in ordered]
 
     def priority(self, inputs: RuleInputs, wall_time_s: float) -> int:
@@ -82,24 +100,32 @@
         return all(bool(outcome.value) for outcome in outcomes)
 
     def outcomes(self, kind: RuleKind, inputs: RuleInputs, wall_time_s: float) -> list[RuleOutcome]:
-        """What each policy says, by rank. A rule that fails to evaluate says nothing."""
+        """What each policy says, by rank; a rule that fails counts as in `FAILED_VALUES`."""
         found: list[RuleOutcome] = []
         for compiled in self._policies:
             applies_to = compiled.policy.applies_to
             rule = compiled.rules.get(kind)
             if rule is None or (applies_to and inputs.request.target not in applies_to):
                 continue
-            value = _evaluate(rule, inputs, compiled.policy, wall_time_s)
+            timed = msgspec.structs.replace(
+                inputs, time=time_input(wall_time_s, compiled.policy.time_zone)
+            )
+            value: int | bool | None
+            try:
+                value = rule.evaluate(timed)
+            except StileloomError as error:
+                self._note_failure(compiled.name, kind, error.detail)
+                value = FAILED_VALUES[kind]
             if value is not None:
                 found.append(RuleOutcome(compiled.name, kind.value, value))
         return found
 
+    def take_failures(self) -> list[RuleFailure]:
+        """Rules that had no value since the last call."""
+        failures, self._failures = self._failures, {}
+        return list(failures.values())
 
-def _evaluate(
-    rule: CompiledRule, inputs: RuleInputs, policy: Policy, wall_time_s: float
-) -> int | bool | None:
-    timed = msgspec.structs.replace(inputs, time=time_input(wall_time_s, policy.time_zone))
-    try:
-        return rule.evaluate(timed)
-    except StileloomError:
-        return None
+    def _note_failure(self, policy: str, kind: RuleKind, detail: str) -> None:
+        earlier = self._failures.get((policy, kind))
+        count = earlier.count + 1 if earlier is not None else 1
+        self._failures[(policy, kind)] = RuleFailure(policy, kind.value, detail, count)
--- a/stileloom/policy/compiler.py
+++ b/stileloom/policy/compiler.py
@@ -21,7 +21,10 @@
 COMPREHENSIONS = ("all", "exists", "exists_one", "filter", "map")
 
 _POSITION = re.compile(r"<input>:(\d+):(\d+): (.*)")
-_COMPREHENSION = re.compile(r"\.\s*(" + "|".join(COMPREHENSIONS) + r")\s*\(")
+_COMPREHENSION = re.compile(
+    r"\.\s*(" + "|".join(COMPREHENSIONS) + r")\s*\((?:\s*([A-Za-z_]\w*)\s*,)?"
+)
+"""A comprehension and the variable that it binds."""
 _MEMBER = re.compile(r"\b(" + "|".join(INPUT_FIELDS) + r")\s*\.\s*([A-Za-z_]\w*)")
 _STRING = re.compile(r"'(?:[^'\\]|\\.)*'|\"(?:[^\"\\]|\\.)*\"")
 
@@ -54,7 +57,7 @@
         variables = msgspec.to_builtins(inputs)
         try:
             value = self._program.execute(variables)
-        except (RuntimeError, TypeError, ValueError) as error:
+        except (RuntimeError, TypeError, ValueError, ArithmeticError, LookupError) as error:
             raise _refusal(self.kind, 1, 1, str(error)) from error
         expected = RESULT_TYPES[self.kind]
         if type(value) is not expected:
@@ -88,8 +91,9 @@
     if len(comprehensions) > MAX_COMPREHENSIONS:
         line, column = _place(source, comprehensions[MAX_COMPREHENSIONS].start())
         raise _refusal(kind, line, column, f"more than {MAX_COMPREHENSIONS} comprehensions")
+    own_names = {match.group(2) for match in _COMPREHENSION.finditer(bare) if match.group(2)}
     for name in sorted(program.variables()):
-        if name not in INPUT_FIELDS:
+        if name not in INPUT_FIELDS and name not in own_names:
             line, column = _place(source, max(0, bare.find(name)))
             known = ", ".join(INPUT_FIELDS)
             raise _refusal(kind, line, column, f"unknown name {name!r}, expected one of {known}")
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -182,8 +182,8 @@
         "a replaced disk votes",
         "exactly once (ledger)",
         "stileloom/ledger/replica.py",
-        "if sticky or leading or not self.is_voter:",
-        "if sticky or leading:",
+        "if ((sticky or leading) and not message.handed_over) or not self.is_voter:",
+        "if (sticky or leading) and not message.handed_over:",
         "tests/test_ledger.py",
     ),
     Mutant(
@@ -202,6 +202,118 @@
         "return max(0, budget - used)",
         f"{PROMISES}::PromiseTest::test_a_trainer_that_publishes_rarely_is_not_starved",
     ),
+    Mutant(
+        "an older configuration of routes is put in force",
+        "configuration never goes back (routes)",
+        "stileloom/proxy/route_table.py",
+        "if configuration.version <= self.version:",
+        "if configuration.version == self.version:",
+        "tests/test_routes.py",
+    ),
+    Mutant(
+        "a lookup that may not be repeated is sent again",
+        "at most once (routes)",
+        "stileloom/proxy/attempt_plan.py",
+        "return self.running == 0 and self.may_have_run == 0",
+        "return self.running == 0",
+        "tests/test_routes.py",
+    ),
+    Mutant(
+        "a stated leave does not stick",
+        "leaving samplers (routes)",
+        "stileloom/proxy/sampler_table.py",
+        "        if sampler_id in self._leaving:\n            return False\n",
+        "",
+        "tests/test_routes.py",
+    ),
+    Mutant(
+        "bytes behind an answer are taken for the next one",
+        "whole answers (routes)",
+        "stileloom/http1/connection.py",
+        "            if self._decoder.has_excess:\n                self._reusable = False\n",
+        "",
+        "tests/test_http1.py",
+    ),
+    Mutant(
+        "a late answer to another request is passed on",
+        "whole answers (routes)",
+        "stileloom/proxy/exchange.py",
+        "if head.headers.get(names.request_id, request_id) != request_id:",
+        "if False:",
+        "tests/test_http1.py",
+    ),
+    Mutant(
+        "an answer cut without a length passes for whole",
+        "whole answers (routes)",
+        "stileloom/http1/response_decoder.py",
+        "if self._stage is _Stage.UNTIL_CLOSE and clean:",
+        "if self._stage is _Stage.UNTIL_CLOSE:",
+        "tests/test_http1.py",
+    ),
+    Mutant(
+        "a gap in a chain of events is not seen",
+        "whole texts (jobs)",
+        "stileloom/jobs/partial_text.py",
+        "if event_id != last + 1:",
+        "if event_id <= last:",
+        "tests/test_item_stream.py",
+    ),
+    Mutant(
+        "weights older than a job allows make events",
+        "versions (jobs)",
+        "stileloom/jobs/item_stream.py",
+        "if version < self._min_version:",
+        "if False:",
+        "tests/test_item_stream.py",
+    ),
+    Mutant(
+        "an item is listed twice",
+        "positions (jobs)",
+        "stileloom/jobs/book.py",
+        "if item.item_id not in known or item.item_id in job.listed:",
+        "if item.item_id not in known:",
+        "tests/test_routes.py",
+    ),
+    Mutant(
+        "saved events of an earlier leader stay beside a later one's",
+        "whole texts (jobs)",
+        "stileloom/jobs/book.py",
+        "saved.parts[item.first_part :] = item.parts",
+        "saved.parts += item.parts",
+        "tests/test_routes.py",
+    ),
+    Mutant(
+        "every mismatch is answered by a probe",
+        "replication stays bounded",
+        "stileloom/ledger/replica.py",
+        "if not replicating and message.nonce != progress.awaited_nonce:",
+        "if False:",
+        "tests/test_ledger.py",
+    ),
+    Mutant(
+        "a stopping gateway passes requests on while it closes",
+        "planned stop (routes)",
+        "stileloom/daemon/gateway.py",
+        "        self.front.closing = True\n",
+        "",
+        "tests/test_services.py",
+    ),
+    Mutant(
+        "a follower asks only addresses that it has a name for",
+        "elections",
+        "stileloom/ledger/peer_addresses.py",
+        "return [address for address in self.everyone() if address not in named]",
+        "return []",
+        "tests/test_peer_addresses.py",
+    ),
+    Mutant(
+        "a new leader shares the samplers anew",
+        "work goes on after an election",
+        "stileloom/jobs/scheduler.py",
+        "current = {**self._share_by_versions(ids, models), **self._share}",
+        "current = self._share",
+        "tests/test_item_scheduler.py",
+    ),
 ]
 
 
@@ -209,7 +321,7 @@
     """`caught`, or why it was missed."""
     with tempfile.TemporaryDirectory(prefix="stileloom-mutant-") as scratch:
         folder = Path(scratch)
-        for name in ("stileloom", "tests", "examples", "docs"):
+        for name in ("stileloom", "tests", "examples", "docs", "platform"):
             if (ROOT / name).exists():
                 shutil.copytree(ROOT / name, folder / name)
         shutil.copy(ROOT / "pyproject.toml", folder)
--- /dev/null
+++ b/tests/test_platform_dialect.py
@@ -0,0 +1,196 @@
+"""The adapter to the users' platform: what its pages show, as the product's own types."""
+
+from __future__ import annotations
+
+import base64
+import sys
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import testtools
+
+from stileloom.api.dialect import EndJob, LoadOrder, LoadStrategy, ReadItem, ReadResults
+from stileloom.api.jobs import ItemResult, ItemState, ResultPage
+from stileloom.api.object_store import ObjectRecord
+from stileloom.api.routes import RouteKind
+from stileloom.errors import ErrorKind, StileloomError
+
+ROOT = Path(__file__).resolve().parents[1]
+sys.path.append(str(ROOT / "platform"))
+
+from stileloom_platform.dialect import PlatformDialect  # noqa: E402
+
+DEPTH = 100_000
+DIALECT = PlatformDialect()
+
+
+def route(**changes: Any) -> dict[str, Any]:
+    """A route as the operator writes it."""
+    return {
+        "name": "r",
+        "host": "h.example",
+        "pathPrefix": "/a/",
+        "routeType": "safe",
+        "timeoutMs": 1500,
+        "targetLatencyMs": 191,
+        "priority": 2,
+        "backends": [{"service": "x", "weight": 90}, {"service": "y", "weight": 10}],
+        "maxAttempts": 2,
+        **changes,
+    }
+
+
+class ConfigurationTest(testtools.TestCase):
+    """Configurations, samplers, versions."""
+
+    def test_a_configuration(self) -> None:
+        rollout = {"routeType": "rollout", "service": "z", "backends": [], "maxWaitS": 40.0}
+        engine = {"slots": 16, "kvCapacityTokens": 500, "models": [{"name": "m"}], "new": 1}
+        spec = {
+            "version": 7,
+            "routes": [route(), route(name="b", **rollout)],
+            "services": [{"name": "z", "healthPath": "/h", "maxConnections": 9, "engine": engine}],
+            "limits": {"idleTimeoutMs": 15000},
+        }
+        configuration = DIALECT.decode_configuration(spec)
+        safe, batch = configuration.routes
+        self.assertEqual(
+            (7, RouteKind.SAFE, 1.5), (configuration.version, safe.kind, safe.timeout_s)
+        )
+        self.assertEqual(["x", "y"], [backend.service for backend in safe.backends])
+        self.assertEqual((RouteKind.BATCH, 40.0), (batch.kind, batch.max_wait_s))
+        self.assertEqual(["z"], [backend.service for backend in batch.backends])
+        assert configuration.services[0].engine is not None
+        self.assertEqual(["m"], configuration.services[0].engine.models)
+
+    def test_an_object_that_is_not_as_agreed_is_refused_not_fatal(self) -> None:
+        for spec in (None, [], {"version": "x"}, {"version": 1, "routes": [{}], "services": []}):
+            error = self.assertRaises(StileloomError, DIALECT.decode_configuration, spec)
+            self.assertEqual(ErrorKind.OBJECT_INVALID, error.kind)
+        record = ObjectRecord("s", 1, {"service": 5})
+        error = self.assertRaises(StileloomError, DIALECT.decode_sampler, record)
+        self.assertEqual(ErrorKind.OBJECT_INVALID, error.kind)
+
+    def test_a_sampler_and_a_version(self) -> None:
+        spec = {
+            "service": "x",
+            "address": "10.0.0.9:8080",
+            "zone": "z",
+            "slots": 16,
+            "state": "draining",
+            "models": [{"name": "m", "version": 3, "adapters": []}],
+            "seq": 4,
+        }
+        entry = DIALECT.decode_sampler(ObjectRecord("i-1", 1, spec))
+        self.assertEqual(
+            ("i-1", True, {"m": 3}), (entry.sampler_id, entry.draining, entry.model_versions)
+        )
+        self.assertEqual(("10.0.0.9", 8080), entry.address)
+        named = DIALECT.decode_version({"model": "m", "version": 8})
+        self.assertEqual(("m", 8), (named.model, named.version))
+
+
+class JobCallTest(testtools.TestCase):
+    """Calls about batch jobs."""
+
+    def test_reads_and_ends(self) -> None:
+        headers = {DIALECT.names.wait_ms: "1000"}
+        call = DIALECT.job_call("GET", "/lots/7c41?afterRev=12", headers)
+        self.assertEqual(ReadResults("7c41", 12, 1.0), call)
+        self.assertEqual(ReadItem("7c41", "e5"), DIALECT.job_call("GET", "/items/7c41?id=e5", {}))
+        self.assertEqual(EndJob("7c41"), DIALECT.job_call("DELETE", "/lots/7c41", {}))
+        self.assertIsNone(DIALECT.job_call("POST", "/lots/7c41", {}))
+        self.assertIsNone(DIALECT.job_call("GET", "/other", {}))
+
+    def test_numbers_that_are_none_are_refused(self) -> None:
+        for text in ("x", "-1", "nan", "inf", "1e30"):
+            target = f"/lots/7?afterRev={text}"
+            error = self.assertRaises(StileloomError, DIALECT.job_call, "GET", target, {})
+            self.assertEqual(ErrorKind.BAD_REQUEST, error.kind)
+
+    def test_a_job(self) -> None:
+        item = {
+            "id": "e5",
+            "path": "/p/1",
+            "headers": {"Model": "m"},
+            "body": base64.b64encode(b"\xab\xcd").decode(),
+            "tokens": 940,
+            "group": "g",
+        }
+        body = {"step": 7, "model": "m", "minVersion": 6, "desired": 12, "requests": [item]}
+        job = DIALECT.decode_job("j", "h", "/p/j", msgspec.json.encode(body))
+        self.assertEqual((7, 6, 12), (job.step, job.min_version, job.desired_groups))
+        self.assertEqual((b"\xab\xcd", "g"), (job.items[0].body, job.items[0].group))
+
+    def test_bad_jobs_are_refused(self) -> None:
+        one = {"id": "a", "path": "/p"}
+        deep = b"[" * DEPTH
+        for body in (
+            b"",
+            b"\xff\xfe",
+            b"{}",
+            deep,
+            b'{"requests":' + deep,
+            msgspec.json.encode({"requests": [one, one]}),
+            msgspec.json.encode({"requests": [one | {"body": "***"}]}),
+            msgspec.json.encode({"requests": [one | {"headers": {"a": 1}}]}),
+        ):
+            error = self.assertRaises(StileloomError, DIALECT.decode_job, "j", "h", "/p", body)
+            self.assertEqual(ErrorKind.BAD_REQUEST, error.kind)
+
+    def test_a_page(self) -> None:
+        results = [
+            ItemResult("a", ItemState.SUCCEEDED, "x\ny", [6, 7]),
+            ItemResult("b", ItemState.GIVEN_UP, "", []),
+        ]
+        page = msgspec.json.decode(DIALECT.encode_page(ResultPage(40, 2, results)))
+        expected = [
+            {"id": "a", "state": "succeeded", "text": "x\ny", "versions": [6, 7]},
+            {"id": "b", "state": "unreachable", "text": "", "versions": []},
+        ]
+        self.assertEqual({"total": 40, "nextToken": 2, "results": expected}, page)
+
+
+class OrderTest(testtools.TestCase):
+    """Calls to samplers."""
+
+    def test_an_order_and_a_report(self) -> None:
+        order = LoadOrder("m", 2, LoadStrategy.RETAIN, "node-7", 41, 5)
+        call = DIALECT.order_call(order)
+        self.assertEqual(("POST", "/order"), (call.method, call.target))
+        expected = {
+            "operation": "version",
+            "model": "m",
+            "version": 2,
+            "strategy": "retain",
+            "holder": "node-7",
+            "fence": 41,
+            "expected": 5,
+        }
+        self.assertEqual(expected, msgspec.json.decode(call.body))
+        body = b'{"stage":"both","models":[{"name":"m","version":2}],"busy":true,"seq":3,"x":1}'
+        report = DIALECT.decode_report(body)
+        self.assertEqual(
+            ({"m": 2}, True, 3), (report.model_versions, report.busy, report.orders_taken)
+        )
+
+
+class FolderTest(testtools.TestCase):
+    """The adapter stays small, and the product does not know it."""
+
+    def test_size_and_direction(self) -> None:
+        adapter = list((ROOT / "platform").rglob("*.py"))
+        lines = sum(len(path.read_text().splitlines()) for path in adapter)
+        self.assertLess(lines, 1500)
+        self.assertFalse((ROOT / "platform" / "__init__.py").exists())
+        names = (
+            "stileloom_platform",
+            "Expect-Instance",
+            "Not-Executed",
+            "retirements",
+            "minVersion",
+        )
+        for path in (ROOT / "stileloom").rglob("*.py"):
+            text = path.read_text()
+            self.assertEqual([], [name for name in names if name in text], path.name)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -25,6 +25,40 @@
 NOON_UTC_S = 1_700_049_600.0 + 12 * 3600 - 1_700_049_600.0 % 86_400
 
 
+class FailingRuleTest(testtools.TestCase):
+    """A rule without a value is refused, and later lets nothing through."""
+
+    def test_refused_at_submission(self) -> None:
+        for source in ("1/0", "[1][5]"):
+            error = self.assertRaises(StileloomError, compile_rule, RuleKind.PRIORITY, source)
+            self.assertEqual(ErrorKind.POLICY_INVALID, error.kind)
+
+    def test_fails_closed_and_is_counted_at_run_time(self) -> None:
+        by_input = "10 / (request.max_tokens - 7)"
+        policy = Policy(priority=by_input, freshness=by_input, placement=f"{by_input} > -100000")
+        book = PolicyBook({"p": policy})
+        fine = RuleInputs()
+        self.assertTrue(book.may_place(fine, NOON_UTC_S))
+        failing = RuleInputs(
+            request=RequestInput(max_tokens=7, priority=33), round=RoundInput(staleness_bound=4)
+        )
+        self.assertEqual(33, book.priority(failing, NOON_UTC_S))
+        self.assertEqual(0, book.staleness_bound(failing, NOON_UTC_S))
+        self.assertFalse(book.may_place(failing, NOON_UTC_S))
+        self.assertFalse(book.may_place(failing, NOON_UTC_S))
+        counts = {failure.rule: failure.count for failure in book.take_failures()}
+        self.assertEqual({"priority": 1, "freshness": 1, "placement": 2}, counts)
+        self.assertEqual([], book.take_failures())
+
+    def test_a_comprehension_may_use_its_own_variable(self) -> None:
+        rule = compile_rule(RuleKind.PLACEMENT, "[1, 2].all(x, x > 0)")
+        self.assertTrue(rule.evaluate(RuleInputs()))
+        error = self.assertRaises(
+            StileloomError, compile_rule, RuleKind.PLACEMENT, "[1].all(x, y > 0)"
+        )
+        self.assertIn("unknown name 'y'", error.detail)
+
+
 class CompileTest(testtools.TestCase):
     """A rule that does not fit is refused with its place and what was expected."""
 
