Streaming routes: events pass on as they come, broken streams are resumed

Cause: deployments of these kinds may have streaming routes; a gateway read the whole answer first. Change: StreamRelay; a stream that can not be finished is broken off.

--- a/stileloom/daemon/gateway.py
+++ b/stileloom/daemon/gateway.py
@@ -24,6 +24,7 @@
 from stileloom.proxy.forwarder import Forwarder
 from stileloom.proxy.front import Front
 from stileloom.proxy.metrics import ProxyMetrics
+from stileloom.proxy.stream_relay import StreamRelay
 from stileloom.service_settings import ServiceSettings
 from stileloom.settings_file import split_address
 
@@ -59,9 +60,18 @@
         self._forwarder = Forwarder(
             settings.zone, self.directory.samplers, dialect.names, self._log, metrics, self._rng
         )
-        self.directory.on_sampler_gone = self._forwarder.forget
+        self._relay = StreamRelay(
+            settings.zone, self.directory.samplers, dialect.names, self._log, metrics, self._rng
+        )
+        self.directory.on_sampler_gone = self._forget_sampler
         self.front = Front(
-            dialect, self.directory.routes, self._forwarder, self._jobs, self._log, metrics
+            dialect,
+            self.directory.routes,
+            self._forwarder,
+            self._relay,
+            self._jobs,
+            self._log,
+            metrics,
         )
         metrics.observe_open(lambda: self.front.open_requests)
         self._looked_up_at = float("-inf")
@@ -130,6 +140,10 @@
             await asyncio.sleep(DRAIN_POLL_S)
         self._log.emit(LogEvent.DRAIN_FINISHED, {"open": self.front.open_requests})
 
+    def _forget_sampler(self, sampler_id: str) -> None:
+        self._forwarder.forget(sampler_id)
+        self._relay.forget(sampler_id)
+
     # Ledger nodes.
 
     def _look_up_ledger_nodes(self) -> None:
--- a/stileloom/http1/event_stream.py
+++ b/stileloom/http1/event_stream.py
@@ -23,6 +23,45 @@
     """The bytes are no event."""
 
 
+class RawEvent(msgspec.Struct, frozen=True):
+    """One whole event as it came, to be passed on."""
+
+    event_id: int | None
+    raw: bytes
+
+
+class EventSplitter:
+    """Cuts a stream into whole events without looking at their data."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+
+    @property
+    def has_partial(self) -> bool:
+        """Whether an event was begun and not ended."""
+        return bool(self._buffer.strip())
+
+    def feed(self, data: bytes) -> list[RawEvent]:
+        """Adds bytes; returns whole events."""
+        self._buffer += data
+        events: list[RawEvent] = []
+        while True:
+            end = self._buffer.find(b"\n\n")
+            if end < 0:
+                return events
+            raw = bytes(self._buffer[: end + 2])
+            del self._buffer[: end + 2]
+            events.append(RawEvent(_event_id(raw), raw))
+
+
+def _event_id(raw: bytes) -> int | None:
+    for line in raw.split(b"\n"):
+        name, _, value = line.partition(b":")
+        if name == b"id" and value.strip().isdigit():
+            return int(value)
+    return None
+
+
 class EventStreamParser:
     """Takes bytes of a body; returns whole events."""
 
--- a/stileloom/proxy/forwarder.py
+++ b/stileloom/proxy/forwarder.py
@@ -6,18 +6,16 @@
 import random
 import time
 
-import msgspec
-
 from stileloom.api.headers import HeaderNames
 from stileloom.api.routes import Route, RouteKind
 from stileloom.errors import ErrorKind, StileloomError
 from stileloom.events import LogEvent
 from stileloom.http1.pool import ConnectionPool
 from stileloom.http1.request_encoder import encode_request
-from stileloom.http1.response_decoder import ResponseHead
 from stileloom.logging import EventLog
 from stileloom.proxy.attempt_plan import FULL_PAUSE_S, AttemptPlan
 from stileloom.proxy.exchange import Attempt, AttemptOutcome, run_exchange
+from stileloom.proxy.lookup import Lookup, LookupAnswer
 from stileloom.proxy.metrics import ProxyMetrics
 from stileloom.proxy.sampler_table import SamplerBelief, SamplerTable
 
@@ -27,27 +25,6 @@
 RETRY_AFTER_S = 0.05
 
 
-class Lookup(msgspec.Struct, frozen=True):
-    """A request as the caller sent it."""
-
-    request_id: str
-    method: str
-    target: str
-    headers: list[tuple[str, str]]
-    body: bytes
-    arrived_at: float
-    """Monotonic seconds."""
-    deadline_at: float
-    """Monotonic seconds: when the caller or the route gives up."""
-
-
-class LookupAnswer(msgspec.Struct, frozen=True):
-    """A sampler's whole answer."""
-
-    head: ResponseHead
-    body: bytes
-
-
 class Forwarder:
     """Owns the connections to samplers of lookups."""
 
--- a/stileloom/proxy/front.py
+++ b/stileloom/proxy/front.py
@@ -21,6 +21,7 @@
 from stileloom.errors import ErrorKind, Outcome, StileloomError, problem_of
 from stileloom.events import LogEvent
 from stileloom.http1.request_encoder import end_to_end
+from stileloom.http1.response_decoder import ResponseHead
 from stileloom.jobs.client import JobClient
 from stileloom.jobs.messages import (
     EndJobCall,
@@ -36,9 +37,11 @@
     SubmitJobCall,
 )
 from stileloom.logging import EventLog
-from stileloom.proxy.forwarder import Forwarder, Lookup
+from stileloom.proxy.forwarder import Forwarder
+from stileloom.proxy.lookup import Lookup, LookupAnswer
 from stileloom.proxy.metrics import ProxyMetrics
 from stileloom.proxy.route_table import RouteTable
+from stileloom.proxy.stream_relay import StreamRelay, StreamWriter
 
 DEFAULT_DEADLINE_S = 10.0
 JOB_CALL_DEADLINE_S = 4.0
@@ -81,6 +84,7 @@
         dialect: Dialect,
         routes: RouteTable,
         forwarder: Forwarder,
+        relay: StreamRelay,
         jobs: JobClient,
         log: EventLog,
         metrics: ProxyMetrics,
@@ -94,6 +98,7 @@
         self._dialect = dialect
         self._routes = routes
         self._forwarder = forwarder
+        self._relay = relay
         self._jobs = jobs
         self._log = log
         self._metrics = metrics
@@ -108,8 +113,13 @@
         """tornado: a request begins on a connection."""
         return _Exchange(self, request_conn)
 
-    async def serve(self, request: CallerRequest) -> CallerAnswer:
-        """The answer to a request. Cancelled when the caller leaves."""
+    async def serve(
+        self, request: CallerRequest, writer: StreamWriter | None = None
+    ) -> CallerAnswer | None:
+        """The answer to a request, or None where it went through `writer` as a stream.
+
+        Cancelled when the caller leaves.
+        """
         self._open += 1
         route_name = "job call"
         try:
@@ -123,7 +133,7 @@
             route_name = route.name
             if route.kind is RouteKind.BATCH and request.method == "POST":
                 return await self._submit_job(request, route)
-            return await self._serve_lookup(request, route, names.request_id)
+            return await self._serve_lookup(request, route, names.request_id, writer)
         except StileloomError as error:
             return self._refuse(request, error)
         finally:
@@ -150,8 +160,12 @@
     # Lookups.
 
     async def _serve_lookup(
-        self, request: CallerRequest, route: Route, id_header: str
-    ) -> CallerAnswer:
+        self,
+        request: CallerRequest,
+        route: Route,
+        id_header: str,
+        writer: StreamWriter | None,
+    ) -> CallerAnswer | None:
         request_id = request.headers.get(id_header)
         if not request_id:
             raise StileloomError(ErrorKind.BAD_REQUEST, f"{id_header} is missing")
@@ -166,7 +180,14 @@
             deadline_at=request.arrived_at + max(0.001, limit_s - DEADLINE_MARGIN_S),
         )
         service = self._routes.choose_backend(route)
-        answer = await self._forwarder.forward(lookup, route, service)
+        answer: LookupAnswer | None
+        if route.kind is RouteKind.STREAMING and writer is not None:
+            answer = await self._relay.relay(lookup, route, service, writer)
+            if answer is None:
+                self._metrics.requests.labels(route.name, "200").inc()
+                return None
+        else:
+            answer = await self._forwarder.forward(lookup, route, service)
         head = answer.head
         headers = end_to_end(head.headers.get_all(), head.headers.get("Connection", ""))
         self._metrics.requests.labels(route.name, str(head.status)).inc()
@@ -278,6 +299,34 @@
         self._parts: list[bytes] = []
         self._size = 0
         self._task: asyncio.Task[None] | None = None
+        self._streaming = False
+
+    # The caller's side of a stream.
+
+    def start(self, head: ResponseHead) -> None:
+        """Sends the head of the first sampler."""
+        self._streaming = True
+        headers = HTTPHeaders()
+        for name, value in end_to_end(head.headers.get_all(), head.headers.get("Connection", "")):
+            headers.add(name, value)
+        if self._front.draining:
+            headers["Connection"] = "close"
+        start_line = ResponseStartLine("HTTP/1.1", head.status, head.reason)
+        self._connection.write_headers(start_line, headers)
+
+    def write(self, data: bytes) -> None:
+        """Sends events as they come."""
+        self._connection.write(data)
+
+    def end_stream(self) -> None:
+        """Ends the answer as whole."""
+        self._connection.finish()
+
+    def abort(self) -> None:
+        """Breaks the answer off: without its last chunk it can not look whole."""
+        stream = getattr(self._connection, "stream", None)
+        if stream is not None:
+            stream.close()
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -320,12 +369,17 @@
 
     async def _serve(self, request: CallerRequest) -> None:
         try:
-            answer = await self._front.serve(request)
+            answer = await self._front.serve(request, self)
         except asyncio.CancelledError:
             raise
         except Exception as error:
             self._front.report_fault(request, error)
+            if self._streaming:
+                self.abort()
+                return
             answer = CallerAnswer(500, "Internal Server Error", [], b"")
+        if answer is None:
+            return
         headers = HTTPHeaders()
         for name, value in answer.headers:
             headers.add(name, value)
--- /dev/null
+++ b/stileloom/proxy/lookup.py
@@ -0,0 +1,28 @@
+"""A caller's request on its way to samplers, and a sampler's whole answer."""
+
+from __future__ import annotations
+
+import msgspec
+
+from stileloom.http1.response_decoder import ResponseHead
+
+
+class Lookup(msgspec.Struct, frozen=True):
+    """A request as the caller sent it."""
+
+    request_id: str
+    method: str
+    target: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    arrived_at: float
+    """Monotonic seconds."""
+    deadline_at: float
+    """Monotonic seconds: when the caller or the route gives up."""
+
+
+class LookupAnswer(msgspec.Struct, frozen=True):
+    """A sampler's whole answer."""
+
+    head: ResponseHead
+    body: bytes
--- a/tests/service_cluster.py
+++ b/tests/service_cluster.py
@@ -237,6 +237,8 @@
         all_headers = {"Host": HOSTNAME}
         if "request_id" in headers:
             all_headers[names.request_id] = headers["request_id"]
+        if "model" in headers:
+            all_headers["model"] = headers["model"]
         if "deadline_ms" in headers:
             all_headers[names.deadline_ms] = headers["deadline_ms"]
         request = HTTPRequest(
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -7,8 +7,10 @@
 from unittest import mock
 
 import testtools
+from tornado.httpclient import HTTPResponse
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders
+from tornado.simple_httpclient import HTTPStreamClosedError
 
 from stileloom.emulator.http_sampler import expected_events
 from stileloom.logging import configure_logs
@@ -95,6 +97,7 @@
                 answer = await gateway.front.serve(
                     CallerRequest("POST", "/charts/7", HTTPHeaders(), b"", 0.0)
                 )
+                assert answer is not None
                 seen_open.append(answer.status)
                 await close_all(server)
 
@@ -127,6 +130,57 @@
         with_cluster(scenario)
 
 
+class StreamTest(testtools.TestCase):
+    """Streaming routes."""
+
+    async def stream(self, cluster: ServiceCluster, **changes: object) -> HTTPResponse | None:
+        """One streaming request over a route with these changes; None where it was cut."""
+        service = {"backends": [{"service": "drafts", "weight": 1}], "kind": "streaming"}
+        await cluster.write("configuration", "main", configuration(2, **service, **changes))
+        gateway = cluster.gateways[0]
+        await cluster.until(lambda: gateway.directory.routes.version == 2)
+        await cluster.until(lambda: len(gateway.directory.samplers.of_service("drafts")) == 2)
+        try:
+            return await cluster.call("POST", "/charts/7", b"x", request_id="r1", model=MODEL)
+        except HTTPStreamClosedError:
+            return None
+
+    def whole(self) -> bytes:
+        """The events of the request, as one run makes them."""
+        events = expected_events("r1", EVENTS)
+        return "".join(f"id: {n}\ndata: {data}\n\n" for n, data in enumerate(events, 1)).encode()
+
+    def test_events_pass_through(self) -> None:
+        async def scenario(cluster: ServiceCluster) -> None:
+            answer = await self.stream(cluster)
+            assert answer is not None
+            self.assertEqual((200, self.whole()), (answer.code, answer.body))
+
+        with_cluster(scenario)
+
+    def test_a_broken_stream_is_resumed_where_the_route_allows_it(self) -> None:
+        async def scenario(cluster: ServiceCluster) -> None:
+            for name in ("draft-1", "draft-2"):
+                cluster.samplers[name].faults.cut_after_events = 2
+            answer = await self.stream(cluster, resumable=True, max_attempts=9)
+            assert answer is not None
+            self.assertEqual((200, self.whole()), (answer.code, answer.body))
+            runs = [run for sampler in cluster.samplers.values() for run in sampler.runs]
+            self.assertEqual([0, 2, 4], sorted(run.after_event or 0 for run in runs))
+
+        with_cluster(scenario)
+
+    def test_a_broken_stream_never_looks_whole(self) -> None:
+        async def scenario(cluster: ServiceCluster) -> None:
+            for name in ("draft-1", "draft-2"):
+                cluster.samplers[name].faults.cut_after_events = 2
+            self.assertIsNone(await self.stream(cluster))
+            runs = sum(len(sampler.runs) for sampler in cluster.samplers.values())
+            self.assertEqual(1, runs)
+
+        with_cluster(scenario)
+
+
 class JobTest(testtools.TestCase):
     """Batch jobs through gateways, ledger and samplers."""
 
