--- /dev/null
+++ b/tests/test_job_client.py
@@ -0,0 +1,103 @@
+"""A gateway's calls to ledger nodes: whom it asks, and what it may say when nobody answers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from unittest import mock
+
+import testtools
+from tornado.netutil import bind_sockets
+
+from stileloom.errors import Outcome, StileloomError
+from stileloom.jobs import client as client_module
+from stileloom.jobs.client import JobClient, LedgerNodes
+from stileloom.jobs.messages import EndJobCall, JobEnded, NotLeader, OutcomeUnknown, Reply, Request
+from stileloom.logging import EventLog, configure_logs
+from stileloom.transport.calls import CallServer, FrameReader, encode_frame
+
+HOST = "127.0.0.1"
+CALL = EndJobCall("j")
+Handler = Callable[[Request], Awaitable[Reply]]
+
+
+def free_port() -> int:
+    """A port that nobody listens on."""
+    (listener,) = bind_sockets(0, address=HOST)
+    port = int(listener.getsockname()[1])
+    listener.close()
+    return port
+
+
+class JobClientTest(testtools.TestCase):
+    """One client and some nodes."""
+
+    def outcome(self, *handlers: Handler | None, timeout_s: float = 0.6) -> Reply | Outcome:
+        """What a call comes to with these nodes; None is a node that is down."""
+
+        async def run() -> Reply | Outcome:
+            configure_logs("critical")
+            addresses = []
+            for handler in handlers:
+                port = free_port()
+                addresses.append((HOST, port))
+                if handler is not None:
+                    await CallServer(handler).start(HOST, port)
+            self.addresses = addresses
+            client = JobClient(LedgerNodes(addresses), EventLog("n"), lambda: None)
+            try:
+                return await client.call(CALL, "j", timeout_s)
+            except StileloomError as error:
+                return error.outcome
+            finally:
+                client.close()
+
+        with mock.patch.object(client_module, "CALL_TIMEOUT_S", 0.1):
+            return asyncio.run(run())
+
+    def test_nobody_reached_is_not_run(self) -> None:
+        self.assertEqual(Outcome.NOT_RUN, self.outcome(None, None))
+
+    def test_a_node_that_does_not_answer_leaves_the_outcome_unknown(self) -> None:
+        async def silent(request: Request) -> Reply:
+            await asyncio.Event().wait()
+            return JobEnded()
+
+        self.assertEqual(Outcome.UNKNOWN, self.outcome(silent))
+
+    def test_a_leader_that_lost_its_place_leaves_the_outcome_unknown(self) -> None:
+        async def lost(request: Request) -> Reply:
+            return OutcomeUnknown()
+
+        self.assertEqual(Outcome.UNKNOWN, self.outcome(lost))
+
+    def test_nodes_that_only_say_that_they_do_not_lead_have_not_run_it(self) -> None:
+        async def follower(request: Request) -> Reply:
+            return NotLeader("")
+
+        self.assertEqual(Outcome.NOT_RUN, self.outcome(follower, follower))
+
+    def test_a_hint_is_followed(self) -> None:
+        async def leader(request: Request) -> Reply:
+            return JobEnded()
+
+        async def follower(request: Request) -> Reply:
+            host, port = self.addresses[0]
+            return NotLeader(f"{host}:{port}")
+
+        reply = self.outcome(leader, follower, follower, timeout_s=20.0)
+        self.assertEqual(JobEnded(), reply)
+
+
+class FrameTest(testtools.TestCase):
+    """Frames of calls."""
+
+    def test_any_cutting_gives_the_same_frames(self) -> None:
+        sent = encode_frame("a") + encode_frame("b" * 100)
+        for cut in range(len(sent)):
+            reader = FrameReader()
+            frames = reader.feed(sent[:cut]) + reader.feed(sent[cut:])
+            self.assertEqual(2, len(frames))
+
+    def test_a_frame_that_is_too_long_is_refused(self) -> None:
+        self.assertRaises(ValueError, FrameReader().feed, b"\xff\xff\xff\xff")
