--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -34,6 +34,9 @@
 LEFT_OF_MADE = 0.5
 """Lengths have heavy tails: what was longer than expected goes on for about half as long."""
 CACHE_SHARE = 0.95
+HELD_SHARE = 0.4
+"""Of its expected output a run holds about half on average, and groups share their prompts; a
+sampler that runs out preempts the newest run, which costs less than a slot that stays empty."""
 SAVE_EVENTS = 8
 """So many events that are not saved yet are worth a write to the ledger."""
 MOVES_PER_PLAN = 3
@@ -86,7 +89,7 @@
     def tokens_held(self) -> float:
         """Tokens that a sampler holds for it, now or by what is expected."""
         made = len(self.partial.parts) * TOKENS_PER_EVENT
-        return self.prompt_tokens + max(self.expected_tokens, made)
+        return self.prompt_tokens + max(self.expected_tokens * HELD_SHARE, made)
 
 
 class ItemRun(msgspec.Struct):
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -143,6 +143,20 @@
         self.assertEqual([], book.jobs["j"].page(3).results)
 
 
+class SavedEventsTest(testtools.TestCase):
+    """Two leaders save events of one item; the later one did not know all of the earlier's."""
+
+    def test_the_later_leaders_events_replace_what_it_did_not_know(self) -> None:
+        book = JobBook()
+        items = [JobItem("a", "/p", {}, b"", "")]
+        book.submit(JobSubmission("j", "h", "/p", 0, "m", 0, 1, items))
+        book.save("j", [ItemProgress("a", 0, ["1", "2", "3"], 3, [1])])
+        book.save("j", [ItemProgress("a", 1, ["two", "three", "four"], 4, [1, 2])])
+        book.record("j", [FinishedItem("a", ItemState.SUCCEEDED, 4, ["five"], [1, 2])])
+        (result,) = book.jobs["j"].results
+        self.assertEqual("1\ntwo\nthree\nfour\nfive", result.text)
+
+
 class JobBookMachine(stateful.RuleBasedStateMachine):
     """The record of one job against a list that only grows.
 
