--- a/tests/test_item_scheduler.py
+++ b/tests/test_item_scheduler.py
@@ -110,6 +110,16 @@
         desk.scheduler.run_ended(item)
         self.assertNotEqual([sampler], list(desk.starts(19 * 0.3).values()))
 
+    def test_a_moved_run_does_not_come_back_while_another_sampler_has_room(self) -> None:
+        desk = Desk(entry("a"), entry("b"))
+        desk.adopt(record("j", 1))
+        (first,) = desk.starts().values()
+        (item,) = desk.scheduler.items.values()
+        item.avoid = first
+        desk.scheduler.run_ended(item)
+        desk.scheduler.pace(first).interval_s = 0.001
+        self.assertNotEqual([first], list(desk.starts().values()))
+
     def test_a_new_leader_goes_on_from_saved_events(self) -> None:
         book = JobBook()
         job = record("j", 1)
