Tokens per event come from the service; a leader without its lease changes no voters; decoding stands once

Ruled out: a broken rule by the voter change (it needs a majority of its set). Change: Engine.tokens_per_event; may_act before a change of voters; http/decoding.py; jobs/open_items.py. Tests: test_events_left_follow..., test_a_leader_without_its_lease_changes_no_voters (red without the check).

--- a/stileloom/api/routes.py
+++ b/stileloom/api/routes.py
@@ -53,6 +53,8 @@
     slots: int
     cache_tokens: int
     models: list[str]
+    tokens_per_event: float = 1.0
+    """Tokens that one event of a stream carries."""
 
 
 class Service(msgspec.Struct, frozen=True):
--- a/stileloom/http/native_dialect.py
+++ b/stileloom/http/native_dialect.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from typing import Any, TypeVar
+from typing import Any
 from urllib.parse import parse_qs
 
 import msgspec
@@ -25,14 +25,13 @@
 from stileloom.api.routes import RouteConfiguration
 from stileloom.api.sampler_directory import SamplerEntry
 from stileloom.errors import ErrorKind, StileloomError
+from stileloom.http.decoding import convert, decode
 from stileloom.settings_file import split_address
 
 JOBS_PREFIX = "/v1/jobs/"
 REPORT_TARGET = "/v1/report"
 ORDER_TARGET = "/v1/load-order"
 
-Value = TypeVar("Value")
-
 
 class JobBody(msgspec.Struct, frozen=True):
     """A job as a trainer sends it; item bodies are base64."""
@@ -61,22 +60,6 @@
     finished: bool
 
 
-def convert(value: Any, kind: type[Value]) -> Value:
-    """A plain value as a typed one. Raises `StileloomError` (OBJECT_INVALID)."""
-    try:
-        return msgspec.convert(value, kind)
-    except (msgspec.ValidationError, RecursionError) as error:
-        raise StileloomError(ErrorKind.OBJECT_INVALID, str(error)) from error
-
-
-def decode(body: bytes, kind: type[Value]) -> Value:
-    """JSON as a typed value. Raises `StileloomError` (BAD_REQUEST)."""
-    try:
-        return msgspec.json.decode(body, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        raise StileloomError(ErrorKind.BAD_REQUEST, str(error)) from error
-
-
 class NativeDialect:
     """Implements `stileloom.api.dialect.Dialect`."""
 
--- a/stileloom/jobs/intake.py
+++ b/stileloom/jobs/intake.py
@@ -5,7 +5,7 @@
 from stileloom.api.headers import HeaderNames
 from stileloom.api.jobs import FinishedItem, ItemState
 from stileloom.jobs.book import JobBook, JobRecord
-from stileloom.jobs.scheduler import ItemSize
+from stileloom.jobs.open_items import ItemSize
 
 MAX_TOKENS = 1e9
 
--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -21,8 +21,9 @@
 from stileloom.jobs.intake import item_size, reusable_results
 from stileloom.jobs.item_stream import ItemStream, RunOutcome
 from stileloom.jobs.metrics import JobMetrics
+from stileloom.jobs.open_items import DEFAULT_TOKENS_PER_EVENT, OpenItem, StartRun
 from stileloom.jobs.result_writer import LeaderLedger, ResultWriter
-from stileloom.jobs.scheduler import ItemScheduler, OpenItem, StartRun
+from stileloom.jobs.scheduler import ItemScheduler
 from stileloom.jobs.version_planner import Load, VersionPlanner
 from stileloom.jobs.weight_loader import WeightLoader
 from stileloom.ledger.commands import ForgetJob
@@ -217,6 +218,7 @@
             route.max_wait_s + GIVE_UP_MARGIN_S - (now - self._adopted[submission.job_id]),
             sizes,
             now,
+            self._tokens_per_event(route.backends[0].service),
         )
         self._log.emit(
             LogEvent.JOB_ADOPTED,
@@ -230,6 +232,12 @@
             },
         )
 
+    def _tokens_per_event(self, service_name: str) -> float:
+        service = self._routes.service(service_name)
+        if service is None or service.engine is None:
+            return DEFAULT_TOKENS_PER_EVENT
+        return service.engine.tokens_per_event
+
     def _route_of(self, record: JobRecord) -> Route | None:
         route = self._routes.match(record.submission.host, record.submission.path)
         return route if route is not None and route.kind is RouteKind.BATCH else None
--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -7,17 +7,21 @@
 
 from __future__ import annotations
 
-import msgspec
-
-from stileloom.api.jobs import JobItem
 from stileloom.jobs.book import JobRecord
 from stileloom.jobs.model_versions import SamplerModels, share_samplers
+from stileloom.jobs.open_items import (
+    DEFAULT_EXPECTED_TOKENS,
+    DEFAULT_TOKENS_PER_EVENT,
+    ItemKey,
+    ItemRun,
+    ItemSize,
+    OpenItem,
+    SamplerPace,
+    StartRun,
+)
 from stileloom.jobs.partial_text import PartialText
 from stileloom.proxy.sampler_table import SamplerBelief, SamplerTable
 
-ItemKey = tuple[str, str]
-"""Job id and item id: a later job may carry an item again under the same id."""
-
 SILENCE_S = 1.3
 """A run that made no event for so long is resumed elsewhere."""
 LOAD_SILENCE_S = 4.0
@@ -29,97 +33,18 @@
 MOVE_MIN_AGE_S = 0.7
 """A run that has just begun says little about its sampler."""
 MOVE_MIN_EVENTS_LEFT = 5.0
-TOKENS_PER_EVENT = 58.0
-"""Used only to turn expected tokens into expected events; refined by what runs show."""
 LEFT_OF_MADE = 0.5
 """Lengths have heavy tails: what was longer than expected goes on for about half as long."""
 CACHE_SHARE = 0.95
-HELD_SHARE = 0.4
-"""Of its expected output a run holds about half on average, and groups share their prompts; a
-sampler that runs out preempts the newest run, which costs less than a slot that stays empty."""
 SAVE_EVENTS = 8
 """So many events that are not saved yet are worth a write to the ledger."""
 MOVES_PER_PLAN = 3
 DEMAND_CHANGE = 1.4
 """Samplers are shared out anew when a model's part of the work changes by this factor."""
-DEFAULT_EXPECTED_TOKENS = 1000.0
-FIRST_INTERVAL_S = 0.045
 INTERVAL_WEIGHT = 0.2
 KEPT_TEXTS = 2000
 
 
-class ItemSize(msgspec.Struct, frozen=True):
-    """What an item is expected to take, in tokens."""
-
-    expected_tokens: float = DEFAULT_EXPECTED_TOKENS
-    prompt_tokens: float = 0.0
-
-
-class OpenItem(msgspec.Struct):
-    """An item without a listed result."""
-
-    key: ItemKey
-    item: JobItem
-    model: str
-    step: int
-    min_version: int
-    single_version: bool
-    service: str
-    max_attempts: int
-    expected_tokens: float
-    prompt_tokens: float
-    adopted_at: float
-    give_up_at: float
-    carried: bool = False
-    partial: PartialText = msgspec.field(default_factory=PartialText)
-    failures: int = 0
-    rejections: int = 0
-    not_before: float = 0.0
-    run: ItemRun | None = None
-    finished: bool = False
-    """Its result is on the way to the ledger."""
-    avoid: str = ""
-    """The sampler that its last run was taken from: any other one comes first."""
-    began: bool = False
-    """Whether it ever ran under this leader."""
-    saved_parts: int = 0
-    """Events that the ledger holds, or that are on their way there."""
-
-    @property
-    def tokens_held(self) -> float:
-        """Tokens that a sampler holds for it, now or by what is expected."""
-        made = len(self.partial.parts) * TOKENS_PER_EVENT
-        return self.prompt_tokens + max(self.expected_tokens * HELD_SHARE, made)
-
-
-class ItemRun(msgspec.Struct):
-    """An item that runs at a sampler."""
-
-    sampler_id: str
-    started_at: float
-    last_event_at: float
-    events: int = 0
-    tokens: float = 0.0
-
-
-class StartRun(msgspec.Struct, frozen=True):
-    """Start an item at a sampler, from where its text ends."""
-
-    item: OpenItem
-    sampler_id: str
-
-
-class SamplerPace(msgspec.Struct):
-    """How fast a sampler makes events, and what runs there."""
-
-    interval_s: float = FIRST_INTERVAL_S
-    running: int = 0
-    tokens: float = 0.0
-    """Tokens that its runs are expected to hold."""
-    refused_until: float = 0.0
-    groups: set[str] = msgspec.field(default_factory=set)
-
-
 class ItemScheduler:
     """All open items at the leader."""
 
@@ -148,6 +73,7 @@
         max_wait_s: float,
         sizes: dict[str, ItemSize],
         now: float,
+        tokens_per_event: float = DEFAULT_TOKENS_PER_EVENT,
     ) -> None:
         """Takes the items of a job that are not listed yet."""
         submission = record.submission
@@ -172,6 +98,7 @@
                 max_attempts=max_attempts,
                 expected_tokens=size.expected_tokens,
                 prompt_tokens=size.prompt_tokens,
+                tokens_per_event=tokens_per_event,
                 adopted_at=now,
                 give_up_at=now + max_wait_s,
                 carried=item.item_id in self._seen_items,
@@ -351,7 +278,7 @@
     def events_left(self, open_item: OpenItem) -> float:
         """Expected events to come."""
         made = len(open_item.partial.parts)
-        expected = open_item.expected_tokens / TOKENS_PER_EVENT
+        expected = open_item.expected_tokens / open_item.tokens_per_event
         return max(MOVE_MIN_EVENTS_LEFT, expected - made, made * LEFT_OF_MADE)
 
     def _gains_by_move(self, open_item: OpenItem, now: float) -> bool:
--- a/stileloom/jobs/version_planner.py
+++ b/stileloom/jobs/version_planner.py
@@ -11,7 +11,8 @@
 import msgspec
 
 from stileloom.api.dialect import LoadStrategy
-from stileloom.jobs.scheduler import ItemScheduler, OpenItem
+from stileloom.jobs.open_items import OpenItem
+from stileloom.jobs.scheduler import ItemScheduler
 from stileloom.proxy.sampler_table import SamplerBelief, SamplerTable
 
 MAX_LOADING = 2
--- a/stileloom/ledger/replica.py
+++ b/stileloom/ledger/replica.py
@@ -358,9 +358,10 @@
                 # What is sent to a follower that does not answer only piles up.
                 progress.state = _FollowerState.PROBE
                 progress.next_index = min(progress.next_index, self._log.last_index + 1)
-                progress.silent = True
-                fields: dict[str, object] = {"follower": follower.node_id, "epoch": self.epoch}
-                effects.append(Emit(LogEvent.FOLLOWER_SILENT, fields))
+                if progress.last_heard_at > float("-inf"):
+                    progress.silent = True
+                    fields: dict[str, object] = {"follower": follower.node_id, "epoch": self.epoch}
+                    effects.append(Emit(LogEvent.FOLLOWER_SILENT, fields))
             if progress.state is _FollowerState.REPLICATE:
                 if heartbeat or progress.next_index <= self._log.last_index:
                     effects += self._send_entries(now, follower, progress)
@@ -512,7 +513,12 @@
         return [Send(target, hello) for target in targets]
 
     def _change_voters(self, now: float) -> list[Effect]:
-        """Starts the next change once everything before it is committed."""
+        """Starts the next change once everything before it is committed.
+
+        Without the lease the silence of others says nothing: it may be this node that is cut off.
+        """
+        if not self.may_act(now):
+            return []
         settled = self._log.voters_at(self._commit_index) == self.voters
         if not settled or self._log.epoch_at(self._applied_index) != self.epoch:
             return []
--- a/tests/test_item_scheduler.py
+++ b/tests/test_item_scheduler.py
@@ -9,7 +9,8 @@
 from stileloom.api.sampler_directory import SamplerEntry
 from stileloom.jobs.book import JobBook, JobRecord
 from stileloom.jobs.model_versions import share_samplers
-from stileloom.jobs.scheduler import SILENCE_S, ItemScheduler, ItemSize
+from stileloom.jobs.open_items import ItemSize
+from stileloom.jobs.scheduler import SILENCE_S, ItemScheduler
 from stileloom.jobs.version_planner import MAX_LOADING, SETTLE_S, VersionPlanner
 from stileloom.proxy.sampler_table import SamplerTable
 
@@ -44,10 +45,14 @@
         self.scheduler.share_out(SERVICE, self.models)
 
     def adopt(
-        self, job: JobRecord, now: float = 0.0, sizes: dict[str, ItemSize] | None = None
+        self,
+        job: JobRecord,
+        now: float = 0.0,
+        sizes: dict[str, ItemSize] | None = None,
+        tokens_per_event: float = 50.0,
     ) -> None:
         """Takes a job."""
-        self.scheduler.adopt_job(job, SERVICE, False, 3, 60.0, sizes or {}, now)
+        self.scheduler.adopt_job(job, SERVICE, False, 3, 60.0, sizes or {}, now, tokens_per_event)
 
     def starts(self, now: float = 0.0) -> dict[str, str]:
         """Starts what is due; the sampler by item."""
@@ -110,6 +115,14 @@
         desk.scheduler.run_ended(item)
         self.assertNotEqual([sampler], list(desk.starts(19 * 0.3).values()))
 
+    def test_events_left_follow_the_tokens_that_a_service_puts_into_an_event(self) -> None:
+        for tokens_per_event, left in ((50.0, 20.0), (10.0, 100.0)):
+            desk = Desk(entry("a"))
+            sizes = {"j-i0": ItemSize(1000.0)}
+            desk.adopt(record("j", 1), sizes=sizes, tokens_per_event=tokens_per_event)
+            (item,) = desk.scheduler.items.values()
+            self.assertEqual(left, desk.scheduler.events_left(item))
+
     def test_a_moved_run_does_not_come_back_while_another_sampler_has_room(self) -> None:
         desk = Desk(entry("a"), entry("b"))
         desk.adopt(record("j", 1))
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -33,6 +33,7 @@
     AppendRequest,
     Entry,
     HardState,
+    LearnerHello,
     VoteReply,
     VoteRequest,
 )
@@ -370,6 +371,22 @@
             sizes += [len(request.entries) for request in self.requests(effects, "b")]
         self.assertEqual([], sizes)
 
+    def test_a_leader_without_its_lease_changes_no_voters(self) -> None:
+        """To a node that is cut off the others look silent; it must not act on that."""
+        replica, now = self.leader()
+        learner = Voter("d", "disk-d")
+        self.answer_all(replica, now, replica.handle(now, "d", LearnerHello(learner)))
+        now += 10.0
+        probe = [e.message for e in replica.tick(now) if isinstance(e, Send) and e.to == "d"]
+        assert isinstance(probe[-1], AppendRequest)
+        replica.handle(
+            now, "d", AppendReply(1, learner, True, replica.commit_index, probe[-1].nonce)
+        )
+        self.assertFalse(replica.may_act(now))
+        before = replica.voters
+        replica.tick(now)
+        self.assertEqual(before, replica.voters)
+
     def test_the_hint_skips_the_whole_epoch_that_conflicts(self) -> None:
         replica = LedgerReplica(VOTERS[1], fresh_ledger(VOTERS), random.Random(1), 0.0)
         old = [entry(index, epoch=1) for index in range(1, 31)]
