A lookup that ran out of time names the samplers that did not answer

Ruled out: a line at each attempt's start (a line more for every lookup). Test: test_a_lookup_without_an_answer_names_the_samplers_that_were_asked, red before.

--- a/stileloom/proxy/forwarder.py
+++ b/stileloom/proxy/forwarder.py
@@ -151,7 +151,8 @@
 
     def _out_of_time(self, plan: AttemptPlan) -> StileloomError:
         if plan.may_have_run or plan.running:
-            return StileloomError(ErrorKind.DEADLINE_PASSED, "no answer in time")
+            asked = ", ".join(sorted(plan.tried - plan.refused_by))
+            return StileloomError(ErrorKind.DEADLINE_PASSED, f"no answer in time from {asked}")
         return StileloomError(ErrorKind.OVERLOADED, "not begun in time", None, RETRY_AFTER_S)
 
     def _note(self, lookup: Lookup, plan: AttemptPlan, attempt: Attempt) -> bool:
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -13,6 +13,7 @@
 from tornado.simple_httpclient import HTTPStreamClosedError
 
 from stileloom.emulator.http_sampler import expected_events
+from stileloom.events import LogEvent
 from stileloom.logging import configure_logs
 from stileloom.proxy.front import CallerRequest
 from tests.service_cluster import MODEL, ServiceCluster, configuration
@@ -60,6 +61,30 @@
 
         with_cluster(scenario)
 
+    def test_a_lookup_without_an_answer_names_the_samplers_that_were_asked(self) -> None:
+        """Nothing ended there, so no other line of the log would name them."""
+
+        async def scenario(cluster: ServiceCluster) -> None:
+            for name in ("chart-1", "chart-2"):
+                cluster.samplers[name].faults.silent = True
+            told: list[str] = []
+            log = cluster.gateways[0].front._log
+
+            def note(event: LogEvent, fields: dict[str, object]) -> None:
+                if event is LogEvent.REQUEST_REFUSED:
+                    told.append(str(fields["detail"]))
+
+            with mock.patch.object(log, "emit", note):
+                answer = await cluster.call(
+                    "POST", "/charts/7", b"x", request_id="r1", deadline_ms="1500"
+                )
+            self.assertEqual(504, answer.code)
+            (detail,) = told
+            self.assertIn("chart-1", detail)
+            self.assertIn("chart-2", detail)
+
+        with_cluster(scenario)
+
     def test_a_failing_lookup_keeps_to_its_attempts(self) -> None:
         async def scenario(cluster: ServiceCluster) -> None:
             for name in ("chart-1", "chart-2"):
