An item goes to another sampler after a failed, broken or refused run

Ruled out: no room elsewhere (other samplers of the model had free slots). Change: run_ended(avoid) in the scheduler, for every run that did not come to its end. Test: test_an_item_that_failed_at_one_sampler_goes_to_another, red with the old runner.

--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -130,9 +130,7 @@
         now = time.monotonic()
         self._follow_book(now)
         for open_item in self.scheduler.plan_moves(now):
-            if open_item.run is not None:
-                open_item.avoid = open_item.run.sampler_id
-            self._stop_run(open_item, "moved")
+            self._stop_run(open_item, "moved", avoid=True)
             open_item.not_before = 0.0
         for service in self._routes.services():
             if service.engine is not None and service.engine.models:
@@ -264,7 +262,7 @@
             self._samplers.failed(entry.sampler_id, time.monotonic())
             self._note_run(open_item, entry.sampler_id, RunOutcome.BROKEN, type(error).__name__)
             if open_item.run is run:
-                self.scheduler.run_ended(open_item)
+                self.scheduler.run_ended(open_item, avoid=True)
                 open_item.not_before = time.monotonic() + RETRY_S
             return
         if open_item.run is not run or not self._may_act():
@@ -322,7 +320,7 @@
         record = self._book.jobs.get(open_item.key[0])
         return record.submission.host if record is not None else ""
 
-    def _stop_run(self, open_item: OpenItem, reason: str) -> None:
+    def _stop_run(self, open_item: OpenItem, reason: str, avoid: bool = False) -> None:
         """Closes the sampler's connection; the text so far is kept."""
         connection = self._connections.pop(open_item.key, None)
         if connection is not None:
@@ -343,14 +341,15 @@
                     "reason": reason,
                 },
             )
-        self.scheduler.run_ended(open_item)
+        self.scheduler.run_ended(open_item, avoid)
 
     def _ended(
         self, open_item: OpenItem, sampler_id: str, outcome: RunOutcome, detail: str
     ) -> None:
         connection = self._connections.pop(open_item.key, None)
         now = time.monotonic()
-        self.scheduler.run_ended(open_item)
+        failed = outcome in (RunOutcome.FAILED, RunOutcome.BROKEN, RunOutcome.REFUSED)
+        self.scheduler.run_ended(open_item, avoid=failed)
         if connection is not None:
             if outcome in (RunOutcome.TOO_OLD, RunOutcome.BROKEN):
                 connection.close()
--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -333,11 +333,13 @@
         run.events += 1
         run.last_event_at = now
 
-    def run_ended(self, open_item: OpenItem) -> None:
-        """A run is over, whatever it came to."""
+    def run_ended(self, open_item: OpenItem, avoid: bool = False) -> None:
+        """A run is over; with `avoid` the item goes to another sampler next, if one has room."""
         run = open_item.run
         if run is None:
             return
+        if avoid:
+            open_item.avoid = run.sampler_id
         pace = self.pace(run.sampler_id)
         pace.running -= 1
         pace.tokens -= run.tokens
--- a/tests/test_item_scheduler.py
+++ b/tests/test_item_scheduler.py
@@ -128,8 +128,7 @@
         desk.adopt(record("j", 1))
         (first,) = desk.starts().values()
         (item,) = desk.scheduler.items.values()
-        item.avoid = first
-        desk.scheduler.run_ended(item)
+        desk.scheduler.run_ended(item, avoid=True)
         desk.scheduler.pace(first).interval_s = 0.001
         self.assertNotEqual([first], list(desk.starts().values()))
 
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -253,6 +253,23 @@
 
         with_cluster(scenario)
 
+    def test_an_item_that_failed_at_one_sampler_goes_to_another(self) -> None:
+        """A sampler that fails some requests must not use up all attempts of an item."""
+
+        async def scenario(cluster: ServiceCluster) -> None:
+            cluster.samplers["draft-1"].faults.fail_status = 500
+            leader = cluster.ledger_nodes[cluster.leader() or ""]
+            assert leader._leadership is not None
+            # It fails fast, and looks like the faster one of the two.
+            leader._leadership.runner.scheduler.pace("draft-1").interval_s = 1e-6
+            items = [f"i{number}" for number in range(3)]
+            await cluster.submit("job", items)
+            self.check_texts(await cluster.results("job", 3))
+            failed = [run.request_id for run in cluster.samplers["draft-1"].runs]
+            self.assertEqual(len(set(failed)), len(failed))
+
+        with_cluster(scenario)
+
     def test_a_version_that_work_needs_is_loaded_and_stated(self) -> None:
         async def scenario(cluster: ServiceCluster) -> None:
             await cluster.write("versions", MODEL, {"model": MODEL, "version": 3})
