More samplers load a version together where there are more of them

Cause: on the grown deployment (24 samplers, a version of each of three models every 4 s) two loads at a time take longer than the time between versions; samplers fall behind the version that steps ask for and stand empty. Ruled out: the leader's processor (0.13 to 0.24 of a core), samplers' slots. Change: two fifths of a service's samplers load together, two at least (5 and 6 samplers: two, as before); loads that hand runs over no longer count on the same free slots. Tests: 24 samplers, shared room.

--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -149,7 +149,6 @@
         if now >= self._orders_from:
             single = {item.model for item in self.scheduler.items.values() if item.single_version}
             for load in self.planner.plan(now, service.name, models, single):
-                self.scheduler.models_of(load.sampler_id).loading = load.model
                 for open_item in load.evacuate:
                     self._stop_run(open_item, "the sampler loads")
                     open_item.not_before = 0.0
--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -293,8 +293,13 @@
         gain_s = (here_s - there_s) * self.events_left(open_item)
         return here_s > there_s * MOVE_IF_SLOWER and gain_s > MOVE_MIN_GAIN_S
 
-    def evacuees(self, sampler_id: str, model: str, now: float) -> list[OpenItem] | None:
-        """Runs of a model at a sampler, if others have room for all of them; else None."""
+    def evacuees(
+        self, sampler_id: str, model: str, now: float, places_taken: int = 0
+    ) -> list[OpenItem] | None:
+        """Runs of a model at a sampler, if others have room for all of them; else None.
+
+        `places_taken` of that room are spoken for.
+        """
         runs = [
             item
             for item in self.items.values()
@@ -307,7 +312,7 @@
                 continue
             if runs and all(self._may_run(item, belief, now) for item in runs):
                 room += belief.entry.slots - self.pace(other_id).running
-        return runs if room >= len(runs) else None
+        return runs if room - places_taken >= len(runs) else None
 
     def unsaved(self) -> list[OpenItem]:
         """Items with events that are worth saving."""
--- a/stileloom/jobs/version_planner.py
+++ b/stileloom/jobs/version_planner.py
@@ -2,8 +2,8 @@
 
 A load makes a sampler useless for a moment, so it waits until its runs are done or have room
 elsewhere: a step may run on the version before. Work that needs the newer version makes the
-load due at once. At most `MAX_LOADING` samplers of a service load together; more would slow
-all of them.
+load due at once. Only a part of a service's samplers load together (`loads_at_once`); more
+would slow all of them and leave too few to work.
 """
 
 from __future__ import annotations
@@ -15,13 +15,20 @@
 from stileloom.jobs.scheduler import ItemScheduler
 from stileloom.proxy.sampler_table import SamplerBelief, SamplerTable
 
-MAX_LOADING = 2
+LOADING_SHARE = 0.4
+"""Of a service's samplers so many load at the same time: weights come over shared links."""
+MIN_LOADS_AT_ONCE = 2
 SETTLE_S = 0.4
 """After a version was named the step that goes with it is given time to arrive and start."""
 EVACUATE_SHARE = 0.4
 """A sampler with at most this share of its slots in use hands its runs over and loads."""
 
 
+def loads_at_once(samplers: int) -> int:
+    """How many of a service's samplers may load at the same time."""
+    return max(MIN_LOADS_AT_ONCE, int(samplers * LOADING_SHARE))
+
+
 class Load(msgspec.Struct, frozen=True):
     """Load a version at a sampler."""
 
@@ -58,7 +65,7 @@
     def plan(
         self, now: float, service: str, models: list[str], single_version: set[str]
     ) -> list[Load]:
-        """Loads to order now."""
+        """Loads to order now; their samplers count as loading from here on."""
         beliefs = self._samplers.of_service(service)
         loading = sum(
             1
@@ -69,7 +76,22 @@
         for model in models:
             candidates += self._candidates(now, service, model, model in single_version)
         candidates.sort(key=lambda row: (row[0], row[1], row[2].sampler_id))
-        return [load for _, _, load in candidates[: max(0, MAX_LOADING - loading)]]
+        chosen: list[Load] = []
+        places_taken = 0
+        for _, _, load in candidates:
+            if loading + len(chosen) >= loads_at_once(len(beliefs)):
+                break
+            # Each load looked for room by itself; together they may need more than there is.
+            if load.evacuate and not self._has_room(load, now, places_taken):
+                continue
+            self._scheduler.models_of(load.sampler_id).loading = load.model
+            places_taken += len(load.evacuate)
+            chosen.append(load)
+        return chosen
+
+    def _has_room(self, load: Load, now: float, places_taken: int) -> bool:
+        evacuees = self._scheduler.evacuees(load.sampler_id, load.model, now, places_taken)
+        return evacuees is not None
 
     def _candidates(
         self, now: float, service: str, model: str, single_version: bool
--- a/tests/test_item_scheduler.py
+++ b/tests/test_item_scheduler.py
@@ -11,7 +11,7 @@
 from stileloom.jobs.model_versions import share_samplers
 from stileloom.jobs.open_items import ItemSize
 from stileloom.jobs.scheduler import SILENCE_S, ItemScheduler
-from stileloom.jobs.version_planner import MAX_LOADING, SETTLE_S, VersionPlanner
+from stileloom.jobs.version_planner import SETTLE_S, VersionPlanner, loads_at_once
 from stileloom.proxy.sampler_table import SamplerTable
 
 SERVICE = "engines"
@@ -196,8 +196,29 @@
         desk.planner.named("m", 2, 0.0)
         self.assertEqual([], desk.loads(SETTLE_S / 2))
         loads = desk.loads(SETTLE_S + 0.1)
-        self.assertEqual(MAX_LOADING, len(loads))
+        self.assertEqual(2, len(loads))
         self.assertEqual({LoadStrategy.WAIT}, {load[2] for load in loads})
+        self.assertEqual([], desk.loads(SETTLE_S + 0.2))
+
+    def test_of_many_samplers_more_load_together(self) -> None:
+        """With two at a time 24 samplers took longer than the time between two versions."""
+        self.assertEqual([2, 2, 2, 10], [loads_at_once(count) for count in (1, 5, 6, 25)])
+        desk = Desk(*(entry(f"s{number:02}") for number in range(24)))
+        desk.planner.named("m", 2, 0.0)
+        self.assertEqual(9, len(desk.loads(SETTLE_S + 0.1)))
+
+    def test_loads_that_hand_runs_over_do_not_count_on_the_same_room(self) -> None:
+        """Four samplers with three free slots each: two of them can hand two runs over."""
+        desk = Desk(*(entry(name, slots=5) for name in "abcdefghij"))
+        desk.adopt(record("j", 50))
+        placed = desk.starts()
+        for key, open_item in list(desk.scheduler.items.items()):
+            if placed[key[1]] in "abcd" and desk.scheduler.running_on(placed[key[1]], "m") > 2:
+                desk.scheduler.run_ended(open_item)
+                open_item.finished = True
+        desk.planner.named("m", 2, 0.0)
+        evacuated = [load[3] for load in desk.loads(SETTLE_S + 0.1)]
+        self.assertEqual([2, 2], evacuated)
 
     def test_a_busy_sampler_is_left_alone_while_no_work_needs_the_version(self) -> None:
         desk = Desk(entry("a"))
