Replicas outside the voter set hold no copy of the ledger

Cause: each of 14 ledger nodes was fed the whole log by the leader, though five are voters: bytes between zones, memory on nine nodes, and hellos of each to each. Ruled out: a smaller voter set (two losses are to be borne). Change: a standby says hello to the leader now and then and is told who leads; the leader feeds it once a voter is silent, lost its disk or is to be emptied, and no longer than that. Silence counts from the start of a leadership. Tests: a standby gets no log while voters are sound, takes a silent voter's place, is let go when the voter is back; the test of the leader without its lease now first lets the standby be fed while the lease holds.

--- a/stileloom/constants.py
+++ b/stileloom/constants.py
@@ -28,6 +28,12 @@
 SNAPSHOT_RETRY_S = 3.0
 VOTER_SILENT_S = 1.5
 """A voter that did not answer for so long gives its place to a learner, if there is one."""
+STANDBY_HELLO_S = 1.6
+"""How often a replica outside the voter set tells the leader that it is there."""
+STANDBY_FORGOTTEN_S = 4.0
+"""A standby that said nothing for so long is not counted on."""
+LEADER_HEARD_S = 3.5
+"""A standby that heard nothing of a leader for so long asks every node that it knows."""
 APPEND_BATCH_ENTRIES = 64
 SNAPSHOT_AFTER_ENTRIES = 512
 COMMAND_RETRY_S = 0.5
--- a/stileloom/daemon/ledger_driver.py
+++ b/stileloom/daemon/ledger_driver.py
@@ -114,12 +114,13 @@
     def _tick(self) -> None:
         now = time.monotonic()
         self._run(self.replica.tick(now))
-        if not self.replica.is_voter and now >= self._next_hello_at:
+        alone = not self.replica.is_voter and not self.replica.hears_leader(now)
+        if alone and now >= self._next_hello_at:
             self._next_hello_at = now + HELLO_INTERVAL_S
             self._say_hello()
 
     def _say_hello(self) -> None:
-        """A replica outside the voter set asks every address that it knows for the log."""
+        """A replica outside the voter set that knows no leader asks every address it knows."""
         hello = LearnerHello(self.replica.me)
         for address in self._addresses.everyone():
             self._network.send(address, hello)
--- a/stileloom/ledger/replica.py
+++ b/stileloom/ledger/replica.py
@@ -34,6 +34,7 @@
     VoteReply,
     VoteRequest,
 )
+from stileloom.ledger.standbys import StandbyPool, VoterHealth
 from stileloom.ledger.state import LedgerState
 from stileloom.ledger.voters import next_voter_set
 
@@ -113,6 +114,8 @@
         self._applied_index = self._log.base_index
         self.state = msgspec.msgpack.decode(recovered.snapshot.state, type=LedgerState)
         self._progress: dict[Voter, _Progress] = {}
+        self._standbys = StandbyPool()
+        self._leader_since = now
         self._tickets: dict[int, object] = {}
         self._votes: set[Voter] = set()
         self._trial = False
@@ -165,6 +168,12 @@
             return False
         return now < self.lease_expires_at(now)
 
+    def hears_leader(self, now: float) -> bool:
+        """Whether this replica, outside the voter set, was told lately who leads."""
+        return self.leader is not None and now < (
+            self._heard_from_leader_at + constants.LEADER_HEARD_S
+        )
+
     def lease_expires_at(self, now: float) -> float:
         """When the leader's lease ends if no more confirmations come."""
         names = [voter.node_id for voter in self._electorate()]
@@ -175,7 +184,7 @@
     def tick(self, now: float) -> list[Effect]:
         """Runs elections, heartbeats and changes of the voter set."""
         if self.role is ReplicaRole.LEADER:
-            effects = self._change_voters(now)
+            effects = self._feed_standbys(now) + self._change_voters(now)
             if now >= self._next_heartbeat_at:
                 self._next_heartbeat_at = now + constants.LEDGER_HEARTBEAT_S
                 effects += self._replicate(now, heartbeat=True)
@@ -320,6 +329,7 @@
 
     def _become_leader(self, now: float) -> list[Effect]:
         self.role = ReplicaRole.LEADER
+        self._leader_since = now
         self.leader = self.me.node_id
         self._lease.clear()
         self._progress = {
@@ -499,18 +509,57 @@
             if same_node and voter != message.learner and voter != self.me:
                 self._lost_disks.add(voter)
                 self._progress.pop(voter, None)
-        if self.role is not ReplicaRole.LEADER or message.learner in self._progress:
+        if self.role is not ReplicaRole.LEADER or message.learner in self.voters:
             return []
-        self._progress[message.learner] = _Progress(self._log.last_index + 1)
-        return self._send_probe(now, message.learner, self._progress[message.learner])
+        self._standbys.heard(message.learner, now)
+        effects = self._feed_standbys(now)
+        if message.learner not in self._progress:
+            effects.append(self._tell_who_leads(message.learner))
+        return effects
+
+    def _tell_who_leads(self, standby: Voter) -> Effect:
+        """An empty request before all entries: it commits nothing and names the leader."""
+        request = AppendRequest(self.epoch, self.me, 0, 0, [], 0, self._nonce)
+        return Send(standby.node_id, request)
 
     def _say_hello(self, now: float) -> list[Effect]:
         if now < self._next_hello_at:
             return []
-        self._next_hello_at = now + constants.ELECTION_TIMEOUT_MAX_S
+        self._next_hello_at = now + constants.STANDBY_HELLO_S
+        targets = {voter.node_id for voter in self.voters}
+        if self.leader is not None and self.hears_leader(now):
+            targets = {self.leader}
         hello = LearnerHello(self.me)
-        targets = sorted({voter.node_id for voter in self.voters} - {self.me.node_id})
-        return [Send(target, hello) for target in targets]
+        return [Send(target, hello) for target in sorted(targets - {self.me.node_id})]
+
+    def _voter_health(self, now: float) -> VoterHealth:
+        deadline_s = now - constants.VOTER_SILENT_S
+        silent = {
+            voter.node_id
+            for voter, progress in self._progress.items()
+            if voter in self.voters
+            and max(progress.last_heard_at, self._leader_since) <= deadline_s
+        }
+        leaving = frozenset(self.state.retired_nodes)
+        return VoterHealth(self.voters, self.unavailable | silent, self._lost_disks, leaving)
+
+    def _feed_standbys(self, now: float) -> list[Effect]:
+        """Standbys that the voter set needs get the log; others get it no more.
+
+        Without the lease the silence of others says nothing: it may be this node that is cut off.
+        """
+        if not self.may_act(now):
+            return []
+        wanted = self._standbys.wanted(now, self._voter_health(now), self._target_voters)
+        for learner in list(self._progress):
+            if learner not in self.voters and learner not in wanted:
+                del self._progress[learner]
+        effects: list[Effect] = []
+        for standby in wanted:
+            if standby not in self._progress:
+                self._progress[standby] = _Progress(self._log.last_index + 1)
+                effects += self._send_probe(now, standby, self._progress[standby])
+        return effects
 
     def _change_voters(self, now: float) -> list[Effect]:
         """Starts the next change once everything before it is committed.
@@ -522,11 +571,7 @@
         settled = self._log.voters_at(self._commit_index) == self.voters
         if not settled or self._log.epoch_at(self._applied_index) != self.epoch:
             return []
-        silent = {
-            voter.node_id
-            for voter, progress in self._progress.items()
-            if voter in self.voters and now >= progress.last_heard_at + constants.VOTER_SILENT_S
-        }
+        health = self._voter_health(now)
         learners = [
             learner
             for learner, progress in self._progress.items()
@@ -537,9 +582,9 @@
         next_set = next_voter_set(
             self.voters,
             learners,
-            self.unavailable | silent,
+            health.silent,
             self._target_voters,
-            frozenset(self.state.retired_nodes),
+            health.leaving,
         )
         if next_set is None:
             return []
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -371,16 +371,65 @@
             sizes += [len(request.entries) for request in self.requests(effects, "b")]
         self.assertEqual([], sizes)
 
+    def silence_c(self, replica: LedgerReplica, now: float) -> tuple[float, list[AppendRequest]]:
+        """Only b answers for two seconds; returns what was sent to d, which stands by."""
+        learner = Voter("d", "disk-d")
+        sent: list[AppendRequest] = []
+        for _ in range(20):
+            now += 0.1
+            effects = replica.tick(now)
+            effects += replica.handle(now, "d", LearnerHello(learner))
+            sent += self.requests(effects, "d")
+            for request in self.requests(effects, "b"):
+                match = request.previous_index + len(request.entries)
+                replica.handle(now, "b", AppendReply(1, VOTERS[1], True, match, request.nonce))
+        return now, sent
+
+    def test_a_standby_is_told_who_leads_and_gets_no_log_while_voters_are_sound(self) -> None:
+        """Fourteen disks would else hold fourteen copies of a ledger that needs five."""
+        replica, now = self.leader()
+        replica.propose(now, RaiseConfigurationFloor(1), object())
+        effects = replica.handle(now, "d", LearnerHello(Voter("d", "disk-d")))
+        (told,) = self.requests(effects, "d")
+        self.assertEqual((1, 0, []), (told.epoch, told.previous_index, told.entries))
+        standby = LedgerReplica(Voter("d", "disk-d"), fresh_ledger([]), random.Random(1), now)
+        standby.handle(now, "a", told)
+        self.assertEqual("a", standby.leader)
+        self.assertTrue(standby.hears_leader(now))
+        for _ in range(10):
+            now += 0.1
+            effects = replica.tick(now)
+            self.assertEqual([], self.requests(effects, "d"))
+            self.answer_all(replica, now, effects)
+
+    def test_a_standby_takes_the_place_of_a_silent_voter(self) -> None:
+        replica, now = self.leader()
+        now, sent = self.silence_c(replica, now)
+        self.assertTrue(replica.may_act(now))
+        learner = Voter("d", "disk-d")
+        probe = sent[-1]
+        replica.handle(now, "d", AppendReply(1, learner, True, replica.commit_index, probe.nonce))
+        replica.tick(now)
+        self.assertEqual(["a", "b"], [voter.node_id for voter in replica.voters])
+
+    def test_a_voter_that_came_back_needs_no_standby(self) -> None:
+        replica, now = self.leader()
+        now, sent = self.silence_c(replica, now)
+        self.assertGreater(len(sent), 0)
+        for _ in range(3):
+            now += 0.2
+            self.answer_all(replica, now, replica.tick(now))
+        self.assertEqual([], self.requests(replica.tick(now + 0.2), "d"))
+        self.assertEqual(VOTERS, replica.voters)
+
     def test_a_leader_without_its_lease_changes_no_voters(self) -> None:
         """To a node that is cut off the others look silent; it must not act on that."""
         replica, now = self.leader()
-        learner = Voter("d", "disk-d")
-        self.answer_all(replica, now, replica.handle(now, "d", LearnerHello(learner)))
+        now, sent = self.silence_c(replica, now)
         now += 10.0
-        probe = [e.message for e in replica.tick(now) if isinstance(e, Send) and e.to == "d"]
-        assert isinstance(probe[-1], AppendRequest)
+        learner = Voter("d", "disk-d")
         replica.handle(
-            now, "d", AppendReply(1, learner, True, replica.commit_index, probe[-1].nonce)
+            now, "d", AppendReply(1, learner, True, replica.commit_index, sent[-1].nonce)
         )
         self.assertFalse(replica.may_act(now))
         before = replica.voters
