Nodes follow the store through a cache on one ledger node

Ruled out: longer watches only (most calls come from changes), readers elected in each zone (a price four times this one's for nothing: any ledger node can follow). Change: ledger nodes answer lists and watches of kinds that others ask for, from one watch of their own, and say when they did not hear from the store within a bound. A node prefers the same cache as all others; a cache that fails costs one direct call. Lists that are older than what was seen are not taken. The connections for calls are shared code now.

--- a/stileloom/daemon/directory.py
+++ b/stileloom/daemon/directory.py
@@ -19,7 +19,7 @@
 from stileloom.proxy.sampler_table import SamplerTable
 from stileloom.service_settings import TimeBounds
 
-PAUSE_SHARE_OF_BOUND = 0.4
+PAUSE_SHARE_OF_BOUND = 0.1
 """Changes that come within this share of their bound are fetched by one call."""
 
 
@@ -54,7 +54,7 @@
                 kinds.configuration,
                 self._configurations_listed,
                 self._configuration_changed,
-                bounds.configuration_s * PAUSE_SHARE_OF_BOUND * 0.5,
+                bounds.configuration_s * PAUSE_SHARE_OF_BOUND,
                 log,
                 rng,
                 count=count,
--- a/stileloom/daemon/gateway.py
+++ b/stileloom/daemon/gateway.py
@@ -12,6 +12,7 @@
 from stileloom.api.dialect import Dialect
 from stileloom.api.object_store import ObjectStore
 from stileloom.background import BackgroundTasks
+from stileloom.daemon.cached_store import CachedObjectStore, ledger_node_addresses
 from stileloom.daemon.directory import Directory
 from stileloom.daemon.metrics_server import start_metrics_server
 from stileloom.daemon.process_metrics import ProcessMetrics
@@ -43,7 +44,6 @@
 
     def __init__(self, settings: ServiceSettings, store: ObjectStore, dialect: Dialect) -> None:
         self._settings = settings
-        self._store = store
         self._dialect = dialect
         self._rng = random.Random()
         self._log = EventLog(settings.node_id)
@@ -52,10 +52,20 @@
         self._stopping = asyncio.Event()
         metrics = ProxyMetrics(self._registry)
         process_metrics = ProcessMetrics(self._registry, self._log)
+        seeds = settings.peer_call_addresses
+        self._cached = CachedObjectStore(
+            store,
+            seeds,
+            dialect.kinds.ledger_nodes,
+            settings.bounds,
+            self._log,
+            self._rng,
+            process_metrics,
+        )
         self.directory = Directory(
-            store, dialect, settings.bounds, self._log, self._rng, process_metrics
+            self._cached, dialect, settings.bounds, self._log, self._rng, process_metrics
         )
-        self._nodes = LedgerNodes([_calls_address(peer, settings) for peer in settings.peers])
+        self._nodes = LedgerNodes(seeds)
         self._jobs = JobClient(self._nodes, self._log, self._look_up_ledger_nodes)
         self._forwarder = Forwarder(
             settings.zone, self.directory.samplers, dialect.names, self._log, metrics, self._rng
@@ -92,6 +102,7 @@
             await server.close_all_connections()
         self.directory.stop()
         self._jobs.close()
+        self._cached.close()
         lived_s = round(time.monotonic() - started_at, 1)
         self._log.emit(LogEvent.NODE_STOPPED, {"lived_s": lived_s})
 
@@ -156,18 +167,10 @@
 
     async def _read_ledger_nodes(self) -> None:
         try:
-            page = await self._store.list_objects(self._dialect.kinds.ledger_nodes)
+            page = await self._cached.list_objects(self._dialect.kinds.ledger_nodes)
         except StileloomError:
             return
-        addresses = [
-            split_address(str(record.spec["calls"])) for record in page.records if record.spec
-        ]
-        self._nodes.learn(addresses)
-
-
-def _calls_address(peer: str, settings: ServiceSettings) -> tuple[str, int]:
-    """Where a ledger node takes calls: its own host, the deployment's port."""
-    return (split_address(peer)[0], settings.calls_port)
+        self._nodes.learn(list(ledger_node_addresses(page.records).values()))
 
 
 async def serve_gateway(settings: ServiceSettings, store: ObjectStore, dialect: Dialect) -> None:
--- a/stileloom/daemon/ledger_node.py
+++ b/stileloom/daemon/ledger_node.py
@@ -13,6 +13,7 @@
 from stileloom.api.object_store import ObjectStore
 from stileloom.api.sampler_directory import SamplerEntry
 from stileloom.background import BackgroundTasks, Ticker
+from stileloom.daemon.cached_store import CachedObjectStore
 from stileloom.daemon.directory import Directory
 from stileloom.daemon.leadership import Leadership
 from stileloom.daemon.ledger_driver import LedgerDriver
@@ -20,6 +21,7 @@
 from stileloom.daemon.metrics_server import start_metrics_server
 from stileloom.daemon.process_metrics import ProcessMetrics
 from stileloom.daemon.signals import handle_signals
+from stileloom.daemon.store_cache import StoreCache
 from stileloom.events import LogEvent
 from stileloom.jobs.metrics import JobMetrics
 from stileloom.jobs.service import JobService
@@ -30,6 +32,8 @@
 from stileloom.logging import EventLog
 from stileloom.service_settings import ServiceSettings
 from stileloom.settings_file import split_address
+from stileloom.transport.cache_messages import ReadObjectsCall
+from stileloom.transport.call_frames import Reply, Request
 from stileloom.transport.calls import CallServer
 
 STEP_S = 0.1
@@ -49,8 +53,18 @@
         self._registry = CollectorRegistry()
         self._metrics = JobMetrics(self._registry)
         process_metrics = ProcessMetrics(self._registry, self._log)
+        self._cached = CachedObjectStore(
+            store,
+            settings.peer_call_addresses,
+            dialect.kinds.ledger_nodes,
+            settings.bounds,
+            self._log,
+            self._rng,
+            process_metrics,
+        )
+        self._cache = StoreCache(store, settings.bounds, self._log, self._rng)
         self._directory = Directory(
-            store, dialect, settings.bounds, self._log, self._rng, process_metrics
+            self._cached, dialect, settings.bounds, self._log, self._rng, process_metrics
         )
         self._directory.on_sampler = self._sampler_seen
         self._directory.on_sampler_gone = self._sampler_gone
@@ -95,7 +109,7 @@
         )
         self._driver = driver
         self._service = JobService(_CallsLedger(driver, settings.calls_port), self._log)
-        self._calls = CallServer(self._service.handle)
+        self._calls = CallServer(self._answer)
         await self._calls.start(settings.host, settings.calls_port)
         await driver.start()
         if settings.metrics_port:
@@ -111,6 +125,12 @@
             {"role": "ledger", "zone": settings.zone, "voter": replica.is_voter},
         )
 
+    async def _answer(self, request: Request) -> Reply:
+        if isinstance(request, ReadObjectsCall):
+            return await self._cache.read(request)
+        assert self._service is not None
+        return await self._service.handle(request)
+
     def stop(self) -> None:
         """Ends the process; leadership is given up first."""
         self._stopping.set()
@@ -145,11 +165,14 @@
         if self._driver is not None:
             self._driver.stop()
         self._directory.stop()
+        self._cache.stop()
+        self._cached.close()
 
     # Leadership.
 
     def _step(self) -> None:
         assert self._driver is not None
+        self._cache.drop_idle()
         leads = self._driver.may_act()
         if self._leadership is not None:
             current = self._leadership.epoch == self._driver.replica.epoch
--- a/stileloom/daemon/object_watch.py
+++ b/stileloom/daemon/object_watch.py
@@ -32,9 +32,10 @@
         rng: random.Random,
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
         count: Callable[[str, str], None] = lambda kind, outcome: None,
+        wait_s: float = WATCH_WAIT_S,
     ) -> None:
         self.synced_at: float | None = None
-        """Monotonic time of the last answer, None before the first."""
+        """Monotonic time up to which all changes are known, None before the first answer."""
         self._store = store
         self._kind = kind
         self._on_list = on_list
@@ -44,9 +45,15 @@
         self._rng = rng
         self._sleep = sleep
         self._count = count
+        self._wait_s = wait_s
         self._revision: int | None = None
         self._failures = 0
 
+    @property
+    def revision(self) -> int:
+        """The store's revision up to which all changes are known; 0 before the first answer."""
+        return self._revision or 0
+
     async def run(self) -> None:
         """Follows until it is cancelled."""
         while True:
@@ -65,13 +72,16 @@
 
     async def _follow(self) -> None:
         if self._revision is None:
+            asked_at = time.monotonic()
             page = await self._store.list_objects(self._kind)
+            self.synced_at = asked_at
             self._revision = page.store_revision
             self._on_list(page.records)
             return
         # After a failure a call that is answered at once tells soonest that the store is back.
-        wait_s = 0.0 if self._failures else WATCH_WAIT_S
+        wait_s = 0.0 if self._failures else self._wait_s
         batch = await self._store.watch_objects(self._kind, self._revision, wait_s)
+        self.synced_at = time.monotonic()
         self._revision = max(self._revision, batch.store_revision)
         for event in batch.events:
             self._on_event(event)
@@ -80,7 +90,6 @@
             await self._sleep(self._pause_s * self._rng.uniform(0.8, 1.0))
 
     def _note_answer(self) -> None:
-        self.synced_at = time.monotonic()
         if self._failures:
             self._log.emit(LogEvent.STORE_REGAINED, {"kind": self._kind, "after": self._failures})
         self._failures = 0
--- a/stileloom/daemon/process_metrics.py
+++ b/stileloom/daemon/process_metrics.py
@@ -20,6 +20,12 @@
             ["kind", "outcome"],
             registry=registry,
         )
+        self.store_reads = Counter(
+            "stileloom_store_reads",
+            "Lists and watches of the store, by who answered: a node's cache or the store",
+            ["source"],
+            registry=registry,
+        )
         self._ages = Gauge(
             "stileloom_store_age_seconds",
             "Time since the store last answered about a kind of objects",
--- a/stileloom/jobs/client.py
+++ b/stileloom/jobs/client.py
@@ -9,16 +9,16 @@
 from stileloom.errors import ErrorKind, Outcome, StileloomError
 from stileloom.events import LogEvent
 from stileloom.jobs.messages import (
+    JobReply,
+    JobRequest,
     NotLeader,
     OutcomeUnknown,
     ReadResultsCall,
-    Reply,
-    Request,
     SubmitJobCall,
 )
 from stileloom.logging import EventLog
 from stileloom.settings_file import split_address
-from stileloom.transport.calls import CallConnection, CallFailed
+from stileloom.transport.calls import CallConnections, CallFailed
 
 CALL_TIMEOUT_S = 1.2
 """Time for one answer: a commit takes some milliseconds, an election up to two seconds."""
@@ -59,11 +59,10 @@
         self._nodes = nodes
         self._log = log
         self._on_lost_leader = on_lost_leader
-        self._connections: dict[tuple[str, int], CallConnection] = {}
+        self._connections = CallConnections()
         self._silent: set[tuple[str, int]] = set()
-        self._connecting: dict[tuple[str, int], asyncio.Lock] = {}
 
-    async def call(self, request: Request, request_id: str, timeout_s: float) -> Reply:
+    async def call(self, request: JobRequest, request_id: str, timeout_s: float) -> JobReply:
         """The leader's answer.
 
         Raises `StileloomError` (LEDGER_UNAVAILABLE): outcome NOT_RUN where no node can have
@@ -122,34 +121,19 @@
             {"request": request_id, "ledger_node": f"{target[0]}:{target[1]}", "detail": detail},
         )
 
-    async def _call_node(self, target: tuple[str, int], request: Request, left_s: float) -> Reply:
-        connection = await self._connected(target)
+    async def _call_node(
+        self, target: tuple[str, int], request: JobRequest, left_s: float
+    ) -> JobReply:
         timeout_s = CALL_TIMEOUT_S
         if isinstance(request, ReadResultsCall):
             timeout_s += request.wait_s
         elif isinstance(request, SubmitJobCall):
             timeout_s += CALL_TIMEOUT_S
-        try:
-            return await connection.call(request, min(timeout_s, left_s))
-        except CallFailed as failure:
-            if failure.sent:
-                connection.close()
-            raise
-
-    async def _connected(self, target: tuple[str, int]) -> CallConnection:
-        lock = self._connecting.setdefault(target, asyncio.Lock())
-        async with lock:
-            connection = self._connections.get(target)
-            if connection is not None and connection.usable:
-                return connection
-            try:
-                connection = await CallConnection.open(target)
-            except (OSError, TimeoutError) as error:
-                raise CallFailed(type(error).__name__, sent=False) from error
-            self._connections[target] = connection
-            return connection
+        reply = await self._connections.call(target, request, min(timeout_s, left_s))
+        if not isinstance(reply, JobReply):
+            raise CallFailed("an answer to another call", sent=True)
+        return reply
 
     def close(self) -> None:
         """Closes every connection."""
-        for connection in self._connections.values():
-            connection.close()
+        self._connections.close()
--- a/stileloom/jobs/messages.py
+++ b/stileloom/jobs/messages.py
@@ -34,7 +34,7 @@
     job_id: str
 
 
-Request = SubmitJobCall | ReadResultsCall | ReadItemCall | EndJobCall
+JobRequest = SubmitJobCall | ReadResultsCall | ReadItemCall | EndJobCall
 
 
 class JobTaken(msgspec.Struct, frozen=True, tag=True):
@@ -71,18 +71,4 @@
     """Leadership was lost while the change was under way."""
 
 
-Reply = JobTaken | ResultsRead | ItemRead | JobEnded | NoSuchJob | NotLeader | OutcomeUnknown
-
-
-class CallFrame(msgspec.Struct, frozen=True, array_like=True):
-    """A call with the number that its answer will carry."""
-
-    number: int
-    request: Request
-
-
-class ReplyFrame(msgspec.Struct, frozen=True, array_like=True):
-    """The answer to a call."""
-
-    number: int
-    reply: Reply
+JobReply = JobTaken | ResultsRead | ItemRead | JobEnded | NoSuchJob | NotLeader | OutcomeUnknown
--- a/stileloom/jobs/service.py
+++ b/stileloom/jobs/service.py
@@ -13,14 +13,14 @@
     EndJobCall,
     ItemRead,
     JobEnded,
+    JobReply,
+    JobRequest,
     JobTaken,
     NoSuchJob,
     NotLeader,
     OutcomeUnknown,
     ReadItemCall,
     ReadResultsCall,
-    Reply,
-    Request,
     ResultsRead,
     SubmitJobCall,
 )
@@ -56,7 +56,7 @@
         self._ledger = ledger
         self._log = log
 
-    async def handle(self, request: Request) -> Reply:
+    async def handle(self, request: JobRequest) -> JobReply:
         """The answer to one call."""
         if not self._ledger.may_act():
             return self._not_leader()
@@ -75,7 +75,7 @@
     def _job(self, job_id: str) -> JobRecord | None:
         return self._ledger.state.job_book.jobs.get(job_id)
 
-    async def _submit(self, request: SubmitJobCall) -> Reply:
+    async def _submit(self, request: SubmitJobCall) -> JobReply:
         submission = request.submission
         known = self._job(submission.job_id) is not None
         if not known:
@@ -96,7 +96,7 @@
             self.runner.step()
         return JobTaken()
 
-    async def _read_results(self, request: ReadResultsCall) -> Reply:
+    async def _read_results(self, request: ReadResultsCall) -> JobReply:
         job = self._job(request.job_id)
         give_up_at = time.monotonic() + request.wait_s
         while job is not None and len(job.results) <= request.position and not job.ended:
@@ -115,14 +115,14 @@
             return NoSuchJob()
         return ResultsRead(job.page(request.position))
 
-    def _read_item(self, request: ReadItemCall) -> Reply:
+    def _read_item(self, request: ReadItemCall) -> JobReply:
         job = self._job(request.job_id)
         item = job.item(request.item_id) if job is not None else None
         if item is None:
             return NoSuchJob()
         return ItemRead(item.body)
 
-    async def _end(self, request: EndJobCall) -> Reply:
+    async def _end(self, request: EndJobCall) -> JobReply:
         job = self._job(request.job_id)
         if job is None:
             return NoSuchJob()
--- a/stileloom/proxy/front.py
+++ b/stileloom/proxy/front.py
@@ -27,12 +27,12 @@
     EndJobCall,
     ItemRead,
     JobEnded,
+    JobReply,
+    JobRequest,
     JobTaken,
     NoSuchJob,
     ReadItemCall,
     ReadResultsCall,
-    Reply,
-    Request,
     ResultsRead,
     SubmitJobCall,
 )
@@ -231,7 +231,7 @@
             reply = await self._call(EndJobCall(call.job_id), call.job_id, timeout_s)
         return self._answer_of(reply)
 
-    def _answer_of(self, reply: Reply) -> CallerAnswer:
+    def _answer_of(self, reply: JobReply) -> CallerAnswer:
         if isinstance(reply, ResultsRead):
             return _json_answer(200, self._dialect.encode_page(reply.page))
         if isinstance(reply, ItemRead):
@@ -243,7 +243,7 @@
             raise StileloomError(ErrorKind.UNKNOWN_JOB, "the ledger has no such job or item")
         raise StileloomError(ErrorKind.INTERNAL, "unexpected answer of the ledger")
 
-    async def _call(self, request: Request, job_id: str, timeout_s: float) -> Reply:
+    async def _call(self, request: JobRequest, job_id: str, timeout_s: float) -> JobReply:
         return await self._jobs.call(request, job_id, max(0.1, timeout_s - DEADLINE_MARGIN_S))
 
     # Failures.
--- a/stileloom/service_settings.py
+++ b/stileloom/service_settings.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from stileloom.settings_file import Address, LogSettings, Name
+from stileloom.settings_file import Address, LogSettings, Name, split_address
 
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 NotNegative = Annotated[float, msgspec.Meta(ge=0)]
@@ -64,3 +64,8 @@
     def voters(self) -> int:
         """Size of the voter set."""
         return 2 * self.losses_borne + 1
+
+    @property
+    def peer_call_addresses(self) -> list[tuple[str, int]]:
+        """Where the peers take calls: their own hosts, the deployment's port."""
+        return [(split_address(peer)[0], self.calls_port) for peer in self.peers]
--- a/stileloom/transport/calls.py
+++ b/stileloom/transport/calls.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from stileloom.jobs.messages import CallFrame, Reply, ReplyFrame, Request
+from stileloom.transport.call_frames import CallFrame, Reply, ReplyFrame, Request
 
 FRAME_HEADER = struct.Struct(">I")
 MAX_FRAME_BYTES = 64 * 1024 * 1024
@@ -208,3 +208,39 @@
             if future.done():
                 with contextlib.suppress(asyncio.CancelledError, CallFailed):
                     future.exception()
+
+
+class CallConnections:
+    """Connections to nodes by address, opened when they are needed."""
+
+    def __init__(self) -> None:
+        self._connections: dict[tuple[str, int], CallConnection] = {}
+        self._connecting: dict[tuple[str, int], asyncio.Lock] = {}
+
+    async def call(self, address: tuple[str, int], request: Request, timeout_s: float) -> Reply:
+        """Calls a node; a connection without an answer is closed. Raises `CallFailed`."""
+        connection = await self._connected(address)
+        try:
+            return await connection.call(request, timeout_s)
+        except CallFailed as failure:
+            if failure.sent:
+                connection.close()
+            raise
+
+    async def _connected(self, address: tuple[str, int]) -> CallConnection:
+        lock = self._connecting.setdefault(address, asyncio.Lock())
+        async with lock:
+            connection = self._connections.get(address)
+            if connection is not None and connection.usable:
+                return connection
+            try:
+                connection = await CallConnection.open(address)
+            except (OSError, TimeoutError) as error:
+                raise CallFailed(type(error).__name__, sent=False) from error
+            self._connections[address] = connection
+            return connection
+
+    def close(self) -> None:
+        """Closes every connection."""
+        for connection in self._connections.values():
+            connection.close()
--- a/tests/test_job_client.py
+++ b/tests/test_job_client.py
@@ -12,8 +12,9 @@
 from stileloom.errors import Outcome, StileloomError
 from stileloom.jobs import client as client_module
 from stileloom.jobs.client import JobClient, LedgerNodes
-from stileloom.jobs.messages import EndJobCall, JobEnded, NotLeader, OutcomeUnknown, Reply, Request
+from stileloom.jobs.messages import EndJobCall, JobEnded, NotLeader, OutcomeUnknown
 from stileloom.logging import EventLog, configure_logs
+from stileloom.transport.call_frames import Reply, Request
 from stileloom.transport.calls import CallServer, FrameReader, encode_frame
 
 HOST = "127.0.0.1"
