A sampler that does not answer gets one run after a while

Ruled out: moving away from them only (items wait for slots, so the dead ones looked free). Change: nothing starts at a suspect sampler, then one run that finds out; an event ends the suspicion. A connection that does not stand after half a second is given up. A hint above what the caller allows is cut to that.

--- a/stileloom/http1/connection.py
+++ b/stileloom/http1/connection.py
@@ -11,7 +11,8 @@
 
 from stileloom.http1.response_decoder import MalformedResponse, ResponseDecoder, ResponseHead
 
-CONNECT_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.5
+"""A lost opening packet is sent again after a second: a new try is sooner there."""
 TCP_USER_TIMEOUT_MS = 2000
 KEEP_ALIVE_IDLE_S = 1
 KEEP_ALIVE_INTERVAL_S = 1
--- a/stileloom/jobs/intake.py
+++ b/stileloom/jobs/intake.py
@@ -18,6 +18,8 @@
     hint = _tokens(by_name.get(names.length_hint.lower(), ""))
     if hint is None and limit is not None:
         hint = limit / 2
+    if hint is not None and limit is not None:
+        hint = min(hint, limit)
     expected = hint if hint is not None else ItemSize().expected_tokens
     return ItemSize(expected, prompt or 0.0)
 
--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -224,7 +224,7 @@
         ]
         if not candidates:
             return None
-        return min(candidates, key=lambda belief: self._cost(open_item, belief, now))
+        return min(candidates, key=lambda belief: self._cost(open_item, belief))
 
     def _may_run(self, open_item: OpenItem, belief: SamplerBelief, now: float) -> bool:
         sampler_id = belief.entry.sampler_id
@@ -233,6 +233,9 @@
         pace = self.pace(sampler_id)
         if pace.running >= belief.entry.slots or now < pace.refused_until:
             return False
+        if belief.suspect_until > now or (belief.failures and pace.running):
+            # It did not answer lately: nothing for a while, then one run that finds out.
+            return False
         if pace.running and pace.tokens + open_item.tokens_held > self._cache_tokens(open_item):
             return False
         models = self.models_of(sampler_id)
@@ -244,15 +247,12 @@
         made_under = open_item.partial.versions
         return not (open_item.single_version and made_under and made_under != [version])
 
-    def _cost(
-        self, open_item: OpenItem, belief: SamplerBelief, now: float
-    ) -> tuple[bool, bool, float]:
+    def _cost(self, open_item: OpenItem, belief: SamplerBelief) -> tuple[bool, float]:
         pace = self.pace(belief.entry.sampler_id)
         cost = pace.interval_s * (1.0 + pace.running / max(1, belief.entry.slots))
         if open_item.item.group and open_item.item.group in pace.groups:
             cost *= GROUP_BONUS
-        left_before = belief.entry.sampler_id == open_item.avoid
-        return (belief.suspect_until > now, left_before, cost)
+        return (belief.entry.sampler_id == open_item.avoid, cost)
 
     def plan_moves(self, now: float) -> list[OpenItem]:
         """Runs to take from their sampler: it is silent, gone, or much slower than another."""
@@ -287,7 +287,7 @@
             return False
         here_s = self.pace(run.sampler_id).interval_s
         best = self._best_sampler(open_item, now)
-        if best is None or best.suspect_until > now:
+        if best is None:
             return False
         there_s = self.pace(best.entry.sampler_id).interval_s
         gain_s = (here_s - there_s) * self.events_left(open_item)
@@ -308,7 +308,7 @@
         room = 0
         for belief in self._samplers.all():
             other_id = belief.entry.sampler_id
-            if other_id == sampler_id or belief.suspect_until > now:
+            if other_id == sampler_id:
                 continue
             if runs and all(self._may_run(item, belief, now) for item in runs):
                 room += belief.entry.slots - self.pace(other_id).running
@@ -329,7 +329,9 @@
         run = open_item.run
         if run is None:
             return
-        if run.events > 0:
+        if run.events == 0:
+            self._samplers.answered(run.sampler_id)
+        else:
             pace = self.pace(run.sampler_id)
             interval_s = now - run.last_event_at
             pace.interval_s += (
--- a/tests/test_item_scheduler.py
+++ b/tests/test_item_scheduler.py
@@ -7,12 +7,14 @@
 from stileloom.api.dialect import LoadStrategy
 from stileloom.api.jobs import ItemProgress, JobItem, JobSubmission
 from stileloom.api.sampler_directory import SamplerEntry
+from stileloom.http.native_dialect import NativeDialect
 from stileloom.jobs.book import JobBook, JobRecord
+from stileloom.jobs.intake import item_size
 from stileloom.jobs.model_versions import share_samplers
 from stileloom.jobs.open_items import ItemSize
 from stileloom.jobs.scheduler import SILENCE_S, ItemScheduler
 from stileloom.jobs.version_planner import SETTLE_S, VersionPlanner, loads_at_once
-from stileloom.proxy.sampler_table import SamplerTable
+from stileloom.proxy.sampler_table import SUSPECT_S, SamplerTable
 
 SERVICE = "engines"
 LATER = 100.0
@@ -132,6 +134,20 @@
         desk.scheduler.pace(first).interval_s = 0.001
         self.assertNotEqual([first], list(desk.starts().values()))
 
+    def test_a_sampler_that_does_not_answer_gets_one_run_after_a_while(self) -> None:
+        """Three dead samplers took some sixty failed connections a second each."""
+        desk = Desk(entry("a", slots=4), entry("b", slots=4))
+        desk.samplers.failed("a", 0.0)
+        desk.adopt(record("j", 12))
+        self.assertEqual({"b"}, set(desk.starts(0.0).values()))
+        self.assertEqual({}, desk.starts(SUSPECT_S - 0.1))
+        probe = desk.starts(SUSPECT_S + 0.1)
+        self.assertEqual(["a"], list(probe.values()))
+        self.assertEqual({}, desk.starts(SUSPECT_S + 0.2))
+        (item,) = [desk.scheduler.items["j", item_id] for item_id in probe]
+        desk.scheduler.event(item, SUSPECT_S + 0.3)
+        self.assertEqual(["a"] * 3, list(desk.starts(SUSPECT_S + 0.4).values()))
+
     def test_a_new_leader_goes_on_from_saved_events(self) -> None:
         book = JobBook()
         job = record("j", 1)
@@ -248,3 +264,13 @@
         desk.planner.named("m", 4, 0.0)
         self.assertEqual([], desk.loads(LATER))
         self.assertFalse(desk.planner.named("m", 3, 1.0))
+
+
+class ItemSizeTest(testtools.TestCase):
+    """What callers say of an item's length."""
+
+    def test_a_hint_above_what_the_caller_allows_is_cut(self) -> None:
+        names = NativeDialect().names
+        headers = {names.token_usage: "540,400", names.length_hint: "39450"}
+        self.assertEqual(ItemSize(400.0, 540.0), item_size(headers, names))
+        self.assertEqual(ItemSize(200.0, 540.0), item_size({names.token_usage: "540,400"}, names))
