--- a/stileloom/ledger/replica.py
+++ b/stileloom/ledger/replica.py
@@ -62,6 +62,11 @@
     return RecoveredLedger(HardState(0, None), snapshot, [])
 
 
+def _without_state(snapshot: SnapshotRecord) -> SnapshotRecord:
+    """What the log needs of a snapshot: its state stands on disk and in the applied state."""
+    return msgspec.structs.replace(snapshot, state=b"")
+
+
 class _FollowerState(enum.Enum):
     """How the leader feeds a follower (as in etcd's raft: probe, replicate, snapshot)."""
 
@@ -105,7 +110,7 @@
         self.unavailable: set[str] = set()
         self._lost_disks: set[Voter] = set()
         self._voted_for = recovered.hard_state.voted_for
-        self._log = LedgerLog(recovered.snapshot, recovered.entries)
+        self._log = LedgerLog(_without_state(recovered.snapshot), recovered.entries)
         self._rng = rng
         self._target_voters = target_voters
         self._lease = LeaderLease()
@@ -395,7 +400,7 @@
     def _send_snapshot(self, now: float, follower: Voter, progress: _Progress) -> list[Effect]:
         self._nonce += 1
         self._lease.sent(self._nonce, now)
-        snapshot = self._log.snapshot
+        snapshot = self._snapshot_now()
         progress.state = _FollowerState.SNAPSHOT
         progress.awaited_nonce = self._nonce
         progress.snapshot_sent_at = now
@@ -648,7 +653,7 @@
         effects = self._follow(now, message.epoch, message.leader.node_id)
         snapshot = message.snapshot
         if snapshot.last_index > self._commit_index:
-            self._log.compact(snapshot)
+            self._log.compact(_without_state(snapshot))
             self.state = msgspec.msgpack.decode(snapshot.state, type=LedgerState)
             self._commit_index = snapshot.last_index
             self._applied_index = snapshot.last_index
@@ -687,15 +692,18 @@
         return []
 
     def _take_snapshot(self) -> list[Effect]:
+        snapshot = self._snapshot_now()
+        self._log.compact(_without_state(snapshot))
+        effects: list[Effect] = self._persist(Persist(0, snapshot=snapshot))
+        return [*effects, Emit(LogEvent.SNAPSHOT_TAKEN, {"index": snapshot.last_index})]
+
+    def _snapshot_now(self) -> SnapshotRecord:
+        """The applied state as a snapshot, encoded when it is needed and not held."""
         index = self._applied_index
         epoch = self._log.epoch_at(index)
         assert epoch is not None
-        snapshot = SnapshotRecord(
-            index, epoch, self._log.voters_at(index), msgspec.msgpack.encode(self.state)
-        )
-        self._log.compact(snapshot)
-        effects: list[Effect] = self._persist(Persist(0, snapshot=snapshot))
-        return [*effects, Emit(LogEvent.SNAPSHOT_TAKEN, {"index": index})]
+        state = msgspec.msgpack.encode(self.state)
+        return SnapshotRecord(index, epoch, self._log.voters_at(index), state)
 
     def _append(self, entries: list[Entry], truncate_from: int | None = None) -> list[Effect]:
         if truncate_from is not None:
