Tests and the soak hold the ports that they tell programs

Cause: a port that a test gave back at once went to another socket of the machine: of the soak (the gateway could not listen again after a kill: Errno 98, while another run's gateway answered its callers with 500), and three of some 300 runs of test_a_removed_ledger_node_leaves_the_voter_set (no leader at the start). Ruled out: the change of standbys (120 + 140 starts alone and beside the soak without a failure). Change: a socket stays bound to the port, without listening, until the process ends; the same port on every address that a cluster uses. The three test failures fit the cause, but no log of them names the port: listed as open.

--- a/tests/service_cluster.py
+++ b/tests/service_cluster.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import tempfile
 from collections.abc import Callable
 from pathlib import Path
@@ -27,8 +26,10 @@
 from stileloom.emulator.settings import ObjectApiSettings as ApiSettings
 from stileloom.http.native_dialect import NativeDialect
 from stileloom.service_settings import ServiceSettings, TimeBounds
+from tests.ports import free_port
 
 HOST = "127.0.0.1"
+LEDGER_HOSTS = ["127.0.0.2", "127.0.0.3", "127.0.0.4"]
 HOSTNAME = "rollouts.example"
 MODEL = "drafts"
 ATTEMPTS = 3
@@ -36,13 +37,6 @@
 GIVE_UP_S = 30.0
 
 
-def free_port() -> int:
-    """A port that the kernel has just given out and taken back."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
-
-
 def configuration(version: int, **changes: Any) -> dict[str, Any]:
     """Two routes over two services."""
     lookup = {
@@ -109,10 +103,10 @@
             await self.add_sampler(f"chart-{number}", "charts")
             await self.add_sampler(f"draft-{number}", "drafts")
         # Ledger nodes of one deployment share their port for calls and differ in the host.
-        self._calls_port = free_port()
-        self._ledger_port = free_port()
-        for number in (1, 2, 3):
-            self.start_ledger_node(f"ledger-{number}", f"127.0.0.{number + 1}")
+        self._calls_port = free_port(*LEDGER_HOSTS)
+        self._ledger_port = free_port(*LEDGER_HOSTS)
+        for number, host in enumerate(LEDGER_HOSTS, start=1):
+            self.start_ledger_node(f"ledger-{number}", host)
         for number in range(self._gateway_count):
             self._start_gateway(f"gateway-{number}")
         for gateway in self.gateways:
@@ -169,7 +163,7 @@
 
     def start_ledger_node(self, name: str, host: str, first_start: bool = True) -> None:
         """Starts a ledger node on its folder."""
-        peers = [f"127.0.0.{number + 1}:{self._ledger_port}" for number in (1, 2, 3)]
+        peers = [f"{host}:{self._ledger_port}" for host in LEDGER_HOSTS]
         settings = ServiceSettings(
             node_id=name,
             zone="a",
@@ -218,7 +212,7 @@
             zone="a",
             host=HOST,
             store=self._api_address,
-            peers=[f"127.0.0.{number + 1}:{self._ledger_port}" for number in (1, 2, 3)],
+            peers=[f"{host}:{self._ledger_port}" for host in LEDGER_HOSTS],
             front=f"{HOST}:{front}",
             ready=f"{HOST}:{free_port()}",
             calls_port=self._calls_port,
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -22,7 +22,7 @@
     WeightStoreSettings,
 )
 from stileloom.errors import StileloomError
-from tests.service_cluster import free_port
+from tests.ports import free_port
 from tests.soak.loopback_proxy import Link, TcpProxy, UdpProxy
 from tests.soak.programs import Program
 from tests.soak.record import EVENTS, Record
@@ -55,8 +55,9 @@
         self._udp: list[UdpProxy] = []
         self._sampler_proxies: dict[str, TcpProxy] = {}
         self._next_sampler = 0
-        self._calls_port = free_port()
-        self._ledger_port = free_port()
+        hosts = [f"127.0.{net}.{number}" for net in (1, 2) for number in range(1, LEDGER_NODES + 1)]
+        self._calls_port = free_port(*hosts)
+        self._ledger_port = free_port(*hosts)
 
     async def start(self, configuration: dict[str, Any]) -> None:
         """Starts the object API, samplers and programs."""
--- a/tests/test_job_client.py
+++ b/tests/test_job_client.py
@@ -7,7 +7,6 @@
 from unittest import mock
 
 import testtools
-from tornado.netutil import bind_sockets
 
 from stileloom.errors import Outcome, StileloomError
 from stileloom.jobs import client as client_module
@@ -16,20 +15,13 @@
 from stileloom.logging import EventLog, configure_logs
 from stileloom.transport.call_frames import Reply, Request
 from stileloom.transport.calls import CallServer, FrameReader, encode_frame
+from tests.ports import free_port
 
 HOST = "127.0.0.1"
 CALL = EndJobCall("j")
 Handler = Callable[[Request], Awaitable[Reply]]
 
 
-def free_port() -> int:
-    """A port that nobody listens on."""
-    (listener,) = bind_sockets(0, address=HOST)
-    port = int(listener.getsockname()[1])
-    listener.close()
-    return port
-
-
 class JobClientTest(testtools.TestCase):
     """One client and some nodes."""
 
--- a/tests/test_store_cache.py
+++ b/tests/test_store_cache.py
@@ -24,7 +24,8 @@
     ReadObjectsCall,
 )
 from stileloom.transport.calls import CallServer
-from tests.service_cluster import HOST, free_port
+from tests.ports import free_port
+from tests.service_cluster import HOST
 
 KIND = "things"
 BOUNDS = TimeBounds(sampler_drain_s=1.0, configuration_s=1.0)
