A disk that refuses writes for a while no longer stops a ledger node for good

A start on a full disk ended the process. A start waits for the disk. The soak refuses writes from outside with a limit on file sizes.

--- a/stileloom/daemon/ledger_driver.py
+++ b/stileloom/daemon/ledger_driver.py
@@ -11,6 +11,7 @@
 from stileloom.background import Ticker
 from stileloom.effects import Effect, Emit, Send
 from stileloom.errors import ErrorKind, StileloomError
+from stileloom.events import LogEvent
 from stileloom.jobs.metrics import JobMetrics
 from stileloom.ledger import LedgerReplica
 from stileloom.ledger.commands import Command, CommandResult
@@ -25,6 +26,7 @@
 
 TICK_S = 0.05
 HELLO_INTERVAL_S = 0.4
+DISK_RETRY_S = 0.1
 
 
 class LedgerDriver:
@@ -50,6 +52,7 @@
         self._writes: list[Persist] = []
         self._writing = False
         self._write_began_at = 0.0
+        self._disk_failing = False
         self._stopped = False
         self._next_hello_at = 0.0
         self._ticker = Ticker(self._tick, TICK_S)
@@ -160,16 +163,34 @@
             return
         self._writing = True
         batch, self._writes = self._writes, []
+        self._write(batch)
+
+    def _write(self, batch: list[Persist]) -> None:
+        if self._stopped:
+            return
         self._write_began_at = time.monotonic()
         future = IOLoop.current().run_in_executor(self._disk, self._storage.write, batch)
-        IOLoop.current().add_future(future, lambda done: self._written(done, batch[-1].write_id))
-
-    def _written(self, done: asyncio.Future[None], write_id: int) -> None:
-        # A disk that fails must stop the node: nothing may be said about what it holds.
+        IOLoop.current().add_future(future, lambda done: self._written(done, batch))
+
+    def _written(self, done: asyncio.Future[None], batch: list[Persist]) -> None:
+        error = done.exception()
+        if isinstance(error, OSError):
+            # Nothing is said about what the disk holds until it has taken these writes.
+            self._note_disk(failing=True, detail=repr(error))
+            asyncio.get_running_loop().call_later(DISK_RETRY_S, self._write, batch)
+            return
         done.result()
+        self._note_disk(failing=False, detail="")
         self._metrics.sync.observe(time.monotonic() - self._write_began_at)
         self._writing = False
         if self._stopped:
             return
-        self._run(self.replica.persisted(time.monotonic(), write_id))
+        self._run(self.replica.persisted(time.monotonic(), batch[-1].write_id))
         self._start_writing()
+
+    def _note_disk(self, failing: bool, detail: str) -> None:
+        if failing == self._disk_failing:
+            return
+        self._disk_failing = failing
+        event = LogEvent.DISK_LOST if failing else LogEvent.DISK_REGAINED
+        self._log.emit(event, {"detail": detail} if failing else {})
--- a/stileloom/daemon/ledger_node.py
+++ b/stileloom/daemon/ledger_node.py
@@ -17,7 +17,7 @@
 from stileloom.daemon.directory import Directory
 from stileloom.daemon.leadership import Leadership
 from stileloom.daemon.ledger_driver import LedgerDriver
-from stileloom.daemon.ledger_start import PeerRegistry, open_ledger
+from stileloom.daemon.ledger_start import PeerRegistry, open_ledger_patiently
 from stileloom.daemon.metrics_server import start_metrics_server
 from stileloom.daemon.process_metrics import ProcessMetrics
 from stileloom.daemon.signals import handle_signals
@@ -94,7 +94,7 @@
     async def _start(self) -> None:
         settings = self._settings
         kinds = self._dialect.kinds
-        opened = await open_ledger(settings, self._store, kinds.voter_set, self._log)
+        opened = await open_ledger_patiently(settings, self._store, kinds.voter_set, self._log)
         replica = LedgerReplica(
             opened.identity, opened.recovered, self._rng, time.monotonic(), settings.voters
         )
--- a/stileloom/daemon/ledger_start.py
+++ b/stileloom/daemon/ledger_start.py
@@ -24,6 +24,7 @@
 VOTER_SET_NAME = "ledger"
 BOOTSTRAP_RETRY_S = 0.2
 REGISTER_INTERVAL_S = 0.7
+DISK_RETRY_S = 0.3
 
 
 class OpenedLedger(msgspec.Struct, frozen=True):
@@ -34,6 +35,25 @@
     storage: LedgerStorage
 
 
+async def open_ledger_patiently(
+    settings: ServiceSettings, store: ObjectStore, voter_set_kind: str, log: EventLog
+) -> OpenedLedger:
+    """Opens the ledger; waits while the disk refuses writes."""
+    failing = False
+    while True:
+        try:
+            opened = await open_ledger(settings, store, voter_set_kind, log)
+        except OSError as error:
+            if not failing:
+                log.emit(LogEvent.DISK_LOST, {"detail": repr(error)})
+            failing = True
+            await asyncio.sleep(DISK_RETRY_S)
+            continue
+        if failing:
+            log.emit(LogEvent.DISK_REGAINED, {})
+        return opened
+
+
 async def open_ledger(
     settings: ServiceSettings, store: ObjectStore, voter_set_kind: str, log: EventLog
 ) -> OpenedLedger:
--- a/stileloom/ledger/storage.py
+++ b/stileloom/ledger/storage.py
@@ -4,6 +4,9 @@
 is cut or does not match its hash ends the journal: it was being written when the process
 died, so nobody was told that it is durable. A snapshot is written aside, synced and renamed;
 the journal is then begun anew.
+
+A disk may refuse writes for a while. A write that failed is cut off the journal and may be made
+again: its entries take the place of those that stand at their index.
 """
 
 from __future__ import annotations
@@ -52,6 +55,8 @@
         self._hard_state = HardState(0, None)
         self._entries: list[Entry] = []
         self._journal: int | None = None
+        self._journal_bytes = 0
+        """Length of the journal's synced records."""
 
     # Identity.
 
@@ -103,8 +108,10 @@
         self._add_entries(record)
 
     def _add_entries(self, record: AppendRecord) -> None:
-        if record.truncate_from is not None:
-            limit = record.truncate_from
+        limits = [record.truncate_from] if record.truncate_from is not None else []
+        limits += [entry.index for entry in record.entries[:1]]
+        if limits and self._entries and self._entries[-1].index >= min(limits):
+            limit = min(limits)
             self._entries = [entry for entry in self._entries if entry.index < limit]
         self._entries.extend(record.entries)
 
@@ -116,7 +123,10 @@
         self._open_journal()
 
     def write(self, writes: list[Persist]) -> None:
-        """Makes writes durable with one sync, in order."""
+        """Makes writes durable with one sync, in order.
+
+        Raises `OSError` where the disk refuses; the same writes may then be made again.
+        """
         buffer = bytearray()
         for write in writes:
             if write.hard_state is not None:
@@ -135,9 +145,14 @@
     def _sync(self, buffer: bytearray) -> None:
         if not buffer:
             return
+        if self._journal is None:
+            self._open_journal()
         assert self._journal is not None
+        # What an earlier write that failed left behind the synced records is no record.
+        os.ftruncate(self._journal, self._journal_bytes)
         _write_all(self._journal, buffer)
         os.fsync(self._journal)
+        self._journal_bytes += len(buffer)
 
     def _write_snapshot(self, snapshot: SnapshotRecord) -> None:
         """The new snapshot first, then a journal without what it covers."""
@@ -153,7 +168,9 @@
         if self._journal is not None:
             os.close(self._journal)
         path = self._folder / JOURNAL_NAME
+        self._journal = None
         self._journal = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644)
+        self._journal_bytes = os.fstat(self._journal).st_size
 
     def _replace(self, name: str, body: bytes) -> None:
         """Writes a file aside, syncs it, renames it, and syncs the folder."""
--- a/stileloom/logging.py
+++ b/stileloom/logging.py
@@ -26,6 +26,7 @@
     LogEvent.PLATFORM_DOWN,
     LogEvent.GENERATION_LOST,
     LogEvent.STORE_LOST,
+    LogEvent.DISK_LOST,
     LogEvent.LEDGER_NODE_SILENT,
     LogEvent.ITEM_GIVEN_UP,
     LogEvent.INTERNAL_FAULT,
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -46,6 +46,7 @@
             self._wipe_ledger_node,
             self._pause_ledger_node,
             self._stop_ledger_node,
+            self._fill_disk,
             self._kill_all_ledger_nodes,
             self._kill_gateway,
             self._stop_gateway,
@@ -150,6 +151,17 @@
         self._lose(1.0)
         return await self._stop(name)
 
+    async def _fill_disk(self) -> str:
+        if not self._may_lose():
+            return ""
+        name, lasts_s = self._any_ledger_node(), self._lasts_s()
+        self._lose(lasts_s)
+        program = self._deployment.programs[name]
+        program.refuse_writes(True)
+        await asyncio.sleep(lasts_s)
+        program.refuse_writes(False)
+        return f"{name}: its disk refuses writes"
+
     async def _kill_all_ledger_nodes(self) -> str:
         if not self._may_lose() or self._rng.random() < 0.5:
             return ""
--- a/tests/soak/programs.py
+++ b/tests/soak/programs.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import resource
 import signal
 import subprocess
 import sys
@@ -85,6 +86,13 @@
         # Before it has set up its handlers a process ends by the signal; it has read nothing.
         return code == 0 or (young and code == -signal.SIGTERM)
 
+    def refuse_writes(self, refuse: bool) -> None:
+        """Files may not grow, as on a full disk: a limit that is set from outside."""
+        if self.running and self._process is not None:
+            _, hard = resource.prlimit(self._process.pid, resource.RLIMIT_FSIZE)
+            limit = 0 if refuse else hard
+            resource.prlimit(self._process.pid, resource.RLIMIT_FSIZE, (limit, hard))
+
     def pause(self) -> None:
         """SIGSTOP."""
         if self.running and self._process is not None:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import errno
+import os
 import random
 import tempfile
 from pathlib import Path
+from unittest import mock
 
 import testtools
 
@@ -186,6 +189,46 @@
             assert recovered is not None
             self.assertEqual([entry(1)], recovered.entries)
 
+    def test_a_write_that_the_disk_refused_is_made_again(self) -> None:
+        """A full disk takes a part of a record, then nothing, and later all of it."""
+        storage = self.storage()
+        storage.start_fresh(fresh_ledger(VOTERS))
+        storage.write([Persist(1, entries=[entry(1)])])
+        batch = [Persist(2, hard_state=HardState(4, None), entries=[entry(2), entry(3)])]
+        real_write = os.write
+
+        def write_a_part(descriptor: int, data: bytes) -> int:
+            if len(data) > 10:
+                return real_write(descriptor, bytes(data[:10]))
+            raise OSError(errno.ENOSPC, "no space")
+
+        with mock.patch("os.write", write_a_part), testtools.ExpectedException(OSError):
+            storage.write(batch)
+        with mock.patch("os.fsync", side_effect=OSError(errno.EIO, "bad")):
+            self.assertRaises(OSError, storage.write, batch)
+        storage.write(batch)
+        storage.write([Persist(3, entries=[entry(4)])])
+        recovered = self.storage().recover()
+        assert recovered is not None
+        self.assertEqual([entry(number) for number in (1, 2, 3, 4)], recovered.entries)
+        self.assertEqual(4, recovered.hard_state.epoch)
+
+    def test_a_snapshot_that_the_disk_refused_is_made_again(self) -> None:
+        storage = self.storage()
+        fresh = fresh_ledger(VOTERS)
+        storage.start_fresh(fresh)
+        storage.write([Persist(1, entries=[entry(1), entry(2)])])
+        snapshot = type(fresh.snapshot)(1, 1, VOTERS, fresh.snapshot.state)
+        batch = [Persist(2, snapshot=snapshot), Persist(3, entries=[entry(3)])]
+        for failing in ("os.fsync", "pathlib.Path.rename", "os.open"):
+            with mock.patch(failing, side_effect=OSError(errno.ENOSPC, "no space")):
+                self.assertRaises(OSError, storage.write, batch)
+        storage.write(batch)
+        recovered = self.storage().recover()
+        assert recovered is not None
+        self.assertEqual(1, recovered.snapshot.last_index)
+        self.assertEqual([entry(2), entry(3)], recovered.entries)
+
     def test_a_snapshot_takes_the_place_of_the_journal(self) -> None:
         storage = self.storage()
         fresh = fresh_ledger(VOTERS)
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 from collections.abc import Awaitable, Callable
 from unittest import mock
 
@@ -14,6 +15,8 @@
 
 from stileloom.emulator.http_sampler import expected_events
 from stileloom.events import LogEvent
+from stileloom.ledger.effects import Persist
+from stileloom.ledger.storage import LedgerStorage
 from stileloom.logging import configure_logs
 from stileloom.proxy.front import CallerRequest
 from tests.service_cluster import MODEL, ServiceCluster, configuration
@@ -307,6 +310,29 @@
 
         with_cluster(scenario)
 
+    def test_disks_that_refuse_writes_for_a_while_stop_nothing_for_good(self) -> None:
+        """Nothing is acknowledged meanwhile; after it everything goes on by itself."""
+
+        async def scenario(cluster: ServiceCluster) -> None:
+            real_write = LedgerStorage.write
+            refused: list[LedgerStorage] = []
+
+            def refuse(storage: LedgerStorage, writes: list[Persist]) -> None:
+                refused.append(storage)
+                raise OSError(errno.ENOSPC, "no space")
+
+            with mock.patch.object(LedgerStorage, "write", refuse):
+                submitting = asyncio.ensure_future(cluster.submit("job", ["i1", "i2"]))
+                await cluster.until(lambda: len(set(refused)) == 3 and len(refused) > 6)
+                self.assertFalse(submitting.done() and submitting.result().code == 202)
+            self.assertIs(real_write, LedgerStorage.write)
+            answer = await submitting
+            while answer.code != 202:
+                answer = await cluster.submit("job", ["i1", "i2"])
+            self.check_texts(await cluster.results("job", 2))
+
+        with_cluster(scenario)
+
     def test_a_removed_ledger_node_leaves_the_voter_set(self) -> None:
         async def scenario(cluster: ServiceCluster) -> None:
             await cluster.submit("job", ["i1"])
