--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -314,6 +314,70 @@
         "current = self._share",
         "tests/test_item_scheduler.py",
     ),
+    Mutant(
+        "two samplers load at a time, however many there are",
+        "versions keep pace",
+        "stileloom/jobs/version_planner.py",
+        "max(MIN_LOADS_AT_ONCE, int(samplers * LOADING_SHARE))",
+        "MIN_LOADS_AT_ONCE",
+        "tests/test_item_scheduler.py",
+    ),
+    Mutant(
+        "a sampler that does not answer gets as many runs as it has slots",
+        "work goes where it runs",
+        "stileloom/jobs/scheduler.py",
+        "if belief.suspect_until > now or (belief.failures and pace.running):",
+        "if False:",
+        "tests/test_item_scheduler.py",
+    ),
+    Mutant(
+        "every standby is fed",
+        "replication stays bounded",
+        "stileloom/ledger/standbys.py",
+        "        if missing <= 0:\n            return []\n",
+        "        missing = max(missing, 1)\n",
+        "tests/test_ledger.py::ReplicationFlowTest",
+    ),
+    Mutant(
+        "a leader without its lease feeds standbys on the silence of others",
+        "voter set",
+        "stileloom/ledger/replica.py",
+        "            and max(progress.last_heard_at, self._leader_since) <= deadline_s",
+        "",
+        "tests/test_ledger.py",
+    ),
+    Mutant(
+        "a cache passes on what it did not hear of lately",
+        "configuration in force",
+        "stileloom/daemon/store_cache.py",
+        "return time.monotonic() < self._behind_at(followed)",
+        "return followed.watcher.synced_at is not None",
+        "tests/test_store_cache.py",
+    ),
+    Mutant(
+        "a list from a cache may go back",
+        "a stated leave sticks",
+        "stileloom/daemon/cached_store.py",
+        "if isinstance(reply, ObjectsListed) and reply.page.store_revision >= seen:",
+        "if isinstance(reply, ObjectsListed):",
+        "tests/test_store_cache.py",
+    ),
+    Mutant(
+        "a failed write stays in the journal",
+        "an acknowledged job outlives one disk",
+        "stileloom/ledger/storage.py",
+        "        os.ftruncate(self._journal, self._journal_bytes)\n",
+        "",
+        "tests/test_ledger.py::StorageTest",
+    ),
+    Mutant(
+        "a disk that refused once is not written to again",
+        "an acknowledged job outlives one disk",
+        "stileloom/daemon/ledger_driver.py",
+        "asyncio.get_running_loop().call_later(DISK_RETRY_S, self._write, batch)",
+        "pass",
+        "tests/test_services.py -k refuse_writes",
+    ),
 ]
 
 
@@ -332,7 +396,7 @@
         path.write_text(source.replace(mutant.before, mutant.after))
         environment = {**os.environ, "PYTHONPATH": scratch}
         pytest = [sys.executable, "-m", "pytest", "-q", "-x", "-p", "no:cacheprovider"]
-        command = [*pytest, mutant.test]
+        command = [*pytest, *mutant.test.split()]
         try:
             done = subprocess.run(
                 command, cwd=folder, env=environment, capture_output=True, timeout=TIMEOUT_S
