A watch of the own object API begins from its caller's revision; one way to agree on the first voters

Cause: found by reading: the store behind the own object API kept one list of each kind, so of two watches of one kind in a process (a ledger node's cache and its direct reads) one took the changes that the other had to see. Ruled out: the users' platform (its watches are by revision). Change: the newest lists are held by revision; a watch from an unknown one is HISTORY_LOST and begins with a list. The daemon agrees on its first voters through the same function as the ledger node (25 lines twice before); the request of an item has a module of its own; tests and soak start the object API in one place.

--- a/stileloom/daemon/ledger_start.py
+++ b/stileloom/daemon/ledger_start.py
@@ -71,7 +71,7 @@
         return OpenedLedger(identity, recovered, storage)
     voters: list[Voter] = []
     if settings.first_start:
-        voters = await _agree_on_voters(store, voter_set_kind, identity, settings.voters)
+        voters = await agree_on_voters(store, voter_set_kind, identity, settings.voters)
     if identity not in voters:
         log.emit(LogEvent.VOTER_WITHOUT_DISK, {"disk": identity.disk_id})
     recovered = fresh_ledger(voters)
@@ -79,9 +79,10 @@
     return OpenedLedger(identity, recovered, storage)
 
 
-async def _agree_on_voters(
+async def agree_on_voters(
     store: ObjectStore, kind: str, me: Voter, target_count: int
 ) -> list[Voter]:
+    """The first voter set, by compare-and-swap; waits while the store is away."""
     while True:
         try:
             record = await store.get_object(kind, VOTER_SET_NAME)
--- a/stileloom/daemon/native_object_store.py
+++ b/stileloom/daemon/native_object_store.py
@@ -1,7 +1,7 @@
 """The product's own object API behind the port `ObjectStore`.
 
 The API lists and watches everything at once; changes of one kind are found by comparing with
-the list before. A status is kept as an object of its own kind.
+the list at the revision that a watch begins from. A status is kept as an object of its own kind.
 """
 
 from __future__ import annotations
@@ -14,6 +14,7 @@
 from stileloom.errors import ErrorKind, StileloomError
 
 STATUS_SUFFIX = "-status"
+LISTS_KEPT = 32
 
 
 class NativeObjectStore:
@@ -21,13 +22,14 @@
 
     def __init__(self, api: ObjectApi) -> None:
         self._api = api
-        self._known: dict[str, dict[str, ObjectRecord]] = {}
+        self._lists: dict[str, dict[int, dict[str, ObjectRecord]]] = {}
+        """The newest lists of each kind, by revision."""
 
     async def list_objects(self, kind: str) -> ObjectPage:
         """All objects of a kind."""
         listed = await self._api.list()
         records = _records(listed, kind)
-        self._known[kind] = records
+        self._keep(kind, listed.revision, records)
         return ObjectPage(list(records.values()), listed.revision)
 
     async def get_object(self, kind: str, name: str) -> ObjectRecord | None:
@@ -36,13 +38,15 @@
         return _record(stored, None) if stored is not None else None
 
     async def watch_objects(self, kind: str, after_revision: int, wait_s: float) -> WatchBatch:
-        """Changes after a revision."""
+        """Changes after a revision. Raises HISTORY_LOST where the list then is not held."""
+        before = self._lists.get(kind, {}).get(after_revision)
+        if before is None:
+            raise StileloomError(ErrorKind.HISTORY_LOST, f"no list at {after_revision}")
         listed = await self._api.watch_all(after_revision, wait_s)
         if listed is None:
             return WatchBatch([], after_revision)
         records = _records(listed, kind)
-        before = self._known.get(kind, {})
-        self._known[kind] = records
+        self._keep(kind, listed.revision, records)
         gone = [ObjectEvent(True, record) for name, record in before.items() if name not in records]
         changed = [
             ObjectEvent(False, record)
@@ -51,6 +55,12 @@
         ]
         return WatchBatch(gone + changed, listed.revision)
 
+    def _keep(self, kind: str, revision: int, records: dict[str, ObjectRecord]) -> None:
+        lists = self._lists.setdefault(kind, {})
+        lists[revision] = records
+        while len(lists) > LISTS_KEPT:
+            del lists[min(lists)]
+
     async def create_object(self, kind: str, name: str, spec: Any) -> ObjectRecord:
         """Adds an object."""
         return await self._write(kind, name, 0, spec)
--- a/stileloom/daemon/process.py
+++ b/stileloom/daemon/process.py
@@ -9,16 +9,15 @@
 import uuid
 from pathlib import Path
 
-import msgspec
 from tornado.httpserver import HTTPServer
 
-from stileloom.daemon.platform_client import MachineList, ObjectApi, StoredObject
+from stileloom.daemon.ledger_start import agree_on_voters
+from stileloom.daemon.native_object_store import NativeObjectStore
+from stileloom.daemon.platform_client import MachineList, ObjectApi
 from stileloom.daemon.shell import Shell
-from stileloom.errors import ErrorKind, StileloomError
 from stileloom.events import LogEvent
 from stileloom.http.application import make_application
 from stileloom.ledger import LedgerReplica, fresh_ledger
-from stileloom.ledger.bootstrap import VoterSetRecord, enter_voter_set
 from stileloom.ledger.commands import Voter
 from stileloom.ledger.replica import RecoveredLedger
 from stileloom.ledger.storage import LedgerStorage
@@ -29,8 +28,6 @@
 from stileloom.settings_file import split_address
 
 VOTER_SET_KIND = "voterset"
-VOTER_SET_NAME = "ledger"
-BOOTSTRAP_RETRY_S = 0.2
 LEADERSHIP_SETTLE_S = 0.3
 """How long a drained node keeps answering, so that others notice it is leaving."""
 
@@ -96,38 +93,15 @@
     if identity is None:
         identity = Voter(settings.node_id, uuid.uuid4().hex)
         storage.write_identity(identity)
-    record = await _agree_on_voters(object_api, identity, settings.ledger.voters)
-    if identity not in record.voters:
+    store = NativeObjectStore(object_api)
+    voters = await agree_on_voters(store, VOTER_SET_KIND, identity, settings.ledger.voters)
+    if identity not in voters:
         log.emit(LogEvent.VOTER_WITHOUT_DISK, {"disk": identity.disk_id})
-    recovered = fresh_ledger(record.voters)
+    recovered = fresh_ledger(voters)
     storage.start_fresh(recovered)
     return identity, recovered
 
 
-async def _agree_on_voters(api: ObjectApi, me: Voter, target_count: int) -> VoterSetRecord:
-    while True:
-        try:
-            stored = await api.get(VOTER_SET_KIND, VOTER_SET_NAME)
-            current = _voter_set(stored)
-            if current is not None and current.sealed:
-                return current
-            entered = enter_voter_set(current, me, target_count)
-            if entered is not None:
-                expected = stored.revision if stored is not None else 0
-                spec = msgspec.to_builtins(entered)
-                await api.write(VOTER_SET_KIND, VOTER_SET_NAME, expected, uuid.uuid4().hex, spec)
-                continue
-        except StileloomError as error:
-            # Down, or another node was first: look again.
-            if error.kind not in (ErrorKind.PLATFORM_UNAVAILABLE, ErrorKind.CONFLICT):
-                raise
-        await asyncio.sleep(BOOTSTRAP_RETRY_S)
-
-
-def _voter_set(stored: StoredObject | None) -> VoterSetRecord | None:
-    return msgspec.convert(stored.spec, VoterSetRecord) if stored is not None else None
-
-
 async def _wait_for_stop(shell: Shell) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -16,9 +16,9 @@
 from stileloom.events import LogEvent
 from stileloom.http1.connection import SamplerConnection
 from stileloom.http1.pool import ConnectionPool
-from stileloom.http1.request_encoder import encode_request, end_to_end
 from stileloom.jobs.book import JobBook, JobRecord
 from stileloom.jobs.intake import item_size, reusable_results
+from stileloom.jobs.item_request import encode_item_request
 from stileloom.jobs.item_stream import ItemStream, RunOutcome
 from stileloom.jobs.metrics import JobMetrics
 from stileloom.jobs.open_items import DEFAULT_TOKENS_PER_EVENT, OpenItem, StartRun
@@ -283,29 +283,11 @@
         if not open_item.began:
             open_item.began = True
             self._metrics.queue_wait.observe(time.monotonic() - open_item.adopted_at)
-        connection.exchange(self._encode(open_item, entry.sampler_id), stream)
-
-    def _encode(self, open_item: OpenItem, sampler_id: str) -> bytes:
-        names = self._dialect.names
-        item = open_item.item
-        own = {
-            names.request_id.lower(),
-            names.expect_sampler.lower(),
-            names.deadline_ms.lower(),
-            names.last_event_id.lower(),
-            "host",
-        }
-        headers = [("Host", self._host_of(open_item)), (names.request_id, item.item_id)]
-        headers += [
-            (name, value)
-            for name, value in end_to_end(item.headers.items())
-            if name.lower() not in own
-        ]
-        left_ms = max(1, int((open_item.give_up_at - time.monotonic()) * 1000))
-        headers += [(names.deadline_ms, str(left_ms)), (names.expect_sampler, sampler_id)]
-        if open_item.partial.last_event_id is not None:
-            headers.append((names.last_event_id, str(open_item.partial.last_event_id)))
-        return encode_request("POST", item.path, headers, item.body)
+        left_s = open_item.give_up_at - time.monotonic()
+        request = encode_item_request(
+            open_item, self._host_of(open_item), entry.sampler_id, left_s, self._dialect.names
+        )
+        connection.exchange(request, stream)
 
     def _event(self, open_item: OpenItem) -> None:
         now = time.monotonic()
--- a/tests/service_cluster.py
+++ b/tests/service_cluster.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import tempfile
 from collections.abc import Callable
 from pathlib import Path
@@ -13,19 +14,15 @@
 
 import msgspec
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
-from tornado.httpserver import HTTPServer
-from tornado.netutil import bind_sockets
 
 from stileloom.daemon.gateway import Gateway
 from stileloom.daemon.ledger_node import LedgerNode
 from stileloom.daemon.native_object_store import NativeObjectStore
 from stileloom.daemon.platform_client import ObjectApi
 from stileloom.emulator.http_sampler import HttpSampler
-from stileloom.emulator.object_api_server import object_api_application
-from stileloom.emulator.settings import EmulatorSettings, MachineListSettings, WeightStoreSettings
-from stileloom.emulator.settings import ObjectApiSettings as ApiSettings
 from stileloom.http.native_dialect import NativeDialect
 from stileloom.service_settings import ServiceSettings, TimeBounds
+from tests.object_api import object_api
 from tests.ports import free_port
 
 HOST = "127.0.0.1"
@@ -79,24 +76,12 @@
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._http = AsyncHTTPClient(force_instance=True, max_clients=100)
         self._settings: dict[str, ServiceSettings] = {}
-        self._api_server: HTTPServer
+        self._open = contextlib.ExitStack()
         self.api: ObjectApi
 
     async def __aenter__(self) -> ServiceCluster:
         """Starts everything and waits until a job could be taken."""
-        application = object_api_application(
-            EmulatorSettings(
-                seed=1,
-                object_api=ApiSettings(port=1),
-                machine_list=MachineListSettings(port=1),
-                weight_store=WeightStoreSettings(port=1),
-                samplers=[],
-            )
-        )
-        sockets = bind_sockets(0, address=HOST)
-        self._api_server = HTTPServer(application)
-        self._api_server.add_sockets(sockets)
-        self._api_address = f"{HOST}:{sockets[0].getsockname()[1]}"
+        self._api_address = self._open.enter_context(object_api())
         self.api = ObjectApi(self._api_address)
         await self.write("configuration", "main", configuration(1))
         for number in (1, 2):
@@ -125,7 +110,7 @@
             node.abort()
         for sampler in self.samplers.values():
             await sampler.stop()
-        self._api_server.stop()
+        self._open.close()
         self._folder.cleanup()
 
     async def until(self, holds: Callable[[], bool]) -> None:
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -3,25 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from pathlib import Path
 from typing import Any
 
 import msgspec
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
-from tornado.httpserver import HTTPServer
-from tornado.netutil import bind_sockets
 
 from stileloom.daemon.platform_client import ObjectApi
 from stileloom.emulator.http_sampler import HttpSampler
-from stileloom.emulator.object_api_server import object_api_application
-from stileloom.emulator.settings import (
-    EmulatorSettings,
-    MachineListSettings,
-    ObjectApiSettings,
-    WeightStoreSettings,
-)
 from stileloom.errors import StileloomError
+from tests.object_api import object_api
 from tests.ports import free_port
 from tests.soak.loopback_proxy import Link, TcpProxy, UdpProxy
 from tests.soak.programs import Program
@@ -48,6 +41,7 @@
         self.samplers: dict[str, HttpSampler] = {}
         self.api: ObjectApi
         self.api_address = ""
+        self._open = contextlib.ExitStack()
         self._folder = folder
         self._rng = rng
         self._record = record
@@ -61,7 +55,8 @@
 
     async def start(self, configuration: dict[str, Any]) -> None:
         """Starts the object API, samplers and programs."""
-        self._start_api()
+        self.api_address = self._open.enter_context(object_api())
+        self.api = ObjectApi(self.api_address)
         await self.write("configuration", "main", configuration)
         for service, count in SAMPLERS.items():
             for _ in range(count):
@@ -73,22 +68,6 @@
         for program in self.programs.values():
             program.start()
 
-    def _start_api(self) -> None:
-        application = object_api_application(
-            EmulatorSettings(
-                seed=1,
-                object_api=ObjectApiSettings(port=1),
-                machine_list=MachineListSettings(port=1),
-                weight_store=WeightStoreSettings(port=1),
-                samplers=[],
-            )
-        )
-        sockets = bind_sockets(0, address=HOST)
-        self._api_server = HTTPServer(application)
-        self._api_server.add_sockets(sockets)
-        self.api_address = f"{HOST}:{sockets[0].getsockname()[1]}"
-        self.api = ObjectApi(self.api_address)
-
     async def write(self, kind: str, name: str, spec: dict[str, Any] | None) -> None:
         """Writes an object as an operator or trainer does: not through any faulty link.
 
@@ -236,7 +215,7 @@
             datagrams.stop()
         for sampler in self.samplers.values():
             await sampler.stop()
-        self._api_server.stop()
+        self._open.close()
 
 
 def _toml(value: object) -> str:
--- a/tests/soak/loopback_proxy.py
+++ b/tests/soak/loopback_proxy.py
@@ -98,10 +98,12 @@
             self._writers.discard(writer)
             return
         self._writers.add(upstream_writer)
-        await asyncio.gather(
-            self._pump(reader, upstream_writer, to_server=True),
-            self._pump(upstream, writer, to_server=False),
-        )
+        with contextlib.suppress(asyncio.CancelledError):
+            # The end of the run cancels what is still open.
+            await asyncio.gather(
+                self._pump(reader, upstream_writer, to_server=True),
+                self._pump(upstream, writer, to_server=False),
+            )
         for ended in (writer, upstream_writer):
             self._writers.discard(ended)
             ended.close()
