A first list gives a cache little time

Ruled out: the shorter time to connect to samplers (all refusals were not_ready). Change: while nothing of a kind is known a cache gets 60 ms, connecting included, then the store is asked; the list of ledger nodes is read after the first lists, not before. Test: fails without the change.

--- a/stileloom/daemon/cached_store.py
+++ b/stileloom/daemon/cached_store.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import time
 from typing import Any
@@ -40,6 +41,9 @@
 REFRESH_S = 15.0
 """How often the list of ledger nodes is read again."""
 
+FIRST_LIST_S = 0.06
+"""Time for a cache's answer, connecting included, while this node knows nothing of a kind."""
+
 Address = tuple[str, int]
 
 
@@ -117,10 +121,13 @@
         self._connections.close()
 
     async def list_objects(self, kind: str) -> ObjectPage:
-        """All objects of a kind, from a cache that is not behind what was seen."""
-        await self._refresh_nodes()
-        reply = await self._ask_cache(ReadObjectsCall(kind, None, 0.0))
+        """All objects of a kind, from a cache that is not behind what was seen.
+
+        A node that knows nothing yet can serve nobody: it gives a cache little time.
+        """
         seen = self._seen_revisions.get(kind, 0)
+        limit_s = FIRST_LIST_S if seen == 0 else self._bound_s
+        reply = await self._ask_cache(ReadObjectsCall(kind, None, 0.0), limit_s)
         if isinstance(reply, ObjectsListed) and reply.page.store_revision >= seen:
             page = reply.page
         else:
@@ -133,7 +140,8 @@
         """Changes after a revision; waits no longer than a lost answer may go unnoticed."""
         await self._refresh_nodes()
         short_wait_s = min(wait_s, self._bound_s * WATCH_SHARE_OF_BOUND)
-        reply = await self._ask_cache(ReadObjectsCall(kind, after_revision, short_wait_s))
+        call = ReadObjectsCall(kind, after_revision, short_wait_s)
+        reply = await self._ask_cache(call, self._bound_s)
         if isinstance(reply, ChangesForgotten):
             raise StileloomError(ErrorKind.HISTORY_LOST, "the cache forgot the changes")
         if isinstance(reply, ObjectsChanged):
@@ -144,16 +152,17 @@
         self._seen_revisions[kind] = max(after_revision, batch.store_revision)
         return batch
 
-    async def _ask_cache(self, call: ReadObjectsCall) -> CacheReply | None:
-        """A cache's answer, or None where the store has to be asked."""
+    async def _ask_cache(self, call: ReadObjectsCall, limit_s: float) -> CacheReply | None:
+        """A cache's answer within a limit, or None where the store has to be asked."""
         node = self.nodes.choose(time.monotonic())
         if node is None:
             return None
         timeout_s = call.wait_s + self._bound_s * ANSWER_SHARE_OF_BOUND
         try:
-            reply = await self._connections.call(node.address, call, timeout_s)
-        except CallFailed as failure:
-            self._note_failure(node, str(failure))
+            async with asyncio.timeout(limit_s):
+                reply = await self._connections.call(node.address, call, timeout_s)
+        except (CallFailed, TimeoutError) as failure:
+            self._note_failure(node, str(failure) or "no answer in time")
             return None
         if not isinstance(reply, ObjectsListed | ObjectsChanged | ChangesForgotten):
             self._note_failure(node, "behind")
--- a/tests/test_store_cache.py
+++ b/tests/test_store_cache.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from typing import Any
+from unittest import mock
 
 import testtools
 from prometheus_client import CollectorRegistry
@@ -206,6 +207,35 @@
 
         self.assertEqual([1, 2, 0], asyncio.run(run()))
 
+    def test_a_first_list_does_not_wait_for_a_cache_that_is_starting_too(self) -> None:
+        """Until its first list a gateway answers all requests with 503."""
+
+        async def run() -> tuple[int, bool]:
+            own_path = FakeStore()
+            own_path.put("a")
+            port = free_port()
+            asked = asyncio.Event()
+            may_answer = asyncio.Event()
+
+            async def answer_late(call: object) -> CacheBehind:
+                asked.set()
+                await may_answer.wait()
+                return CacheBehind()
+
+            server = CallServer(answer_late)  # type: ignore[arg-type]
+            await server.start(HOST, port)
+            reader = self.reader(own_path, [(HOST, port)])
+            page = await reader.list_objects(KIND)
+            was_asked = asked.is_set()
+            may_answer.set()
+            server.stop()
+            reader.close()
+            return len(page.records), was_asked
+
+        bounds = TimeBounds(sampler_drain_s=600.0, configuration_s=600.0)
+        with mock.patch("tests.test_store_cache.BOUNDS", bounds):
+            self.assertEqual((1, True), asyncio.run(asyncio.wait_for(run(), 30.0)))
+
     def test_a_cache_behind_what_was_seen_is_not_listed_from(self) -> None:
         """A listing that goes back would bring back a sampler that has left."""
 
