An attribute that nobody reads is gone

Cause: left over in CacheNodes. Ruled out: a use anywhere (linter, types, search). Change: one line.

--- a/stileloom/daemon/cached_store.py
+++ b/stileloom/daemon/cached_store.py
@@ -61,7 +61,6 @@
 
     def __init__(self, seeds: list[Address]) -> None:
         self._nodes = [_CacheNode(f"{host}:{port}", (host, port)) for host, port in seeds]
-        self._listed = False
 
     def learn(self, addresses: dict[str, Address]) -> None:
         """Takes the store's list of ledger nodes, by name."""
