A store that is down for long is followed again

Cause: found by reading: the pause between tries was worked out from two to the power of the failures in a row; after 1,024 of them, some 14 minutes, that is no float any more and the watcher's task ended for good. Ruled out: the ejection factor in routing/limits.py (integers only). Change: at most eight doublings, in the watcher and in the choice of caches.

--- a/stileloom/daemon/cached_store.py
+++ b/stileloom/daemon/cached_store.py
@@ -38,6 +38,8 @@
 PASSED_OVER_S = 5.0
 """How long a cache that failed is not asked; doubled with each failure in a row."""
 PASSED_OVER_MAX_S = 40.0
+MAX_DOUBLINGS = 8
+"""Enough for the greatest pause; a power of a thousand failures is no float any more."""
 REFRESH_S = 15.0
 """How often the list of ledger nodes is read again."""
 
@@ -81,7 +83,8 @@
 
     def failed(self, node: _CacheNode, now: float) -> None:
         """The node did not answer, or its cache is behind."""
-        pause_s = min(PASSED_OVER_MAX_S, PASSED_OVER_S * 2**node.failures)
+        doublings = min(node.failures, MAX_DOUBLINGS)
+        pause_s = min(PASSED_OVER_MAX_S, PASSED_OVER_S * 2**doublings)
         node.failures += 1
         node.passed_over_until = now + pause_s
 
--- a/stileloom/daemon/object_watch.py
+++ b/stileloom/daemon/object_watch.py
@@ -16,6 +16,8 @@
 """A watch whose connection died is noticed only when it is over: shorter than the bounds allow."""
 RETRY_MIN_S = 0.15
 RETRY_MAX_S = 0.8
+MAX_DOUBLINGS = 8
+"""Enough for the longest pause; a power of a thousand failures is no float any more."""
 
 
 class ObjectWatcher:
@@ -67,7 +69,8 @@
                     self._revision = None
                     continue
                 self._note_failure(error)
-                pause_s = min(RETRY_MAX_S, RETRY_MIN_S * 2**self._failures)
+                doublings = min(self._failures, MAX_DOUBLINGS)
+                pause_s = min(RETRY_MAX_S, RETRY_MIN_S * 2**doublings)
                 await self._sleep(pause_s * self._rng.uniform(0.7, 1.3))
 
     async def _follow(self) -> None:
--- a/tests/test_object_watch.py
+++ b/tests/test_object_watch.py
@@ -67,7 +67,11 @@
             no_sleep,
         )
         task = asyncio.get_running_loop().create_task(watcher.run())
-        await store.exhausted.wait()
+        exhausted = asyncio.ensure_future(store.exhausted.wait())
+        await asyncio.wait((task, exhausted), return_when=asyncio.FIRST_COMPLETED)
+        if task.done():
+            # It follows until it is cancelled: what ended it is the failure.
+            task.result()
         task.cancel()
         return store.calls
 
@@ -103,3 +107,11 @@
         calls, told = follow([ObjectPage([], 7), WatchBatch([event], 12)])
         self.assertEqual(("watch", 12, WATCH_WAIT_S), calls[-1])
         self.assertEqual(["a"], told)
+
+    def test_a_store_that_is_down_for_long_is_followed_again(self) -> None:
+        """After a thousand failures in a row the pause could not be worked out any more."""
+        answers: list[Any] = [down()] * 1200
+        answers.append(ObjectPage([ObjectRecord("a", 1, {})], 7))
+        calls, told = follow(answers)
+        self.assertEqual(["a"], told)
+        self.assertEqual(("watch", 7, WATCH_WAIT_S), calls[-1])
--- a/tests/test_store_cache.py
+++ b/tests/test_store_cache.py
@@ -11,7 +11,12 @@
 from prometheus_client import CollectorRegistry
 
 from stileloom.api.object_store import ObjectEvent, ObjectPage, ObjectRecord, WatchBatch
-from stileloom.daemon.cached_store import PASSED_OVER_S, CachedObjectStore, CacheNodes
+from stileloom.daemon.cached_store import (
+    PASSED_OVER_MAX_S,
+    PASSED_OVER_S,
+    CachedObjectStore,
+    CacheNodes,
+)
 from stileloom.daemon.process_metrics import ProcessMetrics
 from stileloom.daemon.store_cache import StoreCache
 from stileloom.errors import ErrorKind, StileloomError
@@ -288,3 +293,6 @@
         nodes.failed(node, 0.0)
         self.assertIsNone(nodes.choose(PASSED_OVER_S + 0.1))
         self.assertIsNotNone(nodes.choose(2 * PASSED_OVER_S + 0.1))
+        for _ in range(1200):
+            nodes.failed(node, 0.0)
+        self.assertIsNotNone(nodes.choose(PASSED_OVER_MAX_S + 0.1))
