--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -34,6 +34,8 @@
         self._started_at = time.monotonic()
         self._lost_until = 0.0
         """One ledger node may be lost at a time: the next one after this."""
+        self._ending: set[str] = set()
+        """Gateways that a fault ends and starts again just now."""
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self, seconds: float) -> None:
@@ -182,18 +184,23 @@
 
     async def _kill_gateway(self) -> str:
         name = self._any_gateway()
-        if not self._deployment.programs[name].running:
+        if name in self._ending or not self._deployment.programs[name].running:
             return ""
+        self._ending.add(name)
         await self._deployment.programs[name].kill()
         await asyncio.sleep(self._rng.uniform(0.1, 1.0))
         self._deployment.programs[name].start()
+        self._ending.discard(name)
         return f"{name}: killed"
 
     async def _stop_gateway(self) -> str:
         name = self._any_gateway()
-        if not self._deployment.programs[name].running:
+        if name in self._ending or not self._deployment.programs[name].running:
             return ""
-        return await self._stop(name)
+        self._ending.add(name)
+        told = await self._stop(name)
+        self._ending.discard(name)
+        return told
 
     async def _stop(self, name: str) -> str:
         program = self._deployment.programs[name]
--- a/tests/soak/programs.py
+++ b/tests/soak/programs.py
@@ -46,7 +46,9 @@
         return self._process is not None and self._process.poll() is None
 
     def start(self) -> None:
-        """Starts the process."""
+        """Starts the process, if none runs: a second one could never be ended by its id."""
+        if self.running:
+            return
         self.lives += 1
         self._started_at = time.monotonic()
         self.paused = False
