--- /dev/null
+++ b/stileloom/jobs/reward_caller.py
@@ -0,0 +1,197 @@
+"""Asks for the scores of whole texts while this node leads.
+
+A reward call goes by the route of its host and path, through the same forwarder as lookups.
+It may run more than once, so it is asked again until there is a score, the samplers have
+failed it as often as its route allows attempts, or its item is dropped.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Protocol
+
+import msgspec
+
+from stileloom.api.headers import HeaderNames
+from stileloom.api.jobs import RewardCall
+from stileloom.api.routes import Route, RouteKind
+from stileloom.errors import StileloomError
+from stileloom.events import LogEvent
+from stileloom.jobs.metrics import JobMetrics
+from stileloom.jobs.open_items import ItemKey, OpenItem
+from stileloom.jobs.reward_window import RewardWindow
+from stileloom.logging import EventLog
+from stileloom.proxy.forwarder import Forwarder
+from stileloom.proxy.lookup import Lookup, LookupAnswer
+from stileloom.proxy.route_table import RouteTable
+from stileloom.proxy.sampler_table import SamplerTable
+
+RETRY_S = 0.1
+"""Before a call that no sampler answered with a score is asked again."""
+FAILED_STATUS = 500
+
+
+class RewardOwner(Protocol):
+    """Whoever waits for scores."""
+
+    def scored(self, open_item: OpenItem, score: str) -> None:
+        """The score of an item's text has come."""
+
+    def not_scored(self, open_item: OpenItem, reason: str) -> None:
+        """The samplers failed the call as often as its route allows."""
+
+
+class PendingReward(msgspec.Struct):
+    """A reward call without a score so far."""
+
+    item: OpenItem
+    call: RewardCall
+    whole_at: float
+    failures: int = 0
+    tries: int = 0
+    not_before: float = 0.0
+    task: asyncio.Task[None] | None = None
+
+
+class RewardCaller:
+    """Reward calls of one leadership."""
+
+    def __init__(
+        self,
+        forwarder: Forwarder,
+        routes: RouteTable,
+        samplers: SamplerTable,
+        names: HeaderNames,
+        owner: RewardOwner,
+        log: EventLog,
+        metrics: JobMetrics,
+    ) -> None:
+        self._forwarder = forwarder
+        self._routes = routes
+        self._samplers = samplers
+        self._names = names
+        self._owner = owner
+        self._log = log
+        self._metrics = metrics
+        self._pending: dict[ItemKey, PendingReward] = {}
+        self._windows: dict[str, RewardWindow] = {}
+
+    def __len__(self) -> int:
+        """Texts that wait for their score."""
+        return len(self._pending)
+
+    def ask(self, open_item: OpenItem, call: RewardCall) -> None:
+        """The item's text is whole: asks for its score, as soon as the service has room."""
+        if open_item.key in self._pending:
+            return
+        now = time.monotonic()
+        self._pending[open_item.key] = PendingReward(open_item, call, now)
+        self._log.emit(
+            LogEvent.REWARD_ASKED,
+            {
+                "item": open_item.item.item_id,
+                "job": open_item.key[0],
+                "reward": call.request_id,
+                "events": len(open_item.partial.parts),
+                "versions": list(open_item.partial.versions),
+            },
+        )
+        self.step(now)
+
+    def drop(self, key: ItemKey) -> None:
+        """Nobody waits for the item's score any more: its call ends."""
+        pending = self._pending.pop(key, None)
+        if pending is not None and pending.task is not None:
+            pending.task.cancel()
+
+    def stop(self) -> None:
+        """Ends every call."""
+        for key in list(self._pending):
+            self.drop(key)
+
+    def step(self, now: float) -> None:
+        """Starts the calls that are due and have room, in the order in which texts were whole."""
+        for pending in list(self._pending.values()):
+            if pending.task is not None or now < pending.not_before:
+                continue
+            route = self._routes.match(pending.call.host, pending.call.path)
+            if route is None or route.kind is RouteKind.BATCH:
+                # A configuration may bring the route back; until then the item waits.
+                continue
+            service = self._routes.choose_backend(route)
+            window = self._windows.setdefault(service, RewardWindow())
+            if not window.may_start(now, self._places(service)):
+                continue
+            window.running += 1
+            pending.tries += 1
+            work = self._call(pending, route, service, window)
+            pending.task = asyncio.get_running_loop().create_task(work)
+
+    def _places(self, service: str) -> int:
+        return sum(belief.entry.slots for belief in self._samplers.of_service(service))
+
+    async def _call(
+        self, pending: PendingReward, route: Route, service: str, window: RewardWindow
+    ) -> None:
+        try:
+            answer = await self._forward(pending, route, service)
+        except StileloomError as error:
+            now = time.monotonic()
+            window.not_answered(now)
+            self._ask_again(pending, now, f"{error.kind.value}: {error.detail}")
+            return
+        finally:
+            window.running -= 1
+        window.answered()
+        self._judge(pending, answer, route.max_attempts)
+        self.step(time.monotonic())
+
+    async def _forward(self, pending: PendingReward, route: Route, service: str) -> LookupAnswer:
+        """One try, within the route's attempts and time; the call may run more than once."""
+        call = pending.call
+        now = time.monotonic()
+        left_s = max(RETRY_S, min(route.timeout_s, pending.item.give_up_at - now))
+        headers = [("Host", call.host), (self._names.request_id, call.request_id)]
+        lookup = Lookup(call.request_id, "POST", call.path, headers, call.body, now, now + left_s)
+        repeatable = msgspec.structs.replace(route, kind=RouteKind.SAFE)
+        return await self._forwarder.forward(lookup, repeatable, service)
+
+    def _judge(self, pending: PendingReward, answer: LookupAnswer, max_attempts: int) -> None:
+        status = answer.head.status
+        score = answer.head.headers.get(self._names.signature, "")
+        pending.failures += answer.failed_attempts
+        if 200 <= status < 300 and score:
+            self._end(pending, "scored")
+            self._owner.scored(pending.item, score)
+        elif pending.failures >= max_attempts:
+            self._end(pending, "failed")
+            reason = f"its reward call failed {pending.failures} times"
+            self._owner.not_scored(pending.item, reason)
+        else:
+            self._ask_again(pending, time.monotonic(), f"status {status}")
+
+    def _ask_again(self, pending: PendingReward, now: float, detail: str) -> None:
+        pending.task = None
+        pending.not_before = now + RETRY_S
+        self._metrics.rewards.labels("asked_again").inc()
+        self._log.emit(
+            LogEvent.REWARD_RETRIED,
+            {**self._told(pending), "detail": detail},
+        )
+
+    def _end(self, pending: PendingReward, outcome: str) -> None:
+        del self._pending[pending.item.key]
+        self._metrics.rewards.labels(outcome).inc()
+        self._metrics.reward_wait.observe(time.monotonic() - pending.whole_at)
+        self._log.emit(LogEvent.REWARD_ANSWERED, {**self._told(pending), "outcome": outcome})
+
+    def _told(self, pending: PendingReward) -> dict[str, object]:
+        return {
+            "item": pending.item.item.item_id,
+            "job": pending.item.key[0],
+            "reward": pending.call.request_id,
+            "tries": pending.tries,
+            "failures": pending.failures,
+            "waited_ms": round((time.monotonic() - pending.whole_at) * 1000),
+        }
