Reward calls: an item succeeds only with the score of its whole text

Ruled out: asking at the gateways (the leader knows when a text is whole and must list it); waiting for the score before the text is durable (a new leader would run the item again). Change: api/jobs.RewardCall; the leader saves the whole text (SaveProgress.whole) and asks by the route of host and path through the forwarder of lookups (jobs/reward_caller.py), at most half of a service's places and fewer while it is full (jobs/reward_window.py, AIMD); given up after the route's attempts of 500; dropped with its job; carried text and score kept where reward call and versions fit. Submissions are checked once, for both dialects (jobs/submission_check.py): ids, paths, hosts and headers that would split a request head are refused. Log lines, metrics, trace from an item to its reward call. The own interface's results have a fifth column, score: two tests name it now. The check for two items with one id moved from both dialects to the gateway: the dialect's test calls it behind decode_job and is as strict.

--- a/stileloom/api/jobs.py
+++ b/stileloom/api/jobs.py
@@ -7,6 +7,15 @@
 import msgspec
 
 
+class RewardCall(msgspec.Struct, frozen=True, array_like=True):
+    """A request that scores the whole text of an item; its 2xx answer carries the score."""
+
+    request_id: str
+    host: str
+    path: str
+    body: bytes
+
+
 class JobItem(msgspec.Struct, frozen=True, array_like=True):
     """One request of a job."""
 
@@ -16,6 +25,8 @@
     body: bytes
     group: str
     """Items of a group share their prompt; empty where there is none."""
+    reward: RewardCall | None = None
+    """Asked once the text is whole; the item succeeds only with its score."""
 
 
 class JobSubmission(msgspec.Struct, frozen=True):
@@ -46,6 +57,8 @@
     state: ItemState
     text: str
     versions: list[int]
+    score: str = ""
+    """Signature of the reward call's answer; empty where the item has no reward."""
 
 
 class FinishedItem(msgspec.Struct, frozen=True, array_like=True):
@@ -58,6 +71,7 @@
     parts: list[str]
     """The events after those."""
     versions: list[int]
+    score: str = ""
 
 
 class ItemProgress(msgspec.Struct, frozen=True, array_like=True):
@@ -70,6 +84,8 @@
     last_event_id: int
     versions: list[int]
     """Versions of all events so far, in the order of their first event."""
+    whole: bool = False
+    """Whether these events end the text."""
 
 
 class ResultPage(msgspec.Struct, frozen=True):
--- a/stileloom/daemon/leadership.py
+++ b/stileloom/daemon/leadership.py
@@ -18,6 +18,7 @@
 from stileloom.jobs.runner import JobRunner
 from stileloom.ledger.commands import RetireNode
 from stileloom.logging import EventLog
+from stileloom.proxy.forwarder import Forwarder
 from stileloom.service_settings import ServiceSettings
 
 VERSIONS_PAUSE_S = 0.1
@@ -37,6 +38,7 @@
         dialect: Dialect,
         driver: LedgerDriver,
         directory: Directory,
+        forwarder: Forwarder,
         log: EventLog,
         metrics: JobMetrics,
         rng: random.Random,
@@ -50,6 +52,7 @@
             driver,
             directory.routes,
             directory.samplers,
+            forwarder,
             dialect,
             log,
             metrics,
--- a/stileloom/daemon/ledger_node.py
+++ b/stileloom/daemon/ledger_node.py
@@ -30,6 +30,8 @@
 from stileloom.ledger.state import LedgerState
 from stileloom.ledger.wire import Sender
 from stileloom.logging import EventLog
+from stileloom.proxy.forwarder import Forwarder
+from stileloom.proxy.metrics import AttemptMetrics
 from stileloom.service_settings import ServiceSettings
 from stileloom.settings_file import split_address
 from stileloom.transport.cache_messages import ReadObjectsCall
@@ -66,6 +68,14 @@
         self._directory = Directory(
             self._cached, dialect, settings.bounds, self._log, self._rng, process_metrics
         )
+        self._forwarder = Forwarder(
+            settings.zone,
+            self._directory.samplers,
+            dialect.names,
+            self._log,
+            AttemptMetrics(self._registry),
+            self._rng,
+        )
         self._directory.on_sampler = self._sampler_seen
         self._directory.on_sampler_gone = self._sampler_gone
         self._stopping = asyncio.Event()
@@ -196,6 +206,7 @@
             self._dialect,
             driver,
             self._directory,
+            self._forwarder,
             self._log,
             self._metrics,
             self._rng,
@@ -217,6 +228,7 @@
             self._leadership.runner.sampler_seen(entry.sampler_id, entry.model_versions)
 
     def _sampler_gone(self, sampler_id: str) -> None:
+        self._forwarder.forget(sampler_id)
         if self._leadership is not None:
             self._leadership.runner.sampler_gone(sampler_id)
 
--- a/stileloom/emulator/http_sampler.py
+++ b/stileloom/emulator/http_sampler.py
@@ -34,6 +34,8 @@
     """Requests are refused as not run."""
     silent: bool = False
     """Requests get no answer."""
+    work_s: float = 0.0
+    """How long a lookup takes."""
 
 
 class RunRecord(msgspec.Struct, frozen=True):
@@ -43,6 +45,15 @@
     target: str
     body: bytes
     after_event: int | None
+    started_at: float = 0.0
+    """Monotonic seconds."""
+
+
+class WorkGauge(msgspec.Struct):
+    """Lookups that run now, and the most that ever ran at once."""
+
+    running: int = 0
+    most_running: int = 0
 
 
 def expected_events(item_id: str, count: int) -> list[str]:
@@ -60,6 +71,10 @@
         self.model_versions = dict(model_versions)
         self.faults = SamplerFaults()
         self.runs: list[RunRecord] = []
+        self.whole_at: dict[str, float] = {}
+        """When the last event of a request was made; monotonic seconds."""
+        self.gauge = WorkGauge()
+        """Lookups under way; samplers of one service may share it."""
         self.orders: list[LoadOrder] = []
         self._names = HeaderNames()
         self._events = events
@@ -122,7 +137,7 @@
         after = request.headers.get(names.last_event_id)
         after_event = int(after) if after is not None else None
         target = request.uri or ""
-        self.runs.append(RunRecord(request_id, target, request.body, after_event))
+        self.runs.append(RunRecord(request_id, target, request.body, after_event, time.monotonic()))
         if self.faults.silent:
             return
         headers = {names.request_id: request_id, names.signature: f"{self.sampler_id}/{request_id}"}
@@ -131,7 +146,17 @@
         elif "model" in request.headers:
             await self._stream(request, headers, request_id, after_event or 0)
         else:
-            self._reply(request, 200, headers, b"echo:" + request.body)
+            await self._work(request, headers)
+
+    async def _work(self, request: HTTPServerRequest, headers: dict[str, str]) -> None:
+        """A lookup or a reward call; counted while it is worked on."""
+        self.gauge.running += 1
+        self.gauge.most_running = max(self.gauge.most_running, self.gauge.running)
+        try:
+            await asyncio.sleep(self.faults.work_s)
+        finally:
+            self.gauge.running -= 1
+        self._reply(request, 200, headers, b"echo:" + request.body)
 
     async def _stream(
         self, request: HTTPServerRequest, headers: dict[str, str], request_id: str, after: int
@@ -153,6 +178,7 @@
             change = f"{self._names.versions.lower()}: {now}\n" if now != version else ""
             version = now
             connection.write(f"{change}id: {number}\ndata: {data}\n\n".encode())
+        self.whole_at[request_id] = time.monotonic()
         connection.finish()
 
     def _reply(
--- a/stileloom/http/native_dialect.py
+++ b/stileloom/http/native_dialect.py
@@ -85,8 +85,6 @@
     def decode_job(self, job_id: str, host: str, path: str, body: bytes) -> JobSubmission:
         """A job's body."""
         job = decode(body, JobBody)
-        if len({item.item_id for item in job.items}) < len(job.items):
-            raise StileloomError(ErrorKind.BAD_REQUEST, "two items have one id")
         return JobSubmission(
             job_id, host, path, job.step, job.model, job.min_version, job.desired_groups, job.items
         )
--- a/stileloom/jobs/book.py
+++ b/stileloom/jobs/book.py
@@ -76,6 +76,7 @@
             saved.parts[item.first_part :] = item.parts
             saved.last_event_id = item.last_event_id
             saved.versions = list(item.versions)
+            saved.whole = item.whole
 
     def record(self, job_id: str, finished: list[FinishedItem]) -> None:
         """Lists results of items that are not listed yet, in the order given."""
@@ -90,7 +91,9 @@
             parts = saved.parts[: item.saved_parts] if saved is not None else []
             text = "\n".join([*parts, *item.parts]) if item.state is ItemState.SUCCEEDED else ""
             job.listed.add(item.item_id)
-            job.results.append(ItemResult(item.item_id, item.state, text, item.versions))
+            job.results.append(
+                ItemResult(item.item_id, item.state, text, item.versions, item.score)
+            )
 
     def end(self, job_id: str) -> bool:
         """Ends a job; False where there is none."""
--- a/stileloom/jobs/intake.py
+++ b/stileloom/jobs/intake.py
@@ -26,21 +26,31 @@
 
 def reusable_results(book: JobBook, record: JobRecord, single_version: bool) -> list[FinishedItem]:
     """Results of earlier jobs for items that this job carries, where their versions fit."""
-    wanted = {item.item_id for item in record.submission.items} - record.listed
+    wanted = {
+        item.item_id: item.reward
+        for item in record.submission.items
+        if item.item_id not in record.listed
+    }
     min_version = record.submission.min_version
     found: list[FinishedItem] = []
     for other in book.jobs.values():
         if other is record or other.submission.model != record.submission.model:
             continue
+        rewards = {item.item_id: item.reward for item in other.submission.items}
         for result in other.results:
             if result.item_id not in wanted or result.state is not ItemState.SUCCEEDED:
                 continue
             too_old = any(version < min_version for version in result.versions)
             if too_old or (single_version and len(result.versions) > 1):
                 continue
-            wanted.discard(result.item_id)
+            if rewards[result.item_id] != wanted[result.item_id]:
+                # The score answers another reward call.
+                continue
+            del wanted[result.item_id]
             found.append(
-                FinishedItem(result.item_id, result.state, 0, [result.text], result.versions)
+                FinishedItem(
+                    result.item_id, result.state, 0, [result.text], result.versions, result.score
+                )
             )
     return found
 
--- a/stileloom/jobs/metrics.py
+++ b/stileloom/jobs/metrics.py
@@ -51,6 +51,18 @@
         self.results_listed = Counter(
             "stileloom_results_listed", "Results committed to the ledger", registry=registry
         )
+        self.rewards = Counter(
+            "stileloom_reward_calls",
+            "Reward calls of whole texts, by outcome",
+            ["outcome"],
+            registry=registry,
+        )
+        self.reward_wait = Histogram(
+            "stileloom_reward_wait_seconds",
+            "Time from an item's whole text to its score, or to its last failed call",
+            buckets=EVENT_BUCKETS_S,
+            registry=registry,
+        )
         self.job_time = Histogram(
             "stileloom_job_seconds",
             "Time from a job's adoption to its end",
--- a/stileloom/jobs/partial_text.py
+++ b/stileloom/jobs/partial_text.py
@@ -17,6 +17,8 @@
     parts: list[str] = msgspec.field(default_factory=list)
     last_event_id: int | None = None
     versions: list[int] = msgspec.field(default_factory=list)
+    whole: bool = False
+    """Whether the sampler ended the text after these events."""
 
     @property
     def text(self) -> str:
@@ -35,7 +37,7 @@
 
     def copy(self) -> PartialText:
         """An independent copy."""
-        return PartialText(list(self.parts), self.last_event_id, list(self.versions))
+        return PartialText(list(self.parts), self.last_event_id, list(self.versions), self.whole)
 
     def fits(self, min_version: int, single_version: bool) -> bool:
         """Whether the text so far may be part of a result with these bounds."""
--- a/stileloom/jobs/result_writer.py
+++ b/stileloom/jobs/result_writer.py
@@ -12,6 +12,7 @@
 from stileloom.events import LogEvent
 from stileloom.jobs.book import JobBook
 from stileloom.jobs.metrics import JobMetrics
+from stileloom.jobs.open_items import OpenItem
 from stileloom.jobs.scheduler import ItemScheduler
 from stileloom.ledger.commands import Command, CommandResult, RecordResults, SaveProgress
 from stileloom.logging import EventLog
@@ -52,6 +53,8 @@
         self._metrics = metrics
         self._on_listed = on_listed
         self._finished: dict[str, list[FinishedItem]] = {}
+        self._whole: list[OpenItem] = []
+        """Whole texts that wait for their score and are not saved yet."""
         self._flush_due = False
         self._stopped = False
         self._waiters: dict[str, list[asyncio.Future[None]]] = {}
@@ -71,6 +74,14 @@
     def list_result(self, job_id: str, result: FinishedItem) -> None:
         """Lists a result soon, together with others."""
         self._finished.setdefault(job_id, []).append(result)
+        self._flush_soon()
+
+    def save_whole(self, open_item: OpenItem) -> None:
+        """Saves a whole text soon: a new leader asks only for its score."""
+        self._whole.append(open_item)
+        self._flush_soon()
+
+    def _flush_soon(self) -> None:
         if not self._flush_due:
             self._flush_due = True
             asyncio.get_running_loop().call_later(FLUSH_S, self._flush)
@@ -78,9 +89,13 @@
     def _flush(self) -> None:
         self._flush_due = False
         finished, self._finished = self._finished, {}
-        if not self._stopped:
-            for job_id, results in finished.items():
-                self._tasks.spawn(self._record(job_id, results))
+        whole, self._whole = self._whole, []
+        if self._stopped:
+            return
+        # Texts go first: a result that follows names saved events by their number.
+        self._save_events([open_item for open_item in whole if not open_item.finished])
+        for job_id, results in finished.items():
+            self._tasks.spawn(self._record(job_id, results))
 
     async def _record(self, job_id: str, results: list[FinishedItem]) -> None:
         try:
@@ -105,8 +120,11 @@
 
     def save_progress(self) -> None:
         """Events of long items go to the ledger: a new leader goes on from there."""
+        self._save_events(self._scheduler.unsaved())
+
+    def _save_events(self, open_items: list[OpenItem]) -> None:
         by_job: dict[str, list[ItemProgress]] = {}
-        for open_item in self._scheduler.unsaved():
+        for open_item in open_items:
             partial = open_item.partial
             if partial.last_event_id is None:
                 continue
@@ -117,6 +135,7 @@
                     partial.parts[open_item.saved_parts :],
                     partial.last_event_id,
                     list(partial.versions),
+                    partial.whole,
                 )
             )
             open_item.saved_parts = len(partial.parts)
--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -23,11 +23,13 @@
 from stileloom.jobs.metrics import JobMetrics
 from stileloom.jobs.open_items import DEFAULT_TOKENS_PER_EVENT, OpenItem, StartRun
 from stileloom.jobs.result_writer import LeaderLedger, ResultWriter
+from stileloom.jobs.reward_caller import RewardCaller
 from stileloom.jobs.scheduler import ItemScheduler
 from stileloom.jobs.version_planner import Load, VersionPlanner
 from stileloom.jobs.weight_loader import WeightLoader
 from stileloom.ledger.commands import ForgetJob
 from stileloom.logging import EventLog
+from stileloom.proxy.forwarder import Forwarder
 from stileloom.proxy.route_table import RouteTable
 from stileloom.proxy.sampler_table import SamplerTable
 
@@ -51,6 +53,7 @@
         ledger: LeaderLedger,
         routes: RouteTable,
         samplers: SamplerTable,
+        forwarder: Forwarder,
         dialect: Dialect,
         log: EventLog,
         metrics: JobMetrics,
@@ -87,6 +90,7 @@
             metrics,
             self._may_act,
         )
+        self._rewards = RewardCaller(forwarder, routes, samplers, dialect.names, self, log, metrics)
 
     def stop(self) -> None:
         """Leadership is over: closes every stream."""
@@ -94,6 +98,7 @@
         for connection in self._connections.values():
             connection.close()
         self._connections.clear()
+        self._rewards.stop()
         self._tasks.cancel()
         self._writer.stop()
 
@@ -135,6 +140,7 @@
         for service in self._routes.services():
             if service.engine is not None and service.engine.models:
                 self._plan_service(now, service)
+        self._rewards.step(now)
         self._metrics.items_open.set(len(self.scheduler.items))
         self._metrics.items_running.set(len(self._connections))
         if now >= self._next_save_at:
@@ -228,6 +234,10 @@
                 "listed": len(record.results),
             },
         )
+        for item in submission.items:
+            open_item = self.scheduler.items.get((submission.job_id, item.item_id))
+            if open_item is not None and open_item.partial.whole:
+                self._text_whole(open_item)
 
     def _tokens_per_event(self, service_name: str) -> float:
         service = self._routes.service(service_name)
@@ -243,6 +253,7 @@
         self._metrics.job_time.observe(time.monotonic() - self._adopted[job_id])
         for open_item in self.scheduler.drop_job(job_id):
             self._stop_run(open_item, "job ended")
+            self._rewards.drop(open_item.key)
         self._writer.wake(job_id)
 
     # Runs.
@@ -339,7 +350,8 @@
         self._metrics.runs_ended.labels(outcome.value).inc()
         if outcome is RunOutcome.WHOLE:
             self._samplers.answered(sampler_id)
-            self._finish(open_item, ItemState.SUCCEEDED, "")
+            open_item.partial.whole = True
+            self._text_whole(open_item)
             return
         self._note_run(open_item, sampler_id, outcome, detail)
         open_item.not_before = now + RETRY_S
@@ -377,8 +389,27 @@
 
     # Results.
 
-    def _finish(self, open_item: OpenItem, state: ItemState, reason: str) -> None:
-        self._stop_run(open_item, reason) if open_item.run is not None else None
+    def _text_whole(self, open_item: OpenItem) -> None:
+        """The text ends here: it is listed, or saved until its score has come."""
+        reward = open_item.item.reward
+        if reward is None:
+            self._finish(open_item, ItemState.SUCCEEDED, "")
+            return
+        self._writer.save_whole(open_item)
+        self._rewards.ask(open_item, reward)
+
+    def scored(self, open_item: OpenItem, score: str) -> None:
+        """The score of a whole text has come."""
+        self._finish(open_item, ItemState.SUCCEEDED, "", score)
+
+    def not_scored(self, open_item: OpenItem, reason: str) -> None:
+        """A whole text gets no score."""
+        self._finish(open_item, ItemState.GIVEN_UP, reason)
+
+    def _finish(self, open_item: OpenItem, state: ItemState, reason: str, score: str = "") -> None:
+        if open_item.run is not None:
+            self._stop_run(open_item, reason)
+        self._rewards.drop(open_item.key)
         open_item.finished = True
         succeeded = state is ItemState.SUCCEEDED
         result = FinishedItem(
@@ -387,6 +418,7 @@
             open_item.saved_parts if succeeded else 0,
             open_item.partial.parts[open_item.saved_parts :] if succeeded else [],
             list(open_item.partial.versions) if succeeded else [],
+            score,
         )
         if not succeeded:
             self._log.emit(
--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -189,7 +189,10 @@
         items = [
             item
             for item in self.items.values()
-            if item.model == model and item.run is None and not item.finished
+            if item.model == model
+            and item.run is None
+            and not item.finished
+            and not item.partial.whole
         ]
         items.sort(key=lambda item: (not item.carried, item.step, -item.expected_tokens))
         return items
--- a/stileloom/proxy/forwarder.py
+++ b/stileloom/proxy/forwarder.py
@@ -16,7 +16,7 @@
 from stileloom.proxy.attempt_plan import FULL_PAUSE_S, AttemptPlan
 from stileloom.proxy.exchange import Attempt, AttemptOutcome, run_exchange
 from stileloom.proxy.lookup import Lookup, LookupAnswer
-from stileloom.proxy.metrics import ProxyMetrics
+from stileloom.proxy.metrics import AttemptMetrics
 from stileloom.proxy.sampler_table import SamplerBelief, SamplerTable
 
 REFUSE_SHARE_OF_TARGET = 0.22
@@ -34,7 +34,7 @@
         samplers: SamplerTable,
         names: HeaderNames,
         log: EventLog,
-        metrics: ProxyMetrics,
+        metrics: AttemptMetrics,
         rng: random.Random,
     ) -> None:
         self._zone = zone
@@ -74,6 +74,7 @@
         self, lookup: Lookup, plan: AttemptPlan, running: set[asyncio.Task[Attempt]]
     ) -> LookupAnswer:
         last_failure: Attempt | None = None
+        failed_attempts = 0
         while True:
             now = time.monotonic()
             if now >= lookup.deadline_at:
@@ -88,7 +89,7 @@
                     await self._pause_or_refuse(lookup, plan, now, last_failure)
                     continue
             elif not running:
-                return self._give_up(plan, last_failure)
+                return self._give_up(plan, last_failure, failed_attempts)
             done, _ = await asyncio.wait(
                 running, timeout=wait_until - now, return_when=asyncio.FIRST_COMPLETED
             )
@@ -100,6 +101,7 @@
                         self._log_answer(lookup, plan, attempt)
                         return LookupAnswer(attempt.head, attempt.body)
                     last_failure = attempt
+                    failed_attempts += attempt.head.status == 500
 
     def _log_answer(self, lookup: Lookup, plan: AttemptPlan, attempt: Attempt) -> None:
         fields: dict[str, object] = {
@@ -143,10 +145,12 @@
         plan.refused_by.clear()
         await asyncio.sleep(FULL_PAUSE_S)
 
-    def _give_up(self, plan: AttemptPlan, last_failure: Attempt | None) -> LookupAnswer:
+    def _give_up(
+        self, plan: AttemptPlan, last_failure: Attempt | None, failed_attempts: int
+    ) -> LookupAnswer:
         """All attempts are used: the sampler's own failure, or ours."""
         if last_failure is not None and last_failure.head is not None:
-            return LookupAnswer(last_failure.head, last_failure.body)
+            return LookupAnswer(last_failure.head, last_failure.body, failed_attempts)
         raise StileloomError(ErrorKind.SAMPLER_FAILED, f"{plan.may_have_run} attempts broke off")
 
     def _out_of_time(self, plan: AttemptPlan) -> StileloomError:
--- a/stileloom/proxy/front.py
+++ b/stileloom/proxy/front.py
@@ -36,6 +36,7 @@
     ResultsRead,
     SubmitJobCall,
 )
+from stileloom.jobs.submission_check import check_submission
 from stileloom.logging import EventLog
 from stileloom.proxy.forwarder import Forwarder
 from stileloom.proxy.lookup import Lookup, LookupAnswer
@@ -201,6 +202,7 @@
             raise StileloomError(ErrorKind.BAD_REQUEST, "the job has no id")
         host = request.headers.get("Host", "")
         submission = self._dialect.decode_job(job_id, host, request.path, request.body)
+        check_submission(submission)
         timeout_s = min(self._deadline_s(request, route.timeout_s), route.timeout_s)
         reply = await self._call(SubmitJobCall(submission), job_id, timeout_s)
         self._log.emit(
--- a/stileloom/proxy/lookup.py
+++ b/stileloom/proxy/lookup.py
@@ -26,3 +26,5 @@
 
     head: ResponseHead
     body: bytes
+    failed_attempts: int = 0
+    """Attempts that samplers answered with 500, where the answer is the last of these."""
--- a/stileloom/proxy/metrics.py
+++ b/stileloom/proxy/metrics.py
@@ -1,4 +1,4 @@
-"""Metrics of a gateway: lookups, attempts, refusals, calls about jobs."""
+"""Metrics of a gateway, and of whoever else sends requests to samplers."""
 
 from __future__ import annotations
 
@@ -9,10 +9,32 @@
 LATENCY_BUCKETS_S = (0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0)
 
 
-class ProxyMetrics:
+class AttemptMetrics:
+    """Counters of attempts at samplers."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self.attempts = Counter(
+            "stileloom_attempts",
+            "Attempts of lookups and reward calls at samplers, by outcome",
+            ["outcome"],
+            registry=registry,
+        )
+        self._connections = Counter(
+            "stileloom_sampler_connections",
+            "Connections to samplers opened since the start",
+            registry=registry,
+        )
+
+    def connection_opened(self) -> None:
+        """A connection to a sampler was opened."""
+        self._connections.inc()
+
+
+class ProxyMetrics(AttemptMetrics):
     """Counters and histograms of one gateway."""
 
     def __init__(self, registry: CollectorRegistry) -> None:
+        super().__init__(registry)
         self.requests = Counter(
             "stileloom_requests",
             "Answers passed on, by route and status",
@@ -26,12 +48,6 @@
             buckets=LATENCY_BUCKETS_S,
             registry=registry,
         )
-        self.attempts = Counter(
-            "stileloom_attempts",
-            "Attempts of lookups at samplers, by outcome",
-            ["outcome"],
-            registry=registry,
-        )
         self.refusals = Counter(
             "stileloom_refusals",
             "Final answers of our own, by error code",
@@ -41,16 +57,7 @@
         self._open = Gauge(
             "stileloom_requests_open", "Requests without a final answer", registry=registry
         )
-        self._connections = Counter(
-            "stileloom_sampler_connections",
-            "Connections to samplers opened since the start",
-            registry=registry,
-        )
 
     def observe_open(self, open_requests: Callable[[], int]) -> None:
         """Where the number of open requests is read."""
         self._open.set_function(open_requests)
-
-    def connection_opened(self) -> None:
-        """A connection to a sampler was opened."""
-        self._connections.inc()
--- a/stileloom/trace.py
+++ b/stileloom/trace.py
@@ -12,7 +12,8 @@
 
 import msgspec
 
-ID_FIELDS = ("request", "job", "item", "target")
+ID_FIELDS = ("request", "job", "item", "reward", "target")
+"""A line that names a reward call leads from its item to the lines of that call."""
 STATE_EVENTS = frozenset(
     {
         "node_started",
@@ -79,7 +80,16 @@
 def gather(sought: str, texts: Iterable[str]) -> Trace:
     """The story of an id out of the lines of any number of processes."""
     lines = [line for text in texts if (line := parse(text)) is not None]
-    direct = [msgspec.structs.replace(line, direct=True) for line in lines if _names(line, sought)]
+    rewards = {
+        str(line.fields["reward"])
+        for line in lines
+        if "reward" in line.fields and _names(line, sought)
+    }
+    direct = [
+        msgspec.structs.replace(line, direct=True)
+        for line in lines
+        if _names(line, sought) or line.fields.get("request") in rewards
+    ]
     if not direct:
         return Trace(sought, [])
     nodes = {line.node for line in direct}
--- a/tests/service_cluster.py
+++ b/tests/service_cluster.py
@@ -63,6 +63,11 @@
     return {"version": version, "routes": [lookup | changes, batch], "services": services}
 
 
+def reward_of(item: str) -> list[str]:
+    """The reward call of an item, by the route of lookups."""
+    return [f"score-{item}", HOSTNAME, f"/charts/score/{item}", "dGV4dA=="]
+
+
 class ServiceCluster:
     """Three ledger nodes, some gateways and samplers, and the object API."""
 
@@ -237,15 +242,17 @@
         )
         return await self._http.fetch(request, raise_error=False)
 
-    async def submit(self, job_id: str, items: list[str], **fields: Any) -> HTTPResponse:
-        """Submits a job."""
-        body = {
-            "model": MODEL,
-            "items": [
-                [item, f"/drafts/{item}", {"model": MODEL}, "Ym9keQ==", "g"] for item in items
-            ],
-            **fields,
-        }
+    async def submit(
+        self, job_id: str, items: list[str], rewards: bool = False, **fields: Any
+    ) -> HTTPResponse:
+        """Submits a job, with a reward call for each item or without."""
+        rows: list[list[Any]] = [
+            [item, f"/drafts/{item}", {"model": MODEL}, "Ym9keQ==", "g"] for item in items
+        ]
+        if rewards:
+            for row in rows:
+                row.append(reward_of(row[0]))
+        body = {"model": MODEL, "items": rows, **fields}
         return await self.call("POST", "/drafts/j", msgspec.json.encode(body), request_id=job_id)
 
     async def results(self, job_id: str, count: int, gateway: int = 0) -> list[list[Any]]:
--- a/tests/test_platform_dialect.py
+++ b/tests/test_platform_dialect.py
@@ -11,10 +11,11 @@
 import testtools
 
 from stileloom.api.dialect import EndJob, LoadOrder, LoadStrategy, ReadItem, ReadResults
-from stileloom.api.jobs import ItemResult, ItemState, ResultPage
+from stileloom.api.jobs import ItemResult, ItemState, ResultPage, RewardCall
 from stileloom.api.object_store import ObjectRecord
 from stileloom.api.routes import RouteKind
 from stileloom.errors import ErrorKind, StileloomError
+from stileloom.jobs.submission_check import check_submission
 
 ROOT = Path(__file__).resolve().parents[1]
 sys.path.append(str(ROOT / "platform"))
@@ -136,9 +137,29 @@
             msgspec.json.encode({"requests": [one | {"body": "***"}]}),
             msgspec.json.encode({"requests": [one | {"headers": {"a": 1}}]}),
         ):
-            error = self.assertRaises(StileloomError, DIALECT.decode_job, "j", "h", "/p", body)
+            error = self.assertRaises(StileloomError, self.take, body)
             self.assertEqual(ErrorKind.BAD_REQUEST, error.kind)
 
+    def take(self, body: bytes) -> None:
+        """A job's body as a gateway takes it: decoded, then checked."""
+        check_submission(DIALECT.decode_job("j", "h", "/p", body))
+
+    def test_reward_calls(self) -> None:
+        reward = {"id": "s5", "host": "h.example", "path": "/q/1", "body": "q80="}
+        body = {"requests": [{"id": "e5", "path": "/p/1", "scorerUrl": reward}]}
+        job = DIALECT.decode_job("j", "h", "/p/j", msgspec.json.encode(body))
+        self.assertEqual(RewardCall("s5", "h.example", "/q/1", b"\xab\xcd"), job.items[0].reward)
+        for change in ({"body": "***"}, {"id": ""}, {"id": "e5"}, {"path": "q"}, {"host": ""}):
+            bad = {"id": "e5", "path": "/p/1", "scorerUrl": reward | change}
+            encoded = msgspec.json.encode({"requests": [bad]})
+            error = self.assertRaises(StileloomError, self.take, encoded)
+            self.assertEqual(ErrorKind.BAD_REQUEST, error.kind)
+
+    def test_a_score(self) -> None:
+        result = ItemResult("a", ItemState.SUCCEEDED, "x", [6], "stamp")
+        page = msgspec.json.decode(DIALECT.encode_page(ResultPage(1, 1, [result])))
+        self.assertEqual("stamp", page["results"][0]["score"])
+
     def test_a_page(self) -> None:
         results = [
             ItemResult("a", ItemState.SUCCEEDED, "x\ny", [6, 7]),
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -214,8 +214,8 @@
 
     def check_texts(self, results: list[list[object]]) -> None:
         """Each text is the whole output of its item."""
-        for item_id, state, text, _ in results:
-            self.assertEqual("succeeded", state)
+        for item_id, state, text, _, score in results:
+            self.assertEqual(("succeeded", ""), (state, score))
             self.assertEqual("\n".join(expected_events(str(item_id), EVENTS)), text)
 
     def test_a_job_runs_and_is_read_alike_everywhere(self) -> None:
@@ -250,7 +250,7 @@
                 cluster.samplers[name].faults.fail_status = 500
             await cluster.submit("job", ["i1"])
             results = await cluster.results("job", 1)
-            self.assertEqual([["i1", "given_up", "", []]], results)
+            self.assertEqual([["i1", "given_up", "", [], ""]], results)
             runs = sum(len(sampler.runs) for sampler in cluster.samplers.values())
             self.assertEqual(3, runs)
 
