Two voters: the survivor goes on alone after a restart, once the other's disk is proved lost

Cause: with two voters left (a third was emptied), all lose power and one comes back with an empty disk. The survivor, restarted, no longer knew that the set of two was committed, so it asked both voters; the other's disk can not vote. Ruled out: letting it decide alone on any proof (the checker finds two leaders where the change was not committed); a record in the store (an outage of the store would then stop what disks alone decide).

--- a/stileloom/daemon/leadership.py
+++ b/stileloom/daemon/leadership.py
@@ -160,6 +160,9 @@
             running = self._dialect.removal_status(finished=False)
             await self._store.write_status(kind, node_id, running)
         if self._is_out(node_id):
+            # Each voter that takes this entry has on disk, with it, that the change is committed:
+            # it may have to go on without the node whose machine is taken away now.
+            await self._driver.propose(RetireNode(node_id))
             finished = self._dialect.removal_status(finished=True)
             await self._store.write_status(kind, node_id, finished)
             self._removals[node_id] = True
--- a/stileloom/ledger/effects.py
+++ b/stileloom/ledger/effects.py
@@ -20,6 +20,8 @@
     truncate_from: int | None = None
     """Drop entries at this index and above before adding `entries`."""
     entries: list[Entry] = msgspec.field(default_factory=list)
+    commit_index: int = 0
+    """Entries up to here are known to be committed."""
     snapshot: SnapshotRecord | None = None
     """Replaces the log up to its last index."""
 
--- a/stileloom/ledger/log.py
+++ b/stileloom/ledger/log.py
@@ -89,6 +89,13 @@
                 return change.voters
         return self.snapshot.voters
 
+    @property
+    def voters_before_change(self) -> list[Voter]:
+        """The voter set before the newest change that the log holds."""
+        if not self._voter_changes:
+            return self.snapshot.voters
+        return self.voters_at(self._voter_changes[-1].index - 1)
+
     @property
     def voters(self) -> list[Voter]:
         """The voter set in effect: the newest one in the log, committed or not."""
--- a/stileloom/ledger/messages.py
+++ b/stileloom/ledger/messages.py
@@ -96,6 +96,14 @@
     """A replica outside the voter set asks the leader for the log."""
 
     learner: Voter
+    answer_to: int = 0
+    """The number of the `IdentityQuestion` that this answers; 0 where it answers none."""
+
+
+class IdentityQuestion(msgspec.Struct, frozen=True, tag=True):
+    """Asks a replica outside the voter set which disk it has now."""
+
+    number: int
 
 
 class CommandForward(msgspec.Struct, frozen=True, tag=True):
--- a/stileloom/ledger/replica.py
+++ b/stileloom/ledger/replica.py
@@ -21,6 +21,7 @@
 from stileloom.lease import LeaderLease
 from stileloom.ledger.commands import ChangeVoters, Command, StartEpoch, Voter
 from stileloom.ledger.effects import Applied, Dropped, Persist
+from stileloom.ledger.electorate import DiskProofs, Electorate, electorate
 from stileloom.ledger.log import LedgerLog
 from stileloom.ledger.messages import (
     AppendReply,
@@ -28,6 +29,7 @@
     Entry,
     HandOver,
     HardState,
+    IdentityQuestion,
     LearnerHello,
     SnapshotRecord,
     SnapshotRequest,
@@ -53,6 +55,8 @@
     hard_state: HardState
     snapshot: SnapshotRecord
     entries: list[Entry]
+    commit_index: int = 0
+    """Entries up to here are known to be committed."""
 
 
 def fresh_ledger(voters: list[Voter]) -> RecoveredLedger:
@@ -108,7 +112,7 @@
         self.epoch = recovered.hard_state.epoch
         self.leader: str | None = None
         self.unavailable: set[str] = set()
-        self._lost_disks: set[Voter] = set()
+        self._proofs = DiskProofs(rng)
         self._voted_for = recovered.hard_state.voted_for
         self._log = LedgerLog(_without_state(recovered.snapshot), recovered.entries)
         self._rng = rng
@@ -118,6 +122,7 @@
         self._commit_index = self._log.base_index
         self._applied_index = self._log.base_index
         self.state = msgspec.msgpack.decode(recovered.snapshot.state, type=LedgerState)
+        self._apply_recovered(recovered.commit_index)
         self._progress: dict[Voter, _Progress] = {}
         self._standbys = StandbyPool()
         self._leader_since = now
@@ -181,24 +186,26 @@
 
     def lease_expires_at(self, now: float) -> float:
         """When the leader's lease ends if no more confirmations come."""
-        names = [voter.node_id for voter in self._electorate()]
-        return self._lease.expires_at(self.me.node_id, names, now)
+        return self._electorate().lease_end(
+            lambda names: self._lease.expires_at(self.me.node_id, names, now)
+        )
 
     # Driving.
 
     def tick(self, now: float) -> list[Effect]:
         """Runs elections, heartbeats and changes of the voter set."""
+        if self.role is ReplicaRole.LEADER and self._leads_from_outside(now):
+            return self.hand_over(now)
         if self.role is ReplicaRole.LEADER:
             effects = self._feed_standbys(now) + self._change_voters(now)
             if now >= self._next_heartbeat_at:
                 self._next_heartbeat_at = now + constants.LEDGER_HEARTBEAT_S
                 effects += self._replicate(now, heartbeat=True)
             return effects
-        if not self.is_voter:
-            return self._say_hello(now)
-        if now >= self._election_due_at:
-            return self._start_election(now, trial=True)
-        return []
+        effects = [] if self.is_voter else self._say_hello(now)
+        if self._campaigns and now >= self._election_due_at:
+            effects += self._start_election(now, trial=True)
+        return effects
 
     def propose(self, now: float, command: Command, ticket: object) -> list[Effect]:
         """Appends a command at the leader; `Applied` or `Dropped` follows with the ticket."""
@@ -235,6 +242,8 @@
             return self._on_snapshot_request(now, message)
         if isinstance(message, LearnerHello):
             return self._on_hello(now, message)
+        if isinstance(message, IdentityQuestion):
+            return self._on_identity_question(sender, message)
         if isinstance(message, HandOver):
             return self._on_hand_over(now, sender, message)
         return []
@@ -283,14 +292,18 @@
             handed_over,
         )
         effects += self._when_durable(
-            [Send(voter.node_id, request) for voter in self.voters if voter != self.me]
+            [
+                Send(voter.node_id, request)
+                for voter in self._electorate().members
+                if voter != self.me
+            ]
         )
         return effects + self._count_votes(now)
 
     def _on_vote_request(self, now: float, message: VoteRequest) -> list[Effect]:
         sticky = now < self._heard_from_leader_at + constants.ELECTION_TIMEOUT_MIN_S
         leading = self.role is ReplicaRole.LEADER and now < self.lease_expires_at(now)
-        if ((sticky or leading) and not message.handed_over) or not self.is_voter:
+        if ((sticky or leading) and not message.handed_over) or not self._gives_votes:
             return []
         effects: list[Effect] = []
         if message.epoch > self.epoch and not message.trial:
@@ -325,8 +338,7 @@
         return self._count_votes(now)
 
     def _count_votes(self, now: float) -> list[Effect]:
-        electorate = self._electorate()
-        if len(self._votes.intersection(electorate)) <= len(electorate) // 2:
+        if not self._electorate().agrees(self._votes):
             return []
         if self._trial:
             return self._start_election(now, trial=False)
@@ -338,7 +350,9 @@
         self.leader = self.me.node_id
         self._lease.clear()
         self._progress = {
-            voter: _Progress(self._log.last_index + 1) for voter in self.voters if voter != self.me
+            voter: _Progress(self._log.last_index + 1)
+            for voter in self._electorate().members
+            if voter != self.me
         }
         start = Entry(self._log.last_index + 1, self.epoch, StartEpoch(self.me.node_id))
         effects = self._append([start])
@@ -447,7 +461,7 @@
             progress.silent = False
             fields: dict[str, object] = {"follower": message.follower.node_id, "epoch": self.epoch}
             effects.append(Emit(LogEvent.FOLLOWER_REGAINED, fields))
-        if message.follower in self.voters:
+        if message.follower in self._electorate().members:
             self._lease.confirmed(message.follower.node_id, message.nonce)
         if not message.success:
             return effects + self._on_mismatch(now, message, progress)
@@ -478,14 +492,7 @@
         return self._send_probe(now, message.follower, progress)
 
     def _advance_commit(self, now: float) -> list[Effect]:
-        matches = sorted(
-            (
-                self._durable_index if voter == self.me else self._match_index(voter)
-                for voter in self._electorate()
-            ),
-            reverse=True,
-        )
-        agreed = matches[len(matches) // 2]
+        agreed = self._electorate().agreed_index(self._match_index)
         # Only an entry of the own epoch commits by counting (Raft, section 5.4.2).
         if agreed <= self._commit_index or self._log.epoch_at(agreed) != self.epoch:
             return []
@@ -493,26 +500,49 @@
         return self._apply(now)
 
     def _match_index(self, voter: Voter) -> int:
+        if voter == self.me:
+            return self._durable_index
         progress = self._progress.get(voter)
         return progress.match_index if progress is not None else 0
 
-    def _electorate(self) -> list[Voter]:
-        """The voters whose majority decides.
+    def _electorate(self) -> Electorate:
+        return electorate(self._log, self._commit_index, self._proofs.lost)
+
+    @property
+    def _gives_votes(self) -> bool:
+        """A voter that the newest change leaves out gives votes until that change is settled
+        everywhere: whoever does not know of the commit may need its vote."""
+        return self.is_voter or self.me in self._log.voters_before_change
+
+    @property
+    def _campaigns(self) -> bool:
+        """Whether this replica asks for votes.
 
-        Of two voters both must agree, so what was committed stands on either disk. Once one
-        disk is proved lost the other decides alone: nobody else ever can. The set itself must
-        be committed, or an older and larger one might still decide something.
+        One that knows that it is out does so only where a voter's disk is lost: its log may be
+        the longest that is left.
         """
-        voters = self.voters
-        if len(voters) != 2 or self._log.voters_at(self._commit_index) != voters:
-            return voters
-        return [voter for voter in voters if voter not in self._lost_disks] or voters
+        out = not self.is_voter and self._log.voters_at(self._commit_index) == self.voters
+        needed = not self._proofs.lost.isdisjoint(self.voters)
+        return self._gives_votes and (needed or not out)
+
+    def _leads_from_outside(self, now: float) -> bool:
+        """Whether this leader is out of the voter set and all of its log is committed."""
+        return (
+            not self.is_voter and self.may_act(now) and self._commit_index == self._log.last_index
+        )
+
+    def _on_identity_question(self, sender: str, message: IdentityQuestion) -> list[Effect]:
+        if self.is_voter:
+            return []
+        return [Send(sender, LearnerHello(self.me, message.number))]
 
     def _on_hello(self, now: float, message: LearnerHello) -> list[Effect]:
         for voter in self.voters:
             same_node = voter.node_id == message.learner.node_id
-            if same_node and voter != message.learner and voter != self.me:
-                self._lost_disks.add(voter)
+            if same_node and voter not in (message.learner, self.me):
+                number = self._proofs.greeted(voter, message.answer_to)
+                if number is not None:
+                    return [Send(message.learner.node_id, IdentityQuestion(number))]
                 self._progress.pop(voter, None)
         if self.role is not ReplicaRole.LEADER or message.learner in self.voters:
             return []
@@ -546,7 +576,7 @@
             and max(progress.last_heard_at, self._leader_since) <= deadline_s
         }
         leaving = frozenset(self.state.retired_nodes)
-        return VoterHealth(self.voters, self.unavailable | silent, self._lost_disks, leaving)
+        return VoterHealth(self.voters, self.unavailable | silent, self._proofs.lost, leaving)
 
     def _feed_standbys(self, now: float) -> list[Effect]:
         """Standbys that the voter set needs get the log; others get it no more.
@@ -556,8 +586,9 @@
         if not self.may_act(now):
             return []
         wanted = self._standbys.wanted(now, self._voter_health(now), self._target_voters)
+        deciders = self._electorate().members
         for learner in list(self._progress):
-            if learner not in self.voters and learner not in wanted:
+            if learner not in deciders and learner not in self.voters and learner not in wanted:
                 del self._progress[learner]
         effects: list[Effect] = []
         for standby in wanted:
@@ -619,9 +650,10 @@
             hint = self._meeting_hint(previous)
             reply = AppendReply(self.epoch, self.me, False, hint, message.nonce)
             return effects + self._when_durable([Send(message.leader.node_id, reply)])
-        effects += self._take_entries(message.entries)
         match_index = previous + len(message.entries)
+        # Before the entries are written, so that they and the commit index are durable together.
         self._commit_index = max(self._commit_index, min(message.commit_index, match_index))
+        effects += self._take_entries(message.entries)
         effects += self._apply(now)
         reply = AppendReply(self.epoch, self.me, True, match_index, message.nonce)
         return effects + self._when_durable([Send(message.leader.node_id, reply)])
@@ -676,11 +708,19 @@
             if ticket is not None:
                 effects.append(Applied(ticket, result))
             if isinstance(entry.command, ChangeVoters):
+                effects += self._persist(Persist(0))
                 effects += self._adopt_voters(now)
         if self._applied_index - self._log.base_index >= constants.SNAPSHOT_AFTER_ENTRIES:
             effects += self._take_snapshot()
         return effects
 
+    def _apply_recovered(self, commit_index: int) -> None:
+        """What the disk says was committed holds again at once."""
+        self._commit_index = max(self._commit_index, min(commit_index, self._log.last_index))
+        while self._applied_index < self._commit_index:
+            self._applied_index += 1
+            self.state.apply(self._log.entry(self._applied_index).command)
+
     def _adopt_voters(self, now: float) -> list[Effect]:
         if self.role is not ReplicaRole.LEADER:
             return []
@@ -721,7 +761,8 @@
     def _persist(self, write: Persist) -> list[Effect]:
         self._write_id += 1
         self._written_index[self._write_id] = self._log.last_index
-        return [msgspec.structs.replace(write, write_id=self._write_id)]
+        commit_index = self._commit_index
+        return [msgspec.structs.replace(write, write_id=self._write_id, commit_index=commit_index)]
 
     def _when_durable(self, effects: list[Effect]) -> list[Effect]:
         """Holds effects back until every write so far is durable."""
--- a/stileloom/ledger/storage.py
+++ b/stileloom/ledger/storage.py
@@ -34,6 +34,8 @@
 
     truncate_from: int | None
     entries: list[Entry]
+    commit_index: int = 0
+    """Entries up to here were known to be committed when this was written."""
 
 
 class IdentityRecord(msgspec.Struct, frozen=True):
@@ -54,6 +56,9 @@
         folder.mkdir(parents=True, exist_ok=True)
         self._hard_state = HardState(0, None)
         self._entries: list[Entry] = []
+        self._commit_index = 0
+        self._synced_commit_index = 0
+        """What the journal's synced records say of the commit index."""
         self._journal: int | None = None
         self._journal_bytes = 0
         """Length of the journal's synced records."""
@@ -82,7 +87,7 @@
         self._replay_journal()
         self._entries = [entry for entry in self._entries if entry.index > snapshot.last_index]
         self._open_journal()
-        return RecoveredLedger(self._hard_state, snapshot, list(self._entries))
+        return RecoveredLedger(self._hard_state, snapshot, list(self._entries), self._commit_index)
 
     def _replay_journal(self) -> None:
         path = self._folder / JOURNAL_NAME
@@ -114,6 +119,7 @@
             limit = min(limits)
             self._entries = [entry for entry in self._entries if entry.index < limit]
         self._entries.extend(record.entries)
+        self._commit_index = max(self._commit_index, record.commit_index)
 
     # Writing.
 
@@ -132,8 +138,9 @@
             if write.hard_state is not None:
                 self._hard_state = write.hard_state
                 buffer += _record(write.hard_state)
-            if write.entries or write.truncate_from is not None:
-                record = AppendRecord(write.truncate_from, write.entries)
+            news = write.entries or write.commit_index > self._synced_commit_index
+            if news or write.truncate_from is not None:
+                record = AppendRecord(write.truncate_from, write.entries, write.commit_index)
                 self._add_entries(record)
                 buffer += _record(record)
             if write.snapshot is not None:
@@ -153,6 +160,7 @@
         _write_all(self._journal, buffer)
         os.fsync(self._journal)
         self._journal_bytes += len(buffer)
+        self._synced_commit_index = self._commit_index
 
     def _write_snapshot(self, snapshot: SnapshotRecord) -> None:
         """The new snapshot first, then a journal without what it covers."""
@@ -160,7 +168,9 @@
         kept = [entry for entry in self._entries if entry.index > snapshot.last_index]
         consecutive = bool(kept) and kept[0].index == snapshot.last_index + 1
         self._entries = kept if consecutive else []
-        body = _record(self._hard_state) + _record(AppendRecord(None, self._entries))
+        body = _record(self._hard_state) + _record(
+            AppendRecord(None, self._entries, self._commit_index)
+        )
         self._replace(JOURNAL_NAME, body)
         self._open_journal()
 
--- a/stileloom/ledger/wire.py
+++ b/stileloom/ledger/wire.py
@@ -11,6 +11,7 @@
     AppendReply,
     AppendRequest,
     HandOver,
+    IdentityQuestion,
     LearnerHello,
     SnapshotRequest,
     VoteReply,
@@ -25,6 +26,7 @@
     | AppendReply
     | SnapshotRequest
     | LearnerHello
+    | IdentityQuestion
     | HandOver
 )
 
--- a/stileloom/node/dispatch.py
+++ b/stileloom/node/dispatch.py
@@ -35,6 +35,7 @@
     ledger.AppendReply,
     ledger.SnapshotRequest,
     ledger.LearnerHello,
+    ledger.IdentityQuestion,
 )
 OWNER_MESSAGES = (samplers.StartGeneration, samplers.StopGeneration, samplers.OrderSampler)
 CONTROLLER_MESSAGES = (
@@ -78,6 +79,7 @@
     | ledger.AppendReply
     | ledger.SnapshotRequest
     | ledger.LearnerHello
+    | ledger.IdentityQuestion
     | ledger.CommandForward
     | ledger.CommandAnswer
     | LeaderHint
--- a/stileloom/simulator/disk.py
+++ b/stileloom/simulator/disk.py
@@ -16,6 +16,7 @@
         self._hard_state = ledger.hard_state
         self._snapshot = ledger.snapshot
         self._entries: list[Entry] = list(ledger.entries)
+        self._commit_index = ledger.commit_index
         self._pending: list[Persist] = []
 
     def submit(self, write: Persist) -> None:
@@ -40,7 +41,9 @@
 
     def recover(self) -> RecoveredLedger:
         """What a new process finds."""
-        return RecoveredLedger(self._hard_state, self._snapshot, list(self._entries))
+        return RecoveredLedger(
+            self._hard_state, self._snapshot, list(self._entries), self._commit_index
+        )
 
     def _apply(self, write: Persist) -> None:
         if write.hard_state is not None:
@@ -49,6 +52,7 @@
             limit = write.truncate_from
             self._entries = [entry for entry in self._entries if entry.index < limit]
         self._entries.extend(write.entries)
+        self._commit_index = max(self._commit_index, write.commit_index)
         if write.snapshot is not None:
             self._snapshot = write.snapshot
             kept = [e for e in self._entries if e.index > write.snapshot.last_index]
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -12,12 +12,13 @@
 import testtools
 
 from stileloom.api.samples import Prompt, Sample, Segment
-from stileloom.effects import Send
+from stileloom.effects import Effect, Send
 from stileloom.errors import ErrorKind
 from stileloom.ledger import LedgerReplica, LedgerState, Persist, fresh_ledger
 from stileloom.ledger.bootstrap import VoterSetRecord, enter_voter_set
 from stileloom.ledger.commands import (
     AcknowledgeDeliveries,
+    ChangeVoters,
     ClaimKey,
     CommitSample,
     DeliveryPage,
@@ -36,11 +37,13 @@
     AppendRequest,
     Entry,
     HardState,
+    IdentityQuestion,
     LearnerHello,
     VoteReply,
     VoteRequest,
 )
 from stileloom.ledger.messages import HandOver as HandOverMessage
+from stileloom.ledger.replica import ReplicaRole
 from stileloom.ledger.storage import JOURNAL_NAME, LedgerStorage
 from stileloom.ledger.voters import next_voter_set
 
@@ -176,6 +179,22 @@
         self.assertEqual(HardState(3, VOTERS[0]), recovered.hard_state)
         self.assertEqual([entry(1), entry(2, epoch=3)], recovered.entries)
 
+    def test_what_is_known_to_be_committed_is_known_after_a_restart(self) -> None:
+        storage = self.storage()
+        storage.start_fresh(fresh_ledger(VOTERS))
+        storage.write([Persist(1, entries=[entry(1), entry(2)], commit_index=1)])
+        later = [Persist(2, commit_index=2)]
+        with mock.patch("os.fsync", side_effect=OSError(errno.EIO, "bad")):
+            self.assertRaises(OSError, storage.write, later)
+        storage.write(later)
+        fresh = fresh_ledger(VOTERS)
+        snapshot = type(fresh.snapshot)(1, 1, VOTERS, fresh.snapshot.state)
+        for more in ([], [Persist(3, snapshot=snapshot)]):
+            storage.write(more)
+            recovered = self.storage().recover()
+            assert recovered is not None
+            self.assertEqual(2, recovered.commit_index)
+
     def test_a_torn_or_damaged_end_is_cut_off(self) -> None:
         storage = self.storage()
         storage.start_fresh(fresh_ledger(VOTERS))
@@ -490,3 +509,125 @@
         (reply,) = [e.message for e in effects if isinstance(e, Send)]
         assert isinstance(reply, AppendReply)
         self.assertEqual((False, 4), (reply.success, reply.match_index))
+
+
+class TwoVoterTest(testtools.TestCase):
+    """Who goes on when one of two voters lost its disk; `two_voter_spec` is the rule."""
+
+    def survivor(self, committed: bool) -> LedgerReplica:
+        """Voter a after a restart; its log takes c out of the voter set."""
+        change = Entry(2, 1, ChangeVoters(VOTERS[:2]))
+        recovered = fresh_ledger(VOTERS)
+        recovered.hard_state = HardState(1, VOTERS[0])
+        recovered.entries = [entry(1), change]
+        recovered.commit_index = 2 if committed else 1
+        return LedgerReplica(VOTERS[0], recovered, random.Random(3), 0.0)
+
+    def run_elections(self, replica: LedgerReplica, now: float) -> list[Effect]:
+        """Ticks past an election time-out; every write is durable at once."""
+        found: list[Effect] = []
+        for _ in range(40):
+            now += 0.1
+            pending = replica.tick(now)
+            while pending:
+                effect = pending.pop(0)
+                found.append(effect)
+                if isinstance(effect, Persist):
+                    pending += replica.persisted(now, effect.write_id)
+        return found
+
+    def question(self, effects: list[Effect]) -> int:
+        """The number that a node is asked with."""
+        (sent,) = [e.message for e in effects if isinstance(e, Send)]
+        assert isinstance(sent, IdentityQuestion)
+        return sent.number
+
+    def test_a_restarted_voter_of_two_leads_alone_once_the_others_disk_is_proved_lost(self) -> None:
+        replica = self.survivor(committed=True)
+        self.run_elections(replica, 0.0)
+        self.assertNotEqual(ReplicaRole.LEADER, replica.role)
+        other = Voter("b", "new-disk")
+        number = self.question(replica.handle(9.0, "b", LearnerHello(other)))
+        replica.handle(9.0, "b", LearnerHello(other, number))
+        self.run_elections(replica, 9.0)
+        self.assertIs(ReplicaRole.LEADER, replica.role)
+        self.assertTrue(replica.may_act(14.0))
+
+    def test_a_greeting_from_an_earlier_life_proves_nothing(self) -> None:
+        replica = self.survivor(committed=True)
+        old = Voter("b", "older-disk")
+        number = self.question(replica.handle(1.0, "b", LearnerHello(old)))
+        for answer_to in (0, 7, number + 1):
+            again = self.question(replica.handle(1.0, "b", LearnerHello(old, answer_to)))
+            self.assertEqual(number, again)
+        self.run_elections(replica, 1.0)
+        self.assertNotEqual(ReplicaRole.LEADER, replica.role)
+
+    def test_a_change_that_may_not_be_committed_needs_the_set_before_it(self) -> None:
+        replica = self.survivor(committed=False)
+        other = Voter("b", "new-disk")
+        number = self.question(replica.handle(1.0, "b", LearnerHello(other)))
+        replica.handle(1.0, "b", LearnerHello(other, number))
+        asked = [
+            effect.message
+            for effect in self.run_elections(replica, 1.0)
+            if isinstance(effect, Send) and effect.to == "c"
+        ]
+        self.assertNotEqual(ReplicaRole.LEADER, replica.role)
+        self.assertIsInstance(asked[-1], VoteRequest)
+        replica.handle(5.0, "c", VoteReply(2, VOTERS[2], True, trial=True))
+        replica.handle(5.0, "c", VoteReply(2, VOTERS[2], True, trial=False))
+        self.assertIs(ReplicaRole.LEADER, replica.role)
+
+    def test_a_voter_that_a_change_leaves_out_goes_on_to_give_votes(self) -> None:
+        recovered = fresh_ledger(VOTERS)
+        recovered.entries = [entry(1), Entry(2, 1, ChangeVoters(VOTERS[:2]))]
+        recovered.commit_index = 2
+        replica = LedgerReplica(VOTERS[2], recovered, random.Random(3), 0.0)
+        effects = replica.handle(LATER, "a", VoteRequest(2, VOTERS[0], 2, 1, trial=True))
+        (reply,) = [e.message for e in effects if isinstance(e, Send)]
+        assert isinstance(reply, VoteReply)
+        self.assertTrue(reply.granted)
+        sent = [e for e in self.run_elections(replica, LATER) if isinstance(e, Send)]
+        self.assertEqual([], [e for e in sent if isinstance(e.message, VoteRequest)])
+
+    def test_a_voter_that_was_left_out_leads_until_a_voter_has_its_longer_log(self) -> None:
+        """Node a lost its disk before b had the last entry, which only c holds."""
+        recovered = fresh_ledger(VOTERS)
+        recovered.hard_state = HardState(1, VOTERS[0])
+        recovered.entries = [entry(1), Entry(2, 1, ChangeVoters(VOTERS[:2])), entry(3)]
+        recovered.commit_index = 2
+        replica = LedgerReplica(VOTERS[2], recovered, random.Random(3), 0.0)
+        other = Voter("a", "new-disk")
+        number = self.question(replica.handle(1.0, "a", LearnerHello(other)))
+        replica.handle(1.0, "a", LearnerHello(other, number))
+        self.run_elections(replica, 1.0)
+        now = 5.0
+        replica.handle(now, "b", VoteReply(2, VOTERS[1], True, trial=True))
+        effects = replica.handle(now, "b", VoteReply(2, VOTERS[1], True, trial=False))
+        self.assertIs(ReplicaRole.LEADER, replica.role)
+        requests = [e.message for e in effects if isinstance(e, Send) and e.to == "b"]
+        (start,) = [m for m in requests if isinstance(m, AppendRequest)]
+        replica.handle(now, "b", AppendReply(2, VOTERS[1], True, 4, start.nonce))
+        left = [e.message for e in replica.tick(now + 0.05) if isinstance(e, Send)]
+        self.assertEqual([HandOverMessage(2)], left)
+
+    def test_only_a_node_outside_the_voter_set_answers_who_it_is(self) -> None:
+        question = IdentityQuestion(5)
+        self.assertEqual(
+            [],
+            LedgerReplica(VOTERS[1], fresh_ledger(VOTERS), random.Random(1), 0.0).handle(
+                0.0, "a", question
+            ),
+        )
+        me = Voter("b", "new-disk")
+        learner = LedgerReplica(me, fresh_ledger([]), random.Random(1), 0.0)
+        self.assertEqual([Send("a", LearnerHello(me, 5))], learner.handle(0.0, "a", question))
+
+    def test_a_follower_writes_the_commit_index_with_the_entries(self) -> None:
+        replica = LedgerReplica(VOTERS[1], fresh_ledger(VOTERS), random.Random(1), 0.0)
+        first = AppendRequest(1, VOTERS[0], 0, 0, [entry(1)], 0, nonce=1)
+        second = AppendRequest(1, VOTERS[0], 1, 1, [entry(2)], 1, nonce=2)
+        replica.handle(LATER, "a", first)
+        writes = [e for e in replica.handle(LATER, "a", second) if isinstance(e, Persist)]
+        self.assertEqual([1], [write.commit_index for write in writes])
