Gateways keep results that they have read; frames between nodes are compressed

Hypothesis: kept pages and deflated frames halve the price, and change nothing else. Change: jobs/result_cache.py and result_reader.py (bounded, oldest read job gives way; the leader is asked only for what follows, 404 forgets the job); transport/compression.py for calls and ledger frames of 128 bytes or more. Ruled out: a copy at each ledger node of the zone (a zone without a voter has none).

--- a/stileloom/jobs/book.py
+++ b/stileloom/jobs/book.py
@@ -18,6 +18,11 @@
 PAGE_BYTES = 900_000
 
 
+def result_size(result: ItemResult) -> int:
+    """Bytes of a result in an answer, at most: characters may be escaped."""
+    return 2 * len(result.text) + 200
+
+
 class JobRecord(msgspec.Struct):
     """One job and its results so far."""
 
@@ -45,7 +50,7 @@
         chosen: list[ItemResult] = []
         size = 0
         for result in self.results[position:]:
-            size += 2 * len(result.text) + 200
+            size += result_size(result)
             if chosen and size > PAGE_BYTES:
                 break
             chosen.append(result)
--- a/stileloom/ledger/wire.py
+++ b/stileloom/ledger/wire.py
@@ -18,6 +18,7 @@
     VoteRequest,
 )
 from stileloom.ledger.peer_addresses import PeerAddresses
+from stileloom.transport.compression import pack, unpack
 
 LedgerMessage = (
     VoteRequest
@@ -31,6 +32,9 @@
 )
 
 
+MAX_FRAME_BYTES = 256 * 1024 * 1024
+
+
 class Sender(msgspec.Struct, frozen=True, array_like=True):
     """Who sent a frame and where answers go."""
 
@@ -59,11 +63,15 @@
 
     def encode(self, message: object) -> bytes:
         """A message as a frame."""
-        return _ENCODER.encode(LedgerFrame(self._me, message))  # type: ignore[arg-type]
+        return pack(_ENCODER.encode(LedgerFrame(self._me, message)))  # type: ignore[arg-type]
 
     def decode(self, frame: bytes) -> tuple[str, LedgerMessage]:
         """The sender and the message. Raises `msgspec.DecodeError`."""
-        decoded = _DECODER.decode(frame)
+        try:
+            body = unpack(frame, MAX_FRAME_BYTES)
+        except ValueError as error:
+            raise msgspec.DecodeError(str(error)) from error
+        decoded = _DECODER.decode(body)
         sender = decoded.sender
         self._addresses.heard_from(sender.node_id, (sender.host, sender.port))
         return sender.node_id, decoded.message
--- a/stileloom/proxy/front.py
+++ b/stileloom/proxy/front.py
@@ -32,10 +32,11 @@
     JobTaken,
     NoSuchJob,
     ReadItemCall,
-    ReadResultsCall,
     ResultsRead,
     SubmitJobCall,
 )
+from stileloom.jobs.result_cache import ResultCache
+from stileloom.jobs.result_reader import ResultReader
 from stileloom.jobs.submission_check import check_submission
 from stileloom.logging import EventLog
 from stileloom.proxy.forwarder import Forwarder
@@ -101,6 +102,7 @@
         self._forwarder = forwarder
         self._relay = relay
         self._jobs = jobs
+        self._results = ResultReader(jobs, ResultCache())
         self._log = log
         self._metrics = metrics
         self._open = 0
@@ -222,8 +224,8 @@
     async def _serve_job_call(self, request: CallerRequest, call: JobCall) -> CallerAnswer:
         timeout_s = self._deadline_s(request, JOB_CALL_DEADLINE_S)
         if isinstance(call, ReadResults):
-            read = ReadResultsCall(call.job_id, call.position, call.wait_s)
-            reply = await self._call(read, call.job_id, timeout_s + call.wait_s)
+            limit_s = max(0.1, timeout_s - DEADLINE_MARGIN_S)
+            reply = await self._results.read(call.job_id, call.position, call.wait_s, limit_s)
         elif isinstance(call, ReadItem):
             reply = await self._call(
                 ReadItemCall(call.job_id, call.item_id), call.job_id, timeout_s
--- a/stileloom/transport/calls.py
+++ b/stileloom/transport/calls.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from stileloom.transport.call_frames import CallFrame, Reply, ReplyFrame, Request
+from stileloom.transport.compression import pack, unpack
 
 FRAME_HEADER = struct.Struct(">I")
 MAX_FRAME_BYTES = 64 * 1024 * 1024
@@ -29,7 +30,7 @@
         self._buffer = bytearray()
 
     def feed(self, data: bytes) -> list[bytes]:
-        """Whole frames so far. Raises `ValueError` where a frame is too long."""
+        """Whole frames so far. Raises `ValueError` where a frame is too long or damaged."""
         self._buffer += data
         frames: list[bytes] = []
         while len(self._buffer) >= FRAME_HEADER.size:
@@ -39,14 +40,15 @@
             end = FRAME_HEADER.size + length
             if len(self._buffer) < end:
                 break
-            frames.append(bytes(self._buffer[FRAME_HEADER.size : end]))
+            packed = bytes(self._buffer[FRAME_HEADER.size : end])
+            frames.append(unpack(packed, MAX_FRAME_BYTES))
             del self._buffer[:end]
         return frames
 
 
 def encode_frame(message: object) -> bytes:
     """A message behind its length."""
-    body = _ENCODER.encode(message)
+    body = pack(_ENCODER.encode(message))
     return FRAME_HEADER.pack(len(body)) + body
 
 
