Orders within committed windows: a new leader waits a lease from the last window only

Cause: after each change of leader no version was loaded for 3 s (leaseMs): samplers do not check fences there, so the orders of two machines must lie a lease apart. Ruled out: a shorter wait by what voters heard (after a loss of power they heard nothing); no wait where samplers check fences (they do not on these deployments). Change: the leader orders only for 0.8 s after it proposed OpenOrderWindow, once that is committed, checked when the connection stands (ledger/order_windows.py, jobs/order_window.py). A new leader waits from when it learned of the last window, and not at all if that was its own; after a restart of all the node that led last asks for votes first.

--- a/stileloom/constants.py
+++ b/stileloom/constants.py
@@ -21,6 +21,9 @@
 LEDGER_HEARTBEAT_S = 0.15
 ELECTION_TIMEOUT_MIN_S = 0.8
 ELECTION_TIMEOUT_MAX_S = 1.6
+RESTART_ELECTION_MIN_S = 1.2
+"""A restarted voter that did not lead last leaves this time to the one that did."""
+RESTART_ELECTION_MAX_S = 1.8
 LEADER_LEASE_S = 0.7
 """Shorter than the least election timeout, so that a lease ends before a successor starts."""
 FOLLOWER_SILENT_S = 1.0
--- a/stileloom/daemon/leadership.py
+++ b/stileloom/daemon/leadership.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-import time
 
 from stileloom.api.dialect import Dialect
 from stileloom.api.object_store import ObjectEvent, ObjectRecord, ObjectStore
@@ -42,12 +41,13 @@
         log: EventLog,
         metrics: JobMetrics,
         rng: random.Random,
+        orders_from: float,
     ) -> None:
         self.epoch = driver.replica.epoch
         self.runner = JobRunner(
             settings.node_id,
             self.epoch,
-            time.monotonic() + settings.bounds.order_lease_s,
+            orders_from,
             driver.state.job_book,
             driver,
             directory.routes,
--- a/stileloom/daemon/ledger_node.py
+++ b/stileloom/daemon/ledger_node.py
@@ -27,6 +27,7 @@
 from stileloom.jobs.service import JobService
 from stileloom.ledger import LedgerReplica
 from stileloom.ledger.commands import Command, CommandResult, Voter
+from stileloom.ledger.order_windows import OrderWindows
 from stileloom.ledger.state import LedgerState
 from stileloom.ledger.wire import Sender
 from stileloom.logging import EventLog
@@ -80,6 +81,7 @@
         self._directory.on_sampler_gone = self._sampler_gone
         self._stopping = asyncio.Event()
         self._voters_told: list[Voter] = []
+        self._order_windows = OrderWindows()
         self._ticker = Ticker(self._step, STEP_S)
         self._driver: LedgerDriver | None = None
         self._service: JobService | None = None
@@ -183,6 +185,7 @@
     def _step(self) -> None:
         assert self._driver is not None
         self._cache.drop_idle()
+        self._order_windows.learned(self._driver.state.order_windows, time.monotonic())
         leads = self._driver.may_act()
         if self._leadership is not None:
             current = self._leadership.epoch == self._driver.replica.epoch
@@ -210,6 +213,11 @@
             self._log,
             self._metrics,
             self._rng,
+            self._order_windows.orders_from(
+                driver.state.last_order_holder,
+                self._settings.node_id,
+                self._settings.bounds.order_lease_s,
+            ),
         )
         self._service.runner = self._leadership.runner
         self._log.emit(LogEvent.CONTROLLER_STARTED, {"epoch": self._leadership.epoch})
--- a/stileloom/http1/caller.py
+++ b/stileloom/http1/caller.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import msgspec
 
@@ -12,6 +13,10 @@
 from stileloom.http1.whole_answer import WholeAnswer
 
 
+class NotSent(Exception):
+    """The caller no longer wanted the request sent when the connection stood."""
+
+
 class CallAnswer(msgspec.Struct, frozen=True):
     """A whole answer."""
 
@@ -28,10 +33,12 @@
     headers: list[tuple[str, str]],
     body: bytes,
     timeout_s: float,
+    may_send: Callable[[], bool] = lambda: True,
 ) -> CallAnswer | None:
     """Sends one request; None where no whole answer came in time.
 
-    A connection that did not answer is closed: nothing more can be expected of it.
+    A connection that did not answer is closed: nothing more can be expected of it. Raises
+    `NotSent` where `may_send` says no when the connection stands.
     """
     all_headers = [("Host", f"{address[0]}:{address[1]}"), *headers]
     if body:
@@ -40,6 +47,9 @@
         connection = await pool.acquire(peer_id, address)
     except (OSError, TimeoutError):
         return None
+    if not may_send():
+        pool.release(peer_id, connection)
+        raise NotSent
     answer = WholeAnswer()
     connection.exchange(encode_request(method, target, all_headers, body), answer)
     try:
--- a/stileloom/jobs/engine_control.py
+++ b/stileloom/jobs/engine_control.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Callable
 
 import msgspec
 
 from stileloom.api.dialect import Dialect, EngineCall, LoadOrder, SamplerReport
-from stileloom.http1.caller import CallAnswer
+from stileloom.http1.caller import CallAnswer, NotSent
 from stileloom.http1.caller import call as http1_call
 from stileloom.http1.pool import ConnectionPool
 
@@ -59,9 +60,14 @@
             return None
         return self._dialect.decode_report(answer.body)
 
-    async def order(self, target: ControlTarget, order: LoadOrder) -> OrderOutcome:
-        """Gives an order."""
-        answer = await self._call(target, self._dialect.order_call(order))
+    async def order(
+        self, target: ControlTarget, order: LoadOrder, may_send: Callable[[], bool]
+    ) -> OrderOutcome:
+        """Gives an order; `may_send` is asked right before the first byte leaves."""
+        try:
+            answer = await self._call(target, self._dialect.order_call(order), may_send)
+        except NotSent:
+            return OrderOutcome.REFUSED
         if answer is None:
             return OrderOutcome.UNKNOWN
         status = answer.head.status
@@ -69,7 +75,12 @@
             return OrderOutcome.UNKNOWN
         return _OUTCOMES.get(status, OrderOutcome.REFUSED)
 
-    async def _call(self, target: ControlTarget, call: EngineCall) -> CallAnswer | None:
+    async def _call(
+        self,
+        target: ControlTarget,
+        call: EngineCall,
+        may_send: Callable[[], bool] = lambda: True,
+    ) -> CallAnswer | None:
         headers = [(self._dialect.names.expect_sampler, target.sampler_id)]
         return await http1_call(
             self._pool,
@@ -80,4 +91,5 @@
             headers,
             call.body,
             CONTROL_TIMEOUT_S,
+            may_send,
         )
--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -89,7 +89,7 @@
             self._pool,
             log,
             metrics,
-            self._may_act,
+            ledger,
         )
         self._rewards = RewardCaller(forwarder, routes, samplers, dialect.names, self, log, metrics)
 
--- a/stileloom/jobs/weight_loader.py
+++ b/stileloom/jobs/weight_loader.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import time
-from collections.abc import Callable
 
 from stileloom.api.dialect import Dialect, LoadOrder
 from stileloom.events import LogEvent
 from stileloom.http1.pool import ConnectionPool
 from stileloom.jobs.engine_control import ControlTarget, EngineControl, OrderOutcome
 from stileloom.jobs.metrics import JobMetrics
+from stileloom.jobs.order_window import OrderWindow
+from stileloom.jobs.result_writer import LeaderLedger
 from stileloom.jobs.scheduler import ItemScheduler
 from stileloom.jobs.version_planner import Load, VersionPlanner
 from stileloom.logging import EventLog
@@ -24,7 +25,7 @@
 
 
 class WeightLoader:
-    """Orders of one leadership; `may_act` is asked right before each."""
+    """Orders of one leadership; each goes out within an open order window."""
 
     def __init__(
         self,
@@ -37,7 +38,7 @@
         pool: ConnectionPool,
         log: EventLog,
         metrics: JobMetrics,
-        may_act: Callable[[], bool],
+        ledger: LeaderLedger,
     ) -> None:
         self._node_id = node_id
         self._epoch = epoch
@@ -47,7 +48,7 @@
         self._control = EngineControl(dialect, pool)
         self._log = log
         self._metrics = metrics
-        self._may_act = may_act
+        self._window = OrderWindow(node_id, ledger)
 
     def saw_versions(self, sampler_id: str, versions: dict[str, int]) -> None:
         """A listing or report says which versions a sampler has."""
@@ -96,9 +97,9 @@
             self._epoch,
             report.orders_taken,
         )
-        if not self._may_act():
+        if not await self._window.open():
             return OrderOutcome.REFUSED
-        outcome = await self._control.order(target, order)
+        outcome = await self._control.order(target, order, self._window.is_open)
         self._log.emit(
             LogEvent.VERSION_ORDERED,
             {
--- a/stileloom/ledger/commands.py
+++ b/stileloom/ledger/commands.py
@@ -134,6 +134,12 @@
     job_id: str
 
 
+class OpenOrderWindow(msgspec.Struct, frozen=True, tag=True):
+    """The leader may give orders to samplers for a short while (`ledger/order_windows.py`)."""
+
+    holder: str
+
+
 class RetireNode(msgspec.Struct, frozen=True, tag=True):
     """The node is to be emptied: it leaves the voter set and does not come back."""
 
@@ -158,6 +164,7 @@
     | EndJob
     | ForgetJob
     | RetireNode
+    | OpenOrderWindow
 )
 
 
--- a/stileloom/ledger/replica.py
+++ b/stileloom/ledger/replica.py
@@ -137,7 +137,7 @@
         self._next_heartbeat_at = now
         # A restarted voter may have answered a leader just before: it waits out that lease.
         self._heard_from_leader_at = now
-        self._election_due_at = now + self._election_timeout()
+        self._election_due_at = now + self._first_election_timeout(recovered)
         self._next_hello_at = now
 
     # Reading.
@@ -270,6 +270,16 @@
     def _election_timeout(self) -> float:
         return self._rng.uniform(constants.ELECTION_TIMEOUT_MIN_S, constants.ELECTION_TIMEOUT_MAX_S)
 
+    def _first_election_timeout(self, recovered: RecoveredLedger) -> float:
+        """The node that led last comes first after a restart of all: it may order at once."""
+        starts = [e.command for e in recovered.entries if isinstance(e.command, StartEpoch)]
+        last_leader = starts[-1].leader if starts else self.state.last_leader
+        if not last_leader:
+            return self._election_timeout()
+        if last_leader == self.me.node_id:
+            return constants.ELECTION_TIMEOUT_MIN_S
+        return self._rng.uniform(constants.RESTART_ELECTION_MIN_S, constants.RESTART_ELECTION_MAX_S)
+
     def _start_election(self, now: float, trial: bool, handed_over: bool = False) -> list[Effect]:
         self._election_due_at = now + self._election_timeout()
         self._trial = trial
--- a/stileloom/ledger/state.py
+++ b/stileloom/ledger/state.py
@@ -29,6 +29,7 @@
     EndJob,
     ForgetJob,
     HandOver,
+    OpenOrderWindow,
     PromptsAccepted,
     PublishVersion,
     RaiseConfigurationFloor,
@@ -126,6 +127,11 @@
     job_book: JobBook = msgspec.field(default_factory=JobBook)
     retired_nodes: set[str] = msgspec.field(default_factory=set)
     """Nodes that are to be emptied or were; they do not become voters again."""
+    order_windows: int = 0
+    """How many order windows were opened so far."""
+    last_order_holder: str = ""
+    """The node that opened the newest one."""
+    last_leader: str = ""
 
     def apply(self, command: Command) -> CommandResult:
         """Applies one committed command."""
@@ -156,7 +162,12 @@
             return Done()
         if isinstance(command, SubmitJob | RecordResults | SaveProgress | EndJob | ForgetJob):
             return self._apply_to_jobs(command)
+        if isinstance(command, OpenOrderWindow):
+            self.order_windows += 1
+            self.last_order_holder = command.holder
+            return Done()
         assert isinstance(command, StartEpoch)
+        self.last_leader = command.leader
         return Done()
 
     def _apply_to_jobs(
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import errno
 import os
 import random
@@ -13,22 +14,27 @@
 
 from stileloom.api.samples import Prompt, Sample, Segment
 from stileloom.effects import Effect, Send
-from stileloom.errors import ErrorKind
+from stileloom.errors import ErrorKind, StileloomError
+from stileloom.jobs.order_window import OrderWindow
 from stileloom.ledger import LedgerReplica, LedgerState, Persist, fresh_ledger
 from stileloom.ledger.bootstrap import VoterSetRecord, enter_voter_set
 from stileloom.ledger.commands import (
     AcknowledgeDeliveries,
     ChangeVoters,
     ClaimKey,
+    Command,
+    CommandResult,
     CommitSample,
     DeliveryPage,
     Done,
     HandOver,
+    OpenOrderWindow,
     PublishVersion,
     RaiseConfigurationFloor,
     Refused,
     RegisterRound,
     SampleRefused,
+    StartEpoch,
     SubmitPrompts,
     Voter,
 )
@@ -43,12 +49,14 @@
     VoteRequest,
 )
 from stileloom.ledger.messages import HandOver as HandOverMessage
+from stileloom.ledger.order_windows import LATENESS_S, ORDER_WINDOW_S, OrderWindows
 from stileloom.ledger.replica import ReplicaRole
 from stileloom.ledger.storage import JOURNAL_NAME, LedgerStorage
 from stileloom.ledger.voters import next_voter_set
 
 VOTERS = [Voter(name, f"disk-{name}") for name in ("a", "b", "c")]
 LATER = 5.0
+LEASE_S = 3.0
 
 
 def entry(index: int, epoch: int = 1) -> Entry:
@@ -631,3 +639,91 @@
         replica.handle(LATER, "a", first)
         writes = [e for e in replica.handle(LATER, "a", second) if isinstance(e, Persist)]
         self.assertEqual([1], [write.commit_index for write in writes])
+
+
+class OrderWindowTest(testtools.TestCase):
+    """When a new leader may give orders: a lease after the last window of another one."""
+
+    def test_it_waits_from_when_it_learned_of_the_window_not_from_its_election(self) -> None:
+        windows = OrderWindows()
+        self.assertEqual(float("-inf"), windows.orders_from("", "b", LEASE_S))
+        windows.learned(1, 10.0)
+        windows.learned(1, 12.0)
+        expected = 10.0 + ORDER_WINDOW_S + LATENESS_S + LEASE_S
+        self.assertEqual(expected, windows.orders_from("a", "b", LEASE_S))
+        windows.learned(2, 12.5)
+        self.assertEqual(expected + 2.5, windows.orders_from("a", "b", LEASE_S))
+
+    def test_it_does_not_wait_for_itself(self) -> None:
+        windows = OrderWindows()
+        windows.learned(7, 10.0)
+        self.assertEqual(float("-inf"), windows.orders_from("b", "b", LEASE_S))
+
+    def test_the_state_names_the_newest_holder(self) -> None:
+        state = LedgerState()
+        for holder in ("a", "b"):
+            state.apply(OpenOrderWindow(holder))
+        self.assertEqual((2, "b"), (state.order_windows, state.last_order_holder))
+
+    def test_after_a_restart_of_all_the_node_that_led_last_asks_first(self) -> None:
+        recovered = fresh_ledger(VOTERS)
+        recovered.entries = [Entry(1, 1, StartEpoch("b"))]
+        due = {}
+        for voter in VOTERS:
+            replica = LedgerReplica(voter, recovered, random.Random(4), 0.0)
+            ticks = range(1, 400)
+            due[voter.node_id] = next(n for n in ticks if replica.tick(n * 0.01))
+        self.assertEqual("b", min(due, key=due.__getitem__))
+        self.assertLess(due["b"] * 0.01, 0.85)
+
+
+class FakeLedger:
+    """A leader's ledger whose commits take as long as the test says."""
+
+    def __init__(self) -> None:
+        self.acts = True
+        self.proposed: list[Command] = []
+        self.fails = False
+
+    def may_act(self) -> bool:
+        """Whether the lease holds."""
+        return self.acts
+
+    async def propose(self, command: Command) -> CommandResult:
+        """Commits at once."""
+        if self.fails:
+            raise StileloomError(ErrorKind.LEDGER_UNAVAILABLE, "lost")
+        self.proposed.append(command)
+        return Done()
+
+
+class OwnWindowTest(testtools.TestCase):
+    """The window that a leader opens for its own orders."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.ledger = FakeLedger()
+        self.now = 100.0
+        clock = mock.patch("stileloom.jobs.order_window.time.monotonic", lambda: self.now)
+        clock.start()
+        self.addCleanup(clock.stop)
+        self.window = OrderWindow("a", self.ledger)
+
+    def test_orders_leave_only_within_a_committed_window(self) -> None:
+        self.assertFalse(self.window.is_open())
+        self.assertTrue(asyncio.run(self.window.open()))
+        self.assertTrue(asyncio.run(self.window.open()))
+        self.assertEqual([OpenOrderWindow("a")], self.ledger.proposed)
+        self.now += ORDER_WINDOW_S + 0.01
+        self.assertFalse(self.window.is_open())
+        self.assertTrue(asyncio.run(self.window.open()))
+        self.assertEqual(2, len(self.ledger.proposed))
+
+    def test_without_the_lease_or_the_commit_nothing_leaves(self) -> None:
+        self.ledger.fails = True
+        self.assertFalse(asyncio.run(self.window.open()))
+        self.ledger.fails = False
+        self.assertTrue(asyncio.run(self.window.open()))
+        self.ledger.acts = False
+        self.assertFalse(self.window.is_open())
+        self.assertFalse(asyncio.run(self.window.open()))
