After a restart of all the last leader acts at once; a run that was stopped never begins

Change: a restarted voter gives its vote at once to the node whose lease it may have confirmed, if its disk is sure of that; the leader's paces are in the ledger (RecordIntervals); no order before the versions are listed, or 0.6 s; events are saved each 0.25 s from 5 on. StartRun names its run now, and signs of any other are dropped; test red before.

--- a/stileloom/constants.py
+++ b/stileloom/constants.py
@@ -21,6 +21,10 @@
 LEDGER_HEARTBEAT_S = 0.15
 ELECTION_TIMEOUT_MIN_S = 0.8
 ELECTION_TIMEOUT_MAX_S = 1.6
+RESTART_S = 0.8
+"""For so long after its start a replica counts as restarted."""
+RESTART_RETRY_S = 0.15
+"""How often a restarted node that led last asks for votes: the others may start later."""
 RESTART_ELECTION_MIN_S = 1.2
 """A restarted voter that did not lead last leaves this time to the one that did."""
 RESTART_ELECTION_MAX_S = 1.8
--- a/stileloom/daemon/leadership.py
+++ b/stileloom/daemon/leadership.py
@@ -99,6 +99,7 @@
     def _versions_listed(self, records: list[ObjectRecord]) -> None:
         for record in records:
             self._note_version(record)
+        self.runner.versions_listed()
 
     def _version_changed(self, event: ObjectEvent) -> None:
         if not event.gone:
--- a/stileloom/jobs/book.py
+++ b/stileloom/jobs/book.py
@@ -61,6 +61,8 @@
     """All jobs by id."""
 
     jobs: dict[str, JobRecord] = msgspec.field(default_factory=dict)
+    interval_s: dict[str, float] = msgspec.field(default_factory=dict)
+    """Time between two events at each sampler, as the last leader measured it."""
 
     def submit(self, submission: JobSubmission) -> bool:
         """Takes a job once; False where it was taken before."""
--- a/stileloom/jobs/open_items.py
+++ b/stileloom/jobs/open_items.py
@@ -79,12 +79,15 @@
 
     item: OpenItem
     sampler_id: str
+    run: ItemRun
+    """The run that was planned: the item may have another one by the time it begins."""
 
 
 class SamplerPace(msgspec.Struct):
     """How fast a sampler makes events, and what runs there."""
 
     interval_s: float = FIRST_INTERVAL_S
+    measured: bool = False
     running: int = 0
     tokens: float = 0.0
     """Tokens that its runs are expected to hold."""
--- a/stileloom/jobs/result_writer.py
+++ b/stileloom/jobs/result_writer.py
@@ -14,12 +14,20 @@
 from stileloom.jobs.metrics import JobMetrics
 from stileloom.jobs.open_items import OpenItem
 from stileloom.jobs.scheduler import ItemScheduler
-from stileloom.ledger.commands import Command, CommandResult, RecordResults, SaveProgress
+from stileloom.ledger.commands import (
+    Command,
+    CommandResult,
+    RecordIntervals,
+    RecordResults,
+    SaveProgress,
+)
 from stileloom.logging import EventLog
 
 FLUSH_S = 0.02
 """Results that come within this time are committed together."""
 ITEMS_LOGGED = 16
+INTERVAL_CHANGE = 1.15
+"""A sampler whose pace changed by less than this factor is not saved anew."""
 
 
 class LeaderLedger(Protocol):
@@ -149,8 +157,31 @@
             # Leadership is lost: the next leader goes on from what is saved.
             return
 
+    def record_intervals(self) -> None:
+        """Saves how fast samplers are, where that has changed."""
+        intervals = self._scheduler.intervals()
+        if _differ(intervals, self._book.interval_s):
+            self._tasks.spawn(self._record_intervals(intervals))
+
+    async def _record_intervals(self, intervals: dict[str, float]) -> None:
+        try:
+            await self._ledger.propose(RecordIntervals(intervals))
+        except StileloomError:
+            # Leadership is lost: the next leader measures by itself.
+            return
+
     def wake(self, job_id: str) -> None:
         """Resolves all that wait for a job."""
         for future in self._waiters.pop(job_id, []):
             if not future.done():
                 future.set_result(None)
+
+
+def _differ(new: dict[str, float], old: dict[str, float]) -> bool:
+    if new.keys() - old.keys():
+        return True
+    return any(
+        interval_s > old[sampler_id] * INTERVAL_CHANGE
+        or old[sampler_id] > interval_s * INTERVAL_CHANGE
+        for sampler_id, interval_s in new.items()
+    )
--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -21,7 +21,7 @@
 from stileloom.jobs.item_request import encode_item_request
 from stileloom.jobs.item_stream import ItemStream, RunOutcome
 from stileloom.jobs.metrics import JobMetrics
-from stileloom.jobs.open_items import DEFAULT_TOKENS_PER_EVENT, OpenItem, StartRun
+from stileloom.jobs.open_items import DEFAULT_TOKENS_PER_EVENT, ItemRun, OpenItem, StartRun
 from stileloom.jobs.result_writer import LeaderLedger, ResultWriter
 from stileloom.jobs.reward_caller import RewardCaller
 from stileloom.jobs.scheduler import ItemScheduler
@@ -37,7 +37,11 @@
 REFUSED_PAUSE_S = 0.15
 GIVE_UP_MARGIN_S = 2.0
 IMPOSSIBLE_ATTEMPTS = 1
-SAVE_INTERVAL_S = 0.5
+SAVE_INTERVAL_S = 0.25
+RECORD_INTERVALS_S = 2.0
+"""How often the pace of samplers is saved for a later leader."""
+VERSIONS_PATIENCE_S = 0.6
+"""How long a new leader waits for the list of named versions before it orders any."""
 STEP_SOON_S = 0.005
 MOVES_PER_STEP = 3
 
@@ -59,7 +63,7 @@
         log: EventLog,
         metrics: JobMetrics,
     ) -> None:
-        self.scheduler = ItemScheduler(samplers)
+        self.scheduler = ItemScheduler(samplers, book.interval_s)
         self.planner = VersionPlanner(self.scheduler, samplers)
         self._orders_from = orders_from
         """No order before this monotonic time: an earlier leader's last one must be past."""
@@ -75,6 +79,8 @@
         self._adopted: dict[str, float] = {}
         self._stopped = False
         self._next_save_at = 0.0
+        self._next_record_at = time.monotonic() + RECORD_INTERVALS_S
+        self._versions_due_at = time.monotonic() + VERSIONS_PATIENCE_S
         self._tasks = BackgroundTasks(log)
         self._writer = ResultWriter(
             book, ledger, self.scheduler, self._tasks, log, metrics, self._step_soon
@@ -110,6 +116,10 @@
         if self.planner.named(model, version, time.monotonic()):
             self._log.emit(LogEvent.VERSION_NAMED, {"model": model, "version": version})
 
+    def versions_listed(self) -> None:
+        """All versions that are named by now were told."""
+        self._versions_due_at = float("-inf")
+
     def sampler_seen(self, sampler_id: str, versions: dict[str, int]) -> None:
         """The directory lists a sampler."""
         self._loader.saw_versions(sampler_id, versions)
@@ -148,6 +158,9 @@
         if now >= self._next_save_at:
             self._next_save_at = now + SAVE_INTERVAL_S
             self._writer.save_progress()
+        if now >= self._next_record_at:
+            self._next_record_at = now + RECORD_INTERVALS_S
+            self._writer.record_intervals()
 
     def _move_slow_runs(self, now: float) -> None:
         """Each goes straight to the sampler that it gains by: its place is not given away."""
@@ -169,7 +182,7 @@
         models = service.engine.models
         self.scheduler.cache_tokens[service.name] = service.engine.cache_tokens
         self.scheduler.share_out(service.name, models)
-        if now >= self._orders_from:
+        if now >= max(self._orders_from, self._versions_due_at):
             single = {item.model for item in self.scheduler.items.values() if item.single_version}
             for load in self.planner.plan(now, service.name, models, single):
                 for open_item in load.evacuate:
@@ -274,9 +287,11 @@
 
     async def _run_item(self, start: StartRun) -> None:
         open_item = start.item
+        run = start.run
+        if open_item.run is not run:
+            return
         belief = self._samplers.get(start.sampler_id)
-        run = open_item.run
-        if belief is None or run is None:
+        if belief is None:
             self.scheduler.run_ended(open_item)
             return
         entry = belief.entry
@@ -300,8 +315,8 @@
             partial,
             open_item.min_version,
             self._dialect.names,
-            lambda _: self._event(open_item),
-            lambda outcome, detail: self._ended(open_item, entry.sampler_id, outcome, detail),
+            lambda _: self._event(open_item, run),
+            lambda outcome, detail: self._ended(start, outcome, detail),
         )
         self._connections[open_item.key] = connection
         self._metrics.runs_started.inc()
@@ -314,12 +329,12 @@
         )
         connection.exchange(request, stream)
 
-    def _event(self, open_item: OpenItem) -> None:
+    def _event(self, open_item: OpenItem, run: ItemRun) -> None:
+        if open_item.run is not run:
+            return
         now = time.monotonic()
-        run = open_item.run
-        if run is not None:
-            metric = self._metrics.event_gap if run.events else self._metrics.first_event
-            metric.observe(now - run.last_event_at)
+        metric = self._metrics.event_gap if run.events else self._metrics.first_event
+        metric.observe(now - run.last_event_at)
         self.scheduler.event(open_item, now)
 
     def _host_of(self, open_item: OpenItem) -> str:
@@ -349,9 +364,12 @@
             )
         self.scheduler.run_ended(open_item, avoid)
 
-    def _ended(
-        self, open_item: OpenItem, sampler_id: str, outcome: RunOutcome, detail: str
-    ) -> None:
+    def _ended(self, start: StartRun, outcome: RunOutcome, detail: str) -> None:
+        open_item = start.item
+        sampler_id = start.sampler_id
+        if open_item.run is not start.run:
+            # It was stopped before: its text is not the item's any more.
+            return
         connection = self._connections.pop(open_item.key, None)
         now = time.monotonic()
         failed = outcome in (RunOutcome.FAILED, RunOutcome.BROKEN, RunOutcome.REFUSED)
--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -38,7 +38,7 @@
 LEFT_OF_MADE = 0.5
 """Lengths have heavy tails: what was longer than expected goes on for about half as long."""
 CACHE_SHARE = 0.95
-SAVE_EVENTS = 8
+SAVE_EVENTS = 5
 """So many events that are not saved yet are worth a write to the ledger."""
 DEMAND_CHANGE = 1.4
 """Samplers are shared out anew when a model's part of the work changes by this factor."""
@@ -49,13 +49,18 @@
 class ItemScheduler:
     """All open items at the leader."""
 
-    def __init__(self, samplers: SamplerTable) -> None:
+    def __init__(
+        self, samplers: SamplerTable, known_interval_s: dict[str, float] | None = None
+    ) -> None:
         self.items: dict[ItemKey, OpenItem] = {}
         self.models: dict[str, SamplerModels] = {}
         self.cache_tokens: dict[str, float] = {}
         """Tokens that a sampler of a service can hold."""
         self._samplers = samplers
-        self._paces: dict[str, SamplerPace] = {}
+        self._paces = {
+            sampler_id: SamplerPace(interval_s)
+            for sampler_id, interval_s in (known_interval_s or {}).items()
+        }
         self._share: dict[str, str] = {}
         self._share_of: tuple[frozenset[str], frozenset[str]] | None = None
         self._demand: dict[str, float] = {}
@@ -136,6 +141,14 @@
         """Pace of a sampler."""
         return self._paces.setdefault(sampler_id, SamplerPace())
 
+    def intervals(self) -> dict[str, float]:
+        """The time between two events at each listed sampler that has made some."""
+        return {
+            belief.entry.sampler_id: round(pace.interval_s, 4)
+            for belief in self._samplers.all()
+            if (pace := self._paces.get(belief.entry.sampler_id)) is not None and pace.measured
+        }
+
     def models_of(self, sampler_id: str) -> SamplerModels:
         """Beliefs on a sampler's models."""
         return self.models.setdefault(sampler_id, SamplerModels())
@@ -218,7 +231,7 @@
         open_item.run.tokens = open_item.tokens_held
         pace.tokens += open_item.run.tokens
         pace.groups.add(open_item.item.group)
-        return StartRun(open_item, sampler_id)
+        return StartRun(open_item, sampler_id, open_item.run)
 
     def _best_sampler(self, open_item: OpenItem, now: float) -> SamplerBelief | None:
         candidates = [
@@ -353,6 +366,7 @@
             self._samplers.answered(run.sampler_id)
         else:
             pace = self.pace(run.sampler_id)
+            pace.measured = True
             interval_s = now - run.last_event_at
             pace.interval_s += (
                 INTERVAL_WEIGHT * (interval_s - pace.interval_s) / max(1, pace.running)
--- a/stileloom/ledger/commands.py
+++ b/stileloom/ledger/commands.py
@@ -122,6 +122,12 @@
     items: list[ItemProgress]
 
 
+class RecordIntervals(msgspec.Struct, frozen=True, tag=True):
+    """Times between two events at each sampler, as the leader measured them; seconds."""
+
+    interval_s: dict[str, float]
+
+
 class EndJob(msgspec.Struct, frozen=True, tag=True):
     """Ends a batch job: its items need not run any more."""
 
@@ -161,6 +167,7 @@
     | SubmitJob
     | RecordResults
     | SaveProgress
+    | RecordIntervals
     | EndJob
     | ForgetJob
     | RetireNode
--- a/stileloom/ledger/replica.py
+++ b/stileloom/ledger/replica.py
@@ -137,7 +137,10 @@
         self._next_heartbeat_at = now
         # A restarted voter may have answered a leader just before: it waits out that lease.
         self._heard_from_leader_at = now
-        self._election_due_at = now + self._first_election_timeout(recovered)
+        self._leader_before = self._last_leader(recovered)
+        """Who led when this process ended, if its disk is sure of that; else empty."""
+        self._restarted_at = now
+        self._election_due_at = now + self._election_timeout(now)
         self._next_hello_at = now
 
     # Reading.
@@ -267,21 +270,30 @@
 
     # Elections.
 
-    def _election_timeout(self) -> float:
+    def _election_timeout(self, now: float) -> float:
+        """Time until this replica asks for votes.
+
+        After a restart of all, the node that led last comes first: it may give orders at once,
+        and there is no lease of another leader that voters would have to wait out.
+        """
+        if self._leader_before and now < self._restarted_at + constants.RESTART_S:
+            if self._leader_before == self.me.node_id:
+                return constants.RESTART_RETRY_S
+            return self._rng.uniform(
+                constants.RESTART_ELECTION_MIN_S, constants.RESTART_ELECTION_MAX_S
+            )
         return self._rng.uniform(constants.ELECTION_TIMEOUT_MIN_S, constants.ELECTION_TIMEOUT_MAX_S)
 
-    def _first_election_timeout(self, recovered: RecoveredLedger) -> float:
-        """The node that led last comes first after a restart of all: it may order at once."""
+    def _last_leader(self, recovered: RecoveredLedger) -> str:
+        """Each leader begins with `StartEpoch`; with a later epoch on disk somebody else may
+        have been answered since."""
+        if recovered.hard_state.epoch != self._log.last_epoch:
+            return ""
         starts = [e.command for e in recovered.entries if isinstance(e.command, StartEpoch)]
-        last_leader = starts[-1].leader if starts else self.state.last_leader
-        if not last_leader:
-            return self._election_timeout()
-        if last_leader == self.me.node_id:
-            return constants.ELECTION_TIMEOUT_MIN_S
-        return self._rng.uniform(constants.RESTART_ELECTION_MIN_S, constants.RESTART_ELECTION_MAX_S)
+        return starts[-1].leader if starts else self.state.last_leader
 
     def _start_election(self, now: float, trial: bool, handed_over: bool = False) -> list[Effect]:
-        self._election_due_at = now + self._election_timeout()
+        self._election_due_at = now + self._election_timeout(now)
         self._trial = trial
         self._votes = {self.me}
         effects: list[Effect] = []
@@ -312,6 +324,9 @@
 
     def _on_vote_request(self, now: float, message: VoteRequest) -> list[Effect]:
         sticky = now < self._heard_from_leader_at + constants.ELECTION_TIMEOUT_MIN_S
+        if message.candidate.node_id == self._leader_before:
+            # The lease that this restarted voter may have confirmed was the candidate's own.
+            sticky = False
         leading = self.role is ReplicaRole.LEADER and now < self.lease_expires_at(now)
         if ((sticky or leading) and not message.handed_over) or not self._gives_votes:
             return []
@@ -332,7 +347,7 @@
             )
             if granted and self._voted_for is None:
                 self._voted_for = message.candidate
-                self._election_due_at = now + self._election_timeout()
+                self._election_due_at = now + self._election_timeout(now)
                 effects += self._persist_hard_state()
         reply = VoteReply(message.epoch, self.me, granted, message.trial)
         return effects + self._when_durable([Send(message.candidate.node_id, reply)])
@@ -356,6 +371,7 @@
 
     def _become_leader(self, now: float) -> list[Effect]:
         self.role = ReplicaRole.LEADER
+        self._leader_before = ""
         self._leader_since = now
         self.leader = self.me.node_id
         self._lease.clear()
@@ -384,7 +400,7 @@
             self._voted_for = None
             self.leader = None
             effects += self._persist_hard_state()
-        self._election_due_at = now + self._election_timeout()
+        self._election_due_at = now + self._election_timeout(now)
         return effects
 
     # Replication, at the leader.
@@ -643,9 +659,10 @@
         if epoch > self.epoch or self.role is not ReplicaRole.FOLLOWER:
             effects += self._step_down(now, epoch)
         self.leader = leader
+        self._leader_before = ""
         self._trial = False
         self._heard_from_leader_at = now
-        self._election_due_at = now + self._election_timeout()
+        self._election_due_at = now + self._election_timeout(now)
         return effects
 
     def _on_append_request(self, now: float, message: AppendRequest) -> list[Effect]:
--- a/stileloom/ledger/state.py
+++ b/stileloom/ledger/state.py
@@ -33,6 +33,7 @@
     PromptsAccepted,
     PublishVersion,
     RaiseConfigurationFloor,
+    RecordIntervals,
     RecordResults,
     Refused,
     RegisterRound,
@@ -162,6 +163,9 @@
             return Done()
         if isinstance(command, SubmitJob | RecordResults | SaveProgress | EndJob | ForgetJob):
             return self._apply_to_jobs(command)
+        if isinstance(command, RecordIntervals):
+            self.job_book.interval_s = command.interval_s
+            return Done()
         if isinstance(command, OpenOrderWindow):
             self.order_windows += 1
             self.last_order_holder = command.holder
--- a/tests/test_item_scheduler.py
+++ b/tests/test_item_scheduler.py
@@ -120,6 +120,19 @@
         desk.scheduler.start_at(item, str(faster), now)
         self.assertEqual(1, desk.scheduler.pace(str(faster)).running)
 
+    def test_a_later_leader_begins_with_the_paces_that_were_measured(self) -> None:
+        desk = Desk(entry("a"), entry("b"))
+        desk.adopt(record("j", 1))
+        (first,) = desk.starts().values()
+        (item,) = desk.scheduler.items.values()
+        for number in range(1, 60):
+            desk.scheduler.event(item, number * 0.2)
+        measured = desk.scheduler.intervals()
+        self.assertEqual([first], list(measured))
+        later = ItemScheduler(desk.samplers, measured)
+        self.assertAlmostEqual(0.2, later.pace(first).interval_s, places=2)
+        self.assertEqual({}, later.intervals())
+
     def test_runs_that_gain_by_the_same_place_do_not_all_leave_for_it(self) -> None:
         desk = Desk(entry("a", slots=2), entry("b", slots=1))
         desk.scheduler.pace("b").refused_until = 1.0
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -50,7 +50,7 @@
 )
 from stileloom.ledger.messages import HandOver as HandOverMessage
 from stileloom.ledger.order_windows import LATENESS_S, ORDER_WINDOW_S, OrderWindows
-from stileloom.ledger.replica import ReplicaRole
+from stileloom.ledger.replica import RecoveredLedger, ReplicaRole
 from stileloom.ledger.storage import JOURNAL_NAME, LedgerStorage
 from stileloom.ledger.voters import next_voter_set
 
@@ -666,15 +666,42 @@
         self.assertEqual((2, "b"), (state.order_windows, state.last_order_holder))
 
     def test_after_a_restart_of_all_the_node_that_led_last_asks_first(self) -> None:
-        recovered = fresh_ledger(VOTERS)
-        recovered.entries = [Entry(1, 1, StartEpoch("b"))]
+        recovered = self.restarted(epoch=1)
         due = {}
         for voter in VOTERS:
             replica = LedgerReplica(voter, recovered, random.Random(4), 0.0)
             ticks = range(1, 400)
             due[voter.node_id] = next(n for n in ticks if replica.tick(n * 0.01))
         self.assertEqual("b", min(due, key=due.__getitem__))
-        self.assertLess(due["b"] * 0.01, 0.85)
+        self.assertLess(due["b"] * 0.01, 0.3)
+        self.assertGreater(min(due["a"], due["c"]) * 0.01, 1.0)
+
+    def restarted(self, epoch: int) -> RecoveredLedger:
+        """What a disk holds after b led epoch 1, and this voter's own epoch."""
+        recovered = fresh_ledger(VOTERS)
+        recovered.hard_state = HardState(epoch, None)
+        recovered.entries = [Entry(1, 1, StartEpoch("b"))]
+        return recovered
+
+    def granted(self, epoch: int, candidate: Voter) -> bool:
+        """Whether c, just restarted, would give its vote at once."""
+        replica = LedgerReplica(VOTERS[2], self.restarted(epoch), random.Random(4), 0.0)
+        request = VoteRequest(epoch + 1, candidate, 1, 1, trial=True)
+        effects = replica.handle(0.05, candidate.node_id, request)
+        replies = [e.message for e in effects if isinstance(e, Send)]
+        return any(isinstance(m, VoteReply) and m.granted for m in replies)
+
+    def test_a_restarted_voter_waits_out_the_lease_of_anybody_but_the_candidate(self) -> None:
+        self.assertTrue(self.granted(1, VOTERS[1]))
+        self.assertFalse(self.granted(1, VOTERS[0]))
+        # In epoch 2 somebody else may have led, and this voter may have confirmed that lease.
+        self.assertFalse(self.granted(2, VOTERS[1]))
+
+    def test_a_voter_that_heard_a_leader_since_waits_for_that_one(self) -> None:
+        replica = LedgerReplica(VOTERS[2], self.restarted(1), random.Random(4), 0.0)
+        replica.handle(0.1, "a", AppendRequest(2, VOTERS[0], 1, 1, [], 0, nonce=1))
+        request = VoteRequest(3, VOTERS[1], 1, 1, trial=True)
+        self.assertEqual([], replica.handle(0.2, "b", request))
 
 
 class FakeLedger:
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -256,6 +256,29 @@
 
         with_cluster(scenario)
 
+    def test_a_run_that_was_stopped_before_it_began_does_not_run(
+        self,
+    ) -> None:
+        """Two streams of one item would write into one text."""
+
+        async def scenario(cluster: ServiceCluster) -> None:
+            leader = cluster.ledger_nodes[cluster.leader() or ""]
+            assert leader._leadership is not None
+            runner = leader._leadership.runner
+            with mock.patch.object(runner.scheduler, "plan_starts", return_value=[]):
+                await cluster.submit("job", ["i1"])
+                await cluster.until(lambda: len(runner.scheduler.items) == 1)
+                (item,) = runner.scheduler.items.values()
+                now = 0.0
+                runner._begin([runner.scheduler.start_at(item, "draft-1", now)])
+                runner._stop_run(item, "moved")
+                runner._begin([runner.scheduler.start_at(item, "draft-2", now)])
+                self.check_texts(await cluster.results("job", 1))
+            runs = [len(cluster.samplers[name].runs) for name in ("draft-1", "draft-2")]
+            self.assertEqual([0, 1], runs)
+
+        with_cluster(scenario)
+
     def test_an_item_that_failed_at_one_sampler_goes_to_another(self) -> None:
         """A sampler that fails some requests must not use up all attempts of an item."""
 
