--- a/stileloom/daemon/gateway.py
+++ b/stileloom/daemon/gateway.py
@@ -62,13 +62,21 @@
             self._rng,
             process_metrics,
         )
+        switches = settings.switches
+        reader = self._cached if switches.store_cache else store
         self.directory = Directory(
-            self._cached, dialect, settings.bounds, self._log, self._rng, process_metrics
+            reader, dialect, settings.bounds, self._log, self._rng, process_metrics
         )
         self._nodes = LedgerNodes(seeds)
         self._jobs = JobClient(self._nodes, self._log, self._look_up_ledger_nodes)
         self._forwarder = Forwarder(
-            settings.zone, self.directory.samplers, dialect.names, self._log, metrics, self._rng
+            settings.zone,
+            self.directory.samplers,
+            dialect.names,
+            self._log,
+            metrics,
+            self._rng,
+            switches.hedging,
         )
         self._relay = StreamRelay(
             settings.zone, self.directory.samplers, dialect.names, self._log, metrics, self._rng
@@ -82,6 +90,7 @@
             self._jobs,
             self._log,
             metrics,
+            switches.kept_results,
         )
         metrics.observe_open(lambda: self.front.open_requests)
         self._looked_up_at = float("-inf")
--- a/stileloom/daemon/leadership.py
+++ b/stileloom/daemon/leadership.py
@@ -56,6 +56,7 @@
             dialect,
             log,
             metrics,
+            settings.switches,
         )
         self._retention_s = settings.bounds.job_retention_s + RETENTION_MARGIN_S
         self._store = store
--- a/stileloom/daemon/ledger_driver.py
+++ b/stileloom/daemon/ledger_driver.py
@@ -40,6 +40,7 @@
         seeds: list[tuple[str, int]],
         log: EventLog,
         metrics: JobMetrics,
+        compress: bool = True,
     ) -> None:
         self.replica = replica
         self._storage = storage
@@ -47,7 +48,7 @@
         self._log = log
         self._metrics = metrics
         self._addresses = PeerAddresses((me.host, me.port), seeds)
-        self._network = Network(LedgerCodec(me, self._addresses), self._received)
+        self._network = Network(LedgerCodec(me, self._addresses, compress), self._received)
         self._disk = ThreadPoolExecutor(max_workers=1, thread_name_prefix="ledger")
         self._writes: list[Persist] = []
         self._writing = False
--- a/stileloom/daemon/ledger_node.py
+++ b/stileloom/daemon/ledger_node.py
@@ -66,8 +66,10 @@
             process_metrics,
         )
         self._cache = StoreCache(store, settings.bounds, self._log, self._rng)
+        switches = settings.switches
+        reader = self._cached if switches.store_cache else store
         self._directory = Directory(
-            self._cached, dialect, settings.bounds, self._log, self._rng, process_metrics
+            reader, dialect, settings.bounds, self._log, self._rng, process_metrics
         )
         self._forwarder = Forwarder(
             settings.zone,
@@ -76,6 +78,7 @@
             self._log,
             AttemptMetrics(self._registry),
             self._rng,
+            switches.hedging,
         )
         self._directory.on_sampler = self._sampler_seen
         self._directory.on_sampler_gone = self._sampler_gone
@@ -108,11 +111,19 @@
         kinds = self._dialect.kinds
         opened = await open_ledger_patiently(settings, self._store, kinds.voter_set, self._log)
         replica = LedgerReplica(
-            opened.identity, opened.recovered, self._rng, time.monotonic(), settings.voters
+            opened.identity,
+            opened.recovered,
+            self._rng,
+            time.monotonic(),
+            settings.voters,
+            settings.switches,
         )
         me = Sender(settings.node_id, *split_address(settings.ledger))
         seeds = [split_address(peer) for peer in settings.peers]
-        driver = LedgerDriver(replica, opened.storage, me, seeds, self._log, self._metrics)
+        compress = settings.switches.compressed_frames
+        driver = LedgerDriver(
+            replica, opened.storage, me, seeds, self._log, self._metrics, compress
+        )
         self._metrics.observe_replica(
             self.leads,
             lambda: replica.epoch,
@@ -121,7 +132,7 @@
         )
         self._driver = driver
         self._service = JobService(_CallsLedger(driver, settings.calls_port), self._log)
-        self._calls = CallServer(self._answer)
+        self._calls = CallServer(self._answer, compress)
         await self._calls.start(settings.listen_host, settings.calls_port)
         await driver.start(settings.listen_host)
         if settings.metrics_port:
@@ -213,15 +224,18 @@
             self._log,
             self._metrics,
             self._rng,
-            self._order_windows.orders_from(
-                driver.state.last_order_holder,
-                self._settings.node_id,
-                self._settings.bounds.order_lease_s,
-            ),
+            self._orders_from(driver.state),
         )
         self._service.runner = self._leadership.runner
         self._log.emit(LogEvent.CONTROLLER_STARTED, {"epoch": self._leadership.epoch})
 
+    def _orders_from(self, state: LedgerState) -> float:
+        lease_s = self._settings.bounds.order_lease_s
+        if not self._settings.switches.order_windows:
+            return time.monotonic() + lease_s
+        node_id = self._settings.node_id
+        return self._order_windows.orders_from(state.last_order_holder, node_id, lease_s)
+
     def _stop_leading(self, reason: str) -> None:
         if self._leadership is None:
             return
--- a/stileloom/jobs/client.py
+++ b/stileloom/jobs/client.py
@@ -54,7 +54,10 @@
     """Sends job calls to the leader. All calls are idempotent."""
 
     def __init__(
-        self, nodes: LedgerNodes, log: EventLog, on_lost_leader: Callable[[], None]
+        self,
+        nodes: LedgerNodes,
+        log: EventLog,
+        on_lost_leader: Callable[[], None],
     ) -> None:
         self._nodes = nodes
         self._log = log
--- a/stileloom/jobs/order_window.py
+++ b/stileloom/jobs/order_window.py
@@ -16,10 +16,11 @@
 class OrderWindow:
     """Windows of one leadership."""
 
-    def __init__(self, node_id: str, ledger: LeaderLedger) -> None:
+    def __init__(self, node_id: str, ledger: LeaderLedger, needed: bool = True) -> None:
         self._node_id = node_id
         self._ledger = ledger
-        self._closes_at = float("-inf")
+        self._closes_at = float("-inf") if needed else float("inf")
+        """Without windows the lease alone decides; a new leader then waits from its election."""
 
     def is_open(self) -> bool:
         """Whether an order may leave now: a process may have slept since it was asked last."""
--- a/stileloom/jobs/result_reader.py
+++ b/stileloom/jobs/result_reader.py
@@ -19,9 +19,10 @@
 class ResultReader:
     """Reads of results at one gateway."""
 
-    def __init__(self, jobs: JobCaller, cache: ResultCache) -> None:
+    def __init__(self, jobs: JobCaller, cache: ResultCache, keeps: bool = True) -> None:
         self._jobs = jobs
         self._cache = cache
+        self._keeps = keeps
 
     async def read(self, job_id: str, position: int, wait_s: float, timeout_s: float) -> JobReply:
         """Results from a position on; waits up to `wait_s` for the first.
@@ -44,5 +45,6 @@
             self._cache.forget(job_id)
         if not isinstance(reply, ResultsRead):
             return reply
-        self._cache.keep(job_id, next_position, reply.page)
+        if self._keeps:
+            self._cache.keep(job_id, next_position, reply.page)
         return ResultsRead(joined(kept, reply.page))
--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -32,6 +32,7 @@
 from stileloom.proxy.forwarder import Forwarder
 from stileloom.proxy.route_table import RouteTable
 from stileloom.proxy.sampler_table import SamplerTable
+from stileloom.switches import Switches
 
 RETRY_S = 0.05
 REFUSED_PAUSE_S = 0.15
@@ -62,9 +63,11 @@
         dialect: Dialect,
         log: EventLog,
         metrics: JobMetrics,
+        switches: Switches,
     ) -> None:
-        self.scheduler = ItemScheduler(samplers, book.interval_s)
-        self.planner = VersionPlanner(self.scheduler, samplers)
+        self.scheduler = ItemScheduler(samplers, book.interval_s, switches)
+        self.planner = VersionPlanner(self.scheduler, samplers, switches)
+        self._switches = switches
         self._orders_from = orders_from
         """No order before this monotonic time: an earlier leader's last one must be past."""
         self._book = book
@@ -96,6 +99,7 @@
             log,
             metrics,
             ledger,
+            switches.order_windows,
         )
         self._rewards = RewardCaller(forwarder, routes, samplers, dialect.names, self, log, metrics)
 
@@ -157,13 +161,16 @@
         self._metrics.items_running.set(len(self._connections))
         if now >= self._next_save_at:
             self._next_save_at = now + SAVE_INTERVAL_S
-            self._writer.save_progress()
-        if now >= self._next_record_at:
+            if self._switches.saved_events:
+                self._writer.save_progress()
+        if now >= self._next_record_at and self._switches.recorded_paces:
             self._next_record_at = now + RECORD_INTERVALS_S
             self._writer.record_intervals()
 
     def _move_slow_runs(self, now: float) -> None:
         """Each goes straight to the sampler that it gains by: its place is not given away."""
+        if not self._switches.moves:
+            return
         starts: list[StartRun] = []
         for open_item in self.scheduler.slow_runs(now):
             sampler_id = self.scheduler.faster_sampler(open_item, now)
--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -21,6 +21,9 @@
 )
 from stileloom.jobs.partial_text import PartialText
 from stileloom.proxy.sampler_table import SamplerBelief, SamplerTable
+from stileloom.switches import Switches
+
+ALL_ON = Switches()
 
 SILENCE_S = 1.3
 """A run that made no event for so long is resumed elsewhere."""
@@ -50,8 +53,12 @@
     """All open items at the leader."""
 
     def __init__(
-        self, samplers: SamplerTable, known_interval_s: dict[str, float] | None = None
+        self,
+        samplers: SamplerTable,
+        known_interval_s: dict[str, float] | None = None,
+        switches: Switches = ALL_ON,
     ) -> None:
+        self._switches = switches
         self.items: dict[ItemKey, OpenItem] = {}
         self.models: dict[str, SamplerModels] = {}
         self.cache_tokens: dict[str, float] = {}
@@ -121,7 +128,7 @@
         dropped = [item for key, item in self.items.items() if key[0] == job_id]
         for open_item in dropped:
             del self.items[open_item.key]
-            if open_item.partial.parts:
+            if open_item.partial.parts and self._switches.kept_texts:
                 self._keep(open_item)
         return dropped
 
@@ -155,6 +162,8 @@
 
     def share_out(self, service: str, models: list[str]) -> dict[str, str]:
         """The model of each sampler of the service; empty where each serves all."""
+        if not self._switches.sampler_shares:
+            return {}
         ids = frozenset(belief.entry.sampler_id for belief in self._samplers.of_service(service))
         demand = {model: self._demand.get(model, DEFAULT_EXPECTED_TOKENS) for model in models}
         state = (ids, frozenset(models))
@@ -267,8 +276,10 @@
     def _cost(self, open_item: OpenItem, belief: SamplerBelief) -> tuple[bool, float]:
         pace = self.pace(belief.entry.sampler_id)
         fill = pace.running / max(1, belief.entry.slots)
-        cost = pace.interval_s * (1.0 + FULL_SLOWDOWN * fill)
-        if open_item.item.group and open_item.item.group in pace.groups:
+        slowdown = FULL_SLOWDOWN if self._switches.fastest_first else 1.0
+        cost = pace.interval_s * (1.0 + slowdown * fill)
+        bonus = self._switches.group_bonus and open_item.item.group
+        if bonus and open_item.item.group in pace.groups:
             cost *= GROUP_BONUS
         return (belief.entry.sampler_id == open_item.avoid, cost)
 
--- a/stileloom/jobs/version_planner.py
+++ b/stileloom/jobs/version_planner.py
@@ -14,6 +14,9 @@
 from stileloom.jobs.open_items import OpenItem
 from stileloom.jobs.scheduler import ItemScheduler
 from stileloom.proxy.sampler_table import SamplerBelief, SamplerTable
+from stileloom.switches import Switches
+
+ALL_ON = Switches()
 
 LOADING_SHARE = 0.4
 """Of a service's samplers so many load at the same time: weights come over shared links."""
@@ -43,7 +46,10 @@
 class VersionPlanner:
     """Targets by model, and what is loaded next."""
 
-    def __init__(self, scheduler: ItemScheduler, samplers: SamplerTable) -> None:
+    def __init__(
+        self, scheduler: ItemScheduler, samplers: SamplerTable, switches: Switches = ALL_ON
+    ) -> None:
+        self._switches = switches
         self.targets: dict[str, int] = {}
         self._named_at: dict[str, float] = {}
         self._scheduler = scheduler
@@ -79,7 +85,7 @@
         chosen: list[Load] = []
         places_taken = 0
         for _, _, load in candidates:
-            if loading + len(chosen) >= loads_at_once(len(beliefs)):
+            if loading + len(chosen) >= self._most_loads(len(beliefs)):
                 break
             # Each load looked for room by itself; together they may need more than there is.
             if load.evacuate and not self._has_room(load, now, places_taken):
@@ -89,6 +95,9 @@
             chosen.append(load)
         return chosen
 
+    def _most_loads(self, samplers: int) -> int:
+        return loads_at_once(samplers) if self._switches.parallel_loads else 1
+
     def _has_room(self, load: Load, now: float, places_taken: int) -> bool:
         evacuees = self._scheduler.evacuees(load.sampler_id, load.model, now, places_taken)
         return evacuees is not None
@@ -131,6 +140,8 @@
         """The load of a sampler, or None where it has to wait."""
         sampler_id = belief.entry.sampler_id
         evacuees = self._scheduler.evacuees(sampler_id, model, now)
+        if evacuees and not self._switches.evacuation:
+            evacuees = None
         if not needed:
             if work_waits or now - self._named_at.get(model, now) < SETTLE_S:
                 return None
--- a/stileloom/jobs/weight_loader.py
+++ b/stileloom/jobs/weight_loader.py
@@ -39,6 +39,7 @@
         log: EventLog,
         metrics: JobMetrics,
         ledger: LeaderLedger,
+        order_windows: bool = True,
     ) -> None:
         self._node_id = node_id
         self._epoch = epoch
@@ -48,7 +49,7 @@
         self._control = EngineControl(dialect, pool)
         self._log = log
         self._metrics = metrics
-        self._window = OrderWindow(node_id, ledger)
+        self._window = OrderWindow(node_id, ledger, order_windows)
 
     def saw_versions(self, sampler_id: str, versions: dict[str, int]) -> None:
         """A listing or report says which versions a sampler has."""
--- a/stileloom/ledger/replica.py
+++ b/stileloom/ledger/replica.py
@@ -39,6 +39,9 @@
 from stileloom.ledger.standbys import StandbyPool, VoterHealth
 from stileloom.ledger.state import LedgerState
 from stileloom.ledger.voters import next_voter_set
+from stileloom.switches import Switches
+
+ALL_ON = Switches()
 
 
 class ReplicaRole(enum.Enum):
@@ -106,6 +109,7 @@
         rng: random.Random,
         now: float,
         target_voters: int = 3,
+        switches: Switches = ALL_ON,
     ) -> None:
         self.me = me
         self.role = ReplicaRole.FOLLOWER
@@ -117,6 +121,7 @@
         self._log = LedgerLog(_without_state(recovered.snapshot), recovered.entries)
         self._rng = rng
         self._target_voters = target_voters
+        self._switches = switches
         self._lease = LeaderLease()
         self._durable_index = self._log.last_index
         self._commit_index = self._log.base_index
@@ -137,7 +142,7 @@
         self._next_heartbeat_at = now
         # A restarted voter may have answered a leader just before: it waits out that lease.
         self._heard_from_leader_at = now
-        self._leader_before = self._last_leader(recovered)
+        self._leader_before = self._last_leader(recovered) if switches.restart_head_start else ""
         """Who led when this process ended, if its disk is sure of that; else empty."""
         self._restarted_at = now
         self._election_due_at = now + self._election_timeout(now)
@@ -611,7 +616,10 @@
         """
         if not self.may_act(now):
             return []
-        wanted = self._standbys.wanted(now, self._voter_health(now), self._target_voters)
+        if self._switches.standbys:
+            wanted = self._standbys.wanted(now, self._voter_health(now), self._target_voters)
+        else:
+            wanted = self._standbys.present(now)
         deciders = self._electorate().members
         for learner in list(self._progress):
             if learner not in deciders and learner not in self.voters and learner not in wanted:
--- a/stileloom/ledger/standbys.py
+++ b/stileloom/ledger/standbys.py
@@ -48,6 +48,14 @@
                 del self._heard_at[known]
         self._heard_at[standby] = now
 
+    def present(self, now: float) -> list[Voter]:
+        """All standbys that were heard of lately."""
+        return [
+            standby
+            for standby, heard_at in self._heard_at.items()
+            if now < heard_at + constants.STANDBY_FORGOTTEN_S
+        ]
+
     def wanted(self, now: float, health: VoterHealth, target_count: int) -> list[Voter]:
         """The standbys to feed: as many as the voter set lacks sound members.
 
@@ -60,10 +68,8 @@
         voting_nodes = {voter.node_id for voter in health.voters}
         candidates = [
             standby
-            for standby, heard_at in self._heard_at.items()
-            if now < heard_at + constants.STANDBY_FORGOTTEN_S
-            and standby.node_id not in sound_nodes | health.leaving
-            and standby not in health.voters
+            for standby in self.present(now)
+            if standby.node_id not in sound_nodes | health.leaving and standby not in health.voters
         ]
         # Disk ids are drawn at random: the order favours no zone.
         candidates.sort(key=lambda standby: (standby.node_id not in voting_nodes, standby.disk_id))
--- a/stileloom/ledger/wire.py
+++ b/stileloom/ledger/wire.py
@@ -57,13 +57,15 @@
 class LedgerCodec:
     """Encodes frames of one ledger node; learns addresses from those of others."""
 
-    def __init__(self, me: Sender, addresses: PeerAddresses) -> None:
+    def __init__(self, me: Sender, addresses: PeerAddresses, compress: bool = True) -> None:
         self._me = me
+        self._compress = compress
         self._addresses = addresses
 
     def encode(self, message: object) -> bytes:
         """A message as a frame."""
-        return pack(_ENCODER.encode(LedgerFrame(self._me, message)))  # type: ignore[arg-type]
+        frame = LedgerFrame(self._me, message)  # type: ignore[arg-type]
+        return pack(_ENCODER.encode(frame), self._compress)
 
     def decode(self, frame: bytes) -> tuple[str, LedgerMessage]:
         """The sender and the message. Raises `msgspec.DecodeError`."""
--- a/stileloom/proxy/attempt_plan.py
+++ b/stileloom/proxy/attempt_plan.py
@@ -27,6 +27,7 @@
     max_attempts: int
     target_latency_s: float
     started_at: float
+    hedges: bool = True
     may_have_run: int = 0
     running: int = 0
     last_started_at: float = 0.0
@@ -41,6 +42,8 @@
 
     def hedge_at(self) -> float:
         """When another attempt starts beside the running one."""
+        if not self.hedges:
+            return float("inf")
         return self.last_started_at + self.target_latency_s * HEDGE_SHARE_OF_TARGET
 
     def choose(
--- a/stileloom/proxy/forwarder.py
+++ b/stileloom/proxy/forwarder.py
@@ -36,6 +36,7 @@
         log: EventLog,
         metrics: AttemptMetrics,
         rng: random.Random,
+        hedges: bool = True,
     ) -> None:
         self._zone = zone
         self._samplers = samplers
@@ -43,6 +44,7 @@
         self._log = log
         self._metrics = metrics
         self._rng = rng
+        self._hedges = hedges
         self._pool = ConnectionPool(metrics.connection_opened)
 
     def forget(self, sampler_id: str) -> None:
@@ -62,6 +64,7 @@
             max_attempts=route.max_attempts,
             target_latency_s=route.target_latency_s,
             started_at=lookup.arrived_at,
+            hedges=self._hedges,
         )
         running: set[asyncio.Task[Attempt]] = set()
         try:
--- a/stileloom/proxy/front.py
+++ b/stileloom/proxy/front.py
@@ -90,6 +90,7 @@
         jobs: JobClient,
         log: EventLog,
         metrics: ProxyMetrics,
+        keeps_results: bool = True,
     ) -> None:
         self.draining = False
         """Answers state that the connection closes."""
@@ -102,7 +103,7 @@
         self._forwarder = forwarder
         self._relay = relay
         self._jobs = jobs
-        self._results = ResultReader(jobs, ResultCache())
+        self._results = ResultReader(jobs, ResultCache(), keeps_results)
         self._log = log
         self._metrics = metrics
         self._open = 0
--- a/stileloom/service_settings.py
+++ b/stileloom/service_settings.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from stileloom.settings_file import Address, LogSettings, Name, split_address
+from stileloom.switches import Switches
 
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 NotNegative = Annotated[float, msgspec.Meta(ge=0)]
@@ -60,6 +61,7 @@
     losses_borne: Annotated[int, msgspec.Meta(ge=0, le=4)] = 1
     """Ledger nodes that may be lost at once; the voter set has twice as many and one."""
     bounds: TimeBounds = TimeBounds()
+    switches: Switches = Switches()
     log: LogSettings = LogSettings()
 
     @property
--- a/stileloom/transport/calls.py
+++ b/stileloom/transport/calls.py
@@ -46,9 +46,9 @@
         return frames
 
 
-def encode_frame(message: object) -> bytes:
+def encode_frame(message: object, compress: bool = True) -> bytes:
     """A message behind its length."""
-    body = pack(_ENCODER.encode(message))
+    body = pack(_ENCODER.encode(message), compress)
     return FRAME_HEADER.pack(len(body)) + body
 
 
@@ -62,8 +62,11 @@
 class CallServer:
     """Serves calls; a handler answers each."""
 
-    def __init__(self, handler: Callable[[Request], Awaitable[Reply]]) -> None:
+    def __init__(
+        self, handler: Callable[[Request], Awaitable[Reply]], compress: bool = True
+    ) -> None:
         self._handler = handler
+        self._compress = compress
         self._server: asyncio.Server | None = None
         self._accepted: set[_ServedConnection] = set()
 
@@ -71,7 +74,7 @@
         """Listens. Raises `OSError` where the port is taken."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: _ServedConnection(self._handler, self._accepted), host, port
+            lambda: _ServedConnection(self._handler, self._accepted, self._compress), host, port
         )
 
     def stop(self) -> None:
@@ -89,8 +92,10 @@
         self,
         handler: Callable[[Request], Awaitable[Reply]],
         accepted: set[_ServedConnection],
+        compress: bool,
     ) -> None:
         self._handler = handler
+        self._compress = compress
         self._accepted = accepted
         self._reader = FrameReader()
         self._transport: asyncio.Transport | None = None
@@ -129,7 +134,7 @@
     async def _answer(self, frame: CallFrame) -> None:
         reply = await self._handler(frame.request)
         if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(encode_frame(ReplyFrame(frame.number, reply)))
+            self._transport.write(encode_frame(ReplyFrame(frame.number, reply), self._compress))
 
 
 class CallFailed(Exception):
--- a/stileloom/transport/compression.py
+++ b/stileloom/transport/compression.py
@@ -14,9 +14,9 @@
 LEVEL = 6
 
 
-def pack(body: bytes) -> bytes:
+def pack(body: bytes, compress: bool = True) -> bytes:
     """A body behind a byte that says how it is encoded."""
-    if len(body) >= MIN_BYTES:
+    if compress and len(body) >= MIN_BYTES:
         deflated = zlib.compress(body, LEVEL)
         if len(deflated) < len(body):
             return DEFLATED + deflated
