--- a/stileloom/jobs/version_planner.py
+++ b/stileloom/jobs/version_planner.py
@@ -78,14 +78,13 @@
             for belief in beliefs
             if self._scheduler.models_of(belief.entry.sampler_id).loading is not None
         )
-        candidates: list[tuple[int, int, float, Load]] = []
+        candidates: list[tuple[int, int, Load]] = []
         for model in models:
             candidates += self._candidates(now, service, model, model in single_version)
-        # Slow samplers first: the fast ones take the long items that start meanwhile.
-        candidates.sort(key=lambda row: (*row[:3], row[3].sampler_id))
+        candidates.sort(key=lambda row: (row[0], row[1], row[2].sampler_id))
         chosen: list[Load] = []
         places_taken = 0
-        for _, _, _, load in candidates:
+        for _, _, load in candidates:
             if loading + len(chosen) >= self._most_loads(len(beliefs)):
                 break
             # Each load looked for room by itself; together they may need more than there is.
@@ -105,11 +104,11 @@
 
     def _candidates(
         self, now: float, service: str, model: str, single_version: bool
-    ) -> list[tuple[int, int, float, Load]]:
+    ) -> list[tuple[int, int, Load]]:
         target = self.targets.get(model, 0)
         waiting = self._scheduler.waiting(model)
         needed = max((item.min_version for item in waiting), default=0)
-        rows: list[tuple[int, int, float, Load]] = []
+        rows: list[tuple[int, int, Load]] = []
         for belief in self._samplers.of_service(service):
             sampler_id = belief.entry.sampler_id
             models = self._scheduler.models_of(sampler_id)
@@ -124,10 +123,9 @@
             if load is not None:
                 rank = 0 if version < needed else 1
                 running = self._scheduler.running_on(sampler_id, model)
-                pace_s = self._scheduler.pace(sampler_id).interval_s
                 if load.strategy is LoadStrategy.RETAIN and single_version:
                     load = msgspec.structs.replace(load, strategy=LoadStrategy.WAIT)
-                rows.append((rank, running, -pace_s, load))
+                rows.append((rank, running, load))
         return rows
 
     def _load(
@@ -144,8 +142,7 @@
         evacuees = self._scheduler.evacuees(sampler_id, model, now)
         if evacuees and not self._switches.evacuation:
             evacuees = None
-        idle = evacuees == [] and not self._scheduler.running_on(sampler_id, model)
-        if not needed and not (idle and self._switches.idle_loads):
+        if not needed:
             if work_waits or now - self._named_at.get(model, now) < SETTLE_S:
                 return None
             if evacuees is None or len(evacuees) > belief.entry.slots * EVACUATE_SHARE:
--- a/stileloom/switches.py
+++ b/stileloom/switches.py
@@ -43,8 +43,6 @@
     """Where several models are trained each sampler serves one."""
     parallel_loads: bool = True
     """A share of the samplers loads at the same time; else one."""
-    idle_loads: bool = True
-    """A sampler without runs loads a new version before it gets work, also while work waits."""
     evacuation: bool = True
     """Runs are taken to other samplers before their own loads."""
     order_windows: bool = True
