--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -41,6 +41,7 @@
 SAVE_INTERVAL_S = 0.25
 RECORD_INTERVALS_S = 2.0
 """How often the pace of samplers is saved for a later leader."""
+STARTS_PATIENCE_S = 0.2
 VERSIONS_PATIENCE_S = 0.6
 """How long a new leader waits for the list of named versions before it orders any."""
 STEP_SOON_S = 0.005
@@ -84,6 +85,8 @@
         self._next_save_at = 0.0
         self._next_record_at = time.monotonic() + RECORD_INTERVALS_S
         self._versions_due_at = time.monotonic() + VERSIONS_PATIENCE_S
+        self._starts_from = time.monotonic() + STARTS_PATIENCE_S
+        """Samplers that have to load first had better not get work just before."""
         self._tasks = BackgroundTasks(log)
         self._writer = ResultWriter(
             book, ledger, self.scheduler, self._tasks, log, metrics, self._step_soon
@@ -123,6 +126,8 @@
     def versions_listed(self) -> None:
         """All versions that are named by now were told."""
         self._versions_due_at = float("-inf")
+        self._starts_from = float("-inf")
+        self._step_soon()
 
     def sampler_seen(self, sampler_id: str, versions: dict[str, int]) -> None:
         """The directory lists a sampler."""
@@ -196,7 +201,8 @@
                     self._stop_run(open_item, "the sampler loads")
                     open_item.not_before = 0.0
                 self._tasks.spawn(self._load(load))
-        self._begin(self.scheduler.plan_starts(now, models))
+        if now >= self._starts_from:
+            self._begin(self.scheduler.plan_starts(now, models))
 
     def _log_starts(self, starts: list[StartRun]) -> None:
         """One line for each job and sampler: a step starts dozens of items at once."""
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -32,6 +32,8 @@
 
 
 PROMISES = "tests/test_promises.py"
+REWARDS = "tests/test_rewards.py"
+LEDGER = "tests/test_ledger.py"
 
 MUTANTS = [
     Mutant(
@@ -378,6 +380,116 @@
         "pass",
         "tests/test_services.py -k refuse_writes",
     ),
+    Mutant(
+        "a result is listed without the score of its reward call",
+        "scored items",
+        "stileloom/jobs/runner.py",
+        "        if reward is None:\n            self._finish",
+        "        if True:\n            self._finish",
+        f"{REWARDS}::RewardTest::test_results_carry_the_score_of_a_call_made_after_the_last_event",
+    ),
+    Mutant(
+        "an item gets the score of another one",
+        "scored items",
+        "stileloom/jobs/reward_caller.py",
+        "            self._owner.scored(pending.item, score)",
+        "            other = next(iter(self._pending.values()), pending)\n"
+        "            self._owner.scored(other.item, score)",
+        f"{REWARDS}::RewardTest::test_results_carry_the_score_of_a_call_made_after_the_last_event",
+    ),
+    Mutant(
+        "the reward call is sent before the last event was made",
+        "scored items",
+        "stileloom/jobs/runner.py",
+        "        self.scheduler.event(open_item, now)",
+        "        self.scheduler.event(open_item, now)\n"
+        "        if open_item.item.reward is not None:\n"
+        "            self._rewards.ask(open_item, open_item.item.reward)",
+        f"{REWARDS}::RewardTest::test_results_carry_the_score_of_a_call_made_after_the_last_event",
+    ),
+    Mutant(
+        "a new leader runs an item again whose text was whole",
+        "scored items",
+        "stileloom/jobs/book.py",
+        "            saved.whole = item.whole",
+        "            saved.whole = False",
+        f"{REWARDS}::RewardTest::"
+        "test_a_new_leader_asks_for_the_score_and_does_not_run_the_item_again",
+    ),
+    Mutant(
+        "the calls of an ended job go on",
+        "scored items",
+        "stileloom/jobs/runner.py",
+        "            self._rewards.drop(open_item.key)\n        self._writer.wake(job_id)",
+        "        self._writer.wake(job_id)",
+        f"{REWARDS}::RewardTest::test_the_calls_of_an_ended_job_stop",
+    ),
+    Mutant(
+        "a reward call that always fails is asked for ever",
+        "scored items",
+        "stileloom/jobs/reward_caller.py",
+        "        elif pending.failures >= max_attempts:",
+        "        elif pending.failures > max_attempts + 100:",
+        f"{REWARDS}::RewardTest::"
+        "test_a_call_that_always_fails_is_given_up_after_the_attempts_of_its_route",
+    ),
+    Mutant(
+        "a run that was stopped before it began begins",
+        "one text an item",
+        "stileloom/jobs/runner.py",
+        "        if open_item.run is not run:\n            return\n        belief",
+        "        belief",
+        "tests/test_services.py::JobTest::test_a_run_that_was_stopped_before_it_began_does_not_run",
+    ),
+    Mutant(
+        "one of two voters decides alone under a change that may not be committed",
+        "agreement",
+        "stileloom/ledger/electorate.py",
+        "    if log.voters_at(commit_index) == voters:",
+        "    if True:",
+        f"{LEDGER}::TwoVoterTest::test_a_change_that_may_not_be_committed_needs_the_set_before_it",
+    ),
+    Mutant(
+        "a greeting from an earlier life proves a disk lost",
+        "agreement",
+        "stileloom/ledger/electorate.py",
+        "        if answer_to and answer_to == self._questions.get(voter):",
+        "        if True:",
+        f"{LEDGER}::TwoVoterTest::test_a_greeting_from_an_earlier_life_proves_nothing",
+    ),
+    Mutant(
+        "the commit index is forgotten by a restart",
+        "agreement",
+        "stileloom/ledger/storage.py",
+        "        self._commit_index = max(self._commit_index, record.commit_index)",
+        "        pass",
+        f"{LEDGER}::StorageTest::test_what_is_known_to_be_committed_is_known_after_a_restart",
+    ),
+    Mutant(
+        "orders leave after their window",
+        "orders of one leader",
+        "stileloom/jobs/order_window.py",
+        "        return self._ledger.may_act() and time.monotonic() < self._closes_at",
+        "        return self._ledger.may_act()",
+        f"{LEDGER}::OwnWindowTest::test_orders_leave_only_within_a_committed_window",
+    ),
+    Mutant(
+        "a restarted voter breaks the lease of a leader that its log does not know",
+        "one leader",
+        "stileloom/ledger/replica.py",
+        "        if recovered.hard_state.epoch != self._log.last_epoch:",
+        "        if False:",
+        f"{LEDGER}::OrderWindowTest::"
+        "test_a_restarted_voter_waits_out_the_lease_of_anybody_but_the_candidate",
+    ),
+    Mutant(
+        "a kept result stands at another position",
+        "results at fixed positions",
+        "stileloom/jobs/result_cache.py",
+        "enumerate(page.results, start=position)",
+        "enumerate(page.results, start=position + 1)",
+        "tests/test_result_cache.py",
+    ),
 ]
 
 
