--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -12,11 +12,13 @@
 
 from stileloom.http.native_dialect import NativeDialect
 from tests.soak.deployment import HOST, HOSTNAME, MODEL, Deployment
-from tests.soak.record import Record, Result, TakenJob
+from tests.soak.record import Record, Result, TakenJob, reward_id
 
 LOOKUP_PAUSE_S = 0.03
 LOOKUP_DEADLINE_MS = 2000
 JOB_PAUSE_S = 1.5
+REWARDED_SHARE = 0.5
+"""Of the jobs so many have reward calls."""
 VERSION_PAUSE_S = 3.0
 CONFIGURATION_PAUSE_S = 4.0
 CALL_TIMEOUT_S = 5.0
@@ -34,6 +36,14 @@
     charts = [{"service": "charts", "weight": 1}]
     routes: list[dict[str, Any]] = [
         {**common, "name": "charts", "path_prefix": "/charts/", "kind": "safe", "backends": charts},
+        {
+            **common,
+            "name": "scores",
+            "path_prefix": "/scores/",
+            "kind": "safe",
+            "backends": charts,
+            "max_attempts": 1000,
+        },
         {**common, "name": "moves", "path_prefix": "/moves/", "kind": "unsafe", "backends": charts},
         {
             **common,
@@ -151,16 +161,15 @@
         job_id = self._next_id("job")
         items = [f"{job_id}-i{number}" for number in range(self._rng.randint(2, 12))]
         min_version = max(1, self.version - 1)
+        rewarded = self._rng.random() < REWARDED_SHARE
         body = msgspec.json.encode(
             {
                 "model": MODEL,
                 "min_version": min_version,
-                "items": [
-                    [item, f"/drafts/{item}", {"model": MODEL}, "Ym9keQ==", "g"] for item in items
-                ],
+                "items": [self._row(item, rewarded) for item in items],
             }
         )
-        job = TakenJob(job_id, items, min_version, time.monotonic())
+        job = TakenJob(job_id, items, min_version, time.monotonic(), rewarded)
         while not self.stopped:
             names = NativeDialect.names
             headers = {names.request_id: job_id}
@@ -178,6 +187,12 @@
                 await self._end(job)
                 return
 
+    def _row(self, item: str, rewarded: bool) -> list[Any]:
+        row: list[Any] = [item, f"/drafts/{item}", {"model": MODEL}, "Ym9keQ==", "g"]
+        if rewarded:
+            row.append([reward_id(item), HOSTNAME, f"/scores/{item}", "dGV4dA=="])
+        return row
+
     async def _end(self, job: TakenJob) -> None:
         job.ended = True
         await self._call(self._any_gateway(), "DELETE", f"/v1/jobs/{job.job_id}", None)
@@ -192,8 +207,8 @@
         if answer.code == 200:
             page = msgspec.json.decode(answer.body)
             results: list[Result] = [
-                (item, state, text, tuple(versions))
-                for item, state, text, versions in page["results"]
+                (item, state, text, tuple(versions), score)
+                for item, state, text, versions, score in page["results"]
             ]
             self._record.read(job, position, page["total_items"], results)
         elif answer.code in (404, 410):
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -10,8 +10,13 @@
 from stileloom.emulator.http_sampler import HttpSampler, expected_events
 
 EVENTS = 40
-Result = tuple[str, str, str, tuple[int, ...]]
-"""Id, state, text and versions of an item's result."""
+Result = tuple[str, str, str, tuple[int, ...], str]
+"""Id, state, text, versions and score of an item's result."""
+
+
+def reward_id(item_id: str) -> str:
+    """The request id of an item's reward call."""
+    return f"score-{item_id}"
 
 
 class TakenJob(msgspec.Struct):
@@ -21,6 +26,8 @@
     items: list[str]
     min_version: int
     taken_at: float
+    rewarded: bool = False
+    """Whether its items have reward calls."""
     results: dict[int, Result] = msgspec.field(default_factory=dict)
     """What was read, by position."""
     ended: bool = False
@@ -92,12 +99,15 @@
             self.breaks("each item stands once", job.job_id)
 
     def _judge(self, job: TakenJob, result: Result) -> None:
-        item_id, state, text, versions = result
+        item_id, state, text, versions, score = result
         self.counts[f"item {state}"] += 1
         if item_id not in job.items:
             self.breaks("items belong to their job", f"{job.job_id}: {item_id}")
         if state == "succeeded" and text != "\n".join(expected_events(item_id, EVENTS)):
             self.breaks("texts are whole", f"{job.job_id}: {item_id}")
+        scored = score.endswith(f"/{reward_id(item_id)}")
+        if state == "succeeded" and scored != job.rewarded:
+            self.breaks("items succeed with their score", f"{job.job_id}: {item_id} {score!r}")
         if any(version < job.min_version for version in versions):
             self.breaks("versions are young enough", f"{item_id}: {versions}")
         if state != "succeeded" and not job.ended:
@@ -119,6 +129,7 @@
                 if sent is not None and sent != (run.target, run.body):
                     self.breaks("requests are unchanged", run.request_id)
             self._judge_orders(sampler)
+        self._judge_rewards()
         for request_id in self._unsafe:
             if runs[request_id] > 1:
                 self.breaks("unsafe requests run once", f"{request_id}: {runs[request_id]}")
@@ -126,6 +137,21 @@
             if runs[request_id]:
                 self.breaks("refused requests do not run", request_id)
 
+    def _judge_rewards(self) -> None:
+        """No reward call reaches a sampler before the last event of its item was made."""
+        whole_at: dict[str, float] = {}
+        for sampler in self.samplers:
+            for item_id, at in sampler.whole_at.items():
+                whole_at[item_id] = min(at, whole_at.get(item_id, at))
+        first = {reward_id(item_id): at for item_id, at in whole_at.items()}
+        for sampler in self.samplers:
+            for run in sampler.runs:
+                if not run.request_id.startswith(reward_id("")):
+                    continue
+                self.counts["reward calls"] += 1
+                if run.started_at < first.get(run.request_id, float("inf")):
+                    self.breaks("rewards are asked for whole texts", run.request_id)
+
     def _judge_orders(self, sampler: HttpSampler) -> None:
         holders: dict[int, set[str]] = collections.defaultdict(set)
         for order in sampler.orders:
