A carried item whose result is known does not run again; parts of the replica in files of their own

Ruled out: an end that did not close the stream (the log shows the stops of that job's items), two leaders. Change: items with known results count as finished from the start; a whole text of an item that is not open any more is dropped. Test red before. Beside it, without change of behaviour: ledger/recovered.py and progress.py out of replica.py, LeaderParts in place of twelve parameters of JobRunner, one LeaderLedger protocol in place of two, with_cluster once. The soak's test knows scores.

--- a/stileloom/daemon/leadership.py
+++ b/stileloom/daemon/leadership.py
@@ -14,7 +14,7 @@
 from stileloom.errors import StileloomError
 from stileloom.events import LogEvent
 from stileloom.jobs.metrics import JobMetrics
-from stileloom.jobs.runner import JobRunner
+from stileloom.jobs.runner import JobRunner, LeaderParts
 from stileloom.ledger.commands import RetireNode
 from stileloom.logging import EventLog
 from stileloom.proxy.forwarder import Forwarder
@@ -45,18 +45,20 @@
     ) -> None:
         self.epoch = driver.replica.epoch
         self.runner = JobRunner(
-            settings.node_id,
-            self.epoch,
-            orders_from,
-            driver.state.job_book,
-            driver,
-            directory.routes,
-            directory.samplers,
-            forwarder,
-            dialect,
-            log,
-            metrics,
-            settings.switches,
+            LeaderParts(
+                node_id=settings.node_id,
+                epoch=self.epoch,
+                orders_from=orders_from,
+                book=driver.state.job_book,
+                ledger=driver,
+                routes=directory.routes,
+                samplers=directory.samplers,
+                forwarder=forwarder,
+                dialect=dialect,
+                log=log,
+                metrics=metrics,
+                switches=settings.switches,
+            )
         )
         self._retention_s = settings.bounds.job_retention_s + RETENTION_MARGIN_S
         self._store = store
--- a/stileloom/daemon/ledger_start.py
+++ b/stileloom/daemon/ledger_start.py
@@ -15,7 +15,7 @@
 from stileloom.ledger import fresh_ledger
 from stileloom.ledger.bootstrap import VoterSetRecord, enter_voter_set
 from stileloom.ledger.commands import Voter
-from stileloom.ledger.replica import RecoveredLedger
+from stileloom.ledger.recovered import RecoveredLedger
 from stileloom.ledger.storage import LedgerStorage
 from stileloom.logging import EventLog
 from stileloom.service_settings import ServiceSettings
--- a/stileloom/daemon/process.py
+++ b/stileloom/daemon/process.py
@@ -19,7 +19,7 @@
 from stileloom.http.application import make_application
 from stileloom.ledger import LedgerReplica, fresh_ledger
 from stileloom.ledger.commands import Voter
-from stileloom.ledger.replica import RecoveredLedger
+from stileloom.ledger.recovered import RecoveredLedger
 from stileloom.ledger.storage import LedgerStorage
 from stileloom.logging import EventLog
 from stileloom.membership import Member, Seed
--- a/stileloom/jobs/order_window.py
+++ b/stileloom/jobs/order_window.py
@@ -5,7 +5,7 @@
 import time
 
 from stileloom.errors import StileloomError
-from stileloom.jobs.result_writer import LeaderLedger
+from stileloom.jobs.leader_ledger import LeaderLedger
 from stileloom.ledger.commands import OpenOrderWindow
 from stileloom.ledger.order_windows import ORDER_WINDOW_S
 
--- a/stileloom/jobs/result_writer.py
+++ b/stileloom/jobs/result_writer.py
@@ -4,19 +4,17 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Protocol
 
 from stileloom.api.jobs import FinishedItem, ItemProgress
 from stileloom.background import BackgroundTasks
 from stileloom.errors import StileloomError
 from stileloom.events import LogEvent
 from stileloom.jobs.book import JobBook
+from stileloom.jobs.leader_ledger import LeaderLedger
 from stileloom.jobs.metrics import JobMetrics
 from stileloom.jobs.open_items import OpenItem
 from stileloom.jobs.scheduler import ItemScheduler
 from stileloom.ledger.commands import (
-    Command,
-    CommandResult,
     RecordIntervals,
     RecordResults,
     SaveProgress,
@@ -30,16 +28,6 @@
 """A sampler whose pace changed by less than this factor is not saved anew."""
 
 
-class LeaderLedger(Protocol):
-    """The ledger as the leader's parts see it."""
-
-    def may_act(self) -> bool:
-        """Whether this replica leads and holds its lease now."""
-
-    async def propose(self, command: Command) -> CommandResult:
-        """Commits a command. Raises `StileloomError`."""
-
-
 class ResultWriter:
     """Writes of one leadership."""
 
--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -9,6 +9,8 @@
 import asyncio
 import time
 
+import msgspec
+
 from stileloom.api.dialect import Dialect
 from stileloom.api.jobs import FinishedItem, ItemState
 from stileloom.api.routes import Route, RouteKind, Service
@@ -20,9 +22,10 @@
 from stileloom.jobs.intake import item_size, reusable_results
 from stileloom.jobs.item_request import encode_item_request
 from stileloom.jobs.item_stream import ItemStream, RunOutcome
+from stileloom.jobs.leader_ledger import LeaderLedger
 from stileloom.jobs.metrics import JobMetrics
 from stileloom.jobs.open_items import DEFAULT_TOKENS_PER_EVENT, ItemRun, OpenItem, StartRun
-from stileloom.jobs.result_writer import LeaderLedger, ResultWriter
+from stileloom.jobs.result_writer import ResultWriter
 from stileloom.jobs.reward_caller import RewardCaller
 from stileloom.jobs.scheduler import ItemScheduler
 from stileloom.jobs.version_planner import Load, VersionPlanner
@@ -48,32 +51,37 @@
 MOVES_PER_STEP = 3
 
 
+class LeaderParts(msgspec.Struct, frozen=True):
+    """What a runner is given: the node's parts, and what is settled for this leadership."""
+
+    node_id: str
+    epoch: int
+    orders_from: float
+    """No order before this monotonic time: an earlier leader's last one must be past."""
+    book: JobBook
+    ledger: LeaderLedger
+    routes: RouteTable
+    samplers: SamplerTable
+    forwarder: Forwarder
+    dialect: Dialect
+    log: EventLog
+    metrics: JobMetrics
+    switches: Switches
+
+
 class JobRunner:
     """Lives as long as one leadership."""
 
-    def __init__(
-        self,
-        node_id: str,
-        epoch: int,
-        orders_from: float,
-        book: JobBook,
-        ledger: LeaderLedger,
-        routes: RouteTable,
-        samplers: SamplerTable,
-        forwarder: Forwarder,
-        dialect: Dialect,
-        log: EventLog,
-        metrics: JobMetrics,
-        switches: Switches,
-    ) -> None:
+    def __init__(self, parts: LeaderParts) -> None:
+        book, ledger, samplers = parts.book, parts.ledger, parts.samplers
+        dialect, log, metrics, switches = parts.dialect, parts.log, parts.metrics, parts.switches
         self.scheduler = ItemScheduler(samplers, book.interval_s, switches)
         self.planner = VersionPlanner(self.scheduler, samplers, switches)
         self._switches = switches
-        self._orders_from = orders_from
-        """No order before this monotonic time: an earlier leader's last one must be past."""
+        self._orders_from = parts.orders_from
         self._book = book
         self._ledger = ledger
-        self._routes = routes
+        self._routes = parts.routes
         self._samplers = samplers
         self._dialect = dialect
         self._log = log
@@ -92,8 +100,8 @@
             book, ledger, self.scheduler, self._tasks, log, metrics, self._step_soon
         )
         self._loader = WeightLoader(
-            node_id,
-            epoch,
+            parts.node_id,
+            parts.epoch,
             self.scheduler,
             self.planner,
             samplers,
@@ -104,7 +112,9 @@
             ledger,
             switches.order_windows,
         )
-        self._rewards = RewardCaller(forwarder, routes, samplers, dialect.names, self, log, metrics)
+        self._rewards = RewardCaller(
+            parts.forwarder, parts.routes, samplers, dialect.names, self, log, metrics
+        )
 
     def stop(self) -> None:
         """Leadership is over: closes every stream."""
@@ -248,7 +258,8 @@
         route = self._route_of(record)
         if route is None:
             return
-        for finished in reusable_results(self._book, record, route.single_version):
+        reusable = reusable_results(self._book, record, route.single_version)
+        for finished in reusable:
             self._writer.list_result(submission.job_id, finished)
         names = self._dialect.names
         sizes = {item.item_id: item_size(item.headers, names) for item in submission.items}
@@ -262,6 +273,7 @@
             sizes,
             now,
             self._tokens_per_event(route.backends[0].service),
+            {finished.item_id for finished in reusable},
         )
         self._log.emit(
             LogEvent.JOB_ADOPTED,
@@ -276,7 +288,7 @@
         )
         for item in submission.items:
             open_item = self.scheduler.items.get((submission.job_id, item.item_id))
-            if open_item is not None and open_item.partial.whole:
+            if open_item is not None and open_item.partial.whole and not open_item.finished:
                 self._text_whole(open_item)
 
     def _tokens_per_event(self, service_name: str) -> float:
@@ -436,6 +448,9 @@
 
     def _text_whole(self, open_item: OpenItem) -> None:
         """The text ends here: it is listed, or saved until its score has come."""
+        if self.scheduler.items.get(open_item.key) is not open_item:
+            # Its job has ended, or another leader has listed it.
+            return
         reward = open_item.item.reward
         if reward is None:
             self._finish(open_item, ItemState.SUCCEEDED, "")
--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Set as AbstractSet
+
 from stileloom.jobs.book import JobRecord
 from stileloom.jobs.model_versions import SamplerModels, share_samplers
 from stileloom.jobs.open_items import (
@@ -87,8 +89,12 @@
         sizes: dict[str, ItemSize],
         now: float,
         tokens_per_event: float = DEFAULT_TOKENS_PER_EVENT,
+        results_known: AbstractSet[str] = frozenset(),
     ) -> None:
-        """Takes the items of a job that are not listed yet."""
+        """Takes the items of a job that are not listed yet.
+
+        Those in `results_known` are about to be listed and do not run.
+        """
         submission = record.submission
         for item in submission.items:
             key = (submission.job_id, item.item_id)
@@ -116,6 +122,7 @@
                 give_up_at=now + max_wait_s,
                 carried=item.item_id in self._seen_items,
                 partial=partial,
+                finished=item.item_id in results_known,
                 saved_parts=len(partial.parts) if saved is not None else 0,
             )
             self._seen_items.add(item.item_id)
--- a/stileloom/jobs/service.py
+++ b/stileloom/jobs/service.py
@@ -9,6 +9,7 @@
 from stileloom.errors import StileloomError
 from stileloom.events import LogEvent
 from stileloom.jobs.book import JobRecord
+from stileloom.jobs.leader_ledger import LeaderLedger
 from stileloom.jobs.messages import (
     EndJobCall,
     ItemRead,
@@ -25,32 +26,26 @@
     SubmitJobCall,
 )
 from stileloom.jobs.runner import JobRunner
-from stileloom.ledger.commands import Command, CommandResult, EndJob, Refused, SubmitJob
+from stileloom.ledger.commands import EndJob, Refused, SubmitJob
 from stileloom.ledger.state import LedgerState
 from stileloom.logging import EventLog
 
 
-class LeaderLedger(Protocol):
+class ServedLedger(LeaderLedger, Protocol):
     """The ledger as this service sees it."""
 
     @property
     def state(self) -> LedgerState:
         """The replicated state."""
 
-    def may_act(self) -> bool:
-        """Whether this replica leads and holds its lease now."""
-
     def leader_address(self) -> tuple[str, int] | None:
         """Where the leader is."""
 
-    async def propose(self, command: Command) -> CommandResult:
-        """Commits a command. Raises `StileloomError`."""
-
 
 class JobService:
     """Handles the calls of gateways."""
 
-    def __init__(self, ledger: LeaderLedger, log: EventLog) -> None:
+    def __init__(self, ledger: ServedLedger, log: EventLog) -> None:
         self.runner: JobRunner | None = None
         """Set while this node leads."""
         self._ledger = ledger
--- a/stileloom/jobs/weight_loader.py
+++ b/stileloom/jobs/weight_loader.py
@@ -9,9 +9,9 @@
 from stileloom.events import LogEvent
 from stileloom.http1.pool import ConnectionPool
 from stileloom.jobs.engine_control import ControlTarget, EngineControl, OrderOutcome
+from stileloom.jobs.leader_ledger import LeaderLedger
 from stileloom.jobs.metrics import JobMetrics
 from stileloom.jobs.order_window import OrderWindow
-from stileloom.jobs.result_writer import LeaderLedger
 from stileloom.jobs.scheduler import ItemScheduler
 from stileloom.jobs.version_planner import Load, VersionPlanner
 from stileloom.logging import EventLog
--- a/stileloom/ledger/__init__.py
+++ b/stileloom/ledger/__init__.py
@@ -2,7 +2,8 @@
 
 from stileloom.ledger.client import CommandFinished, LedgerClient
 from stileloom.ledger.effects import Applied, Dropped, Persist
-from stileloom.ledger.replica import LedgerReplica, RecoveredLedger, ReplicaRole, fresh_ledger
+from stileloom.ledger.recovered import RecoveredLedger, fresh_ledger
+from stileloom.ledger.replica import LedgerReplica, ReplicaRole
 from stileloom.ledger.state import LedgerState
 
 __all__ = [
--- a/stileloom/ledger/replica.py
+++ b/stileloom/ledger/replica.py
@@ -36,6 +36,8 @@
     VoteReply,
     VoteRequest,
 )
+from stileloom.ledger.progress import FollowerProgress, FollowerState
+from stileloom.ledger.recovered import RecoveredLedger, last_leader, without_state
 from stileloom.ledger.standbys import StandbyPool, VoterHealth
 from stileloom.ledger.state import LedgerState
 from stileloom.ledger.voters import next_voter_set
@@ -52,53 +54,6 @@
     LEADER = "leader"
 
 
-class RecoveredLedger(msgspec.Struct):
-    """What a replica finds on its disk, or a fresh start."""
-
-    hard_state: HardState
-    snapshot: SnapshotRecord
-    entries: list[Entry]
-    commit_index: int = 0
-    """Entries up to here are known to be committed."""
-
-
-def fresh_ledger(voters: list[Voter]) -> RecoveredLedger:
-    """A ledger without history; `voters` is the first voter set, the same on every node."""
-    state = LedgerState(voters=voters)
-    snapshot = SnapshotRecord(0, 0, voters, msgspec.msgpack.encode(state))
-    return RecoveredLedger(HardState(0, None), snapshot, [])
-
-
-def _without_state(snapshot: SnapshotRecord) -> SnapshotRecord:
-    """What the log needs of a snapshot: its state stands on disk and in the applied state."""
-    return msgspec.structs.replace(snapshot, state=b"")
-
-
-class _FollowerState(enum.Enum):
-    """How the leader feeds a follower (as in etcd's raft: probe, replicate, snapshot)."""
-
-    REPLICATE = "replicate"
-    """Entries go out as they come, without waiting for answers."""
-    PROBE = "probe"
-    """Where the logs meet is not known: one empty request at a time looks for it."""
-    SNAPSHOT = "snapshot"
-    """A snapshot is on its way; nothing else but heartbeats goes out."""
-
-
-class _Progress(msgspec.Struct):
-    """What the leader knows of a follower or learner."""
-
-    next_index: int
-    match_index: int = 0
-    state: _FollowerState = _FollowerState.REPLICATE
-    awaited_nonce: int = 0
-    """Only the answer to this request ends a probe or a snapshot."""
-    snapshot_sent_at: float = float("-inf")
-    silent: bool = False
-    """Whether it was told that this follower does not answer."""
-    last_heard_at: float = float("-inf")
-
-
 class LedgerReplica:
     """One replica. All calls take the monotonic time in seconds."""
 
@@ -118,7 +73,7 @@
         self.unavailable: set[str] = set()
         self._proofs = DiskProofs(rng)
         self._voted_for = recovered.hard_state.voted_for
-        self._log = LedgerLog(_without_state(recovered.snapshot), recovered.entries)
+        self._log = LedgerLog(without_state(recovered.snapshot), recovered.entries)
         self._rng = rng
         self._target_voters = target_voters
         self._switches = switches
@@ -128,7 +83,7 @@
         self._applied_index = self._log.base_index
         self.state = msgspec.msgpack.decode(recovered.snapshot.state, type=LedgerState)
         self._apply_recovered(recovered.commit_index)
-        self._progress: dict[Voter, _Progress] = {}
+        self._progress: dict[Voter, FollowerProgress] = {}
         self._standbys = StandbyPool()
         self._leader_since = now
         self._tickets: dict[int, object] = {}
@@ -142,7 +97,9 @@
         self._next_heartbeat_at = now
         # A restarted voter may have answered a leader just before: it waits out that lease.
         self._heard_from_leader_at = now
-        self._leader_before = self._last_leader(recovered) if switches.restart_head_start else ""
+        self._leader_before = (
+            last_leader(recovered, self.state) if switches.restart_head_start else ""
+        )
         """Who led when this process ended, if its disk is sure of that; else empty."""
         self._restarted_at = now
         self._election_due_at = now + self._election_timeout(now)
@@ -289,14 +246,6 @@
             )
         return self._rng.uniform(constants.ELECTION_TIMEOUT_MIN_S, constants.ELECTION_TIMEOUT_MAX_S)
 
-    def _last_leader(self, recovered: RecoveredLedger) -> str:
-        """Each leader begins with `StartEpoch`; with a later epoch on disk somebody else may
-        have been answered since."""
-        if recovered.hard_state.epoch != self._log.last_epoch:
-            return ""
-        starts = [e.command for e in recovered.entries if isinstance(e.command, StartEpoch)]
-        return starts[-1].leader if starts else self.state.last_leader
-
     def _start_election(self, now: float, trial: bool, handed_over: bool = False) -> list[Effect]:
         self._election_due_at = now + self._election_timeout(now)
         self._trial = trial
@@ -381,7 +330,7 @@
         self.leader = self.me.node_id
         self._lease.clear()
         self._progress = {
-            voter: _Progress(self._log.last_index + 1)
+            voter: FollowerProgress(self._log.last_index + 1)
             for voter in self._electorate().members
             if voter != self.me
         }
@@ -414,46 +363,50 @@
         effects: list[Effect] = []
         for follower, progress in self._progress.items():
             silent = now >= progress.last_heard_at + constants.FOLLOWER_SILENT_S
-            if silent and progress.state is _FollowerState.REPLICATE:
+            if silent and progress.state is FollowerState.REPLICATE:
                 # What is sent to a follower that does not answer only piles up.
-                progress.state = _FollowerState.PROBE
+                progress.state = FollowerState.PROBE
                 progress.next_index = min(progress.next_index, self._log.last_index + 1)
                 if progress.last_heard_at > float("-inf"):
                     progress.silent = True
                     fields: dict[str, object] = {"follower": follower.node_id, "epoch": self.epoch}
                     effects.append(Emit(LogEvent.FOLLOWER_SILENT, fields))
-            if progress.state is _FollowerState.REPLICATE:
+            if progress.state is FollowerState.REPLICATE:
                 if heartbeat or progress.next_index <= self._log.last_index:
                     effects += self._send_entries(now, follower, progress)
             elif heartbeat:
                 effects += self._send_probe(now, follower, progress)
         return effects
 
-    def _send_probe(self, now: float, follower: Voter, progress: _Progress) -> list[Effect]:
+    def _send_probe(self, now: float, follower: Voter, progress: FollowerProgress) -> list[Effect]:
         """One empty request; or the snapshot, where the log no longer reaches back so far."""
         snapshot_due = now >= progress.snapshot_sent_at + constants.SNAPSHOT_RETRY_S
-        if progress.state is _FollowerState.SNAPSHOT and not snapshot_due:
+        if progress.state is FollowerState.SNAPSHOT and not snapshot_due:
             return self._send_request(now, follower, self._log.base_index, [])
         previous = progress.next_index - 1
         if self._log.epoch_at(previous) is None:
             return self._send_snapshot(now, follower, progress)
-        progress.state = _FollowerState.PROBE
+        progress.state = FollowerState.PROBE
         effects = self._send_request(now, follower, previous, [])
         progress.awaited_nonce = self._nonce
         return effects
 
-    def _send_snapshot(self, now: float, follower: Voter, progress: _Progress) -> list[Effect]:
+    def _send_snapshot(
+        self, now: float, follower: Voter, progress: FollowerProgress
+    ) -> list[Effect]:
         self._nonce += 1
         self._lease.sent(self._nonce, now)
         snapshot = self._snapshot_now()
-        progress.state = _FollowerState.SNAPSHOT
+        progress.state = FollowerState.SNAPSHOT
         progress.awaited_nonce = self._nonce
         progress.snapshot_sent_at = now
         progress.next_index = snapshot.last_index + 1
         install = SnapshotRequest(self.epoch, self.me, snapshot, self._nonce)
         return [Send(follower.node_id, install)]
 
-    def _send_entries(self, now: float, follower: Voter, progress: _Progress) -> list[Effect]:
+    def _send_entries(
+        self, now: float, follower: Voter, progress: FollowerProgress
+    ) -> list[Effect]:
         previous = progress.next_index - 1
         if self._log.epoch_at(previous) is None:
             return self._send_snapshot(now, follower, progress)
@@ -498,27 +451,29 @@
             return effects + self._on_mismatch(now, message, progress)
         if message.match_index > progress.match_index:
             progress.match_index = message.match_index
-        if progress.state is _FollowerState.REPLICATE:
+        if progress.state is FollowerState.REPLICATE:
             progress.next_index = max(progress.next_index, message.match_index + 1)
         elif message.nonce == progress.awaited_nonce:
-            progress.state = _FollowerState.REPLICATE
+            progress.state = FollowerState.REPLICATE
             progress.next_index = message.match_index + 1
         effects += self._advance_commit(now)
-        replicating = progress.state is _FollowerState.REPLICATE
+        replicating = progress.state is FollowerState.REPLICATE
         if replicating and progress.next_index <= self._log.last_index:
             effects += self._send_entries(now, message.follower, progress)
         return effects
 
-    def _on_mismatch(self, now: float, message: AppendReply, progress: _Progress) -> list[Effect]:
+    def _on_mismatch(
+        self, now: float, message: AppendReply, progress: FollowerProgress
+    ) -> list[Effect]:
         """The logs do not meet where the request said.
 
         While requests are under way their mismatches are answered by one probe in all: an
         answer to each would send the same entries again and again.
         """
-        replicating = progress.state is _FollowerState.REPLICATE
+        replicating = progress.state is FollowerState.REPLICATE
         if not replicating and message.nonce != progress.awaited_nonce:
             return []
-        progress.state = _FollowerState.PROBE
+        progress.state = FollowerState.PROBE
         progress.next_index = max(1, min(message.match_index + 1, self._log.last_index + 1))
         return self._send_probe(now, message.follower, progress)
 
@@ -627,7 +582,7 @@
         effects: list[Effect] = []
         for standby in wanted:
             if standby not in self._progress:
-                self._progress[standby] = _Progress(self._log.last_index + 1)
+                self._progress[standby] = FollowerProgress(self._log.last_index + 1)
                 effects += self._send_probe(now, standby, self._progress[standby])
         return effects
 
@@ -720,7 +675,7 @@
         effects = self._follow(now, message.epoch, message.leader.node_id)
         snapshot = message.snapshot
         if snapshot.last_index > self._commit_index:
-            self._log.compact(_without_state(snapshot))
+            self._log.compact(without_state(snapshot))
             self.state = msgspec.msgpack.decode(snapshot.state, type=LedgerState)
             self._commit_index = snapshot.last_index
             self._applied_index = snapshot.last_index
@@ -763,12 +718,12 @@
             return self._step_down(now, self.epoch)
         for voter in self.voters:
             if voter != self.me:
-                self._progress.setdefault(voter, _Progress(self._log.last_index + 1))
+                self._progress.setdefault(voter, FollowerProgress(self._log.last_index + 1))
         return []
 
     def _take_snapshot(self) -> list[Effect]:
         snapshot = self._snapshot_now()
-        self._log.compact(_without_state(snapshot))
+        self._log.compact(without_state(snapshot))
         effects: list[Effect] = self._persist(Persist(0, snapshot=snapshot))
         return [*effects, Emit(LogEvent.SNAPSHOT_TAKEN, {"index": snapshot.last_index})]
 
--- a/stileloom/ledger/storage.py
+++ b/stileloom/ledger/storage.py
@@ -21,7 +21,7 @@
 from stileloom.ledger.commands import Voter
 from stileloom.ledger.effects import Persist
 from stileloom.ledger.messages import Entry, HardState, SnapshotRecord
-from stileloom.ledger.replica import RecoveredLedger
+from stileloom.ledger.recovered import RecoveredLedger
 
 RECORD_HEADER = struct.Struct(">IQ")
 JOURNAL_NAME = "journal"
--- a/stileloom/simulator/disk.py
+++ b/stileloom/simulator/disk.py
@@ -5,7 +5,7 @@
 from stileloom.ledger.commands import Voter
 from stileloom.ledger.effects import Persist
 from stileloom.ledger.messages import Entry, HardState
-from stileloom.ledger.replica import RecoveredLedger
+from stileloom.ledger.recovered import RecoveredLedger
 
 
 class SimulatedDisk:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -476,9 +476,9 @@
     Mutant(
         "a restarted voter breaks the lease of a leader that its log does not know",
         "one leader",
-        "stileloom/ledger/replica.py",
-        "        if recovered.hard_state.epoch != self._log.last_epoch:",
-        "        if False:",
+        "stileloom/ledger/recovered.py",
+        "    if recovered.hard_state.epoch != last_epoch:",
+        "    if False:",
         f"{LEDGER}::OrderWindowTest::"
         "test_a_restarted_voter_waits_out_the_lease_of_anybody_but_the_candidate",
     ),
--- a/tests/service_cluster.py
+++ b/tests/service_cluster.py
@@ -8,7 +8,7 @@
 import asyncio
 import contextlib
 import tempfile
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
@@ -21,6 +21,7 @@
 from stileloom.daemon.platform_client import ObjectApi
 from stileloom.emulator.http_sampler import HttpSampler
 from stileloom.http.native_dialect import NativeDialect
+from stileloom.logging import configure_logs
 from stileloom.service_settings import ServiceSettings, TimeBounds
 from tests.object_api import object_api
 from tests.ports import free_port
@@ -265,3 +266,14 @@
                 if answer.code == 200:
                     results += msgspec.json.decode(answer.body)["results"]
         return results
+
+
+def with_cluster(scenario: Callable[[ServiceCluster], Awaitable[None]]) -> None:
+    """Runs a scenario on a fresh cluster."""
+
+    async def run() -> None:
+        async with ServiceCluster() as cluster:
+            await scenario(cluster)
+
+    configure_logs("error")
+    asyncio.run(run())
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -50,7 +50,8 @@
 )
 from stileloom.ledger.messages import HandOver as HandOverMessage
 from stileloom.ledger.order_windows import LATENESS_S, ORDER_WINDOW_S, OrderWindows
-from stileloom.ledger.replica import RecoveredLedger, ReplicaRole
+from stileloom.ledger.recovered import RecoveredLedger
+from stileloom.ledger.replica import ReplicaRole
 from stileloom.ledger.storage import JOURNAL_NAME, LedgerStorage
 from stileloom.ledger.voters import next_voter_set
 
--- a/tests/test_rewards.py
+++ b/tests/test_rewards.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-from collections.abc import Awaitable, Callable
 from typing import Any
 
 import msgspec
@@ -34,9 +32,15 @@
     RewardWindow,
 )
 from stileloom.jobs.submission_check import check_submission
-from stileloom.logging import configure_logs
 from stileloom.trace import gather
-from tests.service_cluster import ATTEMPTS, HOSTNAME, MODEL, ServiceCluster, configuration
+from tests.service_cluster import (
+    ATTEMPTS,
+    HOSTNAME,
+    MODEL,
+    ServiceCluster,
+    configuration,
+    with_cluster,
+)
 
 EVENTS = 6
 SCORERS = ("chart-1", "chart-2")
@@ -44,17 +48,6 @@
 SLOTS = 4
 
 
-def with_cluster(scenario: Callable[[ServiceCluster], Awaitable[None]]) -> None:
-    """Runs a scenario on a fresh cluster."""
-
-    async def run() -> None:
-        async with ServiceCluster() as cluster:
-            await scenario(cluster)
-
-    configure_logs("error")
-    asyncio.run(run())
-
-
 def samplers(cluster: ServiceCluster, names: tuple[str, ...]) -> list[HttpSampler]:
     """Samplers by name."""
     return [cluster.samplers[name] for name in names]
@@ -191,6 +184,24 @@
 
         with_cluster(scenario)
 
+    def test_a_carried_item_whose_result_is_known_does_not_run_again(self) -> None:
+        """It ran on after its job had ended, and asked for its reward then."""
+
+        async def scenario(cluster: ServiceCluster) -> None:
+            items = items_named(4)
+            await cluster.submit("first", items, rewards=True)
+            known = await cluster.results("first", 4)
+            await cluster.call("DELETE", "/v1/jobs/first")
+            await cluster.submit("second", [*items, "new"], rewards=True)
+            results = await cluster.results("second", 5)
+            self.check_scores(results)
+            for result in known:
+                self.assertIn(result, results)
+            self.assertEqual(5, len(runs_at(cluster, DRAFTERS)), "an item ran again")
+            self.assertEqual(5, len(runs_at(cluster, SCORERS)), "a reward was asked again")
+
+        with_cluster(scenario)
+
     def test_a_route_that_was_dropped_and_comes_back_elsewhere_is_followed(self) -> None:
         async def scenario(cluster: ServiceCluster) -> None:
             await cluster.write("configuration", "main", configuration(2, path_prefix="/other/"))
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import errno
-from collections.abc import Awaitable, Callable
 from unittest import mock
 
 import testtools
@@ -17,24 +16,12 @@
 from stileloom.events import LogEvent
 from stileloom.ledger.effects import Persist
 from stileloom.ledger.storage import LedgerStorage
-from stileloom.logging import configure_logs
 from stileloom.proxy.front import CallerRequest
-from tests.service_cluster import MODEL, ServiceCluster, configuration
+from tests.service_cluster import MODEL, ServiceCluster, configuration, with_cluster
 
 EVENTS = 6
 
 
-def with_cluster(scenario: Callable[[ServiceCluster], Awaitable[None]]) -> None:
-    """Runs a scenario on a fresh cluster."""
-
-    async def run() -> None:
-        async with ServiceCluster() as cluster:
-            await scenario(cluster)
-
-    configure_logs("error")
-    asyncio.run(run())
-
-
 class LookupTest(testtools.TestCase):
     """Opaque lookups through a gateway."""
 
--- a/tests/test_soak_parts.py
+++ b/tests/test_soak_parts.py
@@ -100,7 +100,7 @@
     def test_whole_results_break_nothing(self) -> None:
         record = Record()
         job = self.job(record)
-        results = [(name, "succeeded", self.text(name), (2,)) for name in ("a", "b")]
+        results = [(name, "succeeded", self.text(name), (2,), "") for name in ("a", "b")]
         record.read(job, 0, 2, results)
         record.read(job, 1, 2, results[1:])
         self.assertEqual([], record.broken)
@@ -109,10 +109,10 @@
     def test_results_that_are_wrong(self) -> None:
         whole = self.text("a")
         cases = {
-            "texts are whole": ("a", "succeeded", whole[:-1], (2,)),
-            "versions are young enough": ("a", "succeeded", whole, (1, 2)),
-            "items belong to their job": ("x", "succeeded", self.text("x"), (2,)),
-            "items are not given up early": ("a", "given_up", "", ()),
+            "texts are whole": ("a", "succeeded", whole[:-1], (2,), ""),
+            "versions are young enough": ("a", "succeeded", whole, (1, 2), ""),
+            "items belong to their job": ("x", "succeeded", self.text("x"), (2,), ""),
+            "items are not given up early": ("a", "given_up", "", (), ""),
         }
         for promise, result in cases.items():
             record = Record()
@@ -122,9 +122,9 @@
     def test_positions_that_change_or_repeat_an_item(self) -> None:
         record = Record()
         job = self.job(record)
-        first = ("a", "succeeded", self.text("a"), (2,))
+        first = ("a", "succeeded", self.text("a"), (2,), "")
         record.read(job, 0, 2, [first])
-        record.read(job, 0, 2, [("b", "succeeded", self.text("b"), (2,))])
+        record.read(job, 0, 2, [("b", "succeeded", self.text("b"), (2,), "")])
         record.read(job, 1, 2, [first])
         self.assertEqual(["positions are fixed", "each item stands once"], self.broken(record))
 
