--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -437,8 +437,8 @@
         "a run that was stopped before it began begins",
         "one text an item",
         "stileloom/jobs/runner.py",
-        "        if open_item.run is not run:\n            return\n        belief",
-        "        belief",
+        "        run = start.run\n",
+        "        run = open_item.run\n        assert run is not None\n",
         "tests/test_services.py::JobTest::test_a_run_that_was_stopped_before_it_began_does_not_run",
     ),
     Mutant(
