--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import time
 from unittest import mock
 
 import testtools
@@ -17,7 +18,7 @@
 from stileloom.ledger.effects import Persist
 from stileloom.ledger.storage import LedgerStorage
 from stileloom.proxy.front import CallerRequest
-from tests.service_cluster import MODEL, ServiceCluster, configuration, with_cluster
+from tests.service_cluster import GIVE_UP_S, MODEL, ServiceCluster, configuration, with_cluster
 
 EVENTS = 6
 
@@ -252,11 +253,14 @@
             leader = cluster.ledger_nodes[cluster.leader() or ""]
             assert leader._leadership is not None
             runner = leader._leadership.runner
-            with mock.patch.object(runner.scheduler, "plan_starts", return_value=[]):
+            # No step of the leader takes the run for silent or starts the item by itself.
+            patience = mock.patch("stileloom.jobs.scheduler.SILENCE_S", 10 * GIVE_UP_S)
+            starts = mock.patch.object(runner.scheduler, "plan_starts", return_value=[])
+            with patience, starts:
                 await cluster.submit("job", ["i1"])
                 await cluster.until(lambda: len(runner.scheduler.items) == 1)
                 (item,) = runner.scheduler.items.values()
-                now = 0.0
+                now = time.monotonic()
                 runner._begin([runner.scheduler.start_at(item, "draft-1", now)])
                 runner._stop_run(item, "moved")
                 runner._begin([runner.scheduler.start_at(item, "draft-2", now)])
