Reward calls outlive a fault of ours; a gone seed is asked last; tabs in header values

Ruled out: dropping seeds for good (where the store's list is out of date they are all that is left: asked again once every listed node was silent). Change: a fault is logged with the item's id and the call is made again; LedgerNodes keeps unlisted seeds in reserve; the check of headers allows tabs. Before: each of the three tests red. After: green.

--- a/stileloom/jobs/client.py
+++ b/stileloom/jobs/client.py
@@ -32,22 +32,38 @@
     def __init__(self, seeds: list[tuple[str, int]]) -> None:
         self.leader: tuple[str, int] | None = None
         self._addresses = list(seeds)
+        self._reserve: list[tuple[str, int]] = []
+        """Seeds that the store does not list: asked once all others were silent."""
+        self._silent_in_a_row = 0
         self._turn = 0
 
     def learn(self, addresses: list[tuple[str, int]]) -> None:
-        """Adds addresses that were not known."""
-        for address in addresses:
-            if address not in self._addresses:
-                self._addresses.insert(0, address)
+        """Takes the store's list; a seed that is not in it may be gone for good."""
+        if not addresses:
+            return
+        known = [*self._addresses, *self._reserve]
+        self._addresses = list(addresses)
+        self._reserve = [address for address in known if address not in addresses]
+
+    def answered(self) -> None:
+        """A node answered, whatever it said."""
+        self._silent_in_a_row = 0
+
+    def silent(self) -> None:
+        """A node did not answer."""
+        self._silent_in_a_row += 1
 
     def next_target(self) -> tuple[str, int] | None:
         """The leader, or the next node in turn."""
         if self.leader is not None:
             return self.leader
-        if not self._addresses:
+        addresses = self._addresses
+        if self._silent_in_a_row >= len(addresses):
+            addresses = [*addresses, *self._reserve]
+        if not addresses:
             return None
         self._turn += 1
-        return self._addresses[self._turn % len(self._addresses)]
+        return addresses[self._turn % len(addresses)]
 
 
 class JobClient:
@@ -109,6 +125,7 @@
         return True
 
     def _note_answer(self, target: tuple[str, int]) -> None:
+        self._nodes.answered()
         if target in self._silent:
             self._silent.discard(target)
             fields: dict[str, object] = {"ledger_node": f"{target[0]}:{target[1]}"}
@@ -117,6 +134,7 @@
     def _note_silent(self, target: tuple[str, int], request_id: str, detail: str) -> None:
         if self._nodes.leader == target:
             self._nodes.leader = None
+        self._nodes.silent()
         self._on_lost_leader()
         self._silent.add(target)
         self._log.emit(
--- a/stileloom/jobs/reward_caller.py
+++ b/stileloom/jobs/reward_caller.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import time
+from functools import partial
 from typing import Protocol
 
 import msgspec
@@ -127,6 +128,7 @@
             pending.tries += 1
             work = self._call(pending, route, service, window)
             pending.task = asyncio.get_running_loop().create_task(work)
+            pending.task.add_done_callback(partial(self._note_fault, pending))
 
     def _places(self, service: str) -> int:
         return sum(belief.entry.slots for belief in self._samplers.of_service(service))
@@ -147,6 +149,15 @@
         self._judge(pending, answer, route.max_attempts)
         self.step(time.monotonic())
 
+    def _note_fault(self, pending: PendingReward, task: asyncio.Task[None]) -> None:
+        """A fault of ours must not leave the item without its score for good."""
+        if task.cancelled() or task.exception() is None:
+            return
+        error = repr(task.exception())
+        self._log.emit(LogEvent.INTERNAL_FAULT, {**self._log_fields(pending), "error": error})
+        if self._pending.get(pending.item.key) is pending:
+            self._ask_again(pending, time.monotonic(), error)
+
     async def _forward(self, pending: PendingReward, route: Route, service: str) -> LookupAnswer:
         """One try, within the route's attempts and time; the call may run more than once."""
         call = pending.call
@@ -177,16 +188,16 @@
         self._metrics.rewards.labels("asked_again").inc()
         self._log.emit(
             LogEvent.REWARD_RETRIED,
-            {**self._told(pending), "detail": detail},
+            {**self._log_fields(pending), "detail": detail},
         )
 
     def _end(self, pending: PendingReward, outcome: str) -> None:
         del self._pending[pending.item.key]
         self._metrics.rewards.labels(outcome).inc()
         self._metrics.reward_wait.observe(time.monotonic() - pending.whole_at)
-        self._log.emit(LogEvent.REWARD_ANSWERED, {**self._told(pending), "outcome": outcome})
+        self._log.emit(LogEvent.REWARD_ANSWERED, {**self._log_fields(pending), "outcome": outcome})
 
-    def _told(self, pending: PendingReward) -> dict[str, object]:
+    def _log_fields(self, pending: PendingReward) -> dict[str, object]:
         return {
             "item": pending.item.item.item_id,
             "job": pending.item.key[0],
--- a/stileloom/jobs/submission_check.py
+++ b/stileloom/jobs/submission_check.py
@@ -30,7 +30,7 @@
     for name, value in item.headers.items():
         if not name or not _is_header_text(name) or ":" in name or " " in name:
             raise _refusal(f"item {item.item_id}: {name[:40]!r} is no header name")
-        if not _is_header_text(value):
+        if not _is_header_text(value.replace("\t", " ")):
             raise _refusal(f"item {item.item_id}: the header {name[:40]} has a bad value")
 
 
--- a/tests/test_job_client.py
+++ b/tests/test_job_client.py
@@ -22,6 +22,41 @@
 Handler = Callable[[Request], Awaitable[Reply]]
 
 
+class LedgerNodesTest(testtools.TestCase):
+    """Which ledger nodes a gateway asks."""
+
+    def targets(self, nodes: LedgerNodes, count: int) -> set[tuple[str, int] | None]:
+        """Whom it asks in turn."""
+        return {nodes.next_target() for _ in range(count)}
+
+    def test_a_seed_that_the_store_does_not_list_is_asked_no_more(self) -> None:
+        """It may be a machine that is gone for good: asking it costs each start half a second."""
+        gone, listed, new = ("10.0.0.1", 7), ("10.0.0.2", 7), ("10.0.0.3", 7)
+        nodes = LedgerNodes([gone, listed])
+        self.assertEqual({gone, listed}, self.targets(nodes, 6))
+        nodes.learn([])
+        self.assertEqual({gone, listed}, self.targets(nodes, 6))
+        nodes.learn([listed, new])
+        self.assertEqual({listed, new}, self.targets(nodes, 6))
+
+    def test_once_all_listed_nodes_were_silent_the_seeds_are_asked_again(self) -> None:
+        seed, listed = ("10.0.0.1", 7), ("10.0.0.2", 7)
+        nodes = LedgerNodes([seed])
+        nodes.learn([listed])
+        self.assertEqual({listed}, self.targets(nodes, 3))
+        nodes.silent()
+        self.assertEqual({seed, listed}, self.targets(nodes, 4))
+        nodes.answered()
+        self.assertEqual({listed}, self.targets(nodes, 3))
+
+    def test_a_known_leader_is_asked_whatever_the_list_says(self) -> None:
+        leader, listed = ("10.0.0.1", 7), ("10.0.0.2", 7)
+        nodes = LedgerNodes([leader])
+        nodes.leader = leader
+        nodes.learn([listed])
+        self.assertEqual({leader}, self.targets(nodes, 3))
+
+
 class JobClientTest(testtools.TestCase):
     """One client and some nodes."""
 
--- a/tests/test_rewards.py
+++ b/tests/test_rewards.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import Any
+from unittest import mock
 
 import msgspec
 import testtools
@@ -22,6 +23,7 @@
     expected_events,
 )
 from stileloom.errors import ErrorKind, StileloomError
+from stileloom.events import LogEvent
 from stileloom.jobs.book import JobBook
 from stileloom.jobs.intake import reusable_results
 from stileloom.jobs.reward_window import (
@@ -222,6 +224,31 @@
 
         with_cluster(scenario)
 
+    def test_a_fault_of_our_own_in_a_call_is_told_and_the_call_is_made_again(self) -> None:
+        async def scenario(cluster: ServiceCluster) -> None:
+            leader = cluster.ledger_nodes[cluster.leader() or ""]
+            told: list[LogEvent] = []
+            forward = leader._forwarder.forward
+            faults = [ValueError("a fault")]
+
+            async def failing(*arguments: Any) -> Any:
+                if faults:
+                    raise faults.pop()
+                return await forward(*arguments)
+
+            def note(event: LogEvent, fields: dict[str, object]) -> None:
+                told.append(event)
+
+            with (
+                mock.patch.object(leader._forwarder, "forward", failing),
+                mock.patch.object(leader._log, "emit", note),
+            ):
+                await cluster.submit("job", ["i1"], rewards=True)
+                self.check_scores(await cluster.results("job", 1))
+            self.assertIn(LogEvent.INTERNAL_FAULT, told)
+
+        with_cluster(scenario)
+
     def test_calls_leave_places_of_the_service_to_lookups(self) -> None:
         async def scenario(cluster: ServiceCluster) -> None:
             gauge = WorkGauge()
@@ -345,6 +372,14 @@
             self.assertEqual(ErrorKind.BAD_REQUEST, error.kind)
 
 
+class SubmissionTest(testtools.TestCase):
+    """What a proper request may hold."""
+
+    def test_a_header_value_may_hold_a_tab(self) -> None:
+        item = JobItem("i", "/p", {"A": "b\tc"}, b"", "g")
+        check_submission(JobSubmission("j", "h", "/p", 0, "m", 1, 1, [item]))
+
+
 class TraceTest(testtools.TestCase):
     """From an item's id to its reward call."""
 
