--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -23,9 +23,7 @@
 )
 from stileloom.jobs.partial_text import PartialText
 from stileloom.proxy.sampler_table import SamplerBelief, SamplerTable
-from stileloom.switches import Switches
-
-ALL_ON = Switches()
+from stileloom.switches import ALL_ON, Switches
 
 SILENCE_S = 1.3
 """A run that made no event for so long is resumed elsewhere."""
--- a/stileloom/jobs/version_planner.py
+++ b/stileloom/jobs/version_planner.py
@@ -14,9 +14,7 @@
 from stileloom.jobs.open_items import OpenItem
 from stileloom.jobs.scheduler import ItemScheduler
 from stileloom.proxy.sampler_table import SamplerBelief, SamplerTable
-from stileloom.switches import Switches
-
-ALL_ON = Switches()
+from stileloom.switches import ALL_ON, Switches
 
 LOADING_SHARE = 0.4
 """Of a service's samplers so many load at the same time: weights come over shared links."""
--- a/stileloom/ledger/replica.py
+++ b/stileloom/ledger/replica.py
@@ -41,9 +41,7 @@
 from stileloom.ledger.standbys import StandbyPool, VoterHealth
 from stileloom.ledger.state import LedgerState
 from stileloom.ledger.voters import next_voter_set
-from stileloom.switches import Switches
-
-ALL_ON = Switches()
+from stileloom.switches import ALL_ON, Switches
 
 
 class ReplicaRole(enum.Enum):
--- a/stileloom/switches.py
+++ b/stileloom/switches.py
@@ -53,3 +53,6 @@
     """Replicas that the voter set does not need hold no copy of the log."""
     restart_head_start: bool = True
     """After a restart of all the node that led last is elected at once."""
+
+
+ALL_ON = Switches()
