--- a/tests/two_voter_spec.py
+++ b/tests/two_voter_spec.py
@@ -21,6 +21,8 @@
 
 from minicheck import Protocol
 
+from tests.ledger_spec import put
+
 NODES = 3
 LEAVER = 2
 NOBODY = -1
@@ -76,11 +78,6 @@
     max_log: int = 2
 
 
-def put(values: tuple, index: int, value: object) -> tuple:
-    """A tuple with one element replaced."""
-    return (*values[:index], value, *values[index + 1 :])
-
-
 def initial_state(bounds: Bounds) -> Spec:
     """Node 0 leads the first epoch; nothing is written."""
     return Spec(
