Requests that end their samplers are held by the whole fleet

Cause: what was known of a request's earlier ends lived in the plan of one arrival (AttemptPlan), and the end of a sampler was taken for a broken connection. Each arrival, at each gateway, ended as many samplers as its route has attempts, without a bound over time. Class: a fact about a request kept in the memory of one arrival at one node. Ruled out: lookups that wait and strike a sampler as it is listed (hypothesis 3): they do so, but each end is a first or second attempt of an arrival, and none came after a third within one arrival. The caller's address as part of the identity: each zone's callers share one. Change: QuarantineBook in the ledger's state, QuarantineGuard at each program that sends requests to samplers (lookups, streams, reward calls, items). A broken attempt is followed by a connection to the sampler; only a refused one counts, within 1.5 s of the begin. Ends go to the ledger, gateways follow its list. Three ends hold a request, four where others were under the same ones; a good answer clears; one trial in the whole fleet after two minutes, later each time. New error kind `quarantined`. Samplers' births are read, so that a restart under the same id is another end.

--- a/stileloom/daemon/gateway.py
+++ b/stileloom/daemon/gateway.py
@@ -26,6 +26,9 @@
 from stileloom.proxy.front import Front
 from stileloom.proxy.metrics import ProxyMetrics
 from stileloom.proxy.stream_relay import StreamRelay
+from stileloom.quarantine.guard import QuarantineGuard
+from stileloom.quarantine.metrics import QuarantineMetrics
+from stileloom.quarantine.remote_ledger import RemoteQuarantineLedger
 from stileloom.service_settings import ServiceSettings
 from stileloom.settings_file import split_address
 
@@ -69,6 +72,12 @@
         )
         self._nodes = LedgerNodes(seeds)
         self._jobs = JobClient(self._nodes, self._log, self._look_up_ledger_nodes)
+        self._guard = QuarantineGuard(
+            RemoteQuarantineLedger(self._jobs),
+            self._log,
+            QuarantineMetrics(self._registry),
+            metrics.connection_opened,
+        )
         self._forwarder = Forwarder(
             settings.zone,
             self.directory.samplers,
@@ -76,10 +85,17 @@
             self._log,
             metrics,
             self._rng,
+            self._guard,
             switches.hedging,
         )
         self._relay = StreamRelay(
-            settings.zone, self.directory.samplers, dialect.names, self._log, metrics, self._rng
+            settings.zone,
+            self.directory.samplers,
+            dialect.names,
+            self._log,
+            metrics,
+            self._rng,
+            self._guard,
         )
         self.directory.on_sampler_gone = self._forget_sampler
         self.front = Front(
@@ -102,6 +118,7 @@
         servers = self._listen()
         self.started.set()
         self.directory.start()
+        self._guard.start()
         self._look_up_ledger_nodes()
         self._log.emit(LogEvent.NODE_STARTED, {"role": "gateway", "zone": self._settings.zone})
         await self._stopping.wait()
@@ -109,9 +126,7 @@
         for server in servers:
             server.stop()
             await server.close_all_connections()
-        self.directory.stop()
-        self._jobs.close()
-        self._cached.close()
+        self.abort()
         lived_s = round(time.monotonic() - started_at, 1)
         self._log.emit(LogEvent.NODE_STOPPED, {"lived_s": lived_s})
 
@@ -143,6 +158,13 @@
         """Begins the drain."""
         self._stopping.set()
 
+    def abort(self) -> None:
+        """Follows and reports nothing more, and closes the connections to ledger nodes."""
+        self.directory.stop()
+        self._guard.stop()
+        self._jobs.close()
+        self._cached.close()
+
     def reload(self) -> None:
         """Settings name only addresses and bounds of this start: nothing is taken over."""
         self._log.emit(LogEvent.SETTINGS_RELOADED, {})
--- a/stileloom/daemon/leadership.py
+++ b/stileloom/daemon/leadership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 
 from stileloom.api.dialect import Dialect
@@ -18,6 +19,8 @@
 from stileloom.ledger.commands import RetireNode
 from stileloom.logging import EventLog
 from stileloom.proxy.forwarder import Forwarder
+from stileloom.quarantine.guard import QuarantineGuard
+from stileloom.quarantine.ledger_side import QuarantineDesk
 from stileloom.service_settings import ServiceSettings
 
 VERSIONS_PAUSE_S = 0.1
@@ -38,6 +41,8 @@
         driver: LedgerDriver,
         directory: Directory,
         forwarder: Forwarder,
+        guard: QuarantineGuard,
+        desk: QuarantineDesk,
         log: EventLog,
         metrics: JobMetrics,
         rng: random.Random,
@@ -54,6 +59,7 @@
                 routes=directory.routes,
                 samplers=directory.samplers,
                 forwarder=forwarder,
+                guard=guard,
                 dialect=dialect,
                 log=log,
                 metrics=metrics,
@@ -64,6 +70,7 @@
         self._store = store
         self._dialect = dialect
         self._driver = driver
+        self._desk = desk
         self._log = log
         self._removals: dict[str, bool] = {}
         """Nodes to be emptied, and whether the end was written."""
@@ -127,6 +134,9 @@
                     await self._driver.propose(command)
                 except StileloomError:
                     break
+            with contextlib.suppress(StileloomError):
+                # Leadership was lost meanwhile: the next leader does it.
+                await self._desk.forget_expired()
 
     # Emptying of nodes.
 
--- a/stileloom/daemon/ledger_node.py
+++ b/stileloom/daemon/ledger_node.py
@@ -33,6 +33,10 @@
 from stileloom.logging import EventLog
 from stileloom.proxy.forwarder import Forwarder
 from stileloom.proxy.metrics import AttemptMetrics
+from stileloom.quarantine.book import QuarantineBook
+from stileloom.quarantine.guard import QuarantineGuard
+from stileloom.quarantine.ledger_side import QuarantineDesk
+from stileloom.quarantine.metrics import QuarantineMetrics
 from stileloom.service_settings import ServiceSettings
 from stileloom.settings_file import split_address
 from stileloom.transport.cache_messages import ReadObjectsCall
@@ -71,13 +75,22 @@
         self._directory = Directory(
             reader, dialect, settings.bounds, self._log, self._rng, process_metrics
         )
+        attempt_metrics = AttemptMetrics(self._registry)
+        self._desk = QuarantineDesk(self, self._log)
+        self._guard = QuarantineGuard(
+            self._desk,
+            self._log,
+            QuarantineMetrics(self._registry),
+            attempt_metrics.connection_opened,
+        )
         self._forwarder = Forwarder(
             settings.zone,
             self._directory.samplers,
             dialect.names,
             self._log,
-            AttemptMetrics(self._registry),
+            attempt_metrics,
             self._rng,
+            self._guard,
             switches.hedging,
         )
         self._directory.on_sampler = self._sampler_seen
@@ -131,7 +144,7 @@
             lambda: replica.follower_lag,
         )
         self._driver = driver
-        self._service = JobService(_CallsLedger(driver, settings.calls_port), self._log)
+        self._service = JobService(_CallsLedger(driver, settings.calls_port), self._desk, self._log)
         self._calls = CallServer(self._answer, compress)
         await self._calls.start(settings.listen_host, settings.calls_port)
         await driver.start(settings.listen_host)
@@ -188,6 +201,7 @@
         if self._driver is not None:
             self._driver.stop()
         self._directory.stop()
+        self._guard.stop()
         self._cache.stop()
         self._cached.close()
 
@@ -209,9 +223,30 @@
             self._voters_told = list(voters)
             names = [voter.node_id for voter in voters]
             self._log.emit(LogEvent.VOTERS_CHANGED, {"voters": names})
+        self._desk.step()
         if self._leadership is not None:
+            self._follow_quarantine()
             self._leadership.runner.step()
 
+    def _follow_quarantine(self) -> None:
+        """This node's own guard takes the list straight from the replica."""
+        book = self.quarantine()
+        if book.revision != self._guard.view.revision:
+            self._guard.learn(book.listing(time.time()))
+
+    def may_act(self) -> bool:
+        """Whether this node's replica leads."""
+        return self._driver is not None and self._driver.may_act()
+
+    def quarantine(self) -> QuarantineBook:
+        """Requests under which samplers ended, as far as this replica knows."""
+        return self._driver.state.quarantine if self._driver is not None else QuarantineBook()
+
+    async def propose(self, command: Command) -> CommandResult:
+        """Commits a command."""
+        assert self._driver is not None
+        return await self._driver.propose(command)
+
     def _start_leading(self, driver: LedgerDriver) -> None:
         assert self._service is not None
         self._leadership = Leadership(
@@ -221,6 +256,8 @@
             driver,
             self._directory,
             self._forwarder,
+            self._guard,
+            self._desk,
             self._log,
             self._metrics,
             self._rng,
--- a/stileloom/errors.py
+++ b/stileloom/errors.py
@@ -49,6 +49,7 @@
     HISTORY_LOST = "history_lost"
     SAMPLER_FAILED = "sampler_failed"
     STALE_DELIVERIES = "stale_deliveries"
+    QUARANTINED = "quarantined"
     PROMISE_BROKEN = "promise_broken"
     INTERNAL = "internal"
 
@@ -127,6 +128,11 @@
     ErrorKind.STALE_DELIVERIES: ErrorAnswer(
         409, 5, Outcome.NOT_RUN, 1, "Unacknowledged deliveries would exceed the staleness bound"
     ),
+    # 503 and not a 4xx: the request is well formed, and only a 503 promises that this arrival
+    # has not run and never will. A caller that asks again is refused at once.
+    ErrorKind.QUARANTINED: ErrorAnswer(
+        503, 11, Outcome.NOT_RUN, None, "Samplers ended under this request: do not send it again"
+    ),
     ErrorKind.PROMISE_BROKEN: ErrorAnswer(
         500, 1, Outcome.UNKNOWN, None, "A run broke one of the promises"
     ),
--- a/stileloom/http/native_dialect.py
+++ b/stileloom/http/native_dialect.py
@@ -52,6 +52,7 @@
     slots: int
     draining: bool = False
     model_versions: dict[str, int] = {}
+    born_ms: int = 0
 
 
 class RemovalStatus(msgspec.Struct, frozen=True):
@@ -108,6 +109,7 @@
             body.slots,
             body.draining,
             body.model_versions,
+            body.born_ms,
         )
 
     def decode_version(self, spec: Any) -> NamedVersion:
--- a/stileloom/jobs/client.py
+++ b/stileloom/jobs/client.py
@@ -17,6 +17,7 @@
     SubmitJobCall,
 )
 from stileloom.logging import EventLog
+from stileloom.quarantine.messages import WatchQuarantineCall
 from stileloom.settings_file import split_address
 from stileloom.transport.calls import CallConnections, CallFailed
 
@@ -146,7 +147,7 @@
         self, target: tuple[str, int], request: JobRequest, left_s: float
     ) -> JobReply:
         timeout_s = CALL_TIMEOUT_S
-        if isinstance(request, ReadResultsCall):
+        if isinstance(request, ReadResultsCall | WatchQuarantineCall):
             timeout_s += request.wait_s
         elif isinstance(request, SubmitJobCall):
             timeout_s += CALL_TIMEOUT_S
--- a/stileloom/jobs/messages.py
+++ b/stileloom/jobs/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from stileloom.api.jobs import JobSubmission, ResultPage
+from stileloom.quarantine.messages import QuarantineReply, QuarantineRequest
 
 
 class SubmitJobCall(msgspec.Struct, frozen=True, tag=True):
@@ -34,7 +35,8 @@
     job_id: str
 
 
-JobRequest = SubmitJobCall | ReadResultsCall | ReadItemCall | EndJobCall
+JobRequest = SubmitJobCall | ReadResultsCall | ReadItemCall | EndJobCall | QuarantineRequest
+"""Calls to the leader."""
 
 
 class JobTaken(msgspec.Struct, frozen=True, tag=True):
@@ -71,4 +73,13 @@
     """Leadership was lost while the change was under way."""
 
 
-JobReply = JobTaken | ResultsRead | ItemRead | JobEnded | NoSuchJob | NotLeader | OutcomeUnknown
+JobReply = (
+    JobTaken
+    | ResultsRead
+    | ItemRead
+    | JobEnded
+    | NoSuchJob
+    | NotLeader
+    | OutcomeUnknown
+    | QuarantineReply
+)
--- a/stileloom/jobs/reward_caller.py
+++ b/stileloom/jobs/reward_caller.py
@@ -17,7 +17,7 @@
 from stileloom.api.headers import HeaderNames
 from stileloom.api.jobs import RewardCall
 from stileloom.api.routes import Route, RouteKind
-from stileloom.errors import StileloomError
+from stileloom.errors import ErrorKind, StileloomError
 from stileloom.events import LogEvent
 from stileloom.jobs.metrics import JobMetrics
 from stileloom.jobs.open_items import ItemKey, OpenItem
@@ -30,6 +30,8 @@
 
 RETRY_S = 0.1
 """Before a call that no sampler answered with a score is asked again."""
+QUARANTINED_S = 2.0
+"""Before a call that is refused since samplers ended under it is asked again."""
 FAILED_STATUS = 500
 
 
@@ -142,6 +144,8 @@
             now = time.monotonic()
             window.not_answered(now)
             self._ask_again(pending, now, f"{error.kind.value}: {error.detail}")
+            if error.kind is ErrorKind.QUARANTINED:
+                pending.not_before = now + QUARANTINED_S
             return
         finally:
             window.running -= 1
--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -8,12 +8,14 @@
 
 import asyncio
 import time
+from collections.abc import Coroutine
 
 import msgspec
 
 from stileloom.api.dialect import Dialect
 from stileloom.api.jobs import FinishedItem, ItemState
 from stileloom.api.routes import Route, RouteKind, Service
+from stileloom.api.sampler_directory import SamplerEntry
 from stileloom.background import BackgroundTasks
 from stileloom.events import LogEvent
 from stileloom.http1.connection import SamplerConnection
@@ -35,6 +37,8 @@
 from stileloom.proxy.forwarder import Forwarder
 from stileloom.proxy.route_table import RouteTable
 from stileloom.proxy.sampler_table import SamplerTable
+from stileloom.quarantine.guard import BEGAN_LATELY_S, QuarantineGuard
+from stileloom.quarantine.identity import identity_of
 from stileloom.switches import Switches
 
 RETRY_S = 0.05
@@ -63,6 +67,7 @@
     routes: RouteTable
     samplers: SamplerTable
     forwarder: Forwarder
+    guard: QuarantineGuard
     dialect: Dialect
     log: EventLog
     metrics: JobMetrics
@@ -84,6 +89,7 @@
         self._routes = parts.routes
         self._samplers = samplers
         self._dialect = dialect
+        self._guard = parts.guard
         self._log = log
         self._metrics = metrics
         self._pool = ConnectionPool()
@@ -320,6 +326,9 @@
             self.scheduler.run_ended(open_item)
             return
         entry = belief.entry
+        if self._is_held(open_item):
+            self._hold(open_item)
+            return
         try:
             connection = await self._pool.acquire(entry.sampler_id, entry.address)
         except (OSError, TimeoutError) as error:
@@ -341,7 +350,7 @@
             open_item.min_version,
             self._dialect.names,
             lambda _: self._event(open_item, run),
-            lambda outcome, detail: self._ended(start, outcome, detail),
+            lambda outcome, detail: self._ended(start, entry, outcome, detail),
         )
         self._connections[open_item.key] = connection
         self._metrics.runs_started.inc()
@@ -389,7 +398,9 @@
             )
         self.scheduler.run_ended(open_item, avoid)
 
-    def _ended(self, start: StartRun, outcome: RunOutcome, detail: str) -> None:
+    def _ended(
+        self, start: StartRun, entry: SamplerEntry, outcome: RunOutcome, detail: str
+    ) -> None:
         open_item = start.item
         sampler_id = start.sampler_id
         if open_item.run is not start.run:
@@ -407,11 +418,15 @@
         self._metrics.runs_ended.labels(outcome.value).inc()
         if outcome is RunOutcome.WHOLE:
             self._samplers.answered(sampler_id)
+            if not self._guard.view.empty:
+                self._guard.answered(self._identity(open_item), suspected=False)
             open_item.partial.whole = True
             self._text_whole(open_item)
             return
         self._note_run(open_item, sampler_id, outcome, detail)
         open_item.not_before = now + RETRY_S
+        if outcome is RunOutcome.BROKEN:
+            self._judge(open_item, entry, now - start.run.started_at)
         if outcome is RunOutcome.REFUSED:
             self.scheduler.pace(sampler_id).refused_until = now + REFUSED_PAUSE_S
         elif outcome is RunOutcome.MISDIRECTED:
@@ -441,6 +456,37 @@
             },
         )
 
+    # Items under which samplers end.
+
+    def _identity(self, open_item: OpenItem) -> str:
+        item = open_item.item
+        headers = [("Host", self._host_of(open_item)), *item.headers.items()]
+        return identity_of("POST", item.path, headers, item.body)
+
+    def _is_held(self, open_item: OpenItem) -> bool:
+        return not self._guard.view.empty and self._guard.view.is_held(self._identity(open_item))
+
+    def _hold(self, open_item: OpenItem) -> None:
+        """A held item runs no more; it is given up when its time is over, as a job may expect."""
+        self.scheduler.run_ended(open_item)
+        open_item.not_before = open_item.give_up_at
+        self._log.emit(
+            LogEvent.ITEM_STOPPED,
+            {
+                "item": open_item.item.item_id,
+                "job": open_item.key[0],
+                "events": len(open_item.partial.parts),
+                "reason": self._guard.refusal(self._identity(open_item)).detail,
+            },
+        )
+
+    def _judge(self, open_item: OpenItem, entry: SamplerEntry, ran_s: float) -> None:
+        """Finds out whether the sampler ended under the item; the retry waits longer than that."""
+        if ran_s <= BEGAN_LATELY_S:
+            item_id = open_item.item.item_id
+            judging = self._guard.judge(item_id, self._identity(open_item), entry, ran_s)
+            self._tasks.spawn(_without_result(judging))
+
     def _step_soon(self) -> None:
         asyncio.get_running_loop().call_later(STEP_SOON_S, self.step)
 
@@ -506,3 +552,7 @@
             and job_id in self._book.jobs
             and not self._book.jobs[job_id].is_open
         ]
+
+
+async def _without_result(judging: Coroutine[None, None, bool]) -> None:
+    await judging
--- a/stileloom/jobs/service.py
+++ b/stileloom/jobs/service.py
@@ -29,6 +29,17 @@
 from stileloom.ledger.commands import EndJob, Refused, SubmitJob
 from stileloom.ledger.state import LedgerState
 from stileloom.logging import EventLog
+from stileloom.quarantine.ledger_side import QuarantineDesk
+from stileloom.quarantine.messages import (
+    QuarantineListed,
+    QuarantineRequest,
+    ReportSuspectsCall,
+    StartTrialCall,
+    SuspectReleased,
+    SuspectsReported,
+    TrialAnswered,
+    WatchQuarantineCall,
+)
 
 
 class ServedLedger(LeaderLedger, Protocol):
@@ -45,10 +56,11 @@
 class JobService:
     """Handles the calls of gateways."""
 
-    def __init__(self, ledger: ServedLedger, log: EventLog) -> None:
+    def __init__(self, ledger: ServedLedger, quarantine: QuarantineDesk, log: EventLog) -> None:
         self.runner: JobRunner | None = None
         """Set while this node leads."""
         self._ledger = ledger
+        self._quarantine = quarantine
         self._log = log
 
     async def handle(self, request: JobRequest) -> JobReply:
@@ -61,7 +73,23 @@
             return await self._read_results(request)
         if isinstance(request, ReadItemCall):
             return self._read_item(request)
-        return await self._end(request)
+        if isinstance(request, EndJobCall):
+            return await self._end(request)
+        return await self._quarantine_call(request)
+
+    async def _quarantine_call(self, request: QuarantineRequest) -> JobReply:
+        desk = self._quarantine
+        try:
+            if isinstance(request, ReportSuspectsCall):
+                return SuspectsReported(await desk.report(request.ends, request.answered))
+            if isinstance(request, WatchQuarantineCall):
+                return QuarantineListed(await desk.watch(request.known_revision, request.wait_s))
+            if isinstance(request, StartTrialCall):
+                return TrialAnswered(await desk.start_trial(request.identity))
+            return SuspectReleased(await desk.release(request.identity))
+        except StileloomError:
+            # Leadership was lost; the caller asks again, and all of these may be repeated.
+            return OutcomeUnknown()
 
     def _not_leader(self) -> NotLeader:
         address = self._ledger.leader_address()
--- a/stileloom/ledger/commands.py
+++ b/stileloom/ledger/commands.py
@@ -11,6 +11,7 @@
 from stileloom.api.jobs import FinishedItem, ItemProgress, JobSubmission
 from stileloom.api.samples import Delivery, Prompt, Sample
 from stileloom.errors import ErrorKind
+from stileloom.quarantine.messages import SamplerEnd
 
 
 class StartEpoch(msgspec.Struct, frozen=True, tag=True):
@@ -152,6 +153,33 @@
     node_id: str
 
 
+class RecordSamplerEnds(msgspec.Struct, frozen=True, tag=True):
+    """Samplers ended soon after these requests had begun there."""
+
+    ends: list[SamplerEnd]
+    at_s: float
+    """The leader's wall time."""
+
+
+class ClearSuspects(msgspec.Struct, frozen=True, tag=True):
+    """These requests got a good answer, or an operator released them."""
+
+    identities: list[str]
+
+
+class StartTrial(msgspec.Struct, frozen=True, tag=True):
+    """A held request runs once more, if it is time."""
+
+    identity: str
+    at_s: float
+
+
+class ForgetSuspects(msgspec.Struct, frozen=True, tag=True):
+    """Drops suspects whose time is over."""
+
+    at_s: float
+
+
 Command = (
     StartEpoch
     | ChangeVoters
@@ -172,6 +200,10 @@
     | ForgetJob
     | RetireNode
     | OpenOrderWindow
+    | RecordSamplerEnds
+    | ClearSuspects
+    | StartTrial
+    | ForgetSuspects
 )
 
 
--- a/stileloom/ledger/state.py
+++ b/stileloom/ledger/state.py
@@ -21,6 +21,7 @@
     AcknowledgeDeliveries,
     ChangeVoters,
     ClaimKey,
+    ClearSuspects,
     Command,
     CommandResult,
     CommitSample,
@@ -28,6 +29,7 @@
     Done,
     EndJob,
     ForgetJob,
+    ForgetSuspects,
     HandOver,
     OpenOrderWindow,
     PromptsAccepted,
@@ -35,6 +37,7 @@
     RaiseConfigurationFloor,
     RecordIntervals,
     RecordResults,
+    RecordSamplerEnds,
     Refused,
     RegisterRound,
     ReleaseKey,
@@ -42,10 +45,12 @@
     SampleRefused,
     SaveProgress,
     StartEpoch,
+    StartTrial,
     SubmitJob,
     SubmitPrompts,
     Voter,
 )
+from stileloom.quarantine.book import QuarantineBook
 
 KEY_RETENTION_S = 3600.0
 BATCHES_REMEMBERED = 256
@@ -133,6 +138,8 @@
     last_order_holder: str = ""
     """The node that opened the newest one."""
     last_leader: str = ""
+    quarantine: QuarantineBook = msgspec.field(default_factory=QuarantineBook)
+    """Requests under which samplers ended."""
 
     def apply(self, command: Command) -> CommandResult:
         """Applies one committed command."""
@@ -163,6 +170,8 @@
             return Done()
         if isinstance(command, SubmitJob | RecordResults | SaveProgress | EndJob | ForgetJob):
             return self._apply_to_jobs(command)
+        if isinstance(command, RecordSamplerEnds | ClearSuspects | StartTrial | ForgetSuspects):
+            return self._apply_to_quarantine(command)
         if isinstance(command, RecordIntervals):
             self.job_book.interval_s = command.interval_s
             return Done()
@@ -193,6 +202,20 @@
             return Refused(ErrorKind.UNKNOWN_JOB, f"no job has the id {command.job_id!r}")
         return Done()
 
+    def _apply_to_quarantine(
+        self, command: RecordSamplerEnds | ClearSuspects | StartTrial | ForgetSuspects
+    ) -> CommandResult:
+        book = self.quarantine
+        if isinstance(command, RecordSamplerEnds):
+            book.record(command.ends, command.at_s)
+        elif isinstance(command, ClearSuspects):
+            book.clear(command.identities)
+        elif isinstance(command, ForgetSuspects):
+            book.forget_expired(command.at_s)
+        elif not book.start_trial(command.identity, command.at_s):
+            return Refused(ErrorKind.QUARANTINED, "its next run is not due yet")
+        return Done()
+
     def _register_round(self, command: RegisterRound) -> CommandResult:
         known = self.rounds.get(command.round_name)
         if known is None:
--- a/stileloom/proxy/exchange.py
+++ b/stileloom/proxy/exchange.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from stileloom.api.headers import HeaderNames
+from stileloom.api.sampler_directory import SamplerEntry
 from stileloom.http1.connection import ExchangeEnd, SamplerConnection
 from stileloom.http1.response_decoder import ResponseHead
 from stileloom.http1.whole_answer import WholeAnswer
@@ -35,8 +36,10 @@
     head: ResponseHead | None = None
     body: bytes = b""
     detail: str = ""
-    address: tuple[str, int] = ("", 0)
-    """Where the sampler was reached."""
+    entry: SamplerEntry | None = None
+    """The sampler as it was listed when the attempt began."""
+    began_at: float = 0.0
+    """Monotonic seconds: when the request was sent."""
 
 
 async def run_exchange(
--- a/stileloom/proxy/forwarder.py
+++ b/stileloom/proxy/forwarder.py
@@ -10,18 +10,17 @@
 
 from stileloom.api.headers import HeaderNames
 from stileloom.api.routes import Route, RouteKind
-from stileloom.background import BackgroundTasks
 from stileloom.errors import ErrorKind, StileloomError
 from stileloom.events import LogEvent
 from stileloom.http1.pool import ConnectionPool
 from stileloom.http1.request_encoder import encode_request
 from stileloom.logging import EventLog
 from stileloom.proxy.attempt_plan import FULL_PAUSE_S, AttemptPlan
-from stileloom.proxy.end_probe import probe_listener
 from stileloom.proxy.exchange import Attempt, AttemptOutcome, run_exchange
 from stileloom.proxy.lookup import Lookup, LookupAnswer
 from stileloom.proxy.metrics import AttemptMetrics
 from stileloom.proxy.sampler_table import SamplerBelief, SamplerTable
+from stileloom.quarantine.guard import Permit, QuarantineGuard
 
 REFUSE_SHARE_OF_TARGET = 0.22
 """A lookup that no sampler takes is refused within this share of its target latency, while the
@@ -40,6 +39,7 @@
         log: EventLog,
         metrics: AttemptMetrics,
         rng: random.Random,
+        guard: QuarantineGuard,
         hedges: bool = True,
     ) -> None:
         self._zone = zone
@@ -48,9 +48,9 @@
         self._log = log
         self._metrics = metrics
         self._rng = rng
+        self._guard = guard
         self._hedges = hedges
         self._pool = ConnectionPool(metrics.connection_opened)
-        self._tasks = BackgroundTasks(log)
 
     def forget(self, sampler_id: str) -> None:
         """A sampler is gone: its kept connections close."""
@@ -59,9 +59,10 @@
     async def forward(self, lookup: Lookup, route: Route, service: str) -> LookupAnswer:
         """The answer of a sampler.
 
-        Raises `StileloomError`: OVERLOADED or NO_SAMPLER where it did not run, SAMPLER_FAILED
-        or DEADLINE_PASSED where it may have. Cancelling closes what is under way.
+        Raises `StileloomError`: QUARANTINED, OVERLOADED or NO_SAMPLER where it did not run,
+        SAMPLER_FAILED or DEADLINE_PASSED where it may have. Cancelling closes what is under way.
         """
+        permit = await self._guard.admit(lookup.request_id, lookup.identity)
         plan = AttemptPlan(
             service=service,
             zone=self._zone,
@@ -69,17 +70,21 @@
             max_attempts=route.max_attempts,
             target_latency_s=route.target_latency_s,
             started_at=lookup.arrived_at,
-            hedges=self._hedges,
+            hedges=self._hedges and not permit.suspected,
         )
         running: set[asyncio.Task[Attempt]] = set()
         try:
-            return await self._run(lookup, plan, running)
+            return await self._run(lookup, plan, permit, running)
         finally:
             for task in running:
                 task.cancel()
 
     async def _run(
-        self, lookup: Lookup, plan: AttemptPlan, running: set[asyncio.Task[Attempt]]
+        self,
+        lookup: Lookup,
+        plan: AttemptPlan,
+        permit: Permit,
+        running: set[asyncio.Task[Attempt]],
     ) -> LookupAnswer:
         last_failure: Attempt | None = None
         failed_attempts = 0
@@ -88,7 +93,7 @@
             if now >= lookup.deadline_at:
                 raise self._out_of_time(plan)
             wait_until = lookup.deadline_at
-            if plan.may_start():
+            if plan.may_start() and permit.attempts_left > plan.running:
                 if plan.running and now < plan.hedge_at():
                     wait_until = min(wait_until, plan.hedge_at())
                 elif self._start(lookup, plan, running, now):
@@ -104,8 +109,12 @@
             for task in done:
                 running.discard(task)
                 attempt = task.result()
+                if attempt.outcome is AttemptOutcome.BROKEN and attempt.entry is not None:
+                    await permit.broke_off(attempt.entry, attempt.began_at)
+                    plan.hedges = plan.hedges and not permit.suspected
                 if self._note(lookup, plan, attempt) and attempt.head is not None:
                     if attempt.head.status < 500:
+                        permit.answered()
                         self._log_answer(lookup, plan, attempt)
                         return LookupAnswer(attempt.head, attempt.body)
                     last_failure = attempt
@@ -192,7 +201,6 @@
         else:
             self._samplers.failed(sampler_id, now)
             plan.ran()
-            self._tasks.spawn(self._probe(lookup, sampler_id, attempt.address))
         self._log.emit(
             LogEvent.ATTEMPT_FAILED,
             {
@@ -208,19 +216,6 @@
         )
         return False
 
-    async def _probe(self, lookup: Lookup, sampler_id: str, address: tuple[str, int]) -> None:
-        """Tells whether a sampler that broke off has ended."""
-        sign = await probe_listener(address, self._metrics.connection_opened)
-        self._log.emit(
-            LogEvent.SAMPLER_PROBED,
-            {
-                "request": lookup.request_id,
-                "identity": lookup.identity(),
-                "sampler": sampler_id,
-                "sign": sign.value,
-            },
-        )
-
     async def _attempt(self, lookup: Lookup, belief: SamplerBelief) -> Attempt:
         entry = belief.entry
         belief.open_requests += 1
@@ -231,6 +226,7 @@
                 return Attempt(
                     entry.sampler_id, AttemptOutcome.NOT_CONNECTED, detail=type(error).__name__
                 )
+            began_at = time.monotonic()
             request = self._encode(lookup, entry.sampler_id)
             attempt = await run_exchange(
                 connection,
@@ -241,7 +237,7 @@
                 lookup.method,
             )
             self._pool.release(entry.sampler_id, connection)
-            return msgspec.structs.replace(attempt, address=entry.address)
+            return msgspec.structs.replace(attempt, entry=entry, began_at=began_at)
         finally:
             belief.open_requests -= 1
 
--- a/stileloom/proxy/stream_relay.py
+++ b/stileloom/proxy/stream_relay.py
@@ -30,6 +30,7 @@
 from stileloom.proxy.lookup import Lookup, LookupAnswer
 from stileloom.proxy.metrics import ProxyMetrics
 from stileloom.proxy.sampler_table import SamplerBelief, SamplerTable
+from stileloom.quarantine.guard import QuarantineGuard
 
 SILENCE_S = 1.2
 """A resumable stream that is silent for so long goes on elsewhere."""
@@ -99,6 +100,7 @@
         log: EventLog,
         metrics: ProxyMetrics,
         rng: random.Random,
+        guard: QuarantineGuard,
     ) -> None:
         self._zone = zone
         self._samplers = samplers
@@ -106,6 +108,7 @@
         self._log = log
         self._metrics = metrics
         self._rng = rng
+        self._guard = guard
         self._pool = ConnectionPool(metrics.connection_opened)
 
     def forget(self, sampler_id: str) -> None:
@@ -119,6 +122,7 @@
 
         Raises `StileloomError` where nothing was begun.
         """
+        permit = await self._guard.admit(lookup.request_id, lookup.identity)
         plan = AttemptPlan(
             service=service,
             zone=self._zone,
@@ -129,14 +133,18 @@
         )
         stream = _StreamState(writer)
         last: _Run | None = None
-        while plan.may_start() and time.monotonic() < lookup.deadline_at:
+        while plan.may_start() and permit.attempts_left and time.monotonic() < lookup.deadline_at:
             belief = plan.choose(self._samplers, time.monotonic(), self._rng)
             if belief is None:
                 if not await self._pause(lookup, plan, stream):
                     break
                 continue
+            began_at = time.monotonic()
             last = await self._run(lookup, plan, belief, stream, route.resumable)
+            if last.end is _RunEnd.BROKEN:
+                await permit.broke_off(belief.entry, began_at)
             if last.end is _RunEnd.WHOLE:
+                permit.answered()
                 writer.end_stream()
                 return None
         return self._give_up(plan, stream, last)
--- a/tests/service_cluster.py
+++ b/tests/service_cluster.py
@@ -99,7 +99,7 @@
         for number, host in enumerate(LEDGER_HOSTS, start=1):
             self.start_ledger_node(f"ledger-{number}", host)
         for number in range(self._gateway_count):
-            self._start_gateway(f"gateway-{number}")
+            self.start_gateway(f"gateway-{number}")
         for gateway in self.gateways:
             await self.until(lambda: gateway.directory.complete)  # noqa: B023
             await self.until(lambda: len(gateway.directory.samplers.of_service("charts")) == 2)  # noqa: B023
@@ -111,7 +111,7 @@
         for task in self._tasks.values():
             task.cancel()
         for gateway in self.gateways:
-            gateway.directory.stop()
+            gateway.abort()
         for node in self.ledger_nodes.values():
             node.abort()
         for sampler in self.samplers.values():
@@ -207,7 +207,8 @@
                 return name
         return None
 
-    def _start_gateway(self, name: str) -> None:
+    def start_gateway(self, name: str) -> Gateway:
+        """Starts a gateway, the last one of `gateways`."""
         front = free_port()
         settings = ServiceSettings(
             node_id=name,
@@ -224,6 +225,7 @@
         self.gateways.append(gateway)
         self.fronts.append(front)
         self._tasks[name] = asyncio.get_running_loop().create_task(gateway.run())
+        return gateway
 
     # Callers.
 
@@ -242,6 +244,8 @@
             all_headers[names.request_id] = headers["request_id"]
         if "model" in headers:
             all_headers["model"] = headers["model"]
+        if "authorization" in headers:
+            all_headers["Authorization"] = headers["authorization"]
         if "deadline_ms" in headers:
             all_headers[names.deadline_ms] = headers["deadline_ms"]
         request = HTTPRequest(
--- a/tests/test_end_probe.py
+++ b/tests/test_end_probe.py
@@ -6,7 +6,7 @@
 
 import testtools
 
-from stileloom.proxy.end_probe import ListenerSign, probe_listener
+from stileloom.quarantine.end_probe import ListenerSign, probe_listener
 from tests.ports import free_port
 
 HOST = "127.0.0.1"
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -16,9 +16,14 @@
 
 from __future__ import annotations
 
+import asyncio
+
+import msgspec
 import testtools
 from tornado.httpclient import HTTPResponse
 
+from stileloom.jobs.messages import JobReply
+from stileloom.quarantine.messages import ReleaseSuspectCall, SuspectReleased
 from tests.service_cluster import ServiceCluster, with_cluster
 
 DEADLY = "/charts/deadly"
@@ -38,6 +43,30 @@
         await cluster.until_listed(successor)
 
 
+def fault_all(cluster: ServiceCluster, **faults: frozenset[str]) -> None:
+    """Sets faults of the samplers of lookups."""
+    for name, sampler in cluster.samplers.items():
+        if name.startswith("chart"):
+            for field, value in faults.items():
+                setattr(sampler.faults, field, value)
+
+
+def runs_of(cluster: ServiceCluster, target: str) -> int:
+    """How often living samplers began a request."""
+    runs = [run for sampler in cluster.samplers.values() for run in sampler.runs]
+    return sum(run.target == target for run in runs)
+
+
+async def condemn(cluster: ServiceCluster) -> None:
+    """Sends the deadly request until every gateway refuses it."""
+    fault_all(cluster, ends_at=frozenset({DEADLY}))
+    for number in range(3):
+        await send_deadly(cluster, number, gateway=0)
+        await bring_back(cluster)
+    for gateway in cluster.gateways:
+        await cluster.until(lambda: gateway._guard.view.held_count == 1)  # noqa: B023
+
+
 async def send_deadly(cluster: ServiceCluster, number: int, gateway: int) -> HTTPResponse:
     """The same request under another id."""
     return await cluster.call(
@@ -50,8 +79,7 @@
 
     def test_a_lookup_that_ends_its_samplers_ends_three_at_most_in_the_whole_fleet(self) -> None:
         async def scenario(cluster: ServiceCluster) -> None:
-            for sampler in cluster.samplers.values():
-                sampler.faults.ends_at = frozenset({DEADLY})
+            fault_all(cluster, ends_at=frozenset({DEADLY}))
             ended = 0
             for number in range(ARRIVALS):
                 await send_deadly(cluster, number, gateway=number % 2)
@@ -60,3 +88,145 @@
             self.assertLessEqual(ended, 3)
 
         with_cluster(scenario)
+
+    def test_a_held_lookup_is_refused_at_once_and_told_not_to_come_again(self) -> None:
+        async def scenario(cluster: ServiceCluster) -> None:
+            await condemn(cluster)
+            for gateway in (0, 1):
+                answer = await send_deadly(cluster, 9, gateway)
+                self.assertEqual(503, answer.code)
+                problem = msgspec.json.decode(answer.body)
+                self.assertEqual("quarantined", problem["code"])
+                self.assertEqual("not_run", problem["outcome"])
+                self.assertGreater(float(answer.headers["Retry-After"]), 60.0)
+            self.assertEqual(0, runs_of(cluster, DEADLY))
+
+        with_cluster(scenario)
+
+    def test_another_body_or_another_caller_is_another_request(self) -> None:
+        async def scenario(cluster: ServiceCluster) -> None:
+            await condemn(cluster)
+            fault_all(cluster, ends_at=frozenset())
+            answer = await cluster.call("POST", DEADLY, b"y", request_id="other-body")
+            self.assertEqual(200, answer.code)
+            answer = await cluster.call(
+                "POST", DEADLY, b"x", request_id="other-caller", authorization="Bearer another"
+            )
+            self.assertEqual(200, answer.code)
+
+        with_cluster(scenario)
+
+    def test_a_gateway_that_starts_after_the_leader_is_gone_refuses_it(
+        self,
+    ) -> None:
+        """What is held is in the ledger: it outlives its leader."""
+
+        async def scenario(cluster: ServiceCluster) -> None:
+            await condemn(cluster)
+            leader = cluster.leader()
+            assert leader is not None
+            await cluster.kill(leader)
+            await cluster.until(lambda: cluster.leader() is not None)
+            gateway = cluster.start_gateway("gateway-late")
+            await cluster.until(lambda: gateway.directory.complete)
+            await cluster.until(lambda: gateway._guard.view.held_count == 1)
+            answer = await send_deadly(cluster, 9, gateway=2)
+            self.assertEqual(503, answer.code)
+            self.assertEqual(0, runs_of(cluster, DEADLY))
+
+        with_cluster(scenario)
+
+    def test_an_operator_releases_it(self) -> None:
+        async def scenario(cluster: ServiceCluster) -> None:
+            await condemn(cluster)
+            fault_all(cluster, ends_at=frozenset())
+            gateway = cluster.gateways[0]
+            (identity,) = gateway._guard.view._listed
+            reply: JobReply = await gateway._jobs.call(ReleaseSuspectCall(identity), "test", 5.0)
+            self.assertEqual(SuspectReleased(True), reply)
+            for gateway in cluster.gateways:
+                await cluster.until(lambda: gateway._guard.view.empty)  # noqa: B023
+            answer = await send_deadly(cluster, 9, gateway=1)
+            self.assertEqual(200, answer.code)
+
+        with_cluster(scenario)
+
+
+class InnocentLookupTest(testtools.TestCase):
+    """Requests that were beside an end, or lost a connection, are served."""
+
+    def test_resets_by_living_samplers_hold_nothing_against_a_request(self) -> None:
+        async def scenario(cluster: ServiceCluster) -> None:
+            fault_all(cluster, resets_at=frozenset({"/charts/cut"}))
+            for number in range(6):
+                await cluster.call("POST", "/charts/cut", b"x", number % 2, request_id=f"r{number}")
+            self.assertGreater(runs_of(cluster, "/charts/cut"), 6)
+            fault_all(cluster, resets_at=frozenset())
+            answer = await cluster.call("POST", "/charts/cut", b"x", request_id="last")
+            self.assertEqual(200, answer.code)
+            self.assertTrue(all(gateway._guard.view.empty for gateway in cluster.gateways))
+
+        with_cluster(scenario)
+
+    def test_two_hundred_requests_on_samplers_that_end_are_served_afterwards(self) -> None:
+        """The deadly one ends both samplers of the service under all that run there, twice."""
+
+        async def scenario(cluster: ServiceCluster) -> None:
+            async def send(number: int, turn: int) -> HTTPResponse:
+                return await cluster.call(
+                    "POST",
+                    f"/charts/{number}",
+                    b"x",
+                    number % 2,
+                    request_id=f"r{number}-{turn}",
+                    deadline_ms="800",
+                )
+
+            for turn in range(2):
+                fault_all(cluster, ends_at=frozenset({DEADLY}))
+                for sampler in cluster.samplers.values():
+                    sampler.faults.work_s = 0.1
+                calls = [send(number, turn) for number in range(200)]
+                await asyncio.gather(*calls, send_deadly(cluster, turn, gateway=turn))
+                await bring_back(cluster)
+            fault_all(cluster, ends_at=frozenset())
+            for number in range(200):
+                answer = await send(number, 9)
+                self.assertEqual(200, answer.code, answer.body)
+
+        with_cluster(scenario)
+
+
+class DeadlyItemTest(testtools.TestCase):
+    """An item of a batch job that ends its samplers."""
+
+    def test_an_item_that_ends_its_samplers_stops_and_the_others_of_its_job_succeed(self) -> None:
+        async def scenario(cluster: ServiceCluster) -> None:
+            target = "/drafts/deadly"
+
+            def arm() -> None:
+                for sampler in cluster.samplers.values():
+                    sampler.faults.ends_at = frozenset({target})
+
+            arm()
+            answer = await cluster.submit("job", ["deadly", "good-1", "good-2"])
+            self.assertEqual(202, answer.code)
+            ended = 0
+            while ended < 3:
+                gone = [name for name, sampler in cluster.samplers.items() if sampler.ended_by]
+                ended += len(gone)
+                for name in gone:
+                    await cluster.unlist(name)
+                    del cluster.samplers[name]
+                    await cluster.add_sampler(f"{name}+", "drafts")
+                    arm()
+                await asyncio.sleep(0.01)
+            results = await cluster.results("job", 2)
+            self.assertEqual({"good-1", "good-2"}, {result[0] for result in results})
+            self.assertEqual({"succeeded"}, {result[1] for result in results})
+            leader = cluster.leader()
+            assert leader is not None
+            await cluster.until(lambda: cluster.ledger_nodes[leader]._guard.view.held_count == 1)
+            self.assertEqual([], [s for s in cluster.samplers.values() if s.ended_by])
+
+        with_cluster(scenario)
