Samplers born again under their id, and entries of other writers

Cause: the table of samplers knew an id only, so an entry that drained, went and came back with a later birth stayed unlisted for good. Lists were decoded whole: one object whose name is a number hid all others; an address without a port raised past the error handling; a state that nobody knows counted as leaving; a ledger registration of another writer ended the task that reads them. Ruled out: treating an unreadable entry as gone for good: its own entry comes back. Change: `born` is read; a later birth is another incarnation in the table (signs of leaving, suspicion, kept connections), an earlier one that comes late is passed by. Objects of lists and watches are read one by one; of one that can not be read only the name counts. Sampler entries are checked for state, slots, service, address and birth; a known sampler whose entry is not understood is not used until its own entry is back. Registrations of ledger nodes are typed in one place.

--- a/stileloom/api/object_store.py
+++ b/stileloom/api/object_store.py
@@ -29,6 +29,8 @@
 
     records: list[ObjectRecord]
     store_revision: int
+    unreadable: int = 0
+    """Objects of which not even the name could be read."""
 
 
 class WatchBatch(msgspec.Struct, frozen=True):
@@ -36,6 +38,8 @@
 
     events: list[ObjectEvent]
     store_revision: int
+    unreadable: int = 0
+    """Changes of objects of which not even the name could be read."""
 
 
 class ObjectStore(Protocol):
--- a/stileloom/daemon/cached_store.py
+++ b/stileloom/daemon/cached_store.py
@@ -21,9 +21,9 @@
 from stileloom.daemon.store_cache import WATCH_SHARE_OF_BOUND
 from stileloom.errors import ErrorKind, StileloomError
 from stileloom.events import LogEvent
+from stileloom.ledger.registration import read_registrations
 from stileloom.logging import EventLog
 from stileloom.service_settings import TimeBounds
-from stileloom.settings_file import split_address
 from stileloom.transport.cache_messages import (
     CacheReply,
     ChangesForgotten,
@@ -224,5 +224,6 @@
 def ledger_node_addresses(records: list[ObjectRecord]) -> dict[str, Address]:
     """Where registered ledger nodes take calls, by name."""
     return {
-        record.name: split_address(str(record.spec["calls"])) for record in records if record.spec
+        name: registration.calls_address
+        for name, registration in read_registrations(records).items()
     }
--- a/stileloom/daemon/directory.py
+++ b/stileloom/daemon/directory.py
@@ -16,7 +16,7 @@
 from stileloom.events import LogEvent
 from stileloom.logging import EventLog
 from stileloom.proxy.route_table import RouteTable
-from stileloom.proxy.sampler_table import SamplerTable
+from stileloom.proxy.sampler_table import SamplerChange, SamplerTable
 from stileloom.service_settings import TimeBounds
 
 PAUSE_SHARE_OF_BOUND = 0.1
@@ -122,7 +122,7 @@
     def _samplers_listed(self, records: list[ObjectRecord]) -> None:
         entries = [entry for record in records if (entry := self._decode(record)) is not None]
         for sampler_id in self.samplers.replace_all(entries):
-            self._gone(sampler_id, "no longer listed")
+            self._gone(sampler_id, "no longer listed, or started again")
         for entry in entries:
             self.on_sampler(entry)
 
@@ -133,9 +133,15 @@
             return
         entry = self._decode(event.record)
         if entry is None:
+            # Another writer may have come over the entry: what was known from it holds no more, and
+            # the sampler is judged anew when its own entry is back.
+            if self.samplers.get(event.record.name) is not None:
+                self.samplers.remove(event.record.name)
+                self._gone(event.record.name, "entry not understood")
             return
-        if self.samplers.put(entry):
-            self._gone(entry.sampler_id, "draining")
+        change = self.samplers.put(entry)
+        if change is not SamplerChange.NONE:
+            self._gone(entry.sampler_id, change.value)
         self.on_sampler(entry)
 
     def _gone(self, sampler_id: str, sign: str) -> None:
@@ -156,5 +162,10 @@
     def _not_understood(self, what: str, record: ObjectRecord, error: StileloomError) -> None:
         self._log.emit(
             LogEvent.OBJECT_NOT_UNDERSTOOD,
-            {"what": what, "name": record.name, "detail": error.detail},
+            {
+                "what": what,
+                "name": record.name,
+                "revision": record.revision,
+                "detail": error.detail,
+            },
         )
--- a/stileloom/daemon/ledger_start.py
+++ b/stileloom/daemon/ledger_start.py
@@ -16,10 +16,10 @@
 from stileloom.ledger.bootstrap import VoterSetRecord, enter_voter_set
 from stileloom.ledger.commands import Voter
 from stileloom.ledger.recovered import RecoveredLedger
+from stileloom.ledger.registration import LedgerRegistration, read_registrations
 from stileloom.ledger.storage import LedgerStorage
 from stileloom.logging import EventLog
 from stileloom.service_settings import ServiceSettings
-from stileloom.settings_file import split_address
 
 VOTER_SET_NAME = "ledger"
 BOOTSTRAP_RETRY_S = 0.2
@@ -139,11 +139,12 @@
             await asyncio.sleep(REGISTER_INTERVAL_S)
 
     async def _register(self) -> None:
-        spec = {
-            "ledger": self._settings.ledger,
-            "calls": f"{self._settings.host}:{self._settings.calls_port}",
-            "disk": self._driver.replica.me.disk_id,
-        }
+        registration = LedgerRegistration(
+            ledger=self._settings.ledger,
+            calls=f"{self._settings.host}:{self._settings.calls_port}",
+            disk=self._driver.replica.me.disk_id,
+        )
+        spec = msgspec.to_builtins(registration)
         page = await self._store.list_objects(self._kind)
         self._learn(page.records)
         mine = [record for record in page.records if record.name == self._settings.node_id]
@@ -154,6 +155,6 @@
             await self._store.replace_object(self._kind, changed)
 
     def _learn(self, records: list[ObjectRecord]) -> None:
-        for record in records:
-            if record.name != self._settings.node_id:
-                self._driver.learn_address(record.name, split_address(record.spec["ledger"]))
+        for node_id, registration in read_registrations(records).items():
+            if node_id != self._settings.node_id:
+                self._driver.learn_address(node_id, registration.ledger_address)
--- a/stileloom/daemon/object_watch.py
+++ b/stileloom/daemon/object_watch.py
@@ -79,6 +79,7 @@
             page = await self._store.list_objects(self._kind)
             self.synced_at = asked_at
             self._revision = page.store_revision
+            self._note_unreadable(page.unreadable)
             self._on_list(page.records)
             return
         # After a failure a call that is answered at once tells soonest that the store is back.
@@ -86,6 +87,7 @@
         batch = await self._store.watch_objects(self._kind, self._revision, wait_s)
         self.synced_at = time.monotonic()
         self._revision = max(self._revision, batch.store_revision)
+        self._note_unreadable(batch.unreadable)
         for event in batch.events:
             self._on_event(event)
         if batch.events:
@@ -97,6 +99,14 @@
             self._log.emit(LogEvent.STORE_REGAINED, {"kind": self._kind, "after": self._failures})
         self._failures = 0
 
+    def _note_unreadable(self, count: int) -> None:
+        if count:
+            self._count(self._kind, "unreadable")
+            self._log.emit(
+                LogEvent.OBJECT_NOT_UNDERSTOOD,
+                {"what": self._kind, "detail": f"{count} without a name that can be read"},
+            )
+
     def _note_failure(self, error: StileloomError) -> None:
         self._failures += 1
         if self._failures == 1:
--- /dev/null
+++ b/stileloom/ledger/registration.py
@@ -0,0 +1,53 @@
+"""A ledger node's entry in the store: where the other replicas and the gateways reach it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+
+from stileloom.api.object_store import ObjectRecord
+from stileloom.settings_file import split_address
+
+Address = tuple[str, int]
+
+
+class LedgerRegistration(msgspec.Struct, frozen=True):
+    """The entry, as the node itself writes it."""
+
+    ledger: str
+    """Where the other replicas reach it."""
+    calls: str
+    """Where gateways reach it."""
+    disk: str
+
+    @property
+    def ledger_address(self) -> Address:
+        """`ledger` as host and port."""
+        return split_address(self.ledger)
+
+    @property
+    def calls_address(self) -> Address:
+        """`calls` as host and port."""
+        return split_address(self.calls)
+
+
+def read_registrations(records: Iterable[ObjectRecord]) -> dict[str, LedgerRegistration]:
+    """Entries by node. One that no ledger node can have written is passed by: the store has
+    other writers, and their entry must not hide the rest."""
+    found: dict[str, LedgerRegistration] = {}
+    for record in records:
+        registration = _parse(record.spec)
+        if registration is not None:
+            found[record.name] = registration
+    return found
+
+
+def _parse(spec: Any) -> LedgerRegistration | None:
+    try:
+        registration = msgspec.convert(spec, LedgerRegistration)
+        _ = registration.ledger_address, registration.calls_address
+    except (msgspec.ValidationError, ValueError, RecursionError):
+        return None
+    return registration
--- a/tests/test_platform_dialect.py
+++ b/tests/test_platform_dialect.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
+import contextlib
 import sys
+from collections.abc import AsyncIterator
 from pathlib import Path
 from typing import Any
 
 import msgspec
 import testtools
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.netutil import bind_sockets
 
 from stileloom.api.dialect import EndJob, LoadOrder, LoadStrategy, ReadItem, ReadResults
 from stileloom.api.jobs import ItemResult, ItemState, ResultPage, RewardCall
@@ -21,6 +27,7 @@
 sys.path.append(str(ROOT / "platform"))
 
 from stileloom_platform.dialect import PlatformDialect  # noqa: E402
+from stileloom_platform.object_store import PlatformObjectStore  # noqa: E402
 
 DEPTH = 100_000
 DIALECT = PlatformDialect()
@@ -92,6 +99,104 @@
         self.assertEqual(("m", 8), (named.model, named.version))
 
 
+class ForeignEntryTest(testtools.TestCase):
+    """Entries of other writers name no sampler to use, and hide none.
+
+    One entry whose name was a number made the whole list unreadable: a node that started knew no
+    sampler as long as it stood there. An address without a port raised past the error handling, an
+    unknown state banned the sampler for good, and slots below one or a port of 99999 were used.
+    """
+
+    def entry(self, **changes: Any) -> dict[str, Any]:
+        """An entry as a sampler writes it."""
+        spec = {"service": "x", "address": "10.0.0.9:8080", "zone": "z", "slots": 16}
+        return {
+            **spec,
+            "state": "ready",
+            "models": [],
+            "seq": 4,
+            "born": 1_760_000_000_000,
+        } | changes
+
+    def test_the_birth_of_a_sampler_is_read(self) -> None:
+        entry = DIALECT.decode_sampler(ObjectRecord("i-1", 1, self.entry()))
+        self.assertEqual("i-1/1760000000000", entry.incarnation)
+
+    def test_what_no_sampler_writes_is_not_understood(self) -> None:
+        for changes in (
+            {"address": "10.0.0.9"},
+            {"address": "10.0.0.9:99999"},
+            {"address": "10.0.0.9:0"},
+            {"address": "10.0.0.9:x"},
+            {"address": ":8080"},
+            {"address": 5},
+            {"slots": 0},
+            {"slots": -3},
+            {"slots": "16"},
+            {"state": "paused"},
+            {"state": None},
+            {"service": ""},
+            {"service": ["x"]},
+            {"born": "x"},
+            {"born": 1.5},
+            {"born": -1},
+            {"models": [{"name": 5}]},
+            {"zone": None},
+        ):
+            record = ObjectRecord("i-1", 1, self.entry(**changes))
+            error = self.assertRaises(StileloomError, DIALECT.decode_sampler, record)
+            self.assertEqual(ErrorKind.OBJECT_INVALID, error.kind, changes)
+        for spec in (None, [], "text", 7, {}):
+            error = self.assertRaises(
+                StileloomError, DIALECT.decode_sampler, ObjectRecord("i-1", 1, spec)
+            )
+            self.assertEqual(ErrorKind.OBJECT_INVALID, error.kind, spec)
+
+    def test_an_unreadable_object_hides_none_of_the_others(self) -> None:
+        good = {"metadata": {"name": "i-1", "revision": 3}, "spec": self.entry()}
+        objects = [
+            {"metadata": {"name": 5, "revision": 1}, "spec": {}},
+            {"metadata": {"name": "i-2", "revision": "x"}, "spec": self.entry()},
+            "text",
+            good,
+        ]
+        page = msgspec.json.encode({"requests": objects, "at": 9, "more": False})
+        watch = msgspec.json.encode({"events": [{"object": item} for item in objects], "at": 9})
+
+        async def scenario() -> None:
+            answers = {"/objects/servers": page, "/objects/servers?watch=1&waitMs=0": watch}
+            async with one_answer_server(answers) as address:
+                store = PlatformObjectStore(address)
+                listed = await store.list_objects("servers")
+                self.assertEqual(["i-2", "i-1"], [record.name for record in listed.records])
+                self.assertEqual((2, 9), (listed.unreadable, listed.store_revision))
+                self.assertIsNone(listed.records[0].spec)
+                batch = await store.watch_objects("servers", 1, 0.0)
+                self.assertEqual(["i-2", "i-1"], [event.record.name for event in batch.events])
+                self.assertEqual(2, batch.unreadable)
+
+        asyncio.run(scenario())
+
+
+@contextlib.asynccontextmanager
+async def one_answer_server(answers: dict[str, bytes]) -> AsyncIterator[str]:
+    """A server with a fixed body for each target; its address."""
+
+    def answer(request: HTTPServerRequest) -> None:
+        assert request.connection is not None
+        body = answers[request.uri or ""]
+        headers = HTTPHeaders({"Content-Length": str(len(body))})
+        request.connection.write_headers(ResponseStartLine("HTTP/1.1", 200, "OK"), headers, body)
+        request.connection.finish()
+
+    server = HTTPServer(answer)
+    sockets = bind_sockets(0, address="127.0.0.1")
+    server.add_sockets(sockets)
+    yield f"127.0.0.1:{sockets[0].getsockname()[1]}"
+    server.stop()
+    await server.close_all_connections()
+
+
 class JobCallTest(testtools.TestCase):
     """Calls about batch jobs."""
 
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -21,7 +21,7 @@
 from stileloom.jobs.book import PAGE_BYTES, JobBook
 from stileloom.proxy.attempt_plan import AttemptPlan
 from stileloom.proxy.route_table import RouteTable
-from stileloom.proxy.sampler_table import SUSPECT_S, SamplerTable
+from stileloom.proxy.sampler_table import SUSPECT_S, SamplerChange, SamplerTable
 
 REQUESTS = 200
 
@@ -32,9 +32,9 @@
     return Route(name, "h", prefix, RouteKind.SAFE, parts, 1.0, 0.2, 2)
 
 
-def entry(name: str, zone: str = "a", draining: bool = False) -> SamplerEntry:
+def entry(name: str, zone: str = "a", draining: bool = False, born_ms: int = 0) -> SamplerEntry:
     """A sampler of service s."""
-    return SamplerEntry(name, "s", ("10.0.0.1", 1), zone, 4, draining, {})
+    return SamplerEntry(name, "s", ("10.0.0.1", 1), zone, 4, draining, {}, born_ms)
 
 
 class RouteTableTest(testtools.TestCase):
@@ -84,6 +84,36 @@
         table.put(entry("a"))
         self.assertEqual(1, len(table.of_service("s")))
 
+    def test_a_sampler_that_left_and_was_born_again_under_its_id_is_listed(self) -> None:
+        """It drained, its entry went, and a process with the same id started: without its birth
+        in the table it stayed unlisted for good."""
+        table = SamplerTable()
+        table.replace_all([entry("a", born_ms=1000)])
+        self.assertEqual(SamplerChange.LEAVES, table.put(entry("a", draining=True, born_ms=1000)))
+        table.remove("a")
+        self.assertEqual(SamplerChange.NONE, table.put(entry("a", born_ms=1000)))
+        self.assertEqual([], table.of_service("s"))
+        self.assertEqual(SamplerChange.REBORN, table.put(entry("a", born_ms=2000)))
+        self.assertEqual(1, len(table.of_service("s")))
+
+    def test_a_newer_birth_starts_without_what_was_held_against_the_process_before(self) -> None:
+        table = SamplerTable()
+        table.replace_all([entry("a", born_ms=1000)])
+        table.failed("a", 5.0)
+        self.assertEqual(["a"], table.replace_all([entry("a", born_ms=2000)]))
+        belief = table.get("a")
+        assert belief is not None
+        self.assertEqual((0, 0.0), (belief.failures, belief.suspect_until))
+
+    def test_an_older_birth_that_arrives_late_changes_nothing(self) -> None:
+        table = SamplerTable()
+        table.replace_all([entry("a", born_ms=2000)])
+        self.assertEqual(SamplerChange.NONE, table.put(entry("a", draining=True, born_ms=1000)))
+        self.assertEqual(SamplerChange.NONE, table.put(entry("a", "elsewhere", born_ms=1000)))
+        belief = table.get("a")
+        assert belief is not None
+        self.assertEqual((2000, "a"), (belief.entry.born_ms, belief.entry.zone))
+
 
 class AttemptPlanTest(testtools.TestCase):
     """How often, and where."""
