--- a/stileloom/cli/main.py
+++ b/stileloom/cli/main.py
@@ -8,7 +8,7 @@
 
 import typer
 
-from stileloom.cli import bench, emulate, operate, services
+from stileloom.cli import bench, emulate, operate, quarantine, services
 from stileloom.cli.demo import demo
 from stileloom.cli.errors import exit_on_error
 from stileloom.cli.scale import scale
@@ -25,6 +25,7 @@
 )
 app.add_typer(emulate.app, name="emulate")
 app.add_typer(bench.app, name="bench")
+app.add_typer(quarantine.app, name="quarantine")
 app.command()(demo)
 app.command()(scale)
 app.command()(trace)
--- /dev/null
+++ b/stileloom/cli/quarantine.py
@@ -0,0 +1,92 @@
+"""`stileloom quarantine`: requests that are refused since samplers ended under them."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Annotated
+
+import msgspec
+import typer
+
+from stileloom.cli.errors import exit_on_error
+from stileloom.errors import ErrorKind, StileloomError
+from stileloom.jobs.client import JobClient, LedgerNodes
+from stileloom.jobs.messages import JobReply
+from stileloom.logging import EventLog, configure_logs
+from stileloom.quarantine.messages import (
+    QuarantineListed,
+    QuarantineListing,
+    QuarantineRequest,
+    ReleaseSuspectCall,
+    SuspectReleased,
+    WatchQuarantineCall,
+)
+from stileloom.settings_file import split_address
+
+CALL_TIMEOUT_S = 5.0
+"""An election takes up to two seconds."""
+NO_REVISION = -1
+
+Node = Annotated[list[str], typer.Option(help="A ledger node's address for calls, HOST:PORT.")]
+
+app = typer.Typer(help="Requests that are refused since samplers ended under them.")
+
+
+@app.command("list")
+def list_suspects(
+    node: Node, output: Annotated[str, typer.Option("-o", help="`text` or `json`.")] = "text"
+) -> None:
+    """Lists requests under which several samplers ended, and which of them are refused.
+
+    Example: stileloom quarantine list --node 10.0.0.7:7300
+    """
+    with exit_on_error():
+        reply = _call(node, WatchQuarantineCall(NO_REVISION, 0.0))
+        if not isinstance(reply, QuarantineListed) or reply.listing is None:
+            raise StileloomError(ErrorKind.INTERNAL, "unexpected answer of the ledger")
+        if output == "json":
+            typer.echo(msgspec.json.encode(reply.listing).decode())
+        else:
+            typer.echo(render(reply.listing))
+
+
+@app.command()
+def release(
+    identity: Annotated[str, typer.Argument(help="As `list` and the logs name it.")], node: Node
+) -> None:
+    """Lets a request run again, once its cause is mended.
+
+    Example: stileloom quarantine release 5a1f0c... --node 10.0.0.7:7300
+    """
+    with exit_on_error():
+        reply = _call(node, ReleaseSuspectCall(identity))
+        if not isinstance(reply, SuspectReleased):
+            raise StileloomError(ErrorKind.INTERNAL, "unexpected answer of the ledger")
+        if not reply.known:
+            raise StileloomError(ErrorKind.UNKNOWN_OBJECT, f"nothing is held against {identity}")
+        typer.echo(f"released {identity}")
+
+
+def render(listing: QuarantineListing) -> str:
+    """One line for each request."""
+    if not listing.suspects:
+        return "nothing is held against any request"
+    rows = []
+    for summary in listing.suspects:
+        state = f"refused, one run in {summary.trial_in_s:.0f} s" if summary.held else "watched"
+        rows.append(f"{summary.identity}  {state}  ended: {', '.join(summary.ends)}")
+    return "\n".join(rows)
+
+
+def _call(nodes: list[str], request: QuarantineRequest) -> JobReply:
+    configure_logs("error")
+
+    async def run() -> JobReply:
+        addresses = [split_address(node) for node in nodes]
+        client = JobClient(LedgerNodes(addresses), EventLog("cli"), lambda: None)
+        try:
+            return await client.call(request, "cli", CALL_TIMEOUT_S)
+        finally:
+            client.close()
+
+    return asyncio.run(run())
--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -26,7 +26,13 @@
 from stileloom.jobs.item_stream import ItemStream, RunOutcome
 from stileloom.jobs.leader_ledger import LeaderLedger
 from stileloom.jobs.metrics import JobMetrics
-from stileloom.jobs.open_items import DEFAULT_TOKENS_PER_EVENT, ItemRun, OpenItem, StartRun
+from stileloom.jobs.open_items import (
+    DEFAULT_TOKENS_PER_EVENT,
+    ItemKey,
+    ItemRun,
+    OpenItem,
+    StartRun,
+)
 from stileloom.jobs.result_writer import ResultWriter
 from stileloom.jobs.reward_caller import RewardCaller
 from stileloom.jobs.scheduler import ItemScheduler
@@ -37,6 +43,7 @@
 from stileloom.proxy.forwarder import Forwarder
 from stileloom.proxy.route_table import RouteTable
 from stileloom.proxy.sampler_table import SamplerTable
+from stileloom.quarantine.book import LISTED_FROM
 from stileloom.quarantine.guard import BEGAN_LATELY_S, QuarantineGuard
 from stileloom.quarantine.identity import identity_of
 from stileloom.switches import Switches
@@ -52,6 +59,10 @@
 VERSIONS_PATIENCE_S = 0.6
 """How long a new leader waits for the list of named versions before it orders any."""
 STEP_SOON_S = 0.005
+APART_PAUSE_S = 0.1
+"""Until a suspect is looked at again whose sampler runs another one; an end is known sooner."""
+HELD_PAUSE_S = 0.5
+"""Until a held item is looked at again; the ledger settles within some 0.1 s who is held."""
 MOVES_PER_STEP = 3
 
 
@@ -94,6 +105,8 @@
         self._metrics = metrics
         self._pool = ConnectionPool()
         self._connections: dict[tuple[str, str], SamplerConnection] = {}
+        self._suspect_at: dict[str, ItemKey] = {}
+        """The suspect that a sampler runs, or ran last."""
         self._adopted: dict[str, float] = {}
         self._stopped = False
         self._next_save_at = 0.0
@@ -151,6 +164,7 @@
 
     def sampler_gone(self, sampler_id: str) -> None:
         """The sampler leaves or is gone; its runs go on while it makes events."""
+        self._suspect_at.pop(sampler_id, None)
         self._pool.forget(sampler_id)
         self._loader.forget(sampler_id)
 
@@ -326,8 +340,7 @@
             self.scheduler.run_ended(open_item)
             return
         entry = belief.entry
-        if self._is_held(open_item):
-            self._hold(open_item)
+        if not self._quarantine_allows(open_item, entry.sampler_id):
             return
         try:
             connection = await self._pool.acquire(entry.sampler_id, entry.address)
@@ -463,13 +476,43 @@
         headers = [("Host", self._host_of(open_item)), *item.headers.items()]
         return identity_of("POST", item.path, headers, item.body)
 
-    def _is_held(self, open_item: OpenItem) -> bool:
-        return not self._guard.view.empty and self._guard.view.is_held(self._identity(open_item))
+    def _quarantine_allows(self, open_item: OpenItem, sampler_id: str) -> bool:
+        """Whether a planned run may begin; it is put off otherwise.
+
+        Suspects run apart from one another. Items of a step start together, so a deadly one took
+        the others with it each time, and all came to be held: 4 of 10 trials with three items.
+        """
+        view = self._guard.view
+        if view.empty:
+            return True
+        identity = self._identity(open_item)
+        if view.is_held(identity):
+            self._hold(open_item)
+            return False
+        if len(view.ends_under(identity)) >= LISTED_FROM and not self._runs_apart(
+            open_item, sampler_id
+        ):
+            self.scheduler.run_ended(open_item, avoid=True)
+            open_item.not_before = time.monotonic() + APART_PAUSE_S
+            return False
+        return True
+
+    def _runs_apart(self, suspect: OpenItem, sampler_id: str) -> bool:
+        """Takes the sampler's place for a suspect, unless another one runs there."""
+        occupant = self.scheduler.items.get(self._suspect_at.get(sampler_id, suspect.key))
+        run = occupant.run if occupant is not None and occupant is not suspect else None
+        if run is not None and run.sampler_id == sampler_id:
+            return False
+        self._suspect_at[sampler_id] = suspect.key
+        return True
 
     def _hold(self, open_item: OpenItem) -> None:
-        """A held item runs no more; it is given up when its time is over, as a job may expect."""
+        """A held item does not run; it is given up when its time is over, as a job may expect.
+
+        It is looked at again: a good answer, another request's guilt or an operator lifts the hold.
+        """
         self.scheduler.run_ended(open_item)
-        open_item.not_before = open_item.give_up_at
+        open_item.not_before = time.monotonic() + HELD_PAUSE_S
         self._log.emit(
             LogEvent.ITEM_STOPPED,
             {
--- a/stileloom/proxy/front.py
+++ b/stileloom/proxy/front.py
@@ -44,6 +44,7 @@
 from stileloom.proxy.metrics import ProxyMetrics
 from stileloom.proxy.route_table import RouteTable
 from stileloom.proxy.stream_relay import StreamRelay, StreamWriter
+from stileloom.quarantine.identity import identity_of
 
 DEFAULT_DEADLINE_S = 10.0
 JOB_CALL_DEADLINE_S = 4.0
@@ -263,6 +264,13 @@
         }
         self._log.emit(LogEvent.INTERNAL_FAULT, fields)
 
+    def _identity_field(self, request: CallerRequest, error: StileloomError) -> dict[str, object]:
+        """Leads from a refusal to the samplers that ended under the same request."""
+        if error.kind is not ErrorKind.QUARANTINED:
+            return {}
+        headers = request.headers.get_all()
+        return {"identity": identity_of(request.method, request.target, headers, request.body)}
+
     def _refuse(self, request: CallerRequest, error: StileloomError) -> CallerAnswer:
         problem = problem_of(error)
         status = problem.status
@@ -273,6 +281,7 @@
         self._log.emit(
             LogEvent.REQUEST_REFUSED,
             {
+                **self._identity_field(request, error),
                 "request": request.headers.get(self._dialect.names.request_id, ""),
                 "target": request.path[:80],
                 "host": request.headers.get("Host", "")[:80],
--- a/stileloom/trace.py
+++ b/stileloom/trace.py
@@ -12,8 +12,12 @@
 
 import msgspec
 
-ID_FIELDS = ("request", "job", "item", "reward", "target")
+from stileloom.errors import ErrorKind
+
+ID_FIELDS = ("request", "job", "item", "reward", "target", "identity")
 """A line that names a reward call leads from its item to the lines of that call."""
+QUARANTINED = ErrorKind.QUARANTINED.value
+"""A refusal of this kind leads to all lines of the same request under other ids."""
 STATE_EVENTS = frozenset(
     {
         "node_started",
@@ -85,10 +89,17 @@
         for line in lines
         if "reward" in line.fields and _names(line, sought)
     }
+    suspects = {
+        str(line.fields["identity"])
+        for line in lines
+        if line.fields.get("code") == QUARANTINED and _names(line, sought)
+    }
     direct = [
         msgspec.structs.replace(line, direct=True)
         for line in lines
-        if _names(line, sought) or line.fields.get("request") in rewards
+        if _names(line, sought)
+        or line.fields.get("request") in rewards
+        or line.fields.get("identity") in suspects
     ]
     if not direct:
         return Trace(sought, [])
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -34,8 +34,64 @@
 PROMISES = "tests/test_promises.py"
 REWARDS = "tests/test_rewards.py"
 LEDGER = "tests/test_ledger.py"
+QUARANTINE = "tests/test_quarantine.py"
+BOOK = "tests/test_quarantine_book.py"
 
 MUTANTS = [
+    Mutant(
+        "a gateway keeps the ends that it sees to itself",
+        "deadly requests",
+        "stileloom/quarantine/guard.py",
+        "        self._ends.append(end)\n",
+        "",
+        f"{QUARANTINE}::DeadlyLookupTest"
+        "::test_a_lookup_that_ends_its_samplers_ends_three_at_most_in_the_whole_fleet",
+    ),
+    Mutant(
+        "any broken connection counts as the sampler's end",
+        "innocent requests",
+        "stileloom/quarantine/guard.py",
+        "if sign is not ListenerSign.REFUSED:",
+        "if sign is ListenerSign.SILENT:",
+        f"{QUARANTINE}::InnocentLookupTest"
+        "::test_resets_by_living_samplers_hold_nothing_against_a_request",
+    ),
+    Mutant(
+        "requests under the same ends are all held at the third",
+        "innocent requests",
+        "stileloom/quarantine/book.py",
+        "shared_is_enough = len(own) >= ENDS_SHARED",
+        "shared_is_enough = True",
+        f"{BOOK}::QuarantineBookTest"
+        "::test_two_hundred_requests_under_the_same_ends_are_not_held_and_the_next_end_tells",
+    ),
+    Mutant(
+        "a good answer clears nothing",
+        "innocent requests",
+        "stileloom/quarantine/view.py",
+        "        answered_at = self._answered.pop(identity, None)",
+        "        answered_at = None",
+        f"{BOOK}::QuarantineViewTest"
+        "::test_a_popular_request_that_was_on_ended_samplers_is_cleared_by_its_good_answers",
+    ),
+    Mutant(
+        "every gateway may try a held request",
+        "deadly requests",
+        "stileloom/quarantine/book.py",
+        "        if at_s < suspect.trial_at_s:",
+        "        if at_s < 0.0:",
+        f"{BOOK}::QuarantineBookTest"
+        "::test_one_trial_in_the_whole_fleet_for_each_time_and_later_each_time",
+    ),
+    Mutant(
+        "an entry of an earlier process is taken for the newest",
+        "incarnations",
+        "stileloom/proxy/sampler_table.py",
+        "if newest is not None and entry.born_ms < newest:",
+        "if newest is not None and entry.born_ms < 0:",
+        "tests/test_routes.py::SamplerTableTest"
+        "::test_an_older_birth_that_arrives_late_changes_nothing",
+    ),
     Mutant(
         "segments take the newest version for all tokens",
         "samples name their versions",
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -15,6 +15,7 @@
 from stileloom.jobs.metrics import JobMetrics
 from stileloom.logging import EventLog
 from stileloom.proxy.metrics import ProxyMetrics
+from stileloom.quarantine.metrics import QuarantineMetrics
 
 ROOT = Path(__file__).resolve().parents[1]
 DOCS = ROOT / "docs"
@@ -32,6 +33,7 @@
     """Names and meanings of the metrics of gateways and ledger nodes."""
     registry = CollectorRegistry()
     ProxyMetrics(registry)
+    QuarantineMetrics(registry)
     JobMetrics(registry)
     ProcessMetrics(registry, EventLog("n"))
     return {family.name: family.documentation for family in registry.collect()}
--- a/tests/test_logging.py
+++ b/tests/test_logging.py
@@ -118,6 +118,17 @@
         )
         self.assertIn("code=overloaded", render(story))
 
+    def test_a_quarantined_request_leads_to_the_samplers_that_ended_under_it(self) -> None:
+        texts = [
+            line(1.0, "g1", "sampler_probed", request="r1", identity="x", sampler="s1"),
+            line(1.5, "l1", "request_held", identity="x", ends=["s1"]),
+            line(2.0, "g2", "request_refused", request="r2", code="quarantined", identity="x"),
+            line(2.5, "g2", "sampler_probed", request="r3", identity="y", sampler="s2"),
+        ]
+        events = [entry.event for entry in gather("r2", texts).lines]
+        self.assertEqual(["sampler_probed", "request_held", "request_refused"], events)
+        self.assertEqual(3, len(gather("x", texts).lines))
+
     def test_items_are_found_in_lists(self) -> None:
         texts = [line(1.0, "l1", "results_listed", job="j", items=["a", "b"])]
         self.assertEqual(1, len(gather("b", texts).lines))
