Suspect items in a module of their own; a gateway is ready once it knows what is held

Ruled out: waiting for the list without a bound: without a leader lookups must go on (1 s at most). Change: jobs/suspect_items.py, moved without a change of behaviour; Gateway._is_ready asks for the list.

--- a/stileloom/daemon/gateway.py
+++ b/stileloom/daemon/gateway.py
@@ -38,6 +38,9 @@
 DRAIN_NOTICE_S = 2.5
 """How long a draining gateway still takes requests: until callers are sent elsewhere."""
 RELOOKUP_PAUSE_S = 1.0
+SUSPECTS_PATIENCE_S = 1.0
+"""A gateway that starts calls itself ready no sooner than it knows which requests are held; the
+list comes within some 50 ms of a leader's answer. Without a leader lookups must go on."""
 MAX_HEADER_BYTES = 65_536
 IDLE_MARGIN_S = 2.0
 
@@ -110,6 +113,7 @@
         )
         metrics.observe_open(lambda: self.front.open_requests)
         self._looked_up_at = float("-inf")
+        self._created_at = time.monotonic()
         self._tasks = BackgroundTasks(self._log)
 
     async def run(self) -> None:
@@ -152,7 +156,12 @@
         return servers
 
     def _is_ready(self) -> bool:
-        return not self.front.draining and self.directory.complete
+        return not self.front.draining and self.directory.complete and self._knows_suspects()
+
+    def _knows_suspects(self) -> bool:
+        """Whether the list of held requests is known, or no leader gave it in time."""
+        late = time.monotonic() > self._created_at + SUSPECTS_PATIENCE_S
+        return late or self._guard.view.revision >= 0
 
     def stop(self) -> None:
         """Begins the drain."""
--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import time
-from collections.abc import Coroutine
 
 import msgspec
 
@@ -28,7 +27,6 @@
 from stileloom.jobs.metrics import JobMetrics
 from stileloom.jobs.open_items import (
     DEFAULT_TOKENS_PER_EVENT,
-    ItemKey,
     ItemRun,
     OpenItem,
     StartRun,
@@ -36,6 +34,7 @@
 from stileloom.jobs.result_writer import ResultWriter
 from stileloom.jobs.reward_caller import RewardCaller
 from stileloom.jobs.scheduler import ItemScheduler
+from stileloom.jobs.suspect_items import SuspectItems
 from stileloom.jobs.version_planner import Load, VersionPlanner
 from stileloom.jobs.weight_loader import WeightLoader
 from stileloom.ledger.commands import ForgetJob
@@ -43,9 +42,7 @@
 from stileloom.proxy.forwarder import Forwarder
 from stileloom.proxy.route_table import RouteTable
 from stileloom.proxy.sampler_table import SamplerTable
-from stileloom.quarantine.book import LISTED_FROM
-from stileloom.quarantine.guard import BEGAN_LATELY_S, QuarantineGuard
-from stileloom.quarantine.identity import identity_of
+from stileloom.quarantine.guard import QuarantineGuard
 from stileloom.switches import Switches
 
 RETRY_S = 0.05
@@ -59,10 +56,6 @@
 VERSIONS_PATIENCE_S = 0.6
 """How long a new leader waits for the list of named versions before it orders any."""
 STEP_SOON_S = 0.005
-APART_PAUSE_S = 0.1
-"""Until a suspect is looked at again whose sampler runs another one; an end is known sooner."""
-HELD_PAUSE_S = 0.5
-"""Until a held item is looked at again; the ledger settles within some 0.1 s who is held."""
 MOVES_PER_STEP = 3
 
 
@@ -100,13 +93,10 @@
         self._routes = parts.routes
         self._samplers = samplers
         self._dialect = dialect
-        self._guard = parts.guard
         self._log = log
         self._metrics = metrics
         self._pool = ConnectionPool()
         self._connections: dict[tuple[str, str], SamplerConnection] = {}
-        self._suspect_at: dict[str, ItemKey] = {}
-        """The suspect that a sampler runs, or ran last."""
         self._adopted: dict[str, float] = {}
         self._stopped = False
         self._next_save_at = 0.0
@@ -115,6 +105,7 @@
         self._starts_from = time.monotonic() + STARTS_PATIENCE_S
         """Samplers that have to load first had better not get work just before."""
         self._tasks = BackgroundTasks(log)
+        self._suspects = SuspectItems(parts.guard, self.scheduler, self._host_of, self._tasks, log)
         self._writer = ResultWriter(
             book, ledger, self.scheduler, self._tasks, log, metrics, self._step_soon
         )
@@ -164,7 +155,7 @@
 
     def sampler_gone(self, sampler_id: str) -> None:
         """The sampler leaves or is gone; its runs go on while it makes events."""
-        self._suspect_at.pop(sampler_id, None)
+        self._suspects.sampler_gone(sampler_id)
         self._pool.forget(sampler_id)
         self._loader.forget(sampler_id)
 
@@ -340,7 +331,7 @@
             self.scheduler.run_ended(open_item)
             return
         entry = belief.entry
-        if not self._quarantine_allows(open_item, entry.sampler_id):
+        if not self._suspects.allows(open_item, entry.sampler_id):
             return
         try:
             connection = await self._pool.acquire(entry.sampler_id, entry.address)
@@ -431,15 +422,14 @@
         self._metrics.runs_ended.labels(outcome.value).inc()
         if outcome is RunOutcome.WHOLE:
             self._samplers.answered(sampler_id)
-            if not self._guard.view.empty:
-                self._guard.answered(self._identity(open_item), suspected=False)
+            self._suspects.answered(open_item)
             open_item.partial.whole = True
             self._text_whole(open_item)
             return
         self._note_run(open_item, sampler_id, outcome, detail)
         open_item.not_before = now + RETRY_S
         if outcome is RunOutcome.BROKEN:
-            self._judge(open_item, entry, now - start.run.started_at)
+            self._suspects.broke_off(open_item, entry, now - start.run.started_at)
         if outcome is RunOutcome.REFUSED:
             self.scheduler.pace(sampler_id).refused_until = now + REFUSED_PAUSE_S
         elif outcome is RunOutcome.MISDIRECTED:
@@ -469,67 +459,6 @@
             },
         )
 
-    # Items under which samplers end.
-
-    def _identity(self, open_item: OpenItem) -> str:
-        item = open_item.item
-        headers = [("Host", self._host_of(open_item)), *item.headers.items()]
-        return identity_of("POST", item.path, headers, item.body)
-
-    def _quarantine_allows(self, open_item: OpenItem, sampler_id: str) -> bool:
-        """Whether a planned run may begin; it is put off otherwise.
-
-        Suspects run apart from one another. Items of a step start together, so a deadly one took
-        the others with it each time, and all came to be held: 4 of 10 trials with three items.
-        """
-        view = self._guard.view
-        if view.empty:
-            return True
-        identity = self._identity(open_item)
-        if view.is_held(identity):
-            self._hold(open_item)
-            return False
-        if len(view.ends_under(identity)) >= LISTED_FROM and not self._runs_apart(
-            open_item, sampler_id
-        ):
-            self.scheduler.run_ended(open_item, avoid=True)
-            open_item.not_before = time.monotonic() + APART_PAUSE_S
-            return False
-        return True
-
-    def _runs_apart(self, suspect: OpenItem, sampler_id: str) -> bool:
-        """Takes the sampler's place for a suspect, unless another one runs there."""
-        occupant = self.scheduler.items.get(self._suspect_at.get(sampler_id, suspect.key))
-        run = occupant.run if occupant is not None and occupant is not suspect else None
-        if run is not None and run.sampler_id == sampler_id:
-            return False
-        self._suspect_at[sampler_id] = suspect.key
-        return True
-
-    def _hold(self, open_item: OpenItem) -> None:
-        """A held item does not run; it is given up when its time is over, as a job may expect.
-
-        It is looked at again: a good answer, another request's guilt or an operator lifts the hold.
-        """
-        self.scheduler.run_ended(open_item)
-        open_item.not_before = time.monotonic() + HELD_PAUSE_S
-        self._log.emit(
-            LogEvent.ITEM_STOPPED,
-            {
-                "item": open_item.item.item_id,
-                "job": open_item.key[0],
-                "events": len(open_item.partial.parts),
-                "reason": self._guard.refusal(self._identity(open_item)).detail,
-            },
-        )
-
-    def _judge(self, open_item: OpenItem, entry: SamplerEntry, ran_s: float) -> None:
-        """Finds out whether the sampler ended under the item; the retry waits longer than that."""
-        if ran_s <= BEGAN_LATELY_S:
-            item_id = open_item.item.item_id
-            judging = self._guard.judge(item_id, self._identity(open_item), entry, ran_s)
-            self._tasks.spawn(_without_result(judging))
-
     def _step_soon(self) -> None:
         asyncio.get_running_loop().call_later(STEP_SOON_S, self.step)
 
@@ -595,7 +524,3 @@
             and job_id in self._book.jobs
             and not self._book.jobs[job_id].is_open
         ]
-
-
-async def _without_result(judging: Coroutine[None, None, bool]) -> None:
-    await judging
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -17,6 +17,7 @@
 from __future__ import annotations
 
 import asyncio
+from unittest import mock
 
 import msgspec
 import testtools
@@ -31,7 +32,7 @@
     SuspectReleased,
     WatchQuarantineCall,
 )
-from tests.service_cluster import ServiceCluster, with_cluster
+from tests.service_cluster import GIVE_UP_S, ServiceCluster, with_cluster
 
 DEADLY = "/charts/deadly"
 ARRIVALS = 8
@@ -134,8 +135,9 @@
             await cluster.kill(leader)
             await cluster.until(lambda: cluster.leader() is not None)
             gateway = cluster.start_gateway("gateway-late")
-            await cluster.until(lambda: gateway.directory.complete)
-            await cluster.until(lambda: gateway._guard.view.held_count == 1)
+            with mock.patch("stileloom.daemon.gateway.SUSPECTS_PATIENCE_S", GIVE_UP_S):
+                await cluster.until(gateway._is_ready)
+            self.assertEqual(1, gateway._guard.view.held_count)
             answer = await send_deadly(cluster, 9, gateway=2)
             self.assertEqual(503, answer.code)
             self.assertEqual(0, runs_of(cluster, DEADLY))
