Soak: a lookup that ends every sampler that runs it, all the while

Cause: no fault of the soak came from what a sampler runs. The stand-in sampler tells that it ends before its connections close, so that its proxy refuses connections as a dead port.

--- a/stileloom/emulator/http_sampler.py
+++ b/stileloom/emulator/http_sampler.py
@@ -9,6 +9,7 @@
 import asyncio
 import hashlib
 import time
+from collections.abc import Callable
 
 import msgspec
 from tornado.httpserver import HTTPServer
@@ -82,6 +83,10 @@
         self.gauge = WorkGauge()
         """Lookups under way; samplers of one service may share it."""
         self.orders: list[LoadOrder] = []
+        self.always_ends_at: frozenset[str] = frozenset()
+        """As `SamplerFaults.ends_at`, whatever faults are set and taken back."""
+        self.on_end: Callable[[], None] = lambda: None
+        """Called as a request ends the process, before any connection is closed."""
         self.ended_by = ""
         """The target of the newest request when one ended this process; empty while it lives."""
         self._names = HeaderNames()
@@ -110,6 +115,7 @@
             return
         current = asyncio.current_task()
         self.ended_by = self.runs[-1].target
+        self.on_end()
         self._server.stop()
         for task in self._tasks:
             if task is not current:
@@ -158,7 +164,7 @@
         after_event = int(after) if after is not None else None
         target = request.uri or ""
         self.runs.append(RunRecord(request_id, target, request.body, after_event, time.monotonic()))
-        if target in self.faults.ends_at:
+        if target in self.faults.ends_at | self.always_ends_at:
             await asyncio.sleep(self.faults.ends_after_s)
             await self._end()
             return
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -132,6 +132,12 @@
     def _any_gateway(self) -> int:
         return self._rng.randrange(len(self._deployment.fronts))
 
+    async def send(self, request_id: str, target: str, body: bytes, gateway: int) -> HTTPResponse:
+        """One lookup under an id of the sender's own, at a gateway of its choice."""
+        names = NativeDialect.names
+        headers = {names.request_id: request_id, names.deadline_ms: str(LOOKUP_DEADLINE_MS)}
+        return await self._call(gateway, "POST", target, body, **headers)
+
     # Lookups.
 
     async def _lookups(self) -> None:
@@ -144,9 +150,7 @@
         request_id = self._next_id(route)
         target, body = f"/{route}/{request_id}", request_id.encode() * 3
         self._record.sends_lookup(request_id, target, body, unsafe=route == "moves")
-        names = NativeDialect.names
-        headers = {names.request_id: request_id, names.deadline_ms: str(LOOKUP_DEADLINE_MS)}
-        answer = await self._call(self._any_gateway(), "POST", target, body, **headers)
+        answer = await self.send(request_id, target, body, self._any_gateway())
         self._record.answered(request_id, answer.code, answer.body or b"")
         return answer.code
 
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -49,6 +49,8 @@
         self._udp: list[UdpProxy] = []
         self._sampler_proxies: dict[str, TcpProxy] = {}
         self._next_sampler = 0
+        self.deadly_targets: frozenset[str] = frozenset()
+        """Requests that end every sampler from its start on."""
         hosts = [f"127.0.{net}.{number}" for net in (1, 2) for number in range(1, LEDGER_NODES + 1)]
         self._calls_port = free_port(*hosts)
         self._ledger_port = free_port(*hosts)
@@ -173,6 +175,8 @@
         if versions and earlier:
             versions = {MODEL: max(s.model_versions[MODEL] for s in earlier)}
         sampler = HttpSampler(name, versions, EVENTS)
+        sampler.always_ends_at = self.deadly_targets
+        sampler.on_end = lambda: self.stop_listening(name)
         self.samplers[name] = sampler
         self._record.samplers.append(sampler)
         port = sampler.listen(HOST)
@@ -196,6 +200,11 @@
         await asyncio.sleep(LISTED_AFTER_END_S)
         await self.write("samplers", name, None)
 
+    def stop_listening(self, name: str) -> None:
+        """A sampler's process is gone: nobody accepts connections at its address any more."""
+        for proxy in self._tcp[f"to {name}"]:
+            proxy.stop()
+
     # Links.
 
     def reset(self, link_name: str) -> None:
