A request that shares all its ends with others keeps one attempt

Cause: from three known ends on Permit left no attempt, also to a request that is not held since others were under the same ends; its arrival was answered 502 without being asked anywhere. Found by reading. Ruled out: holding it: at most one of those requests is the cause.

--- a/stileloom/quarantine/guard.py
+++ b/stileloom/quarantine/guard.py
@@ -77,10 +77,12 @@
 
     @property
     def attempts_left(self) -> int:
-        """So many more samplers it may be sent to before it is held."""
-        if self._trial:
-            return 0 if self._ends else 1
-        return max(0, ENDS_ALONE - self._known_ends())
+        """So many more samplers it may be sent to before it is held.
+
+        An arrival that was let in has one at least: others may share all of its ends.
+        """
+        at_least = 0 if self._ends else 1
+        return at_least if self._trial else max(at_least, ENDS_ALONE - self._known_ends())
 
     def _known_ends(self) -> int:
         if self._guard.view.empty and not self._ends:
