Names: poison request, QuarantineAuthority

Cause: read as a newcomer: "deadly" and "desk" are no terms of the field; a poison request or message is. Change: names, file names and comments; no behaviour. tests/soak/poison.py draws as before. Measured: tests of the quarantine, catalogues and soak parts pass (47).

--- a/stileloom/daemon/leadership.py
+++ b/stileloom/daemon/leadership.py
@@ -19,8 +19,8 @@
 from stileloom.ledger.commands import RetireNode
 from stileloom.logging import EventLog
 from stileloom.proxy.forwarder import Forwarder
+from stileloom.quarantine.authority import QuarantineAuthority
 from stileloom.quarantine.guard import QuarantineGuard
-from stileloom.quarantine.ledger_side import QuarantineDesk
 from stileloom.service_settings import ServiceSettings
 
 VERSIONS_PAUSE_S = 0.1
@@ -42,7 +42,7 @@
         directory: Directory,
         forwarder: Forwarder,
         guard: QuarantineGuard,
-        desk: QuarantineDesk,
+        quarantine: QuarantineAuthority,
         log: EventLog,
         metrics: JobMetrics,
         rng: random.Random,
@@ -70,7 +70,7 @@
         self._store = store
         self._dialect = dialect
         self._driver = driver
-        self._desk = desk
+        self._quarantine_authority = quarantine
         self._log = log
         self._removals: dict[str, bool] = {}
         """Nodes to be emptied, and whether the end was written."""
@@ -136,7 +136,7 @@
                     break
             with contextlib.suppress(StileloomError):
                 # Leadership was lost meanwhile: the next leader does it.
-                await self._desk.forget_expired()
+                await self._quarantine_authority.forget_expired()
 
     # Emptying of nodes.
 
--- a/stileloom/daemon/ledger_node.py
+++ b/stileloom/daemon/ledger_node.py
@@ -33,9 +33,9 @@
 from stileloom.logging import EventLog
 from stileloom.proxy.forwarder import Forwarder
 from stileloom.proxy.metrics import AttemptMetrics
+from stileloom.quarantine.authority import QuarantineAuthority
 from stileloom.quarantine.book import QuarantineBook
 from stileloom.quarantine.guard import QuarantineGuard
-from stileloom.quarantine.ledger_side import QuarantineDesk
 from stileloom.quarantine.metrics import QuarantineMetrics
 from stileloom.service_settings import ServiceSettings
 from stileloom.settings_file import split_address
@@ -76,9 +76,9 @@
             reader, dialect, settings.bounds, self._log, self._rng, process_metrics
         )
         attempt_metrics = AttemptMetrics(self._registry)
-        self._desk = QuarantineDesk(self, self._log)
+        self._quarantine_authority = QuarantineAuthority(self, self._log)
         self._guard = QuarantineGuard(
-            self._desk,
+            self._quarantine_authority,
             self._log,
             QuarantineMetrics(self._registry),
             attempt_metrics.connection_opened,
@@ -144,7 +144,9 @@
             lambda: replica.follower_lag,
         )
         self._driver = driver
-        self._service = JobService(_CallsLedger(driver, settings.calls_port), self._desk, self._log)
+        self._service = JobService(
+            _CallsLedger(driver, settings.calls_port), self._quarantine_authority, self._log
+        )
         self._calls = CallServer(self._answer, compress)
         await self._calls.start(settings.listen_host, settings.calls_port)
         await driver.start(settings.listen_host)
@@ -223,7 +225,7 @@
             self._voters_told = list(voters)
             names = [voter.node_id for voter in voters]
             self._log.emit(LogEvent.VOTERS_CHANGED, {"voters": names})
-        self._desk.step()
+        self._quarantine_authority.step()
         if self._leadership is not None:
             self._follow_quarantine()
             self._leadership.runner.step()
@@ -257,7 +259,7 @@
             self._directory,
             self._forwarder,
             self._guard,
-            self._desk,
+            self._quarantine_authority,
             self._log,
             self._metrics,
             self._rng,
--- a/stileloom/jobs/service.py
+++ b/stileloom/jobs/service.py
@@ -29,7 +29,7 @@
 from stileloom.ledger.commands import EndJob, Refused, SubmitJob
 from stileloom.ledger.state import LedgerState
 from stileloom.logging import EventLog
-from stileloom.quarantine.ledger_side import QuarantineDesk
+from stileloom.quarantine.authority import QuarantineAuthority
 from stileloom.quarantine.messages import (
     QuarantineListed,
     QuarantineRequest,
@@ -56,7 +56,9 @@
 class JobService:
     """Handles the calls of gateways."""
 
-    def __init__(self, ledger: ServedLedger, quarantine: QuarantineDesk, log: EventLog) -> None:
+    def __init__(
+        self, ledger: ServedLedger, quarantine: QuarantineAuthority, log: EventLog
+    ) -> None:
         self.runner: JobRunner | None = None
         """Set while this node leads."""
         self._ledger = ledger
@@ -78,15 +80,17 @@
         return await self._quarantine_call(request)
 
     async def _quarantine_call(self, request: QuarantineRequest) -> JobReply:
-        desk = self._quarantine
+        authority = self._quarantine
         try:
             if isinstance(request, ReportSuspectsCall):
-                return SuspectsReported(await desk.report(request.ends, request.answered))
+                return SuspectsReported(await authority.report(request.ends, request.answered))
             if isinstance(request, WatchQuarantineCall):
-                return QuarantineListed(await desk.watch(request.known_revision, request.wait_s))
+                return QuarantineListed(
+                    await authority.watch(request.known_revision, request.wait_s)
+                )
             if isinstance(request, StartTrialCall):
-                return TrialAnswered(await desk.start_trial(request.identity))
-            return SuspectReleased(await desk.release(request.identity))
+                return TrialAnswered(await authority.start_trial(request.identity))
+            return SuspectReleased(await authority.release(request.identity))
         except StileloomError:
             # Leadership was lost; the caller asks again, and all of these may be repeated.
             return OutcomeUnknown()
--- a/stileloom/jobs/suspect_items.py
+++ b/stileloom/jobs/suspect_items.py
@@ -43,7 +43,7 @@
     def allows(self, open_item: OpenItem, sampler_id: str) -> bool:
         """Whether a planned run may begin; it is put off otherwise.
 
-        Suspects run apart from one another. Items of a step start together, so a deadly one took
+        Suspects run apart from one another. Items of a step start together, so a poison one took
         the others with it each time, and all came to be held: 4 of 10 trials with three items.
         """
         view = self._guard.view
--- a/stileloom/quarantine/ledger_side.py
+++ b/stileloom/quarantine/authority.py
@@ -36,7 +36,7 @@
         """Commits a command. Raises `StileloomError` (LEDGER_UNAVAILABLE)."""
 
 
-class QuarantineDesk:
+class QuarantineAuthority:
     """Implements `QuarantineLedger` over the replica of this process."""
 
     def __init__(
--- a/stileloom/quarantine/guard.py
+++ b/stileloom/quarantine/guard.py
@@ -1,4 +1,4 @@
-"""Keeps deadly requests from samplers: asks at arrival, judges broken attempts, reports ends.
+"""Keeps poison requests from samplers: asks at arrival, judges broken attempts, reports ends.
 
 Every program that sends requests to samplers has one guard. What it knows comes from the
 ledger, so that the bound on ends holds for the fleet; while the ledger is out of reach its own
@@ -25,7 +25,7 @@
 
 BEGAN_LATELY_S = 1.5
 """A sampler that ended later than this after a request had begun there ended for another reason:
-the deadly ones that were seen took 0.04 to 0.12 s, and a request may wait in a queue before."""
+poison requests that were seen took 0.04 to 0.12 s, and a request may wait in a queue before."""
 PROBE_WAIT_S = 0.03
 """How long a retry waits for the probe; an ended process is told within 1 to 10 ms."""
 WATCH_WAIT_S = 2.0
--- a/stileloom/quarantine/view.py
+++ b/stileloom/quarantine/view.py
@@ -12,7 +12,7 @@
 MOST_ANSWERED = 4096
 """Good answers that are remembered, some 400 KB."""
 ANSWERED_S = 60.0
-"""A good answer so long ago still tells a popular request from a deadly one, which has none."""
+"""A good answer so long ago still tells a popular request from a poison one, which has none."""
 
 
 class QuarantineView:
@@ -45,8 +45,8 @@
     def learn(self, listing: QuarantineListing, now: float) -> list[str]:
         """Takes the leader's list; returns held requests that are innocent.
 
-        A deadly request never gets a good answer, so one that had one here lately is none. Each
-        remembered answer is used once: a request that turns deadly is not cleared twice by it.
+        A poison request never gets a good answer, so one that had one here lately is none. Each
+        remembered answer is used once, for the case that it ends samplers only since then.
         """
         self._revision = listing.revision
         self._learned_at = now
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -40,11 +40,11 @@
 MUTANTS = [
     Mutant(
         "a gateway keeps the ends that it sees to itself",
-        "deadly requests",
+        "poison requests",
         "stileloom/quarantine/guard.py",
         "        self._ends.append(end)\n",
         "",
-        f"{QUARANTINE}::DeadlyLookupTest"
+        f"{QUARANTINE}::PoisonLookupTest"
         "::test_a_lookup_that_ends_its_samplers_ends_three_at_most_in_the_whole_fleet",
     ),
     Mutant(
@@ -76,7 +76,7 @@
     ),
     Mutant(
         "every gateway may try a held request",
-        "deadly requests",
+        "poison requests",
         "stileloom/quarantine/book.py",
         "        if at_s < suspect.trial_at_s:",
         "        if at_s < 0.0:",
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -20,9 +20,9 @@
 
 from stileloom.logging import configure_logs
 from tests.soak.callers import Callers, configuration
-from tests.soak.deadly import DeadlyLookup
 from tests.soak.deployment import Deployment
 from tests.soak.faults import FaultSchedule
+from tests.soak.poison import PoisonLookup
 from tests.soak.record import Record
 
 FAILED_SEEDS = Path(__file__).with_name("failed_seeds.toml")
@@ -42,7 +42,7 @@
         self.deployment = Deployment(folder, rng, self.record)
         self.callers = Callers(self.deployment, self.record, rng)
         self.faults = FaultSchedule(self.deployment, self.record, rng)
-        self.deadly = DeadlyLookup(self.deployment, self.callers, self.record, seed)
+        self.poison = PoisonLookup(self.deployment, self.callers, self.record, seed)
         self._watching = True
 
     async def run(self, seconds: float) -> None:
@@ -53,25 +53,25 @@
             watch = asyncio.get_running_loop().create_task(self._watch_programs())
             self.callers.start()
             loop = asyncio.get_running_loop()
-            replacing = loop.create_task(self.deadly.replace_ended())
-            arriving = loop.create_task(self.deadly.arrive())
+            replacing = loop.create_task(self.poison.replace_ended())
+            arriving = loop.create_task(self.poison.arrive())
             await self.faults.run(seconds)
             arriving.cancel()
             await self.callers.finish()
             await self._recover()
-            await self._judge_deadly()
-            self.deadly.stopped = True
+            await self._judge_poison()
+            self.poison.stopped = True
             self._watching = False
             await asyncio.gather(watch, replacing)
             self.record.judge_samplers()
         finally:
             await self.deployment.stop()
 
-    async def _judge_deadly(self) -> None:
+    async def _judge_poison(self) -> None:
         programs = self.deployment.programs.items()
         lives = sum(program.lives for name, program in programs if name.startswith("gateway"))
-        await self.deadly.judge_in_calm()
-        self.deadly.judge_total(lives)
+        await self.poison.judge_in_calm()
+        self.poison.judge_total(lives)
 
     async def _watch_programs(self) -> None:
         """No program may end by itself; one that does is started again, as a platform would."""
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -49,7 +49,7 @@
         self._udp: list[UdpProxy] = []
         self._sampler_proxies: dict[str, TcpProxy] = {}
         self._next_sampler = 0
-        self.deadly_targets: frozenset[str] = frozenset()
+        self.poison_targets: frozenset[str] = frozenset()
         """Requests that end every sampler from its start on."""
         hosts = [f"127.0.{net}.{number}" for net in (1, 2) for number in range(1, LEDGER_NODES + 1)]
         self._calls_port = free_port(*hosts)
@@ -175,7 +175,7 @@
         if versions and earlier:
             versions = {MODEL: max(s.model_versions[MODEL] for s in earlier)}
         sampler = HttpSampler(name, versions, EVENTS)
-        sampler.always_ends_at = self.deadly_targets
+        sampler.always_ends_at = self.poison_targets
         sampler.on_end = lambda: self.stop_listening(name)
         self.samplers[name] = sampler
         self._record.samplers.append(sampler)
--- a/tests/soak/deadly.py
+++ b/tests/soak/poison.py
@@ -13,8 +13,8 @@
 from tests.soak.deployment import Deployment
 from tests.soak.record import Record
 
-TARGET = "/charts/deadly"
-BODY = b"deadly"
+TARGET = "/charts/poison"
+BODY = b"poison"
 PAUSE_S = (0.2, 1.2)
 WATCH_S = 0.05
 DOWN_S = 1.0
@@ -23,7 +23,7 @@
 CALM_PAUSE_S = 0.2
 
 
-class DeadlyLookup:
+class PoisonLookup:
     """Sends it, and replaces the samplers that it ends.
 
     It draws from a generator of its own: seeds that ever failed still draw the same faults.
@@ -33,7 +33,7 @@
         self.stopped = False
         self.ended = 0
         self._deployment = deployment
-        deployment.deadly_targets = frozenset({TARGET})
+        deployment.poison_targets = frozenset({TARGET})
         self._callers = callers
         self._record = record
         self._rng = random.Random(seed)
@@ -61,15 +61,15 @@
     async def _send(self) -> HTTPResponse:
         self._number += 1
         gateway = self._rng.randrange(len(self._deployment.fronts))
-        answer = await self._callers.send(f"deadly-{self._number}", TARGET, BODY, gateway)
-        self._record.counts[f"deadly {answer.code}"] += 1
+        answer = await self._callers.send(f"poison-{self._number}", TARGET, BODY, gateway)
+        self._record.counts[f"poison {answer.code}"] += 1
         return answer
 
     def judge_total(self, gateway_lives: int) -> None:
         """Each life of a gateway that never reached the ledger may end three; the fleet four."""
         most = ENDS_SHARED + ENDS_ALONE * gateway_lives
         if self.ended > most:
-            self._record.breaks("a deadly lookup ends few samplers", f"{self.ended} over {most}")
+            self._record.breaks("a poison lookup ends few samplers", f"{self.ended} over {most}")
 
     async def judge_in_calm(self) -> None:
         """Once all faults are over it settles: the last arrivals end nothing and are refused."""
@@ -81,8 +81,8 @@
             answer = await self._send()
             code = msgspec.json.decode(answer.body).get("code") if answer.code == 503 else ""
             if code != "quarantined":
-                self._record.breaks("a deadly lookup is refused", f"{answer.code} {code}")
+                self._record.breaks("a poison lookup is refused", f"{answer.code} {code}")
             await asyncio.sleep(CALM_PAUSE_S)
         if self.ended > before:
             facts = f"{self.ended - before} in calm"
-            self._record.breaks("a deadly lookup that is known ends nothing", facts)
+            self._record.breaks("a poison lookup that is known ends nothing", facts)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -34,11 +34,11 @@
 )
 from tests.service_cluster import GIVE_UP_S, ServiceCluster, with_cluster
 
-DEADLY = "/charts/deadly"
+POISON = "/charts/poison"
 ARRIVALS = 8
 
 
-async def bring_back(cluster: ServiceCluster, service: str = "charts", deadly: str = DEADLY) -> int:
+async def bring_back(cluster: ServiceCluster, service: str = "charts", poison: str = POISON) -> int:
     """Each sampler that ended is replaced by one with a new id; how many there were."""
     ended = [name for name, sampler in cluster.samplers.items() if sampler.ended_by]
     for name in ended:
@@ -46,7 +46,7 @@
         del cluster.samplers[name]
         successor = f"{name}+"
         await cluster.add_sampler(successor, service)
-        cluster.samplers[successor].faults.ends_at = frozenset({deadly})
+        cluster.samplers[successor].faults.ends_at = frozenset({poison})
         await cluster.until_listed(successor)
     return len(ended)
 
@@ -66,31 +66,31 @@
 
 
 async def condemn(cluster: ServiceCluster) -> None:
-    """Sends the deadly request until every gateway refuses it."""
-    fault_all(cluster, ends_at=frozenset({DEADLY}))
+    """Sends the poison request until every gateway refuses it."""
+    fault_all(cluster, ends_at=frozenset({POISON}))
     for number in range(3):
-        await send_deadly(cluster, number, gateway=0)
+        await send_poison(cluster, number, gateway=0)
         await bring_back(cluster)
     for gateway in cluster.gateways:
         await cluster.until(lambda: gateway._guard.view.held_count == 1)  # noqa: B023
 
 
-async def send_deadly(cluster: ServiceCluster, number: int, gateway: int) -> HTTPResponse:
+async def send_poison(cluster: ServiceCluster, number: int, gateway: int) -> HTTPResponse:
     """The same request under another id."""
     return await cluster.call(
-        "POST", DEADLY, b"x", gateway, request_id=f"deadly-{number}", deadline_ms="800"
+        "POST", POISON, b"x", gateway, request_id=f"poison-{number}", deadline_ms="800"
     )
 
 
-class DeadlyLookupTest(testtools.TestCase):
+class PoisonLookupTest(testtools.TestCase):
     """A request that ends its samplers, sent again and again."""
 
     def test_a_lookup_that_ends_its_samplers_ends_three_at_most_in_the_whole_fleet(self) -> None:
         async def scenario(cluster: ServiceCluster) -> None:
-            fault_all(cluster, ends_at=frozenset({DEADLY}))
+            fault_all(cluster, ends_at=frozenset({POISON}))
             ended = 0
             for number in range(ARRIVALS):
-                await send_deadly(cluster, number, gateway=number % 2)
+                await send_poison(cluster, number, gateway=number % 2)
                 ended += await bring_back(cluster)
             self.assertLessEqual(ended, 3)
 
@@ -100,13 +100,13 @@
         async def scenario(cluster: ServiceCluster) -> None:
             await condemn(cluster)
             for gateway in (0, 1):
-                answer = await send_deadly(cluster, 9, gateway)
+                answer = await send_poison(cluster, 9, gateway)
                 self.assertEqual(503, answer.code)
                 problem = msgspec.json.decode(answer.body)
                 self.assertEqual("quarantined", problem["code"])
                 self.assertEqual("not_run", problem["outcome"])
                 self.assertGreater(float(answer.headers["Retry-After"]), 60.0)
-            self.assertEqual(0, runs_of(cluster, DEADLY))
+            self.assertEqual(0, runs_of(cluster, POISON))
 
         with_cluster(scenario)
 
@@ -114,10 +114,10 @@
         async def scenario(cluster: ServiceCluster) -> None:
             await condemn(cluster)
             fault_all(cluster, ends_at=frozenset())
-            answer = await cluster.call("POST", DEADLY, b"y", request_id="other-body")
+            answer = await cluster.call("POST", POISON, b"y", request_id="other-body")
             self.assertEqual(200, answer.code)
             answer = await cluster.call(
-                "POST", DEADLY, b"x", request_id="other-caller", authorization="Bearer another"
+                "POST", POISON, b"x", request_id="other-caller", authorization="Bearer another"
             )
             self.assertEqual(200, answer.code)
 
@@ -138,9 +138,9 @@
             with mock.patch("stileloom.daemon.gateway.SUSPECTS_PATIENCE_S", GIVE_UP_S):
                 await cluster.until(gateway._is_ready)
             self.assertEqual(1, gateway._guard.view.held_count)
-            answer = await send_deadly(cluster, 9, gateway=2)
+            answer = await send_poison(cluster, 9, gateway=2)
             self.assertEqual(503, answer.code)
-            self.assertEqual(0, runs_of(cluster, DEADLY))
+            self.assertEqual(0, runs_of(cluster, POISON))
 
         with_cluster(scenario)
 
@@ -166,7 +166,7 @@
             self.assertEqual(SuspectReleased(True), reply)
             for gateway in cluster.gateways:
                 await cluster.until(lambda: gateway._guard.view.empty)  # noqa: B023
-            answer = await send_deadly(cluster, 9, gateway=1)
+            answer = await send_poison(cluster, 9, gateway=1)
             self.assertEqual(200, answer.code)
 
         with_cluster(scenario)
@@ -189,7 +189,7 @@
         with_cluster(scenario)
 
     def test_two_hundred_requests_on_samplers_that_end_are_served_afterwards(self) -> None:
-        """The deadly one ends both samplers of the service under all that run there, twice."""
+        """The poison one ends both samplers of the service under all that run there, twice."""
 
         async def scenario(cluster: ServiceCluster) -> None:
             async def send(number: int, turn: int) -> HTTPResponse:
@@ -203,11 +203,11 @@
                 )
 
             for turn in range(2):
-                fault_all(cluster, ends_at=frozenset({DEADLY}))
+                fault_all(cluster, ends_at=frozenset({POISON}))
                 for sampler in cluster.samplers.values():
                     sampler.faults.work_s = 0.1
                 calls = [send(number, turn) for number in range(200)]
-                await asyncio.gather(*calls, send_deadly(cluster, turn, gateway=turn))
+                await asyncio.gather(*calls, send_poison(cluster, turn, gateway=turn))
                 await bring_back(cluster)
             fault_all(cluster, ends_at=frozenset())
             for number in range(200):
@@ -217,16 +217,16 @@
         with_cluster(scenario)
 
 
-class DeadlyItemTest(testtools.TestCase):
+class PoisonItemTest(testtools.TestCase):
     """An item of a batch job that ends its samplers."""
 
     def test_an_item_that_ends_its_samplers_stops_and_the_others_of_its_job_succeed(self) -> None:
         async def scenario(cluster: ServiceCluster) -> None:
-            target = "/drafts/deadly"
+            target = "/drafts/poison"
 
             for sampler in cluster.samplers.values():
                 sampler.faults.ends_at = frozenset({target})
-            answer = await cluster.submit("job", ["deadly", "good-1", "good-2"])
+            answer = await cluster.submit("job", ["poison", "good-1", "good-2"])
             self.assertEqual(202, answer.code)
             leader = cluster.leader()
             assert leader is not None
--- a/tests/test_quarantine_fleet.py
+++ b/tests/test_quarantine_fleet.py
@@ -18,7 +18,7 @@
 from stileloom.quarantine.view import QuarantineView
 
 GATEWAYS = 300
-DEADLY = "deadly"
+POISON = "poison"
 POPULAR = "popular"
 EVERYBODY = range(GATEWAYS)
 
@@ -43,14 +43,14 @@
         return f"sampler-{self.samplers}"
 
     @rule(gateway=strategies.sampled_from(EVERYBODY))
-    def deadly_arrives(self, gateway: int) -> None:
-        """The deadly request runs unless it is held; its sampler ends."""
+    def poison_arrives(self, gateway: int) -> None:
+        """The poison request runs unless it is held; its sampler ends."""
         view = self.views[gateway]
-        if view.is_held(DEADLY):
+        if view.is_held(POISON):
             return
-        if self.book.is_held(DEADLY) and not self.reports and self.all_know():
+        if self.book.is_held(POISON) and not self.reports and self.all_know():
             self.ends_after_all_knew += 1
-        end = SamplerEnd(DEADLY, self.next_sampler())
+        end = SamplerEnd(POISON, self.next_sampler())
         view.ended(end)
         self.reports.append((gateway, end))
 
@@ -107,7 +107,7 @@
         """Whatever the ledger does, a gateway's own ends hold the request there."""
         own: dict[int, int] = {}
         for gateway, end in self.reports:
-            if end.identity == DEADLY:
+            if end.identity == POISON:
                 own[gateway] = own.get(gateway, 0) + 1
         assert all(count <= ENDS_ALONE for count in own.values())
 
