--- a/stileloom/jobs/client.py
+++ b/stileloom/jobs/client.py
@@ -83,7 +83,7 @@
         self._silent: set[tuple[str, int]] = set()
 
     async def call(self, request: JobRequest, request_id: str, timeout_s: float) -> JobReply:
-        """The leader's answer.
+        """The leader's answer; `request_id` is the caller's, empty for a call of the node's own.
 
         Raises `StileloomError` (LEDGER_UNAVAILABLE): outcome NOT_RUN where no node can have
         carried the call out, UNKNOWN otherwise.
@@ -137,7 +137,12 @@
             self._nodes.leader = None
         self._nodes.silent()
         self._on_lost_leader()
+        known = target in self._silent
         self._silent.add(target)
+        if known and not request_id:
+            # A call of the node's own is no part of a request's story: one line until the node
+            # answers again, where a gateway without a leader wrote ten a second.
+            return
         self._log.emit(
             LogEvent.LEDGER_NODE_SILENT,
             {"request": request_id, "ledger_node": f"{target[0]}:{target[1]}", "detail": detail},
--- a/stileloom/quarantine/remote_ledger.py
+++ b/stileloom/quarantine/remote_ledger.py
@@ -19,8 +19,8 @@
 """A report or watch is asked again; this only bounds one round of finding the leader."""
 TRIAL_TIMEOUT_S = 0.5
 """A caller waits for it: a held request is refused rather than kept waiting."""
-REQUEST_ID = "quarantine"
-"""Stands in log lines of the client in the place of a caller's id."""
+NO_REQUEST = ""
+"""These calls are the node's own: no caller waits for them but for a trial."""
 
 
 class RemoteQuarantineLedger:
@@ -32,7 +32,7 @@
     async def report(self, ends: list[SamplerEnd], answered: list[str]) -> int:
         """Records ends and good answers."""
         call = ReportSuspectsCall(ends, answered)
-        reply = await self._client.call(call, REQUEST_ID, CALL_TIMEOUT_S)
+        reply = await self._client.call(call, NO_REQUEST, CALL_TIMEOUT_S)
         if not isinstance(reply, SuspectsReported):
             raise _unexpected(reply)
         return reply.revision
@@ -40,14 +40,14 @@
     async def watch(self, known_revision: int, wait_s: float) -> QuarantineListing | None:
         """The list once its revision is another one; None after the wait."""
         call = WatchQuarantineCall(known_revision, wait_s)
-        reply = await self._client.call(call, REQUEST_ID, wait_s + CALL_TIMEOUT_S)
+        reply = await self._client.call(call, NO_REQUEST, wait_s + CALL_TIMEOUT_S)
         if not isinstance(reply, QuarantineListed):
             raise _unexpected(reply)
         return reply.listing
 
     async def start_trial(self, identity: str) -> bool:
         """Whether a held request may run once more."""
-        reply = await self._client.call(StartTrialCall(identity), REQUEST_ID, TRIAL_TIMEOUT_S)
+        reply = await self._client.call(StartTrialCall(identity), NO_REQUEST, TRIAL_TIMEOUT_S)
         if not isinstance(reply, TrialAnswered):
             raise _unexpected(reply)
         return reply.granted
--- a/tests/test_job_client.py
+++ b/tests/test_job_client.py
@@ -9,6 +9,7 @@
 import testtools
 
 from stileloom.errors import Outcome, StileloomError
+from stileloom.events import LogEvent
 from stileloom.jobs import client as client_module
 from stileloom.jobs.client import JobClient, LedgerNodes
 from stileloom.jobs.messages import EndJobCall, JobEnded, NotLeader, OutcomeUnknown
@@ -117,6 +118,29 @@
         self.assertEqual(JobEnded(), reply)
 
 
+class SilentNodeTest(testtools.TestCase):
+    """What is logged of nodes that do not answer."""
+
+    def lines(self, request_id: str) -> int:
+        """Lines of silent nodes in a call that tries for half a second."""
+        told: list[LogEvent] = []
+        configure_logs("error")
+        log = EventLog("gateway")
+        client = JobClient(LedgerNodes([(HOST, free_port())]), log, lambda: None)
+        with mock.patch.object(log, "emit", lambda event, fields: told.append(event)):
+            self.assertRaises(
+                StileloomError, asyncio.run, client.call(EndJobCall("j"), request_id, 0.5)
+            )
+        return told.count(LogEvent.LEDGER_NODE_SILENT)
+
+    def test_a_call_of_the_nodes_own_tells_a_silent_node_once(self) -> None:
+        """A gateway that followed the leader's list wrote ten lines a second without one."""
+        self.assertEqual(1, self.lines(""))
+
+    def test_each_try_of_a_callers_request_is_part_of_its_story(self) -> None:
+        self.assertGreater(self.lines("r1"), 1)
+
+
 class FrameTest(testtools.TestCase):
     """Frames of calls."""
 
