A fault of ours while a sampler's end is judged is logged

Cause: read as a newcomer: the permit dropped an error of the judging task without a line. Change: internal_fault with the request's id; the end does not count. A comment says why a repeated trial is harmless.

--- a/stileloom/jobs/service.py
+++ b/stileloom/jobs/service.py
@@ -92,7 +92,8 @@
                 return TrialAnswered(await authority.start_trial(request.identity))
             return SuspectReleased(await authority.release(request.identity))
         except StileloomError:
-            # Leadership was lost; the caller asks again, and all of these may be repeated.
+            # Leadership was lost and the caller asks again. Repeats are harmless: of a trial that
+            # was granted, and whose answer was lost, the next call is refused, so it is not run.
             return OutcomeUnknown()
 
     def _not_leader(self) -> NotLeader:
--- a/stileloom/quarantine/guard.py
+++ b/stileloom/quarantine/guard.py
@@ -100,7 +100,12 @@
         await asyncio.wait((task,), timeout=PROBE_WAIT_S)
 
     def _note(self, done: asyncio.Task[bool], entry: SamplerEntry) -> None:
-        if not done.cancelled() and done.exception() is None and done.result():
+        if done.cancelled():
+            return
+        error = done.exception()
+        if error is not None:
+            self._guard.note_fault(self._request_id, error)
+        elif done.result():
             self._ends.add(entry.incarnation)
 
     def answered(self) -> None:
@@ -194,6 +199,11 @@
         self._report_soon()
         return True
 
+    def note_fault(self, request_id: str, error: BaseException) -> None:
+        """A fault of ours while an end was judged: the end does not count."""
+        fields: dict[str, object] = {"request": request_id, "error": repr(error)}
+        self._log.emit(LogEvent.INTERNAL_FAULT, fields)
+
     def answered(self, identity: str, suspected: bool) -> None:
         """A request got a good answer."""
         known = self.view.answered(identity, time.monotonic())
--- a/tests/test_quarantine_guard.py
+++ b/tests/test_quarantine_guard.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+from unittest import mock
 
 import testtools
 from prometheus_client import CollectorRegistry
 
 from stileloom.api.sampler_directory import SamplerEntry
 from stileloom.errors import ErrorKind, StileloomError
+from stileloom.events import LogEvent
 from stileloom.logging import EventLog, configure_logs
+from stileloom.quarantine import guard as guard_module
+from stileloom.quarantine.end_probe import ListenerSign
 from stileloom.quarantine.guard import BEGAN_LATELY_S, QuarantineGuard
 from stileloom.quarantine.messages import QuarantineListing, SamplerEnd, SuspectSummary
 from stileloom.quarantine.metrics import QuarantineMetrics
@@ -105,6 +109,31 @@
 
         asyncio.run(scenario())
 
+    def test_a_fault_of_ours_while_an_end_is_judged_is_told(self) -> None:
+        async def fault(*arguments: object) -> ListenerSign:
+            raise KeyError("fault")
+
+        async def scenario() -> None:
+            told: list[LogEvent] = []
+
+            def note(event: LogEvent, fields: dict[str, object]) -> None:
+                told.append(event)
+
+            permit = await self.guard.admit("r", lambda: NAME)
+            now = asyncio.get_running_loop().time()
+            with (
+                mock.patch.object(guard_module, "probe_listener", fault),
+                mock.patch.object(
+                    self.guard._log, "emit", lambda event, fields: told.append(event)
+                ),
+            ):
+                await permit.broke_off(ended_sampler("a"), now)
+                await asyncio.sleep(0)
+            self.assertEqual([LogEvent.INTERNAL_FAULT], told)
+            self.assertEqual(3, permit.attempts_left)
+
+        asyncio.run(scenario())
+
     def test_an_end_long_after_the_begin_is_not_the_requests(self) -> None:
         async def scenario() -> None:
             permit = await self.guard.admit("r", lambda: NAME)
