A cancelled call ends cancelled, also when its outcome arrives in the same step

Cause: asyncio.wait_for of Python 3.11 returns the result, or raises the error, of a future that is done when the cancellation comes, and drops the cancellation. Loops that follow something end by cancellation alone, so they went on; the guard's loop had a flag against one such case. Ruled out: waits of the tests (all bounded by 30 s).

--- a/stileloom/daemon/shell.py
+++ b/stileloom/daemon/shell.py
@@ -233,7 +233,8 @@
         future = self.waiters.expect_command(ticket)
         self.run(effects)
         try:
-            finished = await asyncio.wait_for(future, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                finished = await future
         except TimeoutError:
             finished = None
         finally:
--- a/stileloom/emulator/hollow.py
+++ b/stileloom/emulator/hollow.py
@@ -116,7 +116,8 @@
     while not stop.is_set():
         _write_report(Path(settings.report), shells)
         try:
-            await asyncio.wait_for(stop.wait(), REPORT_EVERY_S)
+            async with asyncio.timeout(REPORT_EVERY_S):
+                await stop.wait()
         except TimeoutError:
             continue
     for shell in shells:
--- a/stileloom/http/operations.py
+++ b/stileloom/http/operations.py
@@ -84,7 +84,8 @@
             future = shell.waiters.expect_status(ticket)
             shell.run(shell.core.ask_status(shell.now(), ticket))
             try:
-                return await asyncio.wait_for(future, STATUS_WAIT_S / STATUS_TRIES)
+                async with asyncio.timeout(STATUS_WAIT_S / STATUS_TRIES):
+                    return await future
             except TimeoutError:
                 continue
         return None
--- a/stileloom/http/rounds.py
+++ b/stileloom/http/rounds.py
@@ -160,7 +160,8 @@
             shell.run(shell.core.read_deliveries(shell.now(), request))
             left_s = max(0.05, give_up_at - shell.now())
             try:
-                answer = await asyncio.wait_for(asyncio.shield(future), min(REPEAT_READ_S, left_s))
+                async with asyncio.timeout(min(REPEAT_READ_S, left_s)):
+                    answer = await asyncio.shield(future)
             except TimeoutError:
                 if shell.now() >= give_up_at:
                     return None
--- a/stileloom/http1/caller.py
+++ b/stileloom/http1/caller.py
@@ -53,7 +53,8 @@
     answer = WholeAnswer()
     connection.exchange(encode_request(method, target, all_headers, body), answer)
     try:
-        await asyncio.wait_for(answer.done, timeout_s)
+        async with asyncio.timeout(timeout_s):
+            await answer.done
     except TimeoutError:
         connection.close()
         return None
--- a/stileloom/http1/connection.py
+++ b/stileloom/http1/connection.py
@@ -61,7 +61,8 @@
         """Connects. Raises `OSError` or `TimeoutError`."""
         loop = asyncio.get_running_loop()
         connecting = loop.create_connection(cls, address[0], address[1])
-        _, protocol = await asyncio.wait_for(connecting, CONNECT_TIMEOUT_S)
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, protocol = await connecting
         return protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/stileloom/jobs/service.py
+++ b/stileloom/jobs/service.py
@@ -132,7 +132,8 @@
             if left_s <= 0 or self.runner is None:
                 break
             try:
-                await asyncio.wait_for(self.runner.results_wait(request.job_id), left_s)
+                async with asyncio.timeout(left_s):
+                    await self.runner.results_wait(request.job_id)
             except TimeoutError:
                 break
             job = self._job(request.job_id)
--- a/stileloom/proxy/stream_relay.py
+++ b/stileloom/proxy/stream_relay.py
@@ -215,7 +215,8 @@
             left_s = lookup.deadline_at - time.monotonic()
             limit_s = min(left_s, SILENCE_S) if resumable else left_s
             try:
-                part = await asyncio.wait_for(sink.parts.get(), max(0.001, limit_s))
+                async with asyncio.timeout(max(0.001, limit_s)):
+                    part = await sink.parts.get()
             except TimeoutError:
                 return _Run(_RunEnd.BROKEN, "silent")
             if isinstance(part, ResponseHead):
--- a/stileloom/quarantine/end_probe.py
+++ b/stileloom/quarantine/end_probe.py
@@ -32,9 +32,8 @@
     """Opens a connection and closes it at once; `on_open` counts it."""
     on_open()
     try:
-        _, writer = await asyncio.wait_for(
-            asyncio.open_connection(address[0], address[1]), CONNECT_TIMEOUT_S
-        )
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, writer = await asyncio.open_connection(address[0], address[1])
     except ConnectionRefusedError:
         return ListenerSign.REFUSED
     except (OSError, TimeoutError):
--- a/stileloom/quarantine/guard.py
+++ b/stileloom/quarantine/guard.py
@@ -244,9 +244,7 @@
     # The list.
 
     async def _follow(self) -> None:
-        # A cancelled call whose connection closes at the same moment ends with an error instead of
-        # the cancellation, so the flag is asked as well.
-        while not self._stopped:
+        while True:
             try:
                 listing = await self._ledger.watch(self.view.revision, WATCH_WAIT_S)
             except StileloomError:
--- a/stileloom/transport/calls.py
+++ b/stileloom/transport/calls.py
@@ -159,7 +159,8 @@
         """Connects. Raises `OSError` or `TimeoutError`."""
         loop = asyncio.get_running_loop()
         connecting = loop.create_connection(cls, address[0], address[1])
-        _, protocol = await asyncio.wait_for(connecting, CONNECT_TIMEOUT_S)
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, protocol = await connecting
         return protocol
 
     @property
@@ -207,7 +208,8 @@
         self._waiting[number] = future
         self._transport.write(encode_frame(CallFrame(number, request)))
         try:
-            return await asyncio.wait_for(future, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await future
         except TimeoutError as error:
             raise CallFailed("no answer in time", sent=True) from error
         finally:
--- a/tests/service_cluster.py
+++ b/tests/service_cluster.py
@@ -118,6 +118,16 @@
             await sampler.stop()
         self._open.close()
         self._folder.cleanup()
+        await self._expect_all_ended()
+
+    async def _expect_all_ended(self) -> None:
+        """A task that outlives its cancellation would keep its program's event loop from ending."""
+        others = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in others:
+            task.cancel()
+        if others:
+            _, left = await asyncio.wait(others, timeout=GIVE_UP_S)
+            assert not left, f"still there after they were cancelled: {left}"
 
     async def until(self, holds: Callable[[], bool]) -> None:
         """Waits until a condition holds."""
--- a/tests/test_background.py
+++ b/tests/test_background.py
@@ -39,7 +39,8 @@
             with mock.patch("time.time", lambda: wall() + offset_s):
                 ticker = Ticker(tick, 0.01)
                 ticker.start()
-                await asyncio.wait_for(enough.wait(), GIVE_UP_S)
+                async with asyncio.timeout(GIVE_UP_S):
+                    await enough.wait()
                 ticker.stop()
 
         asyncio.run(run())
--- a/tests/test_store_cache.py
+++ b/tests/test_store_cache.py
@@ -79,9 +79,9 @@
             await asyncio.sleep(wait_s + 1.0)
             raise StileloomError(ErrorKind.PLATFORM_UNAVAILABLE, "no answer")
         if after_revision >= self.revision:
-            waiting = self._changed.wait()
             try:
-                await asyncio.wait_for(waiting, wait_s)
+                async with asyncio.timeout(wait_s):
+                    await self._changed.wait()
             except TimeoutError:
                 return WatchBatch([], self.revision)
         events = [event for event in self.events if event.record.revision > after_revision]
@@ -237,9 +237,13 @@
             reader.close()
             return len(page.records), was_asked
 
+        async def bounded_run() -> tuple[int, bool]:
+            async with asyncio.timeout(30.0):
+                return await run()
+
         bounds = TimeBounds(sampler_drain_s=600.0, configuration_s=600.0)
         with mock.patch("tests.test_store_cache.BOUNDS", bounds):
-            self.assertEqual((1, True), asyncio.run(asyncio.wait_for(run(), 30.0)))
+            self.assertEqual((1, True), asyncio.run(bounded_run()))
 
     def test_a_cache_behind_what_was_seen_is_not_listed_from(self) -> None:
         """A listing that goes back would bring back a sampler that has left."""
