--- a/stileloom/cli/demo.py
+++ b/stileloom/cli/demo.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import enum
 import sys
 import tempfile
@@ -16,6 +15,7 @@
 from rich.table import Table
 
 from stileloom.cli.errors import exit_on_error
+from stileloom.clock import run_program
 from stileloom.emulator.demo import Demo, DemoReport
 from stileloom.emulator.deployment import load_deployment, write_run_files
 from stileloom.errors import ErrorKind, StileloomError
@@ -81,7 +81,7 @@
                 scheduler.value,
                 lambda text, done: bar.update(task, description=text, completed=done),
             )
-            return asyncio.run(runner.run())
+            return run_program(runner.run())
 
 
 def _print_report(report: DemoReport) -> None:
--- a/stileloom/cli/operate.py
+++ b/stileloom/cli/operate.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import enum
-import time
 import uuid
 from pathlib import Path
 from typing import Annotated
@@ -18,6 +17,7 @@
 from stileloom.cli.errors import exit_on_error
 from stileloom.cli.manifests import load_manifests
 from stileloom.client import HttpCaller
+from stileloom.clock import run_program, steady_time
 from stileloom.daemon.platform_client import ObjectList, StoredObject
 from stileloom.emulator.settings import EmulatorSettings
 from stileloom.errors import ErrorKind, StileloomError
@@ -99,7 +99,7 @@
     """
     with exit_on_error():
         manifests = load_manifests(file)
-        asyncio.run(_apply(server, manifests, revision, wait_s))
+        run_program(_apply(server, manifests, revision, wait_s))
 
 
 async def _apply(
@@ -140,11 +140,11 @@
 
 
 async def _wait_in_force(caller: HttpCaller, revision: int, wait_s: float) -> None:
-    started_at = time.monotonic()
-    while time.monotonic() < started_at + wait_s:
+    started_at = steady_time()
+    while steady_time() < started_at + wait_s:
         current = await _read_status(caller)
         if current.in_force >= revision:
-            waited_s = time.monotonic() - started_at
+            waited_s = steady_time() - started_at
             typer.echo(f"revision {revision} in force in every zone after {waited_s:.1f} s")
             return
         await asyncio.sleep(IN_FORCE_POLL_S)
@@ -161,7 +161,7 @@
 ) -> None:
     """Lists objects, or shows one."""
     with exit_on_error():
-        listed = asyncio.run(_list(server))
+        listed = run_program(_list(server))
         chosen = [
             stored
             for stored in listed.objects
@@ -194,7 +194,7 @@
     with exit_on_error():
         path = f"/v1/objects/{kind.value}/{name}"
         headers = {"If-Match": str(revision)} if revision is not None else None
-        response = asyncio.run(HttpCaller([server]).call("DELETE", path, headers=headers))
+        response = run_program(HttpCaller([server]).call("DELETE", path, headers=headers))
         written = msgspec.json.decode(response.body, type=_Written)
         typer.echo(f"{kind.value}/{name}: withdrawn at revision {written.revision}")
 
@@ -207,7 +207,7 @@
 def status(server: ServerOption, output: OutputOption = Output.TABLE) -> None:
     """Nodes, leader, revisions by zone, samplers by version, rounds with their progress."""
     with exit_on_error():
-        current = asyncio.run(_read_status(HttpCaller([server])))
+        current = run_program(_read_status(HttpCaller([server])))
         if output is Output.JSON:
             _print_json(current)
         else:
@@ -266,7 +266,7 @@
         "prefix_key": prefix_key,
     }
     with exit_on_error():
-        response = asyncio.run(HttpCaller([server]).call("POST", "/v1/explain", body))
+        response = run_program(HttpCaller([server]).call("POST", "/v1/explain", body))
         explanation = msgspec.json.decode(response.body, type=Explanation)
         if output is Output.JSON:
             _print_json(explanation)
@@ -292,5 +292,5 @@
     """Drains the node that is asked, or a sampler. A drain sticks."""
     with exit_on_error():
         path = "/v1/drain" if sampler is None else f"/v1/samplers/{sampler}/drain"
-        asyncio.run(HttpCaller([server]).call("POST", path, {}))
+        run_program(HttpCaller([server]).call("POST", path, {}))
         typer.echo(f"draining {sampler or server}")
--- a/stileloom/cli/quarantine.py
+++ b/stileloom/cli/quarantine.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import Annotated
 
 import msgspec
 import typer
 
 from stileloom.cli.errors import exit_on_error
+from stileloom.clock import run_program
 from stileloom.errors import ErrorKind, StileloomError
 from stileloom.jobs.client import JobClient, LedgerNodes
 from stileloom.jobs.messages import JobReply
@@ -89,4 +89,4 @@
         finally:
             client.close()
 
-    return asyncio.run(run())
+    return run_program(run())
--- a/stileloom/cli/scale.py
+++ b/stileloom/cli/scale.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import tempfile
 from pathlib import Path
 from typing import Annotated
@@ -14,6 +13,7 @@
 
 from stileloom.cli.errors import exit_on_error
 from stileloom.cli.operate import Output, OutputOption
+from stileloom.clock import run_program
 from stileloom.emulator.scale import ScaleResult, ScaleRun
 
 STEPS = (50, 100, 200, 390)
@@ -34,7 +34,7 @@
         for size in sizes:
             with tempfile.TemporaryDirectory(prefix="stileloom-scale-") as folder:
                 run = ScaleRun(Path(folder), size, lambda text: typer.echo(text, err=True))
-                results.append(asyncio.run(run.run(window_s)))
+                results.append(run_program(run.run(window_s)))
     if output is Output.JSON:
         typer.echo(msgspec.json.format(msgspec.json.encode(results), indent=2).decode())
         return
--- a/stileloom/cli/services.py
+++ b/stileloom/cli/services.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
 from pathlib import Path
 from typing import Annotated
 
 import typer
 
 from stileloom.cli.errors import exit_on_error
+from stileloom.clock import run_program
 from stileloom.daemon.gateway import serve_gateway
 from stileloom.daemon.ledger_node import serve_ledger_node
 from stileloom.daemon.native_object_store import NativeObjectStore
@@ -29,7 +29,7 @@
     with exit_on_error():
         settings = load_settings(config, ServiceSettings)
         configure_logs(settings.log.level, open_output_stream())
-        asyncio.run(serve_gateway(settings, _store(settings), NativeDialect()))
+        run_program(serve_gateway(settings, _store(settings), NativeDialect()))
 
 
 def ledger_node(config: Config) -> None:
@@ -40,7 +40,7 @@
     with exit_on_error():
         settings = load_settings(config, ServiceSettings)
         configure_logs(settings.log.level, open_output_stream())
-        asyncio.run(serve_ledger_node(settings, _store(settings), NativeDialect()))
+        run_program(serve_ledger_node(settings, _store(settings), NativeDialect()))
 
 
 def _store(settings: ServiceSettings) -> NativeObjectStore:
--- a/stileloom/client.py
+++ b/stileloom/client.py
@@ -7,12 +7,12 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TypeVar
 
 import msgspec
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
 
+from stileloom.clock import steady_time
 from stileloom.errors import ErrorKind, Outcome, Problem, StileloomError
 from stileloom.http.lookups import LookupResult
 from stileloom.http.rounds import DeliveriesResult, PromptBody, PromptsBody
@@ -75,7 +75,7 @@
         give_up_s: float = 60.0,
     ) -> ResultType:
         """Repeats an idempotent request. Raises the last `StileloomError`."""
-        give_up_at = time.monotonic() + give_up_s
+        give_up_at = steady_time() + give_up_s
         while True:
             try:
                 response = await self.call(method, path, body)
@@ -83,7 +83,7 @@
             except StileloomError as error:
                 status = error.answer.http_status
                 final = 400 <= status < 500 and error.kind is not ErrorKind.UNKNOWN_ROUND
-                if final or time.monotonic() >= give_up_at:
+                if final or steady_time() >= give_up_at:
                     raise
             await asyncio.sleep(RETRY_PAUSE_S)
 
@@ -104,14 +104,14 @@
     async def read(self, offset: int, count: int) -> DeliveriesResult:
         """Waits until `count` deliveries from `offset` on are there."""
         path = f"{self._path}/deliveries?offset={offset}&count={count}&wait_s={READ_WAIT_S}"
-        give_up_at = time.monotonic() + self._give_up_s
+        give_up_at = steady_time() + self._give_up_s
         while True:
             result = await self._caller.call_until_answered(
                 "GET", path, DeliveriesResult, give_up_s=self._give_up_s
             )
             if result.deliveries:
                 return result
-            if time.monotonic() >= give_up_at:
+            if steady_time() >= give_up_at:
                 raise StileloomError(ErrorKind.OVERLOADED, "the batch did not become whole")
 
     async def acknowledge(self, offset: int) -> None:
--- a/stileloom/daemon/cached_store.py
+++ b/stileloom/daemon/cached_store.py
@@ -10,13 +10,13 @@
 
 import asyncio
 import random
-import time
 from typing import Any
 
 import msgspec
 import xxhash
 
 from stileloom.api.object_store import ObjectPage, ObjectRecord, ObjectStore, WatchBatch
+from stileloom.clock import steady_time
 from stileloom.daemon.process_metrics import ProcessMetrics
 from stileloom.daemon.store_cache import WATCH_SHARE_OF_BOUND
 from stileloom.errors import ErrorKind, StileloomError
@@ -156,7 +156,7 @@
 
     async def _ask_cache(self, call: ReadObjectsCall, limit_s: float) -> CacheReply | None:
         """A cache's answer within a limit, or None where the store has to be asked."""
-        node = self.nodes.choose(time.monotonic())
+        node = self.nodes.choose(steady_time())
         if node is None:
             return None
         timeout_s = call.wait_s + self._bound_s * ANSWER_SHARE_OF_BOUND
@@ -183,16 +183,16 @@
 
     def _note_failure(self, node: _CacheNode, reason: str) -> None:
         # Calls that were under way together fail together: one of them counts.
-        if time.monotonic() < node.passed_over_until:
+        if steady_time() < node.passed_over_until:
             return
-        self.nodes.failed(node, time.monotonic())
+        self.nodes.failed(node, steady_time())
         if self._in_use == node.name:
             self._in_use = None
             self._log.emit(LogEvent.STORE_CACHE_LOST, {"cache": node.name, "reason": reason})
 
     async def _refresh_nodes(self) -> None:
         """Reads the list of ledger nodes now and then; failures are left to the next time."""
-        now = time.monotonic()
+        now = steady_time()
         if now < self._refresh_at:
             return
         self._refresh_at = now + REFRESH_S * self._rng.uniform(0.7, 1.3)
--- a/stileloom/daemon/gateway.py
+++ b/stileloom/daemon/gateway.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-import time
 
 from prometheus_client import CollectorRegistry
 from tornado.httpserver import HTTPServer
@@ -12,6 +11,7 @@
 from stileloom.api.dialect import Dialect
 from stileloom.api.object_store import ObjectStore
 from stileloom.background import BackgroundTasks
+from stileloom.clock import steady_time
 from stileloom.daemon.cached_store import CachedObjectStore, ledger_node_addresses
 from stileloom.daemon.directory import Directory
 from stileloom.daemon.metrics_server import start_metrics_server
@@ -113,12 +113,12 @@
         )
         metrics.observe_open(lambda: self.front.open_requests)
         self._looked_up_at = float("-inf")
-        self._created_at = time.monotonic()
+        self._created_at = steady_time()
         self._tasks = BackgroundTasks(self._log)
 
     async def run(self) -> None:
         """Serves until SIGTERM; returns after the drain."""
-        started_at = time.monotonic()
+        started_at = steady_time()
         servers = self._listen()
         self.started.set()
         self.directory.start()
@@ -131,7 +131,7 @@
             server.stop()
             await server.close_all_connections()
         self.abort()
-        lived_s = round(time.monotonic() - started_at, 1)
+        lived_s = round(steady_time() - started_at, 1)
         self._log.emit(LogEvent.NODE_STOPPED, {"lived_s": lived_s})
 
     def _listen(self) -> list[HTTPServer]:
@@ -160,7 +160,7 @@
 
     def _knows_suspects(self) -> bool:
         """Whether the list of held requests is known, or no leader gave it in time."""
-        late = time.monotonic() > self._created_at + SUSPECTS_PATIENCE_S
+        late = steady_time() > self._created_at + SUSPECTS_PATIENCE_S
         return late or self._guard.view.revision >= 0
 
     def stop(self) -> None:
@@ -181,13 +181,13 @@
     async def _drain(self) -> None:
         """Not ready at once; finishes what comes until callers are sent elsewhere."""
         self.front.draining = True
-        began_at = time.monotonic()
+        began_at = steady_time()
         self._log.emit(LogEvent.DRAIN_STARTED, {"open": self.front.open_requests})
         give_up_at = began_at + self._settings.bounds.stop_grace_s - DRAIN_MARGIN_S
         await asyncio.sleep(DRAIN_NOTICE_S)
         # From here on nothing is passed on, so a request that crosses the close is not lost.
         self.front.closing = True
-        while self.front.open_requests and time.monotonic() < give_up_at:
+        while self.front.open_requests and steady_time() < give_up_at:
             await asyncio.sleep(DRAIN_POLL_S)
         self._log.emit(LogEvent.DRAIN_FINISHED, {"open": self.front.open_requests})
 
@@ -199,7 +199,7 @@
 
     def _look_up_ledger_nodes(self) -> None:
         """Asks the store where ledger nodes are, at most once a while."""
-        now = time.monotonic()
+        now = steady_time()
         if now < self._looked_up_at + RELOOKUP_PAUSE_S:
             return
         self._looked_up_at = now
--- a/stileloom/daemon/ledger_driver.py
+++ b/stileloom/daemon/ledger_driver.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from concurrent.futures import ThreadPoolExecutor
 
 from tornado.ioloop import IOLoop
 
 from stileloom.background import Ticker
+from stileloom.clock import steady_time
 from stileloom.effects import Effect, Emit, Send
 from stileloom.errors import ErrorKind, StileloomError
 from stileloom.events import LogEvent
@@ -78,11 +78,11 @@
 
     def hand_over(self) -> None:
         """Gives leadership to another replica, if this one has it."""
-        self._run(self.replica.hand_over(time.monotonic()))
+        self._run(self.replica.hand_over(steady_time()))
 
     def may_act(self) -> bool:
         """Whether this replica leads and holds its lease now."""
-        return not self._stopped and self.replica.may_act(time.monotonic())
+        return not self._stopped and self.replica.may_act(steady_time())
 
     def leader_address(self) -> tuple[str, int] | None:
         """Where the leader is, as far as this replica knows."""
@@ -109,14 +109,14 @@
         Raises `StileloomError` (LEDGER_UNAVAILABLE, outcome unknown) where leadership is lost.
         """
         future: asyncio.Future[CommandResult] = asyncio.get_running_loop().create_future()
-        proposed_at = time.monotonic()
+        proposed_at = steady_time()
         self._run(self.replica.propose(proposed_at, command, future))
         result = await future
-        self._metrics.commit.observe(time.monotonic() - proposed_at)
+        self._metrics.commit.observe(steady_time() - proposed_at)
         return result
 
     def _tick(self) -> None:
-        now = time.monotonic()
+        now = steady_time()
         self._run(self.replica.tick(now))
         alone = not self.replica.is_voter and not self.replica.hears_leader(now)
         if alone and now >= self._next_hello_at:
@@ -130,7 +130,7 @@
             self._network.send(address, hello)
 
     def _received(self, sender: str, message: object) -> None:
-        self._run(self.replica.handle(time.monotonic(), sender, message))
+        self._run(self.replica.handle(steady_time(), sender, message))
 
     def _run(self, effects: list[Effect]) -> None:
         if self._stopped:
@@ -169,7 +169,7 @@
     def _write(self, batch: list[Persist]) -> None:
         if self._stopped:
             return
-        self._write_began_at = time.monotonic()
+        self._write_began_at = steady_time()
         future = IOLoop.current().run_in_executor(self._disk, self._storage.write, batch)
         IOLoop.current().add_future(future, lambda done: self._written(done, batch))
 
@@ -182,11 +182,11 @@
             return
         done.result()
         self._note_disk(failing=False, detail="")
-        self._metrics.sync.observe(time.monotonic() - self._write_began_at)
+        self._metrics.sync.observe(steady_time() - self._write_began_at)
         self._writing = False
         if self._stopped:
             return
-        self._run(self.replica.persisted(time.monotonic(), batch[-1].write_id))
+        self._run(self.replica.persisted(steady_time(), batch[-1].write_id))
         self._start_writing()
 
     def _note_disk(self, failing: bool, detail: str) -> None:
--- a/stileloom/daemon/ledger_node.py
+++ b/stileloom/daemon/ledger_node.py
@@ -13,6 +13,7 @@
 from stileloom.api.object_store import ObjectStore
 from stileloom.api.sampler_directory import SamplerEntry
 from stileloom.background import BackgroundTasks, Ticker
+from stileloom.clock import steady_time
 from stileloom.daemon.cached_store import CachedObjectStore
 from stileloom.daemon.directory import Directory
 from stileloom.daemon.leadership import Leadership
@@ -127,7 +128,7 @@
             opened.identity,
             opened.recovered,
             self._rng,
-            time.monotonic(),
+            steady_time(),
             settings.voters,
             settings.switches,
         )
@@ -212,7 +213,7 @@
     def _step(self) -> None:
         assert self._driver is not None
         self._cache.drop_idle()
-        self._order_windows.learned(self._driver.state.order_windows, time.monotonic())
+        self._order_windows.learned(self._driver.state.order_windows, steady_time())
         leads = self._driver.may_act()
         if self._leadership is not None:
             current = self._leadership.epoch == self._driver.replica.epoch
@@ -271,7 +272,7 @@
     def _orders_from(self, state: LedgerState) -> float:
         lease_s = self._settings.bounds.order_lease_s
         if not self._settings.switches.order_windows:
-            return time.monotonic() + lease_s
+            return steady_time() + lease_s
         node_id = self._settings.node_id
         return self._order_windows.orders_from(state.last_order_holder, node_id, lease_s)
 
--- a/stileloom/daemon/object_watch.py
+++ b/stileloom/daemon/object_watch.py
@@ -4,10 +4,10 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Awaitable, Callable
 
 from stileloom.api.object_store import ObjectEvent, ObjectRecord, ObjectStore
+from stileloom.clock import steady_time
 from stileloom.errors import ErrorKind, StileloomError
 from stileloom.events import LogEvent
 from stileloom.logging import EventLog
@@ -75,7 +75,7 @@
 
     async def _follow(self) -> None:
         if self._revision is None:
-            asked_at = time.monotonic()
+            asked_at = steady_time()
             page = await self._store.list_objects(self._kind)
             self.synced_at = asked_at
             self._revision = page.store_revision
@@ -85,7 +85,7 @@
         # After a failure a call that is answered at once tells soonest that the store is back.
         wait_s = 0.0 if self._failures else self._wait_s
         batch = await self._store.watch_objects(self._kind, self._revision, wait_s)
-        self.synced_at = time.monotonic()
+        self.synced_at = steady_time()
         self._revision = max(self._revision, batch.store_revision)
         self._note_unreadable(batch.unreadable)
         for event in batch.events:
--- a/stileloom/daemon/process.py
+++ b/stileloom/daemon/process.py
@@ -11,6 +11,7 @@
 
 from tornado.httpserver import HTTPServer
 
+from stileloom.clock import steady_time
 from stileloom.daemon.ledger_start import agree_on_voters
 from stileloom.daemon.native_object_store import NativeObjectStore
 from stileloom.daemon.platform_client import MachineList, ObjectApi
@@ -43,7 +44,7 @@
     if settings.ledger.data_folder:
         storage = LedgerStorage(Path(settings.ledger.data_folder))
         identity, recovered = await _recover(settings, storage, object_api, log)
-    now = time.monotonic()
+    now = steady_time()
     replica = None
     if identity is not None and recovered is not None:
         replica = LedgerReplica(identity, recovered, rng, now, settings.ledger.voters)
--- a/stileloom/daemon/process_metrics.py
+++ b/stileloom/daemon/process_metrics.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 from prometheus_client import CollectorRegistry, Counter, Gauge
 
+from stileloom.clock import steady_time
 from stileloom.logging import EventLog
 
 
@@ -51,6 +51,6 @@
 
         def age_s() -> float:
             at = synced_at()
-            return time.monotonic() - at if at is not None else float("inf")
+            return steady_time() - at if at is not None else float("inf")
 
         self._ages.labels(kind).set_function(age_s)
--- a/stileloom/daemon/shell.py
+++ b/stileloom/daemon/shell.py
@@ -13,6 +13,7 @@
 from stileloom import constants
 from stileloom.api.engine import StreamChunk, StreamEnd
 from stileloom.background import Ticker
+from stileloom.clock import steady_time
 from stileloom.configuration import FetchConfiguration, FetchMachines
 from stileloom.daemon.engine_client import EngineClient
 from stileloom.daemon.platform_client import MachineList, ObjectApi
@@ -80,7 +81,7 @@
 
     def now(self) -> float:
         """Monotonic seconds; they count on while the process is stopped."""
-        return time.monotonic()
+        return steady_time()
 
     def run(self, effects: list[Effect]) -> None:
         """Carries out effects in order; after `stop` there is nothing left to act with."""
--- a/stileloom/daemon/store_cache.py
+++ b/stileloom/daemon/store_cache.py
@@ -10,7 +10,6 @@
 import asyncio
 import collections
 import random
-import time
 
 from stileloom.api.object_store import (
     ObjectEvent,
@@ -20,6 +19,7 @@
     WatchBatch,
 )
 from stileloom.background import BackgroundTasks
+from stileloom.clock import steady_time
 from stileloom.daemon.object_watch import ObjectWatcher
 from stileloom.logging import EventLog
 from stileloom.service_settings import TimeBounds
@@ -50,7 +50,7 @@
     def __init__(
         self, kind: str, store: ObjectStore, bound_s: float, log: EventLog, rng: random.Random
     ) -> None:
-        self.asked_at = time.monotonic()
+        self.asked_at = steady_time()
         self.watcher = ObjectWatcher(
             store,
             kind,
@@ -132,10 +132,10 @@
             return CacheBehind()
         if call.after_revision is None:
             return ObjectsListed(followed.page())
-        give_up_at = time.monotonic() + call.wait_s
+        give_up_at = steady_time() + call.wait_s
         batch = followed.after(call.after_revision)
         while batch is not None and not batch.events and self._current(followed):
-            left_s = min(give_up_at, self._behind_at(followed)) - time.monotonic()
+            left_s = min(give_up_at, self._behind_at(followed)) - steady_time()
             if left_s <= 0:
                 break
             await followed.wait(left_s)
@@ -151,12 +151,12 @@
             self._kinds[kind] = followed
             self._tasks[kind] = BackgroundTasks(self._log)
             self._tasks[kind].spawn(followed.watcher.run())
-        followed.asked_at = time.monotonic()
+        followed.asked_at = steady_time()
         return followed
 
     def drop_idle(self) -> None:
         """Follows no kind that nobody asks for."""
-        now = time.monotonic()
+        now = steady_time()
         idle = [kind for kind, item in self._kinds.items() if now > item.asked_at + IDLE_S]
         for kind in idle:
             self._tasks.pop(kind).cancel()
@@ -169,7 +169,7 @@
         return synced_at + self._bound_s * BEHIND_SHARE_OF_BOUND
 
     def _current(self, followed: _FollowedKind) -> bool:
-        return time.monotonic() < self._behind_at(followed)
+        return steady_time() < self._behind_at(followed)
 
     def stop(self) -> None:
         """Follows nothing any more."""
--- a/stileloom/emulator/demo.py
+++ b/stileloom/emulator/demo.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import signal
-import time
 from collections.abc import Callable
 from pathlib import Path
 
@@ -12,6 +11,7 @@
 
 from stileloom.cli.manifests import load_manifests
 from stileloom.client import HttpCaller
+from stileloom.clock import steady_time
 from stileloom.emulator.deployment import Deployment, NodeAddress, RunFiles
 from stileloom.emulator.lookup_load import LookupCounts, LookupLoad
 from stileloom.emulator.processes import Processes
@@ -97,7 +97,7 @@
 
     async def run(self) -> DemoReport:
         """The whole run. Raises `StileloomError` where it can not be brought to its end."""
-        started_at = time.monotonic()
+        started_at = steady_time()
         try:
             await self._start()
             load = self._make_load()
@@ -106,7 +106,7 @@
             trainer = await self._watch_trainer(load, started_at)
             await load.stop()
             await sending
-            return self._report(trainer, load, time.monotonic() - started_at)
+            return self._report(trainer, load, steady_time() - started_at)
         finally:
             self._processes.stop_all()
 
@@ -133,20 +133,20 @@
 
     async def _wait_ready(self, node: NodeAddress) -> None:
         caller = HttpCaller([_http(node)])
-        give_up_at = time.monotonic() + RUN_TIMEOUT_S / 2
+        give_up_at = steady_time() + RUN_TIMEOUT_S / 2
         while True:
             try:
                 await caller.call("GET", "/readyz")
                 return
             except StileloomError:
-                if time.monotonic() >= give_up_at:
+                if steady_time() >= give_up_at:
                     raise
             await asyncio.sleep(POLL_S)
 
     async def _wait_serving(self) -> None:
         """Until every sampler has been heard of by the leader."""
-        give_up_at = time.monotonic() + RUN_TIMEOUT_S / 2
-        while time.monotonic() < give_up_at:
+        give_up_at = steady_time() + RUN_TIMEOUT_S / 2
+        while steady_time() < give_up_at:
             status = await self._status(self._files.nodes[0])
             leader = status.leader
             if leader is not None and leader.samplers:
@@ -170,7 +170,7 @@
         while not report.exists():
             if not self._processes.is_running("trainer") and not report.exists():
                 raise StileloomError(ErrorKind.INTERNAL, "the trainer ended without a report")
-            if time.monotonic() >= started_at + RUN_TIMEOUT_S:
+            if steady_time() >= started_at + RUN_TIMEOUT_S:
                 raise StileloomError(ErrorKind.INTERNAL, "the run did not end in time")
             published = self._published()
             steps = self._deployment.trainer.steps
--- a/stileloom/emulator/engine_server.py
+++ b/stileloom/emulator/engine_server.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-import time
 
 import msgspec
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
@@ -12,6 +11,7 @@
 from tornado.web import Application
 
 from stileloom.api.engine import CancelReply, EngineOrder, GenerateRequest, LoadReport, StreamEnd
+from stileloom.clock import steady_time
 from stileloom.emulator.engine_model import EngineModel
 from stileloom.emulator.json_handler import JsonHandler
 from stileloom.emulator.settings import EmulatorSettings, SamplerSettings
@@ -40,7 +40,7 @@
 
     def report(self) -> LoadReport:
         """The load, up to `load_lag_s` old."""
-        now = time.monotonic()
+        now = steady_time()
         lag_s = self.model.parameters.load_lag_s
         if self._report is None or now >= self._reported_at + lag_s:
             self._report = self.model.report(now)
@@ -49,7 +49,7 @@
 
     def order(self, order: EngineOrder) -> None:
         """Takes a fenced order. Raises `PermissionError`."""
-        if self.model.order(time.monotonic(), order):
+        if self.model.order(steady_time(), order):
             task = asyncio.get_running_loop().create_task(self._load(order))
             self._loads.add(task)
             task.add_done_callback(self._loads.discard)
@@ -63,7 +63,7 @@
             await self._http.fetch(HTTPRequest(url, request_timeout=LOAD_TIMEOUT_S))
         except (HTTPClientError, OSError):
             success = False
-        self.model.finish_load(time.monotonic(), order, success)
+        self.model.finish_load(steady_time(), order, success)
 
 
 class EngineHandler(JsonHandler):
@@ -81,7 +81,7 @@
         """Runs a generation and streams its tokens."""
         request = msgspec.json.decode(self.request.body, type=GenerateRequest)
         model = self.service.model
-        refusal = model.submit(time.monotonic(), request)
+        refusal = model.submit(steady_time(), request)
         if refusal is not None:
             self.answer(refusal, 409)
             return
@@ -89,11 +89,11 @@
         try:
             await self._stream(request.request_id)
         except StreamClosedError:
-            model.cancel(time.monotonic(), request.request_id)
+            model.cancel(steady_time(), request.request_id)
 
     async def _stream(self, request_id: str) -> None:
         while True:
-            frames = self.service.model.poll(time.monotonic(), request_id)
+            frames = self.service.model.poll(steady_time(), request_id)
             if frames is None:
                 # Cut off: the connection ends without the counted last frame.
                 self.finish()
@@ -110,7 +110,7 @@
     def on_connection_close(self) -> None:
         """The reader went away."""
         request = msgspec.json.decode(self.request.body, type=GenerateRequest)
-        self.service.model.cancel(time.monotonic(), request.request_id)
+        self.service.model.cancel(steady_time(), request.request_id)
 
 
 class CancelHandler(EngineHandler):
@@ -119,7 +119,7 @@
     def post(self) -> None:
         """Cancels by id and says whether it ever began."""
         request_id = msgspec.json.decode(self.request.body, type=dict[str, str])["request_id"]
-        state = self.service.model.cancel(time.monotonic(), request_id)
+        state = self.service.model.cancel(steady_time(), request_id)
         self.answer(CancelReply(state))
 
 
--- a/stileloom/emulator/hollow.py
+++ b/stileloom/emulator/hollow.py
@@ -18,6 +18,7 @@
 
 from stileloom.api.engine import EngineState, LoadReport
 from stileloom.api.objects import SamplerRole
+from stileloom.clock import steady_time
 from stileloom.daemon.platform_client import MachineList, ObjectApi
 from stileloom.daemon.shell import Shell
 from stileloom.lease import FencingToken
@@ -136,7 +137,7 @@
     )
     rng = random.Random()
     seeds = [Seed(*split_address(seed)) for seed in settings.seeds]
-    core = NodeCore(member, seeds, rng, time.monotonic())
+    core = NodeCore(member, seeds, rng, steady_time())
     api = ObjectApi(settings.object_api)
     shell = HollowShell(core, api, MachineList(settings.machine_list), node.port)
     await shell.start(settings.host, node.port)
@@ -147,7 +148,7 @@
     usage = resource.getrusage(resource.RUSAGE_SELF)
     unit = 1 if sys.platform == "darwin" else 1024
     report = HollowReport(
-        at_s=time.monotonic(),
+        at_s=steady_time(),
         cpu_s=usage.ru_utime + usage.ru_stime,
         memory_bytes=usage.ru_maxrss * unit,
         nodes=[_count(shell) for shell in shells],
--- a/stileloom/emulator/http_sampler.py
+++ b/stileloom/emulator/http_sampler.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import hashlib
-import time
 from collections.abc import Callable
 
 import msgspec
@@ -18,6 +17,7 @@
 
 from stileloom.api.dialect import LoadOrder, SamplerReport
 from stileloom.api.headers import HeaderNames
+from stileloom.clock import steady_time
 from stileloom.http.native_dialect import ORDER_TARGET, REPORT_TARGET
 
 EVENT_INTERVAL_S = 0.002
@@ -143,7 +143,7 @@
 
     def _report(self) -> SamplerReport:
         return SamplerReport(
-            dict(self.model_versions), time.monotonic() < self._busy_until, len(self.orders)
+            dict(self.model_versions), steady_time() < self._busy_until, len(self.orders)
         )
 
     def _order(self, order: LoadOrder) -> int:
@@ -154,7 +154,7 @@
             return 409
         self.orders.append(order)
         self.model_versions[order.model] = order.version
-        self._busy_until = time.monotonic() + LOAD_S
+        self._busy_until = steady_time() + LOAD_S
         return 202
 
     async def _run(self, request: HTTPServerRequest) -> None:
@@ -163,7 +163,7 @@
         after = request.headers.get(names.last_event_id)
         after_event = int(after) if after is not None else None
         target = request.uri or ""
-        self.runs.append(RunRecord(request_id, target, request.body, after_event, time.monotonic()))
+        self.runs.append(RunRecord(request_id, target, request.body, after_event, steady_time()))
         if target in self.faults.ends_at | self.always_ends_at:
             await asyncio.sleep(self.faults.ends_after_s)
             await self._end()
@@ -212,7 +212,7 @@
             change = f"{self._names.versions.lower()}: {now}\n" if now != version else ""
             version = now
             connection.write(f"{change}id: {number}\ndata: {data}\n\n".encode())
-        self.whole_at[request_id] = time.monotonic()
+        self.whole_at[request_id] = steady_time()
         connection.finish()
 
     def _reply(
--- a/stileloom/emulator/ledger_bench.py
+++ b/stileloom/emulator/ledger_bench.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from stileloom.api.samples import Prompt, Sample, Segment
+from stileloom.clock import steady_time
 from stileloom.daemon.platform_client import MachineList, ObjectApi
 from stileloom.daemon.shell import Shell
 from stileloom.emulator.deployment import Ports
@@ -77,7 +78,7 @@
         incarnation = time.time_ns() // 1_000_000
         member = Member(name, name, "region", "127.0.0.1", port, 0, incarnation, voter=True)
         rng = random.Random()
-        now = time.monotonic()
+        now = steady_time()
         voter = next(voter for voter in self._voters if voter.node_id == name)
         replica = LedgerReplica(voter, recovered, rng, now)
         seeds = [Seed("127.0.0.1", other) for other in self._ports.values() if other != port]
@@ -97,8 +98,8 @@
 
     async def wait_leader(self) -> Shell:
         """Waits for one. Raises `StileloomError` (LEDGER_UNAVAILABLE)."""
-        give_up_at = time.monotonic() + LEADER_TIMEOUT_S
-        while time.monotonic() < give_up_at:
+        give_up_at = steady_time() + LEADER_TIMEOUT_S
+        while steady_time() < give_up_at:
             leader = self.leader()
             if leader is not None:
                 return leader
@@ -147,13 +148,13 @@
     times: list[float] = []
     next_slot = 0
     submitted = 0
-    end_at = time.monotonic() + seconds
+    end_at = steady_time() + seconds
     tokens = [number * 65_537 % (1 << 30) for number in range(SAMPLE_TOKENS)]
     sent_before = leader.network.traffic.sent_bytes
 
     async def commit() -> None:
         nonlocal next_slot, submitted
-        while time.monotonic() < end_at:
+        while steady_time() < end_at:
             slot = next_slot
             next_slot += 1
             if slot >= submitted:
@@ -165,9 +166,9 @@
                 ]
                 await leader.command(SubmitPrompts(ROUND, f"batch-{first}", prompts))
             sample = Sample(slot, "1.1", f"p{slot}", tokens, [Segment(1, 0, SAMPLE_TOKENS)])
-            started_at = time.monotonic()
+            started_at = steady_time()
             await leader.command(CommitSample(ROUND, sample))
-            times.append(time.monotonic() - started_at)
+            times.append(steady_time() - started_at)
             if slot % PROMPTS_PER_BATCH == PROMPTS_PER_BATCH // 2:
                 # A trainer keeps up, so that the state does not grow.
                 await leader.command(HandOver(ROUND, slot - CONCURRENCY))
@@ -181,9 +182,9 @@
     leader = await trio.wait_leader()
     name = leader.core.node_id
     trio.stop(name)
-    stopped_at = time.monotonic()
+    stopped_at = steady_time()
     await trio.wait_leader()
-    taken_s = time.monotonic() - stopped_at
+    taken_s = steady_time() - stopped_at
     await trio.start(name)
     await asyncio.sleep(2.0)
     return taken_s
--- a/stileloom/emulator/lookup_load.py
+++ b/stileloom/emulator/lookup_load.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import random
-import time
 import uuid
 
 import msgspec
 from hdrh.histogram import HdrHistogram
 
 from stileloom.client import LookupClient
+from stileloom.clock import steady_time
 from stileloom.emulator.deployment import LookupDescription
 from stileloom.emulator.engine_model import (
     EngineParameters,
@@ -60,10 +60,10 @@
     async def run(self) -> None:
         """Sends until `stop`."""
         number = 0
-        next_at = time.monotonic()
+        next_at = steady_time()
         while not self._stopped:
             next_at += self._rng.expovariate(self._description.rate_per_s)
-            await asyncio.sleep(max(0.0, next_at - time.monotonic()))
+            await asyncio.sleep(max(0.0, next_at - steady_time()))
             if self._stopped:
                 return
             number += 1
@@ -85,7 +85,7 @@
             headers["X-Repeatable"] = "false"
             headers["Idempotency-Key"] = uuid.UUID(int=self._rng.getrandbits(128)).hex
         self.counts.sent += 1
-        started_at = time.monotonic()
+        started_at = steady_time()
         try:
             result = await client.lookup(
                 self._description.service, query, self._description.max_tokens, headers
@@ -93,7 +93,7 @@
         except StileloomError as error:
             self._count_error(error)
             return
-        self.latency_us.record_value(int((time.monotonic() - started_at) * 1e6))
+        self.latency_us.record_value(int((steady_time() - started_at) * 1e6))
         self.counts.completed += 1
         if not self._is_right(query, result):
             self.counts.wrong_answer += 1
--- a/stileloom/emulator/object_api_server.py
+++ b/stileloom/emulator/object_api_server.py
@@ -4,11 +4,11 @@
 
 import asyncio
 import random
-import time
 
 import msgspec
 from tornado.web import Application
 
+from stileloom.clock import steady_time
 from stileloom.emulator.json_handler import JsonHandler
 from stileloom.emulator.object_api_model import CasConflictError, ObjectApiModel
 from stileloom.emulator.settings import EmulatorSettings
@@ -38,7 +38,7 @@
         """Slow, or down."""
         if self.state.delay_s:
             await asyncio.sleep(self.state.delay_s)
-        if time.monotonic() < self.state.down_until:
+        if steady_time() < self.state.down_until:
             self.set_status(503)
             self.finish()
 
@@ -58,10 +58,10 @@
     async def get(self) -> None:
         """Everything as soon as the revision is above `after`, or 204."""
         after = int(self.get_query_argument("after"))
-        give_up_at = time.monotonic() + float(self.get_query_argument("wait_s", "1"))
+        give_up_at = steady_time() + float(self.get_query_argument("wait_s", "1"))
         model = self.state.model
         while model.revision <= after:
-            if time.monotonic() >= give_up_at:
+            if steady_time() >= give_up_at:
                 self.set_status(204)
                 self.finish()
                 return
@@ -117,7 +117,7 @@
         """Brings a fault about."""
         body = msgspec.json.decode(self.request.body, type=dict[str, float])
         if "down_s" in body:
-            self.state.down_until = time.monotonic() + body["down_s"]
+            self.state.down_until = steady_time() + body["down_s"]
         self.state.delay_s = body.get("delay_s", self.state.delay_s)
         self.state.lost_answer_probability = body.get(
             "lost_answer_probability", self.state.lost_answer_probability
--- a/stileloom/emulator/platform_servers.py
+++ b/stileloom/emulator/platform_servers.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
 import msgspec
 from tornado.web import Application
 
 from stileloom.api.objects import Machine, MachineState
+from stileloom.clock import steady_time
 from stileloom.emulator.json_handler import JsonHandler
 from stileloom.emulator.rate_limit import RateLimit
 from stileloom.emulator.settings import EmulatorSettings
@@ -29,11 +29,11 @@
 
     def change(self, sampler_id: str, state: MachineState) -> None:
         """A machine changes; it shows after the lag."""
-        self._changes.append((time.monotonic() + self._lag_s, sampler_id, state))
+        self._changes.append((steady_time() + self._lag_s, sampler_id, state))
 
     def shown(self) -> list[Machine]:
         """The list as a reader sees it now."""
-        due = [change for change in self._changes if change[0] <= time.monotonic()]
+        due = [change for change in self._changes if change[0] <= steady_time()]
         self._changes = [change for change in self._changes if change not in due]
         for _, sampler_id, state in due:
             machine = self._shown[sampler_id]
@@ -81,7 +81,7 @@
     async def get(self, model: str, version: str) -> None:
         """Answers when the transfer would be done."""
         size = self.held.get((model, int(version)), int(self.get_query_argument("size_bytes")))
-        now = time.monotonic()
+        now = steady_time()
         await asyncio.sleep(self.limit.finished_at(now, size) - now)
         self.answer({"size_bytes": size})
 
--- a/stileloom/emulator/processes.py
+++ b/stileloom/emulator/processes.py
@@ -8,9 +8,9 @@
 import socket
 import subprocess
 import sys
-import time
 from pathlib import Path
 
+from stileloom.clock import steady_time
 from stileloom.emulator.deployment import NodeAddress, RunFiles
 from stileloom.errors import ErrorKind, StileloomError
 
@@ -80,15 +80,15 @@
 
     async def wait_ended(self, name: str, timeout_s: float = STOP_TIMEOUT_S) -> int | None:
         """Waits until a process has ended; its exit code, or None where it goes on."""
-        give_up_at = time.monotonic() + timeout_s
-        while self.is_running(name) and time.monotonic() < give_up_at:
+        give_up_at = steady_time() + timeout_s
+        while self.is_running(name) and steady_time() < give_up_at:
             await asyncio.sleep(0.02)
         return self.exit_code(name)
 
     async def wait_listening(self, port: int) -> None:
         """Waits until a port takes connections. Raises `StileloomError` (INTERNAL)."""
-        give_up_at = time.monotonic() + START_TIMEOUT_S
-        while time.monotonic() < give_up_at:
+        give_up_at = steady_time() + START_TIMEOUT_S
+        while steady_time() < give_up_at:
             with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
                 if probe.connect_ex(("127.0.0.1", port)) == 0:
                     return
@@ -101,10 +101,10 @@
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
                 process.terminate()
-        give_up_at = time.monotonic() + STOP_TIMEOUT_S
+        give_up_at = steady_time() + STOP_TIMEOUT_S
         for process in self._running.values():
             try:
-                process.wait(max(0.1, give_up_at - time.monotonic()))
+                process.wait(max(0.1, give_up_at - steady_time()))
             except subprocess.TimeoutExpired:
                 os.kill(process.pid, signal.SIGKILL)
                 process.wait()
--- a/stileloom/emulator/run_server.py
+++ b/stileloom/emulator/run_server.py
@@ -4,10 +4,10 @@
 
 import asyncio
 import signal
-import time
 
 from tornado.web import Application
 
+from stileloom.clock import steady_time
 from stileloom.emulator.engine_server import EngineService
 
 LEAVE_POLL_S = 0.05
@@ -24,7 +24,7 @@
     server = application.listen(port, address=host)
     await stop.wait()
     if engine is not None:
-        engine.model.leave(time.monotonic())
+        engine.model.leave(steady_time())
         while engine.model.open_count > 0:
             await asyncio.sleep(LEAVE_POLL_S)
     server.stop()
--- a/stileloom/emulator/scale.py
+++ b/stileloom/emulator/scale.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import statistics
-import time
 from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
 
 from stileloom.client import HttpCaller
+from stileloom.clock import steady_time
 from stileloom.emulator.deployment import NodeAddress, Ports, RunFiles, toml_of
 from stileloom.emulator.hollow import HollowReport
 from stileloom.emulator.processes import Processes
@@ -204,13 +204,13 @@
     # Waiting.
 
     async def _wait_joined(self) -> float:
-        started_at = time.monotonic()
-        while time.monotonic() < started_at + START_TIMEOUT_S:
+        started_at = steady_time()
+        while steady_time() < started_at + START_TIMEOUT_S:
             reports = [_read(path) for path in self._reports if path.exists()]
             counts = [count for report in reports for count in report.nodes]
             whole = [c for c in counts if c.members >= self._nodes and c.revision > 0]
             if len(whole) == self._nodes - VOTERS:
-                return time.monotonic() - started_at
+                return steady_time() - started_at
             await asyncio.sleep(POLL_S)
         raise StileloomError(ErrorKind.NOT_READY, "not every node learned of every other in time")
 
@@ -222,11 +222,11 @@
     async def _change_and_wait(self) -> float:
         """Stores a change and waits until the leader says that it is in force everywhere."""
         revision = await self._put("service", "charts", {"pool": "lookups", "queue_limit": 65})
-        stored_at = time.monotonic()
-        while time.monotonic() < stored_at + START_TIMEOUT_S:
+        stored_at = steady_time()
+        while steady_time() < stored_at + START_TIMEOUT_S:
             status = await self._status()
             if status.leader is not None and status.leader.in_force >= revision:
-                return time.monotonic() - stored_at
+                return steady_time() - stored_at
             await asyncio.sleep(POLL_S / 4)
         raise StileloomError(ErrorKind.NOT_READY, "the change did not come in force in time")
 
@@ -234,7 +234,7 @@
 
     async def _moment(self) -> _Moment:
         return _Moment(
-            time.monotonic(), [_read(path) for path in self._reports], await self._leader_counts()
+            steady_time(), [_read(path) for path in self._reports], await self._leader_counts()
         )
 
     async def _leader_counts(self) -> dict[str, float]:
--- a/stileloom/emulator/trainer.py
+++ b/stileloom/emulator/trainer.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import random
-import time
 from pathlib import Path
 
 import msgspec
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
 from stileloom.client import TrainerClient
+from stileloom.clock import steady_time
 from stileloom.emulator.sample_audit import AuditReport, SampleAudit
 from stileloom.emulator.settings import EmulatorSettings, TrainerSettings
 from stileloom.emulator.workload import LengthDistribution, generate_prompt
@@ -58,7 +58,7 @@
     async def run(self) -> TrainerReport:
         """All steps. Raises `StileloomError` where the service gives no answer in time."""
         settings = self._settings
-        started_at = time.monotonic()
+        started_at = steady_time()
         for step in range(settings.steps):
             await self._submit_up_to(min(settings.steps, step + settings.prompts_ahead))
             await self._train_step(step)
@@ -68,7 +68,7 @@
             lost=self._audit.lost,
             audit=self._audit.report,
             idle_s=self._idle_s,
-            total_s=time.monotonic() - started_at,
+            total_s=steady_time() - started_at,
             versions_published=self._version - FIRST_VERSION,
             whole_steps=settings.steps,
         )
@@ -99,9 +99,9 @@
     async def _train_step(self, step: int) -> None:
         settings = self._settings
         offset = step * settings.samples_per_step
-        waited_from = time.monotonic()
+        waited_from = steady_time()
         result = await self._client.read(offset, settings.samples_per_step)
-        self._idle_s += time.monotonic() - waited_from
+        self._idle_s += steady_time() - waited_from
         for delivery in result.deliveries:
             self._audit.check(delivery, self._version)
         await asyncio.sleep(settings.train_s)
--- a/stileloom/http1/connection.py
+++ b/stileloom/http1/connection.py
@@ -6,9 +6,9 @@
 import enum
 import re
 import socket
-import time
 from typing import Protocol
 
+from stileloom.clock import steady_time
 from stileloom.http1.response_decoder import MalformedResponse, ResponseDecoder, ResponseHead
 
 CONNECT_TIMEOUT_S = 0.5
@@ -54,7 +54,7 @@
         self._decoder = ResponseDecoder()
         self._reusable = True
         self._idle_until = float("inf")
-        self._rested_since = time.monotonic()
+        self._rested_since = steady_time()
 
     @classmethod
     async def open(cls, address: tuple[str, int]) -> SamplerConnection:
@@ -79,7 +79,7 @@
             and not self._transport.is_closing()
             and self._sink is None
             and self._reusable
-            and time.monotonic() < self._idle_until
+            and steady_time() < self._idle_until
         )
 
     def exchange(self, request: bytes, sink: ExchangeSink, method: str = "GET") -> None:
@@ -148,7 +148,7 @@
         match = _KEEP_ALIVE_TIMEOUT.search(head.headers.get("Keep-Alive", ""))
         if match is not None:
             rest_s = max(0.0, int(match.group(1)) - KEEP_ALIVE_MARGIN_S)
-            self._idle_until = time.monotonic() + rest_s
+            self._idle_until = steady_time() + rest_s
 
 
 def _set_options(connected: socket.socket) -> None:
--- a/stileloom/jobs/order_window.py
+++ b/stileloom/jobs/order_window.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import time
-
+from stileloom.clock import steady_time
 from stileloom.errors import StileloomError
 from stileloom.jobs.leader_ledger import LeaderLedger
 from stileloom.ledger.commands import OpenOrderWindow
@@ -24,11 +23,11 @@
 
     def is_open(self) -> bool:
         """Whether an order may leave now: a process may have slept since it was asked last."""
-        return self._ledger.may_act() and time.monotonic() < self._closes_at
+        return self._ledger.may_act() and steady_time() < self._closes_at
 
     async def open(self) -> bool:
         """Opens a window where none is, or little is left of it; False where that failed."""
-        proposed_at = time.monotonic()
+        proposed_at = steady_time()
         if self._ledger.may_act() and proposed_at < self._closes_at - MIN_LEFT_S:
             return True
         try:
--- a/stileloom/jobs/reward_caller.py
+++ b/stileloom/jobs/reward_caller.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from functools import partial
 from typing import Protocol
 
@@ -17,6 +16,7 @@
 from stileloom.api.headers import HeaderNames
 from stileloom.api.jobs import RewardCall
 from stileloom.api.routes import Route, RouteKind
+from stileloom.clock import steady_time
 from stileloom.errors import ErrorKind, StileloomError
 from stileloom.events import LogEvent
 from stileloom.jobs.metrics import JobMetrics
@@ -88,7 +88,7 @@
         """The item's text is whole: asks for its score, as soon as the service has room."""
         if open_item.key in self._pending:
             return
-        now = time.monotonic()
+        now = steady_time()
         self._pending[open_item.key] = PendingReward(open_item, call, now)
         self._log.emit(
             LogEvent.REWARD_ASKED,
@@ -141,7 +141,7 @@
         try:
             answer = await self._forward(pending, route, service)
         except StileloomError as error:
-            now = time.monotonic()
+            now = steady_time()
             window.not_answered(now)
             self._ask_again(pending, now, f"{error.kind.value}: {error.detail}")
             if error.kind is ErrorKind.QUARANTINED:
@@ -151,7 +151,7 @@
             window.running -= 1
         window.answered()
         self._judge(pending, answer, route.max_attempts)
-        self.step(time.monotonic())
+        self.step(steady_time())
 
     def _note_fault(self, pending: PendingReward, task: asyncio.Task[None]) -> None:
         """A fault of ours must not leave the item without its score for good."""
@@ -160,12 +160,12 @@
         error = repr(task.exception())
         self._log.emit(LogEvent.INTERNAL_FAULT, {**self._log_fields(pending), "error": error})
         if self._pending.get(pending.item.key) is pending:
-            self._ask_again(pending, time.monotonic(), error)
+            self._ask_again(pending, steady_time(), error)
 
     async def _forward(self, pending: PendingReward, route: Route, service: str) -> LookupAnswer:
         """One try, within the route's attempts and time; the call may run more than once."""
         call = pending.call
-        now = time.monotonic()
+        now = steady_time()
         left_s = max(RETRY_S, min(route.timeout_s, pending.item.give_up_at - now))
         headers = [("Host", call.host), (self._names.request_id, call.request_id)]
         lookup = Lookup(call.request_id, "POST", call.path, headers, call.body, now, now + left_s)
@@ -184,7 +184,7 @@
             reason = f"its reward call failed {pending.failures} times"
             self._owner.not_scored(pending.item, reason)
         else:
-            self._ask_again(pending, time.monotonic(), f"status {status}")
+            self._ask_again(pending, steady_time(), f"status {status}")
 
     def _ask_again(self, pending: PendingReward, now: float, detail: str) -> None:
         pending.task = None
@@ -198,7 +198,7 @@
     def _end(self, pending: PendingReward, outcome: str) -> None:
         del self._pending[pending.item.key]
         self._metrics.rewards.labels(outcome).inc()
-        self._metrics.reward_wait.observe(time.monotonic() - pending.whole_at)
+        self._metrics.reward_wait.observe(steady_time() - pending.whole_at)
         self._log.emit(LogEvent.REWARD_ANSWERED, {**self._log_fields(pending), "outcome": outcome})
 
     def _log_fields(self, pending: PendingReward) -> dict[str, object]:
@@ -208,5 +208,5 @@
             "reward": pending.call.request_id,
             "tries": pending.tries,
             "failures": pending.failures,
-            "waited_ms": round((time.monotonic() - pending.whole_at) * 1000),
+            "waited_ms": round((steady_time() - pending.whole_at) * 1000),
         }
--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
 import msgspec
 
@@ -16,6 +15,7 @@
 from stileloom.api.routes import Route, RouteKind, Service
 from stileloom.api.sampler_directory import SamplerEntry
 from stileloom.background import BackgroundTasks
+from stileloom.clock import steady_time
 from stileloom.events import LogEvent
 from stileloom.http1.connection import SamplerConnection
 from stileloom.http1.pool import ConnectionPool
@@ -100,9 +100,9 @@
         self._adopted: dict[str, float] = {}
         self._stopped = False
         self._next_save_at = 0.0
-        self._next_record_at = time.monotonic() + RECORD_INTERVALS_S
-        self._versions_due_at = time.monotonic() + VERSIONS_PATIENCE_S
-        self._starts_from = time.monotonic() + STARTS_PATIENCE_S
+        self._next_record_at = steady_time() + RECORD_INTERVALS_S
+        self._versions_due_at = steady_time() + VERSIONS_PATIENCE_S
+        self._starts_from = steady_time() + STARTS_PATIENCE_S
         """Samplers that have to load first had better not get work just before."""
         self._tasks = BackgroundTasks(log)
         self._suspects = SuspectItems(parts.guard, self.scheduler, self._host_of, self._tasks, log)
@@ -140,7 +140,7 @@
 
     def version_named(self, model: str, version: int) -> None:
         """A trainer has named a version."""
-        if self.planner.named(model, version, time.monotonic()):
+        if self.planner.named(model, version, steady_time()):
             self._log.emit(LogEvent.VERSION_NAMED, {"model": model, "version": version})
 
     def versions_listed(self) -> None:
@@ -173,7 +173,7 @@
         """Takes in what has changed and starts what is due."""
         if not self._may_act():
             return
-        now = time.monotonic()
+        now = steady_time()
         self._follow_book(now)
         for open_item in self.scheduler.silent_runs(now):
             self._stop_run(open_item, "silent", avoid=True)
@@ -313,7 +313,7 @@
         return route if route is not None and route.kind is RouteKind.BATCH else None
 
     def _drop(self, job_id: str) -> None:
-        self._metrics.job_time.observe(time.monotonic() - self._adopted[job_id])
+        self._metrics.job_time.observe(steady_time() - self._adopted[job_id])
         for open_item in self.scheduler.drop_job(job_id):
             self._stop_run(open_item, "job ended")
             self._rewards.drop(open_item.key)
@@ -336,11 +336,11 @@
         try:
             connection = await self._pool.acquire(entry.sampler_id, entry.address)
         except (OSError, TimeoutError) as error:
-            self._samplers.failed(entry.sampler_id, time.monotonic())
+            self._samplers.failed(entry.sampler_id, steady_time())
             self._note_run(open_item, entry.sampler_id, RunOutcome.BROKEN, type(error).__name__)
             if open_item.run is run:
                 self.scheduler.run_ended(open_item, avoid=True)
-                open_item.not_before = time.monotonic() + RETRY_S
+                open_item.not_before = steady_time() + RETRY_S
             return
         if open_item.run is not run or not self._may_act():
             self._pool.release(entry.sampler_id, connection)
@@ -360,8 +360,8 @@
         self._metrics.runs_started.inc()
         if not open_item.began:
             open_item.began = True
-            self._metrics.queue_wait.observe(time.monotonic() - open_item.adopted_at)
-        left_s = open_item.give_up_at - time.monotonic()
+            self._metrics.queue_wait.observe(steady_time() - open_item.adopted_at)
+        left_s = open_item.give_up_at - steady_time()
         request = encode_item_request(
             open_item, self._host_of(open_item), entry.sampler_id, left_s, self._dialect.names
         )
@@ -370,7 +370,7 @@
     def _event(self, open_item: OpenItem, run: ItemRun) -> None:
         if open_item.run is not run:
             return
-        now = time.monotonic()
+        now = steady_time()
         metric = self._metrics.event_gap if run.events else self._metrics.first_event
         metric.observe(now - run.last_event_at)
         self.scheduler.event(open_item, now)
@@ -396,7 +396,7 @@
                     "events": len(open_item.partial.parts),
                     "events_left": round(self.scheduler.events_left(open_item)),
                     "event_ms": round(self.scheduler.pace(run.sampler_id).interval_s * 1000),
-                    "silent_ms": round((time.monotonic() - run.last_event_at) * 1000),
+                    "silent_ms": round((steady_time() - run.last_event_at) * 1000),
                     "reason": reason,
                 },
             )
@@ -411,7 +411,7 @@
             # It was stopped before: its text is not the item's any more.
             return
         connection = self._connections.pop(open_item.key, None)
-        now = time.monotonic()
+        now = steady_time()
         failed = outcome in (RunOutcome.FAILED, RunOutcome.BROKEN, RunOutcome.REFUSED)
         self.scheduler.run_ended(open_item, avoid=failed)
         if connection is not None:
@@ -516,7 +516,7 @@
 
     def expired(self, retention_s: float) -> list[ForgetJob]:
         """Commands that drop jobs nobody may ask for any more."""
-        now = time.monotonic()
+        now = steady_time()
         return [
             ForgetJob(job_id)
             for job_id, adopted_at in self._adopted.items()
--- a/stileloom/jobs/suspect_items.py
+++ b/stileloom/jobs/suspect_items.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 from stileloom.api.sampler_directory import SamplerEntry
 from stileloom.background import BackgroundTasks
+from stileloom.clock import steady_time
 from stileloom.events import LogEvent
 from stileloom.jobs.open_items import ItemKey, OpenItem
 from stileloom.jobs.scheduler import ItemScheduler
@@ -110,4 +110,4 @@
 
     def _put_off(self, open_item: OpenItem, pause_s: float, avoid: bool) -> None:
         self._scheduler.run_ended(open_item, avoid=avoid)
-        open_item.not_before = time.monotonic() + pause_s
+        open_item.not_before = steady_time() + pause_s
--- a/stileloom/jobs/weight_loader.py
+++ b/stileloom/jobs/weight_loader.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
 from stileloom.api.dialect import Dialect, LoadOrder
+from stileloom.clock import steady_time
 from stileloom.events import LogEvent
 from stileloom.http1.pool import ConnectionPool
 from stileloom.jobs.engine_control import ControlTarget, EngineControl, OrderOutcome
@@ -83,7 +83,7 @@
         target = ControlTarget(load.sampler_id, belief.entry.address)
         report = await self._control.report(target)
         if report is None:
-            self._planner.postpone(load.sampler_id, time.monotonic() + REPORT_RETRY_S)
+            self._planner.postpone(load.sampler_id, steady_time() + REPORT_RETRY_S)
             return OrderOutcome.REFUSED
         self.saw_versions(load.sampler_id, report.model_versions)
         if report.model_versions.get(load.model, 0) >= load.version:
@@ -116,14 +116,14 @@
         if outcome is OrderOutcome.GONE:
             self._samplers.mark_leaving(load.sampler_id)
         if outcome in (OrderOutcome.REFUSED, OrderOutcome.FENCED):
-            self._planner.postpone(load.sampler_id, time.monotonic() + ORDER_RETRY_S)
+            self._planner.postpone(load.sampler_id, steady_time() + ORDER_RETRY_S)
         return outcome
 
     async def _await_version(self, load: Load) -> None:
         """Asks for reports until the version is there, or nothing is under way any more."""
-        give_up_at = time.monotonic() + LOAD_PATIENCE_S
+        give_up_at = steady_time() + LOAD_PATIENCE_S
         quiet = 0
-        while time.monotonic() < give_up_at:
+        while steady_time() < give_up_at:
             belief = self._samplers.get(load.sampler_id)
             if belief is None:
                 return
--- a/stileloom/logging.py
+++ b/stileloom/logging.py
@@ -10,11 +10,11 @@
 import logging
 import os
 import sys
-import time
 from collections.abc import Callable
 
 import structlog
 
+from stileloom.clock import steady_time
 from stileloom.events import LogEvent
 
 WARNING_EVENTS = {
@@ -114,7 +114,7 @@
 class EventLog:
     """Writes events with the node's id bound to each, within a budget."""
 
-    def __init__(self, node_id: str, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, node_id: str, clock: Callable[[], float] = steady_time) -> None:
         self.budget = LineBudget()
         self._clock = clock
         self._logger = structlog.get_logger().bind(node=node_id)
--- a/stileloom/proxy/forwarder.py
+++ b/stileloom/proxy/forwarder.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import random
-import time
 
 import msgspec
 
 from stileloom.api.headers import HeaderNames
 from stileloom.api.routes import Route, RouteKind
+from stileloom.clock import steady_time
 from stileloom.errors import ErrorKind, StileloomError
 from stileloom.events import LogEvent
 from stileloom.http1.pool import ConnectionPool
@@ -89,7 +89,7 @@
         last_failure: Attempt | None = None
         failed_attempts = 0
         while True:
-            now = time.monotonic()
+            now = steady_time()
             if now >= lookup.deadline_at:
                 raise self._out_of_time(plan)
             wait_until = lookup.deadline_at
@@ -126,7 +126,7 @@
             "service": plan.service,
             "sampler": attempt.sampler_id,
             "attempts": len(plan.tried),
-            "took_ms": round((time.monotonic() - lookup.arrived_at) * 1000),
+            "took_ms": round((steady_time() - lookup.arrived_at) * 1000),
         }
         self._log.emit(LogEvent.REQUEST_ANSWERED, fields)
 
@@ -178,7 +178,7 @@
 
     def _note(self, lookup: Lookup, plan: AttemptPlan, attempt: Attempt) -> bool:
         """Takes the outcome into the plan; True where there is an answer to pass on."""
-        now = time.monotonic()
+        now = steady_time()
         sampler_id = attempt.sampler_id
         outcome = attempt.outcome
         self._metrics.attempts.labels(outcome.value).inc()
@@ -226,7 +226,7 @@
                 return Attempt(
                     entry.sampler_id, AttemptOutcome.NOT_CONNECTED, detail=type(error).__name__
                 )
-            began_at = time.monotonic()
+            began_at = steady_time()
             request = self._encode(lookup, entry.sampler_id)
             attempt = await run_exchange(
                 connection,
@@ -243,7 +243,7 @@
 
     def _encode(self, lookup: Lookup, sampler_id: str) -> bytes:
         names = self._names
-        left_ms = max(1, int((lookup.deadline_at - time.monotonic()) * 1000))
+        left_ms = max(1, int((lookup.deadline_at - steady_time()) * 1000))
         own = {names.deadline_ms.lower(), names.expect_sampler.lower()}
         headers = [(name, value) for name, value in lookup.headers if name.lower() not in own]
         headers += [(names.deadline_ms, str(left_ms)), (names.expect_sampler, sampler_id)]
--- a/stileloom/proxy/front.py
+++ b/stileloom/proxy/front.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Callable
 
 import msgspec
@@ -18,6 +17,7 @@
 
 from stileloom.api.dialect import Dialect, EndJob, JobCall, ReadItem, ReadResults
 from stileloom.api.routes import IngressLimits, Route, RouteKind
+from stileloom.clock import steady_time
 from stileloom.errors import ErrorKind, Outcome, StileloomError, problem_of
 from stileloom.events import LogEvent
 from stileloom.http1.request_encoder import end_to_end
@@ -144,7 +144,7 @@
             return self._refuse(request, error)
         finally:
             self._open -= 1
-            self._metrics.latency.labels(route_name).observe(time.monotonic() - request.arrived_at)
+            self._metrics.latency.labels(route_name).observe(steady_time() - request.arrived_at)
 
     def _find_route(self, request: CallerRequest) -> Route:
         if self._routes.version == 0:
@@ -218,7 +218,7 @@
                 "route": route.name,
                 "configuration": self._routes.version,
                 "items": len(submission.items),
-                "taken_ms": round((time.monotonic() - request.arrived_at) * 1000),
+                "taken_ms": round((steady_time() - request.arrived_at) * 1000),
             },
         )
         if not isinstance(reply, JobTaken):
@@ -290,7 +290,7 @@
                 "status": status,
                 "detail": error.detail,
                 "configuration": self._routes.version,
-                "after_ms": round((time.monotonic() - request.arrived_at) * 1000),
+                "after_ms": round((steady_time() - request.arrived_at) * 1000),
             },
         )
         headers = [("Content-Type", "application/problem+json")]
@@ -366,7 +366,7 @@
             self._start.path,
             self._headers,
             b"".join(self._parts),
-            time.monotonic(),
+            steady_time(),
             getattr(getattr(self._connection, "context", None), "remote_ip", "") or "",
         )
         self._parts.clear()
--- a/stileloom/proxy/stream_relay.py
+++ b/stileloom/proxy/stream_relay.py
@@ -11,13 +11,13 @@
 import asyncio
 import enum
 import random
-import time
 from typing import Protocol
 
 import msgspec
 
 from stileloom.api.headers import HeaderNames
 from stileloom.api.routes import Route
+from stileloom.clock import steady_time
 from stileloom.errors import ErrorKind, StileloomError
 from stileloom.events import LogEvent
 from stileloom.http1.connection import ExchangeEnd
@@ -133,13 +133,13 @@
         )
         stream = _StreamState(writer)
         last: _Run | None = None
-        while plan.may_start() and permit.attempts_left and time.monotonic() < lookup.deadline_at:
-            belief = plan.choose(self._samplers, time.monotonic(), self._rng)
+        while plan.may_start() and permit.attempts_left and steady_time() < lookup.deadline_at:
+            belief = plan.choose(self._samplers, steady_time(), self._rng)
             if belief is None:
                 if not await self._pause(lookup, plan, stream):
                     break
                 continue
-            began_at = time.monotonic()
+            began_at = steady_time()
             last = await self._run(lookup, plan, belief, stream, route.resumable)
             if last.end is _RunEnd.BROKEN:
                 await permit.broke_off(belief.entry, began_at)
@@ -163,7 +163,7 @@
 
     async def _pause(self, lookup: Lookup, plan: AttemptPlan, stream: _StreamState) -> bool:
         """Every sampler refused: asks again soon; False where it is time to refuse."""
-        waited_s = time.monotonic() - lookup.arrived_at
+        waited_s = steady_time() - lookup.arrived_at
         if not stream.started and not plan.may_have_run and waited_s > plan.target_latency_s / 5:
             return False
         plan.refused_by.clear()
@@ -179,11 +179,11 @@
         resumable: bool,
     ) -> _Run:
         entry = belief.entry
-        plan.started(entry.sampler_id, time.monotonic())
+        plan.started(entry.sampler_id, steady_time())
         try:
             connection = await self._pool.acquire(entry.sampler_id, entry.address)
         except (OSError, TimeoutError) as error:
-            self._samplers.failed(entry.sampler_id, time.monotonic())
+            self._samplers.failed(entry.sampler_id, steady_time())
             plan.not_sent()
             return self._note(lookup, entry.sampler_id, _Run(_RunEnd.REFUSED, repr(error)))
         belief.open_requests += 1
@@ -203,7 +203,7 @@
         else:
             plan.ran()
         if run.end is _RunEnd.BROKEN:
-            self._samplers.failed(entry.sampler_id, time.monotonic())
+            self._samplers.failed(entry.sampler_id, steady_time())
         return self._note(lookup, entry.sampler_id, run)
 
     async def _read(
@@ -212,7 +212,7 @@
         head: ResponseHead | None = None
         body = b""
         while True:
-            left_s = lookup.deadline_at - time.monotonic()
+            left_s = lookup.deadline_at - steady_time()
             limit_s = min(left_s, SILENCE_S) if resumable else left_s
             try:
                 async with asyncio.timeout(max(0.001, limit_s)):
@@ -262,14 +262,14 @@
             "sampler": sampler_id,
             "outcome": run.end.value,
             "detail": run.detail,
-            "left_ms": round((lookup.deadline_at - time.monotonic()) * 1000),
+            "left_ms": round((lookup.deadline_at - steady_time()) * 1000),
         }
         self._log.emit(event, fields)
         return run
 
     def _encode(self, lookup: Lookup, sampler_id: str, stream: _StreamState) -> bytes:
         names = self._names
-        left_ms = max(1, int((lookup.deadline_at - time.monotonic()) * 1000))
+        left_ms = max(1, int((lookup.deadline_at - steady_time()) * 1000))
         own = {names.deadline_ms.lower(), names.expect_sampler.lower()}
         if stream.last_event_id is not None:
             own.add(names.last_event_id.lower())
--- a/stileloom/quarantine/authority.py
+++ b/stileloom/quarantine/authority.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from stileloom.clock import steady_time
 from stileloom.errors import ErrorKind, StileloomError
 from stileloom.events import LogEvent
 from stileloom.ledger.commands import (
@@ -77,9 +78,9 @@
 
     async def watch(self, known_revision: int, wait_s: float) -> QuarantineListing | None:
         """The list once its revision is another one; None after the wait."""
-        give_up_at = time.monotonic() + wait_s
+        give_up_at = steady_time() + wait_s
         while self._book().revision == known_revision:
-            left_s = give_up_at - time.monotonic()
+            left_s = give_up_at - steady_time()
             if left_s <= 0:
                 return None
             waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
--- a/stileloom/quarantine/guard.py
+++ b/stileloom/quarantine/guard.py
@@ -8,12 +8,12 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Callable
 from typing import Protocol
 
 from stileloom.api.sampler_directory import SamplerEntry
 from stileloom.background import BackgroundTasks
+from stileloom.clock import steady_time
 from stileloom.errors import ErrorKind, StileloomError
 from stileloom.events import LogEvent
 from stileloom.logging import EventLog
@@ -91,7 +91,7 @@
 
     async def broke_off(self, entry: SamplerEntry, began_at: float) -> None:
         """An attempt broke off: finds out whether its sampler ended, and remembers it."""
-        ran_s = time.monotonic() - began_at
+        ran_s = steady_time() - began_at
         if ran_s > BEGAN_LATELY_S:
             return
         judging = self._guard.judge(self._request_id, self.identity, entry, ran_s)
@@ -150,7 +150,7 @@
         if self.view.empty or not self.view.is_held(permit.identity):
             return permit
         identity = permit.identity
-        trial_in_s = self.view.trial_in_s(identity, time.monotonic())
+        trial_in_s = self.view.trial_in_s(identity, steady_time())
         if trial_in_s <= 0.0 and await self._trial_granted(request_id, identity):
             return Permit(self, request_id, lambda: identity, trial=True)
         raise self.refusal(identity)
@@ -159,7 +159,7 @@
         """Why a held request is refused, and from when it may run once more."""
         self._metrics.refused.inc()
         ends = sorted(self.view.ends_under(identity))
-        trial_in_s = self.view.trial_in_s(identity, time.monotonic())
+        trial_in_s = self.view.trial_in_s(identity, steady_time())
         detail = f"identity {identity}: samplers {', '.join(ends)} ended soon after it began there"
         retry_after_s = round(trial_in_s) if 0.0 < trial_in_s < float("inf") else None
         return StileloomError(ErrorKind.QUARANTINED, detail, None, retry_after_s)
@@ -206,7 +206,7 @@
 
     def answered(self, identity: str, suspected: bool) -> None:
         """A request got a good answer."""
-        known = self.view.answered(identity, time.monotonic())
+        known = self.view.answered(identity, steady_time())
         if known or suspected:
             self._clear(identity)
 
@@ -256,7 +256,7 @@
 
     def learn(self, listing: QuarantineListing) -> None:
         """Takes a list; held requests that had a good answer here are cleared."""
-        for identity in self.view.learn(listing, time.monotonic()):
+        for identity in self.view.learn(listing, steady_time()):
             self._clear(identity)
         self._log.emit(
             LogEvent.QUARANTINE_LEARNED,
--- a/stileloom/simulator/bench.py
+++ b/stileloom/simulator/bench.py
@@ -8,11 +8,11 @@
 from __future__ import annotations
 
 import math
-import time
 from pathlib import Path
 
 import msgspec
 
+from stileloom.clock import steady_time
 from stileloom.emulator.demo import StalenessReport, staleness_report
 from stileloom.emulator.engine_model import EngineParameters
 from stileloom.rollout import Mechanism, SchedulerKind
@@ -158,7 +158,7 @@
 
 def run_bench(parameters: BenchParameters, examples: Path) -> BenchResult:
     """One run."""
-    started_at = time.monotonic()
+    started_at = steady_time()
     plan = bench_plan(parameters, examples)
     cluster = Cluster(plan, parameters.seed)
     cluster.run_for(WARM_UP_S)
@@ -169,7 +169,7 @@
         lambda now: demand(now - begin, parameters.duration_s, parameters.peak_lookups_per_s)
     )
     points = _run_sampled(cluster, parameters, begin)
-    return _result(cluster, parameters, points, time.monotonic() - started_at)
+    return _result(cluster, parameters, points, steady_time() - started_at)
 
 
 def _run_sampled(cluster: Cluster, parameters: BenchParameters, begin: float) -> list[SamplePoint]:
--- a/stileloom/simulator/weights_bench.py
+++ b/stileloom/simulator/weights_bench.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import functools
-import time
 
 import msgspec
 
 from stileloom.api.objects import SamplerRole
+from stileloom.clock import steady_time
 from stileloom.effects import Effect
 from stileloom.emulator.engine_model import EngineParameters
 from stileloom.emulator.workload import LengthDistribution
@@ -49,7 +49,7 @@
 
 def run_weights_bench(parameters: WeightsBenchParameters) -> WeightsBenchResult:
     """Publishes versions one after another."""
-    started_at = time.monotonic()
+    started_at = steady_time()
     cluster = Cluster(_plan(parameters), seed=1)
     cluster.run_for(WARM_UP_S)
     all_loaded: list[float] = []
@@ -62,7 +62,7 @@
         half_loaded.append(half)
         all_loaded.append(whole)
     return WeightsBenchResult(
-        parameters, all_loaded, half_loaded, round(time.monotonic() - started_at, 1)
+        parameters, all_loaded, half_loaded, round(steady_time() - started_at, 1)
     )
 
 
--- a/tests/fuzz.py
+++ b/tests/fuzz.py
@@ -7,11 +7,11 @@
 
 import argparse
 import sys
-import time
 
 from hypothesis import HealthCheck, Phase, seed, settings
 from hypothesis.stateful import run_state_machine_as_test
 
+from stileloom.clock import steady_time
 from tests import stateful
 
 EXAMPLES_PER_ROUND = 20
@@ -24,9 +24,9 @@
     parser.add_argument("--seconds", type=float, default=60.0)
     parser.add_argument("--seed", type=int, default=1)
     arguments = parser.parse_args()
-    started_at = time.monotonic()
+    started_at = steady_time()
     rounds = 0
-    while time.monotonic() < started_at + arguments.seconds:
+    while steady_time() < started_at + arguments.seconds:
         number = arguments.seed * 1_000_003 + rounds
         machine = seed(number)(stateful.ClusterMachine)
         try:
@@ -47,7 +47,7 @@
                 print(note)
             return 1
         rounds += 1
-    wall_s = time.monotonic() - started_at
+    wall_s = steady_time() - started_at
     print(
         f"{rounds * EXAMPLES_PER_ROUND} examples, {stateful.total_faults} faults, "
         f"{stateful.total_virtual_s / 3600:.2f} simulated hours in {wall_s:.0f} s"
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -14,10 +14,10 @@
 import shutil
 import sys
 import tempfile
-import time
 import tomllib
 from pathlib import Path
 
+from stileloom.clock import steady_time
 from stileloom.logging import configure_logs
 from tests.soak.callers import Callers, configuration
 from tests.soak.deployment import Deployment
@@ -84,13 +84,13 @@
             await asyncio.sleep(CHECK_PAUSE_S)
 
     async def _until_served(self, limit_s: float, what: str) -> None:
-        give_up_at = time.monotonic() + limit_s
+        give_up_at = steady_time() + limit_s
         served_in_a_row = 0
         while served_in_a_row < 5:
             served_in_a_row = (
                 served_in_a_row + 1 if await self.callers.lookup("charts") == 200 else 0
             )
-            if time.monotonic() > give_up_at:
+            if steady_time() > give_up_at:
                 self.record.breaks(what, f"no lookups served within {limit_s} s")
                 return
             await asyncio.sleep(0.1)
@@ -107,9 +107,9 @@
             self.record.breaks("lookups are served in calm", f"{served} of {CALM_LOOKUPS}")
 
     async def _complete_jobs(self) -> None:
-        give_up_at = time.monotonic() + RECOVERY_S
+        give_up_at = steady_time() + RECOVERY_S
         waiting = [job for job in self.record.jobs.values() if not job.ended]
-        while waiting and time.monotonic() < give_up_at:
+        while waiting and steady_time() < give_up_at:
             await asyncio.gather(*(self.callers.read_on(job) for job in waiting[:8]))
             waiting = [job for job in waiting if not job.complete]
         for job in waiting:
@@ -119,10 +119,10 @@
             await self.callers.read_on(job)
 
     async def _configuration_in_force(self) -> None:
-        give_up_at = time.monotonic() + RECOVERY_S
+        give_up_at = steady_time() + RECOVERY_S
         for gateway in range(len(self.deployment.fronts)):
             while not await self.callers.shows_probe(gateway, self.callers.probe):
-                if time.monotonic() > give_up_at:
+                if steady_time() > give_up_at:
                     facts = f"gateway-{gateway + 1}: {self.callers.probe}"
                     self.record.breaks("the newest configuration is in force", facts)
                     break
@@ -161,10 +161,10 @@
         seeds = [int(case["seed"]) for case in cases]
         return int(any([soak(seed, arguments.round_seconds, arguments.keep) for seed in seeds]))
     first = arguments.seed if arguments.seed is not None else random.SystemRandom().randrange(10**9)
-    give_up_at = time.monotonic() + arguments.seconds
+    give_up_at = steady_time() + arguments.seconds
     failed = 0
     seed = first
-    while seed == first or time.monotonic() < give_up_at:
+    while seed == first or steady_time() < give_up_at:
         failed += bool(soak(seed, arguments.round_seconds, arguments.keep))
         seed += 1
     print(f"{seed - first} seeds from {first}: {failed} failed")
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import random
-import time
 from typing import Any
 
 import msgspec
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
 
+from stileloom.clock import steady_time
 from stileloom.http.native_dialect import NativeDialect
 from tests.soak.deployment import HOST, HOSTNAME, MODEL, Deployment
 from tests.soak.record import Record, Result, TakenJob, reward_id
@@ -173,7 +173,7 @@
                 "items": [self._row(item, rewarded) for item in items],
             }
         )
-        job = TakenJob(job_id, items, min_version, time.monotonic(), rewarded)
+        job = TakenJob(job_id, items, min_version, steady_time(), rewarded)
         while not self.stopped:
             names = NativeDialect.names
             headers = {names.request_id: job_id}
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -4,9 +4,9 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Awaitable, Callable
 
+from stileloom.clock import steady_time
 from stileloom.emulator.http_sampler import SamplerFaults
 from tests.soak.deployment import Deployment
 from tests.soak.loopback_proxy import LinkFault
@@ -31,7 +31,7 @@
         self._deployment = deployment
         self._record = record
         self._rng = rng
-        self._started_at = time.monotonic()
+        self._started_at = steady_time()
         self._lost_until = 0.0
         """One ledger node may be lost at a time: the next one after this."""
         self._ending: set[str] = set()
@@ -57,8 +57,8 @@
             self._crash_sampler,
             self._sampler_fault,
         ]
-        give_up_at = time.monotonic() + seconds
-        while time.monotonic() < give_up_at:
+        give_up_at = steady_time() + seconds
+        while steady_time() < give_up_at:
             self._spawn(self._rng.choice(faults))
             await asyncio.sleep(self._rng.uniform(*PAUSE_S))
         if self._tasks:
@@ -70,10 +70,10 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _carry_out(self, fault: Fault) -> None:
-        began_at = time.monotonic() - self._started_at
+        began_at = steady_time() - self._started_at
         told = await fault()
         if told:
-            ended_at = time.monotonic() - self._started_at
+            ended_at = steady_time() - self._started_at
             self.story.append(f"{began_at:6.2f} to {ended_at:6.2f} s  {told}")
             self._record.counts["faults"] += 1
 
@@ -104,10 +104,10 @@
     # Ledger nodes.
 
     def _may_lose(self) -> bool:
-        return time.monotonic() >= self._lost_until
+        return steady_time() >= self._lost_until
 
     def _lose(self, lasts_s: float) -> None:
-        self._lost_until = time.monotonic() + lasts_s + CATCH_UP_S
+        self._lost_until = steady_time() + lasts_s + CATCH_UP_S
 
     def _any_ledger_node(self) -> str:
         return self._rng.choice(
--- a/tests/soak/programs.py
+++ b/tests/soak/programs.py
@@ -8,9 +8,10 @@
 import signal
 import subprocess
 import sys
-import time
 from pathlib import Path
 
+from stileloom.clock import steady_time
+
 KILL_WAIT_S = 10.0
 GRACE_S = 8.0
 STARTED = b'"event": "node_started"'
@@ -115,7 +116,7 @@
             return process.returncode if process is not None else None
         self._ended_by_us = True
         os.kill(process.pid, number)
-        give_up_at = time.monotonic() + wait_s
-        while process.poll() is None and time.monotonic() < give_up_at:
+        give_up_at = steady_time() + wait_s
+        while process.poll() is None and steady_time() < give_up_at:
             await asyncio.sleep(0.02)
         return process.poll()
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import collections
-import time
 
 import msgspec
 
+from stileloom.clock import steady_time
 from stileloom.emulator.http_sampler import HttpSampler, expected_events
 
 EVENTS = 40
@@ -50,11 +50,11 @@
         self._promised_not_run: set[str] = set()
         self._unsafe: set[str] = set()
         self._sent_lookups: dict[str, tuple[str, bytes]] = {}
-        self._started_at = time.monotonic()
+        self._started_at = steady_time()
 
     def breaks(self, promise: str, facts: str) -> None:
         """A promise is broken."""
-        at_s = time.monotonic() - self._started_at
+        at_s = steady_time() - self._started_at
         self.broken.append(f"{at_s:.2f} s {promise}: {facts}")
 
     # Lookups.
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -732,7 +732,7 @@
         super().setUp()
         self.ledger = FakeLedger()
         self.now = 100.0
-        clock = mock.patch("stileloom.jobs.order_window.time.monotonic", lambda: self.now)
+        clock = mock.patch("stileloom.jobs.order_window.steady_time", lambda: self.now)
         clock.start()
         self.addCleanup(clock.stop)
         self.window = OrderWindow("a", self.ledger)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -9,7 +9,6 @@
 import asyncio
 import signal
 import tempfile
-import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -19,6 +18,7 @@
 
 from stileloom.cli.manifests import load_manifests
 from stileloom.client import HttpCaller, LookupClient
+from stileloom.clock import steady_time
 from stileloom.emulator.deployment import (
     Deployment,
     NodeAddress,
@@ -80,9 +80,9 @@
 
     async def until(self, condition: Callable[[], Awaitable[bool]], what: str) -> None:
         """Waits for a condition."""
-        give_up_at = time.monotonic() + WAIT_S
+        give_up_at = steady_time() + WAIT_S
         while not await condition():
-            self.assertLess(time.monotonic(), give_up_at, f"waited too long: {what}")
+            self.assertLess(steady_time(), give_up_at, f"waited too long: {what}")
             await asyncio.sleep(0.1)
 
     async def status(self, node: NodeAddress) -> Status | None:
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import errno
-import time
 from unittest import mock
 
 import testtools
@@ -13,6 +12,7 @@
 from tornado.httputil import HTTPHeaders
 from tornado.simple_httpclient import HTTPStreamClosedError
 
+from stileloom.clock import steady_time
 from stileloom.emulator.http_sampler import expected_events
 from stileloom.events import LogEvent
 from stileloom.ledger.effects import Persist
@@ -260,7 +260,7 @@
                 await cluster.submit("job", ["i1"])
                 await cluster.until(lambda: len(runner.scheduler.items) == 1)
                 (item,) = runner.scheduler.items.values()
-                now = time.monotonic()
+                now = steady_time()
                 runner._begin([runner.scheduler.start_at(item, "draft-1", now)])
                 runner._stop_run(item, "moved")
                 runner._begin([runner.scheduler.start_at(item, "draft-2", now)])
