What can not be served is refused at once; a place is waited for an eighth of the target

Cause: a lookup asked samplers that it could not reach again and again until its deadline (each try was taken as a further attempt that had not run), and one that found all samplers full waited a fixed 0.22 of its target in rounds of 30 ms. Change: proxy/admission.py, asked by lookups and streams alike; a sampler to which no connection came up is not asked again for this lookup; with nobody in reach the refusal is immediate, 503 no_sampler, or 502 where an attempt may have run; full samplers are asked each 5 ms for an eighth of the target latency, then Retry-After is half of the target. On the code before, a lookup whose samplers are gone ends at its deadline with 504.

--- a/stileloom/proxy/attempt_plan.py
+++ b/stileloom/proxy/attempt_plan.py
@@ -14,8 +14,6 @@
 
 HEDGE_SHARE_OF_TARGET = 0.45
 """A second attempt starts when this share of the target latency has passed without an answer."""
-FULL_PAUSE_S = 0.03
-"""How long to wait when every sampler refused."""
 
 
 class AttemptPlan(msgspec.Struct):
@@ -34,7 +32,10 @@
     refused_by: set[str] = msgspec.field(default_factory=set)
     tried: set[str] = msgspec.field(default_factory=set)
     unreachable: set[str] = msgspec.field(default_factory=set)
-    """Samplers to which no connection came up at least once."""
+    """Samplers to which no connection came up. They are not asked again: a process that ended is
+    back after seconds, and asking on drew 2,000 refused connections a second at one gateway."""
+    full: bool = False
+    """Whether a sampler has said that it takes nothing now."""
 
     def may_start(self) -> bool:
         """Whether the rules allow one more attempt."""
@@ -56,6 +57,7 @@
             belief
             for belief in samplers.of_service(self.service)
             if belief.entry.sampler_id not in self.refused_by
+            and belief.entry.sampler_id not in self.unreachable
             and belief.entry.sampler_id not in self.tried
         ]
         if not candidates:
@@ -64,6 +66,7 @@
                 for belief in samplers.of_service(self.service)
                 if belief.entry.sampler_id in self.tried
                 and belief.entry.sampler_id not in self.refused_by
+                and belief.entry.sampler_id not in self.unreachable
                 and self.running == 0
             ]
         if not candidates:
@@ -83,20 +86,21 @@
         self.last_started_at = now
         self.tried.add(sampler_id)
 
-    def refused(self, sampler_id: str) -> None:
-        """The sampler promised that it did not run the request."""
+    def refused(self, sampler_id: str, full: bool = True) -> None:
+        """The sampler promised that it did not run the request; `full` where it may do so soon."""
         self.running -= 1
         self.refused_by.add(sampler_id)
+        self.full |= full
 
-    def not_sent(self) -> None:
+    def not_sent(self, sampler_id: str) -> None:
         """No connection came up: surely not run there."""
         self.running -= 1
-
-    def first_unreachable(self, sampler_id: str) -> bool:
-        """Notes that no connection came up; True the first time for each sampler."""
-        first = sampler_id not in self.unreachable
         self.unreachable.add(sampler_id)
-        return first
+
+    def ask_again(self) -> None:
+        """After a pause: samplers that were full may have a place."""
+        self.refused_by.clear()
+        self.full = False
 
     def ran(self) -> None:
         """The attempt ended and may have run."""
--- a/stileloom/proxy/forwarder.py
+++ b/stileloom/proxy/forwarder.py
@@ -15,18 +15,14 @@
 from stileloom.http1.pool import ConnectionPool
 from stileloom.http1.request_encoder import encode_request
 from stileloom.logging import EventLog
-from stileloom.proxy.attempt_plan import FULL_PAUSE_S, AttemptPlan
+from stileloom.proxy.admission import wait_or_refuse
+from stileloom.proxy.attempt_plan import AttemptPlan
 from stileloom.proxy.exchange import Attempt, AttemptOutcome, run_exchange
 from stileloom.proxy.lookup import Lookup, LookupAnswer
 from stileloom.proxy.metrics import AttemptMetrics
 from stileloom.proxy.sampler_table import SamplerBelief, SamplerTable
 from stileloom.quarantine.guard import Permit, QuarantineGuard
 
-REFUSE_SHARE_OF_TARGET = 0.22
-"""A lookup that no sampler takes is refused within this share of its target latency, while the
-caller still has time to ask elsewhere."""
-RETRY_AFTER_S = 0.05
-
 
 class Forwarder:
     """Owns the connections to samplers of lookups."""
@@ -99,8 +95,12 @@
                 elif self._start(lookup, plan, running, now):
                     continue
                 elif not running:
-                    await self._pause_or_refuse(lookup, plan, now, last_failure)
-                    continue
+                    refusal = await self._wait_for_place(lookup, plan)
+                    if refusal is None:
+                        continue
+                    if last_failure is not None:
+                        return self._give_up(plan, last_failure, failed_attempts)
+                    raise refusal
             elif not running:
                 return self._give_up(plan, last_failure, failed_attempts)
             done, _ = await asyncio.wait(
@@ -144,23 +144,15 @@
         running.add(asyncio.get_running_loop().create_task(self._attempt(lookup, belief)))
         return True
 
-    async def _pause_or_refuse(
-        self, lookup: Lookup, plan: AttemptPlan, now: float, last_failure: Attempt | None
-    ) -> None:
-        """Every sampler refused or none is known: asks again soon, or refuses in time."""
-        if plan.may_have_run:
-            # No promise can be made any more; the next best is another try.
-            plan.refused_by.clear()
-            await asyncio.sleep(FULL_PAUSE_S)
-            return
-        waited = now - lookup.arrived_at
-        if waited + FULL_PAUSE_S > plan.target_latency_s * REFUSE_SHARE_OF_TARGET:
-            known = self._samplers.of_service(plan.service)
-            kind = ErrorKind.OVERLOADED if known else ErrorKind.NO_SAMPLER
-            detail = f"{len(plan.refused_by)} of {len(known)} samplers refused"
-            raise StileloomError(kind, detail, retry_after_s=RETRY_AFTER_S)
-        plan.refused_by.clear()
-        await asyncio.sleep(FULL_PAUSE_S)
+    async def _wait_for_place(self, lookup: Lookup, plan: AttemptPlan) -> StileloomError | None:
+        """Nobody is left to ask: waits where a place is expected, else says why not."""
+        listed = len(self._samplers.of_service(plan.service))
+        decision = wait_or_refuse(plan, listed, lookup.deadline_at, steady_time())
+        if isinstance(decision, StileloomError):
+            return decision
+        await asyncio.sleep(decision)
+        plan.ask_again()
+        return None
 
     def _give_up(
         self, plan: AttemptPlan, last_failure: Attempt | None, failed_attempts: int
@@ -174,7 +166,7 @@
         if plan.may_have_run or plan.running:
             asked = ", ".join(sorted(plan.tried - plan.refused_by))
             return StileloomError(ErrorKind.DEADLINE_PASSED, f"no answer in time from {asked}")
-        return StileloomError(ErrorKind.OVERLOADED, "not begun in time", None, RETRY_AFTER_S)
+        return StileloomError(ErrorKind.OVERLOADED, "not begun in time")
 
     def _note(self, lookup: Lookup, plan: AttemptPlan, attempt: Attempt) -> bool:
         """Takes the outcome into the plan; True where there is an answer to pass on."""
@@ -190,14 +182,10 @@
             plan.refused(sampler_id)
         elif outcome is AttemptOutcome.MISDIRECTED:
             self._samplers.mark_leaving(sampler_id)
-            plan.refused(sampler_id)
+            plan.refused(sampler_id, full=False)
         elif outcome is AttemptOutcome.NOT_CONNECTED:
             self._samplers.failed(sampler_id, now)
-            plan.not_sent()
-            if not plan.first_unreachable(sampler_id):
-                # One line for each sampler that a lookup does not reach: a dead service drew some
-                # 2,000 lines a second at one gateway, which hid every other line.
-                return False
+            plan.not_sent(sampler_id)
         else:
             self._samplers.failed(sampler_id, now)
             plan.ran()
--- a/stileloom/proxy/stream_relay.py
+++ b/stileloom/proxy/stream_relay.py
@@ -26,7 +26,8 @@
 from stileloom.http1.request_encoder import encode_request
 from stileloom.http1.response_decoder import ResponseHead
 from stileloom.logging import EventLog
-from stileloom.proxy.attempt_plan import FULL_PAUSE_S, AttemptPlan
+from stileloom.proxy.admission import wait_or_refuse
+from stileloom.proxy.attempt_plan import AttemptPlan
 from stileloom.proxy.lookup import Lookup, LookupAnswer
 from stileloom.proxy.metrics import ProxyMetrics
 from stileloom.proxy.sampler_table import SamplerBelief, SamplerTable
@@ -34,7 +35,9 @@
 
 SILENCE_S = 1.2
 """A resumable stream that is silent for so long goes on elsewhere."""
-RETRY_AFTER_S = 0.05
+RESUME_PAUSE_S = 0.03
+"""Between two rounds over samplers for a stream that has begun: its caller holds a part already,
+and the rest is worth waiting for until its deadline."""
 EVENT_STREAM = "text/event-stream"
 
 
@@ -136,9 +139,12 @@
         while plan.may_start() and permit.attempts_left and steady_time() < lookup.deadline_at:
             belief = plan.choose(self._samplers, steady_time(), self._rng)
             if belief is None:
-                if not await self._pause(lookup, plan, stream):
-                    break
-                continue
+                refusal = await self._wait_for_place(lookup, plan, stream)
+                if refusal is None:
+                    continue
+                if last is not None and last.answer is not None:
+                    return last.answer
+                raise refusal
             began_at = steady_time()
             last = await self._run(lookup, plan, belief, stream, route.resumable)
             if last.end is _RunEnd.BROKEN:
@@ -159,16 +165,24 @@
             return last.answer
         if plan.may_have_run:
             raise StileloomError(ErrorKind.SAMPLER_FAILED, f"{plan.may_have_run} runs broke off")
-        raise StileloomError(ErrorKind.OVERLOADED, "no sampler took it", None, RETRY_AFTER_S)
-
-    async def _pause(self, lookup: Lookup, plan: AttemptPlan, stream: _StreamState) -> bool:
-        """Every sampler refused: asks again soon; False where it is time to refuse."""
-        waited_s = steady_time() - lookup.arrived_at
-        if not stream.started and not plan.may_have_run and waited_s > plan.target_latency_s / 5:
-            return False
-        plan.refused_by.clear()
-        await asyncio.sleep(FULL_PAUSE_S)
-        return True
+        raise StileloomError(ErrorKind.OVERLOADED, "not begun in time")
+
+    async def _wait_for_place(
+        self, lookup: Lookup, plan: AttemptPlan, stream: _StreamState
+    ) -> StileloomError | None:
+        """Nobody is left to ask: waits where a place is expected, else says why not."""
+        pause_s = RESUME_PAUSE_S
+        if stream.started:
+            plan.unreachable.clear()
+        else:
+            listed = len(self._samplers.of_service(plan.service))
+            decision = wait_or_refuse(plan, listed, lookup.deadline_at, steady_time())
+            if isinstance(decision, StileloomError):
+                return decision
+            pause_s = decision
+        await asyncio.sleep(pause_s)
+        plan.ask_again()
+        return None
 
     async def _run(
         self,
@@ -184,7 +198,7 @@
             connection = await self._pool.acquire(entry.sampler_id, entry.address)
         except (OSError, TimeoutError) as error:
             self._samplers.failed(entry.sampler_id, steady_time())
-            plan.not_sent()
+            plan.not_sent(entry.sampler_id)
             return self._note(lookup, entry.sampler_id, _Run(_RunEnd.REFUSED, repr(error)))
         belief.open_requests += 1
         sink = _QueueSink()
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -36,8 +36,45 @@
 LEDGER = "tests/test_ledger.py"
 QUARANTINE = "tests/test_quarantine.py"
 BOOK = "tests/test_quarantine_book.py"
+CANCELLATION = "tests/test_cancellation.py"
+ADMISSION = "tests/test_admission.py"
 
 MUTANTS = [
+    Mutant(
+        "a call drops a cancellation that comes with its reply",
+        "a cancelled task ends",
+        "stileloom/transport/calls.py",
+        "            async with asyncio.timeout(timeout_s):\n                return await future\n",
+        "            return await asyncio.wait_for(future, timeout_s)\n",
+        f"{CANCELLATION}::CancelledWatchTest"
+        "::test_a_watcher_that_is_stopped_with_a_reply_follows_no_more",
+    ),
+    Mutant(
+        "the clock stands still while the machine is suspended",
+        "a suspended leader does not act",
+        "stileloom/clock.py",
+        "CLOCK_BOOTTIME",
+        "CLOCK_MONOTONIC",
+        "tests/test_clock.py::SuspendedLeaderTest"
+        "::test_a_leader_that_slept_past_its_lease_may_not_act_when_it_wakes",
+    ),
+    Mutant(
+        "dead samplers are asked again and again",
+        "what can not be served is refused at once",
+        "stileloom/proxy/attempt_plan.py",
+        "        self.unreachable.add(sampler_id)\n",
+        "",
+        f"{ADMISSION}::AbsentServiceTest::test_a_lookup_asks_each_sampler_once_and_is_refused",
+    ),
+    Mutant(
+        "a lookup waits for samplers that can not be reached",
+        "what can not be served is refused at once",
+        "stileloom/proxy/admission.py",
+        "    if not plan.full:\n",
+        "    if not listed:\n",
+        f"{ADMISSION}::DecisionTest"
+        "::test_without_any_sampler_in_reach_a_lookup_is_refused_at_its_arrival",
+    ),
     Mutant(
         "a gateway keeps the ends that it sees to itself",
         "poison requests",
