Open connections that go silent: tests for each kind, and a fault of the soak

Cause looked for: connections that go silent without a reset. The soak's proxies now silence what is open on a link. Also: ports of test samplers stay held. Found when one of some 1,300 runs of test_an_unsafe_lookup_runs_once counted two runs, at the second at which another process played a gateway that asked its ended samplers, of the same ids, some thousand times a second: a port that was given back went to a sampler of the same id in the other run. Ruled out: a second attempt of an unsafe lookup (forwarder._run allows none after a run).

--- a/stileloom/emulator/http_sampler.py
+++ b/stileloom/emulator/http_sampler.py
@@ -96,9 +96,9 @@
         self._server = HTTPServer(self._serve)
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def listen(self, host: str) -> int:
-        """Listens on a port that the kernel chooses, and returns it."""
-        sockets = bind_sockets(0, address=host)
+    def listen(self, host: str, port: int = 0) -> int:
+        """Listens, on a port that the kernel chooses unless one is given; returns the port."""
+        sockets = bind_sockets(port, address=host)
         self._server.add_sockets(sockets)
         return int(sockets[0].getsockname()[1])
 
--- a/tests/service_cluster.py
+++ b/tests/service_cluster.py
@@ -15,6 +15,7 @@
 import msgspec
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
 
+from stileloom.daemon.directory import Directory
 from stileloom.daemon.gateway import Gateway
 from stileloom.daemon.ledger_node import LedgerNode
 from stileloom.daemon.native_object_store import NativeObjectStore
@@ -23,8 +24,10 @@
 from stileloom.http.native_dialect import NativeDialect
 from stileloom.logging import configure_logs
 from stileloom.service_settings import ServiceSettings, TimeBounds
+from stileloom.settings_file import split_address
 from tests.object_api import object_api
 from tests.ports import free_port
+from tests.soak.loopback_proxy import Link, TcpProxy
 
 HOST = "127.0.0.1"
 LEDGER_HOSTS = ["127.0.0.2", "127.0.0.3", "127.0.0.4"]
@@ -161,7 +164,9 @@
         """Starts a sampler and lists it."""
         versions = {MODEL: 1} if service == "drafts" else {}
         sampler = HttpSampler(name, versions)
-        port = sampler.listen(HOST)
+        # Held: after this sampler has ended, its port must not go to a sampler of the same id in
+        # another run of the tests, to which lookups of this one would go.
+        port = sampler.listen(HOST, free_port())
         self.samplers[name] = sampler
         spec = {
             "service": service,
@@ -173,6 +178,20 @@
         await self.write("samplers", name, spec)
         return sampler
 
+    async def put_proxy_before(self, name: str) -> TcpProxy:
+        """Lists a sampler at the address of a proxy of its own; every node learns it."""
+        stored = await self.api.get("samplers", name)
+        assert stored is not None
+        host, _, port = str(stored.spec["address"]).rpartition(":")
+        proxy = TcpProxy(Link(), (host, int(port)))
+        address = f"{HOST}:{await proxy.start(HOST)}"
+        await self.write("samplers", name, {**stored.spec, "address": address})
+        reached_at = split_address(address)
+        for node in (*self.gateways, *self.ledger_nodes.values()):
+            directory = node.directory if isinstance(node, Gateway) else node._directory
+            await self.until(lambda: _address_of(directory, name) == reached_at)  # noqa: B023
+        return proxy
+
     def start_ledger_node(self, name: str, host: str, first_start: bool = True) -> None:
         """Starts a ledger node on its folder."""
         peers = [f"{host}:{self._ledger_port}" for host in LEDGER_HOSTS]
@@ -293,6 +312,11 @@
         return results
 
 
+def _address_of(directory: Directory, name: str) -> tuple[str, int] | None:
+    belief = directory.samplers.get(name)
+    return belief.entry.address if belief is not None else None
+
+
 def with_cluster(scenario: Callable[[ServiceCluster], Awaitable[None]]) -> None:
     """Runs a scenario on a fresh cluster."""
 
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -181,7 +181,8 @@
         self._record.samplers.append(sampler)
         port = sampler.listen(HOST)
         link_name = f"to {name}"
-        address = await self._proxy(link_name, (HOST, port), HOST, 0)
+        # The port stays held: lookups to an ended sampler must not reach that of another run.
+        address = await self._proxy(link_name, (HOST, port), HOST, free_port())
         spec = {
             "service": service,
             "address": f"{HOST}:{address}",
@@ -212,6 +213,11 @@
         for proxy in self._tcp[link_name]:
             proxy.reset()
 
+    def silence_open(self, link_name: str) -> None:
+        """What is open on a link is silent for good, without a reset."""
+        for proxy in self._tcp[link_name]:
+            proxy.silence_open()
+
     async def stop(self) -> None:
         """Ends all that this deployment started."""
         for program in self.programs.values():
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -44,6 +44,7 @@
             self._link_fault,
             self._link_fault,
             self._reset,
+            self._silence_open,
             self._kill_ledger_node,
             self._wipe_ledger_node,
             self._pause_ledger_node,
@@ -101,6 +102,14 @@
         self._deployment.reset(name)
         return f"{name}: connections reset"
 
+    async def _silence_open(self) -> str:
+        # Not between ledger nodes: frames go one way there, and only unacknowledged bytes show the
+        # silence. This proxy acknowledges whatever it throws away.
+        links = [name for name in self._deployment.links if not name.startswith("to ledger")]
+        name = self._rng.choice(sorted(links))
+        self._deployment.silence_open(name)
+        return f"{name}: what was open is silent for good"
+
     # Ledger nodes.
 
     def _may_lose(self) -> bool:
--- a/tests/soak/loopback_proxy.py
+++ b/tests/soak/loopback_proxy.py
@@ -59,6 +59,14 @@
         return self.fault in _HOLDS_TO_SERVER
 
 
+class _Forwarded:
+    """One connection."""
+
+    def __init__(self) -> None:
+        self.silenced = False
+        """Its bytes go nowhere any more, and neither side is told of the other's end."""
+
+
 class TcpProxy:
     """Forwards connections to one address."""
 
@@ -67,7 +75,7 @@
         self._target = target
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._forwarded: set[_Forwarded] = set()
 
     async def start(self, host: str, port: int = 0) -> int:
         """Listens; returns the port."""
@@ -88,6 +96,11 @@
                 connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             writer.transport.abort()
 
+    def silence_open(self) -> None:
+        """What is open now is silent for good, without a reset; new connections work."""
+        for forwarded in self._forwarded:
+            forwarded.silenced = True
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
         try:
@@ -98,25 +111,38 @@
             self._writers.discard(writer)
             return
         self._writers.add(upstream_writer)
+        forwarded = _Forwarded()
+        self._forwarded.add(forwarded)
         with contextlib.suppress(asyncio.CancelledError):
             # The end of the run cancels what is still open.
             await asyncio.gather(
-                self._pump(reader, upstream_writer, to_server=True),
-                self._pump(upstream, writer, to_server=False),
+                self._pump(forwarded, reader, upstream_writer, to_server=True),
+                self._pump(forwarded, upstream, writer, to_server=False),
             )
+        self._forwarded.discard(forwarded)
+        if forwarded.silenced:
+            # Whoever still holds its side open hears nothing until it gives up by itself.
+            return
         for ended in (writer, upstream_writer):
             self._writers.discard(ended)
             ended.close()
 
     async def _pump(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, to_server: bool
+        self,
+        forwarded: _Forwarded,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        to_server: bool,
     ) -> None:
         try:
             while data := await reader.read(CHUNK_BYTES):
                 await self._link.pass_on(to_server)
+                if forwarded.silenced:
+                    continue
                 writer.write(data)
                 await writer.drain()
-            writer.write_eof()
+            if not forwarded.silenced:
+                writer.write_eof()
         except (OSError, RuntimeError):
             # One side is gone: so is the other.
             writer.transport.abort()
--- /dev/null
+++ b/tests/test_silent_links.py
@@ -0,0 +1,123 @@
+"""Open connections that go silent for good, without a reset, while new ones work.
+
+Each kind of connection has a bound of its own after which it is given up; what is asked next goes
+over a new one. The proxy between both ends keeps every TCP connection alive, so neither keep-alive
+probes nor unacknowledged bytes show the silence here: only the time-outs of calls do.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import testtools
+
+from stileloom.http1.caller import call as call_sampler
+from stileloom.http1.pool import ConnectionPool
+from stileloom.jobs.messages import EndJobCall, JobEnded
+from stileloom.transport.call_frames import Reply, Request
+from stileloom.transport.calls import CallConnections, CallFailed, CallServer
+from tests.ports import free_port
+from tests.service_cluster import ServiceCluster, with_cluster
+from tests.soak.loopback_proxy import Link, TcpProxy
+
+HOST = "127.0.0.1"
+CALL = EndJobCall("j")
+TIMEOUT_S = 0.3
+"""For calls that nobody answers."""
+PATIENT_S = 30.0
+"""For calls that are answered."""
+DEADLINE_MS = "20000"
+
+
+async def answered(request: Request) -> Reply:
+    """A ledger node that answers at once."""
+    return JobEnded()
+
+
+async def answer_http(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """A sampler, or the store, that answers every request."""
+    while await reader.readuntil(b"\r\n\r\n"):
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+
+class SilentConnectionTest(testtools.TestCase):
+    """Calls over a connection that was good before."""
+
+    def test_a_call_to_a_ledger_node_fails_in_its_time_and_the_next_one_is_answered(self) -> None:
+        async def run() -> tuple[bool, Reply]:
+            server = CallServer(answered)
+            port = free_port()
+            await server.start(HOST, port)
+            proxy = TcpProxy(Link(), (HOST, port))
+            address = (HOST, await proxy.start(HOST))
+            connections = CallConnections()
+            await connections.call(address, CALL, PATIENT_S)
+            proxy.silence_open()
+            sent = False
+            try:
+                await connections.call(address, CALL, TIMEOUT_S)
+            except CallFailed as failure:
+                sent = failure.sent
+            reply = await connections.call(address, CALL, PATIENT_S)
+            connections.close()
+            proxy.stop()
+            server.stop()
+            return sent, reply
+
+        self.assertEqual((True, JobEnded()), asyncio.run(run()))
+
+    def test_a_call_over_http_fails_in_its_time_and_the_next_one_is_answered(self) -> None:
+        """The store and the samplers' reports and orders are asked so."""
+
+        async def run() -> list[int | None]:
+            server = await asyncio.start_server(answer_http, HOST, 0)
+            proxy = TcpProxy(Link(), server.sockets[0].getsockname()[:2])
+            address = (HOST, await proxy.start(HOST))
+            pool = ConnectionPool()
+            statuses: list[int | None] = []
+            for timeout_s in (PATIENT_S, TIMEOUT_S, PATIENT_S):
+                answer = await call_sampler(pool, "s", address, "GET", "/", [], b"", timeout_s)
+                statuses.append(answer.head.status if answer is not None else None)
+                if len(statuses) == 1:
+                    proxy.silence_open()
+            pool.forget("s")
+            proxy.stop()
+            server.close()
+            return statuses
+
+        self.assertEqual([200, None, 200], asyncio.run(run()))
+
+
+class SilentSamplerLinkTest(testtools.TestCase):
+    """Kept connections of a gateway to its samplers."""
+
+    def test_a_lookup_over_a_silent_connection_is_answered_by_another_sampler(self) -> None:
+        async def scenario(cluster: ServiceCluster) -> None:
+            proxies = [await cluster.put_proxy_before(name) for name in ("chart-1", "chart-2")]
+            for number in range(4):
+                await cluster.call("POST", "/charts/7", b"x", request_id=f"warm{number}")
+            proxies[0].silence_open()
+            for number in range(4):
+                answer = await cluster.call(
+                    "POST", "/charts/7", b"x", request_id=f"r{number}", deadline_ms=DEADLINE_MS
+                )
+                self.assertEqual(200, answer.code)
+            for proxy in proxies:
+                proxy.stop()
+
+        with_cluster(scenario)
+
+    def test_items_of_a_job_go_on_elsewhere(self) -> None:
+        async def scenario(cluster: ServiceCluster) -> None:
+            proxies = [await cluster.put_proxy_before(name) for name in ("draft-1", "draft-2")]
+            await cluster.submit("first", [f"a{number}" for number in range(8)])
+            await cluster.results("first", 8)
+            for proxy in proxies:
+                proxy.silence_open()
+            await cluster.submit("second", [f"b{number}" for number in range(8)])
+            results = await cluster.results("second", 8)
+            self.assertEqual({"succeeded"}, {result[1] for result in results})
+            for proxy in proxies:
+                proxy.stop()
+
+        with_cluster(scenario)
