Lookups and streams share one typed group of what they need on the way to samplers

The same seven arguments stood three times in the gateway and the ledger node. SamplerAccess holds them; no behaviour changes.

--- a/stileloom/daemon/gateway.py
+++ b/stileloom/daemon/gateway.py
@@ -25,6 +25,7 @@
 from stileloom.proxy.forwarder import Forwarder
 from stileloom.proxy.front import Front
 from stileloom.proxy.metrics import ProxyMetrics
+from stileloom.proxy.sampler_access import SamplerAccess
 from stileloom.proxy.stream_relay import StreamRelay
 from stileloom.quarantine.guard import QuarantineGuard
 from stileloom.quarantine.metrics import QuarantineMetrics
@@ -81,17 +82,7 @@
             QuarantineMetrics(self._registry),
             metrics.connection_opened,
         )
-        self._forwarder = Forwarder(
-            settings.zone,
-            self.directory.samplers,
-            dialect.names,
-            self._log,
-            metrics,
-            self._rng,
-            self._guard,
-            switches.hedging,
-        )
-        self._relay = StreamRelay(
+        access = SamplerAccess(
             settings.zone,
             self.directory.samplers,
             dialect.names,
@@ -100,6 +91,8 @@
             self._rng,
             self._guard,
         )
+        self._forwarder = Forwarder(access, switches.hedging)
+        self._relay = StreamRelay(access)
         self.directory.on_sampler_gone = self._forget_sampler
         self.front = Front(
             dialect,
--- a/stileloom/daemon/ledger_node.py
+++ b/stileloom/daemon/ledger_node.py
@@ -34,6 +34,7 @@
 from stileloom.logging import EventLog
 from stileloom.proxy.forwarder import Forwarder
 from stileloom.proxy.metrics import AttemptMetrics
+from stileloom.proxy.sampler_access import SamplerAccess
 from stileloom.quarantine.authority import QuarantineAuthority
 from stileloom.quarantine.book import QuarantineBook
 from stileloom.quarantine.guard import QuarantineGuard
@@ -84,7 +85,7 @@
             QuarantineMetrics(self._registry),
             attempt_metrics.connection_opened,
         )
-        self._forwarder = Forwarder(
+        access = SamplerAccess(
             settings.zone,
             self._directory.samplers,
             dialect.names,
@@ -92,8 +93,8 @@
             attempt_metrics,
             self._rng,
             self._guard,
-            switches.hedging,
         )
+        self._forwarder = Forwarder(access, switches.hedging)
         self._directory.on_sampler = self._sampler_seen
         self._directory.on_sampler_gone = self._sampler_gone
         self._stopping = asyncio.Event()
--- a/stileloom/proxy/forwarder.py
+++ b/stileloom/proxy/forwarder.py
@@ -3,50 +3,37 @@
 from __future__ import annotations
 
 import asyncio
-import random
 
 import msgspec
 
-from stileloom.api.headers import HeaderNames
 from stileloom.api.routes import Route, RouteKind
 from stileloom.clock import steady_time
 from stileloom.errors import ErrorKind, StileloomError
 from stileloom.events import LogEvent
 from stileloom.http1.pool import ConnectionPool
 from stileloom.http1.request_encoder import encode_request
-from stileloom.logging import EventLog
 from stileloom.proxy.admission import wait_or_refuse
 from stileloom.proxy.attempt_plan import AttemptPlan
 from stileloom.proxy.exchange import Attempt, AttemptOutcome, run_exchange
 from stileloom.proxy.lookup import Lookup, LookupAnswer
-from stileloom.proxy.metrics import AttemptMetrics
-from stileloom.proxy.sampler_table import SamplerBelief, SamplerTable
-from stileloom.quarantine.guard import Permit, QuarantineGuard
+from stileloom.proxy.sampler_access import SamplerAccess
+from stileloom.proxy.sampler_table import SamplerBelief
+from stileloom.quarantine.guard import Permit
 
 
 class Forwarder:
     """Owns the connections to samplers of lookups."""
 
-    def __init__(
-        self,
-        zone: str,
-        samplers: SamplerTable,
-        names: HeaderNames,
-        log: EventLog,
-        metrics: AttemptMetrics,
-        rng: random.Random,
-        guard: QuarantineGuard,
-        hedges: bool = True,
-    ) -> None:
-        self._zone = zone
-        self._samplers = samplers
-        self._names = names
-        self._log = log
-        self._metrics = metrics
-        self._rng = rng
-        self._guard = guard
+    def __init__(self, access: SamplerAccess, hedges: bool = True) -> None:
+        self._zone = access.zone
+        self._samplers = access.samplers
+        self._names = access.names
+        self._log = access.log
+        self._metrics = access.metrics
+        self._rng = access.rng
+        self._guard = access.guard
         self._hedges = hedges
-        self._pool = ConnectionPool(metrics.connection_opened)
+        self._pool = ConnectionPool(access.metrics.connection_opened)
 
     def forget(self, sampler_id: str) -> None:
         """A sampler is gone: its kept connections close."""
--- a/stileloom/proxy/stream_relay.py
+++ b/stileloom/proxy/stream_relay.py
@@ -10,12 +10,10 @@
 
 import asyncio
 import enum
-import random
 from typing import Protocol
 
 import msgspec
 
-from stileloom.api.headers import HeaderNames
 from stileloom.api.routes import Route
 from stileloom.clock import steady_time
 from stileloom.errors import ErrorKind, StileloomError
@@ -25,13 +23,11 @@
 from stileloom.http1.pool import ConnectionPool
 from stileloom.http1.request_encoder import encode_request
 from stileloom.http1.response_decoder import ResponseHead
-from stileloom.logging import EventLog
 from stileloom.proxy.admission import wait_or_refuse
 from stileloom.proxy.attempt_plan import AttemptPlan
 from stileloom.proxy.lookup import Lookup, LookupAnswer
-from stileloom.proxy.metrics import ProxyMetrics
-from stileloom.proxy.sampler_table import SamplerBelief, SamplerTable
-from stileloom.quarantine.guard import QuarantineGuard
+from stileloom.proxy.sampler_access import SamplerAccess
+from stileloom.proxy.sampler_table import SamplerBelief
 
 SILENCE_S = 1.2
 """A resumable stream that is silent for so long goes on elsewhere."""
@@ -95,24 +91,15 @@
 class StreamRelay:
     """Owns the connections of streams."""
 
-    def __init__(
-        self,
-        zone: str,
-        samplers: SamplerTable,
-        names: HeaderNames,
-        log: EventLog,
-        metrics: ProxyMetrics,
-        rng: random.Random,
-        guard: QuarantineGuard,
-    ) -> None:
-        self._zone = zone
-        self._samplers = samplers
-        self._names = names
-        self._log = log
-        self._metrics = metrics
-        self._rng = rng
-        self._guard = guard
-        self._pool = ConnectionPool(metrics.connection_opened)
+    def __init__(self, access: SamplerAccess) -> None:
+        self._zone = access.zone
+        self._samplers = access.samplers
+        self._names = access.names
+        self._log = access.log
+        self._metrics = access.metrics
+        self._rng = access.rng
+        self._guard = access.guard
+        self._pool = ConnectionPool(access.metrics.connection_opened)
 
     def forget(self, sampler_id: str) -> None:
         """A sampler is gone: its kept connections close."""
