--- a/tests/configuration_spec.py
+++ b/tests/configuration_spec.py
@@ -24,6 +24,8 @@
 
 from minicheck import Protocol
 
+from tests.ledger_spec import put
+
 READERS = 2
 
 
@@ -55,11 +57,6 @@
     reverted: bool
 
 
-def put(values: tuple, index: int, value: object) -> tuple:
-    """A tuple with one element replaced."""
-    return (*values[:index], value, *values[index + 1 :])
-
-
 def make_configuration_protocol(
     max_revision: int = 2, commit_floor: bool = True, wait_for_new_grant: bool = True
 ) -> Protocol:
--- a/tests/lease_spec.py
+++ b/tests/lease_spec.py
@@ -25,6 +25,8 @@
 import msgspec
 from minicheck import Protocol
 
+from tests.ledger_spec import put
+
 REPLICAS = 3
 MAJORITY = 2
 NOBODY = -1
@@ -80,11 +82,6 @@
     restarts_left: int
 
 
-def put(values: tuple, index: int, value: object) -> tuple:
-    """A tuple with one element replaced."""
-    return (*values[:index], value, *values[index + 1 :])
-
-
 def acting(state: Spec) -> list[int]:
     """The replicas that may act."""
     return [
@@ -260,7 +257,7 @@
             follows=put(state.follows, replica, NOBODY),
             confirmed=put(state.confirmed, replica, frozenset()),
             backs=tuple(leaders - {replica} for leaders in state.backs),
-            # It no longer knows whether it confirmed: it sticks for a whole term, as if it had.
+            # Whether it confirmed is not on its disk: it sticks for a whole term, as if it had.
             promise=put(state.promise, replica, rules.restart_waits),
             restarts_left=state.restarts_left - 1,
         )
