--- a/stileloom/emulator/http_sampler.py
+++ b/stileloom/emulator/http_sampler.py
@@ -79,7 +79,8 @@
         self.faults = SamplerFaults()
         self.runs: list[RunRecord] = []
         self.whole_at: dict[str, float] = {}
-        """When the last event of a request was made; monotonic seconds."""
+        """When the last event of a request was made for the first time; seconds of the steady
+        clock. An item may run again after a change of leader."""
         self.gauge = WorkGauge()
         """Lookups under way; samplers of one service may share it."""
         self.orders: list[LoadOrder] = []
@@ -212,7 +213,7 @@
             change = f"{self._names.versions.lower()}: {now}\n" if now != version else ""
             version = now
             connection.write(f"{change}id: {number}\ndata: {data}\n\n".encode())
-        self.whole_at[request_id] = steady_time()
+        self.whole_at.setdefault(request_id, steady_time())
         connection.finish()
 
     def _reply(
--- a/tests/test_soak_parts.py
+++ b/tests/test_soak_parts.py
@@ -6,11 +6,13 @@
 from collections.abc import Awaitable, Callable
 
 import testtools
+from tornado.httpclient import AsyncHTTPClient
 
 from stileloom.api.dialect import LoadOrder, LoadStrategy
 from stileloom.emulator.http_sampler import HttpSampler, RunRecord, expected_events
+from stileloom.http.native_dialect import NativeDialect
 from tests.soak.loopback_proxy import Link, LinkFault, TcpProxy
-from tests.soak.record import EVENTS, Record, TakenJob
+from tests.soak.record import EVENTS, Record, TakenJob, reward_id
 
 HOST = "127.0.0.1"
 Scenario = Callable[[TcpProxy, Link, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -156,3 +158,35 @@
             ],
             self.broken(record),
         )
+
+    def test_a_reward_call_before_the_text_was_whole(self) -> None:
+        record = Record()
+        sampler = HttpSampler("s", {"m": 1})
+        record.samplers.append(sampler)
+        sampler.whole_at["a"] = 2.0
+        sampler.runs.append(RunRecord(reward_id("a"), "/score", b"", None, started_at=1.0))
+        record.judge_samplers()
+        self.assertEqual(["rewards are asked for whole texts"], self.broken(record))
+
+
+class SamplerTest(testtools.TestCase):
+    """The stand-in for a sampler."""
+
+    def test_an_item_that_runs_again_was_whole_the_first_time(self) -> None:
+        """In seed 50111 items ran again after a change of leader, and the reward calls between
+        both runs were taken for early ones: the time kept was that of the second run."""
+
+        async def run() -> tuple[float, float]:
+            sampler = HttpSampler("s", {"m": 1}, events=1)
+            url = f"http://{HOST}:{sampler.listen(HOST)}/items/a"
+            client = AsyncHTTPClient(force_instance=True)
+            headers = {NativeDialect.names.request_id: "a", "model": "m"}
+            seen: list[float] = []
+            for _ in range(2):
+                await client.fetch(url, method="POST", body=b"", headers=headers)
+                seen.append(sampler.whole_at["a"])
+            await sampler.stop()
+            return seen[0], seen[1]
+
+        first, second = asyncio.run(run())
+        self.assertEqual(first, second)
