--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -5,8 +5,8 @@
 a second), and were answered then with 504. Lookups that found all samplers full waited a fixed
 0.22 of their target latency, whatever was to be expected, and were told to return after 50 ms.
 
-Evidence: on the code with the fixed waits the first lookup of `AbsentServiceTest` got no answer with
-a body, and the second one, which may have run, ended with 504 at its deadline.
+Evidence: on the code with the fixed waits the first lookup of `AbsentServiceTest` got no answer
+with a body, and the second one, which may have run, ended with 504 at its deadline.
 """
 
 from __future__ import annotations
