--- /dev/null
+++ b/tests/test_job_ends.py
@@ -0,0 +1,180 @@
+"""The end of a job: from the caller's request at any gateway to the commit at the leader.
+
+Callers give up an attempt after `ATTEMPT_S` without an answer, close the connection and repeat the
+request at another gateway.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import testtools
+
+from stileloom.clock import steady_time
+from stileloom.daemon.ledger_node import LedgerNode
+from stileloom.jobs.client import JobClient, LedgerNodes
+from stileloom.jobs.messages import EndJobCall, JobEnded, NotLeader
+from stileloom.jobs.registry import JobRecord
+from stileloom.logging import EventLog, configure_logs
+from stileloom.transport.call_frames import Reply, Request
+from stileloom.transport.calls import CallServer
+from tests.ports import free_port
+from tests.service_cluster import HOST, HOSTNAME, TIMEOUT_S, ServiceCluster, with_cluster
+
+ATTEMPT_S = 1.5
+ATTEMPT_DELAY_S = 0.1
+COMMIT_BOUND_S = 1.0
+"""Time after a leader can be reached by which an end that a gateway has taken is committed."""
+SCHEDULING_MARGIN_S = 0.3
+NODES = 13
+JOB = "job"
+ITEMS = [f"item-{number}" for number in range(8)]
+Handler = Callable[[Request], Awaitable[Reply]]
+
+
+async def never_answer(request: Request) -> Reply:
+    """Handles a call like a process that is suspended: the kernel still accepts connections."""
+    await asyncio.Event().wait()
+    return JobEnded()
+
+
+def set_call_handler(node: LedgerNode, handler: Handler) -> None:
+    """Replaces the handler of calls, on open connections too."""
+    server = node._call_server
+    assert server is not None
+    server._handler = handler
+    for connection in server._open_connections:
+        connection._handler = handler
+
+
+def silence(node: LedgerNode) -> None:
+    """Nothing reaches a ledger node's peers or callers any more; its connections stay open."""
+    assert node._driver is not None
+    network = node._driver._network
+    network.send = lambda address, message: None  # type: ignore[method-assign]
+    network._on_message = lambda sender, message: None
+    set_call_handler(node, never_answer)
+
+
+async def ask_for_end(cluster: ServiceCluster, gateway: int, wait_s: float = ATTEMPT_S) -> int:
+    """Sends one attempt; returns its status, or 0 if the caller left without an answer."""
+    reader, writer = await asyncio.open_connection(HOST, cluster.front_ports[gateway])
+    try:
+        head = f"DELETE /v1/jobs/{JOB} HTTP/1.1\r\nHost: {HOSTNAME}\r\n\r\n"
+        writer.write(head.encode())
+        async with asyncio.timeout(wait_s):
+            status_line = await reader.readline()
+        return int(status_line.split()[1])
+    except TimeoutError:
+        return 0
+    finally:
+        writer.close()
+
+
+async def ask_until_ended(cluster: ServiceCluster) -> None:
+    """Repeats an end at the next gateway until it is answered with 200."""
+    async with asyncio.timeout(TIMEOUT_S):
+        gateway = 0
+        while await ask_for_end(cluster, gateway % len(cluster.gateways)) != 200:
+            gateway += 1
+            await asyncio.sleep(ATTEMPT_DELAY_S)
+
+
+def leader_of(cluster: ServiceCluster) -> LedgerNode:
+    """Returns the node that leads."""
+    name = cluster.leader()
+    assert name is not None
+    return cluster.ledger_nodes[name]
+
+
+def job_at(node: LedgerNode) -> JobRecord | None:
+    """Returns the job as a node's replica knows it."""
+    assert node._driver is not None
+    return node._driver.state.job_book.jobs.get(JOB)
+
+
+def end_committed(cluster: ServiceCluster) -> bool:
+    """Whether a node that leads has applied the end of the job."""
+    jobs = [job_at(node) for node in cluster.ledger_nodes.values() if node.is_active_leader()]
+    return any(job is not None and job.ended for job in jobs)
+
+
+async def open_job(cluster: ServiceCluster) -> None:
+    """Submits a job whose items never finish; every gateway then knows the leader."""
+    for name in ("draft-1", "draft-2"):
+        cluster.samplers[name].faults.unresponsive = True
+    answer = await cluster.submit(JOB, ITEMS)
+    assert answer.code == 202
+    for gateway in range(len(cluster.gateways)):
+        target = f"/v1/jobs/{JOB}/results?position=0&wait_s=0"
+        assert (await cluster.call("GET", target, gateway=gateway)).code == 200
+
+
+class LostLeaderTest(testtools.TestCase):
+    """Ends that are asked for while gateways still wait for a leader that has gone silent."""
+
+    def test_an_end_is_committed_although_its_caller_has_left(self) -> None:
+        """Guards against an end that is forgotten with its caller's connection."""
+
+        async def scenario(cluster: ServiceCluster) -> None:
+            await open_job(cluster)
+            lost = leader_of(cluster)
+            silence(lost)
+            status = await ask_for_end(cluster, gateway=0, wait_s=0.3)
+            self.assertEqual(0, status)
+            nodes = cluster.ledger_nodes.values()
+            await cluster.wait_until(lambda: any(n.is_active_leader() for n in nodes if n != lost))
+            await asyncio.sleep(COMMIT_BOUND_S + SCHEDULING_MARGIN_S)
+            self.assertTrue(end_committed(cluster))
+
+        with_cluster(scenario)
+
+
+class LeaderSearchTest(testtools.TestCase):
+    """How long a client searches for the leader among nodes that are lost or name a lost one."""
+
+    def answered_after(
+        self, name_leader: Callable[[list[tuple[str, int]]], list[Handler]], timeout_s: float
+    ) -> float:
+        """Returns how long an end takes; the client holds the first node for the leader.
+
+        `name_leader` returns the handler of each of `NODES` nodes, given their addresses.
+        """
+
+        async def run() -> float:
+            configure_logs("critical")
+            addresses = [(HOST, free_port()) for _ in range(NODES)]
+            servers = [CallServer(handler) for handler in name_leader(addresses)]
+            for server, address in zip(servers, addresses, strict=True):
+                await server.start(*address)
+            nodes = LedgerNodes(addresses)
+            nodes.leader = addresses[0]
+            client = JobClient(nodes, EventLog("gateway"), lambda: None)
+            asked_at = steady_time()
+            try:
+                reply = await client.call(EndJobCall(JOB), JOB, timeout_s)
+            finally:
+                client.close()
+                for server in servers:
+                    server.stop()
+            self.assertEqual(JobEnded(), reply)
+            return steady_time() - asked_at
+
+        return asyncio.run(run())
+
+    def test_standbys_that_name_a_silent_node_hold_up_no_end(self) -> None:
+        """Guards against waiting anew for a silent node whenever another node names it."""
+
+        def handlers(addresses: list[tuple[str, int]]) -> list[Handler]:
+            host, port = addresses[0]
+
+            async def lead(request: Request) -> Reply:
+                return JobEnded()
+
+            async def name_silent_node(request: Request) -> Reply:
+                return NotLeader(f"{host}:{port}")
+
+            return [never_answer, *[name_silent_node] * (NODES - 2), lead]
+
+        self.assertLess(self.answered_after(handlers, TIMEOUT_S), COMMIT_BOUND_S)
