Log ends of jobs at gateways, stalled commits and blocked event loops

The logs could not tell where the end of a job was held up: a gateway logged an end only if it refused it, the leader logged a command only once it was committed, and a process that handled nothing for a second left no line.

job_end_received and job_end_answered frame each call at its gateway; an outcome of caller_left shows a caller that gave up first. commit_stalled names the age of the oldest waiting command and whether the leader holds its lease meanwhile, commit_resumed its end. event_loop_blocked is written by the ticker of a ledger node whose tick came 0.3 s late or later. No decision depends on any of them.

--- a/stileloom/background.py
+++ b/stileloom/background.py
@@ -10,6 +10,7 @@
 from stileloom.logging import EventLog
 
 MAX_TRACEBACK_LENGTH = 1500
+LATE_TICK_S = 0.3
 
 
 class BackgroundTasks:
@@ -47,9 +48,16 @@
     the clock has caught up.
     """
 
-    def __init__(self, callback: Callable[[], None], interval_s: float) -> None:
+    def __init__(
+        self,
+        callback: Callable[[], None],
+        interval_s: float,
+        on_late: Callable[[float], None] = lambda _: None,
+    ) -> None:
+        """`on_late` receives the seconds by which a call came late, if `LATE_TICK_S` or more."""
         self._callback = callback
         self._interval_s = interval_s
+        self._on_late = on_late
         self._handle: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
@@ -66,5 +74,9 @@
         self._handle = asyncio.get_running_loop().call_later(self._interval_s, self._tick)
 
     def _tick(self) -> None:
+        assert self._handle is not None
+        late_s = asyncio.get_running_loop().time() - self._handle.when()
+        if late_s >= LATE_TICK_S:
+            self._on_late(late_s)
         self._schedule()
         self._callback()
--- a/stileloom/daemon/ledger_driver.py
+++ b/stileloom/daemon/ledger_driver.py
@@ -27,6 +27,8 @@
 TICK_S = 0.05
 HELLO_INTERVAL_S = 0.4
 DISK_RETRY_S = 0.1
+COMMIT_STALL_S = 1.0
+"""Age of the oldest uncommitted command at which a stall is logged."""
 
 
 class LedgerDriver:
@@ -58,7 +60,10 @@
         self._disk_failing = False
         self._stopped = False
         self._next_hello_at = 0.0
-        self._ticker = Ticker(self._tick, TICK_S)
+        self._uncommitted: dict[asyncio.Future[CommandResult], float] = {}
+        """Time of proposal of each command that waits for its commit, oldest first."""
+        self._stalled_since: float | None = None
+        self._ticker = Ticker(self._tick, TICK_S, self._log_blocked_loop)
 
     async def start(self, listen_host: str) -> None:
         """Starts listening and the ticker. Raises `OSError` if the port is in use."""
@@ -114,14 +119,39 @@
         """
         future: asyncio.Future[CommandResult] = asyncio.get_running_loop().create_future()
         proposed_at = steady_time()
+        self._uncommitted[future] = proposed_at
+        future.add_done_callback(self._uncommitted.pop)
         self._run(self.replica.propose(proposed_at, command, future))
         result = await future
         self._metrics.commit.observe(steady_time() - proposed_at)
         return result
 
+    def _log_blocked_loop(self, late_s: float) -> None:
+        fields: dict[str, object] = {"blocked_ms": round(late_s * 1000)}
+        self._log.emit(LogEvent.EVENT_LOOP_BLOCKED, fields)
+
+    def _log_commit_stall(self, now: float) -> None:
+        """Logs the begin and the end of a time in which a command waits for its commit."""
+        oldest_at = next(iter(self._uncommitted.values()), None)
+        if self._stalled_since is not None and oldest_at != self._stalled_since:
+            stalled_ms = round((now - self._stalled_since) * 1000)
+            self._stalled_since = None
+            self._log.emit(LogEvent.COMMIT_RESUMED, {"stalled_ms": stalled_ms})
+        if self._stalled_since is None and oldest_at is not None:
+            if now < oldest_at + COMMIT_STALL_S:
+                return
+            self._stalled_since = oldest_at
+            fields: dict[str, object] = {
+                "waiting": len(self._uncommitted),
+                "commit_index": self.replica.commit_index,
+                "holds_lease": self.is_active_leader(),
+            }
+            self._log.emit(LogEvent.COMMIT_STALLED, fields)
+
     def _tick(self) -> None:
         now = steady_time()
         self._run(self.replica.tick(now))
+        self._log_commit_stall(now)
         lacks_leader = not self.replica.is_voter and not self.replica.has_leader_contact(now)
         if lacks_leader and now >= self._next_hello_at:
             self._next_hello_at = now + HELLO_INTERVAL_S
--- a/stileloom/logging.py
+++ b/stileloom/logging.py
@@ -27,6 +27,8 @@
     LogEvent.STORE_LOST,
     LogEvent.DISK_LOST,
     LogEvent.LEDGER_NODE_SILENT,
+    LogEvent.COMMIT_STALLED,
+    LogEvent.EVENT_LOOP_BLOCKED,
     LogEvent.ITEM_GIVEN_UP,
     LogEvent.INTERNAL_FAULT,
 }
--- a/stileloom/proxy/front.py
+++ b/stileloom/proxy/front.py
@@ -241,9 +241,26 @@
             )
         else:
             assert isinstance(call, EndJob)
-            reply = await self._call(EndJobCall(call.job_id), call.job_id, timeout_s)
+            reply = await self._end_job(request, call.job_id, timeout_s)
         return self._job_response(reply)
 
+    async def _end_job(self, request: CallerRequest, job_id: str, timeout_s: float) -> JobReply:
+        fields: dict[str, object] = {"job": job_id, "caller": request.caller_address}
+        self._log.emit(LogEvent.JOB_END_RECEIVED, fields)
+        outcome = "caller_left"
+        try:
+            reply = await self._call(EndJobCall(job_id), job_id, timeout_s)
+            outcome = "ended" if isinstance(reply, JobEnded) else ErrorKind.UNKNOWN_JOB.value
+            return reply
+        except StileloomError as error:
+            outcome = error.kind.value
+            raise
+        finally:
+            after_ms = round((steady_time() - request.arrived_at) * 1000)
+            self._log.emit(
+                LogEvent.JOB_END_ANSWERED, {**fields, "outcome": outcome, "after_ms": after_ms}
+            )
+
     def _job_response(self, reply: JobReply) -> CallerResponse:
         if isinstance(reply, ResultsRead):
             return _json_response(200, self._dialect.encode_page(reply.page))
