Gateways deliver the end of a job although its caller has left

Callers saw ends of jobs without an acknowledgement for more than six seconds, and items of those jobs started long after. A caller gives an attempt up after 1.5 s; the gateway then cancelled its own call to the ledger, although it was about to find the leader (1.2 s for a node that does not answer). The next attempt began at another gateway with the whole search before it, and nobody was left who knew of the end.

EndDelivery holds each end that a gateway has received and repeats the call until the leader has answered, for up to 60 s and through a drain, whether its caller waits or not. Ends are idempotent, so several gateways may deliver the same one. A restart of the gateway loses its pending ends; callers repeat them.

--- a/stileloom/daemon/gateway.py
+++ b/stileloom/daemon/gateway.py
@@ -166,6 +166,7 @@
 
     def abort(self) -> None:
         """Stops background work and closes the connections to ledger nodes."""
+        self.front.stop()
         self.directory.stop()
         self._guard.stop()
         self._jobs.close()
@@ -185,7 +186,7 @@
         # New requests are rejected from here on: one that arrives while its connection is closed
         # has not run.
         self.front.closing = True
-        while self.front.open_requests and steady_time() < deadline:
+        while (self.front.open_requests or self.front.pending_ends) and steady_time() < deadline:
             await asyncio.sleep(DRAIN_POLL_S)
         self._log.emit(LogEvent.DRAIN_FINISHED, {"open": self.front.open_requests})
 
--- a/stileloom/proxy/front.py
+++ b/stileloom/proxy/front.py
@@ -23,8 +23,8 @@
 from stileloom.http1.request_encoder import end_to_end_headers
 from stileloom.http1.response_decoder import ResponseHead
 from stileloom.jobs.client import JobClient
+from stileloom.jobs.end_delivery import EndDelivery
 from stileloom.jobs.messages import (
-    EndJobCall,
     ItemRead,
     JobEnded,
     JobReply,
@@ -105,6 +105,7 @@
         self._forwarder = forwarder
         self._relay = relay
         self._jobs = jobs
+        self._ends = EndDelivery(jobs, log)
         self._results = ResultReader(jobs, ResultCache(), cache_results)
         self._log = log
         self._metrics = metrics
@@ -115,6 +116,15 @@
         """Number of requests without a final response."""
         return self._open_requests
 
+    @property
+    def pending_ends(self) -> int:
+        """Number of received ends of jobs that the ledger has not answered."""
+        return len(self._ends)
+
+    def stop(self) -> None:
+        """Abandons the ends of jobs that are not delivered."""
+        self._ends.stop()
+
     def start_request(self, server_conn: object, request_conn: HTTPConnection) -> _CallerExchange:
         """Called by tornado for each new request."""
         return _CallerExchange(self, request_conn)
@@ -249,7 +259,7 @@
         self._log.emit(LogEvent.JOB_END_RECEIVED, fields)
         outcome = "caller_left"
         try:
-            reply = await self._call(EndJobCall(job_id), job_id, timeout_s)
+            reply = await self._ends.end(job_id, max(0.1, timeout_s - DEADLINE_MARGIN_S))
             outcome = "ended" if isinstance(reply, JobEnded) else ErrorKind.UNKNOWN_JOB.value
             return reply
         except StileloomError as error:
