The leader stops a job's work when it gets its end, not when the end is committed

A leader that had received the end of a job went on starting its items until a majority had stored the end: with slow disks, a link that is cut or a replica that is catching up, for seconds. A caller that is not answered has to assume nothing, but the samplers got items that nobody wanted any more.

JobRunner.stop_job stops runs and reward calls of the job at once and adopts it no more. That is safe before the commit: a proposal is dropped only together with the leadership, whose runner ends with it, and the next leader runs the job again until the end reaches it, which gateways repeat.

--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -109,6 +109,8 @@
         self._connections: dict[tuple[str, str], SamplerConnection] = {}
         self._adopted_at: dict[str, float] = {}
         """Time of adoption by this leader, by job id."""
+        self._ending_jobs: set[str] = set()
+        """Jobs whose end is proposed; leadership cannot outlast a proposal that is dropped."""
         self._stopped = False
         self._next_progress_save_at = 0.0
         self._next_event_interval_save_at = steady_time() + EVENT_INTERVAL_SAVE_PERIOD_S
@@ -172,6 +174,11 @@
         self._pool.close_connections(sampler_id)
         self._loader.remove_sampler(sampler_id)
 
+    def stop_job(self, job_id: str) -> None:
+        """Stops all work of a job whose end is about to be proposed."""
+        self._ending_jobs.add(job_id)
+        self._sync_jobs(steady_time())
+
     def wait_for_results(self, job_id: str) -> asyncio.Future[None]:
         """Returns a future that is resolved when the job has new results or has ended."""
         return self._writer.wait_for_results(job_id)
@@ -263,19 +270,24 @@
             )
 
     def _sync_jobs(self, now: float) -> None:
+        jobs = self._registry.jobs
+        self._ending_jobs = {job for job in self._ending_jobs if job in jobs and jobs[job].is_open}
         for job_id, record in list(self._registry.jobs.items()):
             if job_id not in self._adopted_at:
                 self._adopted_at[job_id] = now
-            if record.is_open:
+            if self._may_run(record):
                 self._adopt(record, now)
         for job_id in {job_id for job_id, _ in self.scheduler.items}:
             job_record = self._registry.jobs.get(job_id)
-            if job_record is None or not job_record.is_open:
+            if job_record is None or not self._may_run(job_record):
                 self._remove_job(job_id)
         for open_item in list(self.scheduler.items.values()):
             if now >= open_item.deadline and not open_item.finished:
                 self._finish(open_item, ItemState.GIVEN_UP, "out of time")
 
+    def _may_run(self, record: JobRecord) -> bool:
+        return record.is_open and record.submission.job_id not in self._ending_jobs
+
     def _adopt(self, record: JobRecord, now: float) -> None:
         submission = record.submission
         first_item_id = submission.items[0].item_id if submission.items else ""
--- a/stileloom/jobs/service.py
+++ b/stileloom/jobs/service.py
@@ -156,6 +156,8 @@
         if job is None:
             return NoSuchJob()
         if not job.ended:
+            if self.runner is not None:
+                self.runner.stop_job(request.job_id)
             try:
                 result = await self._ledger.propose(EndJob(request.job_id))
             except StileloomError:
