Job calls do not go back to a ledger node that has just failed

After the loss of a leader each gateway found that out by a call of 1.2 s, asked the next node, and was sent back to the lost leader by any node that had not heard of the new one, at the price of another 1.2 s. Nodes outside the voter set learn of a new leader up to 3.5 s late, and on large deployments they are the most. A caller's attempt lasts 1.5 s, so calls during an election failed again and again.

A node that failed is passed over for a second where others are known, and a redirect to it is not followed meanwhile. LedgerNodes.next_target takes the time, so its tests pass it.

test_nodes_that_still_name_a_failed_leader_do_not_delay_a_call: the lost leader is called once now; on the code before it was called twice or more.

--- a/stileloom/jobs/client.py
+++ b/stileloom/jobs/client.py
@@ -25,6 +25,11 @@
 """Timeout of one attempt."""
 RETRY_DELAY_S = 0.1
 """Delay between two attempts."""
+FAILED_NODE_PAUSE_S = 1.0
+"""Time for which a node that failed is passed over in favour of the others.
+
+Until a new leader is elected and known to all nodes, some of them still name the failed one.
+"""
 RETRY_AFTER_S = 0.3
 """Retry hint to the caller if no leader answered."""
 
@@ -39,6 +44,7 @@
         """Addresses not listed in the object store, tried after all listed nodes have failed."""
         self._consecutive_failures = 0
         self._round_robin_index = 0
+        self._paused_until: dict[tuple[str, int], float] = {}
 
     def update_addresses(self, addresses: list[tuple[str, int]]) -> None:
         """Replaces the addresses; those no longer listed remain as fallback."""
@@ -56,7 +62,15 @@
         """Counts a node that did not answer."""
         self._consecutive_failures += 1
 
-    def next_target(self) -> tuple[str, int] | None:
+    def pause(self, address: tuple[str, int], until: float) -> None:
+        """Passes over a node until the given time if there are others."""
+        self._paused_until[address] = until
+
+    def is_paused(self, address: tuple[str, int], now: float) -> bool:
+        """Whether the node is passed over."""
+        return now < self._paused_until.get(address, float("-inf"))
+
+    def next_target(self, now: float) -> tuple[str, int] | None:
         """Returns the leader if known, else the next node in round-robin order."""
         if self.leader is not None:
             return self.leader
@@ -65,6 +79,7 @@
             addresses = [*addresses, *self._fallback_addresses]
         if not addresses:
             return None
+        addresses = [a for a in addresses if not self.is_paused(a, now)] or addresses
         self._round_robin_index += 1
         return addresses[self._round_robin_index % len(addresses)]
 
@@ -98,7 +113,7 @@
             remaining_s = deadline - steady_time()
             if remaining_s <= 0:
                 break
-            target = self._nodes.next_target()
+            target = self._nodes.next_target(steady_time())
             if target is not None:
                 attempts += 1
                 try:
@@ -122,12 +137,18 @@
     def _follow_leader_hint(
         self, target: tuple[str, int], reply: NotLeader | OutcomeUnknown
     ) -> bool:
-        """Adopts the leader named in a reply; returns False if it names no other node."""
+        """Adopts the leader named in a reply.
+
+        Returns False if it names no other node, or one that has just failed.
+        """
         self._nodes.leader = None
         hint = reply.leader if isinstance(reply, NotLeader) else ""
         if not hint or split_address(hint) == target:
             return False
-        self._nodes.leader = split_address(hint)
+        named = split_address(hint)
+        if self._nodes.is_paused(named, steady_time()):
+            return False
+        self._nodes.leader = named
         return True
 
     def _handle_answer(self, target: tuple[str, int]) -> None:
@@ -140,6 +161,7 @@
     def _handle_failure(self, target: tuple[str, int], request_id: str, detail: str) -> None:
         if self._nodes.leader == target:
             self._nodes.leader = None
+        self._nodes.pause(target, steady_time() + FAILED_NODE_PAUSE_S)
         self._nodes.record_failure()
         self._on_node_failure()
         already_logged = target in self._unresponsive
--- a/tests/test_job_client.py
+++ b/tests/test_job_client.py
@@ -26,9 +26,11 @@
 class LedgerNodesTest(testtools.TestCase):
     """Choice of the ledger node for the next attempt."""
 
-    def targets(self, nodes: LedgerNodes, count: int) -> set[tuple[str, int] | None]:
+    def targets(
+        self, nodes: LedgerNodes, count: int, now: float = 0.0
+    ) -> set[tuple[str, int] | None]:
         """Returns the nodes of the next attempts."""
-        return {nodes.next_target() for _ in range(count)}
+        return {nodes.next_target(now) for _ in range(count)}
 
     def test_a_seed_that_is_not_listed_is_no_longer_used(self) -> None:
         """Guards against delays at start from attempts to reach decommissioned machines."""
@@ -106,6 +108,27 @@
 
         self.assertEqual(Outcome.NOT_RUN, self.outcome(follower, follower))
 
+    def test_nodes_that_still_name_a_failed_leader_do_not_delay_a_call(self) -> None:
+        """Guards against a timeout for each follower that does not know the new leader yet."""
+        calls_to_failed_leader = 0
+
+        async def failed_leader(request: Request) -> Reply:
+            nonlocal calls_to_failed_leader
+            calls_to_failed_leader += 1
+            await asyncio.Event().wait()
+            return JobEnded()
+
+        async def stale_follower(request: Request) -> Reply:
+            host, port = self.addresses[1]
+            return NotLeader(f"{host}:{port}")
+
+        async def leader(request: Request) -> Reply:
+            return JobEnded()
+
+        handlers = [stale_follower, failed_leader, stale_follower, stale_follower, leader]
+        self.assertEqual(JobEnded(), self.outcome(*handlers, timeout_s=20.0))
+        self.assertEqual(1, calls_to_failed_leader)
+
     def test_a_redirect_to_the_leader_is_followed(self) -> None:
         async def leader(request: Request) -> Reply:
             return JobEnded()
