Test ends beside a call that runs out of time; a responsive leader is passed over

Callers saw ends wait for a leader that had answered all along. A call whose own time runs out before the node's answer is due counts as a failure of the node: a long poll of 2 s with 0.3 s left, a trial with its 0.5 s, or a caller's read at the end of its deadline. The client then closes the connection that all calls of the gateway share, which breaks off an end that waits for its commit, and passes over the leader for a second.

On the service cluster with 13 nodes the gateways' polls of the quarantine list do this: after a lost leader had cost them 3.2 s they asked the new one with 0.7 s left and reported it as silent ("no reply within 0.698 s").

--- a/tests/test_job_ends.py
+++ b/tests/test_job_ends.py
@@ -13,10 +13,12 @@
 
 from stileloom.clock import steady_time
 from stileloom.daemon.ledger_node import LedgerNode
+from stileloom.errors import StileloomError
 from stileloom.jobs.client import JobClient, LedgerNodes
 from stileloom.jobs.messages import EndJobCall, JobEnded, NotLeader
 from stileloom.jobs.registry import JobRecord
 from stileloom.logging import EventLog, configure_logs
+from stileloom.quarantine.messages import QuarantineListed, WatchQuarantineCall
 from stileloom.transport.call_frames import Reply, Request
 from stileloom.transport.calls import CallServer
 from tests.ports import free_port
@@ -27,6 +29,7 @@
 COMMIT_BOUND_S = 1.0
 """Time after a leader can be reached by which an end that a gateway has taken is committed."""
 SCHEDULING_MARGIN_S = 0.3
+WATCH_WAIT_S = 2.0
 NODES = 13
 JOB = "job"
 ITEMS = [f"item-{number}" for number in range(8)]
@@ -178,3 +181,49 @@
             return [never_answer, *[name_silent_node] * (NODES - 2), lead]
 
         self.assertLess(self.answered_after(handlers, TIMEOUT_S), COMMIT_BOUND_S)
+
+
+class SharedConnectionTest(testtools.TestCase):
+    """Ends beside other calls of the same gateway, over one connection to a responsive leader."""
+
+    def answered_after(self, commit_s: float) -> float:
+        """Returns how long an end takes that is asked for while a long poll runs out of time."""
+
+        async def run() -> float:
+            configure_logs("critical")
+            leader, follower = [(HOST, free_port()) for _ in range(2)]
+
+            async def lead(request: Request) -> Reply:
+                if isinstance(request, WatchQuarantineCall):
+                    await asyncio.sleep(request.wait_s)
+                    return QuarantineListed(None)
+                await asyncio.sleep(commit_s)
+                return JobEnded()
+
+            async def name_leader(request: Request) -> Reply:
+                return NotLeader(f"{leader[0]}:{leader[1]}")
+
+            servers = [CallServer(lead), CallServer(name_leader)]
+            for server, address in zip(servers, (leader, follower), strict=True):
+                await server.start(*address)
+            nodes = LedgerNodes([leader, follower])
+            nodes.leader = leader
+            client = JobClient(nodes, EventLog("gateway"), lambda: None)
+            poll = asyncio.create_task(client.call(WatchQuarantineCall(0, WATCH_WAIT_S), "", 0.3))
+            await asyncio.sleep(0.2)
+            asked_at = steady_time()
+            reply = await client.call(EndJobCall(JOB), JOB, TIMEOUT_S)
+            took_s = steady_time() - asked_at
+            await asyncio.wait((poll,))
+            self.assertIsInstance(poll.exception(), StileloomError)
+            client.close()
+            for server in servers:
+                server.stop()
+            self.assertEqual(JobEnded(), reply)
+            return took_s
+
+        return asyncio.run(run())
+
+    def test_a_long_poll_without_time_left_interrupts_no_end(self) -> None:
+        """Guards against giving up a leader that holds a long poll for as long as it was asked."""
+        self.assertLess(self.answered_after(commit_s=0.3), 0.3 + SCHEDULING_MARGIN_S)
