Concurrent calls to a node wait for one connection attempt together

Callers saw an end held up for seconds at a gateway with other job calls in progress, when the ledger node that the gateway held for the leader answered no connection attempts.

Cause: the connection pool took a lock for each attempt to connect, so calls to one address tried one after the other, each for the whole CONNECT_TIMEOUT_S. The time is not part of the call's own timeout.

Calls to an address now share the attempt in progress and fail together. It is shielded, so a caller that leaves does not cancel it for the others; a test covers that.

--- a/stileloom/transport/calls.py
+++ b/stileloom/transport/calls.py
@@ -7,6 +7,7 @@
 import socket
 import struct
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import msgspec
 
@@ -230,7 +231,8 @@
 
     def __init__(self) -> None:
         self._connections: dict[tuple[str, int], CallConnection] = {}
-        self._connect_locks: dict[tuple[str, int], asyncio.Lock] = {}
+        self._attempts: dict[tuple[str, int], asyncio.Task[CallConnection]] = {}
+        """Connection attempts in progress; concurrent calls to an address wait for the same one."""
 
     async def call(self, address: tuple[str, int], request: Request, timeout_s: float) -> Reply:
         """Calls a node. Closes the connection if no reply arrives. Raises `CallFailed`."""
@@ -243,19 +245,32 @@
             raise
 
     async def _get_connection(self, address: tuple[str, int]) -> CallConnection:
-        lock = self._connect_locks.setdefault(address, asyncio.Lock())
-        async with lock:
-            connection = self._connections.get(address)
-            if connection is not None and connection.usable:
-                return connection
-            try:
-                connection = await CallConnection.open(address)
-            except (OSError, TimeoutError) as error:
-                raise CallFailed(type(error).__name__, sent=False) from error
-            self._connections[address] = connection
+        connection = self._connections.get(address)
+        if connection is not None and connection.usable:
             return connection
+        attempt = self._attempts.get(address) or self._start_attempt(address)
+        try:
+            # Shielded, because other calls may wait for the attempt when this one is cancelled.
+            return await asyncio.shield(attempt)
+        except (OSError, TimeoutError) as error:
+            raise CallFailed(type(error).__name__, sent=False) from error
+
+    def _start_attempt(self, address: tuple[str, int]) -> asyncio.Task[CallConnection]:
+        attempt = asyncio.get_running_loop().create_task(CallConnection.open(address))
+        self._attempts[address] = attempt
+        attempt.add_done_callback(partial(self._on_attempt_done, address))
+        return attempt
+
+    def _on_attempt_done(
+        self, address: tuple[str, int], attempt: asyncio.Task[CallConnection]
+    ) -> None:
+        del self._attempts[address]
+        if not attempt.cancelled() and attempt.exception() is None:
+            self._connections[address] = attempt.result()
 
     def close(self) -> None:
-        """Closes all connections."""
+        """Closes all connections and cancels attempts, with the calls that wait for them."""
+        for attempt in self._attempts.values():
+            attempt.cancel()
         for connection in self._connections.values():
             connection.close()
--- a/tests/test_job_ends.py
+++ b/tests/test_job_ends.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
 from collections.abc import Awaitable, Callable
 
 import testtools
@@ -20,7 +22,12 @@
 from stileloom.logging import EventLog, configure_logs
 from stileloom.quarantine.messages import QuarantineListed, WatchQuarantineCall
 from stileloom.transport.call_frames import Reply, Request
-from stileloom.transport.calls import CallServer
+from stileloom.transport.calls import (
+    CONNECT_TIMEOUT_S,
+    CallConnectionPool,
+    CallFailed,
+    CallServer,
+)
 from tests.ports import free_port
 from tests.service_cluster import HOST, HOSTNAME, TIMEOUT_S, ServiceCluster, with_cluster
 
@@ -227,3 +234,65 @@
     def test_a_long_poll_without_time_left_interrupts_no_end(self) -> None:
         """Guards against giving up a leader that holds a long poll for as long as it was asked."""
         self.assertLess(self.answered_after(commit_s=0.3), 0.3 + SCHEDULING_MARGIN_S)
+
+
+class UnreachableNodeTest(testtools.TestCase):
+    """Calls to an address that answers no connection attempt."""
+
+    def test_concurrent_calls_wait_for_one_connection_attempt(self) -> None:
+        """Guards against an end that queues behind the attempts of other calls, one by one."""
+
+        async def run() -> float:
+            with contextlib.ExitStack() as stack:
+                address = unreachable_address(stack)
+                connections = CallConnectionPool()
+                asked_at = steady_time()
+                calls = [connections.call(address, EndJobCall(JOB), TIMEOUT_S) for _ in range(8)]
+                outcomes = await asyncio.gather(*calls, return_exceptions=True)
+                took_s = steady_time() - asked_at
+                self.assertEqual([False] * 8, [failed_after_send(error) for error in outcomes])
+            return took_s
+
+        self.assertLess(asyncio.run(run()), CONNECT_TIMEOUT_S + SCHEDULING_MARGIN_S)
+
+    def test_a_call_that_is_cancelled_leaves_the_connection_attempt_to_the_others(self) -> None:
+        async def run() -> tuple[bool, Reply]:
+            server = CallServer(answer_at_once)
+            address = (HOST, free_port())
+            await server.start(*address)
+            connections = CallConnectionPool()
+            calls = [
+                asyncio.create_task(connections.call(address, EndJobCall(JOB), TIMEOUT_S))
+                for _ in range(2)
+            ]
+            await asyncio.sleep(0)
+            calls[0].cancel()
+            reply = await calls[1]
+            connections.close()
+            server.stop()
+            return calls[0].cancelled(), reply
+
+        self.assertEqual((True, JobEnded()), asyncio.run(run()))
+
+
+async def answer_at_once(request: Request) -> Reply:
+    """Handles a call like a leader."""
+    return JobEnded()
+
+
+def failed_after_send(outcome: Reply | BaseException) -> bool | None:
+    """Whether a failed call may have been executed; None if it did not fail."""
+    return outcome.sent if isinstance(outcome, CallFailed) else None
+
+
+def unreachable_address(stack: contextlib.ExitStack) -> tuple[str, int]:
+    """Returns the address of a socket whose full accept queue drops connection attempts."""
+    listener = stack.enter_context(socket.socket())
+    listener.bind((HOST, 0))
+    listener.listen(0)
+    address = listener.getsockname()
+    for _ in range(3):
+        filler = stack.enter_context(socket.socket())
+        filler.setblocking(False)
+        filler.connect_ex(address)
+    return (address[0], address[1])
