A call that times out no longer breaks off the other calls on its connection

All calls of a gateway to a ledger node share one connection, and a call without an answer in its time closed it: a long poll with 0.3 s left, or a caller's read at the end of its deadline, broke off an end or a submission that the same node was about to answer, and the gateway passed the leader over.

A connection is closed by a time-out only if nothing has come on it for a second. TCP_USER_TIMEOUT still closes it where sent bytes are not acknowledged.

--- a/stileloom/transport/calls.py
+++ b/stileloom/transport/calls.py
@@ -11,12 +11,15 @@
 
 import msgspec
 
+from stileloom.clock import steady_time
 from stileloom.transport.call_frames import CallFrame, Reply, ReplyFrame, Request
 from stileloom.transport.compression import pack, unpack
 
 FRAME_HEADER = struct.Struct(">I")
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 CONNECT_TIMEOUT_S = 0.5
+SILENCE_S = 1.0
+"""A connection without any reply for this long is closed when a call on it times out."""
 TCP_USER_TIMEOUT_MS = 1500
 
 _CALL_DECODER = msgspec.msgpack.Decoder(CallFrame)
@@ -159,6 +162,7 @@
         self._transport: asyncio.Transport | None = None
         self._pending: dict[int, asyncio.Future[Reply]] = {}
         self._next_number = 1
+        self._last_reply_at = float("-inf")
 
     @classmethod
     async def open(cls, address: tuple[str, int]) -> CallConnection:
@@ -194,6 +198,7 @@
         except (ValueError, msgspec.DecodeError):
             self.close()
             return
+        self._last_reply_at = steady_time()
         for frame in frames:
             future = self._pending.pop(frame.number, None)
             if future is not None and not future.done():
@@ -212,11 +217,14 @@
         self._next_number += 1
         future: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
         self._pending[number] = future
+        sent_at = steady_time()
         self._transport.write(encode_frame(CallFrame(number, request)))
         try:
             async with asyncio.timeout(timeout_s):
                 return await future
         except TimeoutError as error:
+            if steady_time() >= max(sent_at, self._last_reply_at) + SILENCE_S:
+                self.close()
             raise CallFailed(f"no reply within {timeout_s:g} s", sent=True) from error
         finally:
             self._pending.pop(number, None)
@@ -235,14 +243,9 @@
         """Connection attempts in progress; concurrent calls to an address wait for the same one."""
 
     async def call(self, address: tuple[str, int], request: Request, timeout_s: float) -> Reply:
-        """Calls a node. Closes the connection if no reply arrives. Raises `CallFailed`."""
+        """Calls a node. Raises `CallFailed`."""
         connection = await self._get_connection(address)
-        try:
-            return await connection.call(request, timeout_s)
-        except CallFailed as failure:
-            if failure.sent:
-                connection.close()
-            raise
+        return await connection.call(request, timeout_s)
 
     async def _get_connection(self, address: tuple[str, int]) -> CallConnection:
         connection = self._connections.get(address)
