Gateways find the leader by asking all ledger nodes at once

Callers saw ends, submissions and reads fail for seconds after a change of leader although a leader was there. A gateway waited 1.2 s for a lost leader and then asked one node after the other; nodes outside the voter set redirected it to the lost leader, whose time-out it then waited for again. A caller's attempt lasts 1.5 s.

LeaderSearch probes all known nodes in parallel (ProbeLeaderCall, answered with Leading only by a node that holds its lease); concurrent calls share a search.

--- a/stileloom/cli/quarantine.py
+++ b/stileloom/cli/quarantine.py
@@ -10,7 +10,8 @@
 from stileloom.cli.errors import exit_on_error
 from stileloom.clock import run_main
 from stileloom.errors import ErrorKind, StileloomError
-from stileloom.jobs.client import JobClient, LedgerNodes
+from stileloom.jobs.client import JobClient
+from stileloom.jobs.leader_search import LedgerNodes
 from stileloom.jobs.messages import JobReply
 from stileloom.logging import EventLog, configure_logs
 from stileloom.quarantine.messages import (
--- a/stileloom/daemon/gateway.py
+++ b/stileloom/daemon/gateway.py
@@ -20,7 +20,8 @@
 from stileloom.daemon.signals import handle_signals
 from stileloom.errors import StileloomError
 from stileloom.events import LogEvent
-from stileloom.jobs.client import JobClient, LedgerNodes
+from stileloom.jobs.client import JobClient
+from stileloom.jobs.leader_search import LedgerNodes
 from stileloom.logging import EventLog
 from stileloom.proxy.forwarder import Forwarder
 from stileloom.proxy.front import GatewayServer
--- a/stileloom/jobs/messages.py
+++ b/stileloom/jobs/messages.py
@@ -35,7 +35,18 @@
     job_id: str
 
 
-JobRequest = SubmitJobCall | ReadResultsCall | ReadItemCall | EndJobCall | QuarantineRequest
+class ProbeLeaderCall(msgspec.Struct, frozen=True, tag=True):
+    """Asks a node whether it leads."""
+
+
+JobRequest = (
+    SubmitJobCall
+    | ReadResultsCall
+    | ReadItemCall
+    | EndJobCall
+    | ProbeLeaderCall
+    | QuarantineRequest
+)
 """Calls to the leader."""
 
 
@@ -59,6 +70,10 @@
     """The end of the job is committed."""
 
 
+class Leading(msgspec.Struct, frozen=True, tag=True):
+    """This node leads and holds its lease."""
+
+
 class NoSuchJob(msgspec.Struct, frozen=True, tag=True):
     """The job or item does not exist, as confirmed by the leader."""
 
@@ -78,6 +93,7 @@
     | ResultsRead
     | ItemRead
     | JobEnded
+    | Leading
     | NoSuchJob
     | NotLeader
     | OutcomeUnknown
--- a/stileloom/jobs/service.py
+++ b/stileloom/jobs/service.py
@@ -16,9 +16,11 @@
     JobReply,
     JobRequest,
     JobTaken,
+    Leading,
     NoSuchJob,
     NotLeader,
     OutcomeUnknown,
+    ProbeLeaderCall,
     ReadItemCall,
     ReadResultsCall,
     ResultsRead,
@@ -69,6 +71,8 @@
         """Handles one call."""
         if not self._ledger.is_active_leader():
             return self._not_leader()
+        if isinstance(request, ProbeLeaderCall):
+            return Leading()
         if isinstance(request, SubmitJobCall):
             return await self._submit(request)
         if isinstance(request, ReadResultsCall):
--- a/tests/test_job_ends.py
+++ b/tests/test_job_ends.py
@@ -16,7 +16,8 @@
 from stileloom.clock import steady_time
 from stileloom.daemon.ledger_node import LedgerNode
 from stileloom.errors import StileloomError
-from stileloom.jobs.client import JobClient, LedgerNodes
+from stileloom.jobs.client import JobClient
+from stileloom.jobs.leader_search import LedgerNodes
 from stileloom.jobs.messages import EndJobCall, JobEnded, NotLeader
 from stileloom.jobs.registry import JobRecord
 from stileloom.logging import EventLog, configure_logs
