A repeated probe no longer supersedes the one before

Callers saw no leader at all where answers between ledger nodes took longer than a heartbeat, and work that waited without an answer after lost frames. Cause: every heartbeat sent a new probe to a follower whose last common entry is unknown, and only the reply to the newest one counted. With a round trip over 0.15 s that reply never came in time: the follower stayed in probe state and confirmed the lease all the while. A new leader starts with all followers in that state. Evidence: SlowLinkTest, round trip 0.2 s: no leader in 5 s before; passes now. A reply counts if it answers the first probe at the same index or a later one. A rejection starts a new search, so that replies to earlier requests still cause one probe only (ReplicationFlowTest).

--- a/stileloom/ledger/replica.py
+++ b/stileloom/ledger/replica.py
@@ -365,10 +365,10 @@
     def _replicate(self, now: float, heartbeat: bool) -> list[Effect]:
         effects: list[Effect] = []
         for follower, progress in self._progress.items():
-            unresponsive = now >= progress.last_contact_at + constants.FOLLOWER_RESPONSE_TIMEOUT_S
+            unresponsive = not progress.is_responsive(now)
             if unresponsive and progress.state is FollowerState.REPLICATE:
                 # Entries for an unresponsive follower would only accumulate in send buffers.
-                progress.state = FollowerState.PROBE
+                progress.start_probe()
                 progress.next_index = min(progress.next_index, self._log.last_index + 1)
                 if progress.last_contact_at > float("-inf"):
                     progress.unresponsive = True
@@ -393,10 +393,13 @@
         previous = progress.next_index - 1
         if self._log.epoch_at(previous) is None:
             return self._send_snapshot(now, follower, progress)
-        progress.state = FollowerState.PROBE
-        effects = self._send_request(now, follower, previous, [])
-        progress.expected_nonce = self._last_nonce
-        return effects
+        if progress.state is not FollowerState.PROBE or progress.probed_index != previous:
+            # A repeated probe must not supersede the first: its reply may take longer than a
+            # heartbeat interval.
+            progress.state = FollowerState.PROBE
+            progress.probed_index = previous
+            progress.first_probe_nonce = self._last_nonce + 1
+        return self._send_request(now, follower, previous, [])
 
     def _send_snapshot(
         self, now: float, follower: Voter, progress: FollowerProgress
@@ -460,7 +463,7 @@
             progress.match_index = message.match_index
         if progress.state is FollowerState.REPLICATE:
             progress.next_index = max(progress.next_index, message.match_index + 1)
-        elif message.nonce == progress.expected_nonce:
+        elif _ends_search(progress, message.nonce):
             progress.state = FollowerState.REPLICATE
             progress.next_index = message.match_index + 1
         effects += self._advance_commit(now)
@@ -478,9 +481,9 @@
         are ignored, because a probe for each would make the leader resend the same entries.
         """
         replicating = progress.state is FollowerState.REPLICATE
-        if not replicating and message.nonce != progress.expected_nonce:
+        if not replicating and not _ends_search(progress, message.nonce):
             return []
-        progress.state = FollowerState.PROBE
+        progress.start_probe()
         progress.next_index = max(1, min(message.match_index + 1, self._log.last_index + 1))
         return self._send_probe(now, message.follower, progress)
 
@@ -794,3 +797,10 @@
             return effects
         self._deferred_effects += [(self._last_write_id, effect) for effect in effects]
         return []
+
+
+def _ends_search(progress: FollowerProgress, nonce: int) -> bool:
+    """Whether the reply with this nonce answers the probe or snapshot in progress."""
+    if progress.state is FollowerState.PROBE:
+        return progress.first_probe_nonce is not None and nonce >= progress.first_probe_nonce
+    return nonce == progress.expected_nonce
