A voter that does not answer is no longer sent the state

Callers saw a leader that answered late or not at all for seconds, again and again while a voter was down. Cause: once the log before a silent voter's next entry was compacted, the leader encoded, compressed and queued its whole state for that voter every three seconds, though nobody was there to read it. A follower that has not replied within FOLLOWER_RESPONSE_TIMEOUT_S is only asked, at the first index that the log still has. Its reply makes it responsive, and the state follows if it is needed.

--- a/stileloom/ledger/replica.py
+++ b/stileloom/ledger/replica.py
@@ -384,15 +384,17 @@
     def _send_probe(self, now: float, follower: Voter, progress: FollowerProgress) -> list[Effect]:
         """Sends an append request without entries to find the last common entry.
 
-        Sends a snapshot instead if the entry before the follower's next one is compacted. While a
-        snapshot is in transit, the request is only a heartbeat.
+        Sends a snapshot instead if the entry before the follower's next one is compacted and the
+        follower is responsive. While a snapshot is in transit, the request is only a heartbeat.
         """
         snapshot_due = now >= progress.snapshot_sent_at + constants.SNAPSHOT_RETRY_INTERVAL_S
         if progress.state is FollowerState.SNAPSHOT and not snapshot_due:
             return self._send_request(now, follower, self._log.base_index, [])
         previous = progress.next_index - 1
         if self._log.epoch_at(previous) is None:
-            return self._send_snapshot(now, follower, progress)
+            if progress.is_responsive(now):
+                return self._send_snapshot(now, follower, progress)
+            previous = self._log.base_index
         if progress.state is not FollowerState.PROBE or progress.probed_index != previous:
             # A repeated probe must not supersede the first: its reply may take longer than a
             # heartbeat interval.
