--- a/stileloom/constants.py
+++ b/stileloom/constants.py
@@ -32,7 +32,10 @@
 """Shorter than the minimum election timeout, so a lease expires before a successor is elected."""
 FOLLOWER_RESPONSE_TIMEOUT_S = 1.0
 """Time without a response after which a follower is sent no entries until it responds again."""
-SNAPSHOT_RETRY_INTERVAL_S = 3.0
+SNAPSHOT_PIECE_BYTES = 256 * 1024
+"""Small enough that its compression delays neither heartbeats nor calls noticeably."""
+SNAPSHOT_RETRY_INTERVAL_S = 1.0
+"""Time without a reply after which a piece of a snapshot is sent again."""
 VOTER_RESPONSE_TIMEOUT_S = 1.5
 """Time without a response after which a voter is replaced by a learner, if one is available."""
 STANDBY_ANNOUNCE_INTERVAL_S = 1.6
--- a/stileloom/ledger/messages.py
+++ b/stileloom/ledger/messages.py
@@ -84,11 +84,29 @@
 
 
 class SnapshotRequest(msgspec.Struct, frozen=True, tag=True):
-    """A snapshot for a follower whose next entry is already compacted at the leader."""
+    """A piece of a snapshot for a follower whose next entry is compacted at the leader."""
 
     epoch: int
     leader: Voter
     snapshot: SnapshotRecord
+    """With the piece in place of the whole state."""
+    nonce: int
+    transfer: int
+    """Distinguishes the snapshots that a leader sends in one epoch."""
+    offset: int
+    """Position of the piece in the state."""
+    size: int
+    """Size of the whole state."""
+
+
+class SnapshotReply(msgspec.Struct, frozen=True, tag=True):
+    """Reply to a piece of a snapshot, except the last: that one is answered once it is durable."""
+
+    epoch: int
+    follower: Voter
+    transfer: int
+    received: int
+    """Size of the consecutive pieces received so far; the leader continues from there."""
     nonce: int
 
 
--- a/stileloom/ledger/progress.py
+++ b/stileloom/ledger/progress.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from stileloom import constants
+from stileloom.ledger.snapshot_transfer import OutgoingSnapshot
 
 
 class FollowerState(enum.Enum):
@@ -17,7 +18,7 @@
     PROBE = "probe"
     """The last common entry is unknown; one empty request at a time searches for it."""
     SNAPSHOT = "snapshot"
-    """A snapshot is in transit; only heartbeats are sent."""
+    """A snapshot is sent in pieces, and heartbeats between them."""
 
 
 class FollowerProgress(msgspec.Struct):
@@ -30,16 +31,33 @@
     """The `previous_index` of the probe in progress."""
     first_probe_nonce: int | None = None
     """Nonce of the first probe at `probed_index`; replies to earlier requests end no probe."""
-    expected_nonce: int = 0
-    """Only the reply with this nonce ends the snapshot mode."""
-    snapshot_sent_at: float = float("-inf")
+    transfer: OutgoingSnapshot | None = None
+    """The snapshot in transit; None except in snapshot mode."""
+    received: int = 0
+    """Size of the pieces that the follower has received."""
+    piece_nonce: int = 0
+    """Nonce of the last piece sent."""
+    piece_sent_at: float = float("-inf")
     unresponsive: bool = False
     """Whether the follower was logged as unresponsive."""
     last_contact_at: float = float("-inf")
 
+    def start_replication(self, next_index: int) -> None:
+        """Enters replicate mode; the logs match up to the entry before `next_index`."""
+        self.state = FollowerState.REPLICATE
+        self.next_index = next_index
+        self.transfer = None
+
+    def start_transfer(self, transfer: OutgoingSnapshot) -> None:
+        """Enters snapshot mode."""
+        self.state = FollowerState.SNAPSHOT
+        self.transfer = transfer
+        self.received = 0
+
     def start_probe(self) -> None:
         """Enters probe mode; replies to requests sent so far no longer count."""
         self.state = FollowerState.PROBE
+        self.transfer = None
         self.probed_index = None
         self.first_probe_nonce = None
 
--- a/stileloom/ledger/replica.py
+++ b/stileloom/ledger/replica.py
@@ -32,12 +32,14 @@
     IdentityQuestion,
     LearnerHello,
     SnapshotRecord,
+    SnapshotReply,
     SnapshotRequest,
     VoteReply,
     VoteRequest,
 )
 from stileloom.ledger.progress import FollowerProgress, FollowerState
 from stileloom.ledger.recovered import RecoveredLedger, last_leader, without_state
+from stileloom.ledger.snapshot_transfer import IncomingSnapshot, OutgoingSnapshot
 from stileloom.ledger.standbys import StandbyPool, VoterHealth
 from stileloom.ledger.state import LedgerState
 from stileloom.ledger.voters import next_voter_set
@@ -77,12 +79,18 @@
         self._target_voters = target_voters
         self._switches = switches
         self._lease = LeaderLease()
+        self._snapshot_index = recovered.snapshot.last_index
+        """Last index that the newest snapshot on disk covers."""
         self._durable_index = self._log.last_index
         self._commit_index = self._log.base_index
         self._applied_index = self._log.base_index
         self.state = msgspec.msgpack.decode(recovered.snapshot.state, type=LedgerState)
         self._apply_recovered(recovered.commit_index)
         self._progress: dict[Voter, FollowerProgress] = {}
+        self._outgoing: OutgoingSnapshot | None = None
+        """The snapshot that is being sent to followers, if any."""
+        self._incoming: IncomingSnapshot | None = None
+        """The snapshot that is being received from the leader, if any."""
         self._standbys = StandbyPool()
         self._leader_since = now
         self._tickets_by_index: dict[int, object] = {}
@@ -161,6 +169,7 @@
         if self.role is ReplicaRole.LEADER and self._is_removed_leader(now):
             return self.transfer_leadership(now)
         if self.role is ReplicaRole.LEADER:
+            self._release_outgoing()
             effects = self._replicate_to_standbys(now) + self._change_voters(now)
             if now >= self._next_heartbeat_at:
                 self._next_heartbeat_at = now + constants.LEDGER_HEARTBEAT_INTERVAL_S
@@ -206,6 +215,8 @@
             return self._on_append_reply(now, message)
         if isinstance(message, SnapshotRequest):
             return self._on_snapshot_request(now, message)
+        if isinstance(message, SnapshotReply):
+            return self._on_snapshot_reply(now, message)
         if isinstance(message, LearnerHello):
             return self._on_hello(now, message)
         if isinstance(message, IdentityQuestion):
@@ -332,6 +343,7 @@
         self._leader_since = now
         self.leader = self.local_voter.node_id
         self._lease.clear()
+        self._outgoing = self._incoming = None
         self._progress = {
             voter: FollowerProgress(self._log.last_index + 1)
             for voter in self._electorate().members
@@ -350,6 +362,8 @@
             effects += [Dropped(ticket) for ticket in self._tickets_by_index.values()]
             self._tickets_by_index.clear()
             self._lease.clear()
+            self._outgoing = None
+            self._progress.clear()
         self.role = ReplicaRole.FOLLOWER
         self._in_pre_vote = False
         if epoch > self.epoch:
@@ -366,8 +380,9 @@
         effects: list[Effect] = []
         for follower, progress in self._progress.items():
             unresponsive = not progress.is_responsive(now)
-            if unresponsive and progress.state is FollowerState.REPLICATE:
-                # Entries for an unresponsive follower would only accumulate in send buffers.
+            if unresponsive and progress.state is not FollowerState.PROBE:
+                # Entries for an unresponsive follower would only accumulate in send buffers, and
+                # a transfer would hold the log.
                 progress.start_probe()
                 progress.next_index = min(progress.next_index, self._log.last_index + 1)
                 if progress.last_contact_at > float("-inf"):
@@ -385,43 +400,73 @@
         """Sends an append request without entries to find the last common entry.
 
         Sends a snapshot instead if the entry before the follower's next one is compacted and the
-        follower is responsive. While a snapshot is in transit, the request is only a heartbeat.
+        follower is responsive.
         """
-        snapshot_due = now >= progress.snapshot_sent_at + constants.SNAPSHOT_RETRY_INTERVAL_S
-        if progress.state is FollowerState.SNAPSHOT and not snapshot_due:
-            return self._send_request(now, follower, self._log.base_index, [])
+        if progress.state is FollowerState.SNAPSHOT:
+            return self._continue_transfer(now, follower, progress)
         previous = progress.next_index - 1
         if self._log.epoch_at(previous) is None:
             if progress.is_responsive(now):
-                return self._send_snapshot(now, follower, progress)
+                return self._start_transfer(now, follower, progress)
             previous = self._log.base_index
         if progress.state is not FollowerState.PROBE or progress.probed_index != previous:
             # A repeated probe must not supersede the first: its reply may take longer than a
             # heartbeat interval.
-            progress.state = FollowerState.PROBE
+            progress.start_probe()
             progress.probed_index = previous
             progress.first_probe_nonce = self._last_nonce + 1
         return self._send_request(now, follower, previous, [])
 
-    def _send_snapshot(
+    def _start_transfer(
+        self, now: float, follower: Voter, progress: FollowerProgress
+    ) -> list[Effect]:
+        """Starts to send a snapshot; one that others are receiving is reused if possible."""
+        outgoing = self._outgoing
+        if outgoing is None or self._log.epoch_at(outgoing.snapshot.last_index) is None:
+            outgoing = OutgoingSnapshot(self._last_nonce + 1, self._encode_snapshot())
+            self._outgoing = outgoing
+        progress.start_transfer(outgoing)
+        return self._send_piece(now, follower, progress, outgoing)
+
+    def _continue_transfer(
         self, now: float, follower: Voter, progress: FollowerProgress
+    ) -> list[Effect]:
+        """Sends a lost piece again, else a heartbeat."""
+        transfer = progress.transfer
+        piece_lost = now >= progress.piece_sent_at + constants.SNAPSHOT_RETRY_INTERVAL_S
+        if transfer is None or not piece_lost or not progress.is_responsive(now):
+            return self._send_request(now, follower, self._log.base_index, [])
+        return self._send_piece(now, follower, progress, transfer)
+
+    def _send_piece(
+        self, now: float, follower: Voter, progress: FollowerProgress, transfer: OutgoingSnapshot
     ) -> list[Effect]:
         self._last_nonce += 1
         self._lease.record_sent(self._last_nonce, now)
-        snapshot = self._encode_snapshot()
-        progress.state = FollowerState.SNAPSHOT
-        progress.expected_nonce = self._last_nonce
-        progress.snapshot_sent_at = now
-        progress.next_index = snapshot.last_index + 1
-        request = SnapshotRequest(self.epoch, self.local_voter, snapshot, self._last_nonce)
+        progress.piece_nonce = self._last_nonce
+        progress.piece_sent_at = now
+        request = SnapshotRequest(
+            self.epoch,
+            self.local_voter,
+            transfer.piece(progress.received),
+            self._last_nonce,
+            transfer.transfer,
+            progress.received,
+            transfer.size,
+        )
         return [Send(follower.node_id, request)]
 
+    def _release_outgoing(self) -> None:
+        """Drops the encoded snapshot once no follower is receiving it."""
+        if all(progress.transfer is not self._outgoing for progress in self._progress.values()):
+            self._outgoing = None
+
     def _send_entries(
         self, now: float, follower: Voter, progress: FollowerProgress
     ) -> list[Effect]:
         previous = progress.next_index - 1
         if self._log.epoch_at(previous) is None:
-            return self._send_snapshot(now, follower, progress)
+            return self._start_transfer(now, follower, progress)
         entries = self._log.after(previous, constants.APPEND_BATCH_ENTRIES)
         # Optimistic: if this request is lost, the next one is rejected as a mismatch.
         progress.next_index += len(entries)
@@ -451,29 +496,60 @@
         progress = self._progress.get(message.follower)
         if self.role is not ReplicaRole.LEADER or message.epoch != self.epoch or progress is None:
             return []
-        effects: list[Effect] = []
-        progress.last_contact_at = now
-        if progress.unresponsive:
-            progress.unresponsive = False
-            fields: dict[str, object] = {"follower": message.follower.node_id, "epoch": self.epoch}
-            effects.append(Emit(LogEvent.FOLLOWER_REGAINED, fields))
-        if message.follower in self._electorate().members:
-            self._lease.record_confirmed(message.follower.node_id, message.nonce)
+        effects = self._record_contact(now, message.follower, message.nonce, progress)
         if not message.success:
             return effects + self._on_mismatch(now, message, progress)
         if message.match_index > progress.match_index:
             progress.match_index = message.match_index
         if progress.state is FollowerState.REPLICATE:
             progress.next_index = max(progress.next_index, message.match_index + 1)
-        elif _ends_search(progress, message.nonce):
-            progress.state = FollowerState.REPLICATE
-            progress.next_index = message.match_index + 1
+        elif self._ends_search(progress, message):
+            progress.start_replication(message.match_index + 1)
         effects += self._advance_commit(now)
         replicating = progress.state is FollowerState.REPLICATE
         if replicating and progress.next_index <= self._log.last_index:
             effects += self._send_entries(now, message.follower, progress)
         return effects
 
+    def _record_contact(
+        self, now: float, follower: Voter, nonce: int, progress: FollowerProgress
+    ) -> list[Effect]:
+        """Records a reply of a follower, which also confirms the lease."""
+        progress.last_contact_at = now
+        if follower in self._electorate().members:
+            self._lease.record_confirmed(follower.node_id, nonce)
+        if not progress.unresponsive:
+            return []
+        progress.unresponsive = False
+        fields: dict[str, object] = {"follower": follower.node_id, "epoch": self.epoch}
+        return [Emit(LogEvent.FOLLOWER_REGAINED, fields)]
+
+    def _ends_search(self, progress: FollowerProgress, reply: AppendReply) -> bool:
+        """Whether the reply ends the probe or the snapshot in progress."""
+        if progress.transfer is not None:
+            # Rejected heartbeats are expected there.
+            installed = reply.match_index >= progress.transfer.snapshot.last_index
+            in_log = self._log.epoch_at(reply.match_index) is not None
+            return reply.success and (installed or in_log)
+        first = progress.first_probe_nonce
+        return first is not None and reply.nonce >= first
+
+    def _on_snapshot_reply(self, now: float, message: SnapshotReply) -> list[Effect]:
+        """Sends the next piece, or continues where the follower lost the earlier ones."""
+        if message.epoch > self.epoch:
+            return self._step_down(now, message.epoch)
+        progress = self._progress.get(message.follower)
+        if self.role is not ReplicaRole.LEADER or message.epoch != self.epoch or progress is None:
+            return []
+        effects = self._record_contact(now, message.follower, message.nonce, progress)
+        transfer = progress.transfer
+        if transfer is None or message.transfer != transfer.transfer:
+            return effects
+        if message.received <= progress.received and message.nonce != progress.piece_nonce:
+            return effects
+        progress.received = message.received
+        return effects + self._send_piece(now, message.follower, progress, transfer)
+
     def _on_mismatch(
         self, now: float, message: AppendReply, progress: FollowerProgress
     ) -> list[Effect]:
@@ -483,7 +559,7 @@
         are ignored, because a probe for each would make the leader resend the same entries.
         """
         replicating = progress.state is FollowerState.REPLICATE
-        if not replicating and not _ends_search(progress, message.nonce):
+        if not replicating and not self._ends_search(progress, message):
             return []
         progress.start_probe()
         progress.next_index = max(1, min(message.match_index + 1, self._log.last_index + 1))
@@ -707,19 +783,38 @@
             reply = AppendReply(self.epoch, self.local_voter, False, 0, message.nonce)
             return [Send(message.leader.node_id, reply)]
         effects = self._follow(now, message.epoch, message.leader.node_id)
-        snapshot = message.snapshot
-        if snapshot.last_index > self._commit_index:
-            self._log.compact(without_state(snapshot))
-            self.state = msgspec.msgpack.decode(snapshot.state, type=LedgerState)
-            self._commit_index = snapshot.last_index
-            self._applied_index = snapshot.last_index
-            # `compact` emptied the log if its entries do not continue the snapshot; the journal
-            # must drop these entries as well.
-            truncate = snapshot.last_index + 1 if len(self._log) == 0 else None
-            effects += self._persist(Persist(0, truncate_from=truncate, snapshot=snapshot))
-            effects.append(Emit(LogEvent.SNAPSHOT_INSTALLED, {"index": snapshot.last_index}))
-        reply = AppendReply(self.epoch, self.local_voter, True, snapshot.last_index, message.nonce)
-        return effects + self._when_durable([Send(message.leader.node_id, reply)])
+        leader = message.leader.node_id
+        last_index = message.snapshot.last_index
+        if last_index > self._commit_index:
+            if self._incoming is None or not self._incoming.accepts(message):
+                self._incoming = IncomingSnapshot(message.epoch, message.transfer)
+            snapshot = self._incoming.add(message)
+            if snapshot is None:
+                received = SnapshotReply(
+                    self.epoch,
+                    self.local_voter,
+                    message.transfer,
+                    self._incoming.received,
+                    message.nonce,
+                )
+                return effects + self._when_durable([Send(leader, received)])
+            effects += self._install(snapshot)
+        self._incoming = None
+        reply = AppendReply(self.epoch, self.local_voter, True, last_index, message.nonce)
+        return effects + self._when_durable([Send(leader, reply)])
+
+    def _install(self, snapshot: SnapshotRecord) -> list[Effect]:
+        """Replaces the state, and the log up to the snapshot's last index."""
+        self._log.compact(without_state(snapshot))
+        self.state = msgspec.msgpack.decode(snapshot.state, type=LedgerState)
+        self._snapshot_index = snapshot.last_index
+        self._commit_index = snapshot.last_index
+        self._applied_index = snapshot.last_index
+        # `compact` emptied the log if its entries do not continue the snapshot; the journal must
+        # drop these entries as well.
+        truncate = snapshot.last_index + 1 if len(self._log) == 0 else None
+        effects = self._persist(Persist(0, truncate_from=truncate, snapshot=snapshot))
+        return [*effects, Emit(LogEvent.SNAPSHOT_INSTALLED, {"index": snapshot.last_index})]
 
     # Applying and persisting.
 
@@ -736,7 +831,7 @@
                 # After a restart the replica must still know that the change is committed.
                 effects += self._persist(Persist(0))
                 effects += self._on_voters_applied(now)
-        if self._applied_index - self._log.base_index >= constants.SNAPSHOT_AFTER_ENTRIES:
+        if self._applied_index - self._snapshot_index >= constants.SNAPSHOT_AFTER_ENTRIES:
             effects += self._take_snapshot()
         return effects
 
@@ -759,17 +854,25 @@
 
     def _take_snapshot(self) -> list[Effect]:
         snapshot = self._encode_snapshot()
-        self._log.compact(without_state(snapshot))
+        self._snapshot_index = snapshot.last_index
+        compact_to = snapshot.last_index
+        if self._outgoing is not None:
+            # The followers that receive this snapshot need the entries after it.
+            compact_to = min(compact_to, self._outgoing.snapshot.last_index)
+        if compact_to > self._log.base_index:
+            self._log.compact(self._snapshot_metadata(compact_to))
         effects: list[Effect] = self._persist(Persist(0, snapshot=snapshot))
         return [*effects, Emit(LogEvent.SNAPSHOT_TAKEN, {"index": snapshot.last_index})]
 
     def _encode_snapshot(self) -> SnapshotRecord:
         """Encodes the applied state as a snapshot. The result is not cached, to save memory."""
-        index = self._applied_index
+        metadata = self._snapshot_metadata(self._applied_index)
+        return msgspec.structs.replace(metadata, state=msgspec.msgpack.encode(self.state))
+
+    def _snapshot_metadata(self, index: int) -> SnapshotRecord:
         epoch = self._log.epoch_at(index)
         assert epoch is not None
-        state = msgspec.msgpack.encode(self.state)
-        return SnapshotRecord(index, epoch, self._log.voters_at(index), state)
+        return SnapshotRecord(index, epoch, self._log.voters_at(index), b"")
 
     def _append(self, entries: list[Entry], truncate_from: int | None = None) -> list[Effect]:
         if truncate_from is not None:
@@ -799,10 +902,3 @@
             return effects
         self._deferred_effects += [(self._last_write_id, effect) for effect in effects]
         return []
-
-
-def _ends_search(progress: FollowerProgress, nonce: int) -> bool:
-    """Whether the reply with this nonce answers the probe or snapshot in progress."""
-    if progress.state is FollowerState.PROBE:
-        return progress.first_probe_nonce is not None and nonce >= progress.first_probe_nonce
-    return nonce == progress.expected_nonce
--- a/stileloom/ledger/wire.py
+++ b/stileloom/ledger/wire.py
@@ -13,6 +13,7 @@
     HandOver,
     IdentityQuestion,
     LearnerHello,
+    SnapshotReply,
     SnapshotRequest,
     VoteReply,
     VoteRequest,
@@ -26,6 +27,7 @@
     | AppendRequest
     | AppendReply
     | SnapshotRequest
+    | SnapshotReply
     | LearnerHello
     | IdentityQuestion
     | HandOver
--- a/stileloom/node/dispatch.py
+++ b/stileloom/node/dispatch.py
@@ -34,6 +34,7 @@
     ledger.AppendRequest,
     ledger.AppendReply,
     ledger.SnapshotRequest,
+    ledger.SnapshotReply,
     ledger.LearnerHello,
     ledger.IdentityQuestion,
 )
@@ -78,6 +79,7 @@
     | ledger.AppendRequest
     | ledger.AppendReply
     | ledger.SnapshotRequest
+    | ledger.SnapshotReply
     | ledger.LearnerHello
     | ledger.IdentityQuestion
     | ledger.CommandForward
--- a/tests/ledger_cluster.py
+++ b/tests/ledger_cluster.py
@@ -10,15 +10,15 @@
 import msgspec
 
 from stileloom.api.jobs import JobItem, JobSubmission
+from stileloom.daemon.ledger_driver import HELLO_INTERVAL_S, TICK_S
 from stileloom.effects import Effect, Emit, Send
 from stileloom.events import LogEvent
 from stileloom.ledger import Applied, Dropped, LedgerReplica, LedgerState, Persist, empty_ledger
 from stileloom.ledger.commands import RaiseConfigurationFloor, SubmitJob, Voter
-from stileloom.ledger.messages import HardState, SnapshotRecord
+from stileloom.ledger.messages import HardState, LearnerHello, SnapshotRecord
 from stileloom.ledger.recovered import RecoveredLedger
 from stileloom.simulator.disk import SimulatedDisk
 
-TICK_S = 0.05
 BASE_INDEX = 1000
 
 
@@ -42,7 +42,9 @@
         self.life = 0
         self.busy_until = 0.0
         self.disk_busy_until = 0.0
+        self.hello_at = 0.0
         self.sync_s: float | None = None
+        """In place of the speed of all disks."""
 
 
 class LedgerCluster:
@@ -60,6 +62,7 @@
         self.rng = random.Random(seed)
         self.speeds = speeds or Speeds()
         self.is_lost: Callable[[str, str, object], bool] = lambda sender, to, message: False
+        self.is_repeated: Callable[[str, str, object], bool] = lambda sender, to, message: False
         self.propose_every_s = 0.01
         self.sent: list[tuple[float, str, str, object, int]] = []
         """Time, sender, receiver, message and encoded size."""
@@ -167,10 +170,21 @@
     def _tick(self, name: str, life: int) -> None:
         def run(replica: LedgerReplica) -> None:
             self._execute(name, replica.tick(self.now))
+            self._announce(name, replica)
             self._at(self.now + TICK_S, lambda: self._tick(name, life))
 
         self._when_idle(name, life, run)
 
+    def _announce(self, name: str, replica: LedgerReplica) -> None:
+        """Announces a learner without a leader to all nodes, as the driver does."""
+        node = self.nodes[name]
+        if replica.is_voter or replica.has_leader_contact(self.now) or self.now < node.hello_at:
+            return
+        node.hello_at = self.now + HELLO_INTERVAL_S
+        for other in self.nodes:
+            if other != name:
+                self._send(name, other, LearnerHello(replica.local_voter))
+
     def _propose(self, name: str, life: int) -> None:
         def run(replica: LedgerReplica) -> None:
             if replica.is_active_leader(self.now):
@@ -219,6 +233,9 @@
             self._execute(to, replica.handle(self.now, name, message))
 
         self._at(arrives_at, lambda: self._when_idle(to, life, deliver))
+        if self.is_repeated(name, to, message):
+            later = arrives_at + self.rng.uniform(0.0, 1.0)
+            self._at(later, lambda: self._when_idle(to, life, deliver))
 
     def _persist(self, name: str, write: Persist) -> None:
         node = self.nodes[name]
--- a/tests/test_ledger_replication.py
+++ b/tests/test_ledger_replication.py
@@ -42,6 +42,100 @@
         self.assertLess(cluster.longest_pause_s(settled_at), constants.LEADER_LEASE_S)
 
 
+class SnapshotTransferTest(testtools.TestCase):
+    """A snapshot that arrives in pieces."""
+
+    def cluster(self, names: str = "abd") -> LedgerCluster:
+        """Two of three voters and a standby that is to replace the third."""
+        cluster = LedgerCluster("abc", "de", LARGE_STATE_BYTES)
+        cluster.start(names)
+        return cluster
+
+    def run_until_transfer(self, cluster: LedgerCluster, to: str = "d") -> None:
+        """Runs until a tenth of the snapshot has been sent."""
+        sent_at = cluster.now
+        while cluster.bytes_sent_to(to, sent_at) < LARGE_STATE_BYTES / 10:
+            cluster.run_for(0.05)
+            self.assertLess(cluster.now, sent_at + 10.0)
+
+    def assert_replaced(self, cluster: LedgerCluster, by: str = "d") -> None:
+        """The standby becomes a voter with the state of the others."""
+        deadline = cluster.now + 20.0
+        while by not in self.voters(cluster):
+            cluster.run_for(0.5)
+            self.assertLess(cluster.now, deadline)
+        leader = cluster.leader() or ""
+        jobs = cluster.replica(leader).state.job_book
+        self.assertEqual(jobs, cluster.replica(by).state.job_book)
+        self.assertGreater(len(jobs.jobs), 0)
+
+    def voters(self, cluster: LedgerCluster) -> set[str]:
+        """The voter set at the leader; empty without one."""
+        leader = cluster.leader()
+        return {voter.node_id for voter in cluster.replica(leader).voters} if leader else set()
+
+    def test_no_message_holds_the_whole_state(self) -> None:
+        cluster = self.cluster()
+        cluster.run_for(15.0)
+        self.assert_replaced(cluster)
+        largest = max(size for *_, size in cluster.sent)
+        self.assertLess(largest, constants.SNAPSHOT_PIECE_BYTES + 10_000)
+
+    def test_lost_pieces_are_sent_again(self) -> None:
+        cluster = self.cluster()
+        cluster.is_lost = lambda sender, to, message: cluster.rng.random() < 0.03
+        self.assert_replaced(cluster)
+
+    def test_repeated_and_late_pieces_do_not_change_the_state(self) -> None:
+        cluster = self.cluster()
+        cluster.is_repeated = lambda sender, to, message: cluster.rng.random() < 0.2
+        self.assert_replaced(cluster)
+
+    def test_a_follower_that_restarts_during_a_transfer_receives_the_snapshot(self) -> None:
+        cluster = self.cluster()
+        self.run_until_transfer(cluster)
+        cluster.kill("d")
+        cluster.run_for(0.3)
+        cluster.start("d")
+        self.assert_replaced(cluster)
+
+    def test_a_follower_that_dies_during_a_transfer_does_not_hold_the_log(self) -> None:
+        """Guards against a log that grows until the process is over its memory limit."""
+        cluster = self.cluster()
+        self.run_until_transfer(cluster)
+        cluster.kill("d")
+        cluster.run_for(15.0)
+        leader = cluster.replica(cluster.leader() or "")
+        self.assertLessEqual(leader.log_length, constants.SNAPSHOT_AFTER_ENTRIES)
+
+    def test_a_new_leader_sends_a_snapshot_of_its_own(self) -> None:
+        """Guards against a state put together from the pieces of two leaders."""
+        cluster = self.cluster("abcd")
+        cluster.run_for(3.0)
+        first = cluster.leader() or ""
+        dead = next(name for name in "abc" if name != first)
+        cluster.kill(dead)
+        self.run_until_transfer(cluster)
+        successor = next(name for name in "abc" if name not in (first, dead))
+        cluster.start(dead)
+        cluster.run_for(0.5)
+        cluster.kill(first)
+        cluster.run_for(5.0)
+        self.assertIn(cluster.leader(), (successor, dead))
+        self.assert_replaced(cluster)
+
+    def test_a_voter_that_was_away_for_long_catches_up(self) -> None:
+        cluster = self.cluster("abc")
+        cluster.run_for(3.0)
+        away = next(name for name in "abc" if name != cluster.leader())
+        cluster.kill(away)
+        cluster.run_for(12.0)
+        cluster.start(away)
+        cluster.run_for(10.0)
+        leader = cluster.replica(cluster.leader() or "")
+        self.assertGreater(cluster.replica(away).commit_index, leader.commit_index - 20)
+
+
 class SlowLinkTest(testtools.TestCase):
     """Answers that take longer than the interval between heartbeats."""
 
