Failing test: a held-up request outlives its closed exchange

The peer's receive buffer is full, so the sender's kernel holds the rest of the request. After the exchange was closed the peer still read all 200,000 bytes.

--- /dev/null
+++ b/tests/test_abandoned_work.py
@@ -0,0 +1,62 @@
+"""Work must not go on after what asked for it has ended: a job, a leader's term, a connection."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+
+import testtools
+
+from stileloom.http1.buffered_response import BufferedResponse
+from stileloom.http1.connection import SamplerConnection
+
+HOST = "127.0.0.1"
+TIMEOUT_S = 30.0
+RECEIVE_BUFFER_BYTES = 4096
+REQUEST = b"x" * 200_000
+"""Too long for the peer's receive buffer, so that the sender's kernel holds the rest."""
+
+
+def listener() -> socket.socket:
+    """A listener whose connections take little before somebody reads."""
+    listening = socket.socket()
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    listening.bind((HOST, 0))
+    listening.listen()
+    listening.setblocking(False)
+    return listening
+
+
+async def read_to_end(accepted: socket.socket) -> int:
+    """Reads until the end or a reset and returns the number of bytes."""
+    loop = asyncio.get_running_loop()
+    count = 0
+    with contextlib.suppress(ConnectionResetError):
+        async with asyncio.timeout(TIMEOUT_S):
+            while data := await loop.sock_recv(accepted, 65_536):
+                count += len(data)
+    return count
+
+
+class HeldUpRequestTest(testtools.TestCase):
+    """A request that the kernel of its sender still holds when the exchange is given up."""
+
+    def test_a_request_that_is_held_up_is_not_delivered_after_its_exchange_was_closed(self) -> None:
+        async def scenario() -> int:
+            with listener() as listening:
+                connection = await SamplerConnection.open(listening.getsockname())
+                accepted, _ = await asyncio.get_running_loop().sock_accept(listening)
+                with accepted:
+                    assert connection._transport is not None
+                    sending = connection._transport.get_extra_info("socket")
+                    sending.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2 * len(REQUEST))
+                    connection.exchange(REQUEST, BufferedResponse())
+                    self.assertEqual(0, connection._transport.get_write_buffer_size())
+                    connection.close()
+                    # The transport closes its socket in the next step of the event loop.
+                    await asyncio.sleep(0)
+                    await asyncio.sleep(0)
+                    return await read_to_end(accepted)
+
+        self.assertLess(asyncio.run(scenario()), len(REQUEST))
