Reset a sampler connection whose exchange is given up

An item could reach a sampler seconds after its run was stopped: the request was written before the stop, an interrupted link held it up in the sender's kernel, and closing the connection left it there to be sent once the link worked again. Lookups, reward calls, orders and reports used the same close.

An exchange in progress is now closed with SO_LINGER at zero, so that the kernel discards what it has not delivered. Idle connections close as before.

A peer that reads only after the close received all 200,000 bytes of a request before; it now receives less and a reset (test_abandoned_work.py).

--- a/stileloom/http1/connection.py
+++ b/stileloom/http1/connection.py
@@ -8,6 +8,7 @@
 import socket
 from typing import Protocol
 
+from stileloom import abortive_close
 from stileloom.clock import steady_time
 from stileloom.http1.response_decoder import MalformedResponse, ResponseDecoder, ResponseHead
 
@@ -91,11 +92,19 @@
         self._transport.write(request)
 
     def close(self) -> None:
-        """Aborts the connection; the sink of an exchange in progress is not notified."""
+        """Aborts the connection; the sink of an exchange in progress is not notified.
+
+        An exchange in progress is reset, so that its request does not arrive later.
+        """
+        is_idle = self._sink is None
         self._sink = None
         self._reusable = False
-        if self._transport is not None:
+        if self._transport is None:
+            return
+        if is_idle:
             self._transport.abort()
+        else:
+            abortive_close.reset(self._transport)
 
     def data_received(self, data: bytes) -> None:
         """Implements `asyncio.Protocol`."""
@@ -138,7 +147,9 @@
         self._sink = None
         if end is not ExchangeEnd.COMPLETE:
             self._reusable = False
-        if not self._reusable and self._transport is not None:
+        if self._transport is not None and end is not ExchangeEnd.COMPLETE:
+            abortive_close.reset(self._transport)
+        elif self._transport is not None and not self._reusable:
             self._transport.abort()
         if sink is not None:
             sink.on_end(end)
