--- a/tests/test_abandoned_work.py
+++ b/tests/test_abandoned_work.py
@@ -8,8 +8,12 @@
 
 import testtools
 
+from stileloom.api.jobs import ItemState
 from stileloom.http1.buffered_response import BufferedResponse
 from stileloom.http1.connection import SamplerConnection
+from stileloom.jobs.runner import DEADLINE_MARGIN_S
+from stileloom.logging import configure_logs
+from tests.runner_fixture import MAX_WAIT_S, RunnerFixture, submission
 
 HOST = "127.0.0.1"
 TIMEOUT_S = 30.0
@@ -60,3 +64,37 @@
                     return await read_to_end(accepted)
 
         self.assertLess(asyncio.run(scenario()), len(REQUEST))
+
+
+class UnendedJobTest(testtools.TestCase):
+    """A job whose end never comes, while leaders change."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        configure_logs("error")
+
+    def test_an_item_is_given_up_in_time_although_no_leader_led_that_long(self) -> None:
+        async def scenario() -> tuple[list[int], RunnerFixture]:
+            fixture = RunnerFixture()
+            fixture.submit(submission("j", ["i"]))
+            job = fixture.state.job_book.jobs["j"]
+            listed_after: list[int] = []
+            with fixture.clock():
+                for leader in range(12):
+                    for _ in range(10):
+                        fixture.step(1.0)
+                        # Commits are tasks of the event loop.
+                        await asyncio.sleep(0)
+                    await asyncio.sleep(0.03)
+                    if job.results and not listed_after:
+                        listed_after.append(leader)
+                    fixture.change_leader()
+                fixture.runner.stop()
+            return listed_after, fixture
+
+        listed_after, fixture = asyncio.run(scenario())
+        (result,) = fixture.state.job_book.jobs["j"].results
+        self.assertEqual(ItemState.GIVEN_UP, result.state)
+        # Each change of leader may cost the time since the age was last recorded.
+        self.assertLessEqual(10.0 * listed_after[0], 1.3 * (MAX_WAIT_S + DEADLINE_MARGIN_S))
+        self.assertGreaterEqual(10.0 * (listed_after[0] + 1), MAX_WAIT_S)
