The age of a job survives a change of leader

A job whose end never came ran without limit while leaders changed, and was never removed from the ledger: each leader counted the age of a job from its own adoption, so the maximum wait of the route began anew.

Each ledger node now counts the age of a job from when it first saw it in its state, as it does for order windows, and the leader commits the ages of open jobs every two seconds for nodes that have just started. An age is never too high, so that no item is given up early, and no time of day is used.

Twelve leaders of 10 s each, all of them new processes, gave up no item of a job that its route allows 60 s; now the item is given up (test_abandoned_work.py). RecordJobAges is a new command: nodes of an earlier version can't read it.

--- a/stileloom/daemon/leadership.py
+++ b/stileloom/daemon/leadership.py
@@ -14,6 +14,7 @@
 from stileloom.daemon.object_watch import ObjectWatcher
 from stileloom.errors import StileloomError
 from stileloom.events import LogEvent
+from stileloom.jobs.job_ages import JobAges
 from stileloom.jobs.metrics import JobMetrics
 from stileloom.jobs.runner import JobRunner, RunnerDependencies
 from stileloom.ledger.commands import RetireNode
@@ -39,6 +40,7 @@
         store: ObjectStore,
         dialect: Dialect,
         driver: LedgerDriver,
+        job_ages: JobAges,
         directory: Directory,
         forwarder: Forwarder,
         guard: QuarantineGuard,
@@ -55,6 +57,7 @@
                 epoch=self.epoch,
                 earliest_order_at=earliest_order_at,
                 registry=driver.state.job_book,
+                job_ages=job_ages,
                 ledger=driver,
                 routes=directory.routes,
                 samplers=directory.samplers,
--- a/stileloom/daemon/ledger_node.py
+++ b/stileloom/daemon/ledger_node.py
@@ -24,6 +24,7 @@
 from stileloom.daemon.signals import handle_signals
 from stileloom.daemon.store_cache import StoreCache
 from stileloom.events import LogEvent
+from stileloom.jobs.job_ages import JobAges
 from stileloom.jobs.metrics import JobMetrics
 from stileloom.jobs.service import JobService
 from stileloom.ledger import LedgerReplica
@@ -100,6 +101,7 @@
         self._stopping = asyncio.Event()
         self._reported_voters: list[Voter] = []
         self._order_windows = OrderWindows()
+        self._job_ages = JobAges()
         self._ticker = Ticker(self._step, STEP_INTERVAL_S)
         self._driver: LedgerDriver | None = None
         self._service: JobService | None = None
@@ -215,6 +217,7 @@
         assert self._driver is not None
         self._store_cache.evict_idle()
         self._order_windows.observe(self._driver.state.order_windows, steady_time())
+        self._job_ages.observe(self._driver.state.job_book, steady_time())
         is_active = self._driver.is_active_leader()
         if self._leadership is not None:
             same_epoch = self._leadership.epoch == self._driver.replica.epoch
@@ -258,6 +261,7 @@
             self._store,
             self._dialect,
             driver,
+            self._job_ages,
             self._directory,
             self._forwarder,
             self._guard,
--- a/stileloom/jobs/registry.py
+++ b/stileloom/jobs/registry.py
@@ -32,6 +32,8 @@
     ended: bool = False
     progress: dict[str, PartialText] = msgspec.field(default_factory=dict)
     """Saved events of items without a listed result, by item id."""
+    age_s: int = 0
+    """Age of the job when a leader last recorded it."""
 
     @property
     def is_open(self) -> bool:
@@ -102,6 +104,13 @@
                 ItemResult(item.item_id, item.state, text, item.versions, item.score)
             )
 
+    def record_ages(self, age_s: dict[str, int]) -> None:
+        """Records ages of jobs; an age never decreases."""
+        for job_id, age in age_s.items():
+            job = self.jobs.get(job_id)
+            if job is not None:
+                job.age_s = max(job.age_s, age)
+
     def end(self, job_id: str) -> bool:
         """Ends a job; returns False if it does not exist."""
         job = self.jobs.get(job_id)
--- a/stileloom/jobs/result_writer.py
+++ b/stileloom/jobs/result_writer.py
@@ -16,6 +16,7 @@
 from stileloom.jobs.scheduler import ItemScheduler
 from stileloom.ledger.commands import (
     RecordIntervals,
+    RecordJobAges,
     RecordResults,
     SaveProgress,
 )
@@ -158,6 +159,17 @@
             # Leadership was lost; the next leader measures the intervals again.
             return
 
+    def record_ages(self, age_s: dict[str, int]) -> None:
+        """Saves the ages of open jobs."""
+        self._tasks.spawn(self._commit_ages(age_s))
+
+    async def _commit_ages(self, age_s: dict[str, int]) -> None:
+        try:
+            await self._ledger.propose(RecordJobAges(age_s))
+        except StileloomError:
+            # Leadership was lost; the next leader continues from its own count.
+            return
+
     def notify_waiters(self, job_id: str) -> None:
         """Resolves the futures of all readers that wait for a job."""
         for future in self._waiters.pop(job_id, []):
--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 import msgspec
 
@@ -22,6 +23,7 @@
 from stileloom.jobs.intake import item_size, reusable_results
 from stileloom.jobs.item_request import encode_item_request
 from stileloom.jobs.item_stream import ItemStream, RunOutcome
+from stileloom.jobs.job_ages import JobAges
 from stileloom.jobs.leader_ledger import LeaderLedger
 from stileloom.jobs.metrics import JobMetrics
 from stileloom.jobs.open_items import (
@@ -53,6 +55,8 @@
 PROGRESS_SAVE_PERIOD_S = 0.25
 EVENT_INTERVAL_SAVE_PERIOD_S = 2.0
 """Period at which the measured event intervals of samplers are saved for the next leader."""
+JOB_AGE_SAVE_PERIOD_S = 2.0
+"""Period at which the ages of open jobs are saved; a new leader's count may lack that much."""
 START_DELAY_S = 0.2
 VERSION_LIST_TIMEOUT_S = 0.6
 """Time after which a new leader orders loads even without the list of announced versions."""
@@ -68,6 +72,8 @@
     earliest_order_at: float
     """Monotonic time from which orders are safe, because no earlier leader can still send any."""
     registry: JobRegistry
+    job_ages: JobAges
+    """Kept by the node across changes of leader."""
     ledger: LeaderLedger
     routes: RouteTable
     samplers: SamplerTable
@@ -107,11 +113,11 @@
         self._metrics = metrics
         self._pool = ConnectionPool()
         self._connections: dict[tuple[str, str], SamplerConnection] = {}
-        self._adopted_at: dict[str, float] = {}
-        """Time of adoption by this leader, by job id."""
+        self._job_ages = dependencies.job_ages
         self._stopped = False
         self._next_progress_save_at = 0.0
         self._next_event_interval_save_at = steady_time() + EVENT_INTERVAL_SAVE_PERIOD_S
+        self._next_job_age_save_at = steady_time() + JOB_AGE_SAVE_PERIOD_S
         self._version_list_deadline = steady_time() + VERSION_LIST_TIMEOUT_S
         self._starts_allowed_at = steady_time() + START_DELAY_S
         """Delays the first runs, because samplers may be about to load weights."""
@@ -208,6 +214,18 @@
         if now >= self._next_event_interval_save_at and self._switches.recorded_paces:
             self._next_event_interval_save_at = now + EVENT_INTERVAL_SAVE_PERIOD_S
             self._writer.record_intervals()
+        if now >= self._next_job_age_save_at:
+            self._next_job_age_save_at = now + JOB_AGE_SAVE_PERIOD_S
+            self._record_job_ages(now)
+
+    def _record_job_ages(self, now: float) -> None:
+        ages = {
+            job_id: math.floor(self._job_ages.age_s(job_id, now))
+            for job_id, record in self._registry.jobs.items()
+            if record.is_open
+        }
+        if ages:
+            self._writer.record_ages(ages)
 
     def _move_slow_runs(self, now: float) -> None:
         """Moves slow runs, and restarts each at once so that no other item takes its new slot."""
@@ -263,9 +281,8 @@
             )
 
     def _sync_jobs(self, now: float) -> None:
-        for job_id, record in list(self._registry.jobs.items()):
-            if job_id not in self._adopted_at:
-                self._adopted_at[job_id] = now
+        self._job_ages.observe(self._registry, now)
+        for record in list(self._registry.jobs.values()):
             if record.is_open:
                 self._adopt(record, now)
         for job_id in {job_id for job_id, _ in self.scheduler.items}:
@@ -298,7 +315,7 @@
             route.backends[0].service,
             route.single_version,
             route.max_attempts,
-            route.max_wait_s + DEADLINE_MARGIN_S - (now - self._adopted_at[submission.job_id]),
+            route.max_wait_s + DEADLINE_MARGIN_S - self._job_ages.age_s(submission.job_id, now),
             sizes,
             now,
             self._tokens_per_event(route.backends[0].service),
@@ -331,8 +348,10 @@
         return route if route is not None and route.kind is RouteKind.BATCH else None
 
     def _remove_job(self, job_id: str) -> None:
-        self._metrics.job_time.observe(steady_time() - self._adopted_at[job_id])
-        for open_item in self.scheduler.remove_job(job_id):
+        removed = self.scheduler.remove_job(job_id)
+        if removed:
+            self._metrics.job_time.observe(steady_time() - removed[0].adopted_at)
+        for open_item in removed:
             self._stop_run(open_item, "job ended")
             self._rewards.cancel(open_item.key)
         self._writer.notify_waiters(job_id)
@@ -541,8 +560,8 @@
         now = steady_time()
         return [
             ForgetJob(job_id)
-            for job_id, adopted_at in self._adopted_at.items()
-            if now - adopted_at > retention_s
-            and job_id in self._registry.jobs
-            and not self._registry.jobs[job_id].is_open
+            for job_id, record in self._registry.jobs.items()
+            if not record.is_open
+            and job_id in self._job_ages.accepted_at
+            and self._job_ages.age_s(job_id, now) > retention_s
         ]
--- a/stileloom/ledger/commands.py
+++ b/stileloom/ledger/commands.py
@@ -136,6 +136,12 @@
     interval_s: dict[str, float]
 
 
+class RecordJobAges(msgspec.Struct, frozen=True, tag=True):
+    """Records the ages of open jobs, in whole seconds; an age never decreases."""
+
+    age_s: dict[str, int]
+
+
 class EndJob(msgspec.Struct, frozen=True, tag=True):
     """Ends a batch job; its remaining items are not run."""
 
@@ -203,6 +209,7 @@
     | RecordResults
     | SaveProgress
     | RecordIntervals
+    | RecordJobAges
     | EndJob
     | ForgetJob
     | RetireNode
--- a/stileloom/ledger/state.py
+++ b/stileloom/ledger/state.py
@@ -36,6 +36,7 @@
     PublishVersion,
     RaiseConfigurationFloor,
     RecordIntervals,
+    RecordJobAges,
     RecordResults,
     RecordSamplerEnds,
     Refused,
@@ -176,6 +177,9 @@
         if isinstance(command, RecordIntervals):
             self.job_book.interval_s = command.interval_s
             return Done()
+        if isinstance(command, RecordJobAges):
+            self.job_book.record_ages(command.age_s)
+            return Done()
         if isinstance(command, OpenOrderWindow):
             self.order_windows += 1
             self.last_order_holder = command.holder
--- a/tests/runner_fixture.py
+++ b/tests/runner_fixture.py
@@ -14,6 +14,7 @@
 from stileloom.api.sampler_directory import SamplerEntry
 from stileloom.clock import steady_time
 from stileloom.http.native_dialect import NativeDialect
+from stileloom.jobs.job_ages import JobAges
 from stileloom.jobs.metrics import JobMetrics
 from stileloom.jobs.runner import JobRunner, RunnerDependencies
 from stileloom.ledger.commands import Command, CommandResult, SubmitJob
@@ -144,6 +145,7 @@
                 epoch=1,
                 earliest_order_at=0.0,
                 registry=self.state.job_book,
+                job_ages=JobAges(),
                 ledger=self.ledger,
                 routes=routes(),
                 samplers=self.samplers,
--- a/tests/test_abandoned_work.py
+++ b/tests/test_abandoned_work.py
@@ -11,6 +11,8 @@
 from stileloom.api.jobs import ItemState
 from stileloom.http1.buffered_response import BufferedResponse
 from stileloom.http1.connection import SamplerConnection
+from stileloom.jobs.job_ages import JobAges
+from stileloom.jobs.registry import JobRegistry
 from stileloom.jobs.runner import DEADLINE_MARGIN_S
 from stileloom.logging import configure_logs
 from tests.runner_fixture import MAX_WAIT_S, RunnerFixture, submission
@@ -98,3 +100,32 @@
         # Each change of leader may cost the time since the age was last recorded.
         self.assertLessEqual(10.0 * listed_after[0], 1.3 * (MAX_WAIT_S + DEADLINE_MARGIN_S))
         self.assertGreaterEqual(10.0 * (listed_after[0] + 1), MAX_WAIT_S)
+
+
+class JobAgeTest(testtools.TestCase):
+    """The count of one node."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.registry = JobRegistry()
+        self.ages = JobAges()
+        self.registry.submit(submission("j", ["i"]))
+        self.ages.observe(self.registry, 100.0)
+
+    def test_a_node_that_did_not_lead_has_counted_the_age_of_a_job(self) -> None:
+        self.ages.observe(self.registry, 107.0)
+        self.assertEqual(7.0, self.ages.age_s("j", 107.0))
+
+    def test_a_recorded_age_only_raises_the_count(self) -> None:
+        self.registry.record_ages({"j": 3, "other": 9})
+        self.ages.observe(self.registry, 107.0)
+        self.assertEqual(7.0, self.ages.age_s("j", 107.0))
+        self.registry.record_ages({"j": 20})
+        self.registry.record_ages({"j": 1})
+        self.ages.observe(self.registry, 107.0)
+        self.assertEqual(20.0, self.ages.age_s("j", 107.0))
+
+    def test_a_job_that_was_forgotten_is_not_counted_on(self) -> None:
+        self.registry.forget("j")
+        self.ages.observe(self.registry, 107.0)
+        self.assertEqual({}, self.ages.accepted_at)
