--- a/tests/runner_fixture.py
+++ b/tests/runner_fixture.py
@@ -16,7 +16,9 @@
 from stileloom.http.native_dialect import NativeDialect
 from stileloom.jobs.job_ages import JobAges
 from stileloom.jobs.metrics import JobMetrics
+from stileloom.jobs.open_items import ItemKey
 from stileloom.jobs.runner import JobRunner, RunnerDependencies
+from stileloom.jobs.service import JobService
 from stileloom.ledger.commands import Command, CommandResult, SubmitJob
 from stileloom.ledger.state import LedgerState
 from stileloom.logging import EventLog
@@ -25,6 +27,8 @@
 from stileloom.proxy.route_table import RouteTable
 from stileloom.proxy.sampler_access import SamplerAccess
 from stileloom.proxy.sampler_table import SamplerTable
+from stileloom.quarantine.authority import QuarantineService
+from stileloom.quarantine.book import QuarantineRegistry
 from stileloom.quarantine.guard import QuarantineGuard
 from stileloom.quarantine.metrics import QuarantineMetrics
 from stileloom.switches import ALL_ON
@@ -89,6 +93,10 @@
         """No other node is known."""
         return None
 
+    def quarantine(self) -> QuarantineRegistry:
+        """The quarantine list of the state."""
+        return self.state.quarantine
+
     async def propose(self, command: Command) -> CommandResult:
         """Applies a command."""
         return self.state.apply(command)
@@ -110,6 +118,17 @@
         """Commits a job."""
         self.state.apply(SubmitJob(job))
 
+    def items(self) -> list[ItemKey]:
+        """Items that the leader runs or has still to run."""
+        return list(self.runner.scheduler.items)
+
+    def service(self) -> JobService:
+        """The job service of the leader."""
+        quarantine = QuarantineService(self.ledger, self._log)
+        service = JobService(self.ledger, quarantine, self._log)
+        service.runner = self.runner
+        return service
+
     def change_leader(self) -> None:
         """Replaces the leader by one whose process has just started."""
         self.runner.stop()
--- a/tests/test_abandoned_work.py
+++ b/tests/test_abandoned_work.py
@@ -5,13 +5,18 @@
 import asyncio
 import contextlib
 import socket
+from unittest import mock
 
 import testtools
 
+from stileloom.api.headers import HeaderNames
 from stileloom.api.jobs import ItemState
 from stileloom.http1.buffered_response import BufferedResponse
 from stileloom.http1.connection import SamplerConnection
+from stileloom.jobs.intake import item_size
 from stileloom.jobs.job_ages import JobAges
+from stileloom.jobs.messages import EndJobCall, JobEnded, JobTaken, SubmitJobCall
+from stileloom.jobs.open_items import ItemSize
 from stileloom.jobs.registry import JobRegistry
 from stileloom.jobs.runner import DEADLINE_MARGIN_S
 from stileloom.logging import configure_logs
@@ -129,3 +134,52 @@
         self.registry.forget("j")
         self.ages.observe(self.registry, 107.0)
         self.assertEqual({}, self.ages.accepted_at)
+
+
+def fail_on_bad_items(headers: dict[str, str], names: HeaderNames) -> ItemSize:
+    """Stands for an internal error that one job causes in each step of the runner."""
+    if "bad" in headers:
+        raise RuntimeError("bad item")
+    return item_size(headers, names)
+
+
+class FailingStepTest(testtools.TestCase):
+    """A step of the runner that raises because of one job."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        configure_logs("error")
+
+    def test_jobs_are_taken_and_ended_although_one_of_them_breaks_each_step(self) -> None:
+        async def scenario() -> list[object]:
+            fixture = RunnerFixture()
+            service = fixture.service()
+            bad = submission("bad", ["b"])
+            bad.items[0].headers["bad"] = "1"
+            replies: list[object] = []
+            with mock.patch("stileloom.jobs.runner.item_size", fail_on_bad_items):
+                for job in (submission("first", ["f"]), bad, submission("last", ["l"])):
+                    replies.append(await service.handle(SubmitJobCall(job)))
+                self.assertEqual({("first", "f"), ("last", "l")}, set(fixture.items()))
+                for job_id in ("first", "bad", "last"):
+                    replies.append(await service.handle(EndJobCall(job_id)))
+                    self.assertNotIn(job_id, {key[0] for key in fixture.items()})
+            fixture.runner.stop()
+            return replies
+
+        self.assertEqual([JobTaken()] * 3 + [JobEnded()] * 3, asyncio.run(scenario()))
+
+    def test_a_run_stops_with_its_job_although_the_step_fails_later(self) -> None:
+        async def scenario() -> None:
+            fixture = RunnerFixture()
+            service = fixture.service()
+            await service.handle(SubmitJobCall(submission("j", ["i"])))
+            fails = mock.patch.object(
+                fixture.runner.scheduler, "unresponsive_runs", side_effect=RuntimeError
+            )
+            with fails:
+                self.assertEqual(JobEnded(), await service.handle(EndJobCall("j")))
+            self.assertEqual([], fixture.items())
+            fixture.runner.stop()
+
+        asyncio.run(scenario())
