An internal error of the runner does not keep ended jobs running

The runner applies the job registry, plans and starts in one step, which also runs inside the calls that submit and end jobs. Had the adoption of one job raised, those calls would have had no reply, and the items of jobs that had ended would have gone on, in this step and in all later ones.

Ended jobs are now removed first, before anything that may fail, and each part of a step logs its error without preventing the others. The error was injected (test_abandoned_work.py): before, neither the end nor the submission was answered. No input that causes one is known.

--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -8,6 +8,8 @@
 
 import asyncio
 import math
+import traceback
+from collections.abc import Callable
 
 import msgspec
 
@@ -15,7 +17,7 @@
 from stileloom.api.jobs import FinishedItem, ItemState
 from stileloom.api.routes import Route, RouteKind, Service
 from stileloom.api.sampler_directory import SamplerEntry
-from stileloom.background import BackgroundTasks
+from stileloom.background import MAX_TRACEBACK_LENGTH, BackgroundTasks
 from stileloom.clock import steady_time
 from stileloom.events import LogEvent
 from stileloom.http1.connection import SamplerConnection
@@ -192,11 +194,36 @@
     # Scheduling loop.
 
     def step(self) -> None:
-        """Applies changes of the job registry and starts due runs, loads and reward calls."""
+        """Applies changes of the job registry and starts due runs, loads and reward calls.
+
+        Ended jobs are removed first. An internal error is logged and does not reach the caller,
+        which may be the call that ends a job.
+        """
         if not self._is_active_leader():
             return
         now = steady_time()
-        self._sync_jobs(now)
+        for job_id in {job_id for job_id, _ in self.scheduler.items}:
+            record = self._registry.jobs.get(job_id)
+            if record is None or not record.is_open:
+                self._run_logged(self._remove_job, job_id)
+        self._job_ages.observe(self._registry, now)
+        for record in list(self._registry.jobs.values()):
+            if record.is_open:
+                self._run_logged(self._adopt, record, now)
+        self._run_logged(self._run_open_items, now)
+
+    def _run_logged(self, action: Callable[..., None], *arguments: object) -> None:
+        """Runs a part of a step, so that its internal error does not prevent the others."""
+        try:
+            action(*arguments)
+        except Exception as error:
+            trace = "".join(traceback.format_exception(error))[-MAX_TRACEBACK_LENGTH:]
+            self._log.emit(LogEvent.INTERNAL_FAULT, {"error": repr(error), "trace": trace})
+
+    def _run_open_items(self, now: float) -> None:
+        for open_item in list(self.scheduler.items.values()):
+            if now >= open_item.deadline and not open_item.finished:
+                self._finish(open_item, ItemState.GIVEN_UP, "out of time")
         for open_item in self.scheduler.unresponsive_runs(now):
             self._stop_run(open_item, "silent", avoid=True)
             open_item.not_before = 0.0
@@ -280,19 +307,6 @@
                 },
             )
 
-    def _sync_jobs(self, now: float) -> None:
-        self._job_ages.observe(self._registry, now)
-        for record in list(self._registry.jobs.values()):
-            if record.is_open:
-                self._adopt(record, now)
-        for job_id in {job_id for job_id, _ in self.scheduler.items}:
-            job_record = self._registry.jobs.get(job_id)
-            if job_record is None or not job_record.is_open:
-                self._remove_job(job_id)
-        for open_item in list(self.scheduler.items.values()):
-            if now >= open_item.deadline and not open_item.finished:
-                self._finish(open_item, ItemState.GIVEN_UP, "out of time")
-
     def _adopt(self, record: JobRecord, now: float) -> None:
         submission = record.submission
         first_item_id = submission.items[0].item_id if submission.items else ""
@@ -352,7 +366,7 @@
         if removed:
             self._metrics.job_time.observe(steady_time() - removed[0].adopted_at)
         for open_item in removed:
-            self._stop_run(open_item, "job ended")
+            self._run_logged(self._stop_run, open_item, "job ended")
             self._rewards.cancel(open_item.key)
         self._writer.notify_waiters(job_id)
 
