--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -116,6 +116,8 @@
         self._pool = ConnectionPool()
         self._connections: dict[tuple[str, str], SamplerConnection] = {}
         self._job_ages = dependencies.job_ages
+        self._ending_jobs: set[str] = set()
+        """Jobs whose end is proposed; leadership cannot outlast a proposal that is dropped."""
         self._stopped = False
         self._next_progress_save_at = 0.0
         self._next_event_interval_save_at = steady_time() + EVENT_INTERVAL_SAVE_PERIOD_S
@@ -180,6 +182,11 @@
         self._pool.close_connections(sampler_id)
         self._loader.remove_sampler(sampler_id)
 
+    def stop_job(self, job_id: str) -> None:
+        """Stops all work of a job whose end is about to be proposed."""
+        self._ending_jobs.add(job_id)
+        self._remove_ended_jobs()
+
     def wait_for_results(self, job_id: str) -> asyncio.Future[None]:
         """Returns a future that is resolved when the job has new results or has ended."""
         return self._writer.wait_for_results(job_id)
@@ -202,13 +209,10 @@
         if not self._is_active_leader():
             return
         now = steady_time()
-        for job_id in {job_id for job_id, _ in self.scheduler.items}:
-            record = self._registry.jobs.get(job_id)
-            if record is None or not record.is_open:
-                self._run_logged(self._remove_job, job_id)
+        self._remove_ended_jobs()
         self._job_ages.observe(self._registry, now)
         for record in list(self._registry.jobs.values()):
-            if record.is_open:
+            if self._may_run(record):
                 self._run_logged(self._adopt, record, now)
         self._run_logged(self._run_open_items, now)
 
@@ -307,6 +311,16 @@
                 },
             )
 
+    def _remove_ended_jobs(self) -> None:
+        jobs = self._registry.jobs
+        self._ending_jobs = {job for job in self._ending_jobs if job in jobs and jobs[job].is_open}
+        for job_id in {job_id for job_id, _ in self.scheduler.items}:
+            if job_id not in jobs or not self._may_run(jobs[job_id]):
+                self._run_logged(self._remove_job, job_id)
+
+    def _may_run(self, record: JobRecord) -> bool:
+        return record.is_open and record.submission.job_id not in self._ending_jobs
+
     def _adopt(self, record: JobRecord, now: float) -> None:
         submission = record.submission
         first_item_id = submission.items[0].item_id if submission.items else ""
