--- a/tests/runner_fixture.py
+++ b/tests/runner_fixture.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import random
 from collections.abc import Iterator
@@ -79,11 +80,15 @@
 
 
 class FakeLedger:
-    """Applies each command at once, and leads until the test says otherwise."""
+    """Applies commands in their order, and leads until the test says otherwise."""
 
     def __init__(self, state: LedgerState) -> None:
         self.state = state
         self.leads = True
+        self.majority = asyncio.Event()
+        """Whether commands are committed; those proposed meanwhile wait, in their order."""
+        self.majority.set()
+        self._commit_order = asyncio.Lock()
 
     def is_active_leader(self) -> bool:
         """Whether this node leads."""
@@ -99,7 +104,9 @@
 
     async def propose(self, command: Command) -> CommandResult:
         """Applies a command."""
-        return self.state.apply(command)
+        async with self._commit_order:
+            await self.majority.wait()
+            return self.state.apply(command)
 
 
 class RunnerFixture:
--- a/tests/test_abandoned_work.py
+++ b/tests/test_abandoned_work.py
@@ -183,3 +183,31 @@
             fixture.runner.stop()
 
         asyncio.run(scenario())
+
+
+class LateSubmissionTest(testtools.TestCase):
+    """A submission that is committed after the caller has ended its job."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        configure_logs("error")
+
+    def test_a_job_does_not_run_whose_end_came_while_its_submission_waited_for_a_majority(
+        self,
+    ) -> None:
+        async def scenario() -> list[object]:
+            fixture = RunnerFixture()
+            service = fixture.service()
+            fixture.ledger.majority.clear()
+            taking = asyncio.ensure_future(service.handle(SubmitJobCall(submission("j", ["i"]))))
+            await asyncio.sleep(0)
+            ending = asyncio.ensure_future(service.handle(EndJobCall("j")))
+            await asyncio.sleep(0)
+            fixture.ledger.majority.set()
+            replies: list[object] = [await taking, await ending]
+            fixture.step(1.0)
+            self.assertEqual([], fixture.items())
+            fixture.runner.stop()
+            return replies
+
+        self.assertEqual([JobTaken(), JobEnded()], asyncio.run(scenario()))
