The end of a job is ordered after a submission that is not yet committed

A caller that ended a job was told 404, and the job ran afterwards without anybody to end it: the leader looked for the job in its applied state, while the submission waited in the log for a majority.

An end is now always proposed, so that the log orders it after the submission; an unknown job is answered 404 by the result of the command. Before, the test in test_abandoned_work.py found the item of the ended job about to run.

--- a/stileloom/jobs/service.py
+++ b/stileloom/jobs/service.py
@@ -153,16 +153,16 @@
 
     async def _end(self, request: EndJobCall) -> JobReply:
         job = self._job(request.job_id)
-        if job is None:
-            return NoSuchJob()
-        if not job.ended:
+        if job is None or not job.ended:
+            # Also for an unknown job: its submission may be proposed and not committed.
             if self.runner is not None:
                 self.runner.stop_job(request.job_id)
             try:
                 result = await self._ledger.propose(EndJob(request.job_id))
             except StileloomError:
                 return OutcomeUnknown()
-            if isinstance(result, Refused):
+            job = self._job(request.job_id)
+            if isinstance(result, Refused) or job is None:
                 return NoSuchJob()
             self._log.emit(
                 LogEvent.JOB_ENDED,
