--- a/tests/test_abandoned_work.py
+++ b/tests/test_abandoned_work.py
@@ -15,7 +15,7 @@
 from stileloom.http1.connection import SamplerConnection
 from stileloom.jobs.intake import item_size
 from stileloom.jobs.job_ages import JobAges
-from stileloom.jobs.messages import EndJobCall, JobEnded, JobTaken, SubmitJobCall
+from stileloom.jobs.messages import EndJobCall, JobEnded, JobTaken, NoSuchJob, SubmitJobCall
 from stileloom.jobs.open_items import ItemSize
 from stileloom.jobs.registry import JobRegistry
 from stileloom.jobs.runner import DEADLINE_MARGIN_S
@@ -211,3 +211,19 @@
             return replies
 
         self.assertEqual([JobTaken(), JobEnded()], asyncio.run(scenario()))
+
+    def test_a_job_does_not_run_whose_submission_was_held_up_until_after_its_end(self) -> None:
+        async def scenario() -> list[object]:
+            fixture = RunnerFixture()
+            service = fixture.service()
+            replies: list[object] = [await service.handle(EndJobCall("j"))]
+            fixture.change_leader()
+            service.runner = fixture.runner
+            replies.append(await service.handle(SubmitJobCall(submission("j", ["i"]))))
+            fixture.step(1.0)
+            self.assertEqual([], fixture.items())
+            replies.append(await service.handle(EndJobCall("j")))
+            fixture.runner.stop()
+            return replies
+
+        self.assertEqual([NoSuchJob(), JobTaken(), JobEnded()], asyncio.run(scenario()))
