A job whose end came before its submission does not run

A caller that had no answer to a submission and ended the job was told 404. If a link had held the submission up, it was committed later and the job ran until its longest wait, although nobody wanted it.

The end of an unknown job is still refused, but the ledger keeps its id, for the last 1,000 of them, and a submission that follows is stored as ended.

--- a/stileloom/jobs/registry.py
+++ b/stileloom/jobs/registry.py
@@ -16,6 +16,9 @@
 from stileloom.jobs.partial_text import PartialText
 
 PAGE_BYTES = 900_000
+MAX_EARLY_ENDS = 1000
+MAX_EARLY_END_LENGTH = 256
+"""Longer ids are not kept, so that ends of unknown jobs take little memory."""
 
 
 def result_size(result: ItemResult) -> int:
@@ -65,12 +68,18 @@
     jobs: dict[str, JobRecord] = msgspec.field(default_factory=dict)
     interval_s: dict[str, float] = msgspec.field(default_factory=dict)
     """Event interval of each sampler, as last recorded by a leader."""
+    early_ends: list[str] = msgspec.field(default_factory=list)
+    """Ids of unknown jobs that were ended, newest last; their submission may still arrive."""
 
     def submit(self, submission: JobSubmission) -> bool:
-        """Adds a job; returns False if it was added before."""
-        if submission.job_id in self.jobs:
+        """Adds a job; returns False if it was added before. It does not run if its end came first.
+
+        That happens if a link holds up a submission whose caller gave up.
+        """
+        job_id = submission.job_id
+        if job_id in self.jobs:
             return False
-        self.jobs[submission.job_id] = JobRecord(submission)
+        self.jobs[job_id] = JobRecord(submission, ended=job_id in self.early_ends)
         return True
 
     def save(self, job_id: str, items: list[ItemProgress]) -> None:
@@ -112,9 +121,11 @@
                 job.age_s = max(job.age_s, age)
 
     def end(self, job_id: str) -> bool:
-        """Ends a job; returns False if it does not exist."""
+        """Ends a job; returns False if it does not exist yet."""
         job = self.jobs.get(job_id)
         if job is None:
+            if job_id not in self.early_ends and len(job_id) <= MAX_EARLY_END_LENGTH:
+                self.early_ends = [*self.early_ends, job_id][-MAX_EARLY_ENDS:]
             return False
         job.ended = True
         return True
--- a/stileloom/ledger/commands.py
+++ b/stileloom/ledger/commands.py
@@ -143,7 +143,10 @@
 
 
 class EndJob(msgspec.Struct, frozen=True, tag=True):
-    """Ends a batch job; its remaining items are not run."""
+    """Ends a batch job; its remaining items are not run.
+
+    For an unknown job it is refused, and the job does not run if it is submitted later.
+    """
 
     job_id: str
 
@@ -231,7 +234,7 @@
 
 
 class Refused(msgspec.Struct, frozen=True, tag=True):
-    """The command was rejected and had no effect."""
+    """The command was rejected and had no effect, except for `EndJob` on an unknown job."""
 
     kind: ErrorKind
     detail: str
