--- a/tests/test_abandoned_work.py
+++ b/tests/test_abandoned_work.py
@@ -11,6 +11,7 @@
 
 from stileloom.api.headers import HeaderNames
 from stileloom.api.jobs import ItemState
+from stileloom.api.sampler_directory import SamplerEntry
 from stileloom.http1.buffered_response import BufferedResponse
 from stileloom.http1.connection import SamplerConnection
 from stileloom.jobs.intake import item_size
@@ -227,3 +228,43 @@
             return replies
 
         self.assertEqual([NoSuchJob(), JobTaken(), JobEnded()], asyncio.run(scenario()))
+
+
+class LostLeaseTest(testtools.TestCase):
+    """A leader whose lease has expired while its process was held up, before its next step."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        configure_logs("error")
+
+    def received_after_lease(self, lost_before_text: bool) -> int:
+        """The bytes of a reward call that a sampler receives from a leader without a lease."""
+
+        async def scenario() -> int:
+            received: list[int] = []
+
+            async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                received.append(len(await reader.read(65_536)))
+                writer.close()
+
+            server = await asyncio.start_server(serve, HOST, 0)
+            address = server.sockets[0].getsockname()
+            fixture = RunnerFixture(SamplerEntry("c", "charts", address, "a", 4, False, {}))
+            fixture.submit(submission("j", ["i"], rewards=True))
+            fixture.step()
+            (item,) = fixture.runner.scheduler.items.values()
+            item.partial.add(1, "x", 1)
+            fixture.ledger.leads = not lost_before_text
+            fixture.runner._on_complete_text(item)
+            fixture.ledger.leads = False
+            await asyncio.sleep(0.3)
+            fixture.runner.stop()
+            server.close()
+            return sum(received)
+
+        return asyncio.run(scenario())
+
+    def test_no_reward_call_is_sent_without_a_lease(self) -> None:
+        """Neither a new call nor an attempt of one that has started."""
+        for lost_before_text in (True, False):
+            self.assertEqual(0, self.received_after_lease(lost_before_text), lost_before_text)
