Reward calls check the lease before each send

A leader that was suspended, or held up, past its lease could still send reward calls until its next step noticed: queued calls, and further attempts and hedges of calls that had started. Runs of items and orders check the lease right before they send; reward calls did not.

--- a/stileloom/jobs/reward_caller.py
+++ b/stileloom/jobs/reward_caller.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from functools import partial
 from typing import Protocol
 
@@ -71,6 +72,7 @@
         listener: RewardListener,
         log: EventLog,
         metrics: JobMetrics,
+        may_send: Callable[[], bool],
     ) -> None:
         self._forwarder = forwarder
         self._routes = routes
@@ -79,6 +81,8 @@
         self._listener = listener
         self._log = log
         self._metrics = metrics
+        self._may_send = may_send
+        """Whether this node still leads; it may have been suspended since its last step."""
         self._pending: dict[ItemKey, PendingReward] = {}
         self._windows: dict[str, RewardWindow] = {}
 
@@ -117,6 +121,8 @@
 
     def step(self, now: float) -> None:
         """Starts due calls in the order they were queued, within the limit of each service."""
+        if not self._may_send():
+            return
         for pending in list(self._pending.values()):
             if pending.task is not None or now < pending.not_before:
                 continue
@@ -171,7 +177,14 @@
         remaining_s = max(RETRY_S, min(route.timeout_s, pending.item.deadline - now))
         headers = [("Host", call.host), (self._names.request_id, call.request_id)]
         lookup = Lookup(
-            call.request_id, "POST", call.path, headers, call.body, now, now + remaining_s
+            call.request_id,
+            "POST",
+            call.path,
+            headers,
+            call.body,
+            now,
+            now + remaining_s,
+            may_send=self._may_send,
         )
         safe_route = msgspec.structs.replace(route, kind=RouteKind.SAFE)
         return await self._forwarder.forward(lookup, safe_route, service)
--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -146,7 +146,14 @@
             switches.order_windows,
         )
         self._rewards = RewardCaller(
-            dependencies.forwarder, dependencies.routes, samplers, dialect.names, self, log, metrics
+            dependencies.forwarder,
+            dependencies.routes,
+            samplers,
+            dialect.names,
+            self,
+            log,
+            metrics,
+            self._is_active_leader,
         )
 
     def stop(self) -> None:
--- a/stileloom/proxy/lookup.py
+++ b/stileloom/proxy/lookup.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import msgspec
 
 from stileloom.http1.response_decoder import ResponseHead
@@ -22,6 +24,8 @@
     """When the caller's or the route's timeout ends, in monotonic seconds."""
     caller_address: str = ""
     """The caller's network address, for logs only."""
+    may_send: Callable[[], bool] = lambda: True
+    """Checked right before each attempt is sent; if it returns False, the lookup ends."""
 
     def identity(self) -> str:
         """Digest that is equal for all retries of the request; hashes the complete body."""
