--- a/tests/test_abandoned_work.py
+++ b/tests/test_abandoned_work.py
@@ -7,6 +7,7 @@
 import socket
 from unittest import mock
 
+import msgspec
 import testtools
 
 from stileloom.api.headers import HeaderNames
@@ -17,9 +18,11 @@
 from stileloom.jobs.intake import item_size
 from stileloom.jobs.job_ages import JobAges
 from stileloom.jobs.messages import EndJobCall, JobEnded, JobTaken, NoSuchJob, SubmitJobCall
-from stileloom.jobs.open_items import ItemSize
+from stileloom.jobs.open_items import ItemSize, OpenItem
 from stileloom.jobs.registry import JobRegistry
-from stileloom.jobs.runner import DEADLINE_MARGIN_S
+from stileloom.jobs.runner import DEADLINE_MARGIN_S, PROGRESS_SAVE_PERIOD_S
+from stileloom.jobs.scheduler import MIN_EVENTS_PER_SAVE
+from stileloom.ledger.commands import EndJob
 from stileloom.logging import configure_logs
 from tests.runner_fixture import MAX_WAIT_S, RunnerFixture, submission
 
@@ -268,3 +271,44 @@
         """Neither a new call nor an attempt of one that has started."""
         for lost_before_text in (True, False):
             self.assertEqual(0, self.received_after_lease(lost_before_text), lost_before_text)
+
+
+class CarriedItemTest(testtools.TestCase):
+    """An item that a later job carries again, after a change of leader."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        configure_logs("error")
+
+    def carried(self, min_version: int) -> OpenItem:
+        """The item at a new leader that adopts a job after the end of the first one."""
+
+        async def scenario() -> OpenItem:
+            fixture = RunnerFixture()
+            fixture.submit(submission("first", ["i"]))
+            with fixture.clock():
+                fixture.step()
+                (item,) = fixture.runner.scheduler.items.values()
+                for number in range(1, MIN_EVENTS_PER_SAVE + 1):
+                    item.partial.add(number, f"event {number}", 1)
+                fixture.step(PROGRESS_SAVE_PERIOD_S)
+                await asyncio.sleep(0)
+                fixture.state.apply(EndJob("first"))
+                fixture.change_leader()
+                later = submission("later", ["i"])
+                fixture.submit(msgspec.structs.replace(later, min_version=min_version))
+                fixture.step()
+                (item,) = fixture.runner.scheduler.items.values()
+                fixture.runner.stop()
+            return item
+
+        return asyncio.run(scenario())
+
+    def test_a_new_leader_continues_from_the_text_that_an_ended_job_saved(self) -> None:
+        item = self.carried(min_version=1)
+        self.assertEqual(MIN_EVENTS_PER_SAVE, item.partial.last_event_id)
+        # The later job has saved none of it.
+        self.assertEqual(0, item.saved_parts)
+
+    def test_a_text_of_a_version_that_the_later_job_does_not_allow_is_not_used(self) -> None:
+        self.assertEqual([], self.carried(min_version=2).partial.parts)
