An ended job keeps no bodies and headers of its items in the ledger's state

Ledger nodes of a large deployment went over their memory limit one after the other once two minutes of jobs were in the state. Nothing reads the body or the headers of an item once its job has ended, but they stayed until the job was forgotten.

EndJob drops them, with the path; ids, groups and reward calls stay, since they decide whether a later job may reuse a result. The new test of tests/test_job_book.py fails on the code before.

--- a/stileloom/jobs/registry.py
+++ b/stileloom/jobs/registry.py
@@ -44,7 +44,9 @@
         return not self.ended and len(self.results) < len(self.submission.items)
 
     def item(self, item_id: str) -> JobItem | None:
-        """Returns an item by its id."""
+        """Returns an item of a job that has not ended, by its id."""
+        if self.ended:
+            return None
         for item in self.submission.items:
             if item.item_id == item_id:
                 return item
@@ -128,8 +130,20 @@
                 self.early_ends = [*self.early_ends, job_id][-MAX_EARLY_ENDS:]
             return False
         job.ended = True
+        job.submission = _without_requests(job.submission)
         return True
 
     def forget(self, job_id: str) -> None:
         """Removes a job after its retention period."""
         self.jobs.pop(job_id, None)
+
+
+def _without_requests(submission: JobSubmission) -> JobSubmission:
+    """The submission without what only its runs need, to save memory until it is forgotten.
+
+    Ids and reward calls stay: they decide whether a later job may reuse a result.
+    """
+    items = [
+        msgspec.structs.replace(item, path="", headers={}, body=b"") for item in submission.items
+    ]
+    return msgspec.structs.replace(submission, items=items)
--- a/tests/test_job_book.py
+++ b/tests/test_job_book.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import testtools
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -135,3 +136,19 @@
                 max_examples=EXAMPLES, stateful_step_count=STEPS, deadline=None, derandomize=True
             ),
         )
+
+    def test_an_ended_job_keeps_its_results_and_no_requests_in_the_replicated_state(self) -> None:
+        """Guards against bodies that fill the memory of ledger nodes until a job is forgotten."""
+        reward = RewardCall("s", "h", "/s", b"score")
+        items = [JobItem(f"i{n}", "/p", {"model": "m"}, bytes(1000), "g", reward) for n in range(9)]
+        registry = JobRegistry()
+        registry.submit(JobSubmission("j0", "h", "/p", 0, "m", 1, 1, items))
+        registry.record("j0", [FinishedItem("i1", ItemState.SUCCEEDED, 0, ["text"], [1], "score")])
+        page = registry.jobs["j0"].page(0)
+        registry.end("j0")
+        self.assertLess(len(msgspec.msgpack.encode(registry)), 1000)
+        self.assertEqual(page, registry.jobs["j0"].page(0))
+        self.assertIsNone(registry.jobs["j0"].item("i2"))
+        registry.submit(JobSubmission("j1", "h", "/p", 1, "m", 1, 1, items[:2]))
+        (reused,) = reusable_results(registry, registry.jobs["j1"], single_version=False)
+        self.assertEqual("i1", reused.item_id)
