Soak: judge that nothing of a job begins long after its end

The soak ended one job in a hundred reads, once, without a look at the answer, and judged nothing about it. An item that a leader sent seconds after its job's end could not fail a run.

A third of the jobs is now larger than the samplers' slots and is ended by its trainer while items wait. An attempt without an answer is given up after 1.5 s with its connection closed and repeated at another gateway until it is acknowledged. From the acknowledgement, or from when it was due in steady time, no item or reward call may reach a sampler later than the bound, unless the ledger, its store or the link to the sampler was disturbed within the contact time. An end must be acknowledged once all faults are over.

Bounds in steady time need some of it: faults come in storms of all kinds and in lulls that leave the ledger alone. The leader is the victim of half of the faults of one ledger node, two leaders are struck in a row, and gateways are stopped one after another. Some lookups keep to one connection until it breaks.

--- a/stileloom/emulator/http_sampler.py
+++ b/stileloom/emulator/http_sampler.py
@@ -73,7 +73,13 @@
 class HttpSampler:
     """One process of a sampler; a restarted sampler is a new instance."""
 
-    def __init__(self, sampler_id: str, model_versions: dict[str, int], events: int = 6) -> None:
+    def __init__(
+        self,
+        sampler_id: str,
+        model_versions: dict[str, int],
+        events: int = 6,
+        event_interval_s: float = EVENT_INTERVAL_S,
+    ) -> None:
         self.sampler_id = sampler_id
         self.model_versions = dict(model_versions)
         self.faults = SamplerFaults()
@@ -92,6 +98,7 @@
         """Target of the newest request at the time of a crash; empty before a crash."""
         self._names = HeaderNames()
         self._events = events
+        self._event_interval_s = event_interval_s
         self._fence = 0
         self._loading_until = 0.0
         self._server = HTTPServer(self._serve)
@@ -204,7 +211,7 @@
         connection.write_headers(ResponseStartLine("HTTP/1.1", 200, "OK"), HTTPHeaders(headers))
         events = expected_events(request_id, self._events)
         for number, data in enumerate(events[after:], start=after + 1):
-            await asyncio.sleep(EVENT_INTERVAL_S)
+            await asyncio.sleep(self._event_interval_s)
             cut = self.faults.disconnect_after_events
             if cut is not None and number - after > cut:
                 connection.stream.close()  # type: ignore[attr-defined]
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -22,6 +22,7 @@
 from tests.soak.callers import Callers, configuration
 from tests.soak.deployment import GATEWAYS, Deployment
 from tests.soak.faults import FaultSchedule
+from tests.soak.job_ends import LEDGER
 from tests.soak.poison import PoisonLookup
 from tests.soak.record import Record
 
@@ -32,6 +33,8 @@
 logged its start 21 s after the run began, and the ledger nodes 28 s (seed 60002)."""
 RECOVERY_S = 30.0
 CHECK_PAUSE_S = 0.2
+STALL_CHECK_S = 0.05
+STALL_S = 0.25
 CALM_LOOKUPS = 40
 CALM_LOOKUPS_SERVED = 0.95
 
@@ -41,7 +44,7 @@
 
     def __init__(self, seed: int, folder: Path, gateways: int) -> None:
         rng = random.Random(seed)
-        self.record = Record()
+        self.record = Record([f"gateway-{number}" for number in range(1, gateways + 1)])
         self.deployment = Deployment(folder, rng, self.record, gateways)
         self.callers = Callers(self.deployment, self.record, rng)
         self.faults = FaultSchedule(self.deployment, self.record, rng)
@@ -54,9 +57,10 @@
             await self.deployment.start(configuration(1, ["probe-1"]))
             ready_s = READY_S + START_S * (len(self.deployment.fronts) - GATEWAYS)
             await self._until_served(ready_s, "the deployment starts")
-            watch = asyncio.get_running_loop().create_task(self._watch_programs())
-            self.callers.start()
             loop = asyncio.get_running_loop()
+            watch = loop.create_task(self._watch_programs())
+            stalls = loop.create_task(self._watch_stalls())
+            self.callers.start()
             replacing = loop.create_task(self.poison.replace_ended())
             arriving = loop.create_task(self.poison.arrive())
             await self.faults.run(seconds)
@@ -66,7 +70,7 @@
             await self._judge_poison()
             self.poison.stopped = True
             self._watching = False
-            await asyncio.gather(watch, replacing)
+            await asyncio.gather(watch, stalls, replacing)
             self.record.judge_samplers()
         finally:
             await self.deployment.stop()
@@ -87,6 +91,16 @@
                     program.start()
             await asyncio.sleep(CHECK_PAUSE_S)
 
+    async def _watch_stalls(self) -> None:
+        """While the soak itself is held up, so is every link: its proxies forward nothing."""
+        while self._watching:
+            slept_at = steady_time()
+            await asyncio.sleep(STALL_CHECK_S)
+            woke_at = steady_time()
+            if woke_at - slept_at > STALL_CHECK_S + STALL_S:
+                self.record.disturbances.add(LEDGER, slept_at, woke_at)
+                self.record.counts["stalls of the soak"] += 1
+
     async def _until_served(self, limit_s: float, what: str) -> None:
         give_up_at = steady_time() + limit_s
         served_in_a_row = 0
@@ -102,6 +116,7 @@
     async def _recover(self) -> None:
         """After the last fault everything acknowledged is there and completes."""
         await self._until_served(RECOVERY_S, "service comes back")
+        await self._ends_answered()
         await self._complete_jobs()
         await self._configuration_in_force()
         served = 0
@@ -110,6 +125,18 @@
         if served < CALM_LOOKUPS * CALM_LOOKUPS_SERVED:
             self.record.breaks("lookups are served in calm", f"{served} of {CALM_LOOKUPS}")
 
+    async def _ends_answered(self) -> None:
+        give_up_at = steady_time() + RECOVERY_S
+        while waiting := [
+            job.job_id
+            for job in self.record.jobs.values()
+            if job.ended and job.end_answered_at is None
+        ]:
+            if steady_time() > give_up_at:
+                self.record.breaks("ends are acknowledged in calm", ", ".join(waiting))
+                return
+            await asyncio.sleep(CHECK_PAUSE_S)
+
     async def _complete_jobs(self) -> None:
         give_up_at = steady_time() + RECOVERY_S
         waiting = [job for job in self.record.jobs.values() if not job.ended]
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -12,17 +12,27 @@
 from stileloom.clock import steady_time
 from stileloom.http.native_dialect import NativeDialect
 from tests.soak.deployment import HOST, HOSTNAME, MODEL, Deployment
+from tests.soak.kept_connection import UNKNOWN_STATUS, KeptConnection
 from tests.soak.record import Record, Result, TakenJob, reward_id
 
 LOOKUP_PAUSE_S = 0.03
 LOOKUP_DEADLINE_MS = 2000
-JOB_PAUSE_S = 1.5
+JOB_PAUSE_S = 1.0
 REWARDED_SHARE = 0.5
 """Of the jobs so many have reward calls."""
 VERSION_PAUSE_S = 3.0
 CONFIGURATION_PAUSE_S = 4.0
 CALL_TIMEOUT_S = 5.0
-UNKNOWN_STATUS = 599
+ENDED_SHARE = 1 / 3
+"""Of the jobs so many are ended by their trainer while items still wait."""
+JOB_ITEMS = (2, 12)
+ENDED_JOB_ITEMS = (80, 160)
+"""Far more than the samplers have slots."""
+END_AFTER_S = (0.2, 5.0)
+END_ATTEMPT_S = 1.5
+END_PAUSE_S = 0.1
+KEPT_CONNECTIONS = 4
+KEPT_PAUSE_S = 0.15
 
 
 def configuration(version: int, probes: list[str]) -> dict[str, Any]:
@@ -91,6 +101,8 @@
         """Begins all loops."""
         for loop in (self._lookups, self._jobs, self._versions, self._configurations):
             self._spawn(loop())
+        for front in self._deployment.fronts[:KEPT_CONNECTIONS]:
+            self._spawn(self._kept_lookups(front))
 
     async def finish(self) -> None:
         """Ends the loops; reads that are under way may still end."""
@@ -113,7 +125,13 @@
         return f"{kind}-{self._number}"
 
     async def _call(
-        self, gateway: int, method: str, target: str, body: bytes | None, **headers: str
+        self,
+        gateway: int,
+        method: str,
+        target: str,
+        body: bytes | None,
+        timeout_s: float = CALL_TIMEOUT_S,
+        **headers: str,
     ) -> HTTPResponse:
         request = HTTPRequest(
             f"http://{HOST}:{self._deployment.fronts[gateway]}{target}",
@@ -121,7 +139,7 @@
             headers={"Host": HOSTNAME, **headers},
             body=body,
             connect_timeout=1.0,
-            request_timeout=CALL_TIMEOUT_S,
+            request_timeout=timeout_s,
             allow_nonstandard_methods=True,
         )
         try:
@@ -154,6 +172,26 @@
         self._record.answered(request_id, answer.code, answer.body or b"")
         return answer.code
 
+    async def _kept_lookups(self, front: int) -> None:
+        """Lookups one after another, each on the same connection until that breaks."""
+        connection = KeptConnection(HOST, front)
+        names = NativeDialect.names
+        route = "charts"
+        while not self.stopped:
+            route = "moves" if route == "charts" else "charts"
+            request_id = self._next_id(f"kept-{route}")
+            target, body = f"/{route}/{request_id}", request_id.encode() * 3
+            self._record.sends_lookup(request_id, target, body, unsafe=route == "moves")
+            headers = {
+                "Host": HOSTNAME,
+                names.request_id: request_id,
+                names.deadline_ms: str(LOOKUP_DEADLINE_MS),
+            }
+            status, answer = await connection.post(target, headers, body, CALL_TIMEOUT_S)
+            self._record.answered(request_id, status, answer)
+            await asyncio.sleep(KEPT_PAUSE_S)
+        connection.close()
+
     # Jobs.
 
     async def _jobs(self) -> None:
@@ -163,7 +201,9 @@
 
     async def _run_job(self) -> None:
         job_id = self._next_id("job")
-        items = [f"{job_id}-i{number}" for number in range(self._rng.randint(2, 12))]
+        ends = self._rng.random() < ENDED_SHARE
+        count = self._rng.randint(*(ENDED_JOB_ITEMS if ends else JOB_ITEMS))
+        items = [f"{job_id}-i{number}" for number in range(count)]
         min_version = max(1, self.version - 1)
         rewarded = self._rng.random() < REWARDED_SHARE
         body = msgspec.json.encode(
@@ -185,11 +225,11 @@
             await asyncio.sleep(0.2)
         else:
             return
-        while not self.stopped and not job.complete:
+        ends_at = steady_time() + self._rng.uniform(*END_AFTER_S) if ends else float("inf")
+        while not self.stopped and not job.complete and steady_time() < ends_at:
             await self.read_on(job)
-            if self._rng.random() < 0.01:
-                await self._end(job)
-                return
+        if ends:
+            await self._end(job)
 
     def _row(self, item: str, rewarded: bool) -> list[Any]:
         row: list[Any] = [item, f"/drafts/{item}", {"model": MODEL}, "Ym9keQ==", "g"]
@@ -198,8 +238,23 @@
         return row
 
     async def _end(self, job: TakenJob) -> None:
-        job.ended = True
-        await self._call(self._any_gateway(), "DELETE", f"/v1/jobs/{job.job_id}", None)
+        """Asks for a job's end until it is acknowledged, each time at another gateway."""
+        job.end_asked_at = steady_time()
+        gateway = self._any_gateway()
+        while job.end_answered_at is None:
+            answer = await self._call(
+                gateway, "DELETE", f"/v1/jobs/{job.job_id}", None, timeout_s=END_ATTEMPT_S
+            )
+            self._record.counts[f"end {answer.code}"] += 1
+            if answer.code == 200:
+                job.end_answered_at = steady_time()
+                return
+            if answer.code in (404, 410):
+                self._record.missing(job, answer.code)
+                return
+            await asyncio.sleep(END_PAUSE_S)
+            others = [n for n in range(len(self._deployment.fronts)) if n != gateway]
+            gateway = self._rng.choice(others or [gateway])
 
     async def read_on(self, job: TakenJob) -> None:
         """Reads from a random position that was read before, or from the next one."""
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -26,6 +26,8 @@
 LEDGER_NODES = 4
 GATEWAYS = 2
 SAMPLERS = {"charts": 2, "drafts": 3}
+EVENT_INTERVAL_S = 0.02
+"""Slow enough that a large job has items waiting for longer than ends are judged."""
 DATAGRAM_LOSS = 0.01
 LISTED_AFTER_END_S = 1.0
 WRITE_RETRY_S = 0.2
@@ -147,6 +149,14 @@
         program.settings_file.write_text("\n".join(lines) + "\n")
         self.programs[program.name] = program
 
+    def leader(self) -> str | None:
+        """The ledger node that was elected last, by the logs; it may be gone by now."""
+        newest: tuple[int, str] | None = None
+        for name, program in self.programs.items():
+            if name.startswith("ledger") and (epoch := program.newest_epoch()):
+                newest = max(newest or (0, ""), (epoch, name))
+        return newest[1] if newest is not None else None
+
     def data_folder(self, name: str) -> Path:
         """Where a ledger node keeps its files."""
         return self._folder / f"{name}-data"
@@ -177,7 +187,7 @@
         earlier = [s for s in self.samplers.values() if s.model_versions]
         if versions and earlier:
             versions = {MODEL: max(s.model_versions[MODEL] for s in earlier)}
-        sampler = HttpSampler(name, versions, EVENTS)
+        sampler = HttpSampler(name, versions, EVENTS, EVENT_INTERVAL_S)
         sampler.permanent_crash_targets = self.poison_targets
         sampler.on_crash = lambda: self.stop_listening(name)
         self.samplers[name] = sampler
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,11 +9,22 @@
 from stileloom.clock import steady_time
 from stileloom.emulator.http_sampler import SamplerFaults
 from tests.soak.deployment import Deployment
+from tests.soak.job_ends import LEDGER
 from tests.soak.loopback_proxy import LinkFault
 from tests.soak.record import Record
 
-PAUSE_S = (0.4, 2.5)
+LULL_PAUSE_S = (0.4, 2.5)
+STORM_PAUSE_S = (0.1, 1.0)
 LASTS_S = (0.3, 4.0)
+STORM_S = (3.0, 7.0)
+"""Faults of all kinds for so long."""
+LULL_S = (10.0, 14.0)
+"""Then none of the ledger and its store for so long: the ends of jobs have bounds in steady time
+only. Gateways and samplers are disturbed all the while."""
+LEADER_SHARE = 0.5
+"""Of the faults of one ledger node so many strike the leader."""
+ELECTION_S = 3.0
+MOST_ROLLED = 6
 CATCH_UP_S = 6.0
 """A ledger node that was lost counts as lost for so long after it is back."""
 DELAYS_S = (0.02, 0.4)
@@ -22,6 +33,15 @@
 Fault = Callable[[], Awaitable[str]]
 
 
+def _is_of_ledger(link_name: str) -> bool:
+    return link_name.startswith(("to ledger", "ledger"))
+
+
+def _place(link_name: str) -> str:
+    """Where a fault of the link disturbs."""
+    return LEDGER if _is_of_ledger(link_name) else link_name
+
+
 class FaultSchedule:
     """Draws faults until it is stopped."""
 
@@ -40,28 +60,43 @@
 
     async def run(self, seconds: float) -> None:
         """Brings faults about for a time, and waits until all are over."""
-        faults: list[Fault] = [
-            self._link_fault,
-            self._link_fault,
-            self._reset,
-            self._silence_open,
+        beside_ledger: list[Fault] = [
+            self._outer_link_fault,
+            self._outer_link_fault,
+            self._reset_outer,
+            self._silence_open_outer,
+            self._kill_gateway,
+            self._stop_gateway,
+            self._roll_gateways,
+            self._pause_gateway,
+            self._crash_sampler,
+            self._sampler_fault,
+        ]
+        of_ledger: list[Fault] = [
+            self._ledger_link_fault,
+            self._ledger_link_fault,
+            self._reset_ledger,
+            self._silence_open_to_store,
             self._kill_ledger_node,
             self._wipe_ledger_node,
             self._pause_ledger_node,
             self._stop_ledger_node,
             self._fill_disk,
             self._kill_all_ledger_nodes,
-            self._kill_gateway,
-            self._stop_gateway,
-            self._pause_gateway,
+            self._two_leaders_in_a_row,
+            self._two_leaders_in_a_row,
             self._store_fault,
-            self._crash_sampler,
-            self._sampler_fault,
         ]
         give_up_at = steady_time() + seconds
+        storm = False
+        turns_at = 0.0
         while steady_time() < give_up_at:
+            if steady_time() >= turns_at:
+                storm = not storm
+                turns_at = steady_time() + self._rng.uniform(*(STORM_S if storm else LULL_S))
+            faults = of_ledger if storm and self._rng.random() < 0.7 else beside_ledger
             self._spawn(self._rng.choice(faults))
-            await asyncio.sleep(self._rng.uniform(*PAUSE_S))
+            await asyncio.sleep(self._rng.uniform(*(STORM_PAUSE_S if storm else LULL_PAUSE_S)))
         if self._tasks:
             await asyncio.wait(self._tasks)
 
@@ -83,31 +118,59 @@
 
     # Links.
 
-    async def _link_fault(self) -> str:
-        name = self._rng.choice(sorted(self._deployment.links))
-        loses_node = name.startswith("to ledger")
-        if loses_node and not self._may_lose():
+    def _any_link(self, of_ledger: bool) -> str:
+        """A link of the ledger, to its nodes or from them to the store, or any other."""
+        names = sorted(name for name in self._deployment.links if _is_of_ledger(name) == of_ledger)
+        name = self._rng.choice(names)
+        return f"to {self._any_ledger_node()}" if name.startswith("to ledger") else name
+
+    async def _outer_link_fault(self) -> str:
+        return await self._link_fault(self._any_link(of_ledger=False))
+
+    async def _ledger_link_fault(self) -> str:
+        name = self._any_link(of_ledger=True)
+        if name.startswith("to ledger") and not self._may_lose():
             return ""
+        return await self._link_fault(name)
+
+    async def _link_fault(self, name: str) -> str:
         fault = self._rng.choice(LINK_FAULTS)
         lasts_s = self._lasts_s()
-        if loses_node:
+        if name.startswith("to ledger"):
             self._lose(lasts_s)
-        self._deployment.links[name].set(fault, self._rng.uniform(*DELAYS_S))
-        await asyncio.sleep(lasts_s)
-        self._deployment.links[name].set(LinkFault.NONE)
+        await self._disturb_link(name, fault, lasts_s)
         return f"{name}: {fault.value}"
 
-    async def _reset(self) -> str:
-        name = self._rng.choice(sorted(self._deployment.links))
-        self._deployment.reset(name)
+    async def _disturb_link(self, name: str, fault: LinkFault, lasts_s: float) -> None:
+        link = self._deployment.links[name]
+        with self._record.disturbances.at(_place(name)):
+            link.set(fault, self._rng.uniform(*DELAYS_S))
+            await asyncio.sleep(lasts_s)
+            link.set(LinkFault.NONE)
+
+    async def _reset_outer(self) -> str:
+        return self._reset(self._any_link(of_ledger=False))
+
+    async def _reset_ledger(self) -> str:
+        return self._reset(self._any_link(of_ledger=True))
+
+    def _reset(self, name: str) -> str:
+        with self._record.disturbances.at(_place(name)):
+            self._deployment.reset(name)
         return f"{name}: connections reset"
 
-    async def _silence_open(self) -> str:
-        # Not between ledger nodes: frames go one way there, and only unacknowledged bytes show the
-        # silence. This proxy acknowledges whatever it throws away.
-        links = [name for name in self._deployment.links if not name.startswith("to ledger")]
-        name = self._rng.choice(sorted(links))
-        self._deployment.stall_open_connections(name)
+    # Not between ledger nodes: frames go one way there, and only unacknowledged bytes show the
+    # silence. This proxy acknowledges whatever it throws away.
+
+    async def _silence_open_outer(self) -> str:
+        return self._silence_open(self._any_link(of_ledger=False))
+
+    async def _silence_open_to_store(self) -> str:
+        return self._silence_open(f"{self._any_ledger_node()} to store")
+
+    def _silence_open(self, name: str) -> str:
+        with self._record.disturbances.at(_place(name)):
+            self._deployment.stall_open_connections(name)
         return f"{name}: what was open is silent for good"
 
     # Ledger nodes.
@@ -118,31 +181,46 @@
     def _lose(self, lasts_s: float) -> None:
         self._lost_until = steady_time() + lasts_s + CATCH_UP_S
 
+    def _ledger_nodes(self) -> list[str]:
+        return [name for name in sorted(self._deployment.programs) if name.startswith("ledger")]
+
     def _any_ledger_node(self) -> str:
-        return self._rng.choice(
-            [name for name in sorted(self._deployment.programs) if name.startswith("ledger")]
-        )
+        leader = self._deployment.leader()
+        if leader is not None and self._rng.random() < LEADER_SHARE:
+            return leader
+        return self._rng.choice(self._ledger_nodes())
 
     async def _kill_ledger_node(self) -> str:
         if not self._may_lose():
             return ""
         name, lasts_s = self._any_ledger_node(), self._lasts_s()
         self._lose(lasts_s)
-        await self._deployment.programs[name].kill()
-        self._deployment.tear_journal(name)
-        await asyncio.sleep(lasts_s)
-        self._deployment.programs[name].start()
+        await self._kill(name, lasts_s)
         return f"{name}: killed, its journal torn"
 
+    async def _kill(self, name: str, lasts_s: float) -> None:
+        with self._record.disturbances.at(LEDGER):
+            await self._deployment.programs[name].kill()
+            self._deployment.tear_journal(name)
+            await asyncio.sleep(lasts_s)
+            await self._start_ledger_nodes(name)
+
+    async def _start_ledger_nodes(self, *names: str) -> None:
+        programs = [self._deployment.programs[name] for name in names]
+        for program in programs:
+            program.start()
+        await asyncio.gather(*(program.started() for program in programs))
+
     async def _wipe_ledger_node(self) -> str:
         if not self._may_lose():
             return ""
         name, lasts_s = self._any_ledger_node(), self._lasts_s()
         self._lose(lasts_s)
-        await self._deployment.programs[name].kill()
-        self._deployment.wipe(name)
-        await asyncio.sleep(lasts_s)
-        self._deployment.programs[name].start()
+        with self._record.disturbances.at(LEDGER):
+            await self._deployment.programs[name].kill()
+            self._deployment.wipe(name)
+            await asyncio.sleep(lasts_s)
+            await self._start_ledger_nodes(name)
         return f"{name}: its disk lost"
 
     async def _pause_ledger_node(self) -> str:
@@ -150,17 +228,53 @@
             return ""
         name, lasts_s = self._any_ledger_node(), self._lasts_s()
         self._lose(lasts_s)
-        self._deployment.programs[name].pause()
-        await asyncio.sleep(lasts_s)
-        self._deployment.programs[name].resume()
+        await self._pause(name, lasts_s)
         return f"{name}: paused"
 
+    async def _pause(self, name: str, lasts_s: float) -> None:
+        with self._record.disturbances.at(LEDGER):
+            self._deployment.programs[name].pause()
+            await asyncio.sleep(lasts_s)
+            self._deployment.programs[name].resume()
+
     async def _stop_ledger_node(self) -> str:
         if not self._may_lose():
             return ""
         name = self._any_ledger_node()
         self._lose(1.0)
-        return await self._stop(name)
+        return await self._stop(name, LEDGER)
+
+    async def _two_leaders_in_a_row(self) -> str:
+        """The second one goes as soon as it leads, mostly before the first one is back."""
+        first = self._deployment.leader()
+        if first is None or not self._may_lose():
+            return ""
+        self._lost_until = float("inf")
+        loop = asyncio.get_running_loop()
+        first_strike = loop.create_task(self._strike(first))
+        give_up_at = steady_time() + ELECTION_S
+        while self._deployment.leader() == first and steady_time() < give_up_at:
+            await asyncio.sleep(0.05)
+        second = self._deployment.leader() or first
+        if second == first:
+            await first_strike
+        told = await self._strike(second)
+        told = f"{await first_strike}, then {told}"
+        self._lose(0.0)
+        return told
+
+    async def _strike(self, name: str) -> str:
+        lasts_s = self._lasts_s()
+        how = self._rng.choice(["paused", "killed", "cut off", "stopped"])
+        if how == "paused":
+            await self._pause(name, lasts_s)
+        elif how == "killed":
+            await self._kill(name, lasts_s)
+        elif how == "cut off":
+            await self._disturb_link(f"to {name}", LinkFault.SILENT, lasts_s)
+        else:
+            await self._stop(name, LEDGER)
+        return f"{name}: led, {how}"
 
     async def _fill_disk(self) -> str:
         if not self._may_lose():
@@ -168,20 +282,21 @@
         name, lasts_s = self._any_ledger_node(), self._lasts_s()
         self._lose(lasts_s)
         program = self._deployment.programs[name]
-        program.refuse_writes(True)
-        await asyncio.sleep(lasts_s)
-        program.refuse_writes(False)
+        with self._record.disturbances.at(LEDGER):
+            program.refuse_writes(True)
+            await asyncio.sleep(lasts_s)
+            program.refuse_writes(False)
         return f"{name}: its disk refuses writes"
 
     async def _kill_all_ledger_nodes(self) -> str:
         if not self._may_lose() or self._rng.random() < 0.5:
             return ""
-        names = [name for name in sorted(self._deployment.programs) if name.startswith("ledger")]
+        names = self._ledger_nodes()
         self._lose(1.0)
-        await asyncio.gather(*(self._deployment.programs[name].kill() for name in names))
-        await asyncio.sleep(self._rng.uniform(0.1, 1.0))
-        for name in names:
-            self._deployment.programs[name].start()
+        with self._record.disturbances.at(LEDGER):
+            await asyncio.gather(*(self._deployment.programs[name].kill() for name in names))
+            await asyncio.sleep(self._rng.uniform(0.1, 1.0))
+            await self._start_ledger_nodes(*names)
         return "all ledger nodes: killed"
 
     # Gateways.
@@ -196,26 +311,44 @@
         if name in self._ending or not self._deployment.programs[name].running:
             return ""
         self._ending.add(name)
-        await self._deployment.programs[name].kill()
-        await asyncio.sleep(self._rng.uniform(0.1, 1.0))
-        self._deployment.programs[name].start()
-        self._ending.discard(name)
+        program = self._deployment.programs[name]
+        with self._record.disturbances.at(name):
+            await program.kill()
+            await asyncio.sleep(self._rng.uniform(0.1, 1.0))
+            program.start()
+            self._ending.discard(name)
+            await program.started()
         return f"{name}: killed"
 
     async def _stop_gateway(self) -> str:
-        name = self._any_gateway()
+        return await self._stop_one_gateway(self._any_gateway())
+
+    async def _stop_one_gateway(self, name: str) -> str:
         if name in self._ending or not self._deployment.programs[name].running:
             return ""
         self._ending.add(name)
-        told = await self._stop(name)
+        told = await self._stop(name, name)
         self._ending.discard(name)
         return told
 
-    async def _stop(self, name: str) -> str:
+    async def _roll_gateways(self) -> str:
+        """One after another, the next one before the last one is back."""
+        names = [name for name in sorted(self._deployment.programs) if name.startswith("gateway")]
+        self._rng.shuffle(names)
+        stops: list[asyncio.Task[str]] = []
+        for name in names[:MOST_ROLLED]:
+            stop = asyncio.get_running_loop().create_task(self._stop_one_gateway(name))
+            stops.append(stop)
+            await asyncio.sleep(self._rng.uniform(0.1, 1.5))
+        return ", ".join(filter(None, await asyncio.gather(*stops)))
+
+    async def _stop(self, name: str, place: str) -> str:
         program = self._deployment.programs[name]
-        if not await program.terminate():
-            self._record.breaks("a stopped program ends in time", name)
-        program.start()
+        with self._record.disturbances.at(place):
+            if not await program.terminate():
+                self._record.breaks("a stopped program ends in time", name)
+            program.start()
+            await program.started()
         return f"{name}: stopped and started"
 
     async def _pause_gateway(self) -> str:
@@ -223,9 +356,10 @@
         program = self._deployment.programs[name]
         if not program.running or program.paused:
             return ""
-        program.pause()
-        await asyncio.sleep(lasts_s)
-        program.resume()
+        with self._record.disturbances.at(name):
+            program.pause()
+            await asyncio.sleep(lasts_s)
+            program.resume()
         return f"{name}: paused"
 
     # The store and samplers.
@@ -234,10 +368,11 @@
         lasts_s = self._lasts_s()
         fault = self._rng.choice(["down_s", "delay_s", "lost_answer_probability"])
         amount = {"down_s": lasts_s, "delay_s": 0.2, "lost_answer_probability": 0.4}[fault]
-        await self._deployment.set_store_faults({fault: amount})
-        await asyncio.sleep(lasts_s)
-        if fault != "down_s":
-            await self._deployment.set_store_faults({fault: 0.0})
+        with self._record.disturbances.at(LEDGER):
+            await self._deployment.set_store_faults({fault: amount})
+            await asyncio.sleep(lasts_s)
+            if fault != "down_s":
+                await self._deployment.set_store_faults({fault: 0.0})
         return f"store: {fault} {amount:.1f}"
 
     async def _crash_sampler(self) -> str:
--- a/tests/soak/programs.py
+++ b/tests/soak/programs.py
@@ -10,12 +10,15 @@
 import sys
 from pathlib import Path
 
+import msgspec
+
 from stileloom.clock import steady_time
 
 KILL_WAIT_S = 10.0
 GRACE_S = 8.0
 STARTED = b'"event": "node_started"'
 """A program logs this once its handlers of signals stand."""
+ELECTED = b'"event": "leader_elected"'
 
 
 class Program:
@@ -71,6 +74,17 @@
                 stdin=subprocess.DEVNULL,
             )
 
+    async def started(self) -> None:
+        """Returns once this life logged its start, or has ended."""
+        while self.running and STARTED not in self.log_file.read_bytes()[self._life_begins :]:
+            await asyncio.sleep(0.05)
+
+    def newest_epoch(self) -> int:
+        """The last epoch in which this ledger node was elected; 0 if it never was."""
+        log = self.log_file.read_bytes() if self.log_file.exists() else b""
+        lines = [line for line in log.splitlines() if ELECTED in line]
+        return int(msgspec.json.decode(lines[-1])["epoch"]) if lines else 0
+
     def ended_by_itself(self) -> int | None:
         """The exit code of a process that nobody told to end, or None."""
         if self._process is None or self._ended_by_us:
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -7,7 +7,8 @@
 import msgspec
 
 from stileloom.clock import steady_time
-from stileloom.emulator.http_sampler import HttpSampler, expected_events
+from stileloom.emulator.http_sampler import HttpSampler, RunRecord, expected_events
+from tests.soak.job_ends import CANCEL_S, LEDGER, Disturbances
 
 EVENTS = 40
 Result = tuple[str, str, str, tuple[int, ...], str]
@@ -30,7 +31,15 @@
     """Whether its items have reward calls."""
     results: dict[int, Result] = msgspec.field(default_factory=dict)
     """What was read, by position."""
-    ended: bool = False
+    end_asked_at: float | None = None
+    """When its end was first asked."""
+    end_answered_at: float | None = None
+    """When an attempt at its end was answered with success."""
+
+    @property
+    def ended(self) -> bool:
+        """Whether its end was asked."""
+        return self.end_asked_at is not None
 
     @property
     def complete(self) -> bool:
@@ -41,8 +50,9 @@
 class Record:
     """All that was observed. A broken promise stands in `broken` with its facts."""
 
-    def __init__(self) -> None:
+    def __init__(self, gateways: list[str] | None = None) -> None:
         self.broken: list[str] = []
+        self.disturbances = Disturbances(gateways or [])
         self.jobs: dict[str, TakenJob] = {}
         self.counts: collections.Counter[str] = collections.Counter()
         self.samplers: list[HttpSampler] = []
@@ -130,6 +140,7 @@
                     self.breaks("requests are unchanged", run.request_id)
             self._judge_orders(sampler)
         self._judge_rewards()
+        self._judge_ends()
         for request_id in self._unsafe:
             if runs[request_id] > 1:
                 self.breaks("unsafe requests run once", f"{request_id}: {runs[request_id]}")
@@ -152,6 +163,52 @@
                 if run.started_at < first.get(run.request_id, float("inf")):
                     self.breaks("rewards are asked for whole texts", run.request_id)
 
+    def _judge_ends(self) -> None:
+        """No item or reward call of an ended job reaches a sampler after its last moment."""
+        jobs = {item: job for job in self.jobs.values() if job.ended for item in job.items}
+        jobs |= {reward_id(item): job for item, job in jobs.items()}
+        last_moments: dict[str, float] = {}
+        late: dict[str, list[tuple[float, RunRecord, HttpSampler]]] = collections.defaultdict(list)
+        for sampler in self.samplers:
+            for run in sampler.runs:
+                job = jobs.get(run.request_id)
+                if job is None or job.end_asked_at is None:
+                    continue
+                if run.started_at <= job.end_asked_at:
+                    continue
+                self.counts["runs after an end was asked"] += 1
+                if job.job_id not in last_moments:
+                    last_moments[job.job_id] = self._last_moment(job, job.end_asked_at)
+                late_s = run.started_at - last_moments[job.job_id]
+                if late_s > 0 and self._sender_in_touch(run, sampler):
+                    late[job.job_id].append((late_s, run, sampler))
+        for job_id, runs in late.items():
+            job = self.jobs[job_id]
+            late_s, run, sampler = max(runs, key=lambda entry: entry[0])
+            self.breaks(
+                "runs do not begin after their job has ended",
+                (
+                    f"{job_id}: {len(runs)} runs, the last {late_s:.2f} s late: {run.request_id} "
+                    f"at {sampler.sampler_id}, {self._seconds(run.started_at)}; "
+                    f"end asked {self._seconds(job.end_asked_at)}, "
+                    f"answered {self._seconds(job.end_answered_at)}, "
+                    f"last moment {self._seconds(last_moments[job_id])}"
+                ),
+            )
+
+    def _last_moment(self, job: TakenJob, asked_at: float) -> float:
+        due_at = self.disturbances.due_at(asked_at)
+        answered_at = job.end_answered_at
+        return (due_at if answered_at is None else min(answered_at, due_at)) + CANCEL_S
+
+    def _sender_in_touch(self, run: RunRecord, sampler: HttpSampler) -> bool:
+        """Whether its sender must have known. Which ledger node sent it is not seen."""
+        places = (LEDGER, f"to {sampler.sampler_id}")
+        return all(self.disturbances.in_touch(run.started_at, place) for place in places)
+
+    def _seconds(self, at: float | None) -> str:
+        return "never" if at is None else f"at {at - self._started_at:.2f} s"
+
     def _judge_orders(self, sampler: HttpSampler) -> None:
         holders: dict[int, set[str]] = collections.defaultdict(set)
         for order in sampler.orders:
--- a/tests/test_soak_parts.py
+++ b/tests/test_soak_parts.py
@@ -11,6 +11,8 @@
 from stileloom.api.dialect import LoadOrder, LoadStrategy
 from stileloom.emulator.http_sampler import HttpSampler, RunRecord, expected_events
 from stileloom.http.native_dialect import NativeDialect
+from tests.soak.job_ends import ACK_S, CANCEL_S, CONTACT_S, LEDGER, Disturbances
+from tests.soak.kept_connection import UNKNOWN_STATUS, KeptConnection
 from tests.soak.loopback_proxy import Link, LinkFault, TcpProxy
 from tests.soak.record import EVENTS, Record, TakenJob, reward_id
 
@@ -169,6 +171,117 @@
         self.assertEqual(["rewards are asked for whole texts"], self.broken(record))
 
 
+class JobEndTest(testtools.TestCase):
+    """What begins at a sampler after its job has ended, or was to end."""
+
+    LATE = "runs do not begin after their job has ended"
+
+    def judged(
+        self,
+        started_at: float,
+        answered_at: float | None = None,
+        disturbed: tuple[str, float, float] | None = None,
+        request_id: str = "a",
+    ) -> list[str]:
+        """Judges one run of a job whose end was asked at 10 s; the promises it breaks."""
+        record = Record()
+        sampler = HttpSampler("s", {"m": 1})
+        sampler.completed_at["a"] = 9.0
+        record.samplers.append(sampler)
+        job = TakenJob("j", ["a", "b"], 1, 0.0, end_asked_at=10.0, end_answered_at=answered_at)
+        record.took_job(job)
+        if disturbed is not None:
+            record.disturbances.add(*disturbed)
+        sampler.runs.append(RunRecord(request_id, "/a", b"", None, started_at))
+        record.judge_samplers()
+        return [line.split(" s ", 1)[1].split(":")[0] for line in record.broken]
+
+    def test_a_late_item_of_an_acknowledged_end_is_seen(self) -> None:
+        self.assertEqual([self.LATE], self.judged(11.0 + CANCEL_S + 0.01, answered_at=11.0))
+
+    def test_a_late_reward_call_of_an_acknowledged_end_is_seen(self) -> None:
+        late_at = 11.0 + CANCEL_S + 0.01
+        self.assertEqual([self.LATE], self.judged(late_at, 11.0, request_id=reward_id("a")))
+
+    def test_an_item_within_the_bound_is_allowed(self) -> None:
+        self.assertEqual([], self.judged(11.0 + CANCEL_S - 0.01, answered_at=11.0))
+
+    def test_a_late_item_of_an_end_that_was_never_acknowledged_is_seen(self) -> None:
+        due_at = 10.0 + ACK_S + CANCEL_S
+        self.assertEqual([self.LATE], self.judged(due_at + 0.01))
+        self.assertEqual([], self.judged(due_at - 0.01))
+
+    def test_an_acknowledgement_after_it_was_due_does_not_extend_the_bound(self) -> None:
+        late_at = 10.0 + ACK_S + CANCEL_S + 0.01
+        self.assertEqual([self.LATE], self.judged(late_at, answered_at=late_at - 1.0))
+
+    def test_a_sender_that_was_disturbed_within_the_contact_time_does_not_count(self) -> None:
+        started_at = 11.0 + CANCEL_S + 5.0
+        for place in (LEDGER, "to s"):
+            for ended_at, broken in (
+                (started_at + 1.0, []),
+                (started_at - CONTACT_S + 0.01, []),
+                (started_at - CONTACT_S - 0.01, [self.LATE]),
+            ):
+                disturbed = (place, 11.5, ended_at)
+                self.assertEqual(broken, self.judged(started_at, 11.0, disturbed))
+
+    def test_a_disturbed_gateway_or_another_sampler_excuses_nothing(self) -> None:
+        for place in ("gateway-1", "to t"):
+            disturbed = (place, 10.0, 20.0)
+            self.assertEqual([self.LATE], self.judged(11.0 + CANCEL_S + 0.01, 11.0, disturbed))
+
+    def test_only_steady_time_counts_until_an_end_is_due(self) -> None:
+        disturbances = Disturbances(["gateway-1", "gateway-2"])
+        self.assertEqual(10.0 + ACK_S, disturbances.due_at(10.0))
+        disturbances.add(LEDGER, 5.0, 8.0)
+        self.assertEqual(8.0 + CONTACT_S + ACK_S, disturbances.due_at(10.0))
+        disturbances.add(LEDGER, 12.0, 13.0)
+        self.assertEqual(13.0 + CONTACT_S + ACK_S - 1.0, disturbances.due_at(10.0))
+        disturbances.add(LEDGER, 12.5, 12.6)
+        self.assertEqual(13.0 + CONTACT_S + ACK_S - 1.0, disturbances.due_at(10.0))
+
+    def test_only_time_in_which_every_gateway_is_gone_delays_the_due_end(self) -> None:
+        disturbances = Disturbances(["gateway-1", "gateway-2"])
+        disturbances.add("gateway-1", 10.0, 12.0)
+        self.assertEqual(10.0 + ACK_S, disturbances.due_at(10.0))
+        disturbances.add("gateway-2", 11.0, 13.0)
+        self.assertEqual(11.0 + ACK_S, disturbances.due_at(10.0))
+
+
+class KeptConnectionTest(testtools.TestCase):
+    """The client that does not heed announcements of a close."""
+
+    def test_the_connection_is_used_until_it_breaks(self) -> None:
+        """A server that announces a close and does not close gets the next request all the same."""
+        opened: list[asyncio.StreamWriter] = []
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            opened.append(writer)
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                body = await reader.readexactly(2)
+                if head.startswith(b"POST /close"):
+                    break
+                answer = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\n"
+                writer.write(answer + body)
+            writer.close()
+
+        async def run() -> list[tuple[int, bytes]]:
+            server = await asyncio.start_server(serve, HOST, 0)
+            connection = KeptConnection(*server.sockets[0].getsockname()[:2])
+            answers = [
+                await connection.post(target, {"Host": "h"}, body, 5.0)
+                for target, body in (("/1", b"aa"), ("/2", b"bb"), ("/close", b"cc"), ("/3", b"dd"))
+            ]
+            connection.close()
+            server.close()
+            return answers
+
+        answers = asyncio.run(run())
+        self.assertEqual([(200, b"aa"), (200, b"bb"), (UNKNOWN_STATUS, b""), (200, b"dd")], answers)
+        self.assertEqual(2, len(opened))
+
+
 class SamplerTest(testtools.TestCase):
     """The stand-in for a sampler."""
 
