--- a/tests/soak/programs.py
+++ b/tests/soak/programs.py
@@ -132,5 +132,9 @@
         os.kill(process.pid, number)
         give_up_at = steady_time() + wait_s
         while process.poll() is None and steady_time() < give_up_at:
+            looked_at = steady_time()
             await asyncio.sleep(0.02)
+            if self.paused:
+                # Another fault paused it meanwhile; it can end only once it goes on.
+                give_up_at += steady_time() - looked_at
         return process.poll()
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -166,6 +166,10 @@
     def _judge_ends(self) -> None:
         """No item or reward call of an ended job reaches a sampler after its last moment."""
         jobs = {item: job for job in self.jobs.values() if job.ended for item in job.items}
+        for job in self.jobs.values():
+            if job.end_asked_at is not None and job.end_answered_at is not None:
+                due_at = self.disturbances.due_at(job.end_asked_at)
+                self.counts["ends answered after they were due"] += job.end_answered_at > due_at
         jobs |= {reward_id(item): job for item, job in jobs.items()}
         last_moments: dict[str, float] = {}
         late: dict[str, list[tuple[float, RunRecord, HttpSampler]]] = collections.defaultdict(list)
