--- a/stileloom/jobs/service.py
+++ b/stileloom/jobs/service.py
@@ -16,9 +16,11 @@
     JobReply,
     JobRequest,
     JobTaken,
+    Leading,
     NoSuchJob,
     NotLeader,
     OutcomeUnknown,
+    ProbeLeaderCall,
     ReadItemCall,
     ReadResultsCall,
     ResultsRead,
@@ -69,6 +71,8 @@
         """Handles one call."""
         if not self._ledger.is_active_leader():
             return self._not_leader()
+        if isinstance(request, ProbeLeaderCall):
+            return Leading()
         if isinstance(request, SubmitJobCall):
             return await self._submit(request)
         if isinstance(request, ReadResultsCall):
@@ -156,6 +160,8 @@
         if job is None:
             return NoSuchJob()
         if not job.ended:
+            if self.runner is not None:
+                self.runner.stop_job(request.job_id)
             try:
                 result = await self._ledger.propose(EndJob(request.job_id))
             except StileloomError:
