Test repeated ends and submissions whose answers are lost

The answer is lost after the commit and the end is repeated at another gateway; the submission is repeated after the end; the end reaches a leader that inherited the submission as an uncommitted entry and never answered it.

The third case first failed with 404 since the test took any uncommitted entry for the submission; it now waits for the submission itself at both other replicas.

--- a/tests/test_job_ends.py
+++ b/tests/test_job_ends.py
@@ -19,6 +19,7 @@
 from stileloom.jobs.client import JobClient, LedgerNodes
 from stileloom.jobs.messages import EndJobCall, JobEnded, NotLeader
 from stileloom.jobs.registry import JobRecord
+from stileloom.ledger.commands import SubmitJob
 from stileloom.logging import EventLog, configure_logs
 from stileloom.quarantine.messages import QuarantineListed, WatchQuarantineCall
 from stileloom.transport.call_frames import Reply, Request
@@ -37,6 +38,7 @@
 """Time after a leader can be reached by which an end that a gateway has taken is committed."""
 SCHEDULING_MARGIN_S = 0.3
 WATCH_WAIT_S = 2.0
+MAX_ENTRIES = 1000
 NODES = 13
 JOB = "job"
 ITEMS = [f"item-{number}" for number in range(8)]
@@ -110,6 +112,14 @@
     return any(job is not None and job.ended for job in jobs)
 
 
+def holds_uncommitted_job(node: LedgerNode) -> bool:
+    """Whether a replica's log holds the submission of the job, not known to be committed."""
+    assert node._driver is not None
+    replica = node._driver.replica
+    entries = replica._log.after(replica.commit_index, MAX_ENTRIES)
+    return any(isinstance(entry.command, SubmitJob) for entry in entries)
+
+
 async def open_job(cluster: ServiceCluster) -> None:
     """Submits a job whose items never finish; every gateway then knows the leader."""
     for name in ("draft-1", "draft-2"):
@@ -141,6 +151,64 @@
         with_cluster(scenario)
 
 
+class RepeatedEndTest(testtools.TestCase):
+    """Ends and submissions whose answers are lost, so that callers repeat them elsewhere."""
+
+    def test_an_end_whose_answer_is_lost_is_confirmed_by_another_gateway(self) -> None:
+        async def scenario(cluster: ServiceCluster) -> None:
+            await open_job(cluster)
+            leader = leader_of(cluster)
+            answers: list[Reply] = []
+
+            async def lose_first_answer(request: Request) -> Reply:
+                reply = await leader._handle_call(request)
+                if isinstance(request, EndJobCall):
+                    answers.append(reply)
+                    if len(answers) == 1:
+                        return await never_answer(request)
+                return reply
+
+            set_call_handler(leader, lose_first_answer)
+            self.assertEqual(0, await ask_for_end(cluster, gateway=0, wait_s=0.5))
+            self.assertEqual(200, await ask_for_end(cluster, gateway=1))
+            self.assertEqual([JobEnded()] * 2, answers)
+
+        with_cluster(scenario)
+
+    def test_a_repeated_submission_does_not_reopen_an_ended_job(self) -> None:
+        async def scenario(cluster: ServiceCluster) -> None:
+            await open_job(cluster)
+            self.assertEqual(200, await ask_for_end(cluster, gateway=1))
+            runs = sum(len(sampler.runs) for sampler in cluster.samplers.values())
+            self.assertEqual(202, (await cluster.submit(JOB, ITEMS)).code)
+            await asyncio.sleep(COMMIT_BOUND_S)
+            self.assertTrue(end_committed(cluster))
+            started = sum(len(sampler.runs) for sampler in cluster.samplers.values()) - runs
+            self.assertEqual(0, started)
+
+        with_cluster(scenario)
+
+    def test_an_end_is_known_to_a_leader_that_never_answered_the_submission(self) -> None:
+        """Guards against a 404 for a job that an earlier leader stored but did not commit."""
+
+        async def scenario(cluster: ServiceCluster) -> None:
+            first = leader_of(cluster)
+            others = [node for node in cluster.ledger_nodes.values() if node is not first]
+            assert first._driver is not None
+            # The leader's entries reach the others, whose confirmations are lost.
+            first._driver._network._on_message = lambda sender, message: None
+            submission = asyncio.create_task(cluster.submit(JOB, ITEMS))
+            await cluster.wait_until(lambda: all(holds_uncommitted_job(node) for node in others))
+            self.assertIsNone(job_at(first))
+            silence(first)
+            await cluster.wait_until(lambda: any(node.is_active_leader() for node in others))
+            self.assertEqual(200, await ask_for_end(cluster, gateway=1, wait_s=TIMEOUT_S))
+            self.assertEqual(202, (await submission).code)
+            self.assertTrue(end_committed(cluster))
+
+        with_cluster(scenario)
+
+
 class LeaderSearchTest(testtools.TestCase):
     """How long a client searches for the leader among nodes that are lost or name a lost one."""
 
