--- a/stileloom/daemon/gateway.py
+++ b/stileloom/daemon/gateway.py
@@ -20,7 +20,8 @@
 from stileloom.daemon.signals import handle_signals
 from stileloom.errors import StileloomError
 from stileloom.events import LogEvent
-from stileloom.jobs.client import JobClient, LedgerNodes
+from stileloom.jobs.client import JobClient
+from stileloom.jobs.leader_search import LedgerNodes
 from stileloom.logging import EventLog
 from stileloom.proxy.forwarder import Forwarder
 from stileloom.proxy.front import GatewayServer
@@ -166,6 +167,7 @@
 
     def abort(self) -> None:
         """Stops background work and closes the connections to ledger nodes."""
+        self.front.stop()
         self.directory.stop()
         self._guard.stop()
         self._jobs.close()
@@ -185,7 +187,7 @@
         # New requests are rejected from here on: one that arrives while its connection is closed
         # has not run.
         self.front.closing = True
-        while self.front.open_requests and steady_time() < deadline:
+        while (self.front.open_requests or self.front.pending_ends) and steady_time() < deadline:
             await asyncio.sleep(DRAIN_POLL_S)
         self._log.emit(LogEvent.DRAIN_FINISHED, {"open": self.front.open_requests})
 
--- a/stileloom/transport/calls.py
+++ b/stileloom/transport/calls.py
@@ -7,15 +7,19 @@
 import socket
 import struct
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import msgspec
 
+from stileloom.clock import steady_time
 from stileloom.transport.call_frames import CallFrame, Reply, ReplyFrame, Request
 from stileloom.transport.compression import pack, unpack
 
 FRAME_HEADER = struct.Struct(">I")
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 CONNECT_TIMEOUT_S = 0.5
+SILENCE_S = 1.0
+"""A connection without any reply for this long is closed when a call on it times out."""
 TCP_USER_TIMEOUT_MS = 1500
 
 _CALL_DECODER = msgspec.msgpack.Decoder(CallFrame)
@@ -158,6 +162,7 @@
         self._transport: asyncio.Transport | None = None
         self._pending: dict[int, asyncio.Future[Reply]] = {}
         self._next_number = 1
+        self._last_reply_at = float("-inf")
 
     @classmethod
     async def open(cls, address: tuple[str, int]) -> CallConnection:
@@ -193,6 +198,7 @@
         except (ValueError, msgspec.DecodeError):
             self.close()
             return
+        self._last_reply_at = steady_time()
         for frame in frames:
             future = self._pending.pop(frame.number, None)
             if future is not None and not future.done():
@@ -211,11 +217,14 @@
         self._next_number += 1
         future: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
         self._pending[number] = future
+        sent_at = steady_time()
         self._transport.write(encode_frame(CallFrame(number, request)))
         try:
             async with asyncio.timeout(timeout_s):
                 return await future
         except TimeoutError as error:
+            if steady_time() >= max(sent_at, self._last_reply_at) + SILENCE_S:
+                self.close()
             raise CallFailed(f"no reply within {timeout_s:g} s", sent=True) from error
         finally:
             self._pending.pop(number, None)
@@ -230,32 +239,41 @@
 
     def __init__(self) -> None:
         self._connections: dict[tuple[str, int], CallConnection] = {}
-        self._connect_locks: dict[tuple[str, int], asyncio.Lock] = {}
+        self._attempts: dict[tuple[str, int], asyncio.Task[CallConnection]] = {}
+        """Connection attempts in progress; concurrent calls to an address wait for the same one."""
 
     async def call(self, address: tuple[str, int], request: Request, timeout_s: float) -> Reply:
-        """Calls a node. Closes the connection if no reply arrives. Raises `CallFailed`."""
+        """Calls a node. Raises `CallFailed`."""
         connection = await self._get_connection(address)
-        try:
-            return await connection.call(request, timeout_s)
-        except CallFailed as failure:
-            if failure.sent:
-                connection.close()
-            raise
+        return await connection.call(request, timeout_s)
 
     async def _get_connection(self, address: tuple[str, int]) -> CallConnection:
-        lock = self._connect_locks.setdefault(address, asyncio.Lock())
-        async with lock:
-            connection = self._connections.get(address)
-            if connection is not None and connection.usable:
-                return connection
-            try:
-                connection = await CallConnection.open(address)
-            except (OSError, TimeoutError) as error:
-                raise CallFailed(type(error).__name__, sent=False) from error
-            self._connections[address] = connection
+        connection = self._connections.get(address)
+        if connection is not None and connection.usable:
             return connection
+        attempt = self._attempts.get(address) or self._start_attempt(address)
+        try:
+            # Shielded, because other calls may wait for the attempt when this one is cancelled.
+            return await asyncio.shield(attempt)
+        except (OSError, TimeoutError) as error:
+            raise CallFailed(type(error).__name__, sent=False) from error
+
+    def _start_attempt(self, address: tuple[str, int]) -> asyncio.Task[CallConnection]:
+        attempt = asyncio.get_running_loop().create_task(CallConnection.open(address))
+        self._attempts[address] = attempt
+        attempt.add_done_callback(partial(self._on_attempt_done, address))
+        return attempt
+
+    def _on_attempt_done(
+        self, address: tuple[str, int], attempt: asyncio.Task[CallConnection]
+    ) -> None:
+        del self._attempts[address]
+        if not attempt.cancelled() and attempt.exception() is None:
+            self._connections[address] = attempt.result()
 
     def close(self) -> None:
-        """Closes all connections."""
+        """Closes all connections and cancels attempts, with the calls that wait for them."""
+        for attempt in self._attempts.values():
+            attempt.cancel()
         for connection in self._connections.values():
             connection.close()
