Mutants: ends of jobs, leader search, bounded state

Eight breaks of what was changed for ended jobs, each caught by its named test in a run of these eight: an end cancelled with its caller, items started until the end is committed, a gateway that waits for a silent leader, a time-out that breaks off other calls, requests of ended jobs kept in the state, ages that begin anew, a submission that arrives after its end, a held-up request that arrives late.

--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -38,8 +38,77 @@
 BOOK = "tests/test_quarantine_book.py"
 CANCELLATION = "tests/test_cancellation.py"
 ADMISSION = "tests/test_admission.py"
+END_DELIVERY = "tests/test_end_delivery.py"
+JOB_ENDS = "tests/test_job_ends.py"
+ABANDONED_WORK = "tests/test_abandoned_work.py"
 
 MUTANTS = [
+    Mutant(
+        "the end of a job is cancelled with its caller",
+        "no work after its job",
+        "stileloom/jobs/end_delivery.py",
+        "return await asyncio.shield(delivery)",
+        "return await delivery",
+        f"{END_DELIVERY}::EndDeliveryTest::"
+        "test_an_end_whose_caller_left_before_a_leader_was_found_still_ends_the_job",
+    ),
+    Mutant(
+        "the leader starts items until the end of their job is committed",
+        "no work after its job",
+        "stileloom/jobs/service.py",
+        "self.runner.stop_job(request.job_id)",
+        "pass",
+        f"{END_DELIVERY}::EndDeliveryTest::"
+        "test_no_item_starts_while_the_end_of_its_job_waits_for_a_majority",
+    ),
+    Mutant(
+        "a gateway waits for a silent leader although another node leads",
+        "an end finds the leader",
+        "stileloom/jobs/client.py",
+        "if not call.done() and search.result() not in (None, leader):",
+        "if not call.done() and search.result() is leader:",
+        f"{JOB_ENDS}::LeaderSearchTest::test_standbys_that_name_a_silent_node_hold_up_no_end",
+    ),
+    Mutant(
+        "a call that times out breaks off the others on its connection",
+        "an end finds the leader",
+        "stileloom/transport/calls.py",
+        "if steady_time() >= max(sent_at, self._last_reply_at) + SILENCE_S:",
+        "if steady_time() >= sent_at:",
+        "tests/test_call_connections.py",
+    ),
+    Mutant(
+        "the requests of an ended job stay in the replicated state",
+        "the state stays bounded",
+        "stileloom/jobs/registry.py",
+        "        job.submission = _without_requests(job.submission)\n",
+        "",
+        "tests/test_job_book.py",
+    ),
+    Mutant(
+        "the age of a job begins anew with each leader",
+        "no work after its job",
+        "stileloom/jobs/registry.py",
+        "job.age_s = max(job.age_s, age)",
+        "pass",
+        ABANDONED_WORK,
+    ),
+    Mutant(
+        "a submission that arrives after the end of its job runs",
+        "no work after its job",
+        "stileloom/jobs/registry.py",
+        "JobRecord(submission, ended=job_id in self.early_ends)",
+        "JobRecord(submission)",
+        ABANDONED_WORK,
+    ),
+    Mutant(
+        "a held-up request arrives after its exchange was given up",
+        "no work after its job",
+        "stileloom/abortive_close.py",
+        "        tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _DISCARD_AND_RESET)\n",
+        "        pass\n",
+        ABANDONED_WORK,
+    ),
     Mutant(
         "a suspected lookup takes the last sampler of its service",
         "poison requests",
