A new leader continues carried items from the texts that ended jobs saved

An item whose job ended before its text was listed, and which a later job carried again, ran from its first event if the leader changed in between. Saved events are kept with the ended job, but only the leader that had generated them used them.

The adoption of a job now takes the longest text that another job of the model has saved for the item, if this leader has none itself and the versions suit the job.

--- a/stileloom/jobs/intake.py
+++ b/stileloom/jobs/intake.py
@@ -1,10 +1,11 @@
-"""Adoption of a job by a leader: size estimates of its items and reusable results."""
+"""Adoption of a job by a leader: size estimates of its items, reusable results and saved texts."""
 
 from __future__ import annotations
 
 from stileloom.api.headers import HeaderNames
 from stileloom.api.jobs import FinishedItem, ItemState
 from stileloom.jobs.open_items import ItemSize
+from stileloom.jobs.partial_text import PartialText
 from stileloom.jobs.registry import JobRecord, JobRegistry
 
 MAX_TOKENS = 1e9
@@ -57,6 +58,20 @@
     return found
 
 
+def saved_texts(registry: JobRegistry, record: JobRecord) -> dict[str, PartialText]:
+    """Finds the longest saved text of other jobs for each item that this job reuses."""
+    wanted = {item.item_id for item in record.submission.items} - record.listed
+    found: dict[str, PartialText] = {}
+    for other_job in registry.jobs.values():
+        if other_job is record or other_job.submission.model != record.submission.model:
+            continue
+        for item_id in wanted & other_job.progress.keys():
+            saved = other_job.progress[item_id]
+            if item_id not in found or len(saved.parts) > len(found[item_id].parts):
+                found[item_id] = saved
+    return found
+
+
 def _tokens(text: str) -> float | None:
     """Parses a number of tokens; returns None if it is invalid."""
     try:
--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -22,7 +22,7 @@
 from stileloom.events import LogEvent
 from stileloom.http1.connection import SamplerConnection
 from stileloom.http1.pool import ConnectionPool
-from stileloom.jobs.intake import item_size, reusable_results
+from stileloom.jobs.intake import item_size, reusable_results, saved_texts
 from stileloom.jobs.item_request import encode_item_request
 from stileloom.jobs.item_stream import ItemStream, RunOutcome
 from stileloom.jobs.job_ages import JobAges
@@ -355,6 +355,7 @@
             now,
             self._tokens_per_event(route.backends[0].service),
             {finished.item_id for finished in reusable},
+            saved_texts(self._registry, record) if self._switches.kept_texts else {},
         )
         self._log.emit(
             LogEvent.JOB_ADOPTED,
--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -8,7 +8,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from collections.abc import Set as AbstractSet
+from types import MappingProxyType
 
 from stileloom.jobs.model_versions import SamplerModels, assign_samplers
 from stileloom.jobs.open_items import (
@@ -89,10 +91,12 @@
         now: float,
         tokens_per_event: float = DEFAULT_TOKENS_PER_EVENT,
         reused_results: AbstractSet[str] = frozenset(),
+        texts_of_other_jobs: Mapping[str, PartialText] = MappingProxyType({}),
     ) -> None:
         """Adds the items of a job that have no listed result.
 
-        Items in `reused_results` are about to be listed and do not run.
+        Items in `reused_results` are about to be listed and do not run. `texts_of_other_jobs` are
+        saved in the ledger, for items whose text this leader has not seen itself.
         """
         submission = record.submission
         for item in submission.items:
@@ -101,6 +105,9 @@
                 continue
             saved = record.progress.get(item.item_id)
             retained = self._retained_texts.pop(item.item_id, None)
+            other = texts_of_other_jobs.get(item.item_id)
+            if retained is None and other is not None:
+                retained = other.copy()
             partial = saved.copy() if saved is not None else retained
             if partial is None or not partial.satisfies(submission.min_version, single_version):
                 partial = PartialText()
