--- a/tests/test_job_ends.py
+++ b/tests/test_job_ends.py
@@ -7,18 +7,28 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
 from collections.abc import Awaitable, Callable
 
 import testtools
 
 from stileloom.clock import steady_time
 from stileloom.daemon.ledger_node import LedgerNode
-from stileloom.jobs.client import JobClient, LedgerNodes
+from stileloom.errors import StileloomError
+from stileloom.jobs.client import JobClient
+from stileloom.jobs.leader_search import LedgerNodes
 from stileloom.jobs.messages import EndJobCall, JobEnded, NotLeader
 from stileloom.jobs.registry import JobRecord
 from stileloom.logging import EventLog, configure_logs
+from stileloom.quarantine.messages import QuarantineListed, WatchQuarantineCall
 from stileloom.transport.call_frames import Reply, Request
-from stileloom.transport.calls import CallServer
+from stileloom.transport.calls import (
+    CONNECT_TIMEOUT_S,
+    CallConnectionPool,
+    CallFailed,
+    CallServer,
+)
 from tests.ports import free_port
 from tests.service_cluster import HOST, HOSTNAME, TIMEOUT_S, ServiceCluster, with_cluster
 
@@ -27,6 +37,7 @@
 COMMIT_BOUND_S = 1.0
 """Time after a leader can be reached by which an end that a gateway has taken is committed."""
 SCHEDULING_MARGIN_S = 0.3
+WATCH_WAIT_S = 2.0
 NODES = 13
 JOB = "job"
 ITEMS = [f"item-{number}" for number in range(8)]
@@ -178,3 +189,111 @@
             return [never_answer, *[name_silent_node] * (NODES - 2), lead]
 
         self.assertLess(self.answered_after(handlers, TIMEOUT_S), COMMIT_BOUND_S)
+
+
+class SharedConnectionTest(testtools.TestCase):
+    """Ends beside other calls of the same gateway, over one connection to a responsive leader."""
+
+    def answered_after(self, commit_s: float) -> float:
+        """Returns how long an end takes that is asked for while a long poll runs out of time."""
+
+        async def run() -> float:
+            configure_logs("critical")
+            leader, follower = [(HOST, free_port()) for _ in range(2)]
+
+            async def lead(request: Request) -> Reply:
+                if isinstance(request, WatchQuarantineCall):
+                    await asyncio.sleep(request.wait_s)
+                    return QuarantineListed(None)
+                await asyncio.sleep(commit_s)
+                return JobEnded()
+
+            async def name_leader(request: Request) -> Reply:
+                return NotLeader(f"{leader[0]}:{leader[1]}")
+
+            servers = [CallServer(lead), CallServer(name_leader)]
+            for server, address in zip(servers, (leader, follower), strict=True):
+                await server.start(*address)
+            nodes = LedgerNodes([leader, follower])
+            nodes.leader = leader
+            client = JobClient(nodes, EventLog("gateway"), lambda: None)
+            poll = asyncio.create_task(client.call(WatchQuarantineCall(0, WATCH_WAIT_S), "", 0.3))
+            await asyncio.sleep(0.2)
+            asked_at = steady_time()
+            reply = await client.call(EndJobCall(JOB), JOB, TIMEOUT_S)
+            took_s = steady_time() - asked_at
+            await asyncio.wait((poll,))
+            self.assertIsInstance(poll.exception(), StileloomError)
+            client.close()
+            for server in servers:
+                server.stop()
+            self.assertEqual(JobEnded(), reply)
+            return took_s
+
+        return asyncio.run(run())
+
+    def test_a_long_poll_without_time_left_interrupts_no_end(self) -> None:
+        """Guards against giving up a leader that holds a long poll for as long as it was asked."""
+        self.assertLess(self.answered_after(commit_s=0.3), 0.3 + SCHEDULING_MARGIN_S)
+
+
+class UnreachableNodeTest(testtools.TestCase):
+    """Calls to an address that answers no connection attempt."""
+
+    def test_concurrent_calls_wait_for_one_connection_attempt(self) -> None:
+        """Guards against an end that queues behind the attempts of other calls, one by one."""
+
+        async def run() -> float:
+            with contextlib.ExitStack() as stack:
+                address = unreachable_address(stack)
+                connections = CallConnectionPool()
+                asked_at = steady_time()
+                calls = [connections.call(address, EndJobCall(JOB), TIMEOUT_S) for _ in range(8)]
+                outcomes = await asyncio.gather(*calls, return_exceptions=True)
+                took_s = steady_time() - asked_at
+                self.assertEqual([False] * 8, [failed_after_send(error) for error in outcomes])
+            return took_s
+
+        self.assertLess(asyncio.run(run()), CONNECT_TIMEOUT_S + SCHEDULING_MARGIN_S)
+
+    def test_a_call_that_is_cancelled_leaves_the_connection_attempt_to_the_others(self) -> None:
+        async def run() -> tuple[bool, Reply]:
+            server = CallServer(answer_at_once)
+            address = (HOST, free_port())
+            await server.start(*address)
+            connections = CallConnectionPool()
+            calls = [
+                asyncio.create_task(connections.call(address, EndJobCall(JOB), TIMEOUT_S))
+                for _ in range(2)
+            ]
+            await asyncio.sleep(0)
+            calls[0].cancel()
+            reply = await calls[1]
+            connections.close()
+            server.stop()
+            return calls[0].cancelled(), reply
+
+        self.assertEqual((True, JobEnded()), asyncio.run(run()))
+
+
+async def answer_at_once(request: Request) -> Reply:
+    """Handles a call like a leader."""
+    return JobEnded()
+
+
+def failed_after_send(outcome: Reply | BaseException) -> bool | None:
+    """Whether a failed call may have been executed; None if it did not fail."""
+    return outcome.sent if isinstance(outcome, CallFailed) else None
+
+
+def unreachable_address(stack: contextlib.ExitStack) -> tuple[str, int]:
+    """Returns the address of a socket whose full accept queue drops connection attempts."""
+    listener = stack.enter_context(socket.socket())
+    listener.bind((HOST, 0))
+    listener.listen(0)
+    address = listener.getsockname()
+    for _ in range(3):
+        filler = stack.enter_context(socket.socket())
+        filler.setblocking(False)
+        filler.connect_ex(address)
+    return (address[0], address[1])
