--- a/stileloom/daemon/ledger_driver.py
+++ b/stileloom/daemon/ledger_driver.py
@@ -5,10 +5,12 @@
 import asyncio
 from concurrent.futures import ThreadPoolExecutor
 
+import msgspec
 from tornado.ioloop import IOLoop
 
 from stileloom.background import Ticker
 from stileloom.clock import steady_time
+from stileloom.daemon.background_snapshots import BackgroundSnapshots
 from stileloom.effects import Effect, Emit, Send
 from stileloom.errors import ErrorKind, StileloomError
 from stileloom.events import LogEvent
@@ -52,6 +54,7 @@
             LedgerCodec(local_sender, self._addresses, compress), self._handle_message
         )
         self._disk = ThreadPoolExecutor(max_workers=1, thread_name_prefix="ledger")
+        self._snapshot_writer = BackgroundSnapshots(storage, self._disk, self._start_write)
         self._writes: list[Persist] = []
         self._writing = False
         self._write_started_at = 0.0
@@ -70,6 +73,7 @@
         self._stopped = True
         self._ticker.stop()
         self._network.stop()
+        self._snapshot_writer.stop()
         self._disk.shutdown(wait=True)
         self._storage.close()
 
@@ -167,17 +171,29 @@
 
     def _start_write(self) -> None:
         """Writes all queued effects as one batch, unless a write is in progress."""
-        if self._writing or not self._writes:
+        if self._writing:
             return
-        self._writing = True
-        batch, self._writes = self._writes, []
-        self._write(batch)
+        batch: list[Persist] = []
+        while self._writes and not self._must_wait(self._writes[0]):
+            batch.append(self._writes.pop(0))
+        if batch:
+            self._writing = True
+            self._write(batch)
+
+    def _must_wait(self, write: Persist) -> bool:
+        """Whether the write replaces the snapshot that is being written beside it."""
+        replaces_snapshot = write.snapshot is not None and not write.background
+        return replaces_snapshot and self._snapshot_writer.busy
 
     def _write(self, batch: list[Persist]) -> None:
         if self._stopped:
             return
         self._write_started_at = steady_time()
-        future = IOLoop.current().run_in_executor(self._disk, self._storage.write, batch)
+        now_due = [
+            msgspec.structs.replace(write, snapshot=None) if write.background else write
+            for write in batch
+        ]
+        future = IOLoop.current().run_in_executor(self._disk, self._storage.write, now_due)
         IOLoop.current().add_future(future, lambda done: self._write_finished(done, batch))
 
     def _write_finished(self, done: asyncio.Future[None], batch: list[Persist]) -> None:
@@ -193,6 +209,9 @@
         self._writing = False
         if self._stopped:
             return
+        for write in batch:
+            if write.background and write.snapshot is not None:
+                self._snapshot_writer.submit(write.snapshot)
         self._run(self.replica.persisted(steady_time(), batch[-1].write_id))
         self._start_write()
 
--- a/stileloom/ledger/effects.py
+++ b/stileloom/ledger/effects.py
@@ -24,6 +24,8 @@
     """Entries up to this index are known to be committed."""
     snapshot: SnapshotRecord | None = None
     """Replaces the log up to its last index."""
+    background: bool = False
+    """Nothing depends on the snapshot: it may be written later, beside later writes."""
 
 
 class Applied(msgspec.Struct, frozen=True):
--- a/stileloom/ledger/replica.py
+++ b/stileloom/ledger/replica.py
@@ -80,7 +80,10 @@
         self._switches = switches
         self._lease = LeaderLease()
         self._snapshot_index = recovered.snapshot.last_index
-        """Last index that the newest snapshot on disk covers."""
+        """Last index that the newest snapshot covers."""
+        self._log_bytes = _memory_size(recovered.entries)
+        """Size of the entries since the newest snapshot."""
+        self._snapshot_growth_bytes = self._growth_before_snapshot(len(recovered.snapshot.state))
         self._durable_index = self._log.last_index
         self._commit_index = self._log.base_index
         self._applied_index = self._log.base_index
@@ -808,6 +811,8 @@
         self._log.compact(without_state(snapshot))
         self.state = msgspec.msgpack.decode(snapshot.state, type=LedgerState)
         self._snapshot_index = snapshot.last_index
+        self._log_bytes = 0
+        self._snapshot_growth_bytes = self._growth_before_snapshot(len(snapshot.state))
         self._commit_index = snapshot.last_index
         self._applied_index = snapshot.last_index
         # `compact` emptied the log if its entries do not continue the snapshot; the journal must
@@ -831,7 +836,7 @@
                 # After a restart the replica must still know that the change is committed.
                 effects += self._persist(Persist(0))
                 effects += self._on_voters_applied(now)
-        if self._applied_index - self._snapshot_index >= constants.SNAPSHOT_AFTER_ENTRIES:
+        if self._snapshot_due():
             effects += self._take_snapshot()
         return effects
 
@@ -852,16 +857,35 @@
                 self._progress.setdefault(voter, FollowerProgress(self._log.last_index + 1))
         return []
 
+    def _snapshot_due(self) -> bool:
+        """Whether the log has grown enough, compared with the cost of a snapshot.
+
+        A transfer postpones the snapshot, because each keeps an encoded state in memory.
+        """
+        if self._applied_index - self._snapshot_index < constants.SNAPSHOT_AFTER_ENTRIES:
+            return False
+        due_at = self._snapshot_growth_bytes * (1 if self._outgoing is None else 2)
+        return self._log_bytes >= due_at
+
+    def _growth_before_snapshot(self, state_bytes: int) -> float:
+        """Differs by voter, so that they do not all write their states at the same time."""
+        by_disk = random.Random(f"{self.local_voter.disk_id} {self._snapshot_index}")
+        return state_bytes * by_disk.uniform(
+            constants.SNAPSHOT_GROWTH_MIN, constants.SNAPSHOT_GROWTH_MAX
+        )
+
     def _take_snapshot(self) -> list[Effect]:
         snapshot = self._encode_snapshot()
         self._snapshot_index = snapshot.last_index
+        self._log_bytes = 0
+        self._snapshot_growth_bytes = self._growth_before_snapshot(len(snapshot.state))
         compact_to = snapshot.last_index
         if self._outgoing is not None:
             # The followers that receive this snapshot need the entries after it.
             compact_to = min(compact_to, self._outgoing.snapshot.last_index)
         if compact_to > self._log.base_index:
             self._log.compact(self._snapshot_metadata(compact_to))
-        effects: list[Effect] = self._persist(Persist(0, snapshot=snapshot))
+        effects: list[Effect] = self._persist(Persist(0, snapshot=snapshot, background=True))
         return [*effects, Emit(LogEvent.SNAPSHOT_TAKEN, {"index": snapshot.last_index})]
 
     def _encode_snapshot(self) -> SnapshotRecord:
@@ -882,6 +906,7 @@
             for write_id, index in self._last_index_by_write.items():
                 self._last_index_by_write[write_id] = min(index, last_kept)
         self._log.append(entries)
+        self._log_bytes += _memory_size(entries)
         return self._persist(Persist(0, truncate_from=truncate_from, entries=entries))
 
     def _persist_hard_state(self) -> list[Effect]:
@@ -902,3 +927,9 @@
             return effects
         self._deferred_effects += [(self._last_write_id, effect) for effect in effects]
         return []
+
+
+def _memory_size(entries: list[Entry]) -> int:
+    """Approximate size of entries in memory."""
+    encoded = sum(len(msgspec.msgpack.encode(entry)) for entry in entries)
+    return encoded + constants.ENTRY_OVERHEAD_BYTES * len(entries)
--- a/stileloom/ledger/storage.py
+++ b/stileloom/ledger/storage.py
@@ -3,7 +3,8 @@
 The journal is a sequence of records, each a length, a 64-bit hash and a msgpack body. A record
 that is truncated or does not match its hash ends the journal: the process or the machine stopped
 during the write, so the record was never reported as durable. A snapshot is written to a
-temporary file, synced and renamed; the journal is then rewritten.
+temporary file, synced and renamed; the journal is then rewritten. Until then the journal also holds
+entries that the snapshot covers; recovery ignores them.
 
 Writes may fail temporarily, for example on a full disk. A failed write is truncated from the
 journal and may be retried: its entries replace those at the same indexes.
@@ -24,6 +25,9 @@
 from stileloom.ledger.recovered import RecoveredLedger
 
 RECORD_HEADER = struct.Struct(">IQ")
+BINARY_HEADER = struct.Struct(">BI")
+BINARY_32 = 0xC6
+"""msgpack type of binary data with a 32-bit length."""
 JOURNAL_NAME = "journal"
 SNAPSHOT_NAME = "snapshot"
 IDENTITY_NAME = "disk-id"
@@ -126,7 +130,7 @@
 
     def initialize(self, recovered: RecoveredLedger) -> None:
         """Writes the initial snapshot."""
-        self._replace(SNAPSHOT_NAME, msgspec.msgpack.encode(recovered.snapshot))
+        self._replace(SNAPSHOT_NAME, *_encode_parts(recovered.snapshot))
         self._open_journal()
 
     def write(self, writes: list[Persist]) -> None:
@@ -147,7 +151,8 @@
             if write.snapshot is not None:
                 self._sync(buffer)
                 buffer.clear()
-                self._write_snapshot(write.snapshot)
+                self.write_snapshot(write.snapshot)
+                self.drop_covered(write.snapshot)
         self._sync(buffer)
 
     def _sync(self, buffer: bytearray) -> None:
@@ -163,9 +168,12 @@
         self._journal_bytes += len(buffer)
         self._synced_commit_index = self._commit_index
 
-    def _write_snapshot(self, snapshot: SnapshotRecord) -> None:
-        """Replaces the snapshot, then rewrites the journal with only the entries after it."""
-        self._replace(SNAPSHOT_NAME, msgspec.msgpack.encode(snapshot))
+    def write_snapshot(self, snapshot: SnapshotRecord) -> None:
+        """Replaces the snapshot; may run beside `write` if that one writes no snapshot."""
+        self._replace(SNAPSHOT_NAME, *_encode_parts(snapshot))
+
+    def drop_covered(self, snapshot: SnapshotRecord) -> None:
+        """Rewrites the journal with only the entries after a snapshot that is written."""
         kept = [entry for entry in self._entries if entry.index > snapshot.last_index]
         consecutive = bool(kept) and kept[0].index == snapshot.last_index + 1
         self._entries = kept if consecutive else []
@@ -183,11 +191,12 @@
         self._journal = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644)
         self._journal_bytes = os.fstat(self._journal).st_size
 
-    def _replace(self, name: str, body: bytes) -> None:
+    def _replace(self, name: str, *parts: bytes) -> None:
         """Atomically replaces a file: temporary file, sync, rename, sync of the folder."""
         temporary = self._folder / f"{name}.new"
         with temporary.open("wb") as file:
-            file.write(body)
+            for part in parts:
+                file.write(part)
             file.flush()
             os.fsync(file.fileno())
         temporary.rename(self._folder / name)
@@ -209,6 +218,15 @@
     return RECORD_HEADER.pack(len(body), xxhash.xxh3_64_intdigest(body)) + body
 
 
+def _encode_parts(snapshot: SnapshotRecord) -> tuple[bytes, bytes]:
+    """The encoded snapshot in two parts, without a copy of the state."""
+    empty_state = msgspec.msgpack.encode(b"")
+    encoded = msgspec.msgpack.encode(msgspec.structs.replace(snapshot, state=b""))
+    head = encoded.removesuffix(empty_state)
+    assert len(head) < len(encoded), "the state must be the last field"
+    return head + BINARY_HEADER.pack(BINARY_32, len(snapshot.state)), snapshot.state
+
+
 def _write_all(descriptor: int, buffer: bytearray) -> None:
     view = memoryview(buffer)
     while view:
--- a/stileloom/simulator/disk.py
+++ b/stileloom/simulator/disk.py
@@ -4,9 +4,12 @@
 
 from stileloom.ledger.commands import Voter
 from stileloom.ledger.effects import Persist
-from stileloom.ledger.messages import Entry, HardState
+from stileloom.ledger.messages import Entry, HardState, SnapshotRecord
 from stileloom.ledger.recovered import RecoveredLedger
 
+BACKGROUND_WRITES = 20
+"""Writes that become durable while a snapshot is written beside them."""
+
 
 class SimulatedDisk:
     """What a node has on its disk."""
@@ -18,6 +21,8 @@
         self._entries: list[Entry] = list(ledger.entries)
         self._commit_index = ledger.commit_index
         self._pending: list[Persist] = []
+        self._background: Persist | None = None
+        """A snapshot that is being written beside the journal; a crash loses it."""
 
     def submit(self, write: Persist) -> None:
         """A write is on its way."""
@@ -27,12 +32,16 @@
         """Every write up to this one is durable."""
         while self._pending and self._pending[0].write_id <= write_id:
             self._apply(self._pending.pop(0))
+        background = self._background
+        if background is not None and write_id >= background.write_id + BACKGROUND_WRITES:
+            self._finish_background()
 
     def crash(self, landed: int) -> None:
         """The process dies; only the first `landed` of the pending writes reached the disk."""
         for write in self._pending[:landed]:
             self._apply(write)
         self._pending.clear()
+        self._background = None
 
     @property
     def pending_count(self) -> int:
@@ -53,8 +62,21 @@
             self._entries = [entry for entry in self._entries if entry.index < limit]
         self._entries.extend(write.entries)
         self._commit_index = max(self._commit_index, write.commit_index)
-        if write.snapshot is not None:
-            self._snapshot = write.snapshot
-            kept = [e for e in self._entries if e.index > write.snapshot.last_index]
-            consecutive = bool(kept) and kept[0].index == write.snapshot.last_index + 1
-            self._entries = kept if consecutive else []
+        if write.snapshot is None:
+            return
+        self._finish_background()
+        if write.background:
+            self._background = write
+        else:
+            self._replace_snapshot(write.snapshot)
+
+    def _finish_background(self) -> None:
+        if self._background is not None and self._background.snapshot is not None:
+            self._replace_snapshot(self._background.snapshot)
+        self._background = None
+
+    def _replace_snapshot(self, snapshot: SnapshotRecord) -> None:
+        self._snapshot = snapshot
+        kept = [entry for entry in self._entries if entry.index > snapshot.last_index]
+        consecutive = bool(kept) and kept[0].index == snapshot.last_index + 1
+        self._entries = kept if consecutive else []
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 from unittest import mock
 
+import msgspec
 import testtools
 
 from stileloom.api.samples import Prompt, Sample, Segment
@@ -52,7 +53,7 @@
 from stileloom.ledger.order_windows import MAX_ORDER_DELAY_S, ORDER_WINDOW_S, OrderWindows
 from stileloom.ledger.recovered import RecoveredLedger
 from stileloom.ledger.replica import ReplicaRole
-from stileloom.ledger.storage import JOURNAL_NAME, LedgerStorage
+from stileloom.ledger.storage import JOURNAL_NAME, SNAPSHOT_NAME, LedgerStorage
 from stileloom.ledger.voters import next_voter_set
 
 VOTERS = [Voter(name, f"disk-{name}") for name in ("a", "b", "c")]
@@ -258,6 +259,37 @@
         self.assertEqual(1, recovered.snapshot.last_index)
         self.assertEqual([entry(2), entry(3)], recovered.entries)
 
+    def test_a_crash_between_a_snapshot_and_the_journal_loses_nothing(self) -> None:
+        """A snapshot is written beside the journal; the entries it covers go last."""
+        storage = self.storage()
+        fresh = empty_ledger(VOTERS)
+        storage.initialize(fresh)
+        storage.write([Persist(1, entries=[entry(1), entry(2)], commit_index=2)])
+        snapshot = type(fresh.snapshot)(2, 1, VOTERS, fresh.snapshot.state)
+        storage.write_snapshot(snapshot)
+        storage.write([Persist(2, entries=[entry(3)])])
+        for restarted in (self.storage(), self.storage()):
+            recovered = restarted.recover()
+            assert recovered is not None
+            self.assertEqual(snapshot, recovered.snapshot)
+            self.assertEqual([entry(3)], recovered.entries)
+            restarted.write([])
+        restarted.write([Persist(3, entries=[entry(4)])])
+        restarted.drop_covered(snapshot)
+        recovered = self.storage().recover()
+        assert recovered is not None
+        self.assertEqual([entry(3), entry(4)], recovered.entries)
+
+    def test_a_snapshot_is_stored_in_the_encoding_of_its_record(self) -> None:
+        storage = self.storage()
+        fresh = empty_ledger(VOTERS)
+        storage.initialize(fresh)
+        for size in (0, 10, 300, 70_000):
+            snapshot = type(fresh.snapshot)(2, 1, VOTERS, bytes(size))
+            storage.write_snapshot(snapshot)
+            body = (self.folder / SNAPSHOT_NAME).read_bytes()
+            self.assertEqual(snapshot, msgspec.msgpack.decode(body, type=type(snapshot)))
+
     def test_a_snapshot_replaces_the_journal_entries_it_covers(self) -> None:
         storage = self.storage()
         fresh = empty_ledger(VOTERS)
--- a/tests/test_ledger_driver.py
+++ b/tests/test_ledger_driver.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import random
 import tempfile
+import threading
 import time
 from pathlib import Path
 from unittest import mock
@@ -14,10 +16,12 @@
 
 from stileloom import constants
 from stileloom.clock import steady_time
+from stileloom.daemon import background_snapshots
 from stileloom.daemon.ledger_driver import LedgerDriver
 from stileloom.jobs.metrics import JobMetrics
-from stileloom.ledger import LedgerReplica, empty_ledger
+from stileloom.ledger import LedgerReplica, Persist, empty_ledger
 from stileloom.ledger.commands import RaiseConfigurationFloor, Voter
+from stileloom.ledger.messages import Entry, SnapshotRecord
 from stileloom.ledger.storage import SNAPSHOT_NAME, LedgerStorage
 from stileloom.ledger.wire import Sender
 from stileloom.logging import EventLog
@@ -28,6 +32,89 @@
 TIMEOUT_S = 30.0
 
 
+class BackgroundSnapshotsTest(testtools.TestCase):
+    """Order and retries of snapshots that are written beside the journal."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        scratch = tempfile.TemporaryDirectory()
+        self.addCleanup(scratch.cleanup)
+        self.storage = LedgerStorage(Path(scratch.name))
+        self.storage.initialize(empty_ledger(VOTERS))
+        self.addCleanup(self.storage.close)
+
+    def snapshot(self, last_index: int) -> SnapshotRecord:
+        """A snapshot of an empty state."""
+        return SnapshotRecord(last_index, 1, VOTERS, empty_ledger(VOTERS).snapshot.state)
+
+    def entries(self, first: int, last: int) -> list[Entry]:
+        """Simple entries."""
+        return [Entry(n, 1, RaiseConfigurationFloor(n)) for n in range(first, last + 1)]
+
+    def driver(self) -> LedgerDriver:
+        """The driver of a follower, without a network."""
+        replica = LedgerReplica(VOTERS[0], empty_ledger(VOTERS), random.Random(1), 0.0)
+        sender = Sender("a", "127.0.0.1", 1)
+        metrics = JobMetrics(CollectorRegistry())
+        return LedgerDriver(replica, self.storage, sender, [], EventLog("a"), metrics)
+
+    def last_index(self) -> int:
+        """Last index of the snapshot on disk."""
+        recovered = LedgerStorage(self.storage._folder).recover()
+        assert recovered is not None
+        return recovered.snapshot.last_index
+
+    def test_a_failed_write_is_repeated(self) -> None:
+        async def run() -> None:
+            driver = self.driver()
+            failure = mock.patch("os.fsync", side_effect=OSError(errno.ENOSPC, "no space"))
+            with mock.patch.object(background_snapshots, "RETRY_S", 0.05):
+                self.storage.write([Persist(1, entries=self.entries(1, 3))])
+                with failure:
+                    driver._snapshot_writer.submit(self.snapshot(2))
+                    await asyncio.sleep(0.2)
+                    self.assertEqual(0, self.last_index())
+                async with asyncio.timeout(TIMEOUT_S):
+                    while self.last_index() != 2 or driver._snapshot_writer.busy:
+                        await asyncio.sleep(0.02)
+            driver.stop()
+
+        asyncio.run(run())
+
+    def test_a_received_snapshot_is_not_replaced_by_an_older_one(self) -> None:
+        """Guards against a slow write of an own snapshot that ends after an installed one."""
+        replace = LedgerStorage._replace
+
+        def replace_slowly(storage: LedgerStorage, name: str, *parts: bytes) -> None:
+            if name == SNAPSHOT_NAME and not first_started.is_set():
+                first_started.set()
+                time.sleep(0.5)
+            replace(storage, name, *parts)
+
+        first_started = threading.Event()
+
+        async def run() -> None:
+            driver = self.driver()
+            with mock.patch.object(LedgerStorage, "_replace", replace_slowly):
+                driver._run([Persist(1, entries=self.entries(1, 3))])
+                driver._run([Persist(2, snapshot=self.snapshot(2), background=True)])
+                while not first_started.is_set():
+                    await asyncio.sleep(0.01)
+                driver._run([Persist(3, entries=self.entries(4, 5))])
+                driver._run([Persist(4, truncate_from=9, snapshot=self.snapshot(8))])
+                driver._run([Persist(5, entries=self.entries(9, 9))])
+                async with asyncio.timeout(TIMEOUT_S):
+                    while driver.replica._durable_write_id < 5:
+                        await asyncio.sleep(0.02)
+            driver.stop()
+            recovered = LedgerStorage(self.storage._folder).recover()
+            assert recovered is not None
+            self.assertEqual(8, recovered.snapshot.last_index)
+            self.assertEqual(self.entries(9, 9), recovered.entries)
+
+        asyncio.run(run())
+
+
 class SlowSnapshotTest(testtools.TestCase):
     """Disks that take long for a snapshot."""
 
