--- a/stileloom/constants.py
+++ b/stileloom/constants.py
@@ -47,9 +47,9 @@
 APPEND_BATCH_ENTRIES = 64
 SNAPSHOT_AFTER_ENTRIES = 512
 """Minimum number of entries between two snapshots."""
-SNAPSHOT_GROWTH_MIN = 0.5
+SNAPSHOT_GROWTH_MIN = 0.2
 """Minimum growth of the log between two snapshots, as a fraction of the state's size."""
-SNAPSHOT_GROWTH_MAX = 0.75
+SNAPSHOT_GROWTH_MAX = 0.35
 ENTRY_OVERHEAD_BYTES = 300
 """Memory of an entry besides its encoded size."""
 COMMAND_RETRY_INTERVAL_S = 0.5
