A connection on which probes are not answered is replaced

Callers would wait without limit for a leader to which their gateway holds a stalled connection: open, acknowledged by TCP, never answered (a link that went silent without a reset).

Cause: a probe of the search had two timeouts of the same length. The outer one, around the connection pool's, ran out first and cancelled the call, so that the pool never learned of the timeout and kept the connection.

The timeout of a pool's call now includes the time to connect, and the probe has no other.

--- a/stileloom/jobs/leader_search.py
+++ b/stileloom/jobs/leader_search.py
@@ -114,10 +114,9 @@
         self, address: NodeAddress, request_id: str
     ) -> tuple[NodeAddress, Reply | None]:
         try:
-            async with asyncio.timeout(PROBE_TIMEOUT_S):
-                reply = await self._connections.call(address, ProbeLeaderCall(), PROBE_TIMEOUT_S)
-        except (CallFailed, TimeoutError) as error:
-            self._on_failure(address, request_id, str(error) or "no answer to a probe")
+            reply = await self._connections.call(address, ProbeLeaderCall(), PROBE_TIMEOUT_S)
+        except CallFailed as failure:
+            self._on_failure(address, request_id, str(failure))
             return address, None
         self._on_answer(address)
         return address, reply
--- a/stileloom/transport/calls.py
+++ b/stileloom/transport/calls.py
@@ -252,9 +252,14 @@
         """Connection attempts in progress; concurrent calls to an address wait for the same one."""
 
     async def call(self, address: tuple[str, int], request: Request, timeout_s: float) -> Reply:
-        """Calls a node. Raises `CallFailed`."""
-        connection = await self._get_connection(address)
-        return await connection.call(request, timeout_s)
+        """Calls a node; the timeout includes the time to connect. Raises `CallFailed`."""
+        deadline = steady_time() + timeout_s
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection = await self._get_connection(address)
+        except TimeoutError as error:
+            raise CallFailed(f"not connected within {timeout_s:g} s", sent=False) from error
+        return await connection.call(request, max(0.0, deadline - steady_time()))
 
     async def _get_connection(self, address: tuple[str, int]) -> CallConnection:
         connection = self._connections.get(address)
--- a/tests/test_job_ends.py
+++ b/tests/test_job_ends.py
@@ -10,6 +10,7 @@
 import contextlib
 import socket
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import testtools
 
@@ -32,12 +33,15 @@
 )
 from tests.ports import free_port
 from tests.service_cluster import HOST, HOSTNAME, TIMEOUT_S, ServiceCluster, with_cluster
+from tests.soak.loopback_proxy import Link, TcpProxy
 
 ATTEMPT_S = 1.5
 ATTEMPT_DELAY_S = 0.1
 COMMIT_BOUND_S = 1.0
 """Time after a leader can be reached by which an end that a gateway has taken is committed."""
 SCHEDULING_MARGIN_S = 0.3
+STALLED_CONNECTION_BOUND_S = 2.0
+"""Time by which a connection without replies is replaced; TCP can't tell that it is stalled."""
 WATCH_WAIT_S = 2.0
 MAX_ENTRIES = 1000
 NODES = 13
@@ -365,3 +369,43 @@
         filler.setblocking(False)
         filler.connect_ex(address)
     return (address[0], address[1])
+
+
+class ReachableLeaderTest(testtools.TestCase):
+    """Leaders that a client can reach, but not by what it knew of the ledger's nodes before."""
+
+    def test_a_leader_is_found_although_an_earlier_connection_to_it_is_stalled(self) -> None:
+        """Guards against probes that reuse a connection on which nothing is answered any more."""
+
+        async def run() -> float:
+            configure_logs("critical")
+            node = (HOST, free_port())
+            proxy = TcpProxy(Link(), node)
+            first, second = (HOST, free_port()), (HOST, await proxy.start(HOST))
+            leader = first
+
+            async def answer_as(address: tuple[str, int], request: Request) -> Reply:
+                if leader == address:
+                    return JobEnded()
+                return NotLeader(f"{leader[0]}:{leader[1]}")
+
+            servers = [CallServer(partial(answer_as, address)) for address in (first, second)]
+            for server, address in zip(servers, (first, node), strict=True):
+                await server.start(*address)
+            client = JobClient(LedgerNodes([first, second]), EventLog("gateway"), lambda: None)
+            for address in (second, first):
+                leader = address
+                await client.call(EndJobCall(JOB), JOB, TIMEOUT_S)
+            proxy.stall_open_connections()
+            leader = second
+            asked_at = steady_time()
+            try:
+                self.assertEqual(JobEnded(), await client.call(EndJobCall(JOB), JOB, TIMEOUT_S))
+            finally:
+                client.close()
+                proxy.stop()
+                for server in servers:
+                    server.stop()
+            return steady_time() - asked_at
+
+        self.assertLess(asyncio.run(run()), STALLED_CONNECTION_BOUND_S)
