The leader is searched beyond the listed nodes whenever none of them leads

Callers of a gateway that had read the list of ledger nodes before all had registered could not reach a leader that the list lacks, as long as a listed node answered.

Cause: nodes outside the list were asked only if no listed node answered at all. A node that has lost its leadership without hearing of its successor answers and names itself.

The test has no list to read again, as in an outage of the store: the end is not answered within 1 s before the change.

`record_search` now takes whether the leader was found; the test of its rule is renamed, not weakened.

--- a/stileloom/jobs/leader_search.py
+++ b/stileloom/jobs/leader_search.py
@@ -25,8 +25,8 @@
         self.leader: NodeAddress | None = None
         self._addresses = list(seeds)
         self._fallback_addresses: list[NodeAddress] = []
-        """Addresses not listed in the object store, asked if no listed node answers."""
-        self._listed_nodes_answer = True
+        """Addresses not listed in the object store, asked if the last search found no leader."""
+        self._leader_found = True
 
     def update_addresses(self, addresses: list[NodeAddress]) -> None:
         """Replaces the addresses; those no longer listed remain as fallback."""
@@ -36,13 +36,13 @@
         self._addresses = list(addresses)
         self._fallback_addresses = [address for address in known if address not in addresses]
 
-    def record_search(self, answered: bool) -> None:
-        """Records whether any of the nodes asked has answered."""
-        self._listed_nodes_answer = answered
+    def record_search(self, found: bool) -> None:
+        """Records whether a search has found the leader."""
+        self._leader_found = found
 
     def search_targets(self) -> list[NodeAddress]:
         """Returns the nodes to ask for the leader."""
-        if self._listed_nodes_answer:
+        if self._leader_found:
             return list(self._addresses)
         return [*self._addresses, *self._fallback_addresses]
 
@@ -83,6 +83,7 @@
             # A leader may be missing in the list of nodes for a while.
             named = {split_address(hint) for hint in hints} - set(asked)
             leader = await self._ask(sorted(named), hints, request_id)
+        self._nodes.record_search(leader is not None)
         return leader
 
     async def _ask(
@@ -93,13 +94,11 @@
             return None
         loop = asyncio.get_running_loop()
         probes = [loop.create_task(self._probe(address, request_id)) for address in addresses]
-        answered = False
         try:
             for probe in asyncio.as_completed(probes):
                 address, reply = await probe
                 if reply is None:
                     continue
-                answered = True
                 if not isinstance(reply, NotLeader | OutcomeUnknown):
                     return address
                 if isinstance(reply, NotLeader) and reply.leader:
@@ -108,7 +107,6 @@
         finally:
             for task in probes:
                 task.cancel()
-            self._nodes.record_search(answered)
 
     async def _probe(
         self, address: NodeAddress, request_id: str
--- a/tests/test_job_client.py
+++ b/tests/test_job_client.py
@@ -44,14 +44,14 @@
         nodes.update_addresses([listed, new])
         self.assertEqual([listed, new], nodes.search_targets())
 
-    def test_seeds_are_used_again_after_all_listed_nodes_failed(self) -> None:
+    def test_seeds_are_used_again_after_a_search_found_no_leader(self) -> None:
         seed, listed = ("10.0.0.1", 7), ("10.0.0.2", 7)
         nodes = LedgerNodes([seed])
         nodes.update_addresses([listed])
         self.assertEqual([listed], nodes.search_targets())
-        nodes.record_search(answered=False)
+        nodes.record_search(found=False)
         self.assertEqual([listed, seed], nodes.search_targets())
-        nodes.record_search(answered=True)
+        nodes.record_search(found=True)
         self.assertEqual([listed], nodes.search_targets())
 
 
--- a/tests/test_job_ends.py
+++ b/tests/test_job_ends.py
@@ -409,3 +409,28 @@
             return steady_time() - asked_at
 
         self.assertLess(asyncio.run(run()), STALLED_CONNECTION_BOUND_S)
+
+    def test_a_leader_missing_in_the_list_is_found_although_a_listed_node_answers(self) -> None:
+        """Guards against relying on a list that was read before all nodes had registered."""
+
+        async def run() -> Reply:
+            configure_logs("critical")
+            listed, leader = (HOST, free_port()), (HOST, free_port())
+
+            async def name_itself(request: Request) -> Reply:
+                return NotLeader(f"{listed[0]}:{listed[1]}")
+
+            servers = [CallServer(name_itself), CallServer(answer_at_once)]
+            for server, address in zip(servers, (listed, leader), strict=True):
+                await server.start(*address)
+            nodes = LedgerNodes([listed, leader])
+            nodes.update_addresses([listed])
+            client = JobClient(nodes, EventLog("gateway"), lambda: None)
+            try:
+                return await client.call(EndJobCall(JOB), JOB, COMMIT_BOUND_S)
+            finally:
+                client.close()
+                for server in servers:
+                    server.stop()
+
+        self.assertEqual(JobEnded(), asyncio.run(run()))
