Texts of results are compressed in the ledger's state

Most of it is the texts of results.

Tests that compared stored results now compare the loaded ones; test_texts_take_less_than_their_length is new.

--- a/stileloom/jobs/intake.py
+++ b/stileloom/jobs/intake.py
@@ -50,10 +50,9 @@
                 # The score belongs to a different reward call.
                 continue
             del wanted[result.item_id]
+            text = result.load().text
             found.append(
-                FinishedItem(
-                    result.item_id, result.state, 0, [result.text], result.versions, result.score
-                )
+                FinishedItem(result.item_id, result.state, 0, [text], result.versions, result.score)
             )
     return found
 
--- a/stileloom/jobs/registry.py
+++ b/stileloom/jobs/registry.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import zlib
+
 import msgspec
 
 from stileloom.api.jobs import (
@@ -16,6 +18,7 @@
 from stileloom.jobs.partial_text import PartialText
 
 PAGE_BYTES = 900_000
+TEXT_COMPRESSION_LEVEL = 1
 MAX_EARLY_ENDS = 1000
 MAX_EARLY_END_LENGTH = 256
 """Longer ids are not kept, so that ends of unknown jobs take little memory."""
@@ -26,11 +29,32 @@
     return 2 * len(result.text) + 200
 
 
+class StoredResult(msgspec.Struct, frozen=True, array_like=True):
+    """A listed result. Its text is compressed, because texts are most of the replicated state."""
+
+    item_id: str
+    state: ItemState
+    compressed_text: bytes
+    versions: list[int]
+    score: str
+
+    @classmethod
+    def store(cls, result: ItemResult) -> StoredResult:
+        """Compresses a result."""
+        text = zlib.compress(result.text.encode(), TEXT_COMPRESSION_LEVEL)
+        return cls(result.item_id, result.state, text, result.versions, result.score)
+
+    def load(self) -> ItemResult:
+        """Returns the result as it was listed."""
+        text = zlib.decompress(self.compressed_text).decode()
+        return ItemResult(self.item_id, self.state, text, self.versions, self.score)
+
+
 class JobRecord(msgspec.Struct):
     """A job with its listed results and saved progress."""
 
     submission: JobSubmission
-    results: list[ItemResult] = msgspec.field(default_factory=list)
+    results: list[StoredResult] = msgspec.field(default_factory=list)
     listed: set[str] = msgspec.field(default_factory=set)
     ended: bool = False
     progress: dict[str, PartialText] = msgspec.field(default_factory=dict)
@@ -56,7 +80,7 @@
         """Returns results from a position, up to `PAGE_BYTES` but at least one if available."""
         chosen: list[ItemResult] = []
         size = 0
-        for result in self.results[position:]:
+        for result in map(StoredResult.load, self.results[position:]):
             size += result_size(result)
             if chosen and size > PAGE_BYTES:
                 break
@@ -111,9 +135,8 @@
             parts = saved.parts[: item.saved_parts] if saved is not None else []
             text = "\n".join([*parts, *item.parts]) if item.state is ItemState.SUCCEEDED else ""
             job.listed.add(item.item_id)
-            job.results.append(
-                ItemResult(item.item_id, item.state, text, item.versions, item.score)
-            )
+            result = ItemResult(item.item_id, item.state, text, item.versions, item.score)
+            job.results.append(StoredResult.store(result))
 
     def record_ages(self, age_s: dict[str, int]) -> None:
         """Records ages of jobs; an age never decreases."""
--- a/tests/test_job_book.py
+++ b/tests/test_job_book.py
@@ -152,3 +152,14 @@
         registry.submit(JobSubmission("j1", "h", "/p", 1, "m", 1, 1, items[:2]))
         (reused,) = reusable_results(registry, registry.jobs["j1"], single_version=False)
         self.assertEqual("i1", reused.item_id)
+
+    def test_texts_take_less_than_their_length_in_the_replicated_state(self) -> None:
+        """Guards against ledger nodes over their memory limit by the texts of recent jobs."""
+        text = [f"event {number} of a text" for number in range(1000)]
+        registry = JobRegistry()
+        items = [JobItem("i", "/p", {}, b"", "")]
+        registry.submit(JobSubmission("j", "h", "/p", 0, "m", 1, 1, items))
+        registry.record("j", [FinishedItem("i", ItemState.SUCCEEDED, 0, text, [1])])
+        self.assertLess(len(msgspec.msgpack.encode(registry)), len("".join(text)) / 2)
+        (result,) = registry.jobs["j"].page(0).results
+        self.assertEqual("\n".join(text), result.text)
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -182,7 +182,7 @@
         registry.save("j", [ItemProgress("a", 0, ["1", "2", "3"], 3, [1])])
         registry.save("j", [ItemProgress("a", 1, ["two", "three", "four"], 4, [1, 2])])
         registry.record("j", [FinishedItem("a", ItemState.SUCCEEDED, 4, ["five"], [1, 2])])
-        (result,) = registry.jobs["j"].results
+        (result,) = registry.jobs["j"].page(0).results
         self.assertEqual("1\ntwo\nthree\nfour\nfive", result.text)
 
 
@@ -251,7 +251,7 @@
         if "j" not in self.registry.jobs:
             return
         job = self.registry.jobs["j"]
-        assert job.results == self.expected
+        assert [result.load() for result in job.results] == self.expected
         assert job.ended == self.ended
         assert job.is_open == (not self.ended and len(self.expected) < len(self.ITEMS))
 
