Only the last eight ended jobs keep their saved texts

The saved events of items whose job had ended stayed in the state of every voter until the job was forgotten, minutes later. They serve a later job that carries the item, which saves them as its own once it is adopted.

The state keeps them for the last eight ended jobs and ignores events that are saved late for older ones. A result that was proposed before its events were removed is not listed, as its text would not be whole; nothing has to be listed after an end. An ended job whose end came first keeps no bodies either.

--- a/stileloom/jobs/registry.py
+++ b/stileloom/jobs/registry.py
@@ -16,6 +16,8 @@
 from stileloom.jobs.partial_text import PartialText
 
 PAGE_BYTES = 900_000
+MAX_ENDED_JOBS_WITH_TEXTS = 8
+"""Number of ended jobs whose saved texts stay; items come again in one of the next jobs."""
 MAX_EARLY_ENDS = 1000
 MAX_EARLY_END_LENGTH = 256
 """Longer ids are not kept, so that ends of unknown jobs take little memory."""
@@ -70,6 +72,8 @@
     jobs: dict[str, JobRecord] = msgspec.field(default_factory=dict)
     interval_s: dict[str, float] = msgspec.field(default_factory=dict)
     """Event interval of each sampler, as last recorded by a leader."""
+    ended_with_texts: list[str] = msgspec.field(default_factory=list)
+    """Ids of ended jobs whose saved texts a later job may continue, newest last."""
     early_ends: list[str] = msgspec.field(default_factory=list)
     """Ids of unknown jobs that were ended, newest last; their submission may still arrive."""
 
@@ -81,13 +85,16 @@
         job_id = submission.job_id
         if job_id in self.jobs:
             return False
-        self.jobs[job_id] = JobRecord(submission, ended=job_id in self.early_ends)
+        if job_id in self.early_ends:
+            self.jobs[job_id] = JobRecord(_without_requests(submission), ended=True)
+        else:
+            self.jobs[job_id] = JobRecord(submission)
         return True
 
     def save(self, job_id: str, items: list[ItemProgress]) -> None:
         """Saves events of items without a listed result."""
         job = self.jobs.get(job_id)
-        if job is None:
+        if job is None or (job.ended and job_id not in self.ended_with_texts):
             return
         for item in items:
             if item.item_id in job.listed:
@@ -107,8 +114,12 @@
         for item in finished:
             if item.item_id not in known or item.item_id in job.listed:
                 continue
-            saved = job.progress.pop(item.item_id, None)
-            parts = saved.parts[: item.saved_parts] if saved is not None else []
+            saved = job.progress.get(item.item_id, PartialText())
+            if job.ended and len(saved.parts) < item.saved_parts:
+                # The rest of its text was removed after the end of the job.
+                continue
+            job.progress.pop(item.item_id, None)
+            parts = saved.parts[: item.saved_parts]
             text = "\n".join([*parts, *item.parts]) if item.state is ItemState.SUCCEEDED else ""
             job.listed.add(item.item_id)
             job.results.append(
@@ -129,10 +140,19 @@
             if job_id not in self.early_ends and len(job_id) <= MAX_EARLY_END_LENGTH:
                 self.early_ends = [*self.early_ends, job_id][-MAX_EARLY_ENDS:]
             return False
-        job.ended = True
-        job.submission = _without_requests(job.submission)
+        if not job.ended:
+            job.ended = True
+            job.submission = _without_requests(job.submission)
+            self._limit_ended_texts(job_id)
         return True
 
+    def _limit_ended_texts(self, ended_job_id: str) -> None:
+        self.ended_with_texts.append(ended_job_id)
+        while len(self.ended_with_texts) > MAX_ENDED_JOBS_WITH_TEXTS:
+            oldest = self.jobs.get(self.ended_with_texts.pop(0))
+            if oldest is not None:
+                oldest.progress.clear()
+
     def forget(self, job_id: str) -> None:
         """Removes a job after its retention period."""
         self.jobs.pop(job_id, None)
--- a/tests/test_abandoned_work.py
+++ b/tests/test_abandoned_work.py
@@ -11,7 +11,7 @@
 import testtools
 
 from stileloom.api.headers import HeaderNames
-from stileloom.api.jobs import ItemState
+from stileloom.api.jobs import FinishedItem, ItemProgress, ItemState
 from stileloom.api.sampler_directory import SamplerEntry
 from stileloom.http1.buffered_response import BufferedResponse
 from stileloom.http1.connection import SamplerConnection
@@ -20,7 +20,7 @@
 from stileloom.jobs.messages import EndJobCall, JobEnded, JobTaken, NoSuchJob, SubmitJobCall
 from stileloom.jobs.open_items import ItemSize, OpenItem
 from stileloom.jobs.partial_text import PartialText
-from stileloom.jobs.registry import JobRegistry
+from stileloom.jobs.registry import MAX_ENDED_JOBS_WITH_TEXTS, JobRegistry
 from stileloom.jobs.runner import DEADLINE_MARGIN_S, PROGRESS_SAVE_PERIOD_S
 from stileloom.jobs.scheduler import MIN_EVENTS_PER_SAVE
 from stileloom.ledger.commands import EndJob
@@ -317,3 +317,34 @@
     def test_a_text_of_a_version_that_the_later_job_does_not_allow_is_not_used(self) -> None:
         item, saved_by_later_job = self.carried(min_version=2)
         self.assertEqual([], item.partial.parts + saved_by_later_job)
+
+
+class EndedTextTest(testtools.TestCase):
+    """Saved texts of ended jobs take a bounded part of the state."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.registry = JobRegistry()
+        self.jobs = [f"j{number}" for number in range(MAX_ENDED_JOBS_WITH_TEXTS + 2)]
+        self.progress = [ItemProgress("i", 0, ["one", "two"], 2, [1], False)]
+        for job in self.jobs:
+            self.registry.submit(submission(job, ["i"]))
+            self.registry.save(job, self.progress)
+            self.registry.end(job)
+            self.registry.end(job)
+
+    def test_only_the_last_ended_jobs_keep_saved_texts(self) -> None:
+        kept = [job for job in self.jobs if self.registry.jobs[job].progress]
+        self.assertEqual(self.jobs[2:], kept)
+
+    def test_events_that_are_saved_late_are_not_kept_for_an_older_job(self) -> None:
+        self.registry.save(self.jobs[0], self.progress)
+        self.assertEqual({}, self.registry.jobs[self.jobs[0]].progress)
+
+    def test_no_result_is_listed_without_the_events_that_were_removed(self) -> None:
+        finished = FinishedItem("i", ItemState.SUCCEEDED, 2, ["three"], [1])
+        for job in (self.jobs[0], self.jobs[-1]):
+            self.registry.record(job, [finished])
+        self.assertEqual([], self.registry.jobs[self.jobs[0]].results)
+        (result,) = self.registry.jobs[self.jobs[-1]].results
+        self.assertEqual("one\ntwo\nthree", result.text)
