--- a/tests/test_abandoned_work.py
+++ b/tests/test_abandoned_work.py
@@ -11,19 +11,27 @@
 import testtools
 
 from stileloom.api.headers import HeaderNames
-from stileloom.api.jobs import FinishedItem, ItemProgress, ItemState
+from stileloom.api.jobs import FinishedItem, ItemProgress, ItemState, ResultPage
 from stileloom.api.sampler_directory import SamplerEntry
 from stileloom.http1.buffered_response import BufferedResponse
 from stileloom.http1.connection import SamplerConnection
 from stileloom.jobs.intake import item_size
 from stileloom.jobs.job_ages import JobAges
-from stileloom.jobs.messages import EndJobCall, JobEnded, JobTaken, NoSuchJob, SubmitJobCall
+from stileloom.jobs.messages import (
+    EndJobCall,
+    JobEnded,
+    JobTaken,
+    NoSuchJob,
+    ReadResultsCall,
+    ResultsRead,
+    SubmitJobCall,
+)
 from stileloom.jobs.open_items import ItemSize, OpenItem
 from stileloom.jobs.partial_text import PartialText
 from stileloom.jobs.registry import MAX_ENDED_JOBS_WITH_TEXTS, JobRegistry
 from stileloom.jobs.runner import DEADLINE_MARGIN_S, PROGRESS_SAVE_PERIOD_S
 from stileloom.jobs.scheduler import MIN_EVENTS_PER_SAVE
-from stileloom.ledger.commands import EndJob
+from stileloom.ledger.commands import EndJob, RecordResults
 from stileloom.logging import configure_logs
 from tests.runner_fixture import MAX_WAIT_S, RunnerFixture, submission
 
@@ -348,3 +356,43 @@
         self.assertEqual([], self.registry.jobs[self.jobs[0]].results)
         (result,) = self.registry.jobs[self.jobs[-1]].results
         self.assertEqual("one\ntwo\nthree", result.text)
+
+
+class ResultReaderTest(testtools.TestCase):
+    """Calls that wait for results."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        configure_logs("error")
+
+    def test_a_reader_of_a_complete_job_is_answered_at_its_end(self) -> None:
+        async def scenario() -> None:
+            fixture = RunnerFixture()
+            service = fixture.service()
+            fixture.submit(submission("j", ["i"]))
+            result = FinishedItem("i", ItemState.SUCCEEDED, 0, ["one"], [1])
+            fixture.state.apply(RecordResults("j", [result]))
+            reading = asyncio.ensure_future(service.handle(ReadResultsCall("j", 1, TIMEOUT_S)))
+            await asyncio.sleep(0)
+            await service.handle(EndJobCall("j"))
+            async with asyncio.timeout(TIMEOUT_S / 10):
+                self.assertEqual(ResultsRead(ResultPage(1, 1, [])), await reading)
+            fixture.runner.stop()
+
+        asyncio.run(scenario())
+
+    def test_readers_that_left_are_not_remembered(self) -> None:
+        async def scenario() -> int:
+            fixture = RunnerFixture()
+            service = fixture.service()
+            fixture.submit(submission("j", ["i"]))
+            for _ in range(20):
+                reading = asyncio.ensure_future(service.handle(ReadResultsCall("j", 0, TIMEOUT_S)))
+                await asyncio.sleep(0)
+                reading.cancel()
+                await asyncio.wait([reading])
+            remembered = sum(map(len, fixture.runner._writer._waiters.values()))
+            fixture.runner.stop()
+            return remembered
+
+        self.assertEqual(0, asyncio.run(scenario()))
