Readers that left are no longer remembered by the result writer

A reader whose caller left, or whose wait was over, stayed in memory until its job had another result, and for the whole leadership if the job was complete. The future of a reader now removes itself once it is done or cancelled: none of twenty is left, before all were (test_abandoned_work.py).

--- a/stileloom/jobs/result_writer.py
+++ b/stileloom/jobs/result_writer.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 
 from stileloom.api.jobs import FinishedItem, ItemProgress
 from stileloom.background import BackgroundTasks
@@ -54,7 +55,7 @@
         """Complete texts without a score that are not saved yet."""
         self._flush_scheduled = False
         self._stopped = False
-        self._waiters: dict[str, list[asyncio.Future[None]]] = {}
+        self._waiters: dict[str, set[asyncio.Future[None]]] = {}
 
     def stop(self) -> None:
         """Stops writing and releases all waiting readers at the end of the leadership."""
@@ -65,9 +66,16 @@
     def wait_for_results(self, job_id: str) -> asyncio.Future[None]:
         """Returns a future that is resolved when the job has new results or has ended."""
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._waiters.setdefault(job_id, []).append(future)
+        self._waiters.setdefault(job_id, set()).add(future)
+        future.add_done_callback(partial(self._forget_waiter, job_id))
         return future
 
+    def _forget_waiter(self, job_id: str, future: asyncio.Future[None]) -> None:
+        waiters = self._waiters.get(job_id, set())
+        waiters.discard(future)
+        if not waiters:
+            self._waiters.pop(job_id, None)
+
     def queue_result(self, job_id: str, result: FinishedItem) -> None:
         """Queues a result for the next flush."""
         self._finished.setdefault(job_id, []).append(result)
@@ -172,7 +180,7 @@
 
     def notify_waiters(self, job_id: str) -> None:
         """Resolves the futures of all readers that wait for a job."""
-        for future in self._waiters.pop(job_id, []):
+        for future in self._waiters.pop(job_id, set()):
             if not future.done():
                 future.set_result(None)
 
