The end of a complete job answers the readers that wait for more of it

The leader told the readers of a job of its end only while the job had items left. Readers at the end of a complete list waited for their whole time, and asked again at once.

--- a/stileloom/jobs/result_writer.py
+++ b/stileloom/jobs/result_writer.py
@@ -178,6 +178,13 @@
             # Leadership was lost; the next leader continues from its own count.
             return
 
+    def notify_waiters_of_ended_jobs(self) -> None:
+        """Resolves the futures of all readers whose job has ended."""
+        for job_id in list(self._waiters):
+            job = self._registry.jobs.get(job_id)
+            if job is None or job.ended:
+                self.notify_waiters(job_id)
+
     def notify_waiters(self, job_id: str) -> None:
         """Resolves the futures of all readers that wait for a job."""
         for future in self._waiters.pop(job_id, set()):
--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -324,6 +324,7 @@
         for job_id in {job_id for job_id, _ in self.scheduler.items}:
             if job_id not in jobs or not self._may_run(jobs[job_id]):
                 self._run_logged(self._remove_job, job_id)
+        self._writer.notify_waiters_of_ended_jobs()
 
     def _may_run(self, record: JobRecord) -> bool:
         return record.is_open and record.submission.job_id not in self._ending_jobs
