Tests: every point between the plan of a run and its answer at which it may end

Nothing is sent after the end of a job, its removal, a received end, the loss of the lease or the end of the leadership; what was sent is closed; a lookup whose caller left is closed and not attempted again. All hold without a change.

--- a/tests/runner_fixture.py
+++ b/tests/runner_fixture.py
@@ -115,6 +115,7 @@
     def __init__(self, *samplers: SamplerEntry) -> None:
         self.state = LedgerState()
         self.now = steady_time()
+        self.routes = routes()
         self.samplers = SamplerTable()
         self.samplers.replace_all(list(samplers))
         self.ledger = FakeLedger(self.state)
@@ -165,6 +166,7 @@
             random.Random(1),
             guard,
         )
+        self.forwarder = Forwarder(access)
         runner = JobRunner(
             RunnerDependencies(
                 node_id="node",
@@ -173,9 +175,9 @@
                 registry=self.state.job_book,
                 job_ages=JobAges(),
                 ledger=self.ledger,
-                routes=routes(),
+                routes=self.routes,
                 samplers=self.samplers,
-                forwarder=Forwarder(access),
+                forwarder=self.forwarder,
                 guard=guard,
                 dialect=dialect,
                 log=self._log,
--- a/tests/test_abandoned_work.py
+++ b/tests/test_abandoned_work.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import socket
+from collections.abc import Callable
 from unittest import mock
 
 import msgspec
@@ -13,6 +14,7 @@
 from stileloom.api.headers import HeaderNames
 from stileloom.api.jobs import FinishedItem, ItemProgress, ItemState, ResultPage
 from stileloom.api.sampler_directory import SamplerEntry
+from stileloom.clock import steady_time
 from stileloom.http1.buffered_response import BufferedResponse
 from stileloom.http1.connection import SamplerConnection
 from stileloom.jobs.intake import item_size
@@ -31,12 +33,16 @@
 from stileloom.jobs.registry import MAX_ENDED_JOBS_WITH_TEXTS, JobRegistry
 from stileloom.jobs.runner import DEADLINE_MARGIN_S, PROGRESS_SAVE_PERIOD_S
 from stileloom.jobs.scheduler import MIN_EVENTS_PER_SAVE
-from stileloom.ledger.commands import EndJob, RecordResults
+from stileloom.ledger.commands import EndJob, ForgetJob, RecordResults
 from stileloom.logging import configure_logs
-from tests.runner_fixture import MAX_WAIT_S, RunnerFixture, submission
+from stileloom.proxy.lookup import Lookup
+from tests.runner_fixture import HOST as RUNNER_HOST
+from tests.runner_fixture import MAX_WAIT_S, MODEL, SERVICE, RunnerFixture, submission
 
 HOST = "127.0.0.1"
 TIMEOUT_S = 30.0
+SETTLE_S = 0.6
+"""Longer than the time after which a lookup without an answer is attempted again."""
 RECEIVE_BUFFER_BYTES = 4096
 REQUEST = b"x" * 200_000
 """Too long for the peer's receive buffer, so that the sender's kernel holds the rest."""
@@ -396,3 +402,131 @@
             return remembered
 
         self.assertEqual(0, asyncio.run(scenario()))
+
+
+class SilentSampler:
+    """Accepts requests, answers none of them, and counts them and the connections that end."""
+
+    def __init__(self) -> None:
+        self.requests = 0
+        self.ended = 0
+        self._server: asyncio.Server
+
+    async def __aenter__(self) -> SilentSampler:
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        self._server.close()
+
+    def entry(self, service: str) -> SamplerEntry:
+        """Its entry in the directory."""
+        address = self._server.sockets[0].getsockname()[:2]
+        return SamplerEntry("s", service, address, "a", 4, False, {MODEL: 1})
+
+    async def wait_for(self, requests: int, ended: int) -> None:
+        """Waits for these counts, and then until more would have come."""
+        async with asyncio.timeout(TIMEOUT_S):
+            while (self.requests, self.ended) != (requests, ended):
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(SETTLE_S)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(ConnectionResetError):
+            while await reader.read(65_536):
+                self.requests += 1
+        self.ended += 1
+        writer.close()
+
+
+class StopPointTest(testtools.TestCase):
+    """Each point between the plan of a run and its answer at which its reason may end."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        configure_logs("error")
+
+    def counts(self, stop: Callable[[RunnerFixture], None], running: bool) -> tuple[int, int]:
+        """Requests and ended connections at a sampler if a run is stopped, before or after it was
+        sent, and the runner steps on."""
+
+        async def scenario() -> tuple[int, int]:
+            async with SilentSampler() as sampler:
+                fixture = RunnerFixture(sampler.entry(SERVICE))
+                fixture.submit(submission("j", ["i"]))
+                fixture.runner.on_versions_listed()
+                fixture.step()
+                (item,) = fixture.runner.scheduler.items.values()
+                self.assertIsNotNone(item.run)
+                if running:
+                    await sampler.wait_for(1, 0)
+                stop(fixture)
+                for _ in range(5):
+                    fixture.step()
+                    await asyncio.sleep(SETTLE_S / 5)
+                counts = (sampler.requests, sampler.ended)
+                fixture.runner.stop()
+                # Lets the closed connections end.
+                await asyncio.sleep(0.01)
+                return counts
+
+        return asyncio.run(scenario())
+
+    def end_job(self, fixture: RunnerFixture) -> None:
+        """The end of the job is committed."""
+        fixture.state.apply(EndJob("j"))
+        fixture.step()
+
+    def forget_job(self, fixture: RunnerFixture) -> None:
+        """The job is removed from the ledger."""
+        fixture.state.apply(ForgetJob("j"))
+        fixture.step()
+
+    def lose_lease(self, fixture: RunnerFixture) -> None:
+        """The lease is lost; no step has noticed."""
+        fixture.ledger.leads = False
+
+    def stop_leading(self, fixture: RunnerFixture) -> None:
+        """The leadership ends, as it does in the step after the loss of the lease."""
+        fixture.ledger.leads = False
+        fixture.runner.stop()
+
+    def receive_end(self, fixture: RunnerFixture) -> None:
+        """The leader has received the end, which waits for a majority."""
+        fixture.runner.stop_job("j")
+
+    def test_a_run_that_waits_for_a_connection_is_not_sent_after_its_reason_has_ended(self) -> None:
+        for stop in (
+            self.end_job,
+            self.forget_job,
+            self.receive_end,
+            self.lose_lease,
+            self.stop_leading,
+        ):
+            requests, _ = self.counts(stop, running=False)
+            self.assertEqual(0, requests, stop.__name__)
+
+    def test_a_run_that_was_sent_is_closed_and_not_repeated(self) -> None:
+        for stop in (self.end_job, self.forget_job, self.receive_end, self.stop_leading):
+            self.assertEqual((1, 1), self.counts(stop, running=True), stop.__name__)
+
+    def test_nothing_is_sent_by_a_leader_that_has_not_noticed_the_loss_of_its_lease(self) -> None:
+        self.assertEqual((1, 0), self.counts(self.lose_lease, running=True))
+
+    def test_a_lookup_whose_caller_left_is_closed_and_not_attempted_again(self) -> None:
+        async def scenario() -> None:
+            async with SilentSampler() as sampler:
+                fixture = RunnerFixture(sampler.entry("charts"))
+                route = fixture.routes.match(RUNNER_HOST, "/charts/x")
+                assert route is not None
+                now = steady_time()
+                lookup = Lookup("r", "GET", "/charts/x", [], b"", now, now + TIMEOUT_S)
+                forwarding = asyncio.ensure_future(
+                    fixture.forwarder.forward(lookup, route, "charts")
+                )
+                await sampler.wait_for(1, 0)
+                forwarding.cancel()
+                await sampler.wait_for(1, 1)
+                fixture.runner.stop()
+
+        asyncio.run(scenario())
