Failing tests: a gateway that is paused beyond a deadline while it connects

The lookup and the stream reached the sampler, both with one millisecond left. A repeat of a submission after the end of its job is taken and does not run.

--- a/tests/runner_fixture.py
+++ b/tests/runner_fixture.py
@@ -166,6 +166,7 @@
             random.Random(1),
             guard,
         )
+        self.access = access
         self.forwarder = Forwarder(access)
         runner = JobRunner(
             RunnerDependencies(
--- a/tests/test_abandoned_work.py
+++ b/tests/test_abandoned_work.py
@@ -36,6 +36,7 @@
 from stileloom.ledger.commands import EndJob, ForgetJob, RecordResults
 from stileloom.logging import configure_logs
 from stileloom.proxy.lookup import Lookup
+from stileloom.proxy.stream_relay import StreamRelay
 from tests.runner_fixture import HOST as RUNNER_HOST
 from tests.runner_fixture import MAX_WAIT_S, MODEL, SERVICE, RunnerFixture, submission
 
@@ -248,6 +249,30 @@
         self.assertEqual([NoSuchJob(), JobTaken(), JobEnded()], asyncio.run(scenario()))
 
 
+class RepeatedSubmissionTest(testtools.TestCase):
+    """A submission that is repeated after the end of its job."""
+
+    def test_a_repeat_is_taken_and_does_not_run(self) -> None:
+        async def scenario() -> None:
+            configure_logs("error")
+            fixture = RunnerFixture()
+            service = fixture.service()
+            fixture.submit(submission("j", ["i"]))
+            fixture.step()
+            await service.handle(EndJobCall("j"))
+            for _ in range(2):
+                self.assertEqual(
+                    JobTaken(), await service.handle(SubmitJobCall(submission("j", ["i"])))
+                )
+                fixture.step(1.0)
+                self.assertEqual([], fixture.items())
+                fixture.change_leader()
+                service.runner = fixture.runner
+            fixture.runner.stop()
+
+        asyncio.run(scenario())
+
+
 class LostLeaseTest(testtools.TestCase):
     """A leader whose lease has expired while its process was held up, before its next step."""
 
@@ -530,3 +555,60 @@
                 fixture.runner.stop()
 
         asyncio.run(scenario())
+
+
+class PausedGatewayTest(testtools.TestCase):
+    """A process that is paused beyond the deadline of a lookup while it connects to a sampler."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        configure_logs("error")
+
+    def requests_after_pause(self, streaming: bool) -> int:
+        """Requests that reach the sampler."""
+
+        async def scenario() -> int:
+            pause_s = 0.0
+
+            async def acquire(sampler_id: str, address: tuple[str, int]) -> SamplerConnection:
+                nonlocal pause_s
+                connection = await SamplerConnection.open(address)
+                pause_s = 2 * TIMEOUT_S
+                return connection
+
+            def paused_time() -> float:
+                return steady_time() + pause_s
+
+            async with SilentSampler() as sampler:
+                fixture = RunnerFixture(sampler.entry("charts"))
+                route = fixture.routes.match(RUNNER_HOST, "/charts/x")
+                assert route is not None
+                now = steady_time()
+                lookup = Lookup("r", "GET", "/charts/x", [], b"", now, now + TIMEOUT_S)
+                relay = StreamRelay(fixture.access)
+                forwarder = fixture.forwarder
+                with (
+                    mock.patch("stileloom.proxy.forwarder.steady_time", paused_time),
+                    mock.patch("stileloom.proxy.stream_relay.steady_time", paused_time),
+                    mock.patch.object(forwarder._pool, "acquire", acquire),
+                    mock.patch.object(relay._pool, "acquire", acquire),
+                ):
+                    if streaming:
+                        calling = relay.relay(lookup, route, "charts", mock.Mock())
+                    else:
+                        calling = forwarder.forward(lookup, route, "charts")
+                    task = asyncio.ensure_future(calling)
+                    await asyncio.wait([task], timeout=SETTLE_S)
+                    task.cancel()
+                    await asyncio.wait([task])
+                await asyncio.sleep(0.05)
+                fixture.runner.stop()
+                return sampler.requests
+
+        return asyncio.run(scenario())
+
+    def test_a_lookup_is_not_sent_after_its_deadline(self) -> None:
+        self.assertEqual(0, self.requests_after_pause(streaming=False))
+
+    def test_a_stream_is_not_sent_after_its_deadline(self) -> None:
+        self.assertEqual(0, self.requests_after_pause(streaming=True))
