Soak: ledger nodes are replaced for good

Until now each ledger node came back at its address. Callers could not meet an address that is listed no more and neither refuses nor answers, while the ledger itself is steady. A node is now replaced by another at a new address, and connections to the old one are held open without an answer. One of the seeds of the settings stays.

A connection through a link that is silent until the run ends is closed without a traceback.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -16,7 +16,7 @@
 from stileloom.errors import StileloomError
 from tests.object_api import object_api
 from tests.ports import free_port
-from tests.soak.loopback_proxy import Link, TcpProxy, UdpProxy
+from tests.soak.loopback_proxy import Link, LinkFault, TcpProxy, UdpProxy
 from tests.soak.programs import Program
 from tests.soak.record import EVENTS, Record
 
@@ -24,6 +24,9 @@
 HOSTNAME = "rollouts.example"
 MODEL = "drafts"
 LEDGER_NODES = 4
+SEED_NODES = 3
+MOST_LEDGER_NODES = 8
+"""Over the whole run, with those that replace others."""
 GATEWAYS = 2
 SAMPLERS = {"charts": 2, "drafts": 3}
 EVENT_INTERVAL_S = 0.02
@@ -54,9 +57,11 @@
         self._udp: list[UdpProxy] = []
         self._sampler_proxies: dict[str, TcpProxy] = {}
         self._next_sampler = 0
+        self._next_ledger_node = 1
         self.poison_targets: frozenset[str] = frozenset()
         """Requests that end every sampler from its start on."""
-        hosts = [f"127.0.{net}.{number}" for net in (1, 2) for number in range(1, LEDGER_NODES + 1)]
+        numbers = range(1, MOST_LEDGER_NODES + 1)
+        hosts = [f"127.0.{net}.{number}" for net in (1, 2) for number in numbers]
         self._calls_port = free_port(*hosts)
         self._ledger_port = free_port(*hosts)
 
@@ -70,6 +75,7 @@
                 await self.add_sampler(service)
         for number in range(1, LEDGER_NODES + 1):
             await self._add_ledger_node(number)
+        self._next_ledger_node = LEDGER_NODES + 1
         for number in range(1, self._gateways + 1):
             await self._add_gateway(number)
         for program in self.programs.values():
@@ -104,7 +110,7 @@
         host, _, port = self.api_address.rpartition(":")
         return f"{HOST}:{await self._proxy(f'{name} to store', (host, int(port)), HOST, 0)}"
 
-    async def _add_ledger_node(self, number: int) -> None:
+    async def _add_ledger_node(self, number: int, first_start: bool = True) -> str:
         name = f"ledger-{number}"
         reached_at, bound_to = f"127.0.1.{number}", f"127.0.2.{number}"
         link_name = f"to {name}"
@@ -121,8 +127,30 @@
             store=await self._store_address(name),
             ledger=f"{reached_at}:{self._ledger_port}",
             data_folder=str(self.data_folder(name)),
-            first_start=True,
+            first_start=first_start,
         )
+        return name
+
+    def may_replace(self, name: str) -> bool:
+        """Whether a ledger node may be replaced: one of the seeds stays, and numbers are left."""
+        seeds = [f"ledger-{number}" for number in range(1, SEED_NODES + 1)]
+        remaining = [seed for seed in seeds if seed in self.programs and seed != name]
+        return bool(remaining) and self._next_ledger_node <= MOST_LEDGER_NODES
+
+    async def replace_ledger_node(self, name: str) -> str:
+        """A ledger node is gone for good, and another one starts; returns the name of that.
+
+        Connections to the old address are neither refused nor answered, as with a machine that
+        has lost its power.
+        """
+        program = self.programs.pop(name)
+        self.links.pop(f"to {name}").set(LinkFault.SILENT)
+        self.links.pop(f"{name} to store")
+        await program.kill()
+        self._next_ledger_node += 1
+        added = await self._add_ledger_node(self._next_ledger_node - 1, first_start=False)
+        self.programs[added].start()
+        return added
 
     async def _add_gateway(self, number: int) -> None:
         name = f"gateway-{number}"
@@ -137,7 +165,7 @@
         )
 
     def _settings(self, program: Program, **fields: object) -> None:
-        peers = [f"127.0.1.{number}:{self._ledger_port}" for number in range(1, 4)]
+        peers = [f"127.0.1.{number}:{self._ledger_port}" for number in range(1, SEED_NODES + 1)]
         every: dict[str, object] = {
             "node_id": program.name,
             "zone": "a",
@@ -233,7 +261,7 @@
 
     async def stop(self) -> None:
         """Ends all that this deployment started."""
-        for program in self.programs.values():
+        for program in list(self.programs.values()):
             program.resume()
             await program.kill()
         for proxies in self._tcp.values():
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -25,6 +25,8 @@
 """Of the faults of one ledger node so many strike the leader."""
 STRUCK_S = (1.5, 4.0)
 """A leader that is struck is away for long enough that another one is elected."""
+REPLACED_S = 4.0
+"""Before the next one is lost, another node has taken the place of one that does not return."""
 ELECTION_S = 3.0
 MOST_ROLLED = 6
 CATCH_UP_S = 6.0
@@ -83,6 +85,7 @@
             self._wipe_ledger_node,
             self._pause_ledger_node,
             self._stop_ledger_node,
+            self._replace_ledger_node,
             self._fill_disk,
             self._kill_all_ledger_nodes,
             self._two_leaders_in_a_row,
@@ -246,6 +249,18 @@
         self._lose(1.0)
         return await self._stop(name, LEDGER)
 
+    async def _replace_ledger_node(self) -> str:
+        name = self._any_ledger_node()
+        if not self._may_lose() or not self._deployment.may_replace(name):
+            return ""
+        self._lost_until = float("inf")
+        with self._record.disturbances.at(LEDGER):
+            added = await self._deployment.replace_ledger_node(name)
+            await self._deployment.programs[added].started()
+        self._record.counts["ledger nodes replaced"] += 1
+        self._lose(REPLACED_S)
+        return f"{name}: replaced by {added}, its address silent for good"
+
     async def _two_leaders_in_a_row(self) -> str:
         """The second one goes as soon as it leads, mostly before the first one is back."""
         first = self._deployment.leader()
@@ -276,6 +291,7 @@
             await self._disturb_link(f"to {name}", LinkFault.SILENT, lasts_s)
         else:
             await self._stop(name, LEDGER)
+        self._record.counts["leaders struck"] += 1
         return f"{name}: led, {how}"
 
     async def _fill_disk(self) -> str:
--- a/tests/soak/loopback_proxy.py
+++ b/tests/soak/loopback_proxy.py
@@ -106,7 +106,8 @@
         try:
             await self._link.pass_on(to_server=True)
             upstream, upstream_writer = await asyncio.open_connection(*self._target)
-        except OSError:
+        except (OSError, asyncio.CancelledError):
+            # Cancelled at the end of the run, if the link never passed anything on.
             writer.transport.abort()
             self._writers.discard(writer)
             return
