--- a/tests/test_soak_parts.py
+++ b/tests/test_soak_parts.py
@@ -240,6 +240,9 @@
         self.assertEqual(13.0 + CONTACT_S + ACK_S - 1.0, disturbances.due_at(10.0))
         disturbances.add(LEDGER, 12.5, 12.6)
         self.assertEqual(13.0 + CONTACT_S + ACK_S - 1.0, disturbances.due_at(10.0))
+        self.assertEqual(0.0, disturbances.steady_s(5.0, 8.0 + CONTACT_S))
+        self.assertEqual(1.0, disturbances.steady_s(10.0, 13.0 + CONTACT_S))
+        self.assertEqual(ACK_S, disturbances.steady_s(10.0, disturbances.due_at(10.0)))
 
     def test_only_time_in_which_every_gateway_is_gone_delays_the_due_end(self) -> None:
         disturbances = Disturbances(["gateway-1", "gateway-2"])
