--- a/stileloom/jobs/registry.py
+++ b/stileloom/jobs/registry.py
@@ -16,6 +16,9 @@
 from stileloom.jobs.partial_text import PartialText
 
 PAGE_BYTES = 900_000
+MAX_EARLY_ENDS = 1000
+MAX_EARLY_END_LENGTH = 256
+"""Longer ids are not kept, so that ends of unknown jobs take little memory."""
 
 
 def result_size(result: ItemResult) -> int:
@@ -32,6 +35,8 @@
     ended: bool = False
     progress: dict[str, PartialText] = msgspec.field(default_factory=dict)
     """Saved events of items without a listed result, by item id."""
+    age_s: int = 0
+    """Age of the job when a leader last recorded it."""
 
     @property
     def is_open(self) -> bool:
@@ -39,7 +44,9 @@
         return not self.ended and len(self.results) < len(self.submission.items)
 
     def item(self, item_id: str) -> JobItem | None:
-        """Returns an item by its id."""
+        """Returns an item of a job that has not ended, by its id."""
+        if self.ended:
+            return None
         for item in self.submission.items:
             if item.item_id == item_id:
                 return item
@@ -63,12 +70,18 @@
     jobs: dict[str, JobRecord] = msgspec.field(default_factory=dict)
     interval_s: dict[str, float] = msgspec.field(default_factory=dict)
     """Event interval of each sampler, as last recorded by a leader."""
+    early_ends: list[str] = msgspec.field(default_factory=list)
+    """Ids of unknown jobs that were ended, newest last; their submission may still arrive."""
 
     def submit(self, submission: JobSubmission) -> bool:
-        """Adds a job; returns False if it was added before."""
-        if submission.job_id in self.jobs:
+        """Adds a job; returns False if it was added before. It does not run if its end came first.
+
+        That happens if a link holds up a submission whose caller gave up.
+        """
+        job_id = submission.job_id
+        if job_id in self.jobs:
             return False
-        self.jobs[submission.job_id] = JobRecord(submission)
+        self.jobs[job_id] = JobRecord(submission, ended=job_id in self.early_ends)
         return True
 
     def save(self, job_id: str, items: list[ItemProgress]) -> None:
@@ -102,14 +115,35 @@
                 ItemResult(item.item_id, item.state, text, item.versions, item.score)
             )
 
+    def record_ages(self, age_s: dict[str, int]) -> None:
+        """Records ages of jobs; an age never decreases."""
+        for job_id, age in age_s.items():
+            job = self.jobs.get(job_id)
+            if job is not None:
+                job.age_s = max(job.age_s, age)
+
     def end(self, job_id: str) -> bool:
-        """Ends a job; returns False if it does not exist."""
+        """Ends a job; returns False if it does not exist yet."""
         job = self.jobs.get(job_id)
         if job is None:
+            if job_id not in self.early_ends and len(job_id) <= MAX_EARLY_END_LENGTH:
+                self.early_ends = [*self.early_ends, job_id][-MAX_EARLY_ENDS:]
             return False
         job.ended = True
+        job.submission = _without_requests(job.submission)
         return True
 
     def forget(self, job_id: str) -> None:
         """Removes a job after its retention period."""
         self.jobs.pop(job_id, None)
+
+
+def _without_requests(submission: JobSubmission) -> JobSubmission:
+    """The submission without what only its runs need, to save memory until it is forgotten.
+
+    Ids and reward calls stay: they decide whether a later job may reuse a result.
+    """
+    items = [
+        msgspec.structs.replace(item, path="", headers={}, body=b"") for item in submission.items
+    ]
+    return msgspec.structs.replace(submission, items=items)
--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -7,6 +7,9 @@
 from __future__ import annotations
 
 import asyncio
+import math
+import traceback
+from collections.abc import Callable
 
 import msgspec
 
@@ -14,7 +17,7 @@
 from stileloom.api.jobs import FinishedItem, ItemState
 from stileloom.api.routes import Route, RouteKind, Service
 from stileloom.api.sampler_directory import SamplerEntry
-from stileloom.background import BackgroundTasks
+from stileloom.background import MAX_TRACEBACK_LENGTH, BackgroundTasks
 from stileloom.clock import steady_time
 from stileloom.events import LogEvent
 from stileloom.http1.connection import SamplerConnection
@@ -22,6 +25,7 @@
 from stileloom.jobs.intake import item_size, reusable_results
 from stileloom.jobs.item_request import encode_item_request
 from stileloom.jobs.item_stream import ItemStream, RunOutcome
+from stileloom.jobs.job_ages import JobAges
 from stileloom.jobs.leader_ledger import LeaderLedger
 from stileloom.jobs.metrics import JobMetrics
 from stileloom.jobs.open_items import (
@@ -53,6 +57,8 @@
 PROGRESS_SAVE_PERIOD_S = 0.25
 EVENT_INTERVAL_SAVE_PERIOD_S = 2.0
 """Period at which the measured event intervals of samplers are saved for the next leader."""
+JOB_AGE_SAVE_PERIOD_S = 2.0
+"""Period at which the ages of open jobs are saved; a new leader's count may lack that much."""
 START_DELAY_S = 0.2
 VERSION_LIST_TIMEOUT_S = 0.6
 """Time after which a new leader orders loads even without the list of announced versions."""
@@ -68,6 +74,8 @@
     earliest_order_at: float
     """Monotonic time from which orders are safe, because no earlier leader can still send any."""
     registry: JobRegistry
+    job_ages: JobAges
+    """Kept by the node across changes of leader."""
     ledger: LeaderLedger
     routes: RouteTable
     samplers: SamplerTable
@@ -107,13 +115,13 @@
         self._metrics = metrics
         self._pool = ConnectionPool()
         self._connections: dict[tuple[str, str], SamplerConnection] = {}
-        self._adopted_at: dict[str, float] = {}
-        """Time of adoption by this leader, by job id."""
+        self._job_ages = dependencies.job_ages
         self._ending_jobs: set[str] = set()
         """Jobs whose end is proposed; leadership cannot outlast a proposal that is dropped."""
         self._stopped = False
         self._next_progress_save_at = 0.0
         self._next_event_interval_save_at = steady_time() + EVENT_INTERVAL_SAVE_PERIOD_S
+        self._next_job_age_save_at = steady_time() + JOB_AGE_SAVE_PERIOD_S
         self._version_list_deadline = steady_time() + VERSION_LIST_TIMEOUT_S
         self._starts_allowed_at = steady_time() + START_DELAY_S
         """Delays the first runs, because samplers may be about to load weights."""
@@ -138,7 +146,14 @@
             switches.order_windows,
         )
         self._rewards = RewardCaller(
-            dependencies.forwarder, dependencies.routes, samplers, dialect.names, self, log, metrics
+            dependencies.forwarder,
+            dependencies.routes,
+            samplers,
+            dialect.names,
+            self,
+            log,
+            metrics,
+            self._is_active_leader,
         )
 
     def stop(self) -> None:
@@ -177,7 +192,7 @@
     def stop_job(self, job_id: str) -> None:
         """Stops all work of a job whose end is about to be proposed."""
         self._ending_jobs.add(job_id)
-        self._sync_jobs(steady_time())
+        self._remove_ended_jobs()
 
     def wait_for_results(self, job_id: str) -> asyncio.Future[None]:
         """Returns a future that is resolved when the job has new results or has ended."""
@@ -193,11 +208,33 @@
     # Scheduling loop.
 
     def step(self) -> None:
-        """Applies changes of the job registry and starts due runs, loads and reward calls."""
+        """Applies changes of the job registry and starts due runs, loads and reward calls.
+
+        Ended jobs are removed first. An internal error is logged and does not reach the caller,
+        which may be the call that ends a job.
+        """
         if not self._is_active_leader():
             return
         now = steady_time()
-        self._sync_jobs(now)
+        self._remove_ended_jobs()
+        self._job_ages.observe(self._registry, now)
+        for record in list(self._registry.jobs.values()):
+            if self._may_run(record):
+                self._run_logged(self._adopt, record, now)
+        self._run_logged(self._run_open_items, now)
+
+    def _run_logged(self, action: Callable[..., None], *arguments: object) -> None:
+        """Runs a part of a step, so that its internal error does not prevent the others."""
+        try:
+            action(*arguments)
+        except Exception as error:
+            trace = "".join(traceback.format_exception(error))[-MAX_TRACEBACK_LENGTH:]
+            self._log.emit(LogEvent.INTERNAL_FAULT, {"error": repr(error), "trace": trace})
+
+    def _run_open_items(self, now: float) -> None:
+        for open_item in list(self.scheduler.items.values()):
+            if now >= open_item.deadline and not open_item.finished:
+                self._finish(open_item, ItemState.GIVEN_UP, "out of time")
         for open_item in self.scheduler.unresponsive_runs(now):
             self._stop_run(open_item, "silent", avoid=True)
             open_item.not_before = 0.0
@@ -215,6 +252,18 @@
         if now >= self._next_event_interval_save_at and self._switches.recorded_paces:
             self._next_event_interval_save_at = now + EVENT_INTERVAL_SAVE_PERIOD_S
             self._writer.record_intervals()
+        if now >= self._next_job_age_save_at:
+            self._next_job_age_save_at = now + JOB_AGE_SAVE_PERIOD_S
+            self._record_job_ages(now)
+
+    def _record_job_ages(self, now: float) -> None:
+        ages = {
+            job_id: math.floor(self._job_ages.age_s(job_id, now))
+            for job_id, record in self._registry.jobs.items()
+            if record.is_open
+        }
+        if ages:
+            self._writer.record_ages(ages)
 
     def _move_slow_runs(self, now: float) -> None:
         """Moves slow runs, and restarts each at once so that no other item takes its new slot."""
@@ -269,21 +318,12 @@
                 },
             )
 
-    def _sync_jobs(self, now: float) -> None:
+    def _remove_ended_jobs(self) -> None:
         jobs = self._registry.jobs
         self._ending_jobs = {job for job in self._ending_jobs if job in jobs and jobs[job].is_open}
-        for job_id, record in list(self._registry.jobs.items()):
-            if job_id not in self._adopted_at:
-                self._adopted_at[job_id] = now
-            if self._may_run(record):
-                self._adopt(record, now)
         for job_id in {job_id for job_id, _ in self.scheduler.items}:
-            job_record = self._registry.jobs.get(job_id)
-            if job_record is None or not self._may_run(job_record):
-                self._remove_job(job_id)
-        for open_item in list(self.scheduler.items.values()):
-            if now >= open_item.deadline and not open_item.finished:
-                self._finish(open_item, ItemState.GIVEN_UP, "out of time")
+            if job_id not in jobs or not self._may_run(jobs[job_id]):
+                self._run_logged(self._remove_job, job_id)
 
     def _may_run(self, record: JobRecord) -> bool:
         return record.is_open and record.submission.job_id not in self._ending_jobs
@@ -310,7 +350,7 @@
             route.backends[0].service,
             route.single_version,
             route.max_attempts,
-            route.max_wait_s + DEADLINE_MARGIN_S - (now - self._adopted_at[submission.job_id]),
+            route.max_wait_s + DEADLINE_MARGIN_S - self._job_ages.age_s(submission.job_id, now),
             sizes,
             now,
             self._tokens_per_event(route.backends[0].service),
@@ -343,9 +383,11 @@
         return route if route is not None and route.kind is RouteKind.BATCH else None
 
     def _remove_job(self, job_id: str) -> None:
-        self._metrics.job_time.observe(steady_time() - self._adopted_at[job_id])
-        for open_item in self.scheduler.remove_job(job_id):
-            self._stop_run(open_item, "job ended")
+        removed = self.scheduler.remove_job(job_id)
+        if removed:
+            self._metrics.job_time.observe(steady_time() - removed[0].adopted_at)
+        for open_item in removed:
+            self._run_logged(self._stop_run, open_item, "job ended")
             self._rewards.cancel(open_item.key)
         self._writer.notify_waiters(job_id)
 
@@ -553,8 +595,8 @@
         now = steady_time()
         return [
             ForgetJob(job_id)
-            for job_id, adopted_at in self._adopted_at.items()
-            if now - adopted_at > retention_s
-            and job_id in self._registry.jobs
-            and not self._registry.jobs[job_id].is_open
+            for job_id, record in self._registry.jobs.items()
+            if not record.is_open
+            and job_id in self._job_ages.accepted_at
+            and self._job_ages.age_s(job_id, now) > retention_s
         ]
