Sampler shares get a module of their own

ItemScheduler held the assignment of samplers to models beside items, planning and statistics. SamplerShares has it now; the scheduler passes its calls on. Behaviour is unchanged: the same statements, moved. The mutant of the assignment after an election follows the text.

--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -12,9 +12,8 @@
 from collections.abc import Set as AbstractSet
 from types import MappingProxyType
 
-from stileloom.jobs.model_versions import SamplerModels, assign_samplers
+from stileloom.jobs.model_versions import SamplerModels
 from stileloom.jobs.open_items import (
-    DEFAULT_EXPECTED_TOKENS,
     DEFAULT_TOKENS_PER_EVENT,
     ItemKey,
     ItemRun,
@@ -25,6 +24,7 @@
 )
 from stileloom.jobs.partial_text import PartialText
 from stileloom.jobs.registry import JobRecord
+from stileloom.jobs.sampler_shares import SamplerShares
 from stileloom.proxy.sampler_table import SamplerTable, TrackedSampler
 from stileloom.switches import ALL_ON, Switches
 
@@ -45,8 +45,6 @@
 MAX_CACHE_FILL = 0.95
 MIN_EVENTS_PER_SAVE = 5
 """Number of unsaved events at which an item is saved to the ledger."""
-DEMAND_CHANGE_FACTOR = 1.4
-"""Samplers are reassigned when a model's share of the demand changes by this factor."""
 INTERVAL_EWMA_WEIGHT = 0.2
 MAX_RETAINED_TEXTS = 2000
 
@@ -70,11 +68,7 @@
             sampler_id: SamplerStats(interval_s)
             for sampler_id, interval_s in (recorded_intervals_s or {}).items()
         }
-        self._assignment: dict[str, str] = {}
-        self._assignment_inputs: tuple[frozenset[str], frozenset[str]] | None = None
-        self._demand: dict[str, float] = {}
-        """Expected output tokens of the last adopted job, by model."""
-        self._assigned_demand: dict[str, float] = {}
+        self._shares = SamplerShares(self.models_of)
         self._retained_texts: dict[str, PartialText] = {}
         self._seen_item_ids: set[str] = set()
 
@@ -132,8 +126,9 @@
                 saved_parts=len(partial.parts) if saved is not None else 0,
             )
             self._seen_item_ids.add(item.item_id)
-        self._demand[submission.model] = sum(
-            sizes.get(item.item_id, ItemSize()).expected_tokens for item in submission.items
+        self._shares.set_demand(
+            submission.model,
+            sum(sizes.get(item.item_id, ItemSize()).expected_tokens for item in submission.items),
         )
 
     def remove_job(self, job_id: str) -> list[OpenItem]:
@@ -177,53 +172,12 @@
         """Returns the model assigned to each sampler; empty if every sampler serves all models."""
         if not self._switches.sampler_shares:
             return {}
-        ids = frozenset(sampler.entry.sampler_id for sampler in self._samplers.of_service(service))
-        demand = {model: self._demand.get(model, DEFAULT_EXPECTED_TOKENS) for model in models}
-        inputs = (ids, frozenset(models))
-        if inputs != self._assignment_inputs or self._demand_changed(demand):
-            current = {**self._assignment_from_versions(ids, models), **self._assignment}
-            self._assignment = assign_samplers(sorted(ids), demand, current)
-            self._assignment_inputs = inputs
-            self._assigned_demand = demand
-        return self._assignment
-
-    def _assignment_from_versions(
-        self, sampler_ids: frozenset[str], models: list[str]
-    ) -> dict[str, str]:
-        """Reconstructs the assignment of an earlier leader from the samplers' versions.
-
-        A sampler only receives new versions of its assigned model. A different assignment after
-        an election would require most samplers to load weights before any item can start.
-        """
-        assignment: dict[str, str] = {}
-        for sampler_id in sampler_ids:
-            versions = self.models_of(sampler_id).versions
-            newest = max(models, key=lambda model: versions.get(model, 0))
-            outdated = [
-                model for model in models if versions.get(model, 0) < versions.get(newest, 0)
-            ]
-            if outdated:
-                assignment[sampler_id] = newest
-        return assignment
-
-    def _demand_changed(self, demand: dict[str, float]) -> bool:
-        if set(demand) != set(self._assigned_demand):
-            return True
-        total = sum(demand.values()) or 1.0
-        assigned_total = sum(self._assigned_demand.values()) or 1.0
-        for model, amount in demand.items():
-            share = amount / total
-            assigned_share = self._assigned_demand[model] / assigned_total
-            if (
-                share > assigned_share * DEMAND_CHANGE_FACTOR
-                or assigned_share > share * DEMAND_CHANGE_FACTOR
-            ):
-                return True
-        return False
+        sampler_ids = [sampler.entry.sampler_id for sampler in self._samplers.of_service(service)]
+        return self._shares.assign(frozenset(sampler_ids), models)
 
     def serves(self, sampler_id: str, model: str) -> bool:
         """Whether the sampler may run items of the model."""
-        return self._assignment.get(sampler_id, model) == model
+        return self._shares.serves(sampler_id, model)
 
     # Planning.
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -479,8 +479,8 @@
     Mutant(
         "a new leader shares the samplers anew",
         "work goes on after an election",
-        "stileloom/jobs/scheduler.py",
-        "current = {**self._assignment_from_versions(ids, models), **self._assignment}",
+        "stileloom/jobs/sampler_shares.py",
+        "current = {**self._assignment_from_versions(sampler_ids, models), **self._assignment}",
         "current = self._assignment",
         "tests/test_item_scheduler.py",
     ),
