Runs of items get a module of their own

JobRunner held connections and streams of runs beside adoption, planning and results. ItemRuns (jobs/item_runs.py) starts, stops and ends runs and tells the runner, as RunListener, of complete texts, of items at their limit and of free slots. Behaviour is unchanged: the same statements, moved. Two tests and three mutants follow the names.

--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -16,21 +16,17 @@
 from stileloom.api.dialect import Dialect
 from stileloom.api.jobs import FinishedItem, ItemState
 from stileloom.api.routes import Route, RouteKind, Service
-from stileloom.api.sampler_directory import SamplerEntry
 from stileloom.background import MAX_TRACEBACK_LENGTH, BackgroundTasks
 from stileloom.clock import steady_time
 from stileloom.events import LogEvent
-from stileloom.http1.connection import SamplerConnection
 from stileloom.http1.pool import ConnectionPool
 from stileloom.jobs.intake import item_size, reusable_results, saved_texts
-from stileloom.jobs.item_request import encode_item_request
-from stileloom.jobs.item_stream import ItemStream, RunOutcome
+from stileloom.jobs.item_runs import ItemRuns
 from stileloom.jobs.job_ages import JobAges
 from stileloom.jobs.leader_ledger import LeaderLedger
 from stileloom.jobs.metrics import JobMetrics
 from stileloom.jobs.open_items import (
     DEFAULT_TOKENS_PER_EVENT,
-    ItemRun,
     OpenItem,
     PlannedRun,
 )
@@ -49,11 +45,8 @@
 from stileloom.quarantine.guard import QuarantineGuard
 from stileloom.switches import Switches
 
-RUN_RETRY_DELAY_S = 0.05
-REFUSAL_BACKOFF_S = 0.15
 DEADLINE_MARGIN_S = 2.0
 """Time after the maximum wait of its route at which an item is given up."""
-MAX_REJECTIONS = 1
 PROGRESS_SAVE_PERIOD_S = 0.25
 EVENT_INTERVAL_SAVE_PERIOD_S = 2.0
 """Period at which the measured event intervals of samplers are saved for the next leader."""
@@ -114,7 +107,6 @@
         self._log = log
         self._metrics = metrics
         self._pool = ConnectionPool()
-        self._connections: dict[tuple[str, str], SamplerConnection] = {}
         self._job_ages = dependencies.job_ages
         self._ending_jobs: set[str] = set()
         """Jobs whose end is proposed; leadership cannot outlast a proposal that is dropped."""
@@ -129,6 +121,19 @@
         self._suspects = SuspectItems(
             dependencies.guard, self.scheduler, self._host_of, self._tasks, log
         )
+        self._runs = ItemRuns(
+            self.scheduler,
+            samplers,
+            self._suspects,
+            self._pool,
+            dialect.names,
+            self._host_of,
+            self._is_active_leader,
+            self,
+            self._tasks,
+            log,
+            metrics,
+        )
         self._writer = ResultWriter(
             registry, ledger, self.scheduler, self._tasks, log, metrics, self._schedule_step
         )
@@ -159,9 +164,7 @@
     def stop(self) -> None:
         """Closes all streams and cancels all tasks at the end of the leadership."""
         self._stopped = True
-        for connection in self._connections.values():
-            connection.close()
-        self._connections.clear()
+        self._runs.close()
         self._rewards.stop()
         self._tasks.cancel()
         self._writer.stop()
@@ -236,7 +239,7 @@
             if now >= open_item.deadline and not open_item.finished:
                 self._finish(open_item, ItemState.GIVEN_UP, "out of time")
         for open_item in self.scheduler.unresponsive_runs(now):
-            self._stop_run(open_item, "silent", avoid=True)
+            self._runs.stop(open_item, "silent", avoid=True)
             open_item.not_before = 0.0
         self._move_slow_runs(now)
         for service in self._routes.services():
@@ -244,7 +247,7 @@
                 self._plan_service(now, service)
         self._rewards.step(now)
         self._metrics.items_open.set(len(self.scheduler.items))
-        self._metrics.items_running.set(len(self._connections))
+        self._metrics.items_running.set(len(self._runs))
         if now >= self._next_progress_save_at:
             self._next_progress_save_at = now + PROGRESS_SAVE_PERIOD_S
             if self._switches.saved_events:
@@ -273,14 +276,9 @@
         for open_item in self.scheduler.slow_runs(now):
             sampler_id = self.scheduler.faster_sampler(open_item, now)
             if sampler_id is not None and len(starts) < MAX_MOVES_PER_STEP:
-                self._stop_run(open_item, "moved", avoid=True)
+                self._runs.stop(open_item, "moved", avoid=True)
                 starts.append(self.scheduler.start_on(open_item, sampler_id, now))
-        self._start_runs(starts)
-
-    def _start_runs(self, starts: list[PlannedRun]) -> None:
-        self._log_started_runs(starts)
-        for start in starts:
-            self._tasks.spawn(self._run_item(start))
+        self._runs.start(starts)
 
     def _plan_service(self, now: float, service: Service) -> None:
         assert service.engine is not None
@@ -293,30 +291,11 @@
             }
             for load in self.planner.plan(now, service.name, models, single_version_models):
                 for open_item in load.evacuate:
-                    self._stop_run(open_item, "the sampler loads")
+                    self._runs.stop(open_item, "the sampler loads")
                     open_item.not_before = 0.0
                 self._tasks.spawn(self._load(load))
         if now >= self._starts_allowed_at:
-            self._start_runs(self.scheduler.plan_starts(now, models))
-
-    def _log_started_runs(self, starts: list[PlannedRun]) -> None:
-        """Logs one line per job and sampler, because a step may start dozens of runs."""
-        items_by_target: dict[tuple[str, str], list[OpenItem]] = {}
-        for start in starts:
-            items_by_target.setdefault((start.item.key[0], start.sampler_id), []).append(start.item)
-        for (job_id, sampler_id), items in items_by_target.items():
-            versions = self.scheduler.models_of(sampler_id).versions
-            self._log.emit(
-                LogEvent.ITEMS_SENT,
-                {
-                    "job": job_id,
-                    "sampler": sampler_id,
-                    "items": [item.item.item_id for item in items],
-                    "after_events": [item.partial.last_event_id or 0 for item in items],
-                    "version": versions.get(items[0].model, 0),
-                    "running_there": self.scheduler.stats(sampler_id).running,
-                },
-            )
+            self._runs.start(self.scheduler.plan_starts(now, models))
 
     def _remove_ended_jobs(self) -> None:
         jobs = self._registry.jobs
@@ -372,7 +351,7 @@
         for item in submission.items:
             open_item = self.scheduler.items.get((submission.job_id, item.item_id))
             if open_item is not None and open_item.partial.whole and not open_item.finished:
-                self._on_complete_text(open_item)
+                self.on_complete_text(open_item)
 
     def _tokens_per_event(self, service_name: str) -> float:
         service = self._routes.service(service_name)
@@ -389,160 +368,20 @@
         if removed:
             self._metrics.job_time.observe(steady_time() - removed[0].adopted_at)
         for open_item in removed:
-            self._run_logged(self._stop_run, open_item, "job ended")
+            self._run_logged(self._runs.stop, open_item, "job ended")
             self._rewards.cancel(open_item.key)
         self._writer.notify_waiters(job_id)
 
-    # Runs.
-
-    async def _run_item(self, start: PlannedRun) -> None:
-        open_item = start.item
-        run = start.run
-        if open_item.run is not run:
-            return
-        sampler = self._samplers.get(start.sampler_id)
-        if sampler is None:
-            self.scheduler.end_run(open_item)
-            return
-        entry = sampler.entry
-        if not self._suspects.may_start(open_item, entry.sampler_id):
-            return
-        try:
-            connection = await self._pool.acquire(entry.sampler_id, entry.address)
-        except (OSError, TimeoutError) as error:
-            self._samplers.record_failure(entry.sampler_id, steady_time())
-            self._log_failed_run(
-                open_item, entry.sampler_id, RunOutcome.BROKEN, type(error).__name__
-            )
-            if open_item.run is run:
-                self.scheduler.end_run(open_item, avoid=True)
-                open_item.not_before = steady_time() + RUN_RETRY_DELAY_S
-            return
-        if open_item.run is not run or not self._is_active_leader():
-            self._pool.release(entry.sampler_id, connection)
-            return
-        # A copy, so that late events of this run cannot modify the text of a later run.
-        partial = open_item.partial.copy()
-        open_item.partial = partial
-        stream = ItemStream(
-            open_item.item.item_id,
-            partial,
-            open_item.min_version,
-            self._dialect.names,
-            lambda _: self._on_event(open_item, run),
-            lambda outcome, detail: self._on_run_ended(start, entry, outcome, detail),
-        )
-        self._connections[open_item.key] = connection
-        self._metrics.runs_started.inc()
-        if not open_item.has_run:
-            open_item.has_run = True
-            self._metrics.queue_wait.observe(steady_time() - open_item.adopted_at)
-        remaining_s = open_item.deadline - steady_time()
-        request = encode_item_request(
-            open_item, self._host_of(open_item), entry.sampler_id, remaining_s, self._dialect.names
-        )
-        connection.exchange(request, stream)
+    def _schedule_step(self) -> None:
+        asyncio.get_running_loop().call_later(STEP_DELAY_S, self.step)
 
-    def _on_event(self, open_item: OpenItem, run: ItemRun) -> None:
-        if open_item.run is not run:
-            return
-        now = steady_time()
-        metric = self._metrics.event_gap if run.events else self._metrics.first_event
-        metric.observe(now - run.last_event_at)
-        self.scheduler.record_event(open_item, now)
+    # Results.
 
     def _host_of(self, open_item: OpenItem) -> str:
         record = self._registry.jobs.get(open_item.key[0])
         return record.submission.host if record is not None else ""
 
-    def _stop_run(self, open_item: OpenItem, reason: str, avoid: bool = False) -> None:
-        """Stops a run by closing its connection; the partial text is kept."""
-        connection = self._connections.pop(open_item.key, None)
-        if connection is not None:
-            connection.close()
-        run = open_item.run
-        if run is not None:
-            self._metrics.runs_stopped.labels(reason).inc()
-            self._log.emit(
-                LogEvent.ITEM_STOPPED,
-                {
-                    "item": open_item.item.item_id,
-                    "job": open_item.key[0],
-                    "sampler": run.sampler_id,
-                    "events": len(open_item.partial.parts),
-                    "events_left": round(self.scheduler.events_left(open_item)),
-                    "event_ms": round(self.scheduler.stats(run.sampler_id).interval_s * 1000),
-                    "silent_ms": round((steady_time() - run.last_event_at) * 1000),
-                    "reason": reason,
-                },
-            )
-        self.scheduler.end_run(open_item, avoid)
-
-    def _on_run_ended(
-        self, start: PlannedRun, entry: SamplerEntry, outcome: RunOutcome, detail: str
-    ) -> None:
-        open_item = start.item
-        sampler_id = start.sampler_id
-        if open_item.run is not start.run:
-            # The run was stopped earlier; the item may have another run by now.
-            return
-        connection = self._connections.pop(open_item.key, None)
-        now = steady_time()
-        failed = outcome in (RunOutcome.FAILED, RunOutcome.BROKEN, RunOutcome.REFUSED)
-        self.scheduler.end_run(open_item, avoid=failed)
-        if connection is not None:
-            if outcome in (RunOutcome.TOO_OLD, RunOutcome.BROKEN):
-                connection.close()
-            else:
-                asyncio.get_running_loop().call_soon(self._pool.release, sampler_id, connection)
-        self._metrics.runs_ended.labels(outcome.value).inc()
-        if outcome is RunOutcome.COMPLETE:
-            self._samplers.record_success(sampler_id)
-            self._suspects.on_complete_text(open_item)
-            open_item.partial.whole = True
-            self._on_complete_text(open_item)
-            return
-        self._log_failed_run(open_item, sampler_id, outcome, detail)
-        open_item.not_before = now + RUN_RETRY_DELAY_S
-        if outcome is RunOutcome.BROKEN:
-            self._suspects.on_run_broken(open_item, entry, now - start.run.started_at)
-        if outcome is RunOutcome.REFUSED:
-            self.scheduler.stats(sampler_id).refused_until = now + REFUSAL_BACKOFF_S
-        elif outcome is RunOutcome.MISDIRECTED:
-            self._samplers.mark_draining(sampler_id)
-        elif outcome is RunOutcome.FAILED:
-            open_item.failures += 1
-            if open_item.failures >= open_item.max_attempts:
-                self._finish(open_item, ItemState.GIVEN_UP, f"{open_item.failures} failed runs")
-        elif outcome is RunOutcome.IMPOSSIBLE:
-            open_item.rejections += 1
-            if open_item.rejections >= MAX_REJECTIONS:
-                self._finish(
-                    open_item, ItemState.GIVEN_UP, "the sampler rejected the item as impossible"
-                )
-        self._schedule_step()
-
-    def _log_failed_run(
-        self, open_item: OpenItem, sampler_id: str, outcome: RunOutcome, detail: str
-    ) -> None:
-        self._log.emit(
-            LogEvent.ITEM_RUN_FAILED,
-            {
-                "item": open_item.item.item_id,
-                "job": open_item.key[0],
-                "sampler": sampler_id,
-                "outcome": outcome.value,
-                "detail": detail,
-                "events": len(open_item.partial.parts),
-            },
-        )
-
-    def _schedule_step(self) -> None:
-        asyncio.get_running_loop().call_later(STEP_DELAY_S, self.step)
-
-    # Results.
-
-    def _on_complete_text(self, open_item: OpenItem) -> None:
+    def on_complete_text(self, open_item: OpenItem) -> None:
         """Lists a complete text, or saves it and requests its score."""
         if self.scheduler.items.get(open_item.key) is not open_item:
             # The job has ended, or the result was listed by another leader.
@@ -554,6 +393,14 @@
         self._writer.queue_complete_text(open_item)
         self._rewards.request_score(open_item, reward)
 
+    def on_run_limit(self, open_item: OpenItem, reason: str) -> None:
+        """Gives up an item that has failed or been rejected as often as its route allows."""
+        self._finish(open_item, ItemState.GIVEN_UP, reason)
+
+    def on_slot_free(self) -> None:
+        """Plans again soon, because a run has ended."""
+        self._schedule_step()
+
     def on_scored(self, open_item: OpenItem, score: str) -> None:
         """Lists a complete text with its score."""
         self._finish(open_item, ItemState.SUCCEEDED, "", score)
@@ -564,7 +411,7 @@
 
     def _finish(self, open_item: OpenItem, state: ItemState, reason: str, score: str = "") -> None:
         if open_item.run is not None:
-            self._stop_run(open_item, reason)
+            self._runs.stop(open_item, reason)
         self._rewards.cancel(open_item.key)
         open_item.finished = True
         succeeded = state is ItemState.SUCCEEDED
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -97,8 +97,8 @@
         "a submission that arrives after the end of its job runs",
         "no work after its job",
         "stileloom/jobs/registry.py",
-        "JobRecord(submission, ended=job_id in self.early_ends)",
-        "JobRecord(submission)",
+        "        if job_id in self.early_ends:",
+        "        if False:",
         ABANDONED_WORK,
     ),
     Mutant(
@@ -568,11 +568,11 @@
     Mutant(
         "the reward call is sent before the last event was made",
         "scored items",
-        "stileloom/jobs/runner.py",
-        "        self.scheduler.record_event(open_item, now)",
-        "        self.scheduler.record_event(open_item, now)\n"
+        "stileloom/jobs/item_runs.py",
+        "        self._scheduler.record_event(open_item, now)",
+        "        self._scheduler.record_event(open_item, now)\n"
         "        if open_item.item.reward is not None:\n"
-        "            self._rewards.request_score(open_item, open_item.item.reward)",
+        "            self._listener.on_complete_text(open_item)",
         f"{REWARDS}::RewardTest::test_results_carry_the_score_of_a_call_made_after_the_last_event",
     ),
     Mutant(
@@ -605,7 +605,7 @@
     Mutant(
         "a run that was stopped before it began begins",
         "one text an item",
-        "stileloom/jobs/runner.py",
+        "stileloom/jobs/item_runs.py",
         "        run = start.run\n",
         "        run = open_item.run\n        assert run is not None\n",
         "tests/test_services.py::JobTest::test_a_run_that_was_stopped_before_it_began_does_not_run",
--- a/tests/test_abandoned_work.py
+++ b/tests/test_abandoned_work.py
@@ -298,7 +298,7 @@
             (item,) = fixture.runner.scheduler.items.values()
             item.partial.add(1, "x", 1)
             fixture.ledger.leads = not lost_before_text
-            fixture.runner._on_complete_text(item)
+            fixture.runner.on_complete_text(item)
             fixture.ledger.leads = False
             await asyncio.sleep(0.3)
             fixture.runner.stop()
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -263,9 +263,9 @@
                 await cluster.wait_until(lambda: len(runner.scheduler.items) == 1)
                 (item,) = runner.scheduler.items.values()
                 now = steady_time()
-                runner._start_runs([runner.scheduler.start_on(item, "draft-1", now)])
-                runner._stop_run(item, "moved")
-                runner._start_runs([runner.scheduler.start_on(item, "draft-2", now)])
+                runner._runs.start([runner.scheduler.start_on(item, "draft-1", now)])
+                runner._runs.stop(item, "moved")
+                runner._runs.start([runner.scheduler.start_on(item, "draft-2", now)])
                 self.check_texts(await cluster.results("job", 1))
             runs = [len(cluster.samplers[name].runs) for name in ("draft-1", "draft-2")]
             self.assertEqual([0, 1], runs)
