Test repeated ends among many standbys after the loss of a leader

The service cluster takes the number of ledger nodes and of losses to bear. With 13 nodes of which 5 vote and a leader that has gone silent, an end repeated at four gateways is committed within a second after a successor leads, and no run of the job starts after that.

--- a/tests/service_cluster.py
+++ b/tests/service_cluster.py
@@ -31,6 +31,7 @@
 
 HOST = "127.0.0.1"
 LEDGER_HOSTS = ["127.0.0.2", "127.0.0.3", "127.0.0.4"]
+"""Of the three ledger nodes that a cluster has unless a test asks for more."""
 HOSTNAME = "rollouts.example"
 MODEL = "drafts"
 ATTEMPTS = 3
@@ -73,14 +74,18 @@
 
 
 class ServiceCluster:
-    """Three ledger nodes, gateways, samplers and the object API."""
+    """Ledger nodes, gateways, samplers and the object API."""
 
-    def __init__(self, gateways: int = 2) -> None:
+    def __init__(
+        self, gateways: int = 2, ledger_hosts: list[str] = LEDGER_HOSTS, losses_borne: int = 1
+    ) -> None:
         self.samplers: dict[str, HttpSampler] = {}
         self.ledger_nodes: dict[str, LedgerNode] = {}
         self.gateways: list[Gateway] = []
         self.front_ports: list[int] = []
         self._gateway_count = gateways
+        self._ledger_hosts = ledger_hosts
+        self._losses_borne = losses_borne
         self._folder = tempfile.TemporaryDirectory()
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._http = AsyncHTTPClient(force_instance=True, max_clients=100)
@@ -97,9 +102,9 @@
             await self.add_sampler(f"chart-{number}", "charts")
             await self.add_sampler(f"draft-{number}", "drafts")
         # All ledger nodes of a deployment use the same ports, so each has its own host address.
-        self._calls_port = free_port(*LEDGER_HOSTS)
-        self._ledger_port = free_port(*LEDGER_HOSTS)
-        for number, host in enumerate(LEDGER_HOSTS, start=1):
+        self._calls_port = free_port(*self._ledger_hosts)
+        self._ledger_port = free_port(*self._ledger_hosts)
+        for number, host in enumerate(self._ledger_hosts, start=1):
             self.start_ledger_node(f"ledger-{number}", host)
         for number in range(self._gateway_count):
             self.start_gateway(f"gateway-{number}")
@@ -194,7 +199,7 @@
 
     def start_ledger_node(self, name: str, host: str, first_start: bool = True) -> None:
         """Starts a ledger node on its data folder."""
-        peers = [f"{host}:{self._ledger_port}" for host in LEDGER_HOSTS]
+        peers = [f"{host}:{self._ledger_port}" for host in self._ledger_hosts]
         settings = ServiceSettings(
             node_id=name,
             zone="a",
@@ -205,6 +210,7 @@
             calls_port=self._calls_port,
             data_folder=str(Path(self._folder.name) / name),
             first_start=first_start,
+            losses_borne=self._losses_borne,
             bounds=BOUNDS,
         )
         node = LedgerNode(settings, NativeObjectStore(self.api), NativeDialect())
@@ -244,7 +250,7 @@
             zone="a",
             host=HOST,
             store=self._api_address,
-            peers=[f"{host}:{self._ledger_port}" for host in LEDGER_HOSTS],
+            peers=[f"{host}:{self._ledger_port}" for host in self._ledger_hosts],
             front=f"{HOST}:{front}",
             ready=f"{HOST}:{free_port()}",
             calls_port=self._calls_port,
--- a/tests/test_job_ends.py
+++ b/tests/test_job_ends.py
@@ -44,7 +44,11 @@
 """Time by which a connection without replies is replaced; TCP can't tell that it is stalled."""
 WATCH_WAIT_S = 2.0
 MAX_ENTRIES = 1000
+RUN_RESTART_S = 2.0
+"""Time in which an unresponsive run of an open job is started again."""
 NODES = 13
+LARGE_LEDGER_HOSTS = [f"127.0.0.{number}" for number in range(2, 2 + NODES)]
+GATEWAYS = 4
 JOB = "job"
 ITEMS = [f"item-{number}" for number in range(8)]
 Handler = Callable[[Request], Awaitable[Reply]]
@@ -155,6 +159,31 @@
 
         with_cluster(scenario)
 
+    def test_a_repeated_end_finds_the_successor_among_standbys_that_name_the_lost_leader(
+        self,
+    ) -> None:
+        """Guards against attempts that all end before their gateways have found the leader."""
+
+        async def scenario() -> None:
+            async with ServiceCluster(GATEWAYS, LARGE_LEDGER_HOSTS, losses_borne=2) as cluster:
+                await open_job(cluster)
+                lost = leader_of(cluster)
+                silence(lost)
+                end = asyncio.create_task(ask_until_ended(cluster))
+                others = [node for node in cluster.ledger_nodes.values() if node is not lost]
+                await cluster.wait_until(lambda: any(node.is_active_leader() for node in others))
+                led_at = steady_time()
+                await cluster.wait_until(lambda: end_committed(cluster))
+                self.assertLess(steady_time() - led_at, COMMIT_BOUND_S + SCHEDULING_MARGIN_S)
+                committed_at = steady_time()
+                await end
+                await asyncio.sleep(RUN_RESTART_S)
+                starts = [run.started_at for s in cluster.samplers.values() for run in s.runs]
+                self.assertEqual([], [at for at in starts if at > committed_at])
+
+        configure_logs("critical")
+        asyncio.run(scenario())
+
 
 class RepeatedEndTest(testtools.TestCase):
     """Ends and submissions whose answers are lost, so that callers repeat them elsewhere."""
