A leader without its lease does not announce itself to standbys

Gateways that asked a standby were sent to a leader that had been cut off from the other voters, for as long as the cut lasted, and the successor found no standby to take the lost voter's place.

Cause: a standby says hello to the leader that it hears from, and a leader answered each hello whether or not it held its lease. It hears of no higher epoch while it is cut off, so its standbys stayed.

The replica's test fails before.

--- a/stileloom/ledger/replica.py
+++ b/stileloom/ledger/replica.py
@@ -632,7 +632,8 @@
             return []
         self._standbys.record_hello(message.learner, now)
         effects = self._replicate_to_standbys(now)
-        if message.learner not in self._progress:
+        if message.learner not in self._progress and self.is_active_leader(now):
+            # A standby that hears from no leader for a while asks all nodes, and finds a successor.
             effects.append(self._announce_leader(message.learner))
         return effects
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -530,6 +530,14 @@
         self.assertEqual([], self.requests(replica.tick(now + 0.2), "d"))
         self.assertEqual(VOTERS, replica.voters)
 
+    def test_a_leader_without_its_lease_does_not_keep_standbys(self) -> None:
+        """Guards against standbys that name a leader which is cut off from the voters for good."""
+        replica, now = self.leader()
+        now += 10.0
+        self.assertFalse(replica.is_active_leader(now))
+        effects = replica.handle(now, "d", LearnerHello(Voter("d", "disk-d")))
+        self.assertEqual([], self.requests(effects, "d"))
+
     def test_a_leader_without_its_lease_changes_no_voters(self) -> None:
         """A partitioned leader sees all other voters as unresponsive and must not replace them."""
         replica, now = self.leader()
