--- a/tests/test_abandoned_work.py
+++ b/tests/test_abandoned_work.py
@@ -5,30 +5,45 @@
 import asyncio
 import contextlib
 import socket
+from collections.abc import Callable
 from unittest import mock
 
 import msgspec
 import testtools
 
 from stileloom.api.headers import HeaderNames
-from stileloom.api.jobs import ItemState
+from stileloom.api.jobs import FinishedItem, ItemProgress, ItemState, ResultPage
 from stileloom.api.sampler_directory import SamplerEntry
+from stileloom.clock import steady_time
 from stileloom.http1.buffered_response import BufferedResponse
 from stileloom.http1.connection import SamplerConnection
 from stileloom.jobs.intake import item_size
 from stileloom.jobs.job_ages import JobAges
-from stileloom.jobs.messages import EndJobCall, JobEnded, JobTaken, NoSuchJob, SubmitJobCall
+from stileloom.jobs.messages import (
+    EndJobCall,
+    JobEnded,
+    JobTaken,
+    NoSuchJob,
+    ReadResultsCall,
+    ResultsRead,
+    SubmitJobCall,
+)
 from stileloom.jobs.open_items import ItemSize, OpenItem
 from stileloom.jobs.partial_text import PartialText
-from stileloom.jobs.registry import JobRegistry
+from stileloom.jobs.registry import MAX_ENDED_JOBS_WITH_TEXTS, JobRegistry
 from stileloom.jobs.runner import DEADLINE_MARGIN_S, PROGRESS_SAVE_PERIOD_S
 from stileloom.jobs.scheduler import MIN_EVENTS_PER_SAVE
-from stileloom.ledger.commands import EndJob
+from stileloom.ledger.commands import EndJob, ForgetJob, RecordResults
 from stileloom.logging import configure_logs
-from tests.runner_fixture import MAX_WAIT_S, RunnerFixture, submission
+from stileloom.proxy.lookup import Lookup
+from stileloom.proxy.stream_relay import StreamRelay
+from tests.runner_fixture import HOST as RUNNER_HOST
+from tests.runner_fixture import MAX_WAIT_S, MODEL, SERVICE, RunnerFixture, submission
 
 HOST = "127.0.0.1"
 TIMEOUT_S = 30.0
+SETTLE_S = 0.6
+"""Longer than the time after which a lookup without an answer is attempted again."""
 RECEIVE_BUFFER_BYTES = 4096
 REQUEST = b"x" * 200_000
 """Too long for the peer's receive buffer, so that the sender's kernel holds the rest."""
@@ -234,6 +249,30 @@
         self.assertEqual([NoSuchJob(), JobTaken(), JobEnded()], asyncio.run(scenario()))
 
 
+class RepeatedSubmissionTest(testtools.TestCase):
+    """A submission that is repeated after the end of its job."""
+
+    def test_a_repeat_is_taken_and_does_not_run(self) -> None:
+        async def scenario() -> None:
+            configure_logs("error")
+            fixture = RunnerFixture()
+            service = fixture.service()
+            fixture.submit(submission("j", ["i"]))
+            fixture.step()
+            await service.handle(EndJobCall("j"))
+            for _ in range(2):
+                self.assertEqual(
+                    JobTaken(), await service.handle(SubmitJobCall(submission("j", ["i"])))
+                )
+                fixture.step(1.0)
+                self.assertEqual([], fixture.items())
+                fixture.change_leader()
+                service.runner = fixture.runner
+            fixture.runner.stop()
+
+        asyncio.run(scenario())
+
+
 class LostLeaseTest(testtools.TestCase):
     """A leader whose lease has expired while its process was held up, before its next step."""
 
@@ -317,3 +356,259 @@
     def test_a_text_of_a_version_that_the_later_job_does_not_allow_is_not_used(self) -> None:
         item, saved_by_later_job = self.carried(min_version=2)
         self.assertEqual([], item.partial.parts + saved_by_later_job)
+
+
+class EndedTextTest(testtools.TestCase):
+    """Saved texts of ended jobs take a bounded part of the state."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.registry = JobRegistry()
+        self.jobs = [f"j{number}" for number in range(MAX_ENDED_JOBS_WITH_TEXTS + 2)]
+        self.progress = [ItemProgress("i", 0, ["one", "two"], 2, [1], False)]
+        for job in self.jobs:
+            self.registry.submit(submission(job, ["i"]))
+            self.registry.save(job, self.progress)
+            self.registry.end(job)
+            self.registry.end(job)
+
+    def test_only_the_last_ended_jobs_keep_saved_texts(self) -> None:
+        kept = [job for job in self.jobs if self.registry.jobs[job].progress]
+        self.assertEqual(self.jobs[2:], kept)
+
+    def test_events_that_are_saved_late_are_not_kept_for_an_older_job(self) -> None:
+        self.registry.save(self.jobs[0], self.progress)
+        self.assertEqual({}, self.registry.jobs[self.jobs[0]].progress)
+
+    def test_no_result_is_listed_without_the_events_that_were_removed(self) -> None:
+        finished = FinishedItem("i", ItemState.SUCCEEDED, 2, ["three"], [1])
+        for job in (self.jobs[0], self.jobs[-1]):
+            self.registry.record(job, [finished])
+        self.assertEqual([], self.registry.jobs[self.jobs[0]].results)
+        (result,) = self.registry.jobs[self.jobs[-1]].page(0).results
+        self.assertEqual("one\ntwo\nthree", result.text)
+
+
+class ResultReaderTest(testtools.TestCase):
+    """Calls that wait for results."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        configure_logs("error")
+
+    def test_a_reader_of_a_complete_job_is_answered_at_its_end(self) -> None:
+        async def scenario() -> None:
+            fixture = RunnerFixture()
+            service = fixture.service()
+            fixture.submit(submission("j", ["i"]))
+            result = FinishedItem("i", ItemState.SUCCEEDED, 0, ["one"], [1])
+            fixture.state.apply(RecordResults("j", [result]))
+            reading = asyncio.ensure_future(service.handle(ReadResultsCall("j", 1, TIMEOUT_S)))
+            await asyncio.sleep(0)
+            await service.handle(EndJobCall("j"))
+            async with asyncio.timeout(TIMEOUT_S / 10):
+                self.assertEqual(ResultsRead(ResultPage(1, 1, [])), await reading)
+            fixture.runner.stop()
+
+        asyncio.run(scenario())
+
+    def test_readers_that_left_are_not_remembered(self) -> None:
+        async def scenario() -> int:
+            fixture = RunnerFixture()
+            service = fixture.service()
+            fixture.submit(submission("j", ["i"]))
+            for _ in range(20):
+                reading = asyncio.ensure_future(service.handle(ReadResultsCall("j", 0, TIMEOUT_S)))
+                await asyncio.sleep(0)
+                reading.cancel()
+                await asyncio.wait([reading])
+            remembered = sum(map(len, fixture.runner._writer._waiters.values()))
+            fixture.runner.stop()
+            return remembered
+
+        self.assertEqual(0, asyncio.run(scenario()))
+
+
+class SilentSampler:
+    """Accepts requests, answers none of them, and counts them and the connections that end."""
+
+    def __init__(self) -> None:
+        self.requests = 0
+        self.ended = 0
+        self._server: asyncio.Server
+
+    async def __aenter__(self) -> SilentSampler:
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        self._server.close()
+
+    def entry(self, service: str) -> SamplerEntry:
+        """Its entry in the directory."""
+        address = self._server.sockets[0].getsockname()[:2]
+        return SamplerEntry("s", service, address, "a", 4, False, {MODEL: 1})
+
+    async def wait_for(self, requests: int, ended: int) -> None:
+        """Waits for these counts, and then until more would have come."""
+        async with asyncio.timeout(TIMEOUT_S):
+            while (self.requests, self.ended) != (requests, ended):
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(SETTLE_S)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(ConnectionResetError):
+            while await reader.read(65_536):
+                self.requests += 1
+        self.ended += 1
+        writer.close()
+
+
+class StopPointTest(testtools.TestCase):
+    """Each point between the plan of a run and its answer at which its reason may end."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        configure_logs("error")
+
+    def counts(self, stop: Callable[[RunnerFixture], None], running: bool) -> tuple[int, int]:
+        """Requests and ended connections at a sampler if a run is stopped, before or after it was
+        sent, and the runner steps on."""
+
+        async def scenario() -> tuple[int, int]:
+            async with SilentSampler() as sampler:
+                fixture = RunnerFixture(sampler.entry(SERVICE))
+                fixture.submit(submission("j", ["i"]))
+                fixture.runner.on_versions_listed()
+                fixture.step()
+                (item,) = fixture.runner.scheduler.items.values()
+                self.assertIsNotNone(item.run)
+                if running:
+                    await sampler.wait_for(1, 0)
+                stop(fixture)
+                for _ in range(5):
+                    fixture.step()
+                    await asyncio.sleep(SETTLE_S / 5)
+                counts = (sampler.requests, sampler.ended)
+                fixture.runner.stop()
+                # Lets the closed connections end.
+                await asyncio.sleep(0.01)
+                return counts
+
+        return asyncio.run(scenario())
+
+    def end_job(self, fixture: RunnerFixture) -> None:
+        """The end of the job is committed."""
+        fixture.state.apply(EndJob("j"))
+        fixture.step()
+
+    def forget_job(self, fixture: RunnerFixture) -> None:
+        """The job is removed from the ledger."""
+        fixture.state.apply(ForgetJob("j"))
+        fixture.step()
+
+    def lose_lease(self, fixture: RunnerFixture) -> None:
+        """The lease is lost; no step has noticed."""
+        fixture.ledger.leads = False
+
+    def stop_leading(self, fixture: RunnerFixture) -> None:
+        """The leadership ends, as it does in the step after the loss of the lease."""
+        fixture.ledger.leads = False
+        fixture.runner.stop()
+
+    def receive_end(self, fixture: RunnerFixture) -> None:
+        """The leader has received the end, which waits for a majority."""
+        fixture.runner.stop_job("j")
+
+    def test_a_run_that_waits_for_a_connection_is_not_sent_after_its_reason_has_ended(self) -> None:
+        for stop in (
+            self.end_job,
+            self.forget_job,
+            self.receive_end,
+            self.lose_lease,
+            self.stop_leading,
+        ):
+            requests, _ = self.counts(stop, running=False)
+            self.assertEqual(0, requests, stop.__name__)
+
+    def test_a_run_that_was_sent_is_closed_and_not_repeated(self) -> None:
+        for stop in (self.end_job, self.forget_job, self.receive_end, self.stop_leading):
+            self.assertEqual((1, 1), self.counts(stop, running=True), stop.__name__)
+
+    def test_nothing_is_sent_by_a_leader_that_has_not_noticed_the_loss_of_its_lease(self) -> None:
+        self.assertEqual((1, 0), self.counts(self.lose_lease, running=True))
+
+    def test_a_lookup_whose_caller_left_is_closed_and_not_attempted_again(self) -> None:
+        async def scenario() -> None:
+            async with SilentSampler() as sampler:
+                fixture = RunnerFixture(sampler.entry("charts"))
+                route = fixture.routes.match(RUNNER_HOST, "/charts/x")
+                assert route is not None
+                now = steady_time()
+                lookup = Lookup("r", "GET", "/charts/x", [], b"", now, now + TIMEOUT_S)
+                forwarding = asyncio.ensure_future(
+                    fixture.forwarder.forward(lookup, route, "charts")
+                )
+                await sampler.wait_for(1, 0)
+                forwarding.cancel()
+                await sampler.wait_for(1, 1)
+                fixture.runner.stop()
+
+        asyncio.run(scenario())
+
+
+class PausedGatewayTest(testtools.TestCase):
+    """A process that is paused beyond the deadline of a lookup while it connects to a sampler."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        configure_logs("error")
+
+    def requests_after_pause(self, streaming: bool) -> int:
+        """Requests that reach the sampler."""
+
+        async def scenario() -> int:
+            pause_s = 0.0
+
+            async def acquire(sampler_id: str, address: tuple[str, int]) -> SamplerConnection:
+                nonlocal pause_s
+                connection = await SamplerConnection.open(address)
+                pause_s = 2 * TIMEOUT_S
+                return connection
+
+            def paused_time() -> float:
+                return steady_time() + pause_s
+
+            async with SilentSampler() as sampler:
+                fixture = RunnerFixture(sampler.entry("charts"))
+                route = fixture.routes.match(RUNNER_HOST, "/charts/x")
+                assert route is not None
+                now = steady_time()
+                lookup = Lookup("r", "GET", "/charts/x", [], b"", now, now + TIMEOUT_S)
+                relay = StreamRelay(fixture.access)
+                forwarder = fixture.forwarder
+                with (
+                    mock.patch("stileloom.proxy.forwarder.steady_time", paused_time),
+                    mock.patch("stileloom.proxy.stream_relay.steady_time", paused_time),
+                    mock.patch.object(forwarder._pool, "acquire", acquire),
+                    mock.patch.object(relay._pool, "acquire", acquire),
+                ):
+                    if streaming:
+                        calling = relay.relay(lookup, route, "charts", mock.Mock())
+                    else:
+                        calling = forwarder.forward(lookup, route, "charts")
+                    task = asyncio.ensure_future(calling)
+                    await asyncio.wait([task], timeout=SETTLE_S)
+                    task.cancel()
+                    await asyncio.wait([task])
+                await asyncio.sleep(0.05)
+                fixture.runner.stop()
+                return sampler.requests
+
+        return asyncio.run(scenario())
+
+    def test_a_lookup_is_not_sent_after_its_deadline(self) -> None:
+        self.assertEqual(0, self.requests_after_pause(streaming=False))
+
+    def test_a_stream_is_not_sent_after_its_deadline(self) -> None:
+        self.assertEqual(0, self.requests_after_pause(streaming=True))
