Lookups and streams are not sent after their deadline

A gateway that was paused while it connected to a sampler sent the request when it woke, although the deadline had passed and the caller had left: the deadline was checked before the connection only. It is now checked again right before the request is written; the sampler received it in both tests before (test_abandoned_work.py).

--- a/stileloom/proxy/forwarder.py
+++ b/stileloom/proxy/forwarder.py
@@ -216,6 +216,10 @@
                     Outcome.NOT_RUN,
                 )
             started_at = steady_time()
+            if started_at >= lookup.deadline_at:
+                # The process was paused while it connected.
+                self._pool.release(entry.sampler_id, connection)
+                raise StileloomError(ErrorKind.DEADLINE_PASSED, "not sent before the deadline")
             request = self._encode(lookup, entry.sampler_id)
             attempt = await run_exchange(
                 connection,
--- a/stileloom/proxy/stream_relay.py
+++ b/stileloom/proxy/stream_relay.py
@@ -189,6 +189,12 @@
             self._samplers.record_failure(entry.sampler_id, steady_time())
             plan.record_connect_failure(entry.sampler_id)
             return self._log_run(lookup, entry.sampler_id, _Run(_RunEnd.REFUSED, repr(error)))
+        if steady_time() >= lookup.deadline_at:
+            # The process was paused while it connected.
+            self._pool.release(entry.sampler_id, connection)
+            return self._log_run(
+                lookup, entry.sampler_id, _Run(_RunEnd.REFUSED, "not sent before the deadline")
+            )
         tracked.open_requests += 1
         response = _ResponseQueue()
         connection.exchange(self._encode(lookup, entry.sampler_id, stream), response)
