--- a/tests/test_abandoned_work.py
+++ b/tests/test_abandoned_work.py
@@ -272,6 +272,18 @@
 
         asyncio.run(scenario())
 
+    def test_a_repeat_does_not_run_after_its_job_was_forgotten(self) -> None:
+        for end_is_known in (True, False):
+            registry = JobRegistry()
+            registry.submit(submission("j", ["i"]))
+            if end_is_known:
+                registry.end("j")
+            else:
+                registry.record("j", [FinishedItem("i", ItemState.GIVEN_UP, 0, [], [])])
+            registry.forget("j")
+            registry.submit(submission("j", ["i"]))
+            self.assertFalse(registry.jobs["j"].is_open)
+
 
 class LostLeaseTest(testtools.TestCase):
     """A leader whose lease has expired while its process was held up, before its next step."""
