A job that was forgotten does not run again when its submission is repeated

A repeat of a submission that arrived after its job had been forgotten ran all of it once more. The ledger now keeps the ids of forgotten jobs, in the list of those that ended before they were submitted. The test found the repeated job open before (test_abandoned_work.py).

--- a/stileloom/jobs/registry.py
+++ b/stileloom/jobs/registry.py
@@ -21,8 +21,8 @@
 MAX_ENDED_JOBS_WITH_TEXTS = 8
 """Number of ended jobs whose saved texts stay; items come again in one of the next jobs."""
 TEXT_COMPRESSION_LEVEL = 1
-MAX_EARLY_ENDS = 1000
-MAX_EARLY_END_LENGTH = 256
+MAX_CLOSED_IDS = 1000
+MAX_CLOSED_ID_LENGTH = 256
 """Longer ids are not kept, so that ends of unknown jobs take little memory."""
 
 
@@ -98,18 +98,21 @@
     """Event interval of each sampler, as last recorded by a leader."""
     ended_with_texts: list[str] = msgspec.field(default_factory=list)
     """Ids of ended jobs whose saved texts a later job may continue, newest last."""
-    early_ends: list[str] = msgspec.field(default_factory=list)
-    """Ids of unknown jobs that were ended, newest last; their submission may still arrive."""
+    closed_ids: list[str] = msgspec.field(default_factory=list)
+    """Ids of jobs that are not stored and do not run if their submission arrives, newest last.
+
+    They were forgotten, or ended before they were submitted.
+    """
 
     def submit(self, submission: JobSubmission) -> bool:
-        """Adds a job; returns False if it was added before. It does not run if its end came first.
+        """Adds a job; returns False if it was added before.
 
-        That happens if a link holds up a submission whose caller gave up.
+        It does not run if a link held up its submission until its end, or until it was forgotten.
         """
         job_id = submission.job_id
         if job_id in self.jobs:
             return False
-        if job_id in self.early_ends:
+        if job_id in self.closed_ids:
             self.jobs[job_id] = JobRecord(_without_requests(submission), ended=True)
         else:
             self.jobs[job_id] = JobRecord(submission)
@@ -160,8 +163,7 @@
         """Ends a job; returns False if it does not exist yet."""
         job = self.jobs.get(job_id)
         if job is None:
-            if job_id not in self.early_ends and len(job_id) <= MAX_EARLY_END_LENGTH:
-                self.early_ends = [*self.early_ends, job_id][-MAX_EARLY_ENDS:]
+            self._close_id(job_id)
             return False
         if not job.ended:
             job.ended = True
@@ -178,7 +180,12 @@
 
     def forget(self, job_id: str) -> None:
         """Removes a job after its retention period."""
-        self.jobs.pop(job_id, None)
+        if self.jobs.pop(job_id, None) is not None:
+            self._close_id(job_id)
+
+    def _close_id(self, job_id: str) -> None:
+        if job_id not in self.closed_ids and len(job_id) <= MAX_CLOSED_ID_LENGTH:
+            self.closed_ids = [*self.closed_ids, job_id][-MAX_CLOSED_IDS:]
 
 
 def _without_requests(submission: JobSubmission) -> JobSubmission:
