Soak: faults of the ledger follow one another without a pause

After each lost ledger node the schedule waited six seconds, so a storm had one or two such faults, and few leaders were struck in a row. Only faults that take the files of a node wait now until the others have caught up; a node that keeps its files may be lost as soon as the last one is back.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -30,7 +30,7 @@
 ELECTION_S = 3.0
 MOST_ROLLED = 6
 CATCH_UP_S = 6.0
-"""A ledger node that was lost counts as lost for so long after it is back."""
+"""A ledger node that was lost needs at most so long after it is back."""
 DELAYS_S = (0.02, 0.4)
 LINK_FAULTS = [fault for fault in LinkFault if fault is not LinkFault.NONE]
 
@@ -57,7 +57,8 @@
         self._rng = rng
         self._started_at = steady_time()
         self._lost_until = 0.0
-        """One ledger node may be lost at a time: the next one after this."""
+        """Ledger nodes are lost one after another; one after this may lose its files only once the
+        others have caught up."""
         self._ending: set[str] = set()
         """Gateways that a fault ends and starts again just now."""
         self._tasks: set[asyncio.Task[None]] = set()
@@ -86,10 +87,13 @@
             self._pause_ledger_node,
             self._stop_ledger_node,
             self._replace_ledger_node,
+            self._replace_ledger_node,
+            self._replace_ledger_node,
             self._fill_disk,
             self._kill_all_ledger_nodes,
             self._two_leaders_in_a_row,
             self._two_leaders_in_a_row,
+            self._two_leaders_in_a_row,
             self._store_fault,
         ]
         give_up_at = steady_time() + seconds
@@ -183,8 +187,15 @@
     def _may_lose(self) -> bool:
         return steady_time() >= self._lost_until
 
+    def _may_lose_files(self) -> bool:
+        """Whether all ledger nodes are there and have had time to catch up."""
+        return steady_time() >= self._lost_until + CATCH_UP_S
+
     def _lose(self, lasts_s: float) -> None:
-        self._lost_until = steady_time() + lasts_s + CATCH_UP_S
+        self._lost_until = max(self._lost_until, steady_time() + lasts_s)
+
+    def _lose_until_told(self) -> None:
+        self._lost_until = float("inf")
 
     def _ledger_nodes(self) -> list[str]:
         return [name for name in sorted(self._deployment.programs) if name.startswith("ledger")]
@@ -217,7 +228,7 @@
         await asyncio.gather(*(program.started() for program in programs))
 
     async def _wipe_ledger_node(self) -> str:
-        if not self._may_lose():
+        if not self._may_lose_files():
             return ""
         name, lasts_s = self._any_ledger_node(), self._lasts_s()
         self._lose(lasts_s)
@@ -246,19 +257,21 @@
         if not self._may_lose():
             return ""
         name = self._any_ledger_node()
-        self._lose(1.0)
-        return await self._stop(name, LEDGER)
+        self._lose_until_told()
+        told = await self._stop(name, LEDGER)
+        self._lost_until = steady_time()
+        return told
 
     async def _replace_ledger_node(self) -> str:
         name = self._any_ledger_node()
-        if not self._may_lose() or not self._deployment.may_replace(name):
+        if not self._may_lose_files() or not self._deployment.may_replace(name):
             return ""
-        self._lost_until = float("inf")
+        self._lose_until_told()
         with self._record.disturbances.at(LEDGER):
             added = await self._deployment.replace_ledger_node(name)
             await self._deployment.programs[added].started()
         self._record.counts["ledger nodes replaced"] += 1
-        self._lose(REPLACED_S)
+        self._lost_until = steady_time() + REPLACED_S
         return f"{name}: replaced by {added}, its address silent for good"
 
     async def _two_leaders_in_a_row(self) -> str:
@@ -266,7 +279,7 @@
         first = self._deployment.leader()
         if first is None or not self._may_lose():
             return ""
-        self._lost_until = float("inf")
+        self._lose_until_told()
         loop = asyncio.get_running_loop()
         first_strike = loop.create_task(self._strike(first))
         give_up_at = steady_time() + ELECTION_S
@@ -277,7 +290,7 @@
             await first_strike
         told = await self._strike(second)
         told = f"{await first_strike}, then {told}"
-        self._lose(0.0)
+        self._lost_until = steady_time()
         return told
 
     async def _strike(self, name: str) -> str:
@@ -310,11 +323,12 @@
         if not self._may_lose() or self._rng.random() < 0.5:
             return ""
         names = self._ledger_nodes()
-        self._lose(1.0)
+        self._lose_until_told()
         with self._record.disturbances.at(LEDGER):
             await asyncio.gather(*(self._deployment.programs[name].kill() for name in names))
             await asyncio.sleep(self._rng.uniform(0.1, 1.0))
             await self._start_ledger_nodes(*names)
+        self._lost_until = steady_time()
         return "all ledger nodes: killed"
 
     # Gateways.
