--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -120,8 +120,8 @@
     Mutant(
         "a run is sent although its job ended while it connected",
         "no work after its job",
-        "stileloom/jobs/runner.py",
-        "        if open_item.run is not run or not self._is_active_leader():\n",
+        "stileloom/jobs/item_runs.py",
+        "        if open_item.run is not run or not self._may_send():\n",
         "        if False:\n",
         f"{ABANDONED_WORK}::StopPointTest",
     ),
