--- a/stileloom/daemon/ledger_driver.py
+++ b/stileloom/daemon/ledger_driver.py
@@ -204,16 +204,18 @@
         if self._writing:
             return
         batch: list[Persist] = []
-        while self._writes and not self._must_wait(self._writes[0]):
+        while self._writes and not self._must_wait(self._writes[0], batch):
             batch.append(self._writes.pop(0))
         if batch:
             self._writing = True
             self._write(batch)
 
-    def _must_wait(self, write: Persist) -> bool:
-        """Whether the write replaces the snapshot that is being written beside it."""
+    def _must_wait(self, write: Persist, batch: list[Persist]) -> bool:
+        """Whether the write replaces a snapshot that is written beside it, now or after `batch`."""
         replaces_snapshot = write.snapshot is not None and not write.background
-        return replaces_snapshot and self._snapshot_writer.busy
+        return replaces_snapshot and (
+            self._snapshot_writer.busy or any(earlier.background for earlier in batch)
+        )
 
     def _write(self, batch: list[Persist]) -> None:
         if self._stopped:
