--- a/stileloom/ledger/storage.py
+++ b/stileloom/ledger/storage.py
@@ -66,6 +66,8 @@
         self._journal: int | None = None
         self._journal_bytes = 0
         """Total length of the synced records of the journal."""
+        self._journal_name_synced = False
+        """Whether the folder was synced since the journal's file was created or renamed."""
 
     # Identity.
 
@@ -165,6 +167,9 @@
         os.ftruncate(self._journal, self._journal_bytes)
         _write_all(self._journal, buffer)
         os.fsync(self._journal)
+        if not self._journal_name_synced:
+            self._sync_folder()
+            self._journal_name_synced = True
         self._journal_bytes += len(buffer)
         self._synced_commit_index = self._commit_index
 
@@ -180,16 +185,22 @@
         body = _record(self._hard_state) + _record(
             AppendRecord(None, self._entries, self._commit_index)
         )
+        if self._journal is None:
+            self._open_journal()
+        assert self._journal is not None
+        # Whichever file is there after a failure is opened again and must hold synced records only.
+        os.ftruncate(self._journal, self._journal_bytes)
+        self.close()
         self._replace(JOURNAL_NAME, body)
         self._open_journal()
+        self._journal_name_synced = True
 
     def _open_journal(self) -> None:
-        if self._journal is not None:
-            os.close(self._journal)
+        self.close()
         path = self._folder / JOURNAL_NAME
-        self._journal = None
         self._journal = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644)
         self._journal_bytes = os.fstat(self._journal).st_size
+        self._journal_name_synced = False
 
     def _replace(self, name: str, *parts: bytes) -> None:
         """Atomically replaces a file: temporary file, sync, rename, sync of the folder."""
@@ -200,6 +211,9 @@
             file.flush()
             os.fsync(file.fileno())
         temporary.rename(self._folder / name)
+        self._sync_folder()
+
+    def _sync_folder(self) -> None:
         folder = os.open(self._folder, os.O_RDONLY)
         try:
             os.fsync(folder)
--- a/tests/test_ledger_files.py
+++ b/tests/test_ledger_files.py
@@ -21,7 +21,7 @@
 from stileloom.ledger.commands import RaiseConfigurationFloor, Voter
 from stileloom.ledger.messages import AppendRequest, Entry, SnapshotRecord, SnapshotRequest
 from stileloom.ledger.recovered import RecoveredLedger
-from stileloom.ledger.storage import JOURNAL_NAME, LedgerStorage
+from stileloom.ledger.storage import LedgerStorage
 from stileloom.ledger.wire import Sender
 from stileloom.logging import EventLog
 
@@ -124,11 +124,16 @@
         self.storage.write([Persist(1, entries=entries(1, 4))])
         self.storage.write_snapshot(snapshot(2))
         failed = Persist(2, entries=entries(5, 5))
-        with mock.patch("os.fsync", side_effect=OSError(errno.ENOSPC, "no space")):
+        write = os.write
+
+        def write_a_part(descriptor: int, data: bytes) -> int:
+            write(descriptor, data[:5])
+            raise OSError(errno.ENOSPC, "no space")
+
+        with mock.patch("os.write", write_a_part):
             self.assertRaises(OSError, self.storage.write, [failed])
+        with mock.patch("os.fsync", side_effect=OSError(errno.ENOSPC, "no space")):
             self.assertRaises(OSError, self.storage.drop_covered, snapshot(2))
-        journal = self.folder / JOURNAL_NAME
-        os.truncate(journal, journal.stat().st_size - 1)
         self.storage.write([failed])
         self.storage.write([Persist(3, entries=entries(6, 6))])
         self.assertEqual(entries(3, 6), self.recovered().entries)
