--- a/tests/test_ledger_files.py
+++ b/tests/test_ledger_files.py
@@ -8,9 +8,11 @@
 import random
 import stat
 import tempfile
+import tracemalloc
 from pathlib import Path
 from unittest import mock
 
+import msgspec
 import testtools
 from prometheus_client import CollectorRegistry
 
@@ -21,6 +23,7 @@
 from stileloom.ledger.commands import RaiseConfigurationFloor, Voter
 from stileloom.ledger.messages import AppendRequest, Entry, SnapshotRecord, SnapshotRequest
 from stileloom.ledger.recovered import RecoveredLedger
+from stileloom.ledger.snapshot_transfer import IncomingSnapshot
 from stileloom.ledger.storage import LedgerStorage
 from stileloom.ledger.wire import Sender
 from stileloom.logging import EventLog
@@ -39,6 +42,27 @@
     return SnapshotRecord(last_index, 1, VOTERS, empty_ledger(VOTERS).snapshot.state)
 
 
+class IncomingSnapshotTest(testtools.TestCase):
+    """Memory of a follower that receives a snapshot."""
+
+    def test_the_pieces_are_released_once_the_snapshot_is_complete(self) -> None:
+        """Guards against a third copy of the state while the snapshot is decoded."""
+        state, piece = bytes(40 * constants.SNAPSHOT_PIECE_BYTES), constants.SNAPSHOT_PIECE_BYTES
+        record = msgspec.structs.replace(snapshot(600), state=b"")
+        incoming = IncomingSnapshot(1, 7)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        complete = None
+        for offset in range(0, len(state), piece):
+            part = msgspec.structs.replace(record, state=state[offset : offset + piece])
+            request = SnapshotRequest(1, VOTERS[1], part, offset, 7, offset, len(state))
+            complete = incoming.add(request)
+        del part, request
+        assert complete is not None
+        self.assertEqual(state, complete.state)
+        self.assertLess(tracemalloc.get_traced_memory()[0], 1.5 * len(state))
+
+
 class RareOrderTest(testtools.TestCase):
     """Files of one follower."""
 
