--- a/stileloom/ledger/snapshot_transfer.py
+++ b/stileloom/ledger/snapshot_transfer.py
@@ -48,9 +48,14 @@
         return (request.epoch, request.transfer) == (self._epoch, self._transfer)
 
     def add(self, request: SnapshotRequest) -> SnapshotRecord | None:
-        """Adds a piece if it is the next one; returns the snapshot once it is complete."""
+        """Adds a piece if it is the next one; returns the snapshot once it is complete.
+
+        The pieces are released then.
+        """
         if request.offset == self.received:
             self._state += request.snapshot.state
         if self.received < request.size:
             return None
-        return msgspec.structs.replace(request.snapshot, state=bytes(self._state))
+        state = bytes(self._state)
+        self._state.clear()
+        return msgspec.structs.replace(request.snapshot, state=state)
