--- a/tests/test_ledger_files.py
+++ b/tests/test_ledger_files.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import os
 import random
+import shutil
 import stat
 import tempfile
 import tracemalloc
+from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 from unittest import mock
 
 import msgspec
@@ -21,7 +25,13 @@
 from stileloom.jobs.metrics import JobMetrics
 from stileloom.ledger import LedgerReplica, Persist, empty_ledger
 from stileloom.ledger.commands import RaiseConfigurationFloor, Voter
-from stileloom.ledger.messages import AppendRequest, Entry, SnapshotRecord, SnapshotRequest
+from stileloom.ledger.messages import (
+    AppendRequest,
+    Entry,
+    HardState,
+    SnapshotRecord,
+    SnapshotRequest,
+)
 from stileloom.ledger.recovered import RecoveredLedger
 from stileloom.ledger.snapshot_transfer import IncomingSnapshot
 from stileloom.ledger.storage import LedgerStorage
@@ -42,6 +52,188 @@
     return SnapshotRecord(last_index, 1, VOTERS, empty_ledger(VOTERS).snapshot.state)
 
 
+class DurableFolder:
+    """What is on disk after a loss of power: only synced contents under synced names."""
+
+    def __init__(self, folder: Path, check: Callable[[], None]) -> None:
+        self.folder = folder
+        self.fail_at = -1
+        self.steps = 0
+        self._check = check
+        self._checking = False
+        self._contents: dict[int, bytes] = {}
+        self._names: dict[str, int] = {}
+        self._fsync, self._write, self._rename = os.fsync, os.write, Path.rename
+        self._ftruncate = os.ftruncate
+
+    def patches(self) -> list[Any]:
+        """Replacements of the calls that change files."""
+        return [
+            mock.patch("os.fsync", self._sync),
+            mock.patch("os.write", self._write_and_check),
+            mock.patch("os.ftruncate", self._truncate),
+            mock.patch.object(Path, "rename", lambda *names: self._rename_and_check(*names)),
+        ]
+
+    def copy_durable(self, target: Path) -> None:
+        """Copies what a loss of power leaves."""
+        target.mkdir()
+        for name, inode in self._names.items():
+            (target / name).write_bytes(self._contents.get(inode, b""))
+
+    def copy_current(self, target: Path) -> None:
+        """Copies what a kill of the process leaves."""
+        shutil.copytree(self.folder, target)
+
+    def _step(self) -> None:
+        self.steps += 1
+        self._run_check()
+        if self.steps == self.fail_at:
+            raise OSError(errno.EIO, "input/output error")
+
+    def _run_check(self) -> None:
+        self._checking = True
+        try:
+            self._check()
+        finally:
+            self._checking = False
+
+    def _sync(self, descriptor: int) -> None:
+        if self._checking:
+            self._fsync(descriptor)
+            return
+        self._step()
+        self._fsync(descriptor)
+        if stat.S_ISDIR(os.fstat(descriptor).st_mode):
+            files = [path for path in self.folder.iterdir() if path.is_file()]
+            self._names = {path.name: path.stat().st_ino for path in files}
+        else:
+            path = Path(f"/proc/self/fd/{descriptor}")
+            self._contents[os.fstat(descriptor).st_ino] = path.read_bytes()
+        self._run_check()
+
+    def _write_and_check(self, descriptor: int, data: bytes) -> int:
+        self._write(descriptor, data[: len(data) // 2])
+        self._step()
+        return len(data) // 2 + self._write(descriptor, data[len(data) // 2 :])
+
+    def _truncate(self, descriptor: int, length: int) -> None:
+        self._step()
+        self._ftruncate(descriptor, length)
+
+    def _rename_and_check(self, path: Path, target: Path) -> Path:
+        self._step()
+        renamed = self._rename(path, target)
+        self._run_check()
+        return renamed
+
+
+class KilledAtEveryStepTest(testtools.TestCase):
+    """A storage whose process is killed, or whose power is lost, between any two calls."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        scratch = tempfile.TemporaryDirectory()
+        self.addCleanup(scratch.cleanup)
+        self.scratch = Path(scratch.name)
+
+    def run_with_failure(self, fail_at: int) -> int:
+        """Checks one run in which the given call fails once; returns the number of calls."""
+        folder = self.scratch / f"run-{fail_at}"
+        storage = LedgerStorage(folder)
+        acknowledged: dict[int, int] = {}
+        in_progress: dict[int, int] = {}
+        number = 0
+
+        def check() -> None:
+            nonlocal number
+            for copy in (disk.copy_durable, disk.copy_current):
+                number += 1
+                target = self.scratch / f"copy-{fail_at}-{number}"
+                copy(target)
+                self.assert_recovers(target, acknowledged, in_progress)
+                shutil.rmtree(target)
+
+        def write(*writes: Persist) -> None:
+            in_progress.clear()
+            in_progress.update(acknowledged)
+            for each in writes:
+                if each.truncate_from is not None:
+                    for index in [n for n in in_progress if n >= each.truncate_from]:
+                        del in_progress[index]
+                if each.snapshot is not None:
+                    in_progress.update(dict.fromkeys(range(1, each.snapshot.last_index + 1), 0))
+                in_progress.update({entry.index: entry.epoch for entry in each.entries})
+            for _ in range(2):
+                with contextlib.suppress(OSError):
+                    storage.write(list(writes))
+                    acknowledged.clear()
+                    acknowledged.update(in_progress)
+                    disk._run_check()
+                    return
+            raise AssertionError("a repeated write failed")
+
+        def in_background(action: Callable[[SnapshotRecord], None], last_index: int) -> bool:
+            with contextlib.suppress(OSError):
+                action(snapshot(last_index))
+                return True
+            return False
+
+        disk = DurableFolder(folder, lambda: None)
+        with contextlib.ExitStack() as stack:
+            for patch in disk.patches():
+                stack.enter_context(patch)
+            storage.initialize(empty_ledger(VOTERS))
+            disk._check = check
+            disk.steps, disk.fail_at = 0, fail_at
+            write(Persist(1, entries=entries(1, 4)))
+            written = in_background(storage.write_snapshot, 2)
+            write(Persist(2, entries=entries(5, 6)))
+            dropped = written and in_background(storage.drop_covered, 2)
+            write(Persist(3, hard_state=HardState(2, None), entries=entries(7, 7)))
+            if not dropped:
+                self.assertTrue(in_background(storage.write_snapshot, 2))
+                write(Persist(4, entries=entries(8, 8)))
+                self.assertTrue(in_background(storage.drop_covered, 2))
+            write(Persist(5, truncate_from=6, entries=[Entry(6, 2, entries(6, 6)[0].command)]))
+            written = in_background(storage.write_snapshot, 6)
+            dropped = written and in_background(storage.drop_covered, 6)
+            if not dropped:
+                self.assertTrue(in_background(storage.write_snapshot, 6))
+                self.assertTrue(in_background(storage.drop_covered, 6))
+            installed = Persist(6, truncate_from=21, snapshot=snapshot(20))
+            write(installed, Persist(7, entries=entries(21, 22)))
+            write(Persist(8, entries=entries(23, 23)))
+        storage.close()
+        return disk.steps
+
+    def assert_recovers(
+        self, folder: Path, acknowledged: dict[int, int], in_progress: dict[int, int]
+    ) -> None:
+        """Checks that nothing acknowledged is missing, unless the write in progress removes it."""
+        storage = LedgerStorage(folder)
+        found = storage.recover()
+        storage.close()
+        assert found is not None
+        first = found.snapshot.last_index + 1
+        indexes = [entry.index for entry in found.entries]
+        self.assertEqual(list(range(first, first + len(indexes))), indexes)
+        epochs = {entry.index: entry.epoch for entry in found.entries}
+        last = found.snapshot.last_index + len(indexes)
+        least = min(max(acknowledged, default=0), max(in_progress, default=0))
+        self.assertGreaterEqual(last, least)
+        for index, epoch in epochs.items():
+            allowed = {acknowledged.get(index, epoch), in_progress.get(index, epoch)}
+            self.assertIn(epoch, allowed)
+
+    def test_nothing_acknowledged_is_lost(self) -> None:
+        """Guards against files that depend on each other and are not synced in that order."""
+        steps = self.run_with_failure(-1)
+        self.assertGreater(steps, 30)
+        for fail_at in range(1, steps + 1):
+            self.run_with_failure(fail_at)
+
+
 class IncomingSnapshotTest(testtools.TestCase):
     """Memory of a follower that receives a snapshot."""
 
