A leader whose commands do not commit is not active

Callers saw items of a job start although the end of that job had been asked: the end waited for its commit, and the items started under the lease. Cause: the lease says that no other leader is elected, not that this one can commit. The leader counts itself as confirmed while its own disk hangs, and followers confirmed it with replies that rejected its log. The leader is active only while none of its proposals is older than a lease and uncommitted. Only replies that accept the log confirm the lease.

--- a/stileloom/ledger/replica.py
+++ b/stileloom/ledger/replica.py
@@ -97,6 +97,8 @@
         self._standbys = StandbyPool()
         self._leader_since = now
         self._tickets_by_index: dict[int, object] = {}
+        self._proposed_at: dict[int, float] = {}
+        """Times of the entries that this leader has proposed and not committed, in log order."""
         self._votes: set[Voter] = set()
         self._in_pre_vote = False
         self._last_nonce = 0
@@ -146,11 +148,19 @@
         return self.local_voter in self.voters
 
     def is_active_leader(self, now: float) -> bool:
-        """Whether this replica leads, holds its lease and has applied an entry of its epoch."""
+        """Whether this replica leads, holds its lease and can commit.
+
+        Followers may confirm the lease of a leader whose commands do not commit, because its disk
+        or theirs hang. What such a leader does may contradict a command that waits, such as the
+        end of a job.
+        """
         if self.role is not ReplicaRole.LEADER:
             return False
         if self._log.epoch_at(self._applied_index) != self.epoch:
             return False
+        oldest_proposal_at = next(iter(self._proposed_at.values()), now)
+        if now >= oldest_proposal_at + constants.LEADER_LEASE_S:
+            return False
         return now < self.lease_expires_at(now)
 
     def has_leader_contact(self, now: float) -> bool:
@@ -189,6 +199,7 @@
             return [Dropped(ticket)]
         entry = Entry(self._log.last_index + 1, self.epoch, command)
         self._tickets_by_index[entry.index] = ticket
+        self._proposed_at[entry.index] = now
         effects = self._append([entry])
         return effects + self._replicate(now, heartbeat=False)
 
@@ -364,6 +375,7 @@
             effects.append(Emit(LogEvent.LEADER_STEPPED_DOWN, {"epoch": self.epoch}))
             effects += [Dropped(ticket) for ticket in self._tickets_by_index.values()]
             self._tickets_by_index.clear()
+            self._proposed_at.clear()
             self._lease.clear()
             self._outgoing = None
             self._progress.clear()
@@ -445,7 +457,6 @@
         self, now: float, follower: Voter, progress: FollowerProgress, transfer: OutgoingSnapshot
     ) -> list[Effect]:
         self._last_nonce += 1
-        self._lease.record_sent(self._last_nonce, now)
         progress.piece_nonce = self._last_nonce
         progress.piece_sent_at = now
         request = SnapshotRequest(
@@ -499,7 +510,9 @@
         progress = self._progress.get(message.follower)
         if self.role is not ReplicaRole.LEADER or message.epoch != self.epoch or progress is None:
             return []
-        effects = self._record_contact(now, message.follower, message.nonce, progress)
+        effects = self._record_contact(now, message.follower, progress)
+        if message.success and message.follower in self._electorate().members:
+            self._lease.record_confirmed(message.follower.node_id, message.nonce)
         if not message.success:
             return effects + self._on_mismatch(now, message, progress)
         if message.match_index > progress.match_index:
@@ -515,12 +528,9 @@
         return effects
 
     def _record_contact(
-        self, now: float, follower: Voter, nonce: int, progress: FollowerProgress
+        self, now: float, follower: Voter, progress: FollowerProgress
     ) -> list[Effect]:
-        """Records a reply of a follower, which also confirms the lease."""
         progress.last_contact_at = now
-        if follower in self._electorate().members:
-            self._lease.record_confirmed(follower.node_id, nonce)
         if not progress.unresponsive:
             return []
         progress.unresponsive = False
@@ -544,7 +554,7 @@
         progress = self._progress.get(message.follower)
         if self.role is not ReplicaRole.LEADER or message.epoch != self.epoch or progress is None:
             return []
-        effects = self._record_contact(now, message.follower, message.nonce, progress)
+        effects = self._record_contact(now, message.follower, progress)
         transfer = progress.transfer
         if transfer is None or message.transfer != transfer.transfer:
             return effects
@@ -830,6 +840,7 @@
             entry = self._log.entry(self._applied_index)
             result = self.state.apply(entry.command)
             ticket = self._tickets_by_index.pop(self._applied_index, None)
+            self._proposed_at.pop(self._applied_index, None)
             if ticket is not None:
                 effects.append(Applied(ticket, result))
             if isinstance(entry.command, ChangeVoters):
