A leader stops acting two seconds after a command that does not commit, not after one lease

A leader that is not active stops all its runs and serves no reads, and no other is elected while it sends heartbeats. Work of an ended job has to stop within 3 s of the acknowledgement that was due, and the leader stops it when it gets the end; so the bound for what it can not commit is 2 s.

--- a/stileloom/constants.py
+++ b/stileloom/constants.py
@@ -30,6 +30,11 @@
 RESTART_ELECTION_MAX_S = 1.8
 LEADER_LEASE_S = 0.7
 """Shorter than the minimum election timeout, so a lease expires before a successor is elected."""
+COMMIT_TIMEOUT_S = 2.0
+"""Age of its oldest uncommitted command at which a leader stops acting.
+
+Longer than the pauses of a slow disk, shorter than the time in which ended work must stop.
+"""
 FOLLOWER_RESPONSE_TIMEOUT_S = 1.0
 """Time without a response after which a follower is sent no entries until it responds again."""
 SNAPSHOT_PIECE_BYTES = 256 * 1024
--- a/stileloom/ledger/replica.py
+++ b/stileloom/ledger/replica.py
@@ -159,7 +159,7 @@
         if self._log.epoch_at(self._applied_index) != self.epoch:
             return False
         oldest_proposal_at = next(iter(self._proposed_at.values()), now)
-        if now >= oldest_proposal_at + constants.LEADER_LEASE_S:
+        if now >= oldest_proposal_at + constants.COMMIT_TIMEOUT_S:
             return False
         return now < self.lease_expires_at(now)
 
