--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -81,7 +81,7 @@
         "the requests of an ended job stay in the replicated state",
         "the state stays bounded",
         "stileloom/jobs/registry.py",
-        "        job.submission = _without_requests(job.submission)\n",
+        "            job.submission = _without_requests(job.submission)\n",
         "",
         "tests/test_job_book.py",
     ),
@@ -97,8 +97,8 @@
         "a submission that arrives after the end of its job runs",
         "no work after its job",
         "stileloom/jobs/registry.py",
-        "JobRecord(submission, ended=job_id in self.early_ends)",
-        "JobRecord(submission)",
+        "        if job_id in self.closed_ids:\n",
+        "        if False:\n",
         ABANDONED_WORK,
     ),
     Mutant(
@@ -109,6 +109,46 @@
         "        pass\n",
         ABANDONED_WORK,
     ),
+    Mutant(
+        "a leader without its lease sends reward calls",
+        "no work after its leader",
+        "stileloom/proxy/forwarder.py",
+        "            if not lookup.may_send():\n",
+        "            if False:\n",
+        f"{ABANDONED_WORK}::LostLeaseTest::test_no_reward_call_is_sent_without_a_lease",
+    ),
+    Mutant(
+        "a run is sent although its job ended while it connected",
+        "no work after its job",
+        "stileloom/jobs/item_runs.py",
+        "        if open_item.run is not run or not self._may_send():\n",
+        "        if False:\n",
+        f"{ABANDONED_WORK}::StopPointTest",
+    ),
+    Mutant(
+        "an error in one job's adoption reaches the end of another",
+        "no work after its job",
+        "stileloom/jobs/runner.py",
+        "            action(*arguments)\n        except Exception as error:\n",
+        "            action(*arguments)\n        except ZeroDivisionError as error:\n",
+        f"{ABANDONED_WORK}::FailingStepTest",
+    ),
+    Mutant(
+        "an end is answered without regard to a submission in the log",
+        "no work after its job",
+        "stileloom/jobs/service.py",
+        "        if job is None or not job.ended:\n",
+        "        if job is None:\n            return NoSuchJob()\n        if not job.ended:\n",
+        f"{ABANDONED_WORK}::LateSubmissionTest",
+    ),
+    Mutant(
+        "a lookup is sent after its deadline",
+        "no work after its caller",
+        "stileloom/proxy/forwarder.py",
+        "            if started_at >= lookup.deadline_at:\n",
+        "            if False:\n",
+        f"{ABANDONED_WORK}::PausedGatewayTest",
+    ),
     Mutant(
         "a suspected lookup takes the last sampler of its service",
         "poison requests",
@@ -479,8 +519,8 @@
     Mutant(
         "a new leader shares the samplers anew",
         "work goes on after an election",
-        "stileloom/jobs/scheduler.py",
-        "current = {**self._assignment_from_versions(ids, models), **self._assignment}",
+        "stileloom/jobs/sampler_shares.py",
+        "current = {**self._assignment_from_versions(sampler_ids, models), **self._assignment}",
         "current = self._assignment",
         "tests/test_item_scheduler.py",
     ),
@@ -568,11 +608,11 @@
     Mutant(
         "the reward call is sent before the last event was made",
         "scored items",
-        "stileloom/jobs/runner.py",
-        "        self.scheduler.record_event(open_item, now)",
-        "        self.scheduler.record_event(open_item, now)\n"
+        "stileloom/jobs/item_runs.py",
+        "        self._scheduler.record_event(open_item, now)",
+        "        self._scheduler.record_event(open_item, now)\n"
         "        if open_item.item.reward is not None:\n"
-        "            self._rewards.request_score(open_item, open_item.item.reward)",
+        "            self._listener.on_complete_text(open_item)",
         f"{REWARDS}::RewardTest::test_results_carry_the_score_of_a_call_made_after_the_last_event",
     ),
     Mutant(
@@ -605,7 +645,7 @@
     Mutant(
         "a run that was stopped before it began begins",
         "one text an item",
-        "stileloom/jobs/runner.py",
+        "stileloom/jobs/item_runs.py",
         "        run = start.run\n",
         "        run = open_item.run\n        assert run is not None\n",
         "tests/test_services.py::JobTest::test_a_run_that_was_stopped_before_it_began_does_not_run",
--- a/tests/test_abandoned_work.py
+++ b/tests/test_abandoned_work.py
@@ -272,6 +272,18 @@
 
         asyncio.run(scenario())
 
+    def test_a_repeat_does_not_run_after_its_job_was_forgotten(self) -> None:
+        for end_is_known in (True, False):
+            registry = JobRegistry()
+            registry.submit(submission("j", ["i"]))
+            if end_is_known:
+                registry.end("j")
+            else:
+                registry.record("j", [FinishedItem("i", ItemState.GIVEN_UP, 0, [], [])])
+            registry.forget("j")
+            registry.submit(submission("j", ["i"]))
+            self.assertFalse(registry.jobs["j"].is_open)
+
 
 class LostLeaseTest(testtools.TestCase):
     """A leader whose lease has expired while its process was held up, before its next step."""
@@ -298,7 +310,7 @@
             (item,) = fixture.runner.scheduler.items.values()
             item.partial.add(1, "x", 1)
             fixture.ledger.leads = not lost_before_text
-            fixture.runner._on_complete_text(item)
+            fixture.runner.on_complete_text(item)
             fixture.ledger.leads = False
             await asyncio.sleep(0.3)
             fixture.runner.stop()
