A voter retires only if the remaining set can commit without it

It left the set within 0.2 s, and two of the remaining four were no majority.

next_voter_set removed a retiring voter whatever the state of the others. It now stays until a majority of the set without it replies and has the entries that it is sent; a replacement that has caught up is still added first.

--- a/stileloom/ledger/replica.py
+++ b/stileloom/ledger/replica.py
@@ -731,6 +731,11 @@
             health.unresponsive,
             self._target_voters,
             health.retiring,
+            frozenset(
+                voter.node_id
+                for voter, progress in self._progress.items()
+                if progress.state is not FollowerState.REPLICATE
+            ),
         )
         if next_set is None:
             return []
--- a/stileloom/ledger/voters.py
+++ b/stileloom/ledger/voters.py
@@ -16,10 +16,13 @@
     unavailable: set[str],
     target_count: int,
     retiring: frozenset[str] = frozenset(),
+    lagging: frozenset[str] = frozenset(),
 ) -> list[Voter] | None:
     """The next voter set, or None if no change is due.
 
-    `unavailable` are the nodes that do not reply, `retiring` those that are being retired.
+    `unavailable` are the nodes that do not reply, `retiring` those that are being retired,
+    `lagging` those that reply and lack entries. A retiring voter stays while the set without it
+    would have no majority that can store entries.
     """
     for learner in caught_up_learners:
         for voter in voters:
@@ -37,7 +40,10 @@
     if candidates and remaining < target_count:
         return sorted([*voters, candidates[0]], key=lambda voter: voter.node_id)
     if to_remove and remaining > 0:
-        return [other for other in voters if other != to_remove[0]]
+        smaller = [other for other in voters if other != to_remove[0]]
+        able = [v for v in smaller if v.node_id not in unavailable and v.node_id not in lagging]
+        if 2 * len(able) > len(smaller):
+            return smaller
     if candidates:
         for voter in voters:
             if voter.node_id in unavailable:
