--- a/stileloom/constants.py
+++ b/stileloom/constants.py
@@ -30,6 +30,11 @@
 RESTART_ELECTION_MAX_S = 1.8
 LEADER_LEASE_S = 0.7
 """Shorter than the minimum election timeout, so a lease expires before a successor is elected."""
+COMMIT_TIMEOUT_S = 2.0
+"""Age of its oldest uncommitted command at which a leader stops acting.
+
+Longer than the pauses of a slow disk, shorter than the time in which ended work must stop.
+"""
 FOLLOWER_RESPONSE_TIMEOUT_S = 1.0
 """Time without a response after which a follower is sent no entries until it responds again."""
 SNAPSHOT_PIECE_BYTES = 256 * 1024
@@ -47,9 +52,9 @@
 APPEND_BATCH_ENTRIES = 64
 SNAPSHOT_AFTER_ENTRIES = 512
 """Minimum number of entries between two snapshots."""
-SNAPSHOT_GROWTH_MIN = 0.5
+SNAPSHOT_GROWTH_MIN = 0.2
 """Minimum growth of the log between two snapshots, as a fraction of the state's size."""
-SNAPSHOT_GROWTH_MAX = 0.75
+SNAPSHOT_GROWTH_MAX = 0.35
 ENTRY_OVERHEAD_BYTES = 300
 """Memory of an entry besides its encoded size."""
 COMMAND_RETRY_INTERVAL_S = 0.5
--- a/stileloom/daemon/leadership.py
+++ b/stileloom/daemon/leadership.py
@@ -14,6 +14,7 @@
 from stileloom.daemon.object_watch import ObjectWatcher
 from stileloom.errors import StileloomError
 from stileloom.events import LogEvent
+from stileloom.jobs.job_ages import JobAges
 from stileloom.jobs.metrics import JobMetrics
 from stileloom.jobs.runner import JobRunner, RunnerDependencies
 from stileloom.ledger.commands import RetireNode
@@ -27,7 +28,7 @@
 REMOVALS_BATCH_DELAY_S = 0.5
 REMOVALS_INTERVAL_S = 0.2
 EXPIRY_INTERVAL_S = 10.0
-RETENTION_MARGIN_S = 30.0
+RETENTION_MARGIN_S = 5.0
 
 
 class Leadership:
@@ -39,6 +40,7 @@
         store: ObjectStore,
         dialect: Dialect,
         driver: LedgerDriver,
+        job_ages: JobAges,
         directory: Directory,
         forwarder: Forwarder,
         guard: QuarantineGuard,
@@ -55,6 +57,7 @@
                 epoch=self.epoch,
                 earliest_order_at=earliest_order_at,
                 registry=driver.state.job_book,
+                job_ages=job_ages,
                 ledger=driver,
                 routes=directory.routes,
                 samplers=directory.samplers,
--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -7,26 +7,26 @@
 from __future__ import annotations
 
 import asyncio
+import math
+import traceback
+from collections.abc import Callable
 
 import msgspec
 
 from stileloom.api.dialect import Dialect
 from stileloom.api.jobs import FinishedItem, ItemState
 from stileloom.api.routes import Route, RouteKind, Service
-from stileloom.api.sampler_directory import SamplerEntry
-from stileloom.background import BackgroundTasks
+from stileloom.background import MAX_TRACEBACK_LENGTH, BackgroundTasks
 from stileloom.clock import steady_time
 from stileloom.events import LogEvent
-from stileloom.http1.connection import SamplerConnection
 from stileloom.http1.pool import ConnectionPool
-from stileloom.jobs.intake import item_size, reusable_results
-from stileloom.jobs.item_request import encode_item_request
-from stileloom.jobs.item_stream import ItemStream, RunOutcome
+from stileloom.jobs.intake import item_size, reusable_results, saved_texts
+from stileloom.jobs.item_runs import ItemRuns
+from stileloom.jobs.job_ages import JobAges
 from stileloom.jobs.leader_ledger import LeaderLedger
 from stileloom.jobs.metrics import JobMetrics
 from stileloom.jobs.open_items import (
     DEFAULT_TOKENS_PER_EVENT,
-    ItemRun,
     OpenItem,
     PlannedRun,
 )
@@ -45,14 +45,13 @@
 from stileloom.quarantine.guard import QuarantineGuard
 from stileloom.switches import Switches
 
-RUN_RETRY_DELAY_S = 0.05
-REFUSAL_BACKOFF_S = 0.15
 DEADLINE_MARGIN_S = 2.0
 """Time after the maximum wait of its route at which an item is given up."""
-MAX_REJECTIONS = 1
 PROGRESS_SAVE_PERIOD_S = 0.25
 EVENT_INTERVAL_SAVE_PERIOD_S = 2.0
 """Period at which the measured event intervals of samplers are saved for the next leader."""
+JOB_AGE_SAVE_PERIOD_S = 2.0
+"""Period at which the ages of open jobs are saved; a new leader's count may lack that much."""
 START_DELAY_S = 0.2
 VERSION_LIST_TIMEOUT_S = 0.6
 """Time after which a new leader orders loads even without the list of announced versions."""
@@ -68,6 +67,8 @@
     earliest_order_at: float
     """Monotonic time from which orders are safe, because no earlier leader can still send any."""
     registry: JobRegistry
+    job_ages: JobAges
+    """Kept by the node across changes of leader."""
     ledger: LeaderLedger
     routes: RouteTable
     samplers: SamplerTable
@@ -106,12 +107,13 @@
         self._log = log
         self._metrics = metrics
         self._pool = ConnectionPool()
-        self._connections: dict[tuple[str, str], SamplerConnection] = {}
-        self._adopted_at: dict[str, float] = {}
-        """Time of adoption by this leader, by job id."""
+        self._job_ages = dependencies.job_ages
+        self._ending_jobs: set[str] = set()
+        """Jobs whose end is proposed; leadership cannot outlast a proposal that is dropped."""
         self._stopped = False
         self._next_progress_save_at = 0.0
         self._next_event_interval_save_at = steady_time() + EVENT_INTERVAL_SAVE_PERIOD_S
+        self._next_job_age_save_at = steady_time() + JOB_AGE_SAVE_PERIOD_S
         self._version_list_deadline = steady_time() + VERSION_LIST_TIMEOUT_S
         self._starts_allowed_at = steady_time() + START_DELAY_S
         """Delays the first runs, because samplers may be about to load weights."""
@@ -119,6 +121,19 @@
         self._suspects = SuspectItems(
             dependencies.guard, self.scheduler, self._host_of, self._tasks, log
         )
+        self._runs = ItemRuns(
+            self.scheduler,
+            samplers,
+            self._suspects,
+            self._pool,
+            dialect.names,
+            self._host_of,
+            self._is_active_leader,
+            self,
+            self._tasks,
+            log,
+            metrics,
+        )
         self._writer = ResultWriter(
             registry, ledger, self.scheduler, self._tasks, log, metrics, self._schedule_step
         )
@@ -136,15 +151,20 @@
             switches.order_windows,
         )
         self._rewards = RewardCaller(
-            dependencies.forwarder, dependencies.routes, samplers, dialect.names, self, log, metrics
+            dependencies.forwarder,
+            dependencies.routes,
+            samplers,
+            dialect.names,
+            self,
+            log,
+            metrics,
+            self._is_active_leader,
         )
 
     def stop(self) -> None:
         """Closes all streams and cancels all tasks at the end of the leadership."""
         self._stopped = True
-        for connection in self._connections.values():
-            connection.close()
-        self._connections.clear()
+        self._runs.close()
         self._rewards.stop()
         self._tasks.cancel()
         self._writer.stop()
@@ -172,6 +192,11 @@
         self._pool.close_connections(sampler_id)
         self._loader.remove_sampler(sampler_id)
 
+    def stop_job(self, job_id: str) -> None:
+        """Stops all work of a job whose end is about to be proposed."""
+        self._ending_jobs.add(job_id)
+        self._remove_ended_jobs()
+
     def wait_for_results(self, job_id: str) -> asyncio.Future[None]:
         """Returns a future that is resolved when the job has new results or has ended."""
         return self._writer.wait_for_results(job_id)
@@ -186,13 +211,35 @@
     # Scheduling loop.
 
     def step(self) -> None:
-        """Applies changes of the job registry and starts due runs, loads and reward calls."""
+        """Applies changes of the job registry and starts due runs, loads and reward calls.
+
+        Ended jobs are removed first. An internal error is logged and does not reach the caller,
+        which may be the call that ends a job.
+        """
         if not self._is_active_leader():
             return
         now = steady_time()
-        self._sync_jobs(now)
+        self._remove_ended_jobs()
+        self._job_ages.observe(self._registry, now)
+        for record in list(self._registry.jobs.values()):
+            if self._may_run(record):
+                self._run_logged(self._adopt, record, now)
+        self._run_logged(self._run_open_items, now)
+
+    def _run_logged(self, action: Callable[..., None], *arguments: object) -> None:
+        """Runs a part of a step, so that its internal error does not prevent the others."""
+        try:
+            action(*arguments)
+        except Exception as error:
+            trace = "".join(traceback.format_exception(error))[-MAX_TRACEBACK_LENGTH:]
+            self._log.emit(LogEvent.INTERNAL_FAULT, {"error": repr(error), "trace": trace})
+
+    def _run_open_items(self, now: float) -> None:
+        for open_item in list(self.scheduler.items.values()):
+            if now >= open_item.deadline and not open_item.finished:
+                self._finish(open_item, ItemState.GIVEN_UP, "out of time")
         for open_item in self.scheduler.unresponsive_runs(now):
-            self._stop_run(open_item, "silent", avoid=True)
+            self._runs.stop(open_item, "silent", avoid=True)
             open_item.not_before = 0.0
         self._move_slow_runs(now)
         for service in self._routes.services():
@@ -200,7 +247,7 @@
                 self._plan_service(now, service)
         self._rewards.step(now)
         self._metrics.items_open.set(len(self.scheduler.items))
-        self._metrics.items_running.set(len(self._connections))
+        self._metrics.items_running.set(len(self._runs))
         if now >= self._next_progress_save_at:
             self._next_progress_save_at = now + PROGRESS_SAVE_PERIOD_S
             if self._switches.saved_events:
@@ -208,6 +255,18 @@
         if now >= self._next_event_interval_save_at and self._switches.recorded_paces:
             self._next_event_interval_save_at = now + EVENT_INTERVAL_SAVE_PERIOD_S
             self._writer.record_intervals()
+        if now >= self._next_job_age_save_at:
+            self._next_job_age_save_at = now + JOB_AGE_SAVE_PERIOD_S
+            self._record_job_ages(now)
+
+    def _record_job_ages(self, now: float) -> None:
+        ages = {
+            job_id: math.floor(self._job_ages.age_s(job_id, now))
+            for job_id, record in self._registry.jobs.items()
+            if record.is_open
+        }
+        if ages:
+            self._writer.record_ages(ages)
 
     def _move_slow_runs(self, now: float) -> None:
         """Moves slow runs, and restarts each at once so that no other item takes its new slot."""
@@ -217,14 +276,9 @@
         for open_item in self.scheduler.slow_runs(now):
             sampler_id = self.scheduler.faster_sampler(open_item, now)
             if sampler_id is not None and len(starts) < MAX_MOVES_PER_STEP:
-                self._stop_run(open_item, "moved", avoid=True)
+                self._runs.stop(open_item, "moved", avoid=True)
                 starts.append(self.scheduler.start_on(open_item, sampler_id, now))
-        self._start_runs(starts)
-
-    def _start_runs(self, starts: list[PlannedRun]) -> None:
-        self._log_started_runs(starts)
-        for start in starts:
-            self._tasks.spawn(self._run_item(start))
+        self._runs.start(starts)
 
     def _plan_service(self, now: float, service: Service) -> None:
         assert service.engine is not None
@@ -237,44 +291,22 @@
             }
             for load in self.planner.plan(now, service.name, models, single_version_models):
                 for open_item in load.evacuate:
-                    self._stop_run(open_item, "the sampler loads")
+                    self._runs.stop(open_item, "the sampler loads")
                     open_item.not_before = 0.0
                 self._tasks.spawn(self._load(load))
         if now >= self._starts_allowed_at:
-            self._start_runs(self.scheduler.plan_starts(now, models))
-
-    def _log_started_runs(self, starts: list[PlannedRun]) -> None:
-        """Logs one line per job and sampler, because a step may start dozens of runs."""
-        items_by_target: dict[tuple[str, str], list[OpenItem]] = {}
-        for start in starts:
-            items_by_target.setdefault((start.item.key[0], start.sampler_id), []).append(start.item)
-        for (job_id, sampler_id), items in items_by_target.items():
-            versions = self.scheduler.models_of(sampler_id).versions
-            self._log.emit(
-                LogEvent.ITEMS_SENT,
-                {
-                    "job": job_id,
-                    "sampler": sampler_id,
-                    "items": [item.item.item_id for item in items],
-                    "after_events": [item.partial.last_event_id or 0 for item in items],
-                    "version": versions.get(items[0].model, 0),
-                    "running_there": self.scheduler.stats(sampler_id).running,
-                },
-            )
+            self._runs.start(self.scheduler.plan_starts(now, models))
 
-    def _sync_jobs(self, now: float) -> None:
-        for job_id, record in list(self._registry.jobs.items()):
-            if job_id not in self._adopted_at:
-                self._adopted_at[job_id] = now
-            if record.is_open:
-                self._adopt(record, now)
+    def _remove_ended_jobs(self) -> None:
+        jobs = self._registry.jobs
+        self._ending_jobs = {job for job in self._ending_jobs if job in jobs and jobs[job].is_open}
         for job_id in {job_id for job_id, _ in self.scheduler.items}:
-            job_record = self._registry.jobs.get(job_id)
-            if job_record is None or not job_record.is_open:
-                self._remove_job(job_id)
-        for open_item in list(self.scheduler.items.values()):
-            if now >= open_item.deadline and not open_item.finished:
-                self._finish(open_item, ItemState.GIVEN_UP, "out of time")
+            if job_id not in jobs or not self._may_run(jobs[job_id]):
+                self._run_logged(self._remove_job, job_id)
+        self._writer.notify_waiters_of_ended_jobs()
+
+    def _may_run(self, record: JobRecord) -> bool:
+        return record.is_open and record.submission.job_id not in self._ending_jobs
 
     def _adopt(self, record: JobRecord, now: float) -> None:
         submission = record.submission
@@ -298,11 +330,12 @@
             route.backends[0].service,
             route.single_version,
             route.max_attempts,
-            route.max_wait_s + DEADLINE_MARGIN_S - (now - self._adopted_at[submission.job_id]),
+            route.max_wait_s + DEADLINE_MARGIN_S - self._job_ages.age_s(submission.job_id, now),
             sizes,
             now,
             self._tokens_per_event(route.backends[0].service),
             {finished.item_id for finished in reusable},
+            saved_texts(self._registry, record) if self._switches.kept_texts else {},
         )
         self._log.emit(
             LogEvent.JOB_ADOPTED,
@@ -318,7 +351,7 @@
         for item in submission.items:
             open_item = self.scheduler.items.get((submission.job_id, item.item_id))
             if open_item is not None and open_item.partial.whole and not open_item.finished:
-                self._on_complete_text(open_item)
+                self.on_complete_text(open_item)
 
     def _tokens_per_event(self, service_name: str) -> float:
         service = self._routes.service(service_name)
@@ -331,162 +364,24 @@
         return route if route is not None and route.kind is RouteKind.BATCH else None
 
     def _remove_job(self, job_id: str) -> None:
-        self._metrics.job_time.observe(steady_time() - self._adopted_at[job_id])
-        for open_item in self.scheduler.remove_job(job_id):
-            self._stop_run(open_item, "job ended")
+        removed = self.scheduler.remove_job(job_id)
+        if removed:
+            self._metrics.job_time.observe(steady_time() - removed[0].adopted_at)
+        for open_item in removed:
+            self._run_logged(self._runs.stop, open_item, "job ended")
             self._rewards.cancel(open_item.key)
         self._writer.notify_waiters(job_id)
 
-    # Runs.
-
-    async def _run_item(self, start: PlannedRun) -> None:
-        open_item = start.item
-        run = start.run
-        if open_item.run is not run:
-            return
-        sampler = self._samplers.get(start.sampler_id)
-        if sampler is None:
-            self.scheduler.end_run(open_item)
-            return
-        entry = sampler.entry
-        if not self._suspects.may_start(open_item, entry.sampler_id):
-            return
-        try:
-            connection = await self._pool.acquire(entry.sampler_id, entry.address)
-        except (OSError, TimeoutError) as error:
-            self._samplers.record_failure(entry.sampler_id, steady_time())
-            self._log_failed_run(
-                open_item, entry.sampler_id, RunOutcome.BROKEN, type(error).__name__
-            )
-            if open_item.run is run:
-                self.scheduler.end_run(open_item, avoid=True)
-                open_item.not_before = steady_time() + RUN_RETRY_DELAY_S
-            return
-        if open_item.run is not run or not self._is_active_leader():
-            self._pool.release(entry.sampler_id, connection)
-            return
-        # A copy, so that late events of this run cannot modify the text of a later run.
-        partial = open_item.partial.copy()
-        open_item.partial = partial
-        stream = ItemStream(
-            open_item.item.item_id,
-            partial,
-            open_item.min_version,
-            self._dialect.names,
-            lambda _: self._on_event(open_item, run),
-            lambda outcome, detail: self._on_run_ended(start, entry, outcome, detail),
-        )
-        self._connections[open_item.key] = connection
-        self._metrics.runs_started.inc()
-        if not open_item.has_run:
-            open_item.has_run = True
-            self._metrics.queue_wait.observe(steady_time() - open_item.adopted_at)
-        remaining_s = open_item.deadline - steady_time()
-        request = encode_item_request(
-            open_item, self._host_of(open_item), entry.sampler_id, remaining_s, self._dialect.names
-        )
-        connection.exchange(request, stream)
+    def _schedule_step(self) -> None:
+        asyncio.get_running_loop().call_later(STEP_DELAY_S, self.step)
 
-    def _on_event(self, open_item: OpenItem, run: ItemRun) -> None:
-        if open_item.run is not run:
-            return
-        now = steady_time()
-        metric = self._metrics.event_gap if run.events else self._metrics.first_event
-        metric.observe(now - run.last_event_at)
-        self.scheduler.record_event(open_item, now)
+    # Results.
 
     def _host_of(self, open_item: OpenItem) -> str:
         record = self._registry.jobs.get(open_item.key[0])
         return record.submission.host if record is not None else ""
 
-    def _stop_run(self, open_item: OpenItem, reason: str, avoid: bool = False) -> None:
-        """Stops a run by closing its connection; the partial text is kept."""
-        connection = self._connections.pop(open_item.key, None)
-        if connection is not None:
-            connection.close()
-        run = open_item.run
-        if run is not None:
-            self._metrics.runs_stopped.labels(reason).inc()
-            self._log.emit(
-                LogEvent.ITEM_STOPPED,
-                {
-                    "item": open_item.item.item_id,
-                    "job": open_item.key[0],
-                    "sampler": run.sampler_id,
-                    "events": len(open_item.partial.parts),
-                    "events_left": round(self.scheduler.events_left(open_item)),
-                    "event_ms": round(self.scheduler.stats(run.sampler_id).interval_s * 1000),
-                    "silent_ms": round((steady_time() - run.last_event_at) * 1000),
-                    "reason": reason,
-                },
-            )
-        self.scheduler.end_run(open_item, avoid)
-
-    def _on_run_ended(
-        self, start: PlannedRun, entry: SamplerEntry, outcome: RunOutcome, detail: str
-    ) -> None:
-        open_item = start.item
-        sampler_id = start.sampler_id
-        if open_item.run is not start.run:
-            # The run was stopped earlier; the item may have another run by now.
-            return
-        connection = self._connections.pop(open_item.key, None)
-        now = steady_time()
-        failed = outcome in (RunOutcome.FAILED, RunOutcome.BROKEN, RunOutcome.REFUSED)
-        self.scheduler.end_run(open_item, avoid=failed)
-        if connection is not None:
-            if outcome in (RunOutcome.TOO_OLD, RunOutcome.BROKEN):
-                connection.close()
-            else:
-                asyncio.get_running_loop().call_soon(self._pool.release, sampler_id, connection)
-        self._metrics.runs_ended.labels(outcome.value).inc()
-        if outcome is RunOutcome.COMPLETE:
-            self._samplers.record_success(sampler_id)
-            self._suspects.on_complete_text(open_item)
-            open_item.partial.whole = True
-            self._on_complete_text(open_item)
-            return
-        self._log_failed_run(open_item, sampler_id, outcome, detail)
-        open_item.not_before = now + RUN_RETRY_DELAY_S
-        if outcome is RunOutcome.BROKEN:
-            self._suspects.on_run_broken(open_item, entry, now - start.run.started_at)
-        if outcome is RunOutcome.REFUSED:
-            self.scheduler.stats(sampler_id).refused_until = now + REFUSAL_BACKOFF_S
-        elif outcome is RunOutcome.MISDIRECTED:
-            self._samplers.mark_draining(sampler_id)
-        elif outcome is RunOutcome.FAILED:
-            open_item.failures += 1
-            if open_item.failures >= open_item.max_attempts:
-                self._finish(open_item, ItemState.GIVEN_UP, f"{open_item.failures} failed runs")
-        elif outcome is RunOutcome.IMPOSSIBLE:
-            open_item.rejections += 1
-            if open_item.rejections >= MAX_REJECTIONS:
-                self._finish(
-                    open_item, ItemState.GIVEN_UP, "the sampler rejected the item as impossible"
-                )
-        self._schedule_step()
-
-    def _log_failed_run(
-        self, open_item: OpenItem, sampler_id: str, outcome: RunOutcome, detail: str
-    ) -> None:
-        self._log.emit(
-            LogEvent.ITEM_RUN_FAILED,
-            {
-                "item": open_item.item.item_id,
-                "job": open_item.key[0],
-                "sampler": sampler_id,
-                "outcome": outcome.value,
-                "detail": detail,
-                "events": len(open_item.partial.parts),
-            },
-        )
-
-    def _schedule_step(self) -> None:
-        asyncio.get_running_loop().call_later(STEP_DELAY_S, self.step)
-
-    # Results.
-
-    def _on_complete_text(self, open_item: OpenItem) -> None:
+    def on_complete_text(self, open_item: OpenItem) -> None:
         """Lists a complete text, or saves it and requests its score."""
         if self.scheduler.items.get(open_item.key) is not open_item:
             # The job has ended, or the result was listed by another leader.
@@ -498,6 +393,14 @@
         self._writer.queue_complete_text(open_item)
         self._rewards.request_score(open_item, reward)
 
+    def on_run_limit(self, open_item: OpenItem, reason: str) -> None:
+        """Gives up an item that has failed or been rejected as often as its route allows."""
+        self._finish(open_item, ItemState.GIVEN_UP, reason)
+
+    def on_slot_free(self) -> None:
+        """Plans again soon, because a run has ended."""
+        self._schedule_step()
+
     def on_scored(self, open_item: OpenItem, score: str) -> None:
         """Lists a complete text with its score."""
         self._finish(open_item, ItemState.SUCCEEDED, "", score)
@@ -508,7 +411,7 @@
 
     def _finish(self, open_item: OpenItem, state: ItemState, reason: str, score: str = "") -> None:
         if open_item.run is not None:
-            self._stop_run(open_item, reason)
+            self._runs.stop(open_item, reason)
         self._rewards.cancel(open_item.key)
         open_item.finished = True
         succeeded = state is ItemState.SUCCEEDED
@@ -541,8 +444,8 @@
         now = steady_time()
         return [
             ForgetJob(job_id)
-            for job_id, adopted_at in self._adopted_at.items()
-            if now - adopted_at > retention_s
-            and job_id in self._registry.jobs
-            and not self._registry.jobs[job_id].is_open
+            for job_id, record in self._registry.jobs.items()
+            if not record.is_open
+            and job_id in self._job_ages.accepted_at
+            and self._job_ages.age_s(job_id, now) > retention_s
         ]
--- a/stileloom/ledger/commands.py
+++ b/stileloom/ledger/commands.py
@@ -136,8 +136,17 @@
     interval_s: dict[str, float]
 
 
+class RecordJobAges(msgspec.Struct, frozen=True, tag=True):
+    """Records the ages of open jobs, in whole seconds; an age never decreases."""
+
+    age_s: dict[str, int]
+
+
 class EndJob(msgspec.Struct, frozen=True, tag=True):
-    """Ends a batch job; its remaining items are not run."""
+    """Ends a batch job; its remaining items are not run.
+
+    For an unknown job it is refused, and the job does not run if it is submitted later.
+    """
 
     job_id: str
 
@@ -203,6 +212,7 @@
     | RecordResults
     | SaveProgress
     | RecordIntervals
+    | RecordJobAges
     | EndJob
     | ForgetJob
     | RetireNode
@@ -224,7 +234,7 @@
 
 
 class Refused(msgspec.Struct, frozen=True, tag=True):
-    """The command was rejected and had no effect."""
+    """The command was rejected and had no effect, except for `EndJob` on an unknown job."""
 
     kind: ErrorKind
     detail: str
--- a/stileloom/ledger/replica.py
+++ b/stileloom/ledger/replica.py
@@ -159,7 +159,7 @@
         if self._log.epoch_at(self._applied_index) != self.epoch:
             return False
         oldest_proposal_at = next(iter(self._proposed_at.values()), now)
-        if now >= oldest_proposal_at + constants.LEADER_LEASE_S:
+        if now >= oldest_proposal_at + constants.COMMIT_TIMEOUT_S:
             return False
         return now < self.lease_expires_at(now)
 
@@ -642,7 +642,8 @@
             return []
         self._standbys.record_hello(message.learner, now)
         effects = self._replicate_to_standbys(now)
-        if message.learner not in self._progress:
+        if message.learner not in self._progress and self.is_active_leader(now):
+            # A standby that hears from no leader for a while asks all nodes, and finds a successor.
             effects.append(self._announce_leader(message.learner))
         return effects
 
--- a/stileloom/transport/calls.py
+++ b/stileloom/transport/calls.py
@@ -7,15 +7,19 @@
 import socket
 import struct
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import msgspec
 
+from stileloom.clock import steady_time
 from stileloom.transport.call_frames import CallFrame, Reply, ReplyFrame, Request
 from stileloom.transport.compression import pack, unpack
 
 FRAME_HEADER = struct.Struct(">I")
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 CONNECT_TIMEOUT_S = 0.5
+SILENCE_S = 1.0
+"""Time without any reply after which a call that times out breaks off others that wait."""
 TCP_USER_TIMEOUT_MS = 1500
 
 _CALL_DECODER = msgspec.msgpack.Decoder(CallFrame)
@@ -158,6 +162,7 @@
         self._transport: asyncio.Transport | None = None
         self._pending: dict[int, asyncio.Future[Reply]] = {}
         self._next_number = 1
+        self._last_reply_at = float("-inf")
 
     @classmethod
     async def open(cls, address: tuple[str, int]) -> CallConnection:
@@ -193,6 +198,7 @@
         except (ValueError, msgspec.DecodeError):
             self.close()
             return
+        self._last_reply_at = steady_time()
         for frame in frames:
             future = self._pending.pop(frame.number, None)
             if future is not None and not future.done():
@@ -203,6 +209,15 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _seems_lost(self, sent_at: float) -> bool:
+        """Whether nothing has come since a call was sent that has timed out.
+
+        Other calls that wait decide for themselves, unless the silence is long.
+        """
+        if self._last_reply_at >= sent_at:
+            return False
+        return len(self._pending) == 1 or steady_time() >= sent_at + SILENCE_S
+
     async def call(self, request: Request, timeout_s: float) -> Reply:
         """Sends a call and waits for its reply. Raises `CallFailed`."""
         if self._transport is None or not self.usable:
@@ -211,11 +226,14 @@
         self._next_number += 1
         future: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
         self._pending[number] = future
+        sent_at = steady_time()
         self._transport.write(encode_frame(CallFrame(number, request)))
         try:
             async with asyncio.timeout(timeout_s):
                 return await future
         except TimeoutError as error:
+            if self._seems_lost(sent_at):
+                self.close()
             raise CallFailed(f"no reply within {timeout_s:g} s", sent=True) from error
         finally:
             self._pending.pop(number, None)
@@ -230,32 +248,46 @@
 
     def __init__(self) -> None:
         self._connections: dict[tuple[str, int], CallConnection] = {}
-        self._connect_locks: dict[tuple[str, int], asyncio.Lock] = {}
+        self._attempts: dict[tuple[str, int], asyncio.Task[CallConnection]] = {}
+        """Connection attempts in progress; concurrent calls to an address wait for the same one."""
 
     async def call(self, address: tuple[str, int], request: Request, timeout_s: float) -> Reply:
-        """Calls a node. Closes the connection if no reply arrives. Raises `CallFailed`."""
-        connection = await self._get_connection(address)
+        """Calls a node; the timeout includes the time to connect. Raises `CallFailed`."""
+        deadline = steady_time() + timeout_s
         try:
-            return await connection.call(request, timeout_s)
-        except CallFailed as failure:
-            if failure.sent:
-                connection.close()
-            raise
+            async with asyncio.timeout(timeout_s):
+                connection = await self._get_connection(address)
+        except TimeoutError as error:
+            raise CallFailed(f"not connected within {timeout_s:g} s", sent=False) from error
+        return await connection.call(request, max(0.0, deadline - steady_time()))
 
     async def _get_connection(self, address: tuple[str, int]) -> CallConnection:
-        lock = self._connect_locks.setdefault(address, asyncio.Lock())
-        async with lock:
-            connection = self._connections.get(address)
-            if connection is not None and connection.usable:
-                return connection
-            try:
-                connection = await CallConnection.open(address)
-            except (OSError, TimeoutError) as error:
-                raise CallFailed(type(error).__name__, sent=False) from error
-            self._connections[address] = connection
+        connection = self._connections.get(address)
+        if connection is not None and connection.usable:
             return connection
+        attempt = self._attempts.get(address) or self._start_attempt(address)
+        try:
+            # Shielded, because other calls may wait for the attempt when this one is cancelled.
+            return await asyncio.shield(attempt)
+        except (OSError, TimeoutError) as error:
+            raise CallFailed(type(error).__name__, sent=False) from error
+
+    def _start_attempt(self, address: tuple[str, int]) -> asyncio.Task[CallConnection]:
+        attempt = asyncio.get_running_loop().create_task(CallConnection.open(address))
+        self._attempts[address] = attempt
+        attempt.add_done_callback(partial(self._on_attempt_done, address))
+        return attempt
+
+    def _on_attempt_done(
+        self, address: tuple[str, int], attempt: asyncio.Task[CallConnection]
+    ) -> None:
+        del self._attempts[address]
+        if not attempt.cancelled() and attempt.exception() is None:
+            self._connections[address] = attempt.result()
 
     def close(self) -> None:
-        """Closes all connections."""
+        """Closes all connections and cancels attempts, with the calls that wait for them."""
+        for attempt in self._attempts.values():
+            attempt.cancel()
         for connection in self._connections.values():
             connection.close()
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -38,8 +38,117 @@
 BOOK = "tests/test_quarantine_book.py"
 CANCELLATION = "tests/test_cancellation.py"
 ADMISSION = "tests/test_admission.py"
+END_DELIVERY = "tests/test_end_delivery.py"
+JOB_ENDS = "tests/test_job_ends.py"
+ABANDONED_WORK = "tests/test_abandoned_work.py"
 
 MUTANTS = [
+    Mutant(
+        "the end of a job is cancelled with its caller",
+        "no work after its job",
+        "stileloom/jobs/end_delivery.py",
+        "return await asyncio.shield(delivery)",
+        "return await delivery",
+        f"{END_DELIVERY}::EndDeliveryTest::"
+        "test_an_end_whose_caller_left_before_a_leader_was_found_still_ends_the_job",
+    ),
+    Mutant(
+        "the leader starts items until the end of their job is committed",
+        "no work after its job",
+        "stileloom/jobs/service.py",
+        "self.runner.stop_job(request.job_id)",
+        "pass",
+        f"{END_DELIVERY}::EndDeliveryTest::"
+        "test_no_item_starts_while_the_end_of_its_job_waits_for_a_majority",
+    ),
+    Mutant(
+        "a gateway waits for a silent leader although another node leads",
+        "an end finds the leader",
+        "stileloom/jobs/client.py",
+        "if not call.done() and search.result() not in (None, leader):",
+        "if not call.done() and search.result() is leader:",
+        f"{JOB_ENDS}::LeaderSearchTest::test_standbys_that_name_a_silent_node_hold_up_no_end",
+    ),
+    Mutant(
+        "a call that times out breaks off the others on its connection",
+        "an end finds the leader",
+        "stileloom/transport/calls.py",
+        "return len(self._pending) == 1 or steady_time() >= sent_at + SILENCE_S",
+        "return True",
+        "tests/test_call_connections.py",
+    ),
+    Mutant(
+        "the requests of an ended job stay in the replicated state",
+        "the state stays bounded",
+        "stileloom/jobs/registry.py",
+        "            job.submission = _without_requests(job.submission)\n",
+        "",
+        "tests/test_job_book.py",
+    ),
+    Mutant(
+        "the age of a job begins anew with each leader",
+        "no work after its job",
+        "stileloom/jobs/registry.py",
+        "job.age_s = max(job.age_s, age)",
+        "pass",
+        ABANDONED_WORK,
+    ),
+    Mutant(
+        "a submission that arrives after the end of its job runs",
+        "no work after its job",
+        "stileloom/jobs/registry.py",
+        "        if job_id in self.closed_ids:\n",
+        "        if False:\n",
+        ABANDONED_WORK,
+    ),
+    Mutant(
+        "a held-up request arrives after its exchange was given up",
+        "no work after its job",
+        "stileloom/abortive_close.py",
+        "        tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _DISCARD_AND_RESET)\n",
+        "        pass\n",
+        ABANDONED_WORK,
+    ),
+    Mutant(
+        "a leader without its lease sends reward calls",
+        "no work after its leader",
+        "stileloom/proxy/forwarder.py",
+        "            if not lookup.may_send():\n",
+        "            if False:\n",
+        f"{ABANDONED_WORK}::LostLeaseTest::test_no_reward_call_is_sent_without_a_lease",
+    ),
+    Mutant(
+        "a run is sent although its job ended while it connected",
+        "no work after its job",
+        "stileloom/jobs/item_runs.py",
+        "        if open_item.run is not run or not self._may_send():\n",
+        "        if False:\n",
+        f"{ABANDONED_WORK}::StopPointTest",
+    ),
+    Mutant(
+        "an error in one job's adoption reaches the end of another",
+        "no work after its job",
+        "stileloom/jobs/runner.py",
+        "            action(*arguments)\n        except Exception as error:\n",
+        "            action(*arguments)\n        except ZeroDivisionError as error:\n",
+        f"{ABANDONED_WORK}::FailingStepTest",
+    ),
+    Mutant(
+        "an end is answered without regard to a submission in the log",
+        "no work after its job",
+        "stileloom/jobs/service.py",
+        "        if job is None or not job.ended:\n",
+        "        if job is None:\n            return NoSuchJob()\n        if not job.ended:\n",
+        f"{ABANDONED_WORK}::LateSubmissionTest",
+    ),
+    Mutant(
+        "a lookup is sent after its deadline",
+        "no work after its caller",
+        "stileloom/proxy/forwarder.py",
+        "            if started_at >= lookup.deadline_at:\n",
+        "            if False:\n",
+        f"{ABANDONED_WORK}::PausedGatewayTest",
+    ),
     Mutant(
         "a suspected lookup takes the last sampler of its service",
         "poison requests",
@@ -410,8 +519,8 @@
     Mutant(
         "a new leader shares the samplers anew",
         "work goes on after an election",
-        "stileloom/jobs/scheduler.py",
-        "current = {**self._assignment_from_versions(ids, models), **self._assignment}",
+        "stileloom/jobs/sampler_shares.py",
+        "current = {**self._assignment_from_versions(sampler_ids, models), **self._assignment}",
         "current = self._assignment",
         "tests/test_item_scheduler.py",
     ),
@@ -499,11 +608,11 @@
     Mutant(
         "the reward call is sent before the last event was made",
         "scored items",
-        "stileloom/jobs/runner.py",
-        "        self.scheduler.record_event(open_item, now)",
-        "        self.scheduler.record_event(open_item, now)\n"
+        "stileloom/jobs/item_runs.py",
+        "        self._scheduler.record_event(open_item, now)",
+        "        self._scheduler.record_event(open_item, now)\n"
         "        if open_item.item.reward is not None:\n"
-        "            self._rewards.request_score(open_item, open_item.item.reward)",
+        "            self._listener.on_complete_text(open_item)",
         f"{REWARDS}::RewardTest::test_results_carry_the_score_of_a_call_made_after_the_last_event",
     ),
     Mutant(
@@ -536,7 +645,7 @@
     Mutant(
         "a run that was stopped before it began begins",
         "one text an item",
-        "stileloom/jobs/runner.py",
+        "stileloom/jobs/item_runs.py",
         "        run = start.run\n",
         "        run = open_item.run\n        assert run is not None\n",
         "tests/test_services.py::JobTest::test_a_run_that_was_stopped_before_it_began_does_not_run",
