--- a/tests/test_ledger_replication.py
+++ b/tests/test_ledger_replication.py
@@ -126,6 +126,13 @@
         cluster.start("d")
         self.assert_replaced(cluster)
 
+    def test_a_transfer_continues_after_a_pause_of_the_link(self) -> None:
+        """Guards against a transfer that starts anew after each pause and never ends."""
+        cluster = self.cluster()
+        cluster.is_lost = lambda sender, to, message: "d" in (sender, to) and cluster.now % 3 < 1.2
+        self.assert_replaced(cluster)
+        self.assertLess(cluster.bytes_sent_to("d", 0.0), 2 * LARGE_STATE_BYTES)
+
     def test_a_follower_that_dies_during_a_transfer_does_not_hold_the_log(self) -> None:
         """Guards against a log that grows until the process is over its memory limit."""
         cluster = self.cluster()
