--- a/stileloom/constants.py
+++ b/stileloom/constants.py
@@ -41,6 +41,8 @@
 """Small enough that its compression delays neither heartbeats nor calls noticeably."""
 SNAPSHOT_RETRY_INTERVAL_S = 1.0
 """Time without a reply after which a piece of a snapshot is sent again."""
+SNAPSHOT_HOLD_S = 5.0
+"""Time without a response after which the snapshot for a follower is no longer kept in memory."""
 VOTER_RESPONSE_TIMEOUT_S = 1.5
 """Time without a response after which a voter is replaced by a learner, if one is available."""
 STANDBY_ANNOUNCE_INTERVAL_S = 1.6
--- a/stileloom/ledger/progress.py
+++ b/stileloom/ledger/progress.py
@@ -64,3 +64,9 @@
     def is_responsive(self, now: float) -> bool:
         """Whether the follower replied recently."""
         return now < self.last_contact_at + constants.FOLLOWER_RESPONSE_TIMEOUT_S
+
+    def keeps_transfer(self, now: float) -> bool:
+        """Whether a transfer continues once the follower replies again."""
+        if self.state is not FollowerState.SNAPSHOT:
+            return False
+        return now < self.last_contact_at + constants.SNAPSHOT_HOLD_S
--- a/stileloom/ledger/replica.py
+++ b/stileloom/ledger/replica.py
@@ -394,13 +394,13 @@
     def _replicate(self, now: float, heartbeat: bool) -> list[Effect]:
         effects: list[Effect] = []
         for follower, progress in self._progress.items():
-            unresponsive = not progress.is_responsive(now)
-            if unresponsive and progress.state is not FollowerState.PROBE:
+            if not progress.is_responsive(now) and progress.state is not FollowerState.PROBE:
                 # Entries for an unresponsive follower would only accumulate in send buffers, and
                 # a transfer would hold the log.
-                progress.start_probe()
-                progress.next_index = min(progress.next_index, self._log.last_index + 1)
-                if progress.last_contact_at > float("-inf"):
+                if not progress.keeps_transfer(now):
+                    progress.start_probe()
+                    progress.next_index = min(progress.next_index, self._log.last_index + 1)
+                if progress.last_contact_at > float("-inf") and not progress.unresponsive:
                     progress.unresponsive = True
                     fields: dict[str, object] = {"follower": follower.node_id, "epoch": self.epoch}
                     effects.append(Emit(LogEvent.FOLLOWER_SILENT, fields))
