--- a/tests/test_ledger_files.py
+++ b/tests/test_ledger_files.py
@@ -13,7 +13,7 @@
 import tracemalloc
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, BinaryIO
 from unittest import mock
 
 import msgspec
@@ -34,7 +34,7 @@
 )
 from stileloom.ledger.recovered import RecoveredLedger
 from stileloom.ledger.snapshot_transfer import IncomingSnapshot
-from stileloom.ledger.storage import LedgerStorage
+from stileloom.ledger.storage import SNAPSHOT_NAME, LedgerStorage
 from stileloom.ledger.wire import Sender
 from stileloom.logging import EventLog
 
@@ -63,6 +63,7 @@
         self._checking = False
         self._contents: dict[int, bytes] = {}
         self._names: dict[str, int] = {}
+        self._replaced: list[BinaryIO] = []
         self._fsync, self._write, self._rename = os.fsync, os.write, Path.rename
         self._ftruncate = os.ftruncate
 
@@ -75,6 +76,11 @@
             mock.patch.object(Path, "rename", lambda *names: self._rename_and_check(*names)),
         ]
 
+    def close(self) -> None:
+        """Closes the files that were replaced."""
+        for file in self._replaced:
+            file.close()
+
     def copy_durable(self, target: Path) -> None:
         """Copies what a loss of power leaves."""
         target.mkdir()
@@ -123,6 +129,9 @@
 
     def _rename_and_check(self, path: Path, target: Path) -> Path:
         self._step()
+        if target.exists():
+            # Keeps its inode from being used again.
+            self._replaced.append(target.open("rb"))
         renamed = self._rename(path, target)
         self._run_check()
         return renamed
@@ -171,6 +180,11 @@
                     acknowledged.update(in_progress)
                     disk._run_check()
                     return
+                if any(each.snapshot is not None for each in writes):
+                    continue
+                # The rewrite of the journal may come between a write and its repetition.
+                on_disk = self.last_snapshot(folder)
+                self.assertTrue(in_background(storage.drop_covered, on_disk))
             raise AssertionError("a repeated write failed")
 
         def in_background(action: Callable[[SnapshotRecord], None], last_index: int) -> bool:
@@ -205,8 +219,14 @@
             write(installed, Persist(7, entries=entries(21, 22)))
             write(Persist(8, entries=entries(23, 23)))
         storage.close()
+        disk.close()
         return disk.steps
 
+    def last_snapshot(self, folder: Path) -> int:
+        """Last index of the snapshot on disk."""
+        record = msgspec.msgpack.decode((folder / SNAPSHOT_NAME).read_bytes(), type=SnapshotRecord)
+        return record.last_index
+
     def assert_recovers(
         self, folder: Path, acknowledged: dict[int, int], in_progress: dict[int, int]
     ) -> None:
