Ledger test: machines and disks that return, with a large state

Callers saw ends of jobs unanswered for ten seconds although no storage machine had been in disruption for four. Evidence: five voters and three standbys, 40 MB at 20 MB/s; three processes end one after the other, some lose their disks; from 4 s after the last return on.

--- a/tests/test_ledger_replication.py
+++ b/tests/test_ledger_replication.py
@@ -9,6 +9,7 @@
 from tests.ledger_cluster import LedgerCluster, Speeds
 
 LONGEST_WITHOUT_COMMIT_S = constants.COMMIT_TIMEOUT_S + 0.05
+SETTLED_AFTER_S = 4.0
 LARGE_STATE_BYTES = 40_000_000
 LARGE_COMMAND_BYTES = 20_000
 LARGE_COMMAND = RecordIntervals({"s" * LARGE_COMMAND_BYTES: 1.0})
@@ -69,6 +70,34 @@
             self.assertLess(length, constants.SNAPSHOT_AFTER_ENTRIES + 20)
 
 
+class AfterDisruptionsTest(testtools.TestCase):
+    """Machines and disks that are lost and return, with a large state."""
+
+    def disrupt(self, cluster: LedgerCluster) -> None:
+        """Ends three processes, one after the other; some lose their disks."""
+        rng = cluster.rng
+        for name in rng.sample("abcdefgh", 3):
+            cluster.kill(name)
+            cluster.run_for(rng.uniform(0.5, 8.0))
+            if rng.random() < 0.4:
+                cluster.replace_disk(name)
+            cluster.start(name)
+            cluster.run_for(rng.uniform(0.2, 3.0))
+
+    def test_a_leader_serves_without_a_pause_once_all_machines_are_back(self) -> None:
+        """Guards against ends of jobs that no leader takes while no machine is in disruption."""
+        for seed in range(8):
+            cluster = LedgerCluster("abcde", "fgh", LARGE_STATE_BYTES, seed=seed)
+            cluster.start("abcdefgh")
+            cluster.run_for(3.0)
+            self.disrupt(cluster)
+            cluster.run_for(SETTLED_AFTER_S)
+            settled_at = cluster.now
+            cluster.run_for(15.0)
+            self.assertLess(cluster.longest_pause_s(settled_at), 0.3, seed)
+            self.assertEqual(0, cluster.elections_since(settled_at), seed)
+
+
 class SnapshotTransferTest(testtools.TestCase):
     """A snapshot that arrives in pieces."""
 
