A node's transfer of leadership reaches its successor

Callers of a daemon's ledger waited for an election timeout after a planned transfer. Cause: HandOver was missing from the messages of the node protocol. The frame was sent, and its receiver dropped it as malformed. Evidence: the test fails with "Invalid value 'HandOver'" before. The test holds both protocols to all messages between replicas.

--- a/stileloom/node/dispatch.py
+++ b/stileloom/node/dispatch.py
@@ -37,6 +37,7 @@
     ledger.SnapshotReply,
     ledger.LearnerHello,
     ledger.IdentityQuestion,
+    ledger.HandOver,
 )
 OWNER_MESSAGES = (samplers.StartGeneration, samplers.StopGeneration, samplers.OrderSampler)
 CONTROLLER_MESSAGES = (
@@ -82,6 +83,7 @@
     | ledger.SnapshotReply
     | ledger.LearnerHello
     | ledger.IdentityQuestion
+    | ledger.HandOver
     | ledger.CommandForward
     | ledger.CommandAnswer
     | LeaderHint
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -8,6 +8,7 @@
 import random
 import tempfile
 from pathlib import Path
+from typing import get_args
 from unittest import mock
 
 import msgspec
@@ -55,6 +56,8 @@
 from stileloom.ledger.replica import ReplicaRole
 from stileloom.ledger.storage import JOURNAL_NAME, SNAPSHOT_NAME, LedgerStorage
 from stileloom.ledger.voters import next_voter_set
+from stileloom.ledger.wire import LedgerMessage
+from stileloom.node.dispatch import LEDGER_MESSAGES, Message, NodeCodec
 
 VOTERS = [Voter(name, f"disk-{name}") for name in ("a", "b", "c")]
 LATER = 5.0
@@ -407,6 +410,14 @@
         self.assertNotEqual(["a"], leaders)
         self.assertGreater(replicas[leaders[0]].epoch, 1)
 
+    def test_both_protocols_carry_every_message_between_replicas(self) -> None:
+        """Guards against a message that is sent and then dropped as malformed by its receiver."""
+        for message_type in get_args(LedgerMessage):
+            self.assertIn(message_type, get_args(Message))
+            self.assertIn(message_type, LEDGER_MESSAGES)
+        received = NodeCodec("b").decode(NodeCodec("a").encode(HandOverMessage(3)))
+        self.assertEqual(("a", HandOverMessage(3)), received)
+
     def test_a_transfer_is_accepted_only_from_the_leader_of_the_epoch(self) -> None:
         replica = LedgerReplica(VOTERS[1], empty_ledger(VOTERS), random.Random(1), 0.0)
         replica.handle(LATER, "a", AppendRequest(1, VOTERS[0], 0, 0, [], 0, nonce=1))
