A leader that regains its lease does not take a job up again whose end it has proposed

Callers saw items of a job start after a leader had received the job's end and before it was committed.

Cause: a leader that loses its lease for a moment replaces its runner. The new one did not know the ends that the old one had stopped work for, while their commands wait on in the log of the same epoch.

The job service keeps the ends that wait for their commit and names them to each new runner. An end whose handler was cancelled, since its gateway has gone, is not kept; gateways repeat theirs.

--- a/stileloom/jobs/service.py
+++ b/stileloom/jobs/service.py
@@ -61,12 +61,25 @@
     def __init__(
         self, ledger: JobServiceLedger, quarantine: QuarantineService, log: EventLog
     ) -> None:
-        self.runner: JobRunner | None = None
-        """Set while this node is the leader."""
+        self._runner: JobRunner | None = None
+        self._proposed_ends: set[str] = set()
         self._ledger = ledger
         self._quarantine = quarantine
         self._log = log
 
+    @property
+    def runner(self) -> JobRunner | None:
+        """Set while this node is the leader."""
+        return self._runner
+
+    @runner.setter
+    def runner(self, runner: JobRunner | None) -> None:
+        self._runner = runner
+        if runner is not None:
+            # Commands outlast a lease that was lost for a moment, while its runner does not.
+            for job_id in self._proposed_ends:
+                runner.stop_job(job_id)
+
     async def handle(self, request: JobRequest) -> JobReply:
         """Handles one call."""
         if not self._ledger.is_active_leader():
@@ -161,10 +174,13 @@
             # Also for an unknown job: its submission may be proposed and not committed.
             if self.runner is not None:
                 self.runner.stop_job(request.job_id)
+            self._proposed_ends.add(request.job_id)
             try:
                 result = await self._ledger.propose(EndJob(request.job_id))
             except StileloomError:
                 return OutcomeUnknown()
+            finally:
+                self._proposed_ends.discard(request.job_id)
             job = self._job(request.job_id)
             if isinstance(result, Refused) or job is None:
                 return NoSuchJob()
