Mutants of replication; two ledger tests are stricter

The first test now compacts the log, and allows a tenth of the bytes from two seconds after the kill; a new test kills a voter during a transfer.

--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -41,6 +41,7 @@
 END_DELIVERY = "tests/test_end_delivery.py"
 JOB_ENDS = "tests/test_job_ends.py"
 ABANDONED_WORK = "tests/test_abandoned_work.py"
+REPLICATION = "tests/test_ledger_replication.py"
 
 MUTANTS = [
     Mutant(
@@ -496,7 +497,7 @@
         "every mismatch is answered by a probe",
         "replication stays bounded",
         "stileloom/ledger/replica.py",
-        "if not replicating and message.nonce != progress.expected_nonce:",
+        "if not replicating and not self._ends_search(progress, message):",
         "if False:",
         "tests/test_ledger.py",
     ),
@@ -548,6 +549,62 @@
         "        missing = max(missing, 1)\n",
         "tests/test_ledger.py::ReplicationFlowTest",
     ),
+    Mutant(
+        "a repeated probe supersedes the first",
+        "replication stays bounded",
+        "stileloom/ledger/replica.py",
+        "if progress.state is not FollowerState.PROBE or progress.probed_index != previous:",
+        "if True:",
+        f"{REPLICATION}::SlowLinkTest",
+    ),
+    Mutant(
+        "the state is sent to a voter that does not answer",
+        "the leader's duties cost little, however large the state",
+        "stileloom/ledger/replica.py",
+        "            if progress.is_responsive(now):\n",
+        "            if True:\n",
+        f"{REPLICATION}::LargeStateTest",
+    ),
+    Mutant(
+        "a state is written every few hundred entries",
+        "the leader's duties cost little, however large the state",
+        "stileloom/ledger/replica.py",
+        "return self._log_bytes >= due_at",
+        "return True",
+        f"{REPLICATION}::LargeStateTest",
+    ),
+    Mutant(
+        "the journal waits for a snapshot",
+        "the leader's duties cost little, however large the state",
+        "stileloom/daemon/ledger_driver.py",
+        "msgspec.structs.replace(write, snapshot=None) if write.background else write",
+        "write",
+        "tests/test_ledger_driver.py::SlowSnapshotTest",
+    ),
+    Mutant(
+        "a follower that stops answering holds the log",
+        "replication stays bounded",
+        "stileloom/ledger/replica.py",
+        "if unresponsive and progress.state is not FollowerState.PROBE:",
+        "if unresponsive and progress.state is FollowerState.REPLICATE:",
+        f"{REPLICATION}::SnapshotTransferTest",
+    ),
+    Mutant(
+        "a leader acts although it cannot commit",
+        "fencing",
+        "stileloom/ledger/replica.py",
+        "if now >= oldest_proposal_at + constants.COMMIT_TIMEOUT_S:",
+        "if False:",
+        f"{REPLICATION}::SlowDiskTest",
+    ),
+    Mutant(
+        "a follower that rejects the log confirms the lease",
+        "fencing",
+        "stileloom/ledger/replica.py",
+        "if message.success and message.follower in",
+        "if message.follower in",
+        "tests/test_ledger.py::ReplicationFlowTest",
+    ),
     Mutant(
         "a leader without its lease feeds standbys on the silence of others",
         "voter set",
--- a/tests/test_ledger_replication.py
+++ b/tests/test_ledger_replication.py
@@ -36,15 +36,19 @@
     def test_a_voter_that_does_not_answer_is_not_sent_the_state(self) -> None:
         """Guards against a leader that encodes its state again and again for a dead voter."""
         cluster = LedgerCluster("abc", "", LARGE_STATE_BYTES)
+        cluster.command = LARGE_COMMAND
         cluster.start("abc")
         cluster.run_for(3.0)
         leader = cluster.leader()
         dead = next(name for name in "abc" if name != leader)
         cluster.kill(dead)
+        killed_at = cluster.now
+        cluster.run_for(2.0)
         settled_at = cluster.now
         cluster.run_for(20.0)
-        self.assertLess(cluster.bytes_sent_to(dead, settled_at), 1_000_000)
-        self.assertLess(cluster.longest_pause_s(settled_at), constants.LEADER_LEASE_S)
+        self.assertGreater(cluster.snapshots_since(settled_at), 0)
+        self.assertLess(cluster.bytes_sent_to(dead, settled_at), 100_000)
+        self.assertLess(cluster.longest_pause_s(killed_at), constants.LEADER_LEASE_S)
 
     def test_a_large_state_is_written_again_only_once_the_log_has_grown(self) -> None:
         """Guards against a state that is encoded and written every few hundred entries."""
@@ -165,6 +169,20 @@
         leader = cluster.replica(cluster.leader() or "")
         self.assertLess(leader.log_length, LARGE_STATE_BYTES // LARGE_COMMAND_BYTES + 500)
 
+    def test_a_voter_that_dies_during_a_transfer_does_not_hold_the_log(self) -> None:
+        cluster = self.cluster("abc")
+        cluster.command = LARGE_COMMAND
+        cluster.run_for(3.0)
+        away = next(name for name in "abc" if name != cluster.leader())
+        cluster.kill(away)
+        cluster.run_for(15.0)
+        cluster.start(away)
+        self.run_until_transfer(cluster, away)
+        cluster.kill(away)
+        cluster.run_for(60.0)
+        leader = cluster.replica(cluster.leader() or "")
+        self.assertLess(leader.log_length, LARGE_STATE_BYTES // LARGE_COMMAND_BYTES + 500)
+
     def test_a_new_leader_sends_a_snapshot_of_its_own(self) -> None:
         """Guards against a state put together from the pieces of two leaders."""
         cluster = self.cluster("abcd")
