--- a/stileloom/daemon/background_snapshots.py
+++ b/stileloom/daemon/background_snapshots.py
@@ -6,8 +6,10 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
+from stileloom.background import BackgroundTasks
 from stileloom.ledger.messages import SnapshotRecord
 from stileloom.ledger.storage import LedgerStorage
+from stileloom.logging import EventLog
 
 RETRY_S = 1.0
 
@@ -20,46 +22,53 @@
         storage: LedgerStorage,
         journal_thread: ThreadPoolExecutor,
         on_idle: Callable[[], None],
+        log: EventLog,
     ) -> None:
         self._storage = storage
         self._journal_thread = journal_thread
         self._on_idle = on_idle
         self._thread = ThreadPoolExecutor(max_workers=1, thread_name_prefix="snapshot")
         self._next: SnapshotRecord | None = None
-        self._task: asyncio.Task[None] | None = None
+        self._tasks = BackgroundTasks(log)
+        self._running = False
         self._stopped = False
 
     @property
     def busy(self) -> bool:
         """Whether a snapshot is being written."""
-        return self._task is not None
+        return self._running
 
     def submit(self, snapshot: SnapshotRecord) -> None:
         """Writes a snapshot; the writes issued before it must be durable."""
         self._next = snapshot
-        if self._task is None and not self._stopped:
-            self._task = asyncio.get_running_loop().create_task(self._run())
+        if not self._running and not self._stopped:
+            self._running = True
+            self._tasks.spawn(self._run())
 
     def stop(self) -> None:
         """Waits for the write in progress; the journal is complete without it."""
         self._stopped = True
-        if self._task is not None:
-            self._task.cancel()
+        self._tasks.cancel()
         self._thread.shutdown(wait=True)
 
     async def _run(self) -> None:
+        try:
+            while self._next is not None:
+                snapshot, self._next = self._next, None
+                await self._write(snapshot)
+        finally:
+            # After an error of our own the journal, which is complete, is written on.
+            self._running = False
+            if not self._stopped:
+                self._on_idle()
+
+    async def _write(self, snapshot: SnapshotRecord) -> None:
         loop = asyncio.get_running_loop()
-        while self._next is not None:
-            snapshot, self._next = self._next, None
-            try:
-                await loop.run_in_executor(self._thread, self._storage.write_snapshot, snapshot)
-                # In the thread of the journal's other writes.
-                await loop.run_in_executor(
-                    self._journal_thread, self._storage.drop_covered, snapshot
-                )
-            except OSError:
-                # A disk that rejects writes also fails the journal, and that is logged.
-                self._next = self._next or snapshot
-                await asyncio.sleep(RETRY_S)
-        self._task = None
-        self._on_idle()
+        try:
+            await loop.run_in_executor(self._thread, self._storage.write_snapshot, snapshot)
+            # In the thread of the journal's other writes.
+            await loop.run_in_executor(self._journal_thread, self._storage.drop_covered, snapshot)
+        except OSError:
+            # A disk that rejects writes also fails the journal, and that is logged.
+            self._next = self._next or snapshot
+            await asyncio.sleep(RETRY_S)
--- a/stileloom/daemon/ledger_driver.py
+++ b/stileloom/daemon/ledger_driver.py
@@ -56,7 +56,7 @@
             LedgerCodec(local_sender, self._addresses, compress), self._handle_message
         )
         self._disk = ThreadPoolExecutor(max_workers=1, thread_name_prefix="ledger")
-        self._snapshot_writer = BackgroundSnapshots(storage, self._disk, self._start_write)
+        self._snapshot_writer = BackgroundSnapshots(storage, self._disk, self._start_write, log)
         self._writes: list[Persist] = []
         self._writing = False
         self._write_started_at = 0.0
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -585,8 +585,8 @@
         "a follower that stops answering holds the log",
         "replication stays bounded",
         "stileloom/ledger/replica.py",
-        "if unresponsive and progress.state is not FollowerState.PROBE:",
-        "if unresponsive and progress.state is FollowerState.REPLICATE:",
+        "if not progress.is_responsive(now) and progress.state is not FollowerState.PROBE:",
+        "if not progress.is_responsive(now) and progress.state is FollowerState.REPLICATE:",
         f"{REPLICATION}::SnapshotTransferTest",
     ),
     Mutant(
--- a/tests/test_ledger_driver.py
+++ b/tests/test_ledger_driver.py
@@ -18,6 +18,7 @@
 from stileloom.clock import steady_time
 from stileloom.daemon import background_snapshots
 from stileloom.daemon.ledger_driver import LedgerDriver
+from stileloom.events import LogEvent
 from stileloom.jobs.metrics import JobMetrics
 from stileloom.ledger import LedgerReplica, Persist, empty_ledger
 from stileloom.ledger.commands import RaiseConfigurationFloor, Voter
@@ -81,6 +82,25 @@
 
         asyncio.run(run())
 
+    def test_an_error_of_our_own_does_not_hold_up_later_writes(self) -> None:
+        async def run() -> None:
+            driver = self.driver()
+            failure = mock.patch.object(LedgerStorage, "write_snapshot", side_effect=MemoryError)
+            with failure, mock.patch.object(EventLog, "emit") as emit:
+                driver._snapshot_writer.submit(self.snapshot(2))
+                async with asyncio.timeout(TIMEOUT_S):
+                    while driver._snapshot_writer.busy:
+                        await asyncio.sleep(0.02)
+                await asyncio.sleep(0)
+            self.assertEqual(LogEvent.INTERNAL_FAULT, emit.call_args.args[0])
+            driver._run([Persist(1, truncate_from=9, snapshot=self.snapshot(8))])
+            async with asyncio.timeout(TIMEOUT_S):
+                while driver.replica._durable_write_id < 1:
+                    await asyncio.sleep(0.02)
+            driver.stop()
+
+        asyncio.run(run())
+
     def test_a_received_snapshot_is_not_replaced_by_an_older_one(self) -> None:
         """Guards against a slow write of an own snapshot that ends after an installed one."""
         replace = LedgerStorage._replace
