Soak: item bodies of any size

The state of the ledger was small in every run, and work whose cost grows with the state went unseen. `--item-bytes` sets the body of each item; the peak memory of the largest ledger node is printed. The default is as before.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -35,6 +35,7 @@
 CHECK_PAUSE_S = 0.2
 STALL_CHECK_S = 0.05
 STALL_S = 0.25
+ITEM_BYTES = 4
 CALM_LOOKUPS = 40
 CALM_LOOKUPS_SERVED = 0.95
 
@@ -42,11 +43,11 @@
 class Soak:
     """One run of one seed."""
 
-    def __init__(self, seed: int, folder: Path, gateways: int) -> None:
+    def __init__(self, seed: int, folder: Path, gateways: int, item_bytes: int) -> None:
         rng = random.Random(seed)
         self.record = Record([f"gateway-{number}" for number in range(1, gateways + 1)])
         self.deployment = Deployment(folder, rng, self.record, gateways)
-        self.callers = Callers(self.deployment, self.record, rng)
+        self.callers = Callers(self.deployment, self.record, rng, item_bytes)
         self.faults = FaultSchedule(self.deployment, self.record, rng)
         self.poison = PoisonLookup(self.deployment, self.callers, self.record, seed)
         self._watching = True
@@ -72,6 +73,11 @@
             self._watching = False
             await asyncio.gather(watch, stalls, replacing)
             self.record.judge_samplers()
+            self.record.counts["largest ledger node in MB"] = max(
+                program.peak_mb()
+                for name, program in self.deployment.programs.items()
+                if name.startswith("ledger")
+            )
         finally:
             await self.deployment.stop()
 
@@ -160,10 +166,16 @@
                 await asyncio.sleep(CHECK_PAUSE_S)
 
 
-def soak(seed: int, seconds: float, keep: Path, gateways: int = GATEWAYS) -> list[str]:
+def soak(
+    seed: int,
+    seconds: float,
+    keep: Path,
+    gateways: int = GATEWAYS,
+    item_bytes: int = ITEM_BYTES,
+) -> list[str]:
     """Runs one seed; returns the broken promises. The logs of a failed run go to `keep`."""
     with tempfile.TemporaryDirectory() as scratch:
-        run = Soak(seed, Path(scratch), gateways)
+        run = Soak(seed, Path(scratch), gateways, item_bytes)
         asyncio.run(run.run(seconds))
         counts = ", ".join(f"{name}: {count}" for name, count in sorted(run.record.counts.items()))
         print(f"seed {seed}: {len(run.record.broken)} broken; {counts}", flush=True)
@@ -184,6 +196,12 @@
     parser.add_argument("--round-seconds", type=float, default=40.0, help="faults for each seed")
     parser.add_argument("--seed", type=int, default=None, help="first seed; drawn if left out")
     parser.add_argument("--gateways", type=int, default=GATEWAYS, help="some 40 MB each")
+    parser.add_argument(
+        "--item-bytes",
+        type=int,
+        default=ITEM_BYTES,
+        help="body of each item; large ones make the state of the ledger grow fast",
+    )
     parser.add_argument("--failed-seeds", action="store_true", help="only seeds that ever failed")
     parser.add_argument("--keep", type=Path, default=Path("soak-failures"))
     arguments = parser.parse_args()
@@ -196,6 +214,7 @@
                 arguments.round_seconds,
                 arguments.keep,
                 int(case.get("gateways", GATEWAYS)),
+                int(case.get("item_bytes", ITEM_BYTES)),
             )
             for case in cases
         ]
@@ -205,7 +224,15 @@
     failed = 0
     seed = first
     while seed == first or steady_time() < give_up_at:
-        failed += bool(soak(seed, arguments.round_seconds, arguments.keep, arguments.gateways))
+        failed += bool(
+            soak(
+                seed,
+                arguments.round_seconds,
+                arguments.keep,
+                arguments.gateways,
+                arguments.item_bytes,
+            )
+        )
         seed += 1
     print(f"{seed - first} seeds from {first}: {failed} failed")
     return int(failed > 0)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 import random
 from typing import Any
 
@@ -82,7 +83,9 @@
 class Callers:
     """All loops of one soak; each ends when `stopped` is set."""
 
-    def __init__(self, deployment: Deployment, record: Record, rng: random.Random) -> None:
+    def __init__(
+        self, deployment: Deployment, record: Record, rng: random.Random, item_bytes: int
+    ) -> None:
         self.stopped = False
         self.version = 1
         self.configuration_version = 1
@@ -93,6 +96,7 @@
         self._rng = rng
         self._http = AsyncHTTPClient(force_instance=True, max_clients=200)
         self._number = 0
+        self._item_body = base64.b64encode(random.Random(item_bytes).randbytes(item_bytes)).decode()
         self._tasks: set[asyncio.Task[None]] = set()
         self._seen_versions: dict[tuple[int, int], int] = {}
         """Newest configuration whose effect a caller saw, by gateway and its life."""
@@ -232,7 +236,7 @@
             await self._end(job)
 
     def _row(self, item: str, rewarded: bool) -> list[Any]:
-        row: list[Any] = [item, f"/drafts/{item}", {"model": MODEL}, "Ym9keQ==", "g"]
+        row: list[Any] = [item, f"/drafts/{item}", {"model": MODEL}, self._item_body, "g"]
         if rewarded:
             row.append([reward_id(item), HOSTNAME, f"/scores/{item}", "dGV4dA=="])
         return row
--- a/tests/soak/programs.py
+++ b/tests/soak/programs.py
@@ -85,6 +85,13 @@
         lines = [line for line in log.splitlines() if ELECTED in line]
         return int(msgspec.json.decode(lines[-1])["epoch"]) if lines else 0
 
+    def peak_mb(self) -> int:
+        """The most memory that this life has held; 0 if it has ended."""
+        if not self.running or self._process is None:
+            return 0
+        status = Path(f"/proc/{self._process.pid}/status").read_text()
+        return int(status.partition("VmHWM:")[2].split()[0]) // 1024
+
     def ended_by_itself(self) -> int | None:
         """The exit code of a process that nobody told to end, or None."""
         if self._process is None or self._ended_by_us:
