--- a/stileloom/ledger/wire.py
+++ b/stileloom/ledger/wire.py
@@ -65,9 +65,14 @@
         self._addresses = addresses
 
     def encode(self, message: object) -> bytes:
-        """Encodes a message as a frame."""
+        """Encodes a message as a frame.
+
+        Pieces of a snapshot are not compressed: their texts already are, and the time would slow
+        the transfer down.
+        """
         frame = LedgerFrame(self._me, message)  # type: ignore[arg-type]
-        return pack(_ENCODER.encode(frame), self._compress)
+        compress = self._compress and not isinstance(message, SnapshotRequest)
+        return pack(_ENCODER.encode(frame), compress)
 
     def decode(self, frame: bytes) -> tuple[str, LedgerMessage]:
         """Decodes a frame to its sender's name and message. Raises `msgspec.DecodeError`."""
--- a/tests/test_ledger_replication.py
+++ b/tests/test_ledger_replication.py
@@ -5,7 +5,10 @@
 import testtools
 
 from stileloom import constants
-from stileloom.ledger.commands import RecordIntervals
+from stileloom.ledger.commands import RecordIntervals, Voter
+from stileloom.ledger.messages import SnapshotRecord, SnapshotRequest
+from stileloom.ledger.peer_addresses import PeerAddresses
+from stileloom.ledger.wire import LedgerCodec, Sender
 from tests.ledger_cluster import LedgerCluster, Speeds
 
 LONGEST_WITHOUT_COMMIT_S = constants.COMMIT_TIMEOUT_S + 0.05
@@ -272,3 +275,18 @@
         cluster.run_for(10.0)
         self.assertLess(cluster.longest_pause_s(broken_until), 2.0)
         self.assertLess(cluster.leased_without_commit_s, constants.LEADER_LEASE_S)
+
+
+class PieceFrameTest(testtools.TestCase):
+    """Frames of snapshot pieces between ledger nodes."""
+
+    def test_pieces_of_a_snapshot_are_not_compressed_again(self) -> None:
+        """Guards against a transfer that spends its time on texts that are compressed already."""
+        voter = Voter("a", "disk-a")
+        snapshot = SnapshotRecord(1, 1, [voter], bytes(constants.SNAPSHOT_PIECE_BYTES))
+        piece = SnapshotRequest(1, voter, snapshot, 1, 1, 0, len(snapshot.state))
+        addresses = PeerAddresses(("10.0.0.1", 7000), [])
+        codec = LedgerCodec(Sender("a", "10.0.0.1", 7000), addresses)
+        frame = codec.encode(piece)
+        self.assertGreater(len(frame), len(snapshot.state))
+        self.assertEqual(("a", piece), codec.decode(frame))
