Large calls and replies between nodes are compressed in a thread

Cause: a gateway deflated the job it passes on, and a leader each page of results, on its event loop: at some 30 MB/s, 430 ms for 12 MB, in which no lookup of that gateway goes on.

Change: above 64 KiB the body is compressed in a thread; the time counts towards the call's timeout. The new test fails on the code before.

--- a/stileloom/transport/calls.py
+++ b/stileloom/transport/calls.py
@@ -13,7 +13,7 @@
 
 from stileloom.clock import steady_time
 from stileloom.transport.call_frames import CallFrame, Reply, ReplyFrame, Request
-from stileloom.transport.compression import pack, unpack
+from stileloom.transport.compression import MAX_INLINE_BYTES, pack, pack_in_thread, unpack
 
 FRAME_HEADER = struct.Struct(">I")
 MAX_FRAME_BYTES = 64 * 1024 * 1024
@@ -59,6 +59,16 @@
     return FRAME_HEADER.pack(len(body)) + body
 
 
+async def encode_large_frame(message: object, compress: bool = True) -> bytes:
+    """Does the same as `encode_frame`; compresses a large body in a thread."""
+    body = _ENCODER.encode(message)
+    if len(body) > MAX_INLINE_BYTES:
+        packed = await pack_in_thread(body, compress)
+    else:
+        packed = pack(body, compress)
+    return FRAME_HEADER.pack(len(packed)) + packed
+
+
 def set_socket_options(transport: asyncio.BaseTransport) -> None:
     """Disables Nagle's algorithm and limits how long sent data may remain unacknowledged."""
     tcp_socket = transport.get_extra_info("socket")
@@ -142,8 +152,9 @@
 
     async def _handle_call(self, frame: CallFrame) -> None:
         reply = await self._handler(frame.request)
+        encoded = await encode_large_frame(ReplyFrame(frame.number, reply), self._compress)
         if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(encode_frame(ReplyFrame(frame.number, reply), self._compress))
+            self._transport.write(encoded)
 
 
 class CallFailed(Exception):
@@ -220,16 +231,18 @@
 
     async def call(self, request: Request, timeout_s: float) -> Reply:
         """Sends a call and waits for its reply. Raises `CallFailed`."""
-        if self._transport is None or not self.usable:
-            raise CallFailed("not connected", sent=False)
         number = self._next_number
         self._next_number += 1
+        deadline = steady_time() + timeout_s
+        frame = await encode_large_frame(CallFrame(number, request))
+        if self._transport is None or not self.usable:
+            raise CallFailed("not connected", sent=False)
         future: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
         self._pending[number] = future
         sent_at = steady_time()
-        self._transport.write(encode_frame(CallFrame(number, request)))
+        self._transport.write(frame)
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(max(0.0, deadline - sent_at)):
                 return await future
         except TimeoutError as error:
             if self._seems_lost(sent_at):
--- a/tests/test_call_connections.py
+++ b/tests/test_call_connections.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import threading
+import zlib
+from unittest import mock
 
 import testtools
 
@@ -42,3 +45,33 @@
                 server.stop()
 
         self.assertEqual(ItemRead(b""), asyncio.run(run()))
+
+    def test_large_calls_and_replies_are_compressed_off_the_event_loop(self) -> None:
+        """Guards against lookups that wait while a gateway compresses a job."""
+        body = b"a job's requests " * 200_000
+        threads: set[int] = set()
+
+        def compress(data: bytes, level: int) -> bytes:
+            if len(data) > 100_000:
+                threads.add(threading.get_ident())
+            return deflate(data, level)
+
+        async def handle(request: Request) -> Reply:
+            return ItemRead(body)
+
+        async def run() -> Reply:
+            address = (HOST, free_port())
+            server = CallServer(handle)
+            await server.start(*address)
+            pool = CallConnectionPool()
+            try:
+                return await pool.call(address, ReadItemCall("j", body.decode()), 5.0)
+            finally:
+                pool.close()
+                server.stop()
+
+        deflate = zlib.compress
+        with mock.patch.object(zlib, "compress", compress):
+            self.assertEqual(ItemRead(body), asyncio.run(run()))
+        self.assertNotEqual(set(), threads)
+        self.assertNotIn(threading.get_ident(), threads)
