The log in memory and a batch of its entries are bounded by bytes

Callers saw: ledger nodes at 549 to 678 MB in a soak with items of 100 KB, and leaders that lost their lease behind messages with several jobs.

A batch had up to 64 entries whatever their size.

Sizes are counted once, when an entry is appended.

--- a/stileloom/constants.py
+++ b/stileloom/constants.py
@@ -52,8 +52,11 @@
 LEADER_CONTACT_TIMEOUT_S = 3.5
 """Time without contact with a leader after which a standby queries every node it knows."""
 APPEND_BATCH_ENTRIES = 64
+APPEND_BATCH_BYTES = 1024 * 1024
+"""Limit of a batch of several entries, so that heartbeats do not wait behind it for long."""
 SNAPSHOT_AFTER_ENTRIES = 512
-"""Minimum number of entries between two snapshots."""
+SNAPSHOT_AFTER_BYTES = 8 * 1024 * 1024
+"""A snapshot may be taken after this many entries or bytes, because the log is in memory."""
 SNAPSHOT_GROWTH_MIN = 0.2
 """Minimum growth of the log between two snapshots, as a fraction of the state's size."""
 SNAPSHOT_GROWTH_MAX = 0.35
--- a/stileloom/ledger/log.py
+++ b/stileloom/ledger/log.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from stileloom import constants
 from stileloom.ledger.commands import ChangeVoters, Voter
 from stileloom.ledger.messages import Entry, SnapshotRecord
 
@@ -21,6 +22,8 @@
     def __init__(self, snapshot: SnapshotRecord, entries: list[Entry]) -> None:
         self.snapshot = snapshot
         self._entries: list[Entry] = []
+        self._sizes: list[int] = []
+        """Approximate memory of each entry, in bytes."""
         self._voter_changes: list[VoterChange] = []
         self.append(entries)
 
@@ -54,14 +57,25 @@
         """The entry at an index above `base_index`."""
         return self._entries[index - self.base_index - 1]
 
-    def after(self, index: int, limit: int) -> list[Entry]:
-        """Up to `limit` entries after `index`."""
+    def after(self, index: int, limit: int, max_bytes: int) -> list[Entry]:
+        """Up to `limit` entries after `index`; several of them have at most `max_bytes`."""
         start = index - self.base_index
-        return self._entries[start : start + limit]
+        total, count = 0, 0
+        for size in self._sizes[start : start + limit]:
+            total += size
+            if count and total > max_bytes:
+                break
+            count += 1
+        return self._entries[start : start + count]
+
+    def bytes_after(self, index: int) -> int:
+        """Approximate memory of the entries after `index`, in bytes."""
+        return sum(self._sizes[index - self.base_index :])
 
     def append(self, entries: list[Entry]) -> None:
         """Appends entries that directly follow the last one."""
         self._entries.extend(entries)
+        self._sizes.extend(map(_memory_size, entries))
         self._voter_changes += [
             VoterChange(entry.index, entry.command.voters)
             for entry in entries
@@ -71,6 +85,7 @@
     def truncate_from(self, index: int) -> None:
         """Removes the entry at `index` and all later ones."""
         del self._entries[index - self.base_index - 1 :]
+        del self._sizes[index - self.base_index - 1 :]
         self._voter_changes = [change for change in self._voter_changes if change.index < index]
 
     def compact(self, snapshot: SnapshotRecord) -> None:
@@ -78,6 +93,7 @@
         keep_from = snapshot.last_index - self.base_index
         matches = self.epoch_at(snapshot.last_index) == snapshot.last_epoch
         self._entries = self._entries[keep_from:] if matches else []
+        self._sizes = self._sizes[keep_from:] if matches else []
         kept = self._voter_changes if matches else []
         self._voter_changes = [change for change in kept if change.index > snapshot.last_index]
         self.snapshot = snapshot
@@ -100,3 +116,7 @@
     def voters(self) -> list[Voter]:
         """The voter set in effect: the newest one in the log, whether committed or not."""
         return self.voters_at(self.last_index)
+
+
+def _memory_size(entry: Entry) -> int:
+    return len(msgspec.msgpack.encode(entry)) + constants.ENTRY_OVERHEAD_BYTES
--- a/stileloom/ledger/replica.py
+++ b/stileloom/ledger/replica.py
@@ -81,7 +81,7 @@
         self._lease = LeaderLease()
         self._snapshot_index = recovered.snapshot.last_index
         """Last index that the newest snapshot covers."""
-        self._log_bytes = _memory_size(recovered.entries)
+        self._log_bytes = self._log.bytes_after(self._log.base_index)
         """Size of the entries since the newest snapshot."""
         self._snapshot_growth_bytes = self._growth_before_snapshot(len(recovered.snapshot.state))
         self._durable_index = self._log.last_index
@@ -481,7 +481,9 @@
         previous = progress.next_index - 1
         if self._log.epoch_at(previous) is None:
             return self._start_transfer(now, follower, progress)
-        entries = self._log.after(previous, constants.APPEND_BATCH_ENTRIES)
+        entries = self._log.after(
+            previous, constants.APPEND_BATCH_ENTRIES, constants.APPEND_BATCH_BYTES
+        )
         # Optimistic: if this request is lost, the next one is rejected as a mismatch.
         progress.next_index += len(entries)
         return self._send_request(now, follower, previous, entries)
@@ -879,7 +881,8 @@
 
         A transfer postpones the snapshot, because each keeps an encoded state in memory.
         """
-        if self._applied_index - self._snapshot_index < constants.SNAPSHOT_AFTER_ENTRIES:
+        few = self._applied_index - self._snapshot_index < constants.SNAPSHOT_AFTER_ENTRIES
+        if few and self._log_bytes < constants.SNAPSHOT_AFTER_BYTES:
             return False
         due_at = self._snapshot_growth_bytes * (1 if self._outgoing is None else 2)
         return self._log_bytes >= due_at
@@ -923,7 +926,7 @@
             for write_id, index in self._last_index_by_write.items():
                 self._last_index_by_write[write_id] = min(index, last_kept)
         self._log.append(entries)
-        self._log_bytes += _memory_size(entries)
+        self._log_bytes += self._log.bytes_after(self._log.last_index - len(entries))
         return self._persist(Persist(0, truncate_from=truncate_from, entries=entries))
 
     def _persist_hard_state(self) -> list[Effect]:
@@ -944,9 +947,3 @@
             return effects
         self._deferred_effects += [(self._last_write_id, effect) for effect in effects]
         return []
-
-
-def _memory_size(entries: list[Entry]) -> int:
-    """Approximate size of entries in memory."""
-    encoded = sum(len(msgspec.msgpack.encode(entry)) for entry in entries)
-    return encoded + constants.ENTRY_OVERHEAD_BYTES * len(entries)
