--- a/stileloom/daemon/background_snapshots.py
+++ b/stileloom/daemon/background_snapshots.py
@@ -7,6 +7,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from stileloom.background import BackgroundTasks
+from stileloom.ledger.effects import Persist
 from stileloom.ledger.messages import SnapshotRecord
 from stileloom.ledger.storage import LedgerStorage
 from stileloom.logging import EventLog
@@ -28,7 +29,7 @@
         self._journal_thread = journal_thread
         self._on_idle = on_idle
         self._thread = ThreadPoolExecutor(max_workers=1, thread_name_prefix="snapshot")
-        self._next: SnapshotRecord | None = None
+        self._next: Persist | None = None
         self._tasks = BackgroundTasks(log)
         self._running = False
         self._stopped = False
@@ -38,9 +39,9 @@
         """Whether a snapshot is being written."""
         return self._running
 
-    def submit(self, snapshot: SnapshotRecord) -> None:
+    def submit(self, write: Persist) -> None:
         """Writes a snapshot; the writes issued before it must be durable."""
-        self._next = snapshot
+        self._next = write
         if not self._running and not self._stopped:
             self._running = True
             self._tasks.spawn(self._run())
@@ -54,21 +55,24 @@
     async def _run(self) -> None:
         try:
             while self._next is not None:
-                snapshot, self._next = self._next, None
-                await self._write(snapshot)
+                write, self._next = self._next, None
+                assert write.snapshot is not None
+                await self._write(write, write.snapshot)
         finally:
             # After an error of our own the journal, which is complete, is written on.
             self._running = False
             if not self._stopped:
                 self._on_idle()
 
-    async def _write(self, snapshot: SnapshotRecord) -> None:
+    async def _write(self, write: Persist, snapshot: SnapshotRecord) -> None:
         loop = asyncio.get_running_loop()
         try:
-            await loop.run_in_executor(self._thread, self._storage.write_snapshot, snapshot)
+            await loop.run_in_executor(
+                self._thread, self._storage.write_snapshot, snapshot, write.first_blob
+            )
             # In the thread of the journal's other writes.
             await loop.run_in_executor(self._journal_thread, self._storage.drop_covered, snapshot)
         except OSError:
             # A disk that rejects writes also fails the journal, and that is logged.
-            self._next = self._next or snapshot
+            self._next = self._next or write
             await asyncio.sleep(RETRY_S)
--- a/stileloom/daemon/ledger_driver.py
+++ b/stileloom/daemon/ledger_driver.py
@@ -81,6 +81,7 @@
         self._snapshot_writer.stop()
         self._disk.shutdown(wait=True)
         self._storage.close()
+        self._storage.blobs.close()
 
     @property
     def state(self) -> LedgerState:
@@ -91,6 +92,10 @@
         """Transfers leadership to another replica if this one leads."""
         self._run(self.replica.transfer_leadership(steady_time()))
 
+    def report_damage(self, detail: str) -> None:
+        """Hands the lead over because what the state refers to cannot be read here."""
+        self._run(self.replica.report_damage(detail))
+
     def is_active_leader(self) -> bool:
         """Whether this replica leads and holds its lease now."""
         return not self._stopped and self.replica.is_active_leader(steady_time())
@@ -243,7 +248,7 @@
             return
         for write in batch:
             if write.background and write.snapshot is not None:
-                self._snapshot_writer.submit(write.snapshot)
+                self._snapshot_writer.submit(write)
         self._run(self.replica.persisted(steady_time(), batch[-1].write_id))
         self._start_write()
 
--- a/stileloom/daemon/ledger_node.py
+++ b/stileloom/daemon/ledger_node.py
@@ -321,6 +321,10 @@
         address = self._driver.leader_address()
         return (address[0], self._calls_port) if address is not None else None
 
+    def report_damage(self, detail: str) -> None:
+        """Hands the lead over."""
+        self._driver.report_damage(detail)
+
     async def propose(self, command: Command) -> CommandResult:
         """Commits a command."""
         return await self._driver.propose(command)
--- a/stileloom/daemon/ledger_start.py
+++ b/stileloom/daemon/ledger_start.py
@@ -17,7 +17,7 @@
 from stileloom.ledger.commands import Voter
 from stileloom.ledger.recovered import RecoveredLedger
 from stileloom.ledger.registration import LedgerRegistration, read_registrations
-from stileloom.ledger.storage import LedgerStorage
+from stileloom.ledger.storage import LedgerDamaged, LedgerStorage
 from stileloom.logging import EventLog
 from stileloom.service_settings import ServiceSettings
 
@@ -63,7 +63,13 @@
     """
     storage = LedgerStorage(Path(settings.data_folder))
     identity = storage.read_identity()
-    recovered = storage.recover()
+    try:
+        recovered = storage.recover()
+    except LedgerDamaged as error:
+        # Its votes are lost with its log: it joins again as a replica with a new disk.
+        log.emit(LogEvent.LEDGER_DAMAGED, {"detail": str(error)})
+        storage.remove_all()
+        identity = recovered = None
     if identity is None:
         identity = Voter(settings.node_id, uuid.uuid4().hex)
         storage.write_identity(identity)
--- a/stileloom/daemon/shell.py
+++ b/stileloom/daemon/shell.py
@@ -78,6 +78,7 @@
         self._disk.shutdown(wait=True)
         if self._storage is not None:
             self._storage.close()
+            self._storage.blobs.close()
 
     def now(self) -> float:
         """Returns monotonic seconds, which include time while the machine is suspended."""
--- a/stileloom/jobs/intake.py
+++ b/stileloom/jobs/intake.py
@@ -50,7 +50,7 @@
                 # The score belongs to a different reward call.
                 continue
             del wanted[result.item_id]
-            text = result.load().text
+            text = registry.load_result(result).text
             found.append(
                 FinishedItem(result.item_id, result.state, 0, [text], result.versions, result.score)
             )
--- a/stileloom/jobs/registry.py
+++ b/stileloom/jobs/registry.py
@@ -1,8 +1,10 @@
-"""Replicated registry of batch jobs. Deterministic: uses no clock and no random numbers."""
+"""Replicated registry of batch jobs. Deterministic: uses no clock and no random numbers.
 
-from __future__ import annotations
+Requests of items and texts of results are most of the data and are rarely read, so the registry
+holds references into a blob log, which ledger nodes keep on disk.
+"""
 
-import zlib
+from __future__ import annotations
 
 import msgspec
 
@@ -15,12 +17,12 @@
     JobSubmission,
     ResultPage,
 )
+from stileloom.blobs import BlobLog, BlobReference, MemoryBlobLog, read_blob, reference_to
 from stileloom.jobs.partial_text import PartialText
 
 PAGE_BYTES = 900_000
 MAX_ENDED_JOBS_WITH_TEXTS = 8
 """Number of ended jobs whose saved texts stay; items come again in one of the next jobs."""
-TEXT_COMPRESSION_LEVEL = 1
 MAX_CLOSED_IDS = 1000
 MAX_CLOSED_ID_LENGTH = 256
 """Longer ids are not kept, so that ends of unknown jobs take little memory."""
@@ -31,31 +33,33 @@
     return 2 * len(result.text) + 200
 
 
+class ItemRequest(msgspec.Struct, frozen=True, array_like=True):
+    """What only the runs of an item need."""
+
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
 class StoredResult(msgspec.Struct, frozen=True, array_like=True):
-    """A listed result. Its text is compressed, because texts are most of the replicated state."""
+    """A listed result."""
 
     item_id: str
     state: ItemState
-    compressed_text: bytes
+    text: BlobReference
     versions: list[int]
     score: str
 
-    @classmethod
-    def store(cls, result: ItemResult) -> StoredResult:
-        """Compresses a result."""
-        text = zlib.compress(result.text.encode(), TEXT_COMPRESSION_LEVEL)
-        return cls(result.item_id, result.state, text, result.versions, result.score)
-
-    def load(self) -> ItemResult:
-        """Returns the result as it was listed."""
-        text = zlib.decompress(self.compressed_text).decode()
-        return ItemResult(self.item_id, self.state, text, self.versions, self.score)
-
 
 class JobRecord(msgspec.Struct):
     """A job with its listed results and saved progress."""
 
     submission: JobSubmission
+    """Its items have no requests, except in a record that is not in a registry."""
+    requests: list[BlobReference] = msgspec.field(default_factory=list)
+    """The request of each item, in order; empty once the job has ended."""
+    first_blob: int = 0
+    """Position in the blob log from which this job and later ones refer to it."""
     results: list[StoredResult] = msgspec.field(default_factory=list)
     listed: set[str] = msgspec.field(default_factory=set)
     ended: bool = False
@@ -69,31 +73,12 @@
         """Whether the job has not ended and has items without a result."""
         return not self.ended and len(self.results) < len(self.submission.items)
 
-    def item(self, item_id: str) -> JobItem | None:
-        """Returns an item of a job that has not ended, by its id."""
-        if self.ended:
-            return None
-        for item in self.submission.items:
-            if item.item_id == item_id:
-                return item
-        return None
-
-    def page(self, position: int) -> ResultPage:
-        """Returns results from a position, up to `PAGE_BYTES` but at least one if available."""
-        chosen: list[ItemResult] = []
-        size = 0
-        for result in map(StoredResult.load, self.results[position:]):
-            size += result_size(result)
-            if chosen and size > PAGE_BYTES:
-                break
-            chosen.append(result)
-        return ResultPage(len(self.submission.items), position + len(chosen), chosen)
-
 
-class JobRegistry(msgspec.Struct):
+class JobRegistry(msgspec.Struct, dict=True):
     """All jobs by id."""
 
     jobs: dict[str, JobRecord] = msgspec.field(default_factory=dict)
+    """In the order of their submission."""
     interval_s: dict[str, float] = msgspec.field(default_factory=dict)
     """Event interval of each sampler, as last recorded by a leader."""
     ended_with_texts: list[str] = msgspec.field(default_factory=list)
@@ -103,6 +88,77 @@
 
     They were forgotten, or ended before they were submitted.
     """
+    blob_end: int = 0
+    """Position in the blob log at which the next byte string is written."""
+
+    # The blob log is not part of the encoded state.
+
+    @property
+    def blobs(self) -> BlobLog:
+        """The log that holds requests and texts; in memory unless another one was attached."""
+        found: BlobLog = self.__dict__.setdefault("blob_log", MemoryBlobLog())
+        return found
+
+    def attach_blobs(self, blobs: BlobLog) -> None:
+        """Sets the log, right after the state was created or decoded."""
+        self.__dict__["blob_log"] = blobs
+
+    @property
+    def blob_start(self) -> int:
+        """Position in the blob log before which nothing is referred to."""
+        oldest = next(iter(self.jobs.values()), None)
+        return oldest.first_blob if oldest is not None else self.blob_end
+
+    def _store(self, data: bytes) -> BlobReference:
+        reference = reference_to(self.blob_end, data)
+        self.blobs.write(reference.offset, data)
+        self.blob_end = reference.end
+        return reference
+
+    # Reads. They raise `BlobUnavailable` if the log is damaged.
+
+    def load_result(self, result: StoredResult) -> ItemResult:
+        """Returns a result as it was listed."""
+        text = read_blob(self.blobs, result.text).decode()
+        return ItemResult(result.item_id, result.state, text, result.versions, result.score)
+
+    def load_items(self, record: JobRecord) -> list[JobItem]:
+        """Returns the items of a job with their requests, unless the job has ended."""
+        if not record.requests:
+            return record.submission.items
+        references = zip(record.submission.items, record.requests, strict=True)
+        return [self._load_item(item, reference) for item, reference in references]
+
+    def item(self, job_id: str, item_id: str) -> JobItem | None:
+        """Returns an item of a job that has not ended, by its id."""
+        record = self.jobs.get(job_id)
+        if record is None or record.ended:
+            return None
+        for item, reference in zip(record.submission.items, record.requests, strict=True):
+            if item.item_id == item_id:
+                return self._load_item(item, reference)
+        return None
+
+    def _load_item(self, item: JobItem, reference: BlobReference) -> JobItem:
+        request = msgspec.msgpack.decode(read_blob(self.blobs, reference), type=ItemRequest)
+        return msgspec.structs.replace(
+            item, path=request.path, headers=request.headers, body=request.body
+        )
+
+    def page(self, job_id: str, position: int) -> ResultPage:
+        """Returns results from a position, up to `PAGE_BYTES` but at least one if available."""
+        record = self.jobs[job_id]
+        chosen: list[ItemResult] = []
+        size = 0
+        for stored in record.results[position:]:
+            result = self.load_result(stored)
+            size += result_size(result)
+            if chosen and size > PAGE_BYTES:
+                break
+            chosen.append(result)
+        return ResultPage(len(record.submission.items), position + len(chosen), chosen)
+
+    # Commands.
 
     def submit(self, submission: JobSubmission) -> bool:
         """Adds a job; returns False if it was added before.
@@ -112,10 +168,14 @@
         job_id = submission.job_id
         if job_id in self.jobs:
             return False
+        record = JobRecord(_without_requests(submission), first_blob=self.blob_end)
         if job_id in self.closed_ids:
-            self.jobs[job_id] = JobRecord(_without_requests(submission), ended=True)
+            record.ended = True
         else:
-            self.jobs[job_id] = JobRecord(submission)
+            for item in submission.items:
+                request = ItemRequest(item.path, item.headers, item.body)
+                record.requests.append(self._store(msgspec.msgpack.encode(request)))
+        self.jobs[job_id] = record
         return True
 
     def save(self, job_id: str, items: list[ItemProgress]) -> None:
@@ -149,8 +209,10 @@
             parts = saved.parts[: item.saved_parts]
             text = "\n".join([*parts, *item.parts]) if item.state is ItemState.SUCCEEDED else ""
             job.listed.add(item.item_id)
-            result = ItemResult(item.item_id, item.state, text, item.versions, item.score)
-            job.results.append(StoredResult.store(result))
+            reference = self._store(text.encode())
+            job.results.append(
+                StoredResult(item.item_id, item.state, reference, item.versions, item.score)
+            )
 
     def record_ages(self, age_s: dict[str, int]) -> None:
         """Records ages of jobs; an age never decreases."""
@@ -167,7 +229,7 @@
             return False
         if not job.ended:
             job.ended = True
-            job.submission = _without_requests(job.submission)
+            job.requests = []
             self._limit_ended_texts(job_id)
         return True
 
@@ -189,7 +251,7 @@
 
 
 def _without_requests(submission: JobSubmission) -> JobSubmission:
-    """The submission without what only its runs need, to save memory until it is forgotten.
+    """The submission without what only its runs need.
 
     Ids and reward calls stay: they decide whether a later job may reuse a result.
     """
--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -323,10 +323,12 @@
         for finished in reusable:
             self._writer.queue_result(submission.job_id, finished)
         names = self._dialect.names
-        sizes = {item.item_id: item_size(item.headers, names) for item in submission.items}
+        items = self._registry.load_items(record)
+        sizes = {item.item_id: item_size(item.headers, names) for item in items}
         self.planner.set_target(submission.model, submission.min_version, now)
         self.scheduler.adopt_job(
             record,
+            items,
             route.backends[0].service,
             route.single_version,
             route.max_attempts,
--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -12,6 +12,7 @@
 from collections.abc import Set as AbstractSet
 from types import MappingProxyType
 
+from stileloom.api.jobs import JobItem
 from stileloom.jobs.model_versions import SamplerModels
 from stileloom.jobs.open_items import (
     DEFAULT_TOKENS_PER_EVENT,
@@ -77,6 +78,7 @@
     def adopt_job(
         self,
         record: JobRecord,
+        items: list[JobItem],
         service: str,
         single_version: bool,
         max_attempts: int,
@@ -87,13 +89,13 @@
         reused_results: AbstractSet[str] = frozenset(),
         texts_of_other_jobs: Mapping[str, PartialText] = MappingProxyType({}),
     ) -> None:
-        """Adds the items of a job that have no listed result.
+        """Adds those of the job's items that have no listed result.
 
         Items in `reused_results` are about to be listed and do not run. `texts_of_other_jobs` are
         saved in the ledger, for items whose text this leader has not seen itself.
         """
         submission = record.submission
-        for item in submission.items:
+        for item in items:
             key = (submission.job_id, item.item_id)
             if item.item_id in record.listed or key in self.items:
                 continue
@@ -128,7 +130,7 @@
             self._seen_item_ids.add(item.item_id)
         self._shares.set_demand(
             submission.model,
-            sum(sizes.get(item.item_id, ItemSize()).expected_tokens for item in submission.items),
+            sum(sizes.get(item.item_id, ItemSize()).expected_tokens for item in items),
         )
 
     def remove_job(self, job_id: str) -> list[OpenItem]:
--- a/stileloom/jobs/service.py
+++ b/stileloom/jobs/service.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import Protocol
 
+from stileloom.blobs import BlobUnavailable
 from stileloom.clock import steady_time
 from stileloom.errors import StileloomError
 from stileloom.events import LogEvent
@@ -54,6 +55,9 @@
     def leader_address(self) -> tuple[str, int] | None:
         """Returns the address of the leader, if known."""
 
+    def report_damage(self, detail: str) -> None:
+        """Hands the lead over because what the state refers to cannot be read here."""
+
 
 class JobService:
     """Handles job and quarantine calls of gateways."""
@@ -88,10 +92,8 @@
             return Leading()
         if isinstance(request, SubmitJobCall):
             return await self._submit(request)
-        if isinstance(request, ReadResultsCall):
-            return await self._read_results(request)
-        if isinstance(request, ReadItemCall):
-            return self._read_item(request)
+        if isinstance(request, ReadResultsCall | ReadItemCall):
+            return await self._read(request)
         if isinstance(request, EndJobCall):
             return await self._end(request)
         return await self._handle_quarantine_call(request)
@@ -141,6 +143,16 @@
             self.runner.step()
         return JobTaken()
 
+    async def _read(self, request: ReadResultsCall | ReadItemCall) -> JobReply:
+        try:
+            if isinstance(request, ReadResultsCall):
+                return await self._read_results(request)
+            return self._read_item(request)
+        except BlobUnavailable as error:
+            # Another replica holds the same bytes, and serves them once it leads.
+            self._ledger.report_damage(str(error))
+            return NotLeader("")
+
     async def _read_results(self, request: ReadResultsCall) -> JobReply:
         job = self._job(request.job_id)
         deadline = steady_time() + request.wait_s
@@ -159,11 +171,10 @@
         job = self._job(request.job_id)
         if job is None:
             return NoSuchJob()
-        return ResultsRead(job.page(request.position))
+        return ResultsRead(self._ledger.state.job_book.page(request.job_id, request.position))
 
     def _read_item(self, request: ReadItemCall) -> JobReply:
-        job = self._job(request.job_id)
-        item = job.item(request.item_id) if job is not None else None
+        item = self._ledger.state.job_book.item(request.job_id, request.item_id)
         if item is None:
             return NoSuchJob()
         return ItemRead(item.body)
--- a/stileloom/ledger/effects.py
+++ b/stileloom/ledger/effects.py
@@ -26,6 +26,8 @@
     """Replaces the log up to its last index."""
     background: bool = False
     """Nothing depends on the snapshot: it may be written later, beside later writes."""
+    first_blob: int = 0
+    """Once the snapshot is durable, nothing reads the blob log before this position."""
 
 
 class Applied(msgspec.Struct, frozen=True):
--- a/stileloom/ledger/messages.py
+++ b/stileloom/ledger/messages.py
@@ -28,6 +28,10 @@
     last_index: int
     last_epoch: int
     voters: list[Voter]
+    first_blob: int
+    """Position in the blob log before which the state refers to nothing."""
+    blob_end: int
+    """Position in the blob log up to which the state refers to it."""
     state: bytes
     """msgpack of `LedgerState`."""
 
@@ -84,19 +88,22 @@
 
 
 class SnapshotRequest(msgspec.Struct, frozen=True, tag=True):
-    """A piece of a snapshot for a follower whose next entry is compacted at the leader."""
+    """A piece of a snapshot for a follower whose next entry is compacted at the leader.
+
+    The whole snapshot is its state, followed by the bytes of the blob log that the state refers to.
+    """
 
     epoch: int
     leader: Voter
     snapshot: SnapshotRecord
-    """With the piece in place of the whole state."""
+    """With the piece in place of the state."""
     nonce: int
     transfer: int
     """Distinguishes the snapshots that a leader sends in one epoch."""
     offset: int
-    """Position of the piece in the state."""
-    size: int
-    """Size of the whole state."""
+    """Position of the piece in the snapshot."""
+    state_size: int
+    """Size of the state, in bytes."""
 
 
 class SnapshotReply(msgspec.Struct, frozen=True, tag=True):
--- a/stileloom/ledger/recovered.py
+++ b/stileloom/ledger/recovered.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from stileloom.blobs import BlobLog, MemoryBlobLog
 from stileloom.ledger.commands import StartEpoch, Voter
 from stileloom.ledger.messages import Entry, HardState, SnapshotRecord
 from stileloom.ledger.state import LedgerState
@@ -17,15 +18,24 @@
     entries: list[Entry]
     commit_index: int = 0
     """Entries up to this index are known to be committed."""
+    blobs: BlobLog = msgspec.field(default_factory=MemoryBlobLog)
+    """Holds what the snapshot refers to; the replica writes on from there."""
 
 
 def empty_ledger(voters: list[Voter]) -> RecoveredLedger:
     """An empty ledger; `voters` is the initial voter set, identical on every node."""
     state = LedgerState(voters=voters)
-    snapshot = SnapshotRecord(0, 0, voters, msgspec.msgpack.encode(state))
+    snapshot = SnapshotRecord(0, 0, voters, 0, 0, msgspec.msgpack.encode(state))
     return RecoveredLedger(HardState(0, None), snapshot, [])
 
 
+def decode_state(snapshot: SnapshotRecord, blobs: BlobLog) -> LedgerState:
+    """The state of a snapshot; what it refers to is in the blob log."""
+    state = msgspec.msgpack.decode(snapshot.state, type=LedgerState)
+    state.job_book.attach_blobs(blobs)
+    return state
+
+
 def without_state(snapshot: SnapshotRecord) -> SnapshotRecord:
     """The snapshot's metadata only; the state itself is on disk and in `LedgerReplica.state`."""
     return msgspec.structs.replace(snapshot, state=b"")
--- a/stileloom/ledger/replica.py
+++ b/stileloom/ledger/replica.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from stileloom import constants
+from stileloom.blobs import BlobUnavailable
 from stileloom.effects import Effect, Emit, Send
 from stileloom.events import LogEvent
 from stileloom.lease import LeaderLease
@@ -38,10 +39,14 @@
     VoteRequest,
 )
 from stileloom.ledger.progress import FollowerProgress, FollowerState
-from stileloom.ledger.recovered import RecoveredLedger, last_leader, without_state
+from stileloom.ledger.recovered import (
+    RecoveredLedger,
+    decode_state,
+    last_leader,
+    without_state,
+)
 from stileloom.ledger.snapshot_transfer import IncomingSnapshot, OutgoingSnapshot
 from stileloom.ledger.standbys import StandbyPool, VoterHealth
-from stileloom.ledger.state import LedgerState
 from stileloom.ledger.voters import next_voter_set
 from stileloom.switches import ALL_ON, Switches
 
@@ -72,6 +77,8 @@
         self.leader: str | None = None
         self.unavailable: set[str] = set()
         """Nodes that another source, such as the membership, reports as dead."""
+        self._is_damaged = False
+        """Whether this replica's blob log lacks bytes that a leader has to serve."""
         self._lost_disk_detector = LostDiskDetector(rng)
         self._voted_for = recovered.hard_state.voted_for
         self._log = LedgerLog(without_state(recovered.snapshot), recovered.entries)
@@ -87,7 +94,8 @@
         self._durable_index = self._log.last_index
         self._commit_index = self._log.base_index
         self._applied_index = self._log.base_index
-        self.state = msgspec.msgpack.decode(recovered.snapshot.state, type=LedgerState)
+        self._blobs = recovered.blobs
+        self.state = decode_state(recovered.snapshot, self._blobs)
         self._apply_recovered(recovered.commit_index)
         self._progress: dict[Voter, FollowerProgress] = {}
         self._outgoing: OutgoingSnapshot | None = None
@@ -179,7 +187,8 @@
 
     def tick(self, now: float) -> list[Effect]:
         """Runs elections, heartbeats and voter set changes that are due."""
-        if self.role is ReplicaRole.LEADER and self._is_removed_leader(now):
+        is_leader = self.role is ReplicaRole.LEADER
+        if is_leader and (self._is_removed_leader(now) or self._must_hand_over(now)):
             return self.transfer_leadership(now)
         if self.role is ReplicaRole.LEADER:
             self._release_outgoing()
@@ -251,7 +260,20 @@
         effects = self._step_down(now, self.epoch)
         return [*effects, Send(successor.node_id, HandOver(self.epoch))]
 
+    def report_damage(self, detail: str) -> list[Effect]:
+        """Called if this replica cannot read what its state refers to.
+
+        It goes on as a voter, because its log and its votes are complete, but hands the lead over
+        to a follower that answers and does not campaign again.
+        """
+        if self._is_damaged:
+            return []
+        self._is_damaged = True
+        return [Emit(LogEvent.LEDGER_DAMAGED, {"detail": detail})]
+
     def _on_hand_over(self, now: float, sender: str, message: HandOver) -> list[Effect]:
+        if self._is_damaged:
+            return []
         if message.epoch != self.epoch or sender != self.leader or not self.is_voter:
             return []
         return self._start_election(now, pre_vote=False, handed_over=True)
@@ -438,7 +460,7 @@
         """Starts to send a snapshot; one that others are receiving is reused if possible."""
         outgoing = self._outgoing
         if outgoing is None or self._log.epoch_at(outgoing.snapshot.last_index) is None:
-            outgoing = OutgoingSnapshot(self._last_nonce + 1, self._encode_snapshot())
+            outgoing = OutgoingSnapshot(self._last_nonce + 1, self._encode_snapshot(), self._blobs)
             self._outgoing = outgoing
         progress.start_transfer(outgoing)
         return self._send_piece(now, follower, progress, outgoing)
@@ -456,17 +478,21 @@
     def _send_piece(
         self, now: float, follower: Voter, progress: FollowerProgress, transfer: OutgoingSnapshot
     ) -> list[Effect]:
+        try:
+            piece = transfer.piece(progress.received)
+        except BlobUnavailable as error:
+            return self.report_damage(str(error))
         self._last_nonce += 1
         progress.piece_nonce = self._last_nonce
         progress.piece_sent_at = now
         request = SnapshotRequest(
             self.epoch,
             self.local_voter,
-            transfer.piece(progress.received),
+            piece,
             self._last_nonce,
             transfer.transfer,
             progress.received,
-            transfer.size,
+            len(transfer.snapshot.state),
         )
         return [Send(follower.node_id, request)]
 
@@ -610,11 +636,13 @@
 
     @property
     def _may_campaign(self) -> bool:
-        """Whether this replica may start an election.
+        """Whether this replica may start an election; a damaged one may not.
 
         A replica whose removal is committed campaigns only if a voter has lost its disk: a
         remaining voter with a shorter log may need this replica's vote and cannot get it.
         """
+        if self._is_damaged:
+            return False
         removed = not self.is_voter and self._log.voters_at(self._commit_index) == self.voters
         voter_lost_disk = not self._lost_disk_detector.lost_disks.isdisjoint(self.voters)
         return self._grants_votes and (voter_lost_disk or not removed)
@@ -627,6 +655,13 @@
             and self._commit_index == self._log.last_index
         )
 
+    def _must_hand_over(self, now: float) -> bool:
+        """Whether this leader is damaged and another voter can lead."""
+        return self._is_damaged and any(
+            progress.is_responsive(now) and voter in self.voters
+            for voter, progress in self._progress.items()
+        )
+
     def _on_identity_question(self, sender: str, message: IdentityQuestion) -> list[Effect]:
         if self.is_voter:
             return []
@@ -808,9 +843,15 @@
         last_index = message.snapshot.last_index
         if last_index > self._commit_index:
             if self._incoming is None or not self._incoming.accepts(message):
-                self._incoming = IncomingSnapshot(message.epoch, message.transfer)
+                jobs = self.state.job_book
+                held = (jobs.blob_start, jobs.blob_end)
+                self._incoming = IncomingSnapshot(
+                    message.epoch, message.transfer, self._blobs, held
+                )
             snapshot = self._incoming.add(message)
             if snapshot is None:
+                # A write of its own, so that the pieces do not gather in memory.
+                effects += self._persist(Persist(0))
                 received = SnapshotReply(
                     self.epoch,
                     self.local_voter,
@@ -827,7 +868,7 @@
     def _install(self, snapshot: SnapshotRecord) -> list[Effect]:
         """Replaces the state, and the log up to the snapshot's last index."""
         self._log.compact(without_state(snapshot))
-        self.state = msgspec.msgpack.decode(snapshot.state, type=LedgerState)
+        self.state = decode_state(snapshot, self._blobs)
         self._snapshot_index = snapshot.last_index
         self._log_bytes = 0
         self._snapshot_growth_bytes = self._growth_before_snapshot(len(snapshot.state))
@@ -836,7 +877,9 @@
         # `compact` emptied the log if its entries do not continue the snapshot; the journal must
         # drop these entries as well.
         truncate = snapshot.last_index + 1 if len(self._log) == 0 else None
-        effects = self._persist(Persist(0, truncate_from=truncate, snapshot=snapshot))
+        effects = self._persist(
+            Persist(0, truncate_from=truncate, snapshot=snapshot, first_blob=snapshot.first_blob)
+        )
         return [*effects, Emit(LogEvent.SNAPSHOT_INSTALLED, {"index": snapshot.last_index})]
 
     # Applying and persisting.
@@ -899,13 +942,16 @@
         self._snapshot_index = snapshot.last_index
         self._log_bytes = 0
         self._snapshot_growth_bytes = self._growth_before_snapshot(len(snapshot.state))
-        compact_to = snapshot.last_index
+        compact_to, first_blob = snapshot.last_index, snapshot.first_blob
         if self._outgoing is not None:
-            # The followers that receive this snapshot need the entries after it.
+            # The followers that receive this snapshot need its blobs and the entries after it.
             compact_to = min(compact_to, self._outgoing.snapshot.last_index)
+            first_blob = min(first_blob, self._outgoing.snapshot.first_blob)
         if compact_to > self._log.base_index:
             self._log.compact(self._snapshot_metadata(compact_to))
-        effects: list[Effect] = self._persist(Persist(0, snapshot=snapshot, background=True))
+        effects: list[Effect] = self._persist(
+            Persist(0, snapshot=snapshot, background=True, first_blob=first_blob)
+        )
         return [*effects, Emit(LogEvent.SNAPSHOT_TAKEN, {"index": snapshot.last_index})]
 
     def _encode_snapshot(self) -> SnapshotRecord:
@@ -916,7 +962,10 @@
     def _snapshot_metadata(self, index: int) -> SnapshotRecord:
         epoch = self._log.epoch_at(index)
         assert epoch is not None
-        return SnapshotRecord(index, epoch, self._log.voters_at(index), b"")
+        jobs = self.state.job_book
+        return SnapshotRecord(
+            index, epoch, self._log.voters_at(index), jobs.blob_start, jobs.blob_end, b""
+        )
 
     def _append(self, entries: list[Entry], truncate_from: int | None = None) -> list[Effect]:
         if truncate_from is not None:
--- a/stileloom/ledger/storage.py
+++ b/stileloom/ledger/storage.py
@@ -4,7 +4,8 @@
 that is truncated or does not match its hash ends the journal: the process or the machine stopped
 during the write, so the record was never reported as durable. A snapshot is written to a
 temporary file, synced and renamed; the journal is then rewritten. Until then the journal also holds
-entries that the snapshot covers; recovery ignores them.
+entries that the snapshot covers; recovery ignores them. What the state refers to is in the segments
+of the blob log, which are synced before a snapshot and removed after it.
 
 Writes may fail temporarily, for example on a full disk. A failed write is truncated from the
 journal and may be retried: its entries replace those at the same indexes.
@@ -19,6 +20,7 @@
 import msgspec
 import xxhash
 
+from stileloom.blobs.files import FileBlobLog
 from stileloom.ledger.commands import Voter
 from stileloom.ledger.effects import Persist
 from stileloom.ledger.messages import Entry, HardState, SnapshotRecord
@@ -52,12 +54,17 @@
 _SNAPSHOT_DECODER = msgspec.msgpack.Decoder(SnapshotRecord)
 
 
+class LedgerDamaged(Exception):
+    """Files that were durable are missing or too short; this disk's record of votes is void."""
+
+
 class LedgerStorage:
     """The files in one data folder. Calls block; the driver runs them in a thread."""
 
     def __init__(self, folder: Path) -> None:
         self._folder = folder
         folder.mkdir(parents=True, exist_ok=True)
+        self.blobs = FileBlobLog(folder)
         self._hard_state = HardState(0, None)
         self._entries: list[Entry] = []
         self._commit_index = 0
@@ -85,15 +92,26 @@
     # Recovery.
 
     def recover(self) -> RecoveredLedger | None:
-        """The persisted ledger, or None if there is none yet."""
+        """The persisted ledger, or None if there is none yet. Raises `LedgerDamaged`."""
         path = self._folder / SNAPSHOT_NAME
         if not path.exists():
             return None
         snapshot = _SNAPSHOT_DECODER.decode(path.read_bytes())
+        if not self.blobs.covers(snapshot.first_blob, snapshot.blob_end):
+            raise LedgerDamaged(f"bytes {snapshot.first_blob} to {snapshot.blob_end} are missing")
         self._replay_journal()
         self._entries = [entry for entry in self._entries if entry.index > snapshot.last_index]
         self._open_journal()
-        return RecoveredLedger(self._hard_state, snapshot, list(self._entries), self._commit_index)
+        return RecoveredLedger(
+            self._hard_state, snapshot, list(self._entries), self._commit_index, self.blobs
+        )
+
+    def remove_all(self) -> None:
+        """Removes a damaged ledger with its identity, as if the disk had been replaced."""
+        for name in (IDENTITY_NAME, SNAPSHOT_NAME, JOURNAL_NAME):
+            (self._folder / name).unlink(missing_ok=True)
+        self.blobs.remove_all()
+        self._sync_folder()
 
     def _replay_journal(self) -> None:
         path = self._folder / JOURNAL_NAME
@@ -134,6 +152,7 @@
         """Writes the initial snapshot."""
         self._replace(SNAPSHOT_NAME, *_encode_parts(recovered.snapshot))
         self._open_journal()
+        recovered.blobs = self.blobs
 
     def write(self, writes: list[Persist]) -> None:
         """Makes writes durable in order, with a single sync if they contain no snapshot.
@@ -153,9 +172,11 @@
             if write.snapshot is not None:
                 self._sync(buffer)
                 buffer.clear()
-                self.write_snapshot(write.snapshot)
+                self.write_snapshot(write.snapshot, write.first_blob)
                 self.drop_covered(write.snapshot)
         self._sync(buffer)
+        if self.blobs.needs_flush():
+            self.blobs.flush()
 
     def _sync(self, buffer: bytearray) -> None:
         if not buffer:
@@ -173,9 +194,14 @@
         self._journal_bytes += len(buffer)
         self._synced_commit_index = self._commit_index
 
-    def write_snapshot(self, snapshot: SnapshotRecord) -> None:
-        """Replaces the snapshot; may run beside `write` if that one writes no snapshot."""
+    def write_snapshot(self, snapshot: SnapshotRecord, first_blob: int = 0) -> None:
+        """Replaces the snapshot; may run beside `write` if that one writes no snapshot.
+
+        Nothing reads the blob log before `first_blob` from then on.
+        """
+        self.blobs.sync()
         self._replace(SNAPSHOT_NAME, *_encode_parts(snapshot))
+        self.blobs.discard_before(first_blob)
 
     def drop_covered(self, snapshot: SnapshotRecord) -> None:
         """Rewrites the journal with only the entries after a snapshot that is written."""
--- a/stileloom/logging.py
+++ b/stileloom/logging.py
@@ -26,6 +26,7 @@
     LogEvent.GENERATION_LOST,
     LogEvent.STORE_LOST,
     LogEvent.DISK_LOST,
+    LogEvent.LEDGER_DAMAGED,
     LogEvent.LEDGER_NODE_SILENT,
     LogEvent.COMMIT_STALLED,
     LogEvent.EVENT_LOOP_BLOCKED,
--- a/stileloom/simulator/disk.py
+++ b/stileloom/simulator/disk.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import copy
+
+from stileloom.blobs import MemoryBlobLog
 from stileloom.ledger.commands import Voter
 from stileloom.ledger.effects import Persist
 from stileloom.ledger.messages import Entry, HardState, SnapshotRecord
@@ -20,6 +23,9 @@
         self._snapshot = ledger.snapshot
         self._entries: list[Entry] = list(ledger.entries)
         self._commit_index = ledger.commit_index
+        blobs = copy.deepcopy(ledger.blobs)
+        assert isinstance(blobs, MemoryBlobLog)
+        self._blobs = blobs
         self._pending: list[Persist] = []
         self._background: Persist | None = None
         """A snapshot that is being written beside the journal; a crash loses it."""
@@ -42,6 +48,7 @@
             self._apply(write)
         self._pending.clear()
         self._background = None
+        self._blobs.truncate(self._snapshot.blob_end)
 
     @property
     def pending_count(self) -> int:
@@ -51,7 +58,11 @@
     def recover(self) -> RecoveredLedger:
         """What a new process finds."""
         return RecoveredLedger(
-            self._hard_state, self._snapshot, list(self._entries), self._commit_index
+            self._hard_state,
+            self._snapshot,
+            list(self._entries),
+            self._commit_index,
+            self._blobs,
         )
 
     def _apply(self, write: Persist) -> None:
@@ -68,15 +79,16 @@
         if write.background:
             self._background = write
         else:
-            self._replace_snapshot(write.snapshot)
+            self._replace_snapshot(write.snapshot, write.first_blob)
 
     def _finish_background(self) -> None:
         if self._background is not None and self._background.snapshot is not None:
-            self._replace_snapshot(self._background.snapshot)
+            self._replace_snapshot(self._background.snapshot, self._background.first_blob)
         self._background = None
 
-    def _replace_snapshot(self, snapshot: SnapshotRecord) -> None:
+    def _replace_snapshot(self, snapshot: SnapshotRecord, first_blob: int) -> None:
         self._snapshot = snapshot
+        self._blobs.discard_before(first_blob)
         kept = [entry for entry in self._entries if entry.index > snapshot.last_index]
         consecutive = bool(kept) and kept[0].index == snapshot.last_index + 1
         self._entries = kept if consecutive else []
--- a/tests/ledger_cluster.py
+++ b/tests/ledger_cluster.py
@@ -9,12 +9,18 @@
 
 import msgspec
 
-from stileloom.api.jobs import JobItem, JobSubmission
+from stileloom.api.jobs import ItemProgress, JobItem, JobSubmission
 from stileloom.daemon.ledger_driver import HELLO_INTERVAL_S, TICK_S
 from stileloom.effects import Effect, Emit, Send
 from stileloom.events import LogEvent
 from stileloom.ledger import Applied, Dropped, LedgerReplica, LedgerState, Persist, empty_ledger
-from stileloom.ledger.commands import Command, RaiseConfigurationFloor, SubmitJob, Voter
+from stileloom.ledger.commands import (
+    Command,
+    RaiseConfigurationFloor,
+    SaveProgress,
+    SubmitJob,
+    Voter,
+)
 from stileloom.ledger.messages import HardState, LearnerHello, SnapshotRecord
 from stileloom.ledger.recovered import RecoveredLedger
 from stileloom.simulator.disk import SimulatedDisk
@@ -81,10 +87,12 @@
         initial = [Voter(name, f"disk-{name}") for name in voters]
         state = large_state(state_bytes)
         state.voters = initial
-        snapshot = SnapshotRecord(BASE_INDEX, 1, initial, msgspec.msgpack.encode(state))
+        jobs = state.job_book
+        encoded = msgspec.msgpack.encode(state)
+        snapshot = SnapshotRecord(BASE_INDEX, 1, initial, 0, jobs.blob_end, encoded)
         self.nodes: dict[str, LedgerNode] = {}
         for name in voters + standbys:
-            known = RecoveredLedger(HardState(1, None), snapshot, [])
+            known = RecoveredLedger(HardState(1, None), snapshot, [], blobs=jobs.blobs)
             ledger = known if name in voters else empty_ledger([])
             self.nodes[name] = LedgerNode(SimulatedDisk(Voter(name, f"disk-{name}"), ledger))
 
@@ -277,10 +285,10 @@
 def large_state(size: int) -> LedgerState:
     """A state of about this encoded size."""
     state = LedgerState()
-    body = bytes(100_000)
-    items = [
-        JobItem(f"item-{n}", "/items", {}, body, "", None) for n in range(-(-size // len(body)))
-    ]
+    text = "x" * 100_000
+    items = [JobItem(f"item-{n}", "/items", {}, b"", "") for n in range(-(-size // len(text)))]
     if items:
         state.apply(SubmitJob(JobSubmission("job", "host", "/items", 1, "model", 1, 1, items)))
+        saved = [ItemProgress(item.item_id, 0, [text], 1, [1]) for item in items]
+        state.apply(SaveProgress("job", saved))
     return state
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -42,6 +42,8 @@
 JOB_ENDS = "tests/test_job_ends.py"
 ABANDONED_WORK = "tests/test_abandoned_work.py"
 REPLICATION = "tests/test_ledger_replication.py"
+LEDGER_FILES = "tests/test_ledger_files.py"
+LEDGER_BLOBS = "tests/test_ledger_blobs.py"
 
 MUTANTS = [
     Mutant(
@@ -82,7 +84,7 @@
         "the requests of an ended job stay in the replicated state",
         "the state stays bounded",
         "stileloom/jobs/registry.py",
-        "            job.submission = _without_requests(job.submission)\n",
+        "            job.requests = []\n",
         "",
         "tests/test_job_book.py",
     ),
@@ -573,6 +575,62 @@
         "return True",
         f"{REPLICATION}::LargeStateTest",
     ),
+    Mutant(
+        "a snapshot is written before what it refers to is durable",
+        "the state refers to bytes that every replica can read",
+        "stileloom/ledger/storage.py",
+        "        self.blobs.sync()\n",
+        "        self.blobs.flush()\n",
+        f"{LEDGER_FILES}::BlobsKilledAtEveryStepTest",
+    ),
+    Mutant(
+        "segments are removed while the snapshot on disk refers to them",
+        "the state refers to bytes that every replica can read",
+        "stileloom/ledger/storage.py",
+        "        self.blobs.sync()\n",
+        "        self.blobs.sync()\n        self.blobs.discard_before(first_blob)\n",
+        f"{LEDGER_FILES}::BlobsKilledAtEveryStepTest",
+    ),
+    Mutant(
+        "a byte string is served although its digest differs",
+        "the state refers to bytes that every replica can read",
+        "stileloom/blobs/log.py",
+        "if xxhash.xxh3_64_intdigest(data) != reference.digest:",
+        "if False:",
+        "tests/test_blobs.py",
+    ),
+    Mutant(
+        "a follower takes a snapshot without the bytes that it refers to",
+        "the state refers to bytes that every replica can read",
+        "stileloom/ledger/snapshot_transfer.py",
+        "return state_size + snapshot.blob_end - snapshot.first_blob",
+        "return state_size",
+        f"{LEDGER_BLOBS}::ReplicatedBlobsTest",
+    ),
+    Mutant(
+        "a leader removes what a follower is still receiving",
+        "the state refers to bytes that every replica can read",
+        "stileloom/ledger/replica.py",
+        "            first_blob = min(first_blob, self._outgoing.snapshot.first_blob)\n",
+        "",
+        f"{LEDGER_BLOBS}::ReplicatedBlobsTest",
+    ),
+    Mutant(
+        "a log of large entries is kept until some hundred came",
+        "the state stays bounded",
+        "stileloom/ledger/replica.py",
+        "if few and self._log_bytes < constants.SNAPSHOT_AFTER_BYTES:",
+        "if few:",
+        f"{LEDGER_BLOBS}::ReplicatedBlobsTest",
+    ),
+    Mutant(
+        "entries are compressed for each follower anew",
+        "the leader's duties cost little, however large the state",
+        "stileloom/ledger/wire.py",
+        "if last is None or not last.holds(entries):",
+        "if True:",
+        f"{REPLICATION}::LedgerFrameTest",
+    ),
     Mutant(
         "the journal waits for a snapshot",
         "the leader's duties cost little, however large the state",
--- a/tests/runner_fixture.py
+++ b/tests/runner_fixture.py
@@ -98,6 +98,10 @@
         """No other node is known."""
         return None
 
+    def report_damage(self, detail: str) -> None:
+        """Stops leading."""
+        self.leads = False
+
     def quarantine(self) -> QuarantineRegistry:
         """The quarantine list of the state."""
         return self.state.quarantine
--- a/tests/test_abandoned_work.py
+++ b/tests/test_abandoned_work.py
@@ -397,7 +397,7 @@
         for job in (self.jobs[0], self.jobs[-1]):
             self.registry.record(job, [finished])
         self.assertEqual([], self.registry.jobs[self.jobs[0]].results)
-        (result,) = self.registry.jobs[self.jobs[-1]].page(0).results
+        (result,) = self.registry.page(self.jobs[-1], 0).results
         self.assertEqual("one\ntwo\nthree", result.text)
 
 
--- a/tests/test_item_scheduler.py
+++ b/tests/test_item_scheduler.py
@@ -55,7 +55,10 @@
         tokens_per_event: float = 50.0,
     ) -> None:
         """Adopts a job."""
-        self.scheduler.adopt_job(job, SERVICE, False, 3, 60.0, sizes or {}, now, tokens_per_event)
+        items = job.submission.items
+        self.scheduler.adopt_job(
+            job, items, SERVICE, False, 3, 60.0, sizes or {}, now, tokens_per_event
+        )
 
     def starts(self, now: float = 0.0) -> dict[str, str]:
         """Starts the due items; returns the sampler by item id."""
--- a/tests/test_job_book.py
+++ b/tests/test_job_book.py
@@ -97,7 +97,7 @@
     def listed_results_never_change(self) -> None:
         """Positions, texts and scores of listed results never change."""
         for job_id, rows in self.listed.items():
-            results = self.registry.jobs[job_id].page(0).results
+            results = self.registry.page(job_id, 0).results
             assert [(r.item_id, r.text, r.score) for r in results] == rows
 
     @invariant()
@@ -144,11 +144,12 @@
         registry = JobRegistry()
         registry.submit(JobSubmission("j0", "h", "/p", 0, "m", 1, 1, items))
         registry.record("j0", [FinishedItem("i1", ItemState.SUCCEEDED, 0, ["text"], [1], "score")])
-        page = registry.jobs["j0"].page(0)
+        page = registry.page("j0", 0)
         registry.end("j0")
         self.assertLess(len(msgspec.msgpack.encode(registry)), 1000)
-        self.assertEqual(page, registry.jobs["j0"].page(0))
-        self.assertIsNone(registry.jobs["j0"].item("i2"))
+        self.assertEqual([], registry.jobs["j0"].requests)
+        self.assertEqual(page, registry.page("j0", 0))
+        self.assertIsNone(registry.item("j0", "i2"))
         registry.submit(JobSubmission("j1", "h", "/p", 1, "m", 1, 1, items[:2]))
         (reused,) = reusable_results(registry, registry.jobs["j1"], single_version=False)
         self.assertEqual("i1", reused.item_id)
@@ -161,5 +162,5 @@
         registry.submit(JobSubmission("j", "h", "/p", 0, "m", 1, 1, items))
         registry.record("j", [FinishedItem("i", ItemState.SUCCEEDED, 0, text, [1])])
         self.assertLess(len(msgspec.msgpack.encode(registry)), len("".join(text)) / 2)
-        (result,) = registry.jobs["j"].page(0).results
+        (result,) = registry.page("j", 0).results
         self.assertEqual("\n".join(text), result.text)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -202,7 +202,7 @@
             self.assertRaises(OSError, storage.write, later)
         storage.write(later)
         fresh = empty_ledger(VOTERS)
-        snapshot = type(fresh.snapshot)(1, 1, VOTERS, fresh.snapshot.state)
+        snapshot = type(fresh.snapshot)(1, 1, VOTERS, 0, 0, fresh.snapshot.state)
         for more in ([], [Persist(3, snapshot=snapshot)]):
             storage.write(more)
             recovered = self.storage().recover()
@@ -251,7 +251,7 @@
         fresh = empty_ledger(VOTERS)
         storage.initialize(fresh)
         storage.write([Persist(1, entries=[entry(1), entry(2)])])
-        snapshot = type(fresh.snapshot)(1, 1, VOTERS, fresh.snapshot.state)
+        snapshot = type(fresh.snapshot)(1, 1, VOTERS, 0, 0, fresh.snapshot.state)
         batch = [Persist(2, snapshot=snapshot), Persist(3, entries=[entry(3)])]
         for failing in ("os.fsync", "pathlib.Path.rename", "os.open"):
             with mock.patch(failing, side_effect=OSError(errno.ENOSPC, "no space")):
@@ -268,7 +268,7 @@
         fresh = empty_ledger(VOTERS)
         storage.initialize(fresh)
         storage.write([Persist(1, entries=[entry(1), entry(2)], commit_index=2)])
-        snapshot = type(fresh.snapshot)(2, 1, VOTERS, fresh.snapshot.state)
+        snapshot = type(fresh.snapshot)(2, 1, VOTERS, 0, 0, fresh.snapshot.state)
         storage.write_snapshot(snapshot)
         storage.write([Persist(2, entries=[entry(3)])])
         for restarted in (self.storage(), self.storage()):
@@ -288,7 +288,7 @@
         fresh = empty_ledger(VOTERS)
         storage.initialize(fresh)
         for size in (0, 10, 300, 70_000):
-            snapshot = type(fresh.snapshot)(2, 1, VOTERS, bytes(size))
+            snapshot = type(fresh.snapshot)(2, 1, VOTERS, 0, 0, bytes(size))
             storage.write_snapshot(snapshot)
             body = (self.folder / SNAPSHOT_NAME).read_bytes()
             self.assertEqual(snapshot, msgspec.msgpack.decode(body, type=type(snapshot)))
@@ -298,7 +298,7 @@
         fresh = empty_ledger(VOTERS)
         storage.initialize(fresh)
         storage.write([Persist(1, hard_state=HardState(2, None), entries=[entry(1), entry(2)])])
-        snapshot = type(fresh.snapshot)(1, 1, VOTERS, fresh.snapshot.state)
+        snapshot = type(fresh.snapshot)(1, 1, VOTERS, 0, 0, fresh.snapshot.state)
         storage.write([Persist(2, snapshot=snapshot)])
         recovered = self.storage().recover()
         assert recovered is not None
--- a/tests/test_ledger_driver.py
+++ b/tests/test_ledger_driver.py
@@ -46,7 +46,7 @@
 
     def snapshot(self, last_index: int) -> SnapshotRecord:
         """A snapshot of an empty state."""
-        return SnapshotRecord(last_index, 1, VOTERS, empty_ledger(VOTERS).snapshot.state)
+        return SnapshotRecord(last_index, 1, VOTERS, 0, 0, empty_ledger(VOTERS).snapshot.state)
 
     def entries(self, first: int, last: int) -> list[Entry]:
         """Simple entries."""
@@ -72,7 +72,7 @@
             with mock.patch.object(background_snapshots, "RETRY_S", 0.05):
                 self.storage.write([Persist(1, entries=self.entries(1, 3))])
                 with failure:
-                    driver._snapshot_writer.submit(self.snapshot(2))
+                    driver._snapshot_writer.submit(Persist(1, snapshot=self.snapshot(2)))
                     await asyncio.sleep(0.2)
                     self.assertEqual(0, self.last_index())
                 async with asyncio.timeout(TIMEOUT_S):
@@ -87,7 +87,7 @@
             driver = self.driver()
             failure = mock.patch.object(LedgerStorage, "write_snapshot", side_effect=MemoryError)
             with failure, mock.patch.object(EventLog, "emit") as emit:
-                driver._snapshot_writer.submit(self.snapshot(2))
+                driver._snapshot_writer.submit(Persist(1, snapshot=self.snapshot(2)))
                 async with asyncio.timeout(TIMEOUT_S):
                     while driver._snapshot_writer.busy:
                         await asyncio.sleep(0.02)
--- a/tests/test_ledger_files.py
+++ b/tests/test_ledger_files.py
@@ -21,6 +21,7 @@
 from prometheus_client import CollectorRegistry
 
 from stileloom import constants
+from stileloom.blobs import MemoryBlobLog
 from stileloom.daemon.ledger_driver import LedgerDriver
 from stileloom.jobs.metrics import JobMetrics
 from stileloom.ledger import LedgerReplica, Persist, empty_ledger
@@ -49,7 +50,7 @@
 
 def snapshot(last_index: int) -> SnapshotRecord:
     """A snapshot of an empty state."""
-    return SnapshotRecord(last_index, 1, VOTERS, empty_ledger(VOTERS).snapshot.state)
+    return SnapshotRecord(last_index, 1, VOTERS, 0, 0, empty_ledger(VOTERS).snapshot.state)
 
 
 class DurableFolder:
@@ -257,6 +258,81 @@
             self.run_with_failure(fail_at, rewrite=True)
 
 
+class BlobsKilledAtEveryStepTest(testtools.TestCase):
+    """Snapshots that refer to a blob log, killed or without power between any two calls."""
+
+    STEPS = 14
+    BLOB_BYTES = 1000
+    KEPT_BLOBS = 3
+
+    def setUp(self) -> None:
+        super().setUp()
+        scratch = tempfile.TemporaryDirectory()
+        self.addCleanup(scratch.cleanup)
+        self.scratch = Path(scratch.name)
+        segments = mock.patch("stileloom.blobs.files.SEGMENT_BYTES", 2 * self.BLOB_BYTES + 300)
+        segments.start()
+        self.addCleanup(segments.stop)
+        self.copies = 0
+
+    def bytes_at(self, first: int, end: int) -> bytes:
+        """What is in the log: the number of each blob, repeated."""
+        return bytes(position // self.BLOB_BYTES + 1 for position in range(first, end))
+
+    def check(self, disk: DurableFolder) -> None:
+        """Whatever snapshot is found, all that it refers to is there."""
+        for copy in (disk.copy_durable, disk.copy_current):
+            self.copies += 1
+            target = self.scratch / f"copy-{self.copies}"
+            copy(target)
+            storage = LedgerStorage(target)
+            found = storage.recover()
+            assert found is not None
+            first, end = found.snapshot.first_blob, found.snapshot.blob_end
+            if end > first:
+                self.assertEqual(self.bytes_at(first, end), storage.blobs.read(first, end - first))
+            storage.close()
+            storage.blobs.close()
+            shutil.rmtree(target)
+
+    def run_with_failure(self, fail_at: int) -> int:
+        """Writes blobs and snapshots while the given call fails once; returns their number."""
+        folder = self.scratch / f"run-{fail_at}"
+        storage = LedgerStorage(folder)
+        disk = DurableFolder(folder, lambda: None)
+        with contextlib.ExitStack() as stack:
+            for patch in disk.patches():
+                stack.enter_context(patch)
+            storage.initialize(empty_ledger(VOTERS))
+            disk._check = lambda: self.check(disk)
+            disk.steps, disk.fail_at = 0, fail_at
+            for number in range(1, self.STEPS + 1):
+                end = number * self.BLOB_BYTES
+                storage.blobs.write(
+                    end - self.BLOB_BYTES, self.bytes_at(end - self.BLOB_BYTES, end)
+                )
+                first = max(0, end - self.KEPT_BLOBS * self.BLOB_BYTES)
+                record = msgspec.structs.replace(snapshot(number), first_blob=first, blob_end=end)
+                write = Persist(number, snapshot=record, first_blob=first)
+                with contextlib.suppress(OSError):
+                    storage.write([write])
+                    continue
+                storage.write([write])
+        segments = len(list(folder.glob("blobs-*")))
+        self.assertLessEqual(segments, 3)
+        storage.close()
+        storage.blobs.close()
+        disk.close()
+        return disk.steps
+
+    def test_a_snapshot_never_refers_to_bytes_that_are_not_durable(self) -> None:
+        """Guards against results that are gone after a loss of power."""
+        steps = self.run_with_failure(-1)
+        self.assertGreater(steps, 50)
+        for fail_at in range(1, steps + 1, 7):
+            self.run_with_failure(fail_at)
+
+
 class IncomingSnapshotTest(testtools.TestCase):
     """Memory of a follower that receives a snapshot."""
 
@@ -264,7 +340,7 @@
         """Guards against a third copy of the state while the snapshot is decoded."""
         state, piece = bytes(40 * constants.SNAPSHOT_PIECE_BYTES), constants.SNAPSHOT_PIECE_BYTES
         record = msgspec.structs.replace(snapshot(600), state=b"")
-        incoming = IncomingSnapshot(1, 7)
+        incoming = IncomingSnapshot(1, 7, MemoryBlobLog())
         tracemalloc.start()
         self.addCleanup(tracemalloc.stop)
         complete = None
--- a/tests/test_ledger_replication.py
+++ b/tests/test_ledger_replication.py
@@ -317,7 +317,7 @@
 
     def test_messages_come_back_as_they_were(self) -> None:
         small, large = self.entries(b"x" * 500), self.entries(self.random_body)
-        snapshot = SnapshotRecord(1, 1, [self.voter], bytes(constants.SNAPSHOT_PIECE_BYTES))
+        snapshot = SnapshotRecord(1, 1, [self.voter], 0, 0, bytes(constants.SNAPSHOT_PIECE_BYTES))
         for message in (
             self.request(1, []),
             self.request(2, small),
--- a/tests/test_rewards.py
+++ b/tests/test_rewards.py
@@ -347,7 +347,7 @@
         registry.save("j", [ItemProgress("i1", 0, ["a", "b"], 2, [3], True)])
         self.assertTrue(registry.jobs["j"].progress["i1"].whole)
         registry.record("j", [FinishedItem("i1", ItemState.SUCCEEDED, 2, [], [3], "0.7")])
-        (result,) = registry.jobs["j"].page(0).results
+        (result,) = registry.page("j", 0).results
         self.assertEqual(("a\nb", [3], "0.7"), (result.text, result.versions, result.score))
 
     def test_a_result_is_reused_only_for_the_same_reward_call(self) -> None:
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -166,10 +166,10 @@
         text = "x" * (PAGE_BYTES // 3)
         finished = [FinishedItem(i.item_id, ItemState.SUCCEEDED, 0, [text], [1]) for i in items]
         registry.record("j", finished)
-        first = registry.jobs["j"].page(0)
+        first = registry.page("j", 0)
         self.assertEqual((3, 1, 1), (first.total_items, first.next_position, len(first.results)))
-        self.assertEqual(3, registry.jobs["j"].page(2).next_position)
-        self.assertEqual([], registry.jobs["j"].page(3).results)
+        self.assertEqual(3, registry.page("j", 2).next_position)
+        self.assertEqual([], registry.page("j", 3).results)
 
 
 class SavedEventsTest(testtools.TestCase):
@@ -182,7 +182,7 @@
         registry.save("j", [ItemProgress("a", 0, ["1", "2", "3"], 3, [1])])
         registry.save("j", [ItemProgress("a", 1, ["two", "three", "four"], 4, [1, 2])])
         registry.record("j", [FinishedItem("a", ItemState.SUCCEEDED, 4, ["five"], [1, 2])])
-        (result,) = registry.jobs["j"].page(0).results
+        (result,) = registry.page("j", 0).results
         self.assertEqual("1\ntwo\nthree\nfour\nfive", result.text)
 
 
@@ -251,7 +251,7 @@
         if "j" not in self.registry.jobs:
             return
         job = self.registry.jobs["j"]
-        assert [result.load() for result in job.results] == self.expected
+        assert [self.registry.load_result(result) for result in job.results] == self.expected
         assert job.ended == self.ended
         assert job.is_open == (not self.ended and len(self.expected) < len(self.ITEMS))
 
