--- a/stileloom/ledger/log.py
+++ b/stileloom/ledger/log.py
@@ -57,7 +57,9 @@
         """The entry at an index above `base_index`."""
         return self._entries[index - self.base_index - 1]
 
-    def after(self, index: int, limit: int, max_bytes: int) -> list[Entry]:
+    def after(
+        self, index: int, limit: int, max_bytes: int = constants.APPEND_BATCH_BYTES
+    ) -> list[Entry]:
         """Up to `limit` entries after `index`; several of them have at most `max_bytes`."""
         start = index - self.base_index
         total, count = 0, 0
--- a/stileloom/ledger/replica.py
+++ b/stileloom/ledger/replica.py
@@ -507,9 +507,7 @@
         previous = progress.next_index - 1
         if self._log.epoch_at(previous) is None:
             return self._start_transfer(now, follower, progress)
-        entries = self._log.after(
-            previous, constants.APPEND_BATCH_ENTRIES, constants.APPEND_BATCH_BYTES
-        )
+        entries = self._log.after(previous, constants.APPEND_BATCH_ENTRIES)
         # Optimistic: if this request is lost, the next one is rejected as a mismatch.
         progress.next_index += len(entries)
         return self._send_request(now, follower, previous, entries)
