New jobs are refused before a ledger node runs out of memory or disk

Change: the leader refuses a job whose requests, with those of open jobs, take over 0.2 of the memory; whose bytes, with those retained, take over half of the disk; or whose items, with those retained, take over 0.3 of the memory at 1 kB an item. 503 not_run with a Retry-After from the time at which retention frees the room; 413 if it never fits. A repeat of a job that is being committed, or was, is not refused, and a refusal after an attempt whose outcome is unknown counts as unknown. Reads and ends go on. Counter, log event, settings [limits].

--- a/stileloom/daemon/ledger_node.py
+++ b/stileloom/daemon/ledger_node.py
@@ -16,7 +16,7 @@
 from stileloom.clock import steady_time
 from stileloom.daemon.cached_store import CachedObjectStore
 from stileloom.daemon.directory import Directory
-from stileloom.daemon.leadership import Leadership
+from stileloom.daemon.leadership import RETENTION_MARGIN_S, Leadership
 from stileloom.daemon.ledger_driver import LedgerDriver
 from stileloom.daemon.ledger_start import PeerDiscovery, open_ledger_with_retry
 from stileloom.daemon.metrics_server import start_metrics_server
@@ -24,6 +24,7 @@
 from stileloom.daemon.signals import handle_signals
 from stileloom.daemon.store_cache import StoreCache
 from stileloom.events import LogEvent
+from stileloom.jobs.job_admission import JobAdmission
 from stileloom.jobs.job_ages import JobAges
 from stileloom.jobs.metrics import JobMetrics
 from stileloom.jobs.service import JobService
@@ -149,7 +150,12 @@
         )
         self._driver = driver
         self._service = JobService(
-            _CallAddressLedger(driver, settings.calls_port), self._quarantine_service, self._log
+            _CallAddressLedger(driver, settings.calls_port),
+            self._quarantine_service,
+            JobAdmission(settings.limits, settings.bounds.job_retention_s + RETENTION_MARGIN_S),
+            self._job_ages,
+            self._log,
+            self._metrics,
         )
         self._call_server = CallServer(self._handle_call, compress)
         await self._call_server.start(settings.listen_host, settings.calls_port)
--- a/stileloom/errors.py
+++ b/stileloom/errors.py
@@ -40,6 +40,7 @@
     REJECTED_BY_POLICY = "rejected_by_policy"
     OVERLOADED = "overloaded"
     RATE_LIMITED = "rate_limited"
+    JOBS_FULL = "jobs_full"
     NO_SAMPLER = "no_sampler"
     DRAINING = "draining"
     NOT_READY = "not_ready"
@@ -111,6 +112,9 @@
     ErrorKind.RATE_LIMITED: ErrorResponse(
         429, 8, Outcome.NOT_RUN, 1, "The tenant is over its limit"
     ),
+    ErrorKind.JOBS_FULL: ErrorResponse(
+        503, 8, Outcome.NOT_RUN, 1, "The ledger nodes have no room for another job"
+    ),
     ErrorKind.NO_SAMPLER: ErrorResponse(
         503, 8, Outcome.NOT_RUN, 2, "No sampler of the service can take the request"
     ),
--- a/stileloom/jobs/client.py
+++ b/stileloom/jobs/client.py
@@ -10,6 +10,7 @@
 from stileloom.events import LogEvent
 from stileloom.jobs.leader_search import LeaderSearch, LedgerNodes, NodeAddress
 from stileloom.jobs.messages import (
+    JobRefused,
     JobReply,
     JobRequest,
     NotLeader,
@@ -72,6 +73,9 @@
                 self._handle_failure(leader, request_id, str(failure))
                 continue
             self._handle_answer(leader)
+            if isinstance(reply, JobRefused) and may_have_run:
+                # An earlier attempt may still be committed, so the job must not count as refused.
+                raise StileloomError(ErrorKind.JOBS_FULL, reply.reason, Outcome.UNKNOWN)
             if not isinstance(reply, NotLeader | OutcomeUnknown):
                 self._nodes.leader = leader
                 return reply
--- a/stileloom/jobs/messages.py
+++ b/stileloom/jobs/messages.py
@@ -54,6 +54,14 @@
     """The job is committed."""
 
 
+class JobRefused(msgspec.Struct, frozen=True, tag=True):
+    """The job was not accepted by this call: there is no room for it."""
+
+    reason: str
+    retry_after_s: float | None
+    """Seconds after which there may be room; None if the job never fits."""
+
+
 class ResultsRead(msgspec.Struct, frozen=True, tag=True):
     """A page of results."""
 
@@ -90,6 +98,7 @@
 
 JobReply = (
     JobTaken
+    | JobRefused
     | ResultsRead
     | ItemRead
     | JobEnded
--- a/stileloom/jobs/metrics.py
+++ b/stileloom/jobs/metrics.py
@@ -48,6 +48,9 @@
             buckets=EVENT_BUCKETS_S,
             registry=registry,
         )
+        self.jobs_refused = Counter(
+            "stileloom_jobs_refused", "Jobs refused for want of room", registry=registry
+        )
         self.results_listed = Counter(
             "stileloom_results_listed", "Results committed to the ledger", registry=registry
         )
--- a/stileloom/jobs/registry.py
+++ b/stileloom/jobs/registry.py
@@ -109,6 +109,20 @@
         oldest = next(iter(self.jobs.values()), None)
         return oldest.first_blob if oldest is not None else self.blob_end
 
+    @property
+    def open_request_bytes(self) -> int:
+        """Size of the requests of open jobs, which the leader holds in memory."""
+        return sum(
+            record.requests[-1].end - record.requests[0].offset
+            for record in self.jobs.values()
+            if record.is_open and record.requests
+        )
+
+    @property
+    def item_count(self) -> int:
+        """Number of items of all jobs."""
+        return sum(len(record.submission.items) for record in self.jobs.values())
+
     def _store(self, data: bytes) -> BlobReference:
         reference = reference_to(self.blob_end, data)
         self.blobs.write(reference.offset, data)
--- a/stileloom/jobs/service.py
+++ b/stileloom/jobs/service.py
@@ -5,15 +5,19 @@
 import asyncio
 from typing import Protocol
 
+from stileloom.api.jobs import JobSubmission
 from stileloom.blobs import BlobUnavailable
 from stileloom.clock import steady_time
 from stileloom.errors import StileloomError
 from stileloom.events import LogEvent
+from stileloom.jobs.job_admission import JobAdmission
+from stileloom.jobs.job_ages import JobAges
 from stileloom.jobs.leader_ledger import LeaderLedger
 from stileloom.jobs.messages import (
     EndJobCall,
     ItemRead,
     JobEnded,
+    JobRefused,
     JobReply,
     JobRequest,
     JobTaken,
@@ -27,6 +31,7 @@
     ResultsRead,
     SubmitJobCall,
 )
+from stileloom.jobs.metrics import JobMetrics
 from stileloom.jobs.registry import JobRecord
 from stileloom.jobs.runner import JobRunner
 from stileloom.ledger.commands import EndJob, Refused, SubmitJob
@@ -63,10 +68,21 @@
     """Handles job and quarantine calls of gateways."""
 
     def __init__(
-        self, ledger: JobServiceLedger, quarantine: QuarantineService, log: EventLog
+        self,
+        ledger: JobServiceLedger,
+        quarantine: QuarantineService,
+        admission: JobAdmission,
+        ages: JobAges,
+        log: EventLog,
+        metrics: JobMetrics,
     ) -> None:
         self._runner: JobRunner | None = None
         self._proposed_ends: set[str] = set()
+        self._proposed_jobs: set[str] = set()
+        """Jobs that are proposed and not yet committed; a repeat of one must not be refused."""
+        self._admission = admission
+        self._ages = ages
+        self._metrics = metrics
         self._ledger = ledger
         self._quarantine = quarantine
         self._log = log
@@ -126,10 +142,16 @@
         submission = request.submission
         already_known = self._job(submission.job_id) is not None
         if not already_known:
+            refused = self._refuse(submission)
+            if refused is not None:
+                return refused
+            self._proposed_jobs.add(submission.job_id)
             try:
                 await self._ledger.propose(SubmitJob(submission))
             except StileloomError:
                 return OutcomeUnknown()
+            finally:
+                self._proposed_jobs.discard(submission.job_id)
         self._log.emit(
             LogEvent.JOB_TAKEN,
             {
@@ -143,6 +165,28 @@
             self.runner.step()
         return JobTaken()
 
+    def _refuse(self, submission: JobSubmission) -> JobRefused | None:
+        """Refuses a job for which there is no room, unless it may be committed already."""
+        if submission.job_id in self._proposed_jobs:
+            return None
+        registry = self._ledger.state.job_book
+        refusal = self._admission.refusal(submission, registry, self._ages, steady_time())
+        if refusal is None:
+            return None
+        self._metrics.jobs_refused.inc()
+        self._log.emit(
+            LogEvent.JOB_REFUSED,
+            {
+                "job": submission.job_id,
+                "items": len(submission.items),
+                "reason": refusal.reason,
+                "retry_after_s": refusal.retry_after_s,
+                "jobs": len(registry.jobs),
+                "blob_bytes": registry.blob_end - registry.blob_start,
+            },
+        )
+        return JobRefused(refusal.reason, refusal.retry_after_s)
+
     async def _read(self, request: ReadResultsCall | ReadItemCall) -> JobReply:
         try:
             if isinstance(request, ReadResultsCall):
--- a/stileloom/logging.py
+++ b/stileloom/logging.py
@@ -27,6 +27,7 @@
     LogEvent.STORE_LOST,
     LogEvent.DISK_LOST,
     LogEvent.LEDGER_DAMAGED,
+    LogEvent.JOB_REFUSED,
     LogEvent.LEDGER_NODE_SILENT,
     LogEvent.COMMIT_STALLED,
     LogEvent.EVENT_LOOP_BLOCKED,
--- a/stileloom/proxy/front.py
+++ b/stileloom/proxy/front.py
@@ -27,6 +27,7 @@
 from stileloom.jobs.messages import (
     ItemRead,
     JobEnded,
+    JobRefused,
     JobReply,
     JobRequest,
     JobTaken,
@@ -226,6 +227,11 @@
         check_submission(submission)
         timeout_s = min(self._deadline_s(request, route.timeout_s), route.timeout_s)
         reply = await self._call(SubmitJobCall(submission), job_id, timeout_s)
+        if isinstance(reply, JobRefused):
+            kind = ErrorKind.JOBS_FULL
+            if reply.retry_after_s is None:
+                kind = ErrorKind.BODY_TOO_LARGE
+            raise StileloomError(kind, reply.reason, retry_after_s=reply.retry_after_s)
         self._log.emit(
             LogEvent.JOB_SUBMITTED,
             {
--- a/stileloom/service_settings.py
+++ b/stileloom/service_settings.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from stileloom.jobs.job_admission import ResourceLimits
 from stileloom.settings_file import Address, LogSettings, Name, split_address
 from stileloom.switches import Switches
 
@@ -61,6 +62,8 @@
     losses_borne: Annotated[int, msgspec.Meta(ge=0, le=4)] = 1
     """Number of simultaneous ledger node failures to tolerate (f); the voter set has 2f + 1."""
     bounds: TimeBounds = TimeBounds()
+    limits: ResourceLimits = ResourceLimits()
+    """Ledger node: memory and disk of the machine, for the admission of jobs."""
     switches: Switches = Switches()
     log: LogSettings = LogSettings()
 
--- a/tests/runner_fixture.py
+++ b/tests/runner_fixture.py
@@ -15,6 +15,7 @@
 from stileloom.api.sampler_directory import SamplerEntry
 from stileloom.clock import steady_time
 from stileloom.http.native_dialect import NativeDialect
+from stileloom.jobs.job_admission import JobAdmission, ResourceLimits
 from stileloom.jobs.job_ages import JobAges
 from stileloom.jobs.metrics import JobMetrics
 from stileloom.jobs.open_items import ItemKey
@@ -79,6 +80,10 @@
     return table
 
 
+RETENTION_S = 125.0
+NO_LIMITS = ResourceLimits()
+
+
 class FakeLedger:
     """Applies commands in their order, and leads until the test says otherwise."""
 
@@ -118,6 +123,8 @@
 
     def __init__(self, *samplers: SamplerEntry) -> None:
         self.state = LedgerState()
+        self.job_ages = JobAges()
+        """Of the job service; each runner counts on its own."""
         self.now = steady_time()
         self.routes = routes()
         self.samplers = SamplerTable()
@@ -134,10 +141,17 @@
         """Items that the leader runs or has still to run."""
         return list(self.runner.scheduler.items)
 
-    def service(self) -> JobService:
+    def service(self, limits: ResourceLimits = NO_LIMITS) -> JobService:
         """The job service of the leader."""
         quarantine = QuarantineService(self.ledger, self._log)
-        service = JobService(self.ledger, quarantine, self._log)
+        service = JobService(
+            self.ledger,
+            quarantine,
+            JobAdmission(limits, RETENTION_S),
+            self.job_ages,
+            self._log,
+            JobMetrics(CollectorRegistry()),
+        )
         service.runner = self.runner
         return service
 
--- a/tests/test_job_client.py
+++ b/tests/test_job_client.py
@@ -16,6 +16,7 @@
 from stileloom.jobs.messages import (
     EndJobCall,
     JobEnded,
+    JobRefused,
     Leading,
     NotLeader,
     OutcomeUnknown,
@@ -102,6 +103,23 @@
 
         self.assertEqual(Outcome.NOT_RUN, self.outcome(unresponsive))
 
+    def test_a_refusal_after_a_lost_reply_leaves_the_outcome_unknown(self) -> None:
+        """Guards against a refusal of a job that an earlier attempt may still commit."""
+        replies = [OutcomeUnknown(), JobRefused("the disk is full", 2.0)]
+
+        async def answer(request: Request) -> Reply:
+            return Leading() if isinstance(request, ProbeLeaderCall) else replies.pop(0)
+
+        self.assertEqual(Outcome.UNKNOWN, self.outcome(answer))
+
+    def test_a_refusal_at_once_is_passed_on(self) -> None:
+        async def answer(request: Request) -> Reply:
+            if isinstance(request, ProbeLeaderCall):
+                return Leading()
+            return JobRefused("the disk is full", 2.0)
+
+        self.assertEqual(JobRefused("the disk is full", 2.0), self.outcome(answer))
+
     def test_a_leader_that_lost_its_leadership_leaves_the_outcome_unknown(self) -> None:
         async def lost(request: Request) -> Reply:
             return Leading() if isinstance(request, ProbeLeaderCall) else OutcomeUnknown()
