Items start in the order of their latest start

In step 8 an item with 180 events waited some 3.5 s for a place behind short items of step 7, was cut by the closing fault and held the chain up for 4 s.

Change: waiting items are sorted by their deadline less the time of the rest of their text; within a job that is the longest first, as before. A module of its own, jobs/start_order.py.

--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -1,9 +1,9 @@
 """Assigns items to samplers and decides when a run moves. Performs no I/O and reads no clock.
 
 An item only runs on a sampler that is assigned to its model and has a version that its job
-accepts. Reused items start first, then items of earlier steps, then those with the longest
-expected output. Among samplers with a free slot the one with the shortest event interval is
-preferred; samplers that have already processed the prompt of the item's group get a discount.
+accepts. Items start in the order of `start_order`. Among samplers with a free slot the one with the
+shortest event interval is preferred; samplers that have already processed the prompt of the item's
+group get a discount.
 """
 
 from __future__ import annotations
@@ -16,6 +16,7 @@
 from stileloom.jobs.model_versions import SamplerModels
 from stileloom.jobs.open_items import (
     DEFAULT_TOKENS_PER_EVENT,
+    INITIAL_INTERVAL_S,
     ItemKey,
     ItemRun,
     ItemSize,
@@ -26,6 +27,7 @@
 from stileloom.jobs.partial_text import PartialText
 from stileloom.jobs.registry import JobRecord
 from stileloom.jobs.sampler_shares import SamplerShares
+from stileloom.jobs.start_order import remaining_events, start_order
 from stileloom.proxy.sampler_table import SamplerTable, TrackedSampler
 from stileloom.switches import ALL_ON, Switches
 
@@ -41,8 +43,6 @@
 """Minimum time saved by a move, which processes the prompt and the generated text again."""
 MOVE_MIN_AGE_S = 0.7
 MOVE_MIN_EVENTS_LEFT = 5.0
-REMAINING_TO_GENERATED_RATIO = 0.5
-"""Minimum estimate of the remaining output, as a fraction of the generated one."""
 MAX_CACHE_FILL = 0.95
 MIN_EVENTS_PER_SAVE = 5
 """Number of unsaved events at which an item is saved to the ledger."""
@@ -193,8 +193,11 @@
             and not item.finished
             and not item.partial.whole
         ]
-        items.sort(key=lambda item: (not item.reused, item.step, -item.expected_tokens))
-        return items
+        return start_order(items, self._shortest_interval_s())
+
+    def _shortest_interval_s(self) -> float:
+        measured = [stats.interval_s for stats in self._stats.values() if stats.measured]
+        return min(measured, default=INITIAL_INTERVAL_S)
 
     def plan_starts(self, now: float, models: list[str]) -> list[PlannedRun]:
         """Selects runs to start now and counts them as running."""
@@ -292,11 +295,7 @@
 
     def events_left(self, open_item: OpenItem) -> float:
         """Estimates the number of remaining events."""
-        generated = len(open_item.partial.parts)
-        expected = open_item.expected_tokens / open_item.tokens_per_event
-        return max(
-            MOVE_MIN_EVENTS_LEFT, expected - generated, generated * REMAINING_TO_GENERATED_RATIO
-        )
+        return max(MOVE_MIN_EVENTS_LEFT, remaining_events(open_item))
 
     def faster_sampler(self, open_item: OpenItem, now: float) -> str | None:
         """Returns a sampler with a free slot on which the run would end much sooner, or None."""
--- /dev/null
+++ b/tests/chain_simulation.py
@@ -0,0 +1,160 @@
+"""Chains of training steps on simulated samplers, in virtual time with the real item scheduler.
+
+A trainer asks for step k once a version is named that came out of step k - 2, so two steps overlap.
+Lengths of items
+have a heavy tail, as generations of language models do, and are known only roughly beforehand.
+"""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+
+from stileloom.api.jobs import JobItem, JobSubmission
+from stileloom.api.sampler_directory import SamplerEntry
+from stileloom.jobs.open_items import ItemSize, OpenItem
+from stileloom.jobs.registry import JobRecord
+from stileloom.jobs.scheduler import ItemScheduler
+from stileloom.proxy.sampler_table import SamplerTable
+
+SERVICE = "engines"
+MODEL = "m"
+TICK_S = 0.01
+EVENT_S = 0.039
+TOKENS_PER_EVENT = 59.0
+
+
+class Load(msgspec.Struct, frozen=True):
+    """One model, its steps and the samplers that run them."""
+
+    samplers: int = 21
+    slots: int = 6
+    groups: int = 9
+    group_items: int = 16
+    period_s: float = 4.0
+    train_s: float = 0.5
+    mean_events: float = 25.4
+    spread: float = 0.84
+    tail_share: float = 0.08
+    tail_factor: float = 5.0
+    max_events: float = 182.0
+    hint_spread: float = 0.5
+    slow_share: float = 0.0
+    slow_factor: float = 3.5
+
+
+class ChainSimulation:
+    """Runs steps; `pause` stops all samplers for a while, as a change of leader does."""
+
+    def __init__(self, load: Load, seed: int, scheduler: ItemScheduler | None = None) -> None:
+        self.load = load
+        self.now = 0.0
+        self.asked_at: list[float] = []
+        self.ended_at: dict[int, float] = {}
+        self._rng = random.Random(seed)
+        table = SamplerTable()
+        names = [f"s{number}" for number in range(load.samplers)]
+        table.replace_all(
+            [
+                SamplerEntry(name, SERVICE, ("10.0.0.1", 1), "a", load.slots, False, {MODEL: 1})
+                for name in names
+            ]
+        )
+        self.scheduler = scheduler or ItemScheduler(table)
+        for name in names:
+            self.scheduler.models_of(name).record_version(MODEL, 1)
+        self._slow = set(names[: int(load.samplers * load.slow_share)])
+        self._events: dict[str, int] = {}
+        """True length of each item."""
+        self._next_event_at: dict[tuple[str, str], float] = {}
+        self._paused_until = 0.0
+
+    def run(self, seconds: float, pauses: dict[float, float] | None = None) -> None:
+        """Runs for some time; `pauses` maps the begin of each pause to its length."""
+        pauses = dict(pauses or {})
+        while self.now < seconds:
+            self.now += TICK_S
+            for begin in [begin for begin in pauses if begin <= self.now]:
+                self._pause(pauses.pop(begin))
+            self._ask()
+            if self.now >= self._paused_until:
+                self._advance()
+                self._start()
+
+    def lateness_s(self, step: int) -> float:
+        """How much later than on time a step was asked."""
+        return self.asked_at[step] - step * self.load.period_s
+
+    def duration_s(self, step: int) -> float:
+        """Time from the request of a step to its last item."""
+        return self.ended_at[step] - self.asked_at[step]
+
+    def _ask(self) -> None:
+        step = len(self.asked_at)
+        named_at = 0.0
+        if step >= 2:
+            named_at = self.ended_at.get(step - 2, float("inf")) + self.load.train_s
+        if self.now < max(step * self.load.period_s, named_at):
+            return
+        self.asked_at.append(self.now)
+        items = [
+            JobItem(f"{step}-{group}-{n}", "/p", {}, b"", f"{step}-{group}")
+            for group in range(self.load.groups)
+            for n in range(self.load.group_items)
+        ]
+        sizes = {item.item_id: self._draw(item.item_id) for item in items}
+        submission = JobSubmission(f"job-{step}", "h", "/p", step, MODEL, 1, 1, items)
+        self.scheduler.adopt_job(
+            JobRecord(submission), items, SERVICE, False, 3, 60.0, sizes, self.now, TOKENS_PER_EVENT
+        )
+
+    def _draw(self, item_id: str) -> ItemSize:
+        load, rng = self.load, self._rng
+        sigma = load.spread
+        events = load.mean_events * rng.lognormvariate(-sigma * sigma / 2, sigma) / 1.3
+        if rng.random() < load.tail_share:
+            events *= load.tail_factor
+        self._events[item_id] = max(1, round(min(events, load.max_events)))
+        hint = self._events[item_id] * rng.lognormvariate(0.0, load.hint_spread)
+        return ItemSize(min(hint, load.max_events) * TOKENS_PER_EVENT, 1016.0)
+
+    def _interval_s(self, sampler_id: str) -> float:
+        return EVENT_S * (self.load.slow_factor if sampler_id in self._slow else 1.0)
+
+    def _start(self) -> None:
+        self.scheduler.assign_models(SERVICE, [MODEL])
+        for planned in self.scheduler.plan_starts(self.now, [MODEL]):
+            self._begin(planned.item, planned.sampler_id)
+        for open_item in self.scheduler.slow_runs(self.now)[:3]:
+            sampler_id = self.scheduler.faster_sampler(open_item, self.now)
+            if sampler_id is not None:
+                self.scheduler.end_run(open_item, avoid=True)
+                self.scheduler.start_on(open_item, sampler_id, self.now)
+                self._begin(open_item, sampler_id)
+
+    def _begin(self, open_item: OpenItem, sampler_id: str) -> None:
+        self._next_event_at[open_item.key] = self.now + self._interval_s(sampler_id)
+
+    def _advance(self) -> None:
+        for open_item in list(self.scheduler.items.values()):
+            run = open_item.run
+            while run is not None and self._next_event_at[open_item.key] <= self.now:
+                self._next_event_at[open_item.key] += self._interval_s(run.sampler_id)
+                self.scheduler.record_event(open_item, self.now)
+                open_item.partial.add(len(open_item.partial.parts) + 1, "x", 1)
+                if len(open_item.partial.parts) >= self._events[open_item.key[1]]:
+                    self.scheduler.end_run(open_item)
+                    self.scheduler.remove_listed(open_item.key)
+                    self._finish_step(open_item.step)
+                    break
+
+    def _finish_step(self, step: int) -> None:
+        if not any(item.step == step for item in self.scheduler.items.values()):
+            self.ended_at[step] = self.now
+
+    def _pause(self, length_s: float) -> None:
+        """Cuts all runs; they go on from their texts after the pause."""
+        self._paused_until = self.now + length_s
+        for open_item in self.scheduler.items.values():
+            self.scheduler.end_run(open_item)
