A cache of the store that is starting is tried again after half a second

Cause: after a start of the whole deployment each node finds that nothing listens at the ledger nodes yet, holds each of them back for five seconds, and reads and watches the store itself meanwhile.

Change: where a connection is refused, which takes no time, the backoff is 0.5 s and does not grow; other failures as before. The new test fails on the code before (2 calls before the cache listens, 6 after three more reads).

--- a/stileloom/daemon/cached_store.py
+++ b/stileloom/daemon/cached_store.py
@@ -38,6 +38,12 @@
 BACKOFF_BASE_S = 5.0
 """Initial backoff after a failed read; doubled with each consecutive failure."""
 BACKOFF_MAX_S = 40.0
+REFUSED_BACKOFF_S = 0.5
+"""Backoff of a cache at whose address nothing listens.
+
+Its process is starting or restarting, and trying it costs no time. After a start of the whole
+deployment all nodes would otherwise read the store directly for `BACKOFF_BASE_S`.
+"""
 MAX_DOUBLINGS = 8
 """Limits the exponent, which would otherwise overflow a float after many failures."""
 REFRESH_INTERVAL_S = 15.0
@@ -80,6 +86,10 @@
                 return node
         return None
 
+    def record_refusal(self, node: _CacheNode, now: float) -> None:
+        """Starts the short backoff of a node at whose address nothing listens."""
+        node.retry_at = now + REFUSED_BACKOFF_S
+
     def record_failure(self, node: _CacheNode, now: float) -> None:
         """Starts or extends the backoff of a node that timed out or was behind."""
         doublings = min(node.failures, MAX_DOUBLINGS)
@@ -168,7 +178,8 @@
             async with asyncio.timeout(total_timeout_s):
                 reply = await self._connections.call(node.address, call, timeout_s)
         except (CallFailed, TimeoutError) as failure:
-            self._record_failure(node, str(failure) or "timed out")
+            refused = isinstance(failure, CallFailed) and failure.refused
+            self._record_failure(node, str(failure) or "timed out", refused)
             return None
         if not isinstance(reply, ObjectsListed | ObjectsChanged | ChangesForgotten):
             self._record_failure(node, "cache is behind the object store")
@@ -186,11 +197,15 @@
             )
             self._selected_cache = node.name
 
-    def _record_failure(self, node: _CacheNode, reason: str) -> None:
+    def _record_failure(self, node: _CacheNode, reason: str, refused: bool = False) -> None:
         # Concurrent calls to the same cache fail together and count as one failure.
-        if steady_time() < node.retry_at:
+        now = steady_time()
+        if now < node.retry_at:
             return
-        self.nodes.record_failure(node, steady_time())
+        if refused:
+            self.nodes.record_refusal(node, now)
+        else:
+            self.nodes.record_failure(node, now)
         if self._selected_cache == node.name:
             self._selected_cache = None
             self._log.emit(LogEvent.STORE_CACHE_LOST, {"cache": node.name, "reason": reason})
--- a/stileloom/transport/calls.py
+++ b/stileloom/transport/calls.py
@@ -158,11 +158,15 @@
 
 
 class CallFailed(Exception):
-    """A call got no reply; if `sent` is set, it may have been executed."""
+    """A call got no reply; if `sent` is set, it may have been executed.
 
-    def __init__(self, detail: str, sent: bool) -> None:
+    `refused` is set if nothing listens at the address, so that the failure took no time.
+    """
+
+    def __init__(self, detail: str, sent: bool, refused: bool = False) -> None:
         super().__init__(detail)
         self.sent = sent
+        self.refused = refused
 
 
 class CallConnection(asyncio.Protocol):
@@ -283,7 +287,8 @@
             # Shielded, because other calls may wait for the attempt when this one is cancelled.
             return await asyncio.shield(attempt)
         except (OSError, TimeoutError) as error:
-            raise CallFailed(type(error).__name__, sent=False) from error
+            refused = isinstance(error, ConnectionRefusedError)
+            raise CallFailed(type(error).__name__, sent=False, refused=refused) from error
 
     def _start_attempt(self, address: tuple[str, int]) -> asyncio.Task[CallConnection]:
         attempt = asyncio.get_running_loop().create_task(CallConnection.open(address))
--- a/tests/chain_simulation.py
+++ b/tests/chain_simulation.py
@@ -70,16 +70,22 @@
         self._next_event_at: dict[tuple[str, str], float] = {}
         self._paused_until = 0.0
 
-    def run(self, seconds: float, pauses: dict[float, float] | None = None) -> None:
-        """Runs for some time; `pauses` maps the begin of each pause to its length."""
+    def run(
+        self, seconds: float, pauses: dict[float, float] | None = None, keep_runs: bool = False
+    ) -> None:
+        """Runs for some time; `pauses` maps the begin of each pause to its length.
+
+        With `keep_runs` runs under way go on during a pause and only starts wait for its end.
+        """
         pauses = dict(pauses or {})
         while self.now < seconds:
             self.now += TICK_S
             for begin in [begin for begin in pauses if begin <= self.now]:
-                self._pause(pauses.pop(begin))
+                self._pause(pauses.pop(begin), keep_runs)
             self._ask()
-            if self.now >= self._paused_until:
+            if self.now >= self._paused_until or keep_runs:
                 self._advance()
+            if self.now >= self._paused_until:
                 self._start()
 
     def lateness_s(self, step: int) -> float:
@@ -153,8 +159,10 @@
         if not any(item.step == step for item in self.scheduler.items.values()):
             self.ended_at[step] = self.now
 
-    def _pause(self, length_s: float) -> None:
-        """Cuts all runs; they go on from their texts after the pause."""
+    def _pause(self, length_s: float, keep_runs: bool) -> None:
+        """Cuts all runs, unless they are kept; they go on from their texts after the pause."""
         self._paused_until = self.now + length_s
+        if keep_runs:
+            return
         for open_item in self.scheduler.items.values():
             self.scheduler.end_run(open_item)
--- a/tests/test_store_cache.py
+++ b/tests/test_store_cache.py
@@ -35,6 +35,8 @@
 
 KIND = "things"
 BOUNDS = TimeBounds(sampler_drain_s=1.0, configuration_s=1.0)
+STARTING_CACHE_S = 0.6
+"""More than the backoff of a cache that refuses connections, less than that of other failures."""
 
 
 class FakeStore:
@@ -244,6 +246,32 @@
         with mock.patch("tests.test_store_cache.BOUNDS", bounds):
             self.assertEqual((1, True), asyncio.run(bounded_run()))
 
+    def test_a_cache_that_starts_with_its_readers_is_used_soon_after_it_listens(self) -> None:
+        """Guards against a whole deployment that reads the store directly after it has started."""
+
+        async def run() -> tuple[int, int]:
+            address = (HOST, free_port())
+            direct_store, cached_store = FakeStore(), FakeStore()
+            direct_store.put("a")
+            cached_store.put("a")
+            reader = self.make_reader(direct_store, [address])
+            await reader.list_objects(KIND)
+            await reader.list_objects("ledger-nodes")
+            cache = make_cache(cached_store)
+            server = CallServer(cache.read)  # type: ignore[arg-type]
+            await server.start(*address)
+            await asyncio.sleep(STARTING_CACHE_S)
+            before = direct_store.calls
+            for _ in range(3):
+                await reader.watch_objects(KIND, 2, 0.05)
+            reader.close()
+            server.stop()
+            cache.stop()
+            return before, direct_store.calls
+
+        before, after = asyncio.run(run())
+        self.assertEqual(before, after)
+
     def test_a_list_older_than_an_earlier_read_is_not_used(self) -> None:
         """An outdated list would restore a sampler that has been removed."""
 
