--- a/stileloom/transport/calls.py
+++ b/stileloom/transport/calls.py
@@ -13,7 +13,7 @@
 
 from stileloom.clock import steady_time
 from stileloom.transport.call_frames import CallFrame, Reply, ReplyFrame, Request
-from stileloom.transport.compression import MAX_INLINE_BYTES, pack, pack_in_thread, unpack
+from stileloom.transport.compression import pack_in_thread, unpack
 
 FRAME_HEADER = struct.Struct(">I")
 MAX_FRAME_BYTES = 64 * 1024 * 1024
@@ -53,19 +53,9 @@
         return bodies
 
 
-def encode_frame(message: object, compress: bool = True) -> bytes:
-    """Encodes a message as a length-prefixed frame."""
-    body = pack(_ENCODER.encode(message), compress)
-    return FRAME_HEADER.pack(len(body)) + body
-
-
-async def encode_large_frame(message: object, compress: bool = True) -> bytes:
-    """Does the same as `encode_frame`; compresses a large body in a thread."""
-    body = _ENCODER.encode(message)
-    if len(body) > MAX_INLINE_BYTES:
-        packed = await pack_in_thread(body, compress)
-    else:
-        packed = pack(body, compress)
+async def encode_frame(message: object, compress: bool = True) -> bytes:
+    """Encodes a message as a length-prefixed frame; a large body is compressed in a thread."""
+    packed = await pack_in_thread(_ENCODER.encode(message), compress)
     return FRAME_HEADER.pack(len(packed)) + packed
 
 
@@ -152,7 +142,7 @@
 
     async def _handle_call(self, frame: CallFrame) -> None:
         reply = await self._handler(frame.request)
-        encoded = await encode_large_frame(ReplyFrame(frame.number, reply), self._compress)
+        encoded = await encode_frame(ReplyFrame(frame.number, reply), self._compress)
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(encoded)
 
@@ -238,7 +228,7 @@
         number = self._next_number
         self._next_number += 1
         deadline = steady_time() + timeout_s
-        frame = await encode_large_frame(CallFrame(number, request))
+        frame = await encode_frame(CallFrame(number, request))
         if self._transport is None or not self.usable:
             raise CallFailed("not connected", sent=False)
         future: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
--- a/tests/test_job_client.py
+++ b/tests/test_job_client.py
@@ -213,7 +213,7 @@
     """Framing of calls."""
 
     def test_frames_do_not_depend_on_how_the_input_is_split(self) -> None:
-        sent = encode_frame("a") + encode_frame("b" * 100)
+        sent = b"".join(asyncio.run(encode_frame(body)) for body in ("a", "b" * 100))
         for cut in range(len(sent)):
             reader = FrameDecoder()
             frames = reader.feed(sent[:cut]) + reader.feed(sent[cut:])
--- a/tests/test_result_cache.py
+++ b/tests/test_result_cache.py
@@ -140,6 +140,6 @@
         self.assertRaises(ValueError, unpack, complete, 4999)
 
     def test_a_damaged_frame_raises_an_error(self) -> None:
-        frame = bytearray(encode_frame(["a" * 500]))
+        frame = bytearray(asyncio.run(encode_frame(["a" * 500])))
         frame[6] ^= 0xFF
         self.assertRaises(ValueError, FrameDecoder().feed, bytes(frame))
