--- a/stileloom/blobs/files.py
+++ b/stileloom/blobs/files.py
@@ -101,9 +101,16 @@
     # Threads.
 
     def flush(self) -> None:
-        """Writes the bytes in memory to their files. Raises `OSError`; it may then be repeated."""
-        with self._file_lock:
+        """Writes the bytes in memory to their files. Raises `OSError`; it may then be repeated.
+
+        Does nothing while another thread syncs: commits wait for the journal's thread.
+        """
+        if not self._file_lock.acquire(blocking=False):
+            return
+        try:
             self._flush()
+        finally:
+            self._file_lock.release()
 
     def sync(self) -> None:
         """Makes all bytes written so far durable. Raises `OSError`; it may then be repeated."""
--- a/tests/test_blobs.py
+++ b/tests/test_blobs.py
@@ -153,6 +153,30 @@
             thread.join()
         self.assertEqual(b"new", read_blob(self.log, reference))
 
+    def test_a_flush_does_not_wait_for_a_sync(self) -> None:
+        """Guards against commits that wait until a snapshot's bytes are durable."""
+        self.fill(3)
+        syncing, finish = threading.Event(), threading.Event()
+
+        def wait(descriptor: int) -> None:
+            syncing.set()
+            finish.wait(10.0)
+
+        with mock.patch("os.fsync", wait):
+            thread = threading.Thread(target=self.log.sync)
+            thread.start()
+            self.assertTrue(syncing.wait(10.0))
+            self.log.write(10_000, b"later")
+            flushing = threading.Thread(target=self.log.flush)
+            flushing.start()
+            flushing.join(5.0)
+            self.assertFalse(flushing.is_alive())
+            finish.set()
+            thread.join()
+        self.assertEqual(b"later", self.log.read(10_000, 5))
+        self.log.flush()
+        self.assertEqual(b"later", self.reopened().read(10_000, 5))
+
 
 class MemoryBlobLogTest(testtools.TestCase):
     """The log of replicas without a disk."""
