A damaged ledger loses its identity first

Cause: a loss of power between the removals could leave the identity without the votes that were cast under it, and the disk would vote again. Read, not seen. Change: the identity is removed and the folder synced before the rest.

--- a/stileloom/ledger/storage.py
+++ b/stileloom/ledger/storage.py
@@ -108,8 +108,10 @@
 
     def remove_all(self) -> None:
         """Removes a damaged ledger with its identity, as if the disk had been replaced."""
+        # The identity first: with it and without its votes, this disk would vote again.
         for name in (IDENTITY_NAME, SNAPSHOT_NAME, JOURNAL_NAME):
             (self._folder / name).unlink(missing_ok=True)
+            self._sync_folder()
         self.blobs.remove_all()
         self._sync_folder()
 
--- a/tests/test_ledger_blobs.py
+++ b/tests/test_ledger_blobs.py
@@ -5,6 +5,7 @@
 import random
 import tempfile
 from pathlib import Path
+from unittest import mock
 
 import msgspec
 import testtools
@@ -267,7 +268,17 @@
         storage.close()
         min(self.folder.glob("blobs-*")).unlink()
         self.assertRaises(LedgerDamaged, LedgerStorage(self.folder).recover)
-        LedgerStorage(self.folder).remove_all()
+        removed: list[str] = []
+        unlink = Path.unlink
+
+        def record(path: Path, missing_ok: bool = False) -> None:
+            removed.append(path.name)
+            unlink(path, missing_ok)
+
+        storage = LedgerStorage(self.folder)
+        with mock.patch.object(Path, "unlink", record):
+            storage.remove_all()
+        self.assertEqual("disk-id", removed[0])
         self.assertEqual([], list(self.folder.iterdir()))
         self.assertIsNone(LedgerStorage(self.folder).recover())
 
