--- a/tests/test_ledger_replication.py
+++ b/tests/test_ledger_replication.py
@@ -361,3 +361,14 @@
             parts = self.encoded(self.request(1, self.entries(self.random_body)))
         self.assertLess(max(len(call.args[0]) for call in compress.call_args_list), 100_000)
         self.assertGreater(sum(map(len, parts)), len(self.random_body))
+
+    def test_a_piece_of_a_snapshot_that_does_not_shrink_is_sent_as_it_is(self) -> None:
+        """Guards against a transfer that spends its time on texts that are compressed already."""
+        piece = self.random_body[: constants.SNAPSHOT_PIECE_BYTES]
+        snapshot = SnapshotRecord(1, 1, [self.voter], 0, 0, piece)
+        request = SnapshotRequest(1, self.voter, snapshot, 1, 1, 0, len(piece))
+        with mock.patch.object(zlib, "compress", wraps=zlib.compress) as compress:
+            frame = b"".join(self.encoded(request))
+        self.assertLess(max(len(call.args[0]) for call in compress.call_args_list), 100_000)
+        self.assertGreater(len(frame), len(piece))
+        self.assertEqual(("a", request), self.codec.decode(frame))
