--- a/stileloom/jobs/job_admission.py
+++ b/stileloom/jobs/job_admission.py
@@ -23,7 +23,7 @@
 ITEMS_MEMORY_SHARE = 0.3
 """Share of the memory for the replicated state."""
 BYTES_PER_ITEM = 1000
-"""Memory of an item in the replicated state; 700 bytes were measured."""
+"""Memory of an item in the replicated state, with a margin: an item takes some 700 bytes."""
 OPEN_JOBS_RETRY_S = 1.0
 """Time after which a job is worth another try that was refused for the requests of open ones."""
 MIN_RETRY_S = 0.5
