--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -164,8 +164,9 @@
         "a call drops a cancellation that comes with its reply",
         "a cancelled task ends",
         "stileloom/transport/calls.py",
-        "            async with asyncio.timeout(timeout_s):\n                return await future\n",
-        "            return await asyncio.wait_for(future, timeout_s)\n",
+        "            async with asyncio.timeout(max(0.0, deadline - sent_at)):\n"
+        "                return await future\n",
+        "            return await asyncio.wait_for(future, max(0.0, deadline - sent_at))\n",
         f"{CANCELLATION}::CancelledWatchTest::test_a_watcher_cancelled_with_a_reply_stops",
     ),
     Mutant(
