Requests run for the tenant that holds their API key

A request without exactly one known key is answered 401 at once. The key is withheld from samplers, which get the owner's name; a name that a caller sends never passes. A key is checked again right before each attempt is sent. Jobs are known by an id within their tenant, so a job of another tenant is the same as none; texts are reused within one tenant only.

--- a/stileloom/api/headers.py
+++ b/stileloom/api/headers.py
@@ -25,3 +25,5 @@
     length_hint: str = "Stileloom-Length-Hint"
     wait_ms: str = "Stileloom-Wait-Ms"
     priority: str = "Stileloom-Priority"
+    tenant: str = "Stileloom-Tenant"
+    """Set for samplers only: the name of the tenant that owns the request."""
--- a/stileloom/api/jobs.py
+++ b/stileloom/api/jobs.py
@@ -33,6 +33,7 @@
     """A job as submitted by a trainer."""
 
     job_id: str
+    """Within the tenant at gateways, see `stileloom.tenants.job_scope` for all other places."""
     host: str
     path: str
     step: int
@@ -41,6 +42,8 @@
     """Oldest weight version that may generate its tokens."""
     desired_groups: int
     items: list[JobItem]
+    tenant: str = ""
+    """The tenant that submitted the job; empty if it is anonymous."""
 
 
 class ItemState(enum.Enum):
--- a/stileloom/api/routes.py
+++ b/stileloom/api/routes.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from stileloom.api.tenants import Tenant
+
 
 class RouteKind(enum.Enum):
     """Execution semantics of a route's requests."""
@@ -45,6 +47,8 @@
     """Batch: time after a job's submission from which its items may be given up."""
     job_deadline_s: float = 60.0
     """Batch: time after a job's submission by which all results must be available."""
+    public: bool = False
+    """Whether requests need no API key although there are tenants."""
 
 
 class Engine(msgspec.Struct, frozen=True):
@@ -80,3 +84,5 @@
     routes: list[Route]
     services: list[Service]
     limits: IngressLimits = IngressLimits()
+    tenants: list[Tenant] | None = None
+    """None if requests need no API key."""
--- a/stileloom/daemon/gateway.py
+++ b/stileloom/daemon/gateway.py
@@ -25,6 +25,7 @@
 from stileloom.logging import EventLog
 from stileloom.proxy.forwarder import Forwarder
 from stileloom.proxy.front import GatewayServer
+from stileloom.proxy.job_calls import JobCalls
 from stileloom.proxy.metrics import ProxyMetrics
 from stileloom.proxy.sampler_access import SamplerAccess
 from stileloom.proxy.stream_relay import StreamRelay
@@ -96,15 +97,15 @@
         self._forwarder = Forwarder(access, switches.hedging)
         self._relay = StreamRelay(access)
         self.directory.on_sampler_unlisted = self._on_sampler_unlisted
+        self._job_calls = JobCalls(dialect, self._jobs, self._log, switches.kept_results)
         self.front = GatewayServer(
             dialect,
             self.directory.routes,
             self._forwarder,
             self._relay,
-            self._jobs,
+            self._job_calls,
             self._log,
             metrics,
-            switches.kept_results,
         )
         metrics.observe_open(lambda: self.front.open_requests)
         self._last_refresh_at = float("-inf")
@@ -168,7 +169,7 @@
 
     def abort(self) -> None:
         """Stops background work and closes the connections to ledger nodes."""
-        self.front.stop()
+        self._job_calls.stop()
         self.directory.stop()
         self._guard.stop()
         self._jobs.close()
@@ -188,10 +189,13 @@
         # New requests are rejected from here on: one that arrives while its connection is closed
         # has not run.
         self.front.closing = True
-        while (self.front.open_requests or self.front.pending_ends) and steady_time() < deadline:
+        while self._has_open_work() and steady_time() < deadline:
             await asyncio.sleep(DRAIN_POLL_S)
         self._log.emit(LogEvent.DRAIN_FINISHED, {"open": self.front.open_requests})
 
+    def _has_open_work(self) -> bool:
+        return self.front.open_requests > 0 or self._job_calls.pending_ends > 0
+
     def _on_sampler_unlisted(self, sampler_id: str) -> None:
         self._forwarder.close_connections(sampler_id)
         self._relay.close_connections(sampler_id)
--- a/stileloom/emulator/http_sampler.py
+++ b/stileloom/emulator/http_sampler.py
@@ -54,6 +54,7 @@
     after_event: int | None
     started_at: float = 0.0
     """On the steady clock."""
+    headers: dict[str, str] = msgspec.field(default_factory=dict)
 
 
 class WorkGauge(msgspec.Struct):
@@ -171,7 +172,16 @@
         after = request.headers.get(names.last_event_id)
         after_event = int(after) if after is not None else None
         target = request.uri or ""
-        self.runs.append(RunRecord(request_id, target, request.body, after_event, steady_time()))
+        self.runs.append(
+            RunRecord(
+                request_id,
+                target,
+                request.body,
+                after_event,
+                steady_time(),
+                dict(request.headers.get_all()),
+            )
+        )
         if target in self.faults.crash_targets | self.permanent_crash_targets:
             await asyncio.sleep(self.faults.crash_delay_s)
             await self._crash()
--- a/stileloom/errors.py
+++ b/stileloom/errors.py
@@ -24,6 +24,7 @@
     """All error kinds; the value is the `code` member of the problem document."""
 
     BAD_REQUEST = "bad_request"
+    UNAUTHENTICATED = "unauthenticated"
     BODY_TOO_LARGE = "body_too_large"
     UNKNOWN_SERVICE = "unknown_service"
     UNKNOWN_ROUND = "unknown_round"
@@ -70,6 +71,9 @@
     ErrorKind.BAD_REQUEST: ErrorResponse(
         400, 2, Outcome.NOT_RUN, None, "The request is not well formed"
     ),
+    ErrorKind.UNAUTHENTICATED: ErrorResponse(
+        401, 2, Outcome.NOT_RUN, None, "The request has no valid API key"
+    ),
     ErrorKind.BODY_TOO_LARGE: ErrorResponse(
         413, 2, Outcome.NOT_RUN, None, "The body is over the limit"
     ),
--- a/stileloom/jobs/intake.py
+++ b/stileloom/jobs/intake.py
@@ -37,7 +37,7 @@
     min_version = record.submission.min_version
     found: list[FinishedItem] = []
     for other_job in registry.jobs.values():
-        if other_job is record or other_job.submission.model != record.submission.model:
+        if not _may_share(record, other_job):
             continue
         rewards = {item.item_id: item.reward for item in other_job.submission.items}
         for result in other_job.results:
@@ -62,7 +62,7 @@
     wanted = {item.item_id for item in record.submission.items} - record.listed
     found: dict[str, PartialText] = {}
     for other_job in registry.jobs.values():
-        if other_job is record or other_job.submission.model != record.submission.model:
+        if not _may_share(record, other_job):
             continue
         for item_id in wanted & other_job.progress.keys():
             saved = other_job.progress[item_id]
@@ -71,6 +71,14 @@
     return found
 
 
+def _may_share(record: JobRecord, other_job: JobRecord) -> bool:
+    """Whether a job may use texts of another one: same tenant and same model."""
+    submission = record.submission
+    other = other_job.submission
+    same_owner = other.tenant == submission.tenant and other.model == submission.model
+    return other_job is not record and same_owner
+
+
 def _tokens(text: str) -> float | None:
     """Parses a number of tokens; returns None if it is invalid."""
     try:
--- a/stileloom/jobs/item_request.py
+++ b/stileloom/jobs/item_request.py
@@ -5,6 +5,7 @@
 from stileloom.api.headers import HeaderNames
 from stileloom.http1.request_encoder import encode_request, end_to_end_headers
 from stileloom.jobs.open_items import OpenItem
+from stileloom.tenants.credentials import CREDENTIALS_HEADER
 
 
 def encode_item_request(
@@ -20,14 +21,19 @@
         names.expect_sampler.lower(),
         names.deadline_ms.lower(),
         names.last_event_id.lower(),
+        names.tenant.lower(),
         "host",
     }
+    if open_item.tenant:
+        replaced.add(CREDENTIALS_HEADER.lower())
     headers = [("Host", host), (names.request_id, item.item_id)]
     headers += [
         (name, value)
         for name, value in end_to_end_headers(item.headers.items())
         if name.lower() not in replaced
     ]
+    if open_item.tenant:
+        headers.append((names.tenant, open_item.tenant))
     remaining_ms = max(1, int(remaining_s * 1000))
     headers += [(names.deadline_ms, str(remaining_ms)), (names.expect_sampler, sampler_id)]
     if open_item.partial.last_event_id is not None:
--- a/stileloom/jobs/open_items.py
+++ b/stileloom/jobs/open_items.py
@@ -45,6 +45,7 @@
     tokens_per_event: float
     adopted_at: float
     deadline: float
+    tenant: str = ""
     reused: bool = False
     """Whether an earlier job contained the item."""
     partial: PartialText = msgspec.field(default_factory=PartialText)
--- a/stileloom/jobs/reward_caller.py
+++ b/stileloom/jobs/reward_caller.py
@@ -18,7 +18,7 @@
 from stileloom.api.jobs import RewardCall
 from stileloom.api.routes import Route, RouteKind
 from stileloom.clock import steady_time
-from stileloom.errors import ErrorKind, StileloomError
+from stileloom.errors import ErrorKind, Outcome, StileloomError
 from stileloom.events import LogEvent
 from stileloom.jobs.metrics import JobMetrics
 from stileloom.jobs.open_items import ItemKey, OpenItem
@@ -176,6 +176,8 @@
         now = steady_time()
         remaining_s = max(RETRY_S, min(route.timeout_s, pending.item.deadline - now))
         headers = [("Host", call.host), (self._names.request_id, call.request_id)]
+        if pending.item.tenant:
+            headers.append((self._names.tenant, pending.item.tenant))
         lookup = Lookup(
             call.request_id,
             "POST",
@@ -184,11 +186,17 @@
             call.body,
             now,
             now + remaining_s,
-            may_send=self._may_send,
+            tenant=pending.item.tenant,
+            check_send=self._check_send,
         )
         safe_route = msgspec.structs.replace(route, kind=RouteKind.SAFE)
         return await self._forwarder.forward(lookup, safe_route, service)
 
+    def _check_send(self) -> None:
+        if not self._may_send():
+            detail = "this node does not lead any more"
+            raise StileloomError(ErrorKind.LEDGER_UNAVAILABLE, detail, Outcome.NOT_RUN)
+
     def _handle_answer(
         self, pending: PendingReward, answer: LookupResponse, max_attempts: int
     ) -> None:
--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -50,6 +50,9 @@
 INTERVAL_EWMA_WEIGHT = 0.2
 MAX_RETAINED_TEXTS = 2000
 
+TenantItem = tuple[str, str]
+"""Tenant and item id: texts are kept for later jobs of the same tenant only."""
+
 
 class ItemScheduler:
     """Open items and sampler statistics of the leader."""
@@ -71,8 +74,8 @@
             for sampler_id, interval_s in (recorded_intervals_s or {}).items()
         }
         self._shares = SamplerShares(self.models_of)
-        self._retained_texts: dict[str, PartialText] = {}
-        self._seen_item_ids: set[str] = set()
+        self._retained_texts: dict[TenantItem, PartialText] = {}
+        self._seen_items: set[TenantItem] = set()
 
     # Jobs.
 
@@ -101,7 +104,8 @@
             if item.item_id in record.listed or key in self.items:
                 continue
             saved = record.progress.get(item.item_id)
-            retained = self._retained_texts.pop(item.item_id, None)
+            tenant_item = (submission.tenant, item.item_id)
+            retained = self._retained_texts.pop(tenant_item, None)
             other = texts_of_other_jobs.get(item.item_id)
             if retained is None and other is not None:
                 retained = other.copy()
@@ -123,12 +127,13 @@
                 tokens_per_event=tokens_per_event,
                 adopted_at=now,
                 deadline=now + max_wait_s,
-                reused=item.item_id in self._seen_item_ids,
+                tenant=submission.tenant,
+                reused=tenant_item in self._seen_items,
                 partial=partial,
                 finished=item.item_id in reused_results,
                 saved_parts=len(partial.parts) if saved is not None else 0,
             )
-            self._seen_item_ids.add(item.item_id)
+            self._seen_items.add(tenant_item)
         self._shares.set_demand(
             submission.model,
             sum(sizes.get(item.item_id, ItemSize()).expected_tokens for item in items),
@@ -145,7 +150,8 @@
 
     def _retain_text(self, open_item: OpenItem) -> None:
         """Retains the partial text for a later job that reuses the item."""
-        self._retained_texts[open_item.item.item_id] = open_item.partial
+        tenant_item = (open_item.tenant, open_item.item.item_id)
+        self._retained_texts[tenant_item] = open_item.partial
         while len(self._retained_texts) > MAX_RETAINED_TEXTS:
             self._retained_texts.pop(next(iter(self._retained_texts)))
 
--- a/stileloom/jobs/suspect_items.py
+++ b/stileloom/jobs/suspect_items.py
@@ -79,7 +79,7 @@
     def _identity(self, open_item: OpenItem) -> str:
         item = open_item.item
         headers = [("Host", self._host_of(open_item)), *item.headers.items()]
-        return identity_of("POST", item.path, headers, item.body)
+        return identity_of("POST", item.path, headers, item.body, open_item.tenant)
 
     async def _check_for_crash(
         self, open_item: OpenItem, entry: SamplerEntry, run_duration_s: float
--- a/stileloom/proxy/forwarder.py
+++ b/stileloom/proxy/forwarder.py
@@ -8,7 +8,7 @@
 
 from stileloom.api.routes import Route, RouteKind
 from stileloom.clock import steady_time
-from stileloom.errors import ErrorKind, Outcome, StileloomError
+from stileloom.errors import ErrorKind, StileloomError
 from stileloom.events import LogEvent
 from stileloom.http1.pool import ConnectionPool
 from stileloom.http1.request_encoder import encode_request
@@ -43,8 +43,8 @@
         """Returns a sampler's response.
 
         Raises `StileloomError`: QUARANTINED, OVERLOADED or NO_SAMPLER if the lookup did not run,
-        SAMPLER_FAILED or DEADLINE_PASSED if it may have run, LEDGER_UNAVAILABLE if `may_send` of
-        the lookup returned False. Cancelling the call cancels all
+        SAMPLER_FAILED or DEADLINE_PASSED if it may have run, or what `check_send` of the lookup
+        raised. Cancelling the call cancels all
         running attempts.
         """
         permit = await self._guard.admit(lookup.request_id, lookup.identity)
@@ -208,13 +208,11 @@
                 return Attempt(
                     entry.sampler_id, AttemptOutcome.NOT_CONNECTED, detail=type(error).__name__
                 )
-            if not lookup.may_send():
+            try:
+                lookup.check_send()
+            except StileloomError:
                 self._pool.release(entry.sampler_id, connection)
-                raise StileloomError(
-                    ErrorKind.LEDGER_UNAVAILABLE,
-                    "this node does not lead any more",
-                    Outcome.NOT_RUN,
-                )
+                raise
             started_at = steady_time()
             if started_at >= lookup.deadline_at:
                 # The process was paused while it connected.
--- a/stileloom/proxy/front.py
+++ b/stileloom/proxy/front.py
@@ -15,72 +15,39 @@
     ResponseStartLine,
 )
 
-from stileloom.api.dialect import Dialect, EndJob, JobCall, ReadItem, ReadResults
+from stileloom.api.dialect import Dialect
 from stileloom.api.routes import IngressLimits, Route, RouteKind
 from stileloom.clock import steady_time
 from stileloom.errors import ErrorKind, Outcome, StileloomError, problem_document
 from stileloom.events import LogEvent
 from stileloom.http1.request_encoder import end_to_end_headers
 from stileloom.http1.response_decoder import ResponseHead
-from stileloom.jobs.client import JobClient
-from stileloom.jobs.end_delivery import EndDelivery
-from stileloom.jobs.messages import (
-    ItemRead,
-    JobEnded,
-    JobRefused,
-    JobReply,
-    JobRequest,
-    JobTaken,
-    NoSuchJob,
-    ReadItemCall,
-    ResultsRead,
-    SubmitJobCall,
-)
-from stileloom.jobs.result_cache import ResultCache
-from stileloom.jobs.result_reader import ResultReader
-from stileloom.jobs.submission_check import check_submission
 from stileloom.logging import EventLog
+from stileloom.proxy.access_control import AccessControl
+from stileloom.proxy.caller_messages import (
+    DEADLINE_MARGIN_S,
+    MIN_TIMEOUT_S,
+    CallerRequest,
+    CallerResponse,
+    RequestContext,
+)
 from stileloom.proxy.forwarder import Forwarder
+from stileloom.proxy.job_calls import JobCalls
 from stileloom.proxy.lookup import Lookup, LookupResponse
 from stileloom.proxy.metrics import ProxyMetrics
 from stileloom.proxy.route_table import RouteTable
 from stileloom.proxy.stream_relay import StreamRelay, StreamWriter
 from stileloom.quarantine.identity import identity_of
+from stileloom.tenants.credentials import SCHEME
 
 DEFAULT_DEADLINE_S = 10.0
-JOB_CALL_DEADLINE_S = 4.0
-"""Default deadline of job calls."""
-DEADLINE_MARGIN_S = 0.05
-"""Requests end this long before the caller's deadline, so that the response arrives in time."""
 CLOSING_RETRY_AFTER_S = 0.05
+JOB_CALL_LABEL = "job call"
+"""Stands for the route in metrics of requests that have none."""
 UNKNOWN_OUTCOME_STATUS = 504
 """Replaces 503 for a job call whose outcome is unknown, since 503 implies that it did not run."""
 
 
-class CallerRequest(msgspec.Struct):
-    """A complete request of a caller."""
-
-    method: str
-    target: str
-    headers: HTTPHeaders
-    body: bytes
-    arrived_at: float
-    caller_address: str = ""
-
-    @property
-    def path(self) -> str:
-        return self.target.partition("?")[0]
-
-
-class CallerResponse(msgspec.Struct, frozen=True):
-    """A response to the caller."""
-
-    status: int
-    reason: str
-    headers: list[tuple[str, str]]
-    body: bytes
-
-
 class GatewayServer(HTTPServerConnectionDelegate):
     """Tornado's delegate for the requests of one gateway's callers."""
 
@@ -90,10 +57,9 @@
         routes: RouteTable,
         forwarder: Forwarder,
         relay: StreamRelay,
-        jobs: JobClient,
+        jobs: JobCalls,
         log: EventLog,
         metrics: ProxyMetrics,
-        cache_results: bool = True,
     ) -> None:
         self.draining = False
         """Whether responses carry `Connection: close`."""
@@ -103,11 +69,10 @@
         self.idle_timeout_s = IngressLimits().idle_timeout_s
         self._dialect = dialect
         self._routes = routes
+        self._access = AccessControl(routes, dialect.names)
         self._forwarder = forwarder
         self._relay = relay
         self._jobs = jobs
-        self._ends = EndDelivery(jobs, log)
-        self._results = ResultReader(jobs, ResultCache(), cache_results)
         self._log = log
         self._metrics = metrics
         self._open_requests = 0
@@ -117,15 +82,6 @@
         """Number of requests without a final response."""
         return self._open_requests
 
-    @property
-    def pending_ends(self) -> int:
-        """Number of received ends of jobs that the ledger has not answered."""
-        return len(self._ends)
-
-    def stop(self) -> None:
-        """Abandons the ends of jobs that are not delivered."""
-        self._ends.stop()
-
     def start_request(self, server_conn: object, request_conn: HTTPConnection) -> _CallerExchange:
         """Called by tornado for each new request."""
         return _CallerExchange(self, request_conn)
@@ -138,31 +94,35 @@
         Cancelled when the caller disconnects.
         """
         self._open_requests += 1
-        route_name = "job call"
+        context: RequestContext | None = None
         try:
             if self.closing:
                 raise StileloomError(
                     ErrorKind.DRAINING, "the gateway is shutting down", None, CLOSING_RETRY_AFTER_S
                 )
-            names = self._dialect.names
             call = self._dialect.job_call(request.method, request.target, request.headers)
             if call is not None:
-                return await self._serve_job_call(request, call)
-            route = self._find_route(request)
-            route_name = route.name
-            if route.kind is RouteKind.BATCH and request.method == "POST":
-                return await self._submit_job(request, route)
-            return await self._serve_lookup(request, route, names.request_id, writer)
+                self._require_configuration()
+                caller = self._access.authenticate_job_call(request.headers, request.host)
+                return await self._jobs.serve(request, call, caller)
+            context = self._context(request, self._find_route(request))
+            if context.route.kind is RouteKind.BATCH and request.method == "POST":
+                return await self._jobs.submit(context)
+            return await self._serve_lookup(context, writer)
         except StileloomError as error:
-            return self._refuse(request, error)
+            return self._refuse(request, error, context)
         finally:
             self._open_requests -= 1
+            route_name = context.route.name if context is not None else JOB_CALL_LABEL
             self._metrics.latency.labels(route_name).observe(steady_time() - request.arrived_at)
 
-    def _find_route(self, request: CallerRequest) -> Route:
+    def _require_configuration(self) -> None:
         if self._routes.version == 0:
             raise StileloomError(ErrorKind.NOT_READY, "no configuration received yet", None, 0.2)
-        route = self._routes.match(request.headers.get("Host", ""), request.path)
+
+    def _find_route(self, request: CallerRequest) -> Route:
+        self._require_configuration()
+        route = self._routes.match(request.host, request.path)
         if route is None:
             raise StileloomError(
                 ErrorKind.UNKNOWN_ROUTE,
@@ -170,37 +130,46 @@
             )
         return route
 
-    def _deadline_s(self, request: CallerRequest, default_s: float) -> float:
-        text = request.headers.get(self._dialect.names.deadline_ms, "")
-        try:
-            return max(0.0, float(text) / 1000.0) if text else default_s
-        except ValueError as error:
-            raise StileloomError(ErrorKind.BAD_REQUEST, "deadline is not a number") from error
-
-    # Lookups.
+    def _context(self, request: CallerRequest, route: Route) -> RequestContext:
+        """Authenticates and checks a request on a route. Raises `StileloomError`."""
+        names = self._dialect.names
+        caller = self._access.authenticate(request.headers, route)
+        request_id = request.headers.get(names.request_id)
+        if not request_id:
+            detail = f"header {names.request_id} is missing"
+            raise StileloomError(ErrorKind.BAD_REQUEST, detail)
+        is_job = route.kind is RouteKind.BATCH
+        default_s = route.timeout_s if is_job else DEFAULT_DEADLINE_S
+        timeout_s = min(request.timeout_s(names.deadline_ms, default_s), route.timeout_s)
+        return RequestContext(
+            request,
+            request_id,
+            route,
+            caller,
+            self._routes.version,
+            request.arrived_at + timeout_s,
+        )
 
     async def _serve_lookup(
-        self,
-        request: CallerRequest,
-        route: Route,
-        id_header: str,
-        writer: StreamWriter | None,
+        self, context: RequestContext, writer: StreamWriter | None
     ) -> CallerResponse | None:
-        request_id = request.headers.get(id_header)
-        if not request_id:
-            raise StileloomError(ErrorKind.BAD_REQUEST, f"header {id_header} is missing")
-        timeout_s = min(self._deadline_s(request, DEFAULT_DEADLINE_S), route.timeout_s)
+        request = context.request
+        route = context.route
+        headers = end_to_end_headers(
+            request.headers.get_all(), request.headers.get("Connection", "")
+        )
+        earliest_end = request.arrived_at + MIN_TIMEOUT_S
         lookup = Lookup(
-            request_id=request_id,
+            request_id=context.request_id,
             method=request.method,
             target=request.target,
-            headers=end_to_end_headers(
-                request.headers.get_all(), request.headers.get("Connection", "")
-            ),
+            headers=self._access.headers_for_sampler(headers, context.caller),
             body=request.body,
             arrived_at=request.arrived_at,
-            deadline_at=request.arrived_at + max(0.001, timeout_s - DEADLINE_MARGIN_S),
+            deadline_at=max(earliest_end, context.deadline_at - DEADLINE_MARGIN_S),
+            tenant=context.caller.tenant,
             caller_address=request.caller_address,
+            check_send=self._access.key_check(context.caller),
         )
         service = self._routes.choose_backend(route)
         response: LookupResponse | None
@@ -216,82 +185,6 @@
         self._metrics.requests.labels(route.name, str(head.status)).inc()
         return CallerResponse(head.status, head.reason, headers, response.body)
 
-    # Jobs.
-
-    async def _submit_job(self, request: CallerRequest, route: Route) -> CallerResponse:
-        job_id = request.headers.get(self._dialect.names.request_id)
-        if not job_id:
-            raise StileloomError(ErrorKind.BAD_REQUEST, "job id is missing")
-        host = request.headers.get("Host", "")
-        submission = self._dialect.decode_job(job_id, host, request.path, request.body)
-        check_submission(submission)
-        timeout_s = min(self._deadline_s(request, route.timeout_s), route.timeout_s)
-        reply = await self._call(SubmitJobCall(submission), job_id, timeout_s)
-        if isinstance(reply, JobRefused):
-            kind = ErrorKind.JOBS_FULL
-            if reply.retry_after_s is None:
-                kind = ErrorKind.BODY_TOO_LARGE
-            raise StileloomError(kind, reply.reason, retry_after_s=reply.retry_after_s)
-        self._log.emit(
-            LogEvent.JOB_SUBMITTED,
-            {
-                "job": job_id,
-                "route": route.name,
-                "configuration": self._routes.version,
-                "items": len(submission.items),
-                "taken_ms": round((steady_time() - request.arrived_at) * 1000),
-            },
-        )
-        if not isinstance(reply, JobTaken):
-            raise StileloomError(ErrorKind.INTERNAL, "unexpected reply of the ledger")
-        return _json_response(202, b"{}")
-
-    async def _serve_job_call(self, request: CallerRequest, call: JobCall) -> CallerResponse:
-        timeout_s = self._deadline_s(request, JOB_CALL_DEADLINE_S)
-        if isinstance(call, ReadResults):
-            limit_s = max(0.1, timeout_s - DEADLINE_MARGIN_S)
-            reply = await self._results.read(call.job_id, call.position, call.wait_s, limit_s)
-        elif isinstance(call, ReadItem):
-            reply = await self._call(
-                ReadItemCall(call.job_id, call.item_id), call.job_id, timeout_s
-            )
-        else:
-            assert isinstance(call, EndJob)
-            reply = await self._end_job(request, call.job_id, timeout_s)
-        return self._job_response(reply)
-
-    async def _end_job(self, request: CallerRequest, job_id: str, timeout_s: float) -> JobReply:
-        fields: dict[str, object] = {"job": job_id, "caller": request.caller_address}
-        self._log.emit(LogEvent.JOB_END_RECEIVED, fields)
-        outcome = "caller_left"
-        try:
-            reply = await self._ends.end(job_id, max(0.1, timeout_s - DEADLINE_MARGIN_S))
-            outcome = "ended" if isinstance(reply, JobEnded) else ErrorKind.UNKNOWN_JOB.value
-            return reply
-        except StileloomError as error:
-            outcome = error.kind.value
-            raise
-        finally:
-            after_ms = round((steady_time() - request.arrived_at) * 1000)
-            self._log.emit(
-                LogEvent.JOB_END_ANSWERED, {**fields, "outcome": outcome, "after_ms": after_ms}
-            )
-
-    def _job_response(self, reply: JobReply) -> CallerResponse:
-        if isinstance(reply, ResultsRead):
-            return _json_response(200, self._dialect.encode_page(reply.page))
-        if isinstance(reply, ItemRead):
-            headers = [("Content-Type", "application/octet-stream")]
-            return CallerResponse(200, "OK", headers, reply.body)
-        if isinstance(reply, JobEnded):
-            return _json_response(200, b"{}")
-        if isinstance(reply, NoSuchJob):
-            raise StileloomError(ErrorKind.UNKNOWN_JOB, "no such job or item")
-        raise StileloomError(ErrorKind.INTERNAL, "unexpected reply of the ledger")
-
-    async def _call(self, request: JobRequest, job_id: str, timeout_s: float) -> JobReply:
-        return await self._jobs.call(request, job_id, max(0.1, timeout_s - DEADLINE_MARGIN_S))
-
     # Failures.
 
     def log_internal_error(self, request: CallerRequest, error: Exception) -> None:
@@ -302,14 +195,21 @@
         }
         self._log.emit(LogEvent.INTERNAL_FAULT, fields)
 
-    def _identity_fields(self, request: CallerRequest, error: StileloomError) -> dict[str, object]:
+    def _identity_fields(
+        self, context: RequestContext | None, error: StileloomError
+    ) -> dict[str, object]:
         """The log field that relates a quarantined request to sampler crashes."""
-        if error.kind is not ErrorKind.QUARANTINED:
+        if error.kind is not ErrorKind.QUARANTINED or context is None:
             return {}
-        headers = request.headers.get_all()
-        return {"identity": identity_of(request.method, request.target, headers, request.body)}
-
-    def _refuse(self, request: CallerRequest, error: StileloomError) -> CallerResponse:
+        request = context.request
+        headers = self._access.headers_for_sampler(request.headers.get_all(), context.caller)
+        tenant = context.caller.tenant
+        identity = identity_of(request.method, request.target, headers, request.body, tenant)
+        return {"identity": identity}
+
+    def _refuse(
+        self, request: CallerRequest, error: StileloomError, context: RequestContext | None
+    ) -> CallerResponse:
         problem = problem_document(error)
         status = problem.status
         if status == 503 and error.outcome is Outcome.UNKNOWN:
@@ -319,7 +219,7 @@
         self._log.emit(
             LogEvent.REQUEST_REFUSED,
             {
-                **self._identity_fields(request, error),
+                **self._identity_fields(context, error),
                 "request": request.headers.get(self._dialect.names.request_id, ""),
                 "target": request.path[:80],
                 "host": request.headers.get("Host", "")[:80],
@@ -332,17 +232,14 @@
             },
         )
         headers = [("Content-Type", "application/problem+json")]
+        if status == 401:
+            headers.append(("WWW-Authenticate", SCHEME))
         if status in (429, 503) and problem.retry_after_s is not None:
             headers.append(("Retry-After", f"{problem.retry_after_s:g}"))
         problem.status = status
         return CallerResponse(status, problem.title, headers, msgspec.json.encode(problem))
 
 
-def _json_response(status: int, body: bytes) -> CallerResponse:
-    reason = "Accepted" if status == 202 else "OK"
-    return CallerResponse(status, reason, [("Content-Type", "application/json")], body)
-
-
 class _CallerExchange(HTTPMessageDelegate):
     """One request on a caller's connection; implements `StreamWriter`."""
 
--- a/stileloom/proxy/lookup.py
+++ b/stileloom/proxy/lookup.py
@@ -22,14 +22,16 @@
     """Monotonic seconds."""
     deadline_at: float
     """When the caller's or the route's timeout ends, in monotonic seconds."""
+    tenant: str = ""
+    """The tenant on whose behalf it runs; empty if it is anonymous."""
     caller_address: str = ""
     """The caller's network address, for logs only."""
-    may_send: Callable[[], bool] = lambda: True
-    """Checked right before each attempt is sent; if it returns False, the lookup ends."""
+    check_send: Callable[[], None] = lambda: None
+    """Called right before each attempt is sent; the `StileloomError` it raises ends the lookup."""
 
     def identity(self) -> str:
         """Digest that is equal for all retries of the request; hashes the complete body."""
-        return identity_of(self.method, self.target, self.headers, self.body)
+        return identity_of(self.method, self.target, self.headers, self.body, self.tenant)
 
 
 class LookupResponse(msgspec.Struct, frozen=True):
--- a/stileloom/proxy/route_table.py
+++ b/stileloom/proxy/route_table.py
@@ -5,6 +5,7 @@
 import random
 
 from stileloom.api.routes import Route, RouteConfiguration, Service
+from stileloom.tenants.key_table import KeyTable
 
 GOLDEN_RATIO_CONJUGATE = 0.6180339887498949
 
@@ -13,6 +14,7 @@
     """Routes of one host, found by prefix in a time that does not grow with their number."""
 
     def __init__(self, routes: list[Route]) -> None:
+        self.routes = routes
         self._by_prefix: dict[str, Route] = {}
         for route in routes:
             self._by_prefix.setdefault(route.path_prefix, route)
@@ -33,6 +35,8 @@
 
     def __init__(self, rng: random.Random) -> None:
         self.configuration: RouteConfiguration | None = None
+        self.keys: KeyTable | None = None
+        """API keys of the configuration; None if requests need none."""
         self._rng = rng
         self._by_host: dict[str, _HostRoutes] = {}
         self._services: dict[str, Service] = {}
@@ -50,17 +54,23 @@
         by_host: dict[str, list[Route]] = {}
         for route in configuration.routes:
             by_host.setdefault(route.host.lower(), []).append(route)
+        tenants = configuration.tenants
         self.configuration = configuration
+        self.keys = KeyTable(tenants) if tenants is not None else None
         self._by_host = {host: _HostRoutes(routes) for host, routes in by_host.items()}
         self._services = {service.name: service for service in configuration.services}
         return True
 
     def match(self, host: str, path: str) -> Route | None:
         """The route of the host with the longest prefix that matches the path."""
-        hostname = host.lower().partition(":")[0]
-        routes = self._by_host.get(hostname)
+        routes = self._by_host.get(_hostname(host))
         return routes.match(path) if routes is not None else None
 
+    def of_host(self, host: str) -> list[Route]:
+        """All routes of a host."""
+        routes = self._by_host.get(_hostname(host))
+        return routes.routes if routes is not None else []
+
     def service(self, name: str) -> Service | None:
         return self._services.get(name)
 
@@ -87,3 +97,7 @@
             if remaining < 0:
                 return backend.service
         return route.backends[-1].service
+
+
+def _hostname(host: str) -> str:
+    return host.lower().partition(":")[0]
--- a/stileloom/proxy/stream_relay.py
+++ b/stileloom/proxy/stream_relay.py
@@ -195,6 +195,11 @@
             return self._log_run(
                 lookup, entry.sampler_id, _Run(_RunEnd.REFUSED, "not sent before the deadline")
             )
+        try:
+            lookup.check_send()
+        except StileloomError:
+            self._pool.release(entry.sampler_id, connection)
+            raise
         tracked.open_requests += 1
         response = _ResponseQueue()
         connection.exchange(self._encode(lookup, entry.sampler_id, stream), response)
--- a/stileloom/quarantine/identity.py
+++ b/stileloom/quarantine/identity.py
@@ -11,8 +11,10 @@
 """Headers that identify the caller: the same request from two callers has two identities."""
 
 
-def identity_of(method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes) -> str:
-    """Hex digest of method, host, target, credentials and body.
+def identity_of(
+    method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes, tenant: str = ""
+) -> str:
+    """Hex digest of method, host, target, tenant or credentials, and body.
 
     The caller's network address is excluded: behind a load balancer it changes between attempts.
     """
@@ -23,6 +25,8 @@
         for name, value in headers
         if name.lower() == "host" or name.lower() in CREDENTIAL_HEADERS
     )
+    if tenant:
+        parts.append(f"tenant:{tenant}")
     for part in parts:
         encoded = part.encode("utf-8", "surrogateescape")
         digest.update(len(encoded).to_bytes(4, "big"))
--- a/stileloom/trace.py
+++ b/stileloom/trace.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from stileloom.errors import ErrorKind
+from stileloom.tenants.job_scope import caller_job_id
 
 ID_FIELDS = ("request", "job", "item", "reward", "target", "identity")
 """Fields that hold ids. `reward` links an item to the lines of its reward call."""
@@ -121,6 +122,8 @@
 def _references(line: TraceLine, sought: str) -> bool:
     if any(line.fields.get(field) == sought for field in ID_FIELDS):
         return True
+    if caller_job_id(str(line.fields.get("job", ""))) == sought:
+        return True
     items = line.fields.get("items")
     return isinstance(items, list) and sought in items
 
--- a/tests/service_cluster.py
+++ b/tests/service_cluster.py
@@ -281,6 +281,8 @@
             all_headers["model"] = headers["model"]
         if "authorization" in headers:
             all_headers["Authorization"] = headers["authorization"]
+        if "tenant" in headers:
+            all_headers[names.tenant] = headers["tenant"]
         if "deadline_ms" in headers:
             all_headers[names.deadline_ms] = headers["deadline_ms"]
         request = HTTPRequest(
@@ -294,7 +296,12 @@
         return await self._http.fetch(request, raise_error=False)
 
     async def submit(
-        self, job_id: str, items: list[str], rewards: bool = False, **fields: Any
+        self,
+        job_id: str,
+        items: list[str],
+        rewards: bool = False,
+        authorization: str | None = None,
+        **fields: Any,
     ) -> HTTPResponse:
         """Submits a job, optionally with a reward call for each item."""
         rows: list[list[Any]] = [
@@ -304,15 +311,20 @@
             for row in rows:
                 row.append(reward_call(row[0]))
         body = {"model": MODEL, "items": rows, **fields}
-        return await self.call("POST", "/drafts/j", msgspec.json.encode(body), request_id=job_id)
+        headers = {"authorization": authorization} if authorization is not None else {}
+        return await self.call(
+            "POST", "/drafts/j", msgspec.json.encode(body), request_id=job_id, **headers
+        )
 
-    async def results(self, job_id: str, count: int, gateway: int = 0) -> list[list[Any]]:
+    async def results(
+        self, job_id: str, count: int, gateway: int = 0, **headers: str
+    ) -> list[list[Any]]:
         """Reads the results of a job until there are at least `count` of them."""
         results: list[list[Any]] = []
         async with asyncio.timeout(TIMEOUT_S):
             while len(results) < count:
                 target = f"/v1/jobs/{job_id}/results?position={len(results)}&wait_s=0.5"
-                answer = await self.call("GET", target, gateway=gateway)
+                answer = await self.call("GET", target, gateway=gateway, **headers)
                 if answer.code == 200:
                     results += msgspec.json.decode(answer.body)["results"]
         return results
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -17,7 +17,7 @@
 from stileloom.events import LogEvent
 from stileloom.ledger.effects import Persist
 from stileloom.ledger.storage import LedgerStorage
-from stileloom.proxy.front import CallerRequest
+from stileloom.proxy.caller_messages import CallerRequest
 from tests.service_cluster import MODEL, TIMEOUT_S, ServiceCluster, configuration, with_cluster
 
 EVENTS = 6
