The ledger's leader reports the usage of tenants, each window once

A gateway counts a request once, when a sampler may first have begun it (plain: sent and not refused; stream: first event), in windows of true time: the median of recent offsets of the time of day, so a jump moves nothing. It sends totals to the leader each second until their window is closed; totals only grow, so repeats and overtaking reports count once, and a new leader gets them again. A gateway that ends has its totals committed. Reports go oldest first within an order window, and a holder that meets a higher fence stops for good.

--- a/stileloom/api/dialect.py
+++ b/stileloom/api/dialect.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from stileloom.api.duties import DutyCall, DutyHolder, UsageReport
 from stileloom.api.headers import HeaderNames
 from stileloom.api.jobs import JobSubmission, ResultPage
 from stileloom.api.object_store import ObjectRecord
@@ -139,5 +140,8 @@
     def order_call(self, order: LoadOrder) -> EngineCall:
         """Encodes a load order as a request."""
 
+    def usage_call(self, report: UsageReport, holder: DutyHolder) -> DutyCall:
+        """Encodes a usage report; the same report always has the same bytes."""
+
     def removal_status(self, finished: bool) -> Any:
         """Returns the status of a request to retire a ledger node."""
--- a/stileloom/daemon/gateway.py
+++ b/stileloom/daemon/gateway.py
@@ -23,6 +23,8 @@
 from stileloom.jobs.client import JobClient
 from stileloom.jobs.leader_search import LedgerNodes
 from stileloom.logging import EventLog
+from stileloom.metering.meter import UsageMeter
+from stileloom.metering.reporter import UsageReporter
 from stileloom.proxy.forwarder import Forwarder
 from stileloom.proxy.front import GatewayServer
 from stileloom.proxy.job_calls import JobCalls
@@ -85,6 +87,13 @@
             QuarantineMetrics(self._metrics_registry),
             metrics.connection_opened,
         )
+        self._usage_meter: UsageMeter | None = None
+        self._usage_reporter: UsageReporter | None = None
+        if settings.usage_window_s:
+            self._usage_meter = UsageMeter(settings.usage_window_s, self._log)
+            self._usage_reporter = UsageReporter(
+                settings.node_id, self._usage_meter, self._jobs, self._rng
+            )
         access = SamplerAccess(
             settings.zone,
             self.directory.samplers,
@@ -93,6 +102,7 @@
             metrics,
             self._rng,
             self._guard,
+            self._count_run,
         )
         self._forwarder = Forwarder(access, switches.hedging)
         self._relay = StreamRelay(access)
@@ -120,6 +130,8 @@
         self.directory.start()
         self._guard.start()
         self._refresh_ledger_nodes()
+        if self._usage_reporter is not None:
+            self._tasks.spawn(self._usage_reporter.run())
         self._log.emit(LogEvent.NODE_STARTED, {"role": "gateway", "zone": self._settings.zone})
         await self._stopping.wait()
         await self._drain()
@@ -169,6 +181,7 @@
 
     def abort(self) -> None:
         """Stops background work and closes the connections to ledger nodes."""
+        self._tasks.cancel()
         self._job_calls.stop()
         self.directory.stop()
         self._guard.stop()
@@ -191,8 +204,14 @@
         self.front.closing = True
         while self._has_open_work() and steady_time() < deadline:
             await asyncio.sleep(DRAIN_POLL_S)
+        if self._usage_reporter is not None:
+            await self._usage_reporter.flush()
         self._log.emit(LogEvent.DRAIN_FINISHED, {"open": self.front.open_requests})
 
+    def _count_run(self, tenant: str, began_at: float) -> None:
+        if self._usage_meter is not None:
+            self._usage_meter.count(tenant, began_at)
+
     def _has_open_work(self) -> bool:
         return self.front.open_requests > 0 or self._job_calls.pending_ends > 0
 
--- a/stileloom/daemon/leadership.py
+++ b/stileloom/daemon/leadership.py
@@ -7,22 +7,30 @@
 import random
 
 from stileloom.api.dialect import Dialect
+from stileloom.api.duties import DutyHolder
 from stileloom.api.object_store import ObjectEvent, ObjectRecord, ObjectStore
 from stileloom.background import BackgroundTasks
+from stileloom.clock import steady_time
 from stileloom.daemon.directory import Directory
 from stileloom.daemon.ledger_driver import LedgerDriver
 from stileloom.daemon.object_watch import ObjectWatcher
+from stileloom.duties.caller import DutyCaller
+from stileloom.duties.usage import UsageDuty
 from stileloom.errors import StileloomError
 from stileloom.events import LogEvent
 from stileloom.jobs.job_ages import JobAges
 from stileloom.jobs.metrics import JobMetrics
+from stileloom.jobs.order_window import OrderWindow
 from stileloom.jobs.runner import JobRunner, RunnerDependencies
 from stileloom.ledger.commands import RetireNode
 from stileloom.logging import EventLog
+from stileloom.metering.authority import UsageAuthority
+from stileloom.metering.window_clock import WindowClock
 from stileloom.proxy.forwarder import Forwarder
 from stileloom.quarantine.authority import QuarantineService
 from stileloom.quarantine.guard import QuarantineGuard
-from stileloom.service_settings import ServiceSettings
+from stileloom.service_settings import DutySettings, ServiceSettings
+from stileloom.settings_file import split_address
 
 VERSIONS_BATCH_DELAY_S = 0.1
 REMOVALS_BATCH_DELAY_S = 0.5
@@ -49,6 +57,7 @@
         metrics: JobMetrics,
         rng: random.Random,
         earliest_order_at: float,
+        window_clock: WindowClock | None,
     ) -> None:
         self.epoch = driver.replica.epoch
         self.runner = JobRunner(
@@ -99,9 +108,38 @@
             rng,
         )
         self._tasks = BackgroundTasks(log)
+        self.usage: UsageAuthority | None = None
+        """Set if usage is reported."""
+        if settings.duties is not None and window_clock is not None:
+            self._start_usage_duty(settings, settings.duties, window_clock, earliest_order_at)
         for work in (versions.run(), removals.run(), self._run_removals(), self._run_expiry()):
             self._tasks.spawn(work)
 
+    def _start_usage_duty(
+        self,
+        settings: ServiceSettings,
+        duties: DutySettings,
+        window_clock: WindowClock,
+        earliest_order_at: float,
+    ) -> None:
+        state = self._driver.state
+        self.usage = UsageAuthority(
+            lambda: state.usage,
+            window_clock,
+            duties.usage_window_s,
+            duties.usage_due_s,
+            steady_time(),
+        )
+        window = OrderWindow(settings.node_id, self._driver, settings.switches.order_windows)
+        caller = DutyCaller(
+            split_address(duties.address), duties.calls_per_s, window, earliest_order_at, self._log
+        )
+        holder = DutyHolder(settings.node_id, self.epoch)
+        duty = UsageDuty(
+            holder, state.usage, self.usage, self._driver, caller, self._dialect, self._log
+        )
+        self._tasks.spawn(duty.run())
+
     def stop(self) -> None:
         """Stops all work of this term."""
         self._tasks.cancel()
--- a/stileloom/daemon/ledger_node.py
+++ b/stileloom/daemon/ledger_node.py
@@ -34,6 +34,7 @@
 from stileloom.ledger.state import LedgerState
 from stileloom.ledger.wire import Sender
 from stileloom.logging import EventLog
+from stileloom.metering.window_clock import WindowClock
 from stileloom.proxy.forwarder import Forwarder
 from stileloom.proxy.metrics import AttemptMetrics
 from stileloom.proxy.sampler_access import SamplerAccess
@@ -103,6 +104,10 @@
         self._reported_voters: list[Voter] = []
         self._order_windows = OrderWindows()
         self._job_ages = JobAges()
+        self._window_clock = (
+            WindowClock(settings.usage_window_s) if settings.usage_window_s else None
+        )
+        """Set if usage is reported."""
         self._ticker = Ticker(self._step, STEP_INTERVAL_S)
         self._driver: LedgerDriver | None = None
         self._service: JobService | None = None
@@ -222,6 +227,8 @@
     def _step(self) -> None:
         assert self._driver is not None
         self._store_cache.evict_idle()
+        if self._window_clock is not None:
+            self._window_clock.observe(steady_time(), time.time())
         self._order_windows.observe(self._driver.state.order_windows, steady_time())
         self._job_ages.observe(self._driver.state.job_book, steady_time())
         is_active = self._driver.is_active_leader()
@@ -276,7 +283,9 @@
             self._metrics,
             self._rng,
             self._earliest_order_at(driver.state),
+            self._window_clock,
         )
+        self._service.usage = self._leadership.usage
         self._service.runner = self._leadership.runner
         self._log.emit(LogEvent.CONTROLLER_STARTED, {"epoch": self._leadership.epoch})
 
@@ -294,6 +303,7 @@
         self._leadership = None
         if self._service is not None:
             self._service.runner = None
+            self._service.usage = None
         self._log.emit(LogEvent.CONTROLLER_STOPPED, {"reason": reason})
 
     def _on_sampler_listed(self, entry: SamplerEntry) -> None:
--- a/stileloom/http/native_dialect.py
+++ b/stileloom/http/native_dialect.py
@@ -19,6 +19,7 @@
     ReadResults,
     SamplerReport,
 )
+from stileloom.api.duties import DutyCall, DutyHolder, UsageReport
 from stileloom.api.headers import HeaderNames
 from stileloom.api.jobs import JobItem, JobSubmission, ResultPage
 from stileloom.api.object_store import ObjectRecord
@@ -31,6 +32,9 @@
 JOBS_PREFIX = "/v1/jobs/"
 REPORT_TARGET = "/v1/report"
 ORDER_TARGET = "/v1/load-order"
+USAGE_TARGET = "/v1/usage"
+HOLDER_HEADER = "Stileloom-Holder"
+FENCE_HEADER = "Stileloom-Fence"
 
 
 class JobBody(msgspec.Struct, frozen=True):
@@ -130,6 +134,11 @@
         """Implements `Dialect`."""
         return EngineCall("POST", ORDER_TARGET, msgspec.json.encode(order))
 
+    def usage_call(self, report: UsageReport, holder: DutyHolder) -> DutyCall:
+        """Implements `Dialect`."""
+        headers = [(HOLDER_HEADER, holder.node_id), (FENCE_HEADER, str(holder.fence))]
+        return DutyCall("POST", USAGE_TARGET, headers, msgspec.json.encode(report))
+
     def removal_status(self, finished: bool) -> Any:
         """Implements `Dialect`."""
         return msgspec.to_builtins(RemovalStatus(finished))
--- a/stileloom/jobs/messages.py
+++ b/stileloom/jobs/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from stileloom.api.jobs import JobSubmission, ResultPage
+from stileloom.metering.messages import ReportUsageCall, UsageReported
 from stileloom.quarantine.messages import QuarantineReply, QuarantineRequest
 
 
@@ -46,6 +47,7 @@
     | EndJobCall
     | ProbeLeaderCall
     | QuarantineRequest
+    | ReportUsageCall
 )
 """Calls to the leader."""
 
@@ -107,4 +109,5 @@
     | NotLeader
     | OutcomeUnknown
     | QuarantineReply
+    | UsageReported
 )
--- a/stileloom/jobs/service.py
+++ b/stileloom/jobs/service.py
@@ -34,9 +34,11 @@
 from stileloom.jobs.metrics import JobMetrics
 from stileloom.jobs.registry import JobRecord
 from stileloom.jobs.runner import JobRunner
-from stileloom.ledger.commands import EndJob, Refused, SubmitJob
+from stileloom.ledger.commands import EndJob, RecordFinalUsage, Refused, SubmitJob
 from stileloom.ledger.state import LedgerState
 from stileloom.logging import EventLog
+from stileloom.metering.authority import UsageAuthority
+from stileloom.metering.messages import ReportUsageCall, UsageReported
 from stileloom.quarantine.authority import QuarantineService
 from stileloom.quarantine.messages import (
     QuarantineListed,
@@ -76,6 +78,8 @@
         log: EventLog,
         metrics: JobMetrics,
     ) -> None:
+        self.usage: UsageAuthority | None = None
+        """Set while this node is the leader and reports usage."""
         self._runner: JobRunner | None = None
         self._proposed_ends: set[str] = set()
         self._proposed_jobs: set[str] = set()
@@ -112,8 +116,21 @@
             return await self._read(request)
         if isinstance(request, EndJobCall):
             return await self._end(request)
+        if isinstance(request, ReportUsageCall):
+            return await self._take_usage(request)
         return await self._handle_quarantine_call(request)
 
+    async def _take_usage(self, request: ReportUsageCall) -> JobReply:
+        if self.usage is None:
+            return OutcomeUnknown()
+        self.usage.collector.add(request.source, request.totals)
+        if request.is_final:
+            try:
+                await self._ledger.propose(RecordFinalUsage(request.source, request.totals))
+            except StileloomError:
+                return OutcomeUnknown()
+        return UsageReported(self._ledger.state.usage.closed_before)
+
     async def _handle_quarantine_call(self, request: QuarantineRequest) -> JobReply:
         quarantine = self._quarantine
         try:
--- a/stileloom/ledger/commands.py
+++ b/stileloom/ledger/commands.py
@@ -17,6 +17,7 @@
 from stileloom.api.jobs import FinishedItem, ItemProgress, JobSubmission
 from stileloom.api.samples import Delivery, Prompt, Sample
 from stileloom.errors import ErrorKind
+from stileloom.metering.messages import WindowCounts
 from stileloom.quarantine.messages import SamplerCrash
 
 
@@ -142,6 +143,26 @@
     age_s: dict[str, int]
 
 
+class RecordFinalUsage(msgspec.Struct, frozen=True, tag=True):
+    """Records the usage totals of a gateway process that is about to end."""
+
+    source: str
+    totals: WindowCounts
+
+
+class CloseUsageWindow(msgspec.Struct, frozen=True, tag=True):
+    """Closes a usage window; refused if it is closed already, so its counts never change."""
+
+    window: int
+    counts: dict[str, int]
+
+
+class MarkUsageSent(msgspec.Struct, frozen=True, tag=True):
+    """Drops a window that the accounting service has acknowledged."""
+
+    window: int
+
+
 class EndJob(msgspec.Struct, frozen=True, tag=True):
     """Ends a batch job; its remaining items are not run.
 
@@ -215,6 +236,9 @@
     | RecordJobAges
     | EndJob
     | ForgetJob
+    | RecordFinalUsage
+    | CloseUsageWindow
+    | MarkUsageSent
     | RetireNode
     | OpenOrderWindow
     | RecordSamplerEnds
--- a/stileloom/ledger/state.py
+++ b/stileloom/ledger/state.py
@@ -22,6 +22,7 @@
     ChangeVoters,
     ClaimKey,
     ClearSuspects,
+    CloseUsageWindow,
     Command,
     CommandResult,
     CommitSample,
@@ -31,10 +32,12 @@
     ForgetJob,
     ForgetSuspects,
     HandOver,
+    MarkUsageSent,
     OpenOrderWindow,
     PromptsAccepted,
     PublishVersion,
     RaiseConfigurationFloor,
+    RecordFinalUsage,
     RecordIntervals,
     RecordJobAges,
     RecordResults,
@@ -51,6 +54,7 @@
     SubmitPrompts,
     Voter,
 )
+from stileloom.metering.book import UsageRegistry
 from stileloom.quarantine.book import QuarantineRegistry
 
 KEY_RETENTION_S = 3600.0
@@ -142,6 +146,8 @@
     last_leader: str = ""
     quarantine: QuarantineRegistry = msgspec.field(default_factory=QuarantineRegistry)
     """Requests during which samplers crashed."""
+    usage: UsageRegistry = msgspec.field(default_factory=UsageRegistry)
+    """Usage of tenants that is not reported yet."""
 
     def apply(self, command: Command) -> CommandResult:
         """Applies a committed command."""
@@ -174,6 +180,8 @@
             return self._apply_to_jobs(command)
         if isinstance(command, RecordSamplerEnds | ClearSuspects | StartTrial | ForgetSuspects):
             return self._apply_to_quarantine(command)
+        if isinstance(command, RecordFinalUsage | CloseUsageWindow | MarkUsageSent):
+            return self._apply_to_usage(command)
         if isinstance(command, RecordIntervals):
             self.job_book.interval_s = command.interval_s
             return Done()
@@ -221,6 +229,17 @@
             return Refused(ErrorKind.QUARANTINED, "the next trial of this request is not due yet")
         return Done()
 
+    def _apply_to_usage(
+        self, command: RecordFinalUsage | CloseUsageWindow | MarkUsageSent
+    ) -> CommandResult:
+        if isinstance(command, RecordFinalUsage):
+            self.usage.record(command.source, command.totals)
+        elif isinstance(command, MarkUsageSent):
+            self.usage.mark_sent(command.window)
+        elif not self.usage.close(command.window, command.counts):
+            return Refused(ErrorKind.CONFLICT, f"window {command.window} is closed already")
+        return Done()
+
     def _register_round(self, command: RegisterRound) -> CommandResult:
         existing = self.rounds.get(command.round_name)
         if existing is None:
--- /dev/null
+++ b/stileloom/metering/reporter.py
@@ -0,0 +1,55 @@
+"""Sends a gateway's usage to the ledger's leader until its windows are closed."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+
+from stileloom.errors import StileloomError
+from stileloom.jobs.client import JobClient
+from stileloom.metering.messages import ReportUsageCall, UsageReported
+from stileloom.metering.meter import UsageMeter
+
+REPORT_INTERVAL_S = 1.0
+"""Also bounds the requests that are missing from the reports if the process is killed."""
+CALL_TIMEOUT_S = 1.5
+FINAL_CALL_TIMEOUT_S = 2.0
+SOURCE_BYTES = 4
+NO_REQUEST_ID = ""
+
+
+class UsageReporter:
+    """Reports the usage of one gateway process."""
+
+    def __init__(
+        self, node_id: str, meter: UsageMeter, client: JobClient, rng: random.Random
+    ) -> None:
+        self._source = f"{node_id}/{secrets.token_hex(SOURCE_BYTES)}"
+        self._meter = meter
+        self._client = client
+        self._rng = rng
+
+    async def run(self) -> None:
+        """Reports until cancelled."""
+        while True:
+            await asyncio.sleep(REPORT_INTERVAL_S * self._rng.uniform(0.9, 1.1))
+            self._meter.observe_clock()
+            await self._report(CALL_TIMEOUT_S, is_final=False)
+
+    async def flush(self) -> None:
+        """Commits the totals at the end of the process."""
+        await self._report(FINAL_CALL_TIMEOUT_S, is_final=True)
+
+    async def _report(self, timeout_s: float, is_final: bool) -> None:
+        totals = self._meter.tally.totals()
+        if not totals:
+            return
+        call = ReportUsageCall(self._source, totals, is_final)
+        try:
+            reply = await self._client.call(call, NO_REQUEST_ID, timeout_s)
+        except StileloomError:
+            # The client has logged the failure; totals are sent again with the next report.
+            return
+        if isinstance(reply, UsageReported):
+            self._meter.tally.close_before(reply.closed_before)
--- a/stileloom/proxy/attempt_plan.py
+++ b/stileloom/proxy/attempt_plan.py
@@ -34,6 +34,8 @@
     tried: set[str] = msgspec.field(default_factory=set)
     unreachable: set[str] = msgspec.field(default_factory=set)
     """Samplers to which no connection could be opened; they are not candidates."""
+    sent_at: dict[str, float] = msgspec.field(default_factory=dict)
+    """When the request was sent, by sampler that may have begun to run it."""
     full: bool = False
     """Whether a sampler refused the lookup because it is full."""
 
@@ -90,9 +92,19 @@
         self.last_started_at = now
         self.tried.add(sampler_id)
 
+    def record_sent(self, sampler_id: str, now: float) -> None:
+        """Records that the request was sent to a sampler."""
+        self.sent_at[sampler_id] = now
+
+    @property
+    def began_at(self) -> float | None:
+        """When a sampler first began the request, as far as is known; None if none did."""
+        return min(self.sent_at.values(), default=None)
+
     def record_refusal(self, sampler_id: str, full: bool = True) -> None:
         """Records a refusal without a run; `full` tells whether the sampler had no free slot."""
         self.running -= 1
+        self.sent_at.pop(sampler_id, None)
         self.refused_by.add(sampler_id)
         self.full |= full
 
--- a/stileloom/proxy/forwarder.py
+++ b/stileloom/proxy/forwarder.py
@@ -32,6 +32,7 @@
         self._metrics = access.metrics
         self._rng = access.rng
         self._guard = access.guard
+        self._count_run = access.count_run
         self._hedges = hedges
         self._pool = ConnectionPool(access.metrics.connection_opened)
 
@@ -63,6 +64,8 @@
         finally:
             for task in attempts:
                 task.cancel()
+            if plan.began_at is not None:
+                self._count_run(lookup.tenant, plan.began_at)
 
     async def _run_attempts(
         self,
@@ -133,7 +136,9 @@
         if tracked is None:
             return False
         plan.record_start(tracked.entry.sampler_id, now)
-        attempts.add(asyncio.get_running_loop().create_task(self._run_attempt(lookup, tracked)))
+        attempts.add(
+            asyncio.get_running_loop().create_task(self._run_attempt(lookup, plan, tracked))
+        )
         return True
 
     async def _wait_for_sampler(self, lookup: Lookup, plan: AttemptPlan) -> StileloomError | None:
@@ -198,7 +203,9 @@
         )
         return False
 
-    async def _run_attempt(self, lookup: Lookup, tracked: TrackedSampler) -> Attempt:
+    async def _run_attempt(
+        self, lookup: Lookup, plan: AttemptPlan, tracked: TrackedSampler
+    ) -> Attempt:
         entry = tracked.entry
         tracked.open_requests += 1
         try:
@@ -219,6 +226,7 @@
                 self._pool.release(entry.sampler_id, connection)
                 raise StileloomError(ErrorKind.DEADLINE_PASSED, "not sent before the deadline")
             request = self._encode(lookup, entry.sampler_id)
+            plan.record_sent(entry.sampler_id, started_at)
             attempt = await run_exchange(
                 connection,
                 request,
--- a/stileloom/proxy/sampler_access.py
+++ b/stileloom/proxy/sampler_access.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 import msgspec
 
@@ -24,3 +25,5 @@
     metrics: AttemptMetrics
     rng: random.Random
     guard: QuarantineGuard
+    count_run: Callable[[str, float], None] = lambda tenant, began_at: None
+    """Counts a request that a sampler began, by tenant and moment of the steady clock."""
--- a/stileloom/proxy/stream_relay.py
+++ b/stileloom/proxy/stream_relay.py
@@ -96,6 +96,7 @@
         self._metrics = access.metrics
         self._rng = access.rng
         self._guard = access.guard
+        self._count_run = access.count_run
         self._pool = ConnectionPool(access.metrics.connection_opened)
 
     def close_connections(self, sampler_id: str) -> None:
@@ -241,6 +242,9 @@
                     stream.begin(head)
             elif isinstance(part, bytes):
                 if head is not None and self._is_stream(head):
+                    if not stream.counted:
+                        stream.counted = True
+                        self._count_run(lookup.tenant, steady_time())
                     if not stream.forward_events(part):
                         return _Run(_RunEnd.BROKEN, "event id did not increase")
                 else:
@@ -302,6 +306,8 @@
     def __init__(self, writer: StreamWriter) -> None:
         self.writer = writer
         self.started = False
+        self.counted = False
+        """Whether the request is counted as begun, which happens with its first event."""
         self.last_event_id: int | None = None
         self._splitter = EventSplitter()
 
--- a/stileloom/service_settings.py
+++ b/stileloom/service_settings.py
@@ -32,6 +32,18 @@
     """Time after submission of a job for which its results stay readable."""
 
 
+class DutySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The operator's service to which one node at a time makes calls."""
+
+    address: Address
+    calls_per_s: Positive = 10.0
+    """Calls per second that the service takes from all nodes together."""
+    usage_window_s: NotNegative = 0.0
+    """Length of the windows of usage reports; 0 disables the reports."""
+    usage_due_s: Positive = 10.0
+    """Time after the end of a window by which its report is due."""
+
+
 class ServiceSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Settings of a gateway or ledger node."""
 
@@ -64,6 +76,8 @@
     bounds: TimeBounds = TimeBounds()
     limits: ResourceLimits = ResourceLimits()
     """Ledger node: memory and disk of the machine, for the admission of jobs."""
+    duties: DutySettings | None = None
+    """None if there is no such service."""
     switches: Switches = Switches()
     log: LogSettings = LogSettings()
 
@@ -72,6 +86,11 @@
         """IP address to listen on."""
         return self.bind_host or self.host
 
+    @property
+    def usage_window_s(self) -> float:
+        """Length of the windows of usage reports; 0 if there are none."""
+        return self.duties.usage_window_s if self.duties is not None else 0.0
+
     @property
     def voters(self) -> int:
         """Number of nodes in the voter set."""
