--- a/stileloom/ledger/replica.py
+++ b/stileloom/ledger/replica.py
@@ -16,13 +16,14 @@
 import msgspec
 
 from stileloom import constants
-from stileloom.blobs import BlobUnavailable
 from stileloom.effects import Effect, Emit, Send
 from stileloom.events import LogEvent
 from stileloom.lease import LeaderLease
 from stileloom.ledger.commands import ChangeVoters, Command, StartEpoch, Voter
+from stileloom.ledger.durable_writes import DurableWrites
 from stileloom.ledger.effects import Applied, Dropped, Persist
-from stileloom.ledger.electorate import Electorate, LostDiskDetector, current_electorate
+from stileloom.ledger.election_timer import ElectionTimer
+from stileloom.ledger.electorate import Electorate, current_electorate
 from stileloom.ledger.log import LedgerLog
 from stileloom.ledger.messages import (
     AppendReply,
@@ -38,16 +39,18 @@
     VoteReply,
     VoteRequest,
 )
-from stileloom.ledger.progress import FollowerProgress, FollowerState
+from stileloom.ledger.progress import FollowerState
 from stileloom.ledger.recovered import (
     RecoveredLedger,
     decode_state,
     last_leader,
     without_state,
 )
-from stileloom.ledger.snapshot_transfer import IncomingSnapshot, OutgoingSnapshot
-from stileloom.ledger.standbys import StandbyPool, VoterHealth
-from stileloom.ledger.voters import next_voter_set
+from stileloom.ledger.replication import Replication
+from stileloom.ledger.snapshot_schedule import SnapshotSchedule
+from stileloom.ledger.snapshot_transfer import IncomingSnapshot
+from stileloom.ledger.standbys import VoterHealth
+from stileloom.ledger.voter_changes import VoterChanges
 from stileloom.switches import ALL_ON, Switches
 
 
@@ -79,50 +82,38 @@
         """Nodes that another source, such as the membership, reports as dead."""
         self._is_damaged = False
         """Whether this replica's blob log lacks bytes that a leader has to serve."""
-        self._lost_disk_detector = LostDiskDetector(rng)
+        self._voter_changes = VoterChanges(target_voters, switches.standbys, rng)
         self._voted_for = recovered.hard_state.voted_for
         self._log = LedgerLog(without_state(recovered.snapshot), recovered.entries)
-        self._rng = rng
-        self._target_voters = target_voters
-        self._switches = switches
         self._lease = LeaderLease()
-        self._snapshot_index = recovered.snapshot.last_index
-        """Last index that the newest snapshot covers."""
-        self._log_bytes = self._log.bytes_after(self._log.base_index)
-        """Size of the entries since the newest snapshot."""
-        self._snapshot_growth_bytes = self._growth_before_snapshot(len(recovered.snapshot.state))
-        self._durable_index = self._log.last_index
+        self._snapshots = SnapshotSchedule(
+            local_voter.disk_id,
+            recovered.snapshot.last_index,
+            len(recovered.snapshot.state),
+            self._log.bytes_after(self._log.base_index),
+        )
+        self._writes = DurableWrites(self._log.last_index)
         self._commit_index = self._log.base_index
         self._applied_index = self._log.base_index
         self._blobs = recovered.blobs
         self.state = decode_state(recovered.snapshot, self._blobs)
         self._apply_recovered(recovered.commit_index)
-        self._progress: dict[Voter, FollowerProgress] = {}
-        self._outgoing: OutgoingSnapshot | None = None
-        """The snapshot that is being sent to followers, if any."""
+        self._replication = Replication(
+            local_voter, self._log, self._writes, self._lease, self._blobs, self
+        )
         self._incoming: IncomingSnapshot | None = None
         """The snapshot that is being received from the leader, if any."""
-        self._standbys = StandbyPool()
         self._leader_since = now
         self._tickets_by_index: dict[int, object] = {}
         self._proposed_at: dict[int, float] = {}
         """Times of the entries that this leader has proposed and not committed, in log order."""
         self._votes: set[Voter] = set()
         self._in_pre_vote = False
-        self._last_nonce = 0
-        self._last_write_id = 0
-        self._durable_write_id = 0
-        self._last_index_by_write: dict[int, int] = {}
-        self._deferred_effects: list[tuple[int, Effect]] = []
         self._next_heartbeat_at = now
         # A voter may have confirmed a lease just before it restarted; it lets that lease expire.
         self._last_leader_contact_at = now
-        self._previous_leader = (
-            last_leader(recovered, self.state) if switches.restart_head_start else ""
-        )
-        """Leader before the restart; empty if unknown or once a new leader is known."""
-        self._restarted_at = now
-        self._election_due_at = now + self._election_timeout(now)
+        previous_leader = last_leader(recovered, self.state) if switches.restart_head_start else ""
+        self._election_timer = ElectionTimer(local_voter.node_id, previous_leader, rng, now)
         self._next_hello_at = now
 
     # Queries.
@@ -148,7 +139,9 @@
         if self.role is not ReplicaRole.LEADER:
             return 0
         others = [voter for voter in self.voters if voter != self.local_voter]
-        return max((self._log.last_index - self._match_index(v) for v in others), default=0)
+        return max(
+            (self._log.last_index - self._replication.match_index(v) for v in others), default=0
+        )
 
     @property
     def is_voter(self) -> bool:
@@ -191,14 +184,14 @@
         if is_leader and (self._is_removed_leader(now) or self._must_hand_over(now)):
             return self.transfer_leadership(now)
         if self.role is ReplicaRole.LEADER:
-            self._release_outgoing()
+            self._replication.release_outgoing()
             effects = self._replicate_to_standbys(now) + self._change_voters(now)
             if now >= self._next_heartbeat_at:
                 self._next_heartbeat_at = now + constants.LEDGER_HEARTBEAT_INTERVAL_S
-                effects += self._replicate(now, heartbeat=True)
+                effects += self._replication.replicate(now, heartbeat=True)
             return effects
         effects = [] if self.is_voter else self._send_hello(now)
-        if self._may_campaign and now >= self._election_due_at:
+        if self._may_campaign and self._election_timer.is_due(now):
             effects += self._start_election(now, pre_vote=True)
         return effects
 
@@ -210,18 +203,11 @@
         self._tickets_by_index[entry.index] = ticket
         self._proposed_at[entry.index] = now
         effects = self._append([entry])
-        return effects + self._replicate(now, heartbeat=False)
+        return effects + self._replication.replicate(now, heartbeat=False)
 
     def persisted(self, now: float, write_id: int) -> list[Effect]:
         """Called by the driver once this write and all earlier ones are durable."""
-        self._durable_write_id = max(self._durable_write_id, write_id)
-        for pending in sorted(self._last_index_by_write):
-            if pending <= write_id:
-                self._durable_index = self._last_index_by_write.pop(pending)
-        released = [effect for awaited, effect in self._deferred_effects if awaited <= write_id]
-        self._deferred_effects = [
-            (awaited, effect) for awaited, effect in self._deferred_effects if awaited > write_id
-        ]
+        released = self._writes.complete(write_id)
         if self.role is ReplicaRole.LEADER:
             released += self._advance_commit(now)
         return released
@@ -253,10 +239,12 @@
 
         Source: Ongaro's dissertation, section 3.10.
         """
-        followers = [v for v in self.voters if v != self.local_voter and v in self._progress]
+        followers = [
+            v for v in self.voters if v != self.local_voter and v in self._replication.progress
+        ]
         if self.role is not ReplicaRole.LEADER or not followers:
             return []
-        successor = max(followers, key=self._match_index)
+        successor = max(followers, key=self._replication.match_index)
         effects = self._step_down(now, self.epoch)
         return [*effects, Send(successor.node_id, HandOver(self.epoch))]
 
@@ -280,24 +268,10 @@
 
     # Elections.
 
-    def _election_timeout(self, now: float) -> float:
-        """Time until this replica starts an election.
-
-        After a restart of all nodes the previous leader campaigns first: if it opened the last
-        order window, it may send orders without waiting (`ledger/order_windows.py`).
-        """
-        if self._previous_leader and now < self._restarted_at + constants.RESTART_PERIOD_S:
-            if self._previous_leader == self.local_voter.node_id:
-                return constants.RESTART_ELECTION_RETRY_INTERVAL_S
-            return self._rng.uniform(
-                constants.RESTART_ELECTION_MIN_S, constants.RESTART_ELECTION_MAX_S
-            )
-        return self._rng.uniform(constants.ELECTION_TIMEOUT_MIN_S, constants.ELECTION_TIMEOUT_MAX_S)
-
     def _start_election(
         self, now: float, pre_vote: bool, handed_over: bool = False
     ) -> list[Effect]:
-        self._election_due_at = now + self._election_timeout(now)
+        self._election_timer.restart(now)
         self._in_pre_vote = pre_vote
         self._votes = {self.local_voter}
         effects: list[Effect] = []
@@ -317,7 +291,7 @@
             pre_vote,
             handed_over,
         )
-        effects += self._when_durable(
+        effects += self._writes.when_durable(
             [
                 Send(voter.node_id, request)
                 for voter in self._electorate().members
@@ -328,7 +302,7 @@
 
     def _on_vote_request(self, now: float, message: VoteRequest) -> list[Effect]:
         sticky = now < self._last_leader_contact_at + constants.ELECTION_TIMEOUT_MIN_S
-        if message.candidate.node_id == self._previous_leader:
+        if message.candidate.node_id == self._election_timer.previous_leader:
             # A lease that this voter confirmed before its restart is the candidate's own.
             sticky = False
         leading = self.role is ReplicaRole.LEADER and now < self.lease_expires_at(now)
@@ -351,10 +325,10 @@
             )
             if granted and self._voted_for is None:
                 self._voted_for = message.candidate
-                self._election_due_at = now + self._election_timeout(now)
+                self._election_timer.restart(now)
                 effects += self._persist_hard_state()
         reply = VoteReply(message.epoch, self.local_voter, granted, message.trial)
-        return effects + self._when_durable([Send(message.candidate.node_id, reply)])
+        return effects + self._writes.when_durable([Send(message.candidate.node_id, reply)])
 
     def _on_vote_reply(self, now: float, message: VoteReply) -> list[Effect]:
         requested_epoch = self.epoch + 1 if message.trial else self.epoch
@@ -375,21 +349,19 @@
 
     def _become_leader(self, now: float) -> list[Effect]:
         self.role = ReplicaRole.LEADER
-        self._previous_leader = ""
+        self._election_timer.previous_leader = ""
         self._leader_since = now
         self.leader = self.local_voter.node_id
         self._lease.clear()
-        self._outgoing = self._incoming = None
-        self._progress = {
-            voter: FollowerProgress(self._log.last_index + 1)
-            for voter in self._electorate().members
-            if voter != self.local_voter
-        }
+        self._incoming = None
+        self._replication.start(
+            [voter for voter in self._electorate().members if voter != self.local_voter]
+        )
         start = Entry(self._log.last_index + 1, self.epoch, StartEpoch(self.local_voter.node_id))
         effects = self._append([start])
         self._next_heartbeat_at = now + constants.LEDGER_HEARTBEAT_INTERVAL_S
         effects.append(Emit(LogEvent.LEADER_ELECTED, {"epoch": self.epoch}))
-        return effects + self._replicate(now, heartbeat=True)
+        return effects + self._replication.replicate(now, heartbeat=True)
 
     def _step_down(self, now: float, epoch: int) -> list[Effect]:
         effects: list[Effect] = []
@@ -399,8 +371,7 @@
             self._tickets_by_index.clear()
             self._proposed_at.clear()
             self._lease.clear()
-            self._outgoing = None
-            self._progress.clear()
+            self._replication.stop()
         self.role = ReplicaRole.FOLLOWER
         self._in_pre_vote = False
         if epoch > self.epoch:
@@ -408,220 +379,60 @@
             self._voted_for = None
             self.leader = None
             effects += self._persist_hard_state()
-        self._election_due_at = now + self._election_timeout(now)
+        self._election_timer.restart(now)
         return effects
 
     # Replication, at the leader.
 
-    def _replicate(self, now: float, heartbeat: bool) -> list[Effect]:
-        effects: list[Effect] = []
-        for follower, progress in self._progress.items():
-            if not progress.is_responsive(now) and progress.state is not FollowerState.PROBE:
-                # Entries for an unresponsive follower would only accumulate in send buffers, and
-                # a transfer would hold the log.
-                if not progress.keeps_transfer(now):
-                    progress.start_probe()
-                    progress.next_index = min(progress.next_index, self._log.last_index + 1)
-                if progress.last_contact_at > float("-inf") and not progress.unresponsive:
-                    progress.unresponsive = True
-                    fields: dict[str, object] = {"follower": follower.node_id, "epoch": self.epoch}
-                    effects.append(Emit(LogEvent.FOLLOWER_SILENT, fields))
-            if progress.state is FollowerState.REPLICATE:
-                if heartbeat or progress.next_index <= self._log.last_index:
-                    effects += self._send_entries(now, follower, progress)
-            elif heartbeat:
-                effects += self._send_probe(now, follower, progress)
-        return effects
-
-    def _send_probe(self, now: float, follower: Voter, progress: FollowerProgress) -> list[Effect]:
-        """Sends an append request without entries to find the last common entry.
-
-        Sends a snapshot instead if the entry before the follower's next one is compacted and the
-        follower is responsive.
-        """
-        if progress.state is FollowerState.SNAPSHOT:
-            return self._continue_transfer(now, follower, progress)
-        previous = progress.next_index - 1
-        if self._log.epoch_at(previous) is None:
-            if progress.is_responsive(now):
-                return self._start_transfer(now, follower, progress)
-            previous = self._log.base_index
-        if progress.state is not FollowerState.PROBE or progress.probed_index != previous:
-            # A repeated probe must not supersede the first: its reply may take longer than a
-            # heartbeat interval.
-            progress.start_probe()
-            progress.probed_index = previous
-            progress.first_probe_nonce = self._last_nonce + 1
-        return self._send_request(now, follower, previous, [])
-
-    def _start_transfer(
-        self, now: float, follower: Voter, progress: FollowerProgress
-    ) -> list[Effect]:
-        """Starts to send a snapshot; one that others are receiving is reused if possible."""
-        outgoing = self._outgoing
-        if outgoing is None or self._log.epoch_at(outgoing.snapshot.last_index) is None:
-            outgoing = OutgoingSnapshot(self._last_nonce + 1, self._encode_snapshot(), self._blobs)
-            self._outgoing = outgoing
-        progress.start_transfer(outgoing)
-        return self._send_piece(now, follower, progress, outgoing)
-
-    def _continue_transfer(
-        self, now: float, follower: Voter, progress: FollowerProgress
-    ) -> list[Effect]:
-        """Sends a lost piece again, else a heartbeat."""
-        transfer = progress.transfer
-        piece_lost = now >= progress.piece_sent_at + constants.SNAPSHOT_RETRY_INTERVAL_S
-        if transfer is None or not piece_lost or not progress.is_responsive(now):
-            return self._send_request(now, follower, self._log.base_index, [])
-        return self._send_piece(now, follower, progress, transfer)
-
-    def _send_piece(
-        self, now: float, follower: Voter, progress: FollowerProgress, transfer: OutgoingSnapshot
-    ) -> list[Effect]:
-        try:
-            piece = transfer.piece(progress.received)
-        except BlobUnavailable as error:
-            return self.report_damage(str(error))
-        self._last_nonce += 1
-        progress.piece_nonce = self._last_nonce
-        progress.piece_sent_at = now
-        request = SnapshotRequest(
-            self.epoch,
-            self.local_voter,
-            piece,
-            self._last_nonce,
-            transfer.transfer,
-            progress.received,
-            len(transfer.snapshot.state),
-        )
-        return [Send(follower.node_id, request)]
-
-    def _release_outgoing(self) -> None:
-        """Drops the encoded snapshot once no follower is receiving it."""
-        if all(progress.transfer is not self._outgoing for progress in self._progress.values()):
-            self._outgoing = None
-
-    def _send_entries(
-        self, now: float, follower: Voter, progress: FollowerProgress
-    ) -> list[Effect]:
-        previous = progress.next_index - 1
-        if self._log.epoch_at(previous) is None:
-            return self._start_transfer(now, follower, progress)
-        entries = self._log.after(previous, constants.APPEND_BATCH_ENTRIES)
-        # Optimistic: if this request is lost, the next one is rejected as a mismatch.
-        progress.next_index += len(entries)
-        return self._send_request(now, follower, previous, entries)
-
-    def _send_request(
-        self, now: float, follower: Voter, previous: int, entries: list[Entry]
-    ) -> list[Effect]:
-        self._last_nonce += 1
-        self._lease.record_sent(self._last_nonce, now)
-        previous_epoch = self._log.epoch_at(previous)
-        assert previous_epoch is not None
-        request = AppendRequest(
-            self.epoch,
-            self.local_voter,
-            previous,
-            previous_epoch,
-            entries,
-            self._commit_index,
-            self._last_nonce,
-        )
-        return [Send(follower.node_id, request)]
-
     def _on_append_reply(self, now: float, message: AppendReply) -> list[Effect]:
         if message.epoch > self.epoch:
             return self._step_down(now, message.epoch)
-        progress = self._progress.get(message.follower)
+        progress = self._replication.progress.get(message.follower)
         if self.role is not ReplicaRole.LEADER or message.epoch != self.epoch or progress is None:
             return []
-        effects = self._record_contact(now, message.follower, progress)
+        effects = self._replication.record_contact(now, message.follower, progress)
         if message.success and message.follower in self._electorate().members:
             self._lease.record_confirmed(message.follower.node_id, message.nonce)
         if not message.success:
-            return effects + self._on_mismatch(now, message, progress)
+            return effects + self._replication.on_mismatch(now, message, progress)
         if message.match_index > progress.match_index:
             progress.match_index = message.match_index
         if progress.state is FollowerState.REPLICATE:
             progress.next_index = max(progress.next_index, message.match_index + 1)
-        elif self._ends_search(progress, message):
+        elif self._replication.ends_search(progress, message):
             progress.start_replication(message.match_index + 1)
         effects += self._advance_commit(now)
         replicating = progress.state is FollowerState.REPLICATE
         if replicating and progress.next_index <= self._log.last_index:
-            effects += self._send_entries(now, message.follower, progress)
+            effects += self._replication.send_entries(now, message.follower, progress)
         return effects
 
-    def _record_contact(
-        self, now: float, follower: Voter, progress: FollowerProgress
-    ) -> list[Effect]:
-        progress.last_contact_at = now
-        if not progress.unresponsive:
-            return []
-        progress.unresponsive = False
-        fields: dict[str, object] = {"follower": follower.node_id, "epoch": self.epoch}
-        return [Emit(LogEvent.FOLLOWER_REGAINED, fields)]
-
-    def _ends_search(self, progress: FollowerProgress, reply: AppendReply) -> bool:
-        """Whether the reply ends the probe or the snapshot in progress."""
-        if progress.transfer is not None:
-            # Rejected heartbeats are expected there.
-            installed = reply.match_index >= progress.transfer.snapshot.last_index
-            in_log = self._log.epoch_at(reply.match_index) is not None
-            return reply.success and (installed or in_log)
-        first = progress.first_probe_nonce
-        return first is not None and reply.nonce >= first
-
     def _on_snapshot_reply(self, now: float, message: SnapshotReply) -> list[Effect]:
         """Sends the next piece, or continues where the follower lost the earlier ones."""
         if message.epoch > self.epoch:
             return self._step_down(now, message.epoch)
-        progress = self._progress.get(message.follower)
+        progress = self._replication.progress.get(message.follower)
         if self.role is not ReplicaRole.LEADER or message.epoch != self.epoch or progress is None:
             return []
-        effects = self._record_contact(now, message.follower, progress)
+        effects = self._replication.record_contact(now, message.follower, progress)
         transfer = progress.transfer
         if transfer is None or message.transfer != transfer.transfer:
             return effects
         if message.received <= progress.received and message.nonce != progress.piece_nonce:
             return effects
         progress.received = message.received
-        return effects + self._send_piece(now, message.follower, progress, transfer)
-
-    def _on_mismatch(
-        self, now: float, message: AppendReply, progress: FollowerProgress
-    ) -> list[Effect]:
-        """Probes for the last common entry after a rejected request.
-
-        The first of several rejected pipelined requests starts the probe; the other rejections
-        are ignored, because a probe for each would make the leader resend the same entries.
-        """
-        replicating = progress.state is FollowerState.REPLICATE
-        if not replicating and not self._ends_search(progress, message):
-            return []
-        progress.start_probe()
-        progress.next_index = max(1, min(message.match_index + 1, self._log.last_index + 1))
-        return self._send_probe(now, message.follower, progress)
+        return effects + self._replication.send_piece(now, message.follower, progress, transfer)
 
     def _advance_commit(self, now: float) -> list[Effect]:
-        quorum_index = self._electorate().quorum_index(self._match_index)
+        quorum_index = self._electorate().quorum_index(self._replication.match_index)
         # Only entries of the current epoch commit by counting replicas (Raft, section 5.4.2).
         if quorum_index <= self._commit_index or self._log.epoch_at(quorum_index) != self.epoch:
             return []
         self._commit_index = quorum_index
         return self._apply(now)
 
-    def _match_index(self, voter: Voter) -> int:
-        if voter == self.local_voter:
-            return self._durable_index
-        progress = self._progress.get(voter)
-        return progress.match_index if progress is not None else 0
-
     def _electorate(self) -> Electorate:
-        return current_electorate(
-            self._log, self._commit_index, self._lost_disk_detector.lost_disks
-        )
+        return current_electorate(self._log, self._commit_index, self._voter_changes.lost_disks)
 
     @property
     def _grants_votes(self) -> bool:
@@ -642,7 +453,7 @@
         if self._is_damaged:
             return False
         removed = not self.is_voter and self._log.voters_at(self._commit_index) == self.voters
-        voter_lost_disk = not self._lost_disk_detector.lost_disks.isdisjoint(self.voters)
+        voter_lost_disk = not self._voter_changes.lost_disks.isdisjoint(self.voters)
         return self._grants_votes and (voter_lost_disk or not removed)
 
     def _is_removed_leader(self, now: float) -> bool:
@@ -657,7 +468,7 @@
         """Whether this leader is damaged and another voter can lead."""
         return self._is_damaged and any(
             progress.is_responsive(now) and voter in self.voters
-            for voter, progress in self._progress.items()
+            for voter, progress in self._replication.progress.items()
         )
 
     def _on_identity_question(self, sender: str, message: IdentityQuestion) -> list[Effect]:
@@ -669,22 +480,26 @@
         for voter in self.voters:
             same_node = voter.node_id == message.learner.node_id
             if same_node and voter not in (message.learner, self.local_voter):
-                nonce = self._lost_disk_detector.handle_hello(voter, message.answer_to)
+                nonce = self._voter_changes.lost_disk_detector.handle_hello(
+                    voter, message.answer_to
+                )
                 if nonce is not None:
                     return [Send(message.learner.node_id, IdentityQuestion(nonce))]
-                self._progress.pop(voter, None)
+                self._replication.progress.pop(voter, None)
         if self.role is not ReplicaRole.LEADER or message.learner in self.voters:
             return []
-        self._standbys.record_hello(message.learner, now)
+        self._voter_changes.standbys.record_hello(message.learner, now)
         effects = self._replicate_to_standbys(now)
-        if message.learner not in self._progress and self.is_active_leader(now):
+        if message.learner not in self._replication.progress and self.is_active_leader(now):
             # A standby that hears from no leader for a while asks all nodes, and finds a successor.
             effects.append(self._announce_leader(message.learner))
         return effects
 
     def _announce_leader(self, standby: Voter) -> Effect:
         """An empty append request at index 0: it names the leader and commits nothing."""
-        request = AppendRequest(self.epoch, self.local_voter, 0, 0, [], 0, self._last_nonce)
+        request = AppendRequest(
+            self.epoch, self.local_voter, 0, 0, [], 0, self._replication.last_nonce
+        )
         return Send(standby.node_id, request)
 
     def _send_hello(self, now: float) -> list[Effect]:
@@ -697,20 +512,14 @@
         hello = LearnerHello(self.local_voter)
         return [Send(target, hello) for target in sorted(targets - {self.local_voter.node_id})]
 
-    def _voter_health(self, now: float) -> VoterHealth:
-        contact_cutoff = now - constants.VOTER_RESPONSE_TIMEOUT_S
-        unresponsive = {
-            voter.node_id
-            for voter, progress in self._progress.items()
-            if voter in self.voters
-            and max(progress.last_contact_at, self._leader_since) <= contact_cutoff
-        }
-        retiring = frozenset(self.state.retired_nodes)
-        return VoterHealth(
+    def _health(self, now: float) -> VoterHealth:
+        return self._voter_changes.health(
+            now,
             self.voters,
-            self.unavailable | unresponsive,
-            self._lost_disk_detector.lost_disks,
-            retiring,
+            self._replication.progress,
+            self._leader_since,
+            self.unavailable,
+            self.state.retired_nodes,
         )
 
     def _replicate_to_standbys(self, now: float) -> list[Effect]:
@@ -721,25 +530,16 @@
         """
         if not self.is_active_leader(now):
             return []
-        if self._switches.standbys:
-            selected = self._standbys.select_replacements(
-                now, self._voter_health(now), self._target_voters
-            )
-        else:
-            selected = self._standbys.recently_seen(now)
-        electorate_members = self._electorate().members
-        for learner in list(self._progress):
-            if (
-                learner not in electorate_members
-                and learner not in self.voters
-                and learner not in selected
-            ):
-                del self._progress[learner]
+        selected = self._voter_changes.needed_standbys(now, self._health(now))
+        kept = {*self._electorate().members, *self.voters, *selected}
+        progress = self._replication.progress
+        for learner in [known for known in progress if known not in kept]:
+            del progress[learner]
         effects: list[Effect] = []
         for standby in selected:
-            if standby not in self._progress:
-                self._progress[standby] = FollowerProgress(self._log.last_index + 1)
-                effects += self._send_probe(now, standby, self._progress[standby])
+            if standby not in progress:
+                progress[standby] = self._replication.new_progress()
+                effects += self._replication.send_probe(now, standby, progress[standby])
         return effects
 
     def _change_voters(self, now: float) -> list[Effect]:
@@ -752,25 +552,8 @@
         change_committed = self._log.voters_at(self._commit_index) == self.voters
         if not change_committed or self._log.epoch_at(self._applied_index) != self.epoch:
             return []
-        health = self._voter_health(now)
-        learners = [
-            learner
-            for learner, progress in self._progress.items()
-            if learner not in self.voters
-            and progress.match_index >= self._commit_index
-            and now < progress.last_contact_at + constants.ELECTION_TIMEOUT_MAX_S
-        ]
-        next_set = next_voter_set(
-            self.voters,
-            learners,
-            health.unresponsive,
-            self._target_voters,
-            health.retiring,
-            frozenset(
-                voter.node_id
-                for voter, progress in self._progress.items()
-                if progress.state is not FollowerState.REPLICATE
-            ),
+        next_set = self._voter_changes.next_set(
+            now, self._health(now), self._replication.progress, self._commit_index
         )
         if next_set is None:
             return []
@@ -783,10 +566,10 @@
         if epoch > self.epoch or self.role is not ReplicaRole.FOLLOWER:
             effects += self._step_down(now, epoch)
         self.leader = leader
-        self._previous_leader = ""
+        self._election_timer.previous_leader = ""
         self._in_pre_vote = False
         self._last_leader_contact_at = now
-        self._election_due_at = now + self._election_timeout(now)
+        self._election_timer.restart(now)
         return effects
 
     def _on_append_request(self, now: float, message: AppendRequest) -> list[Effect]:
@@ -800,14 +583,14 @@
         if not compacted and self._log.epoch_at(previous) != message.previous_epoch:
             hint = self._conflict_hint(previous)
             reply = AppendReply(self.epoch, self.local_voter, False, hint, message.nonce)
-            return effects + self._when_durable([Send(message.leader.node_id, reply)])
+            return effects + self._writes.when_durable([Send(message.leader.node_id, reply)])
         match_index = previous + len(message.entries)
         # Set before appending, so that the write of the entries includes the new commit index.
         self._commit_index = max(self._commit_index, min(message.commit_index, match_index))
         effects += self._append_missing_entries(message.entries)
         effects += self._apply(now)
         reply = AppendReply(self.epoch, self.local_voter, True, match_index, message.nonce)
-        return effects + self._when_durable([Send(message.leader.node_id, reply)])
+        return effects + self._writes.when_durable([Send(message.leader.node_id, reply)])
 
     def _conflict_hint(self, previous: int) -> int:
         """The `previous_index` that the leader should try next.
@@ -857,19 +640,17 @@
                     self._incoming.received,
                     message.nonce,
                 )
-                return effects + self._when_durable([Send(leader, received)])
+                return effects + self._writes.when_durable([Send(leader, received)])
             effects += self._install(snapshot)
         self._incoming = None
         reply = AppendReply(self.epoch, self.local_voter, True, last_index, message.nonce)
-        return effects + self._when_durable([Send(leader, reply)])
+        return effects + self._writes.when_durable([Send(leader, reply)])
 
     def _install(self, snapshot: SnapshotRecord) -> list[Effect]:
         """Replaces the state, and the log up to the snapshot's last index."""
         self._log.compact(without_state(snapshot))
         self.state = decode_state(snapshot, self._blobs)
-        self._snapshot_index = snapshot.last_index
-        self._log_bytes = 0
-        self._snapshot_growth_bytes = self._growth_before_snapshot(len(snapshot.state))
+        self._snapshots.record_snapshot(snapshot.last_index, len(snapshot.state))
         self._commit_index = snapshot.last_index
         self._applied_index = snapshot.last_index
         # `compact` emptied the log if its entries do not continue the snapshot; the journal must
@@ -896,7 +677,9 @@
                 # After a restart the replica must still know that the change is committed.
                 effects += self._persist(Persist(0))
                 effects += self._on_voters_applied(now)
-        if self._snapshot_due():
+        if self._snapshots.is_due(
+            self._applied_index, is_transferring=self._replication.outgoing is not None
+        ):
             effects += self._take_snapshot()
         return effects
 
@@ -914,37 +697,18 @@
             return self._step_down(now, self.epoch)
         for voter in self.voters:
             if voter != self.local_voter:
-                self._progress.setdefault(voter, FollowerProgress(self._log.last_index + 1))
+                self._replication.progress.setdefault(voter, self._replication.new_progress())
         return []
 
-    def _snapshot_due(self) -> bool:
-        """Whether the log has grown enough, compared with the cost of a snapshot.
-
-        A transfer postpones the snapshot, because each keeps an encoded state in memory.
-        """
-        few = self._applied_index - self._snapshot_index < constants.SNAPSHOT_AFTER_ENTRIES
-        if few and self._log_bytes < constants.SNAPSHOT_AFTER_BYTES:
-            return False
-        due_at = self._snapshot_growth_bytes * (1 if self._outgoing is None else 2)
-        return self._log_bytes >= due_at
-
-    def _growth_before_snapshot(self, state_bytes: int) -> float:
-        """Differs by voter, so that they do not all write their states at the same time."""
-        by_disk = random.Random(f"{self.local_voter.disk_id} {self._snapshot_index}")
-        return state_bytes * by_disk.uniform(
-            constants.SNAPSHOT_GROWTH_MIN, constants.SNAPSHOT_GROWTH_MAX
-        )
-
     def _take_snapshot(self) -> list[Effect]:
-        snapshot = self._encode_snapshot()
-        self._snapshot_index = snapshot.last_index
-        self._log_bytes = 0
-        self._snapshot_growth_bytes = self._growth_before_snapshot(len(snapshot.state))
+        snapshot = self.encode_snapshot()
+        self._snapshots.record_snapshot(snapshot.last_index, len(snapshot.state))
         compact_to, first_blob = snapshot.last_index, snapshot.first_blob
-        if self._outgoing is not None:
+        outgoing = self._replication.outgoing
+        if outgoing is not None:
             # The followers that receive this snapshot need its blobs and the entries after it.
-            compact_to = min(compact_to, self._outgoing.snapshot.last_index)
-            first_blob = min(first_blob, self._outgoing.snapshot.first_blob)
+            compact_to = min(compact_to, outgoing.snapshot.last_index)
+            first_blob = min(first_blob, outgoing.snapshot.first_blob)
         if compact_to > self._log.base_index:
             self._log.compact(self._snapshot_metadata(compact_to))
         effects: list[Effect] = self._persist(
@@ -952,7 +716,7 @@
         )
         return [*effects, Emit(LogEvent.SNAPSHOT_TAKEN, {"index": snapshot.last_index})]
 
-    def _encode_snapshot(self) -> SnapshotRecord:
+    def encode_snapshot(self) -> SnapshotRecord:
         """Encodes the applied state as a snapshot. The result is not cached, to save memory."""
         metadata = self._snapshot_metadata(self._applied_index)
         return msgspec.structs.replace(metadata, state=msgspec.msgpack.encode(self.state))
@@ -968,29 +732,13 @@
     def _append(self, entries: list[Entry], truncate_from: int | None = None) -> list[Effect]:
         if truncate_from is not None:
             self._log.truncate_from(truncate_from)
-            last_kept = truncate_from - 1
-            self._durable_index = min(self._durable_index, last_kept)
-            for write_id, index in self._last_index_by_write.items():
-                self._last_index_by_write[write_id] = min(index, last_kept)
+            self._writes.truncate(truncate_from - 1)
         self._log.append(entries)
-        self._log_bytes += self._log.bytes_after(self._log.last_index - len(entries))
+        self._snapshots.log_bytes += self._log.bytes_after(self._log.last_index - len(entries))
         return self._persist(Persist(0, truncate_from=truncate_from, entries=entries))
 
     def _persist_hard_state(self) -> list[Effect]:
         return self._persist(Persist(0, hard_state=HardState(self.epoch, self._voted_for)))
 
     def _persist(self, write: Persist) -> list[Effect]:
-        """Returns the write with its id and the current commit index filled in."""
-        self._last_write_id += 1
-        self._last_index_by_write[self._last_write_id] = self._log.last_index
-        commit_index = self._commit_index
-        return [
-            msgspec.structs.replace(write, write_id=self._last_write_id, commit_index=commit_index)
-        ]
-
-    def _when_durable(self, effects: list[Effect]) -> list[Effect]:
-        """Defers effects until every write issued so far is durable."""
-        if self._durable_write_id >= self._last_write_id:
-            return effects
-        self._deferred_effects += [(self._last_write_id, effect) for effect in effects]
-        return []
+        return self._writes.persist(write, self._log.last_index, self._commit_index)
--- a/tests/test_ledger_driver.py
+++ b/tests/test_ledger_driver.py
@@ -95,7 +95,7 @@
             self.assertEqual(LogEvent.INTERNAL_FAULT, emit.call_args.args[0])
             driver._run([Persist(1, truncate_from=9, snapshot=self.snapshot(8))])
             async with asyncio.timeout(TIMEOUT_S):
-                while driver.replica._durable_write_id < 1:
+                while driver.replica._writes.durable_write_id < 1:
                     await asyncio.sleep(0.02)
             driver.stop()
 
@@ -124,7 +124,7 @@
                 driver._run([Persist(4, truncate_from=9, snapshot=self.snapshot(8))])
                 driver._run([Persist(5, entries=self.entries(9, 9))])
                 async with asyncio.timeout(TIMEOUT_S):
-                    while driver.replica._durable_write_id < 5:
+                    while driver.replica._writes.durable_write_id < 5:
                         await asyncio.sleep(0.02)
             driver.stop()
             recovered = LedgerStorage(self.storage._folder).recover()
--- a/tests/test_ledger_files.py
+++ b/tests/test_ledger_files.py
@@ -405,9 +405,13 @@
             driver._handle_message(
                 "b", AppendRequest(1, leader, installed, 1, after, installed, 5001)
             )
-            awaited = driver.replica._last_write_id
+            writes = driver.replica._writes
+            awaited = writes.last_write_id
             async with asyncio.timeout(TIMEOUT_S):
-                while driver.replica._durable_write_id < awaited or driver._snapshot_writer.busy:
+                while (
+                    driver.replica._writes.durable_write_id < awaited
+                    or driver._snapshot_writer.busy
+                ):
                     await asyncio.sleep(0.02)
             driver.stop()
 
