The ledger's leader orders samplers by the peak of open items

A service with autoscale kept the samplers it began with.

Calls share the caller of usage reports: order windows, fence, rate.

--- a/stileloom/api/dialect.py
+++ b/stileloom/api/dialect.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from stileloom.api.duties import DutyCall, DutyHolder, UsageReport
+from stileloom.api.duties import CapacityOrder, DutyCall, DutyHolder, UsageReport
 from stileloom.api.headers import HeaderNames
 from stileloom.api.jobs import JobSubmission, ResultPage
 from stileloom.api.object_store import ObjectRecord
@@ -143,5 +143,8 @@
     def usage_call(self, report: UsageReport, holder: DutyHolder) -> DutyCall:
         """Encodes a usage report; the same report always has the same bytes."""
 
+    def capacity_call(self, order: CapacityOrder, holder: DutyHolder) -> DutyCall:
+        """Encodes an order of samplers."""
+
     def removal_status(self, finished: bool) -> Any:
         """Returns the status of a request to retire a ledger node."""
--- a/stileloom/api/duties.py
+++ b/stileloom/api/duties.py
@@ -1,4 +1,4 @@
-"""Calls that one node at a time makes to the operator's accounting service."""
+"""Calls that one node at a time makes to the operator's service."""
 
 from __future__ import annotations
 
@@ -14,6 +14,14 @@
     """Requests that samplers began in the window, by tenant."""
 
 
+class CapacityOrder(msgspec.Struct, frozen=True):
+    """The number of samplers of a service that are to run in a zone."""
+
+    service: str
+    zone: str
+    samplers: int
+
+
 class DutyHolder(msgspec.Struct, frozen=True):
     """The node that makes a call, and its fencing token."""
 
--- a/stileloom/api/routes.py
+++ b/stileloom/api/routes.py
@@ -61,12 +61,27 @@
     """Tokens per stream event."""
 
 
+class Autoscale(msgspec.Struct, frozen=True):
+    """How many samplers of a service may be ordered, and what they cost."""
+
+    min_samplers: int
+    """In each zone."""
+    max_samplers: int
+    """In each zone."""
+    boot_s: float = 0.0
+    """Time from an order until a new sampler serves."""
+    zone_prices: dict[str, float] = {}
+    """Price of a second of a sampler, by zone in which the service runs."""
+
+
 class Service(msgspec.Struct, frozen=True):
     """A service: a set of samplers that serve the same requests."""
 
     name: str
     max_connections: int
     engine: Engine | None = None
+    autoscale: Autoscale | None = None
+    """None if the number of its samplers is fixed."""
 
 
 class IngressLimits(msgspec.Struct, frozen=True):
--- a/stileloom/daemon/leadership.py
+++ b/stileloom/daemon/leadership.py
@@ -15,6 +15,7 @@
 from stileloom.daemon.ledger_driver import LedgerDriver
 from stileloom.daemon.object_watch import ObjectWatcher
 from stileloom.duties.caller import DutyCaller
+from stileloom.duties.capacity import CapacityDuty
 from stileloom.duties.usage import UsageDuty
 from stileloom.errors import StileloomError
 from stileloom.events import LogEvent
@@ -110,35 +111,51 @@
         self._tasks = BackgroundTasks(log)
         self.usage: UsageAuthority | None = None
         """Set if usage is reported."""
-        if settings.duties is not None and window_clock is not None:
-            self._start_usage_duty(settings, settings.duties, window_clock, earliest_order_at)
+        if settings.duties is not None:
+            self._start_duties(
+                settings, settings.duties, directory, window_clock, earliest_order_at
+            )
         for work in (versions.run(), removals.run(), self._run_removals(), self._run_expiry()):
             self._tasks.spawn(work)
 
-    def _start_usage_duty(
+    def _start_duties(
         self,
         settings: ServiceSettings,
         duties: DutySettings,
-        window_clock: WindowClock,
+        directory: Directory,
+        window_clock: WindowClock | None,
         earliest_order_at: float,
     ) -> None:
-        state = self._driver.state
+        driver, dialect, log = self._driver, self._dialect, self._log
+        window = OrderWindow(settings.node_id, driver, settings.switches.order_windows)
+        caller = DutyCaller(
+            split_address(duties.address), duties.calls_per_s, window, earliest_order_at, log
+        )
+        holder = DutyHolder(settings.node_id, self.epoch)
+        if duties.orders_capacity:
+            capacity = CapacityDuty(
+                holder,
+                directory.routes,
+                directory.samplers,
+                self.runner.scheduler,
+                driver,
+                caller,
+                dialect,
+                log,
+            )
+            self._tasks.spawn(capacity.run())
+        if window_clock is None:
+            return
+        registry = driver.state.usage
         self.usage = UsageAuthority(
-            lambda: state.usage,
+            lambda: registry,
             window_clock,
             duties.usage_window_s,
             duties.usage_due_s,
             steady_time(),
         )
-        window = OrderWindow(settings.node_id, self._driver, settings.switches.order_windows)
-        caller = DutyCaller(
-            split_address(duties.address), duties.calls_per_s, window, earliest_order_at, self._log
-        )
-        holder = DutyHolder(settings.node_id, self.epoch)
-        duty = UsageDuty(
-            holder, state.usage, self.usage, self._driver, caller, self._dialect, self._log
-        )
-        self._tasks.spawn(duty.run())
+        usage = UsageDuty(holder, registry, self.usage, driver, caller, dialect, log)
+        self._tasks.spawn(usage.run())
 
     def stop(self) -> None:
         """Stops all work of this term."""
--- a/stileloom/http/native_dialect.py
+++ b/stileloom/http/native_dialect.py
@@ -19,7 +19,7 @@
     ReadResults,
     SamplerReport,
 )
-from stileloom.api.duties import DutyCall, DutyHolder, UsageReport
+from stileloom.api.duties import CapacityOrder, DutyCall, DutyHolder, UsageReport
 from stileloom.api.headers import HeaderNames
 from stileloom.api.jobs import JobItem, JobSubmission, ResultPage
 from stileloom.api.object_store import ObjectRecord
@@ -33,6 +33,7 @@
 REPORT_TARGET = "/v1/report"
 ORDER_TARGET = "/v1/load-order"
 USAGE_TARGET = "/v1/usage"
+CAPACITY_TARGET = "/v1/capacity"
 HOLDER_HEADER = "Stileloom-Holder"
 FENCE_HEADER = "Stileloom-Fence"
 
@@ -136,14 +137,22 @@
 
     def usage_call(self, report: UsageReport, holder: DutyHolder) -> DutyCall:
         """Implements `Dialect`."""
-        headers = [(HOLDER_HEADER, holder.node_id), (FENCE_HEADER, str(holder.fence))]
-        return DutyCall("POST", USAGE_TARGET, headers, msgspec.json.encode(report))
+        return _duty_call(USAGE_TARGET, report, holder)
+
+    def capacity_call(self, order: CapacityOrder, holder: DutyHolder) -> DutyCall:
+        """Implements `Dialect`."""
+        return _duty_call(CAPACITY_TARGET, order, holder)
 
     def removal_status(self, finished: bool) -> Any:
         """Implements `Dialect`."""
         return msgspec.to_builtins(RemovalStatus(finished))
 
 
+def _duty_call(target: str, body: UsageReport | CapacityOrder, holder: DutyHolder) -> DutyCall:
+    headers = [(HOLDER_HEADER, holder.node_id), (FENCE_HEADER, str(holder.fence))]
+    return DutyCall("POST", target, headers, msgspec.json.encode(body))
+
+
 def _number_argument(query_arguments: dict[str, list[str]], name: str) -> float:
     text = query_arguments.get(name, ["0"])[0]
     try:
--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -188,6 +188,14 @@
         """Whether the sampler may run items of the model."""
         return self._shares.serves(sampler_id, model)
 
+    def open_items_of(self, service: str) -> int:
+        """Counts the items of a service that run or wait for a run."""
+        return sum(
+            1
+            for item in self.items.values()
+            if item.service == service and not item.finished and not item.partial.whole
+        )
+
     # Planning.
 
     def waiting_items(self, model: str) -> list[OpenItem]:
--- a/stileloom/service_settings.py
+++ b/stileloom/service_settings.py
@@ -40,6 +40,8 @@
     """Calls per second that the service takes from all nodes together."""
     usage_window_s: NotNegative = 0.0
     """Length of the windows of usage reports; 0 disables the reports."""
+    orders_capacity: bool = True
+    """Whether samplers are ordered for services with `autoscale`."""
     usage_due_s: Positive = 10.0
     """Time after the end of a window by which its report is due."""
 
