A pause is not taken for a slow sampler, and no text is expected beyond its limit

Items close to the limit of their output were expected to go on for half as long again and moved at event 141 of 145.

Gaps that overlap a load are not measured, others count as four intervals at most; what remains is capped by the limit that the item names. The three tests fail on the code before.

--- a/stileloom/jobs/intake.py
+++ b/stileloom/jobs/intake.py
@@ -22,7 +22,7 @@
     if hint is not None and limit is not None:
         hint = min(hint, limit)
     expected = hint if hint is not None else ItemSize().expected_tokens
-    return ItemSize(expected, prompt or 0.0)
+    return ItemSize(expected, prompt or 0.0, limit if limit is not None else float("inf"))
 
 
 def reusable_results(
--- a/stileloom/jobs/model_versions.py
+++ b/stileloom/jobs/model_versions.py
@@ -15,6 +15,8 @@
     versions: dict[str, int] = msgspec.field(default_factory=dict)
     loading: str | None = None
     """The model that is being loaded, if any."""
+    load_ended_at: float = float("-inf")
+    """When the last load was seen to have ended, in monotonic seconds."""
 
     def record_version(self, model: str, version: int) -> None:
         """Records an observed version."""
--- a/stileloom/jobs/open_items.py
+++ b/stileloom/jobs/open_items.py
@@ -27,6 +27,8 @@
 
     expected_tokens: float = DEFAULT_EXPECTED_TOKENS
     prompt_tokens: float = 0.0
+    max_tokens: float = float("inf")
+    """Limit of the output."""
 
 
 class OpenItem(msgspec.Struct):
@@ -46,6 +48,8 @@
     adopted_at: float
     deadline: float
     tenant: str = ""
+    max_tokens: float = float("inf")
+    """Limit of the output; generation stops there."""
     reused: bool = False
     """Whether an earlier job contained the item."""
     partial: PartialText = msgspec.field(default_factory=PartialText)
--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -48,6 +48,9 @@
 MIN_EVENTS_PER_SAVE = 5
 """Number of unsaved events at which an item is saved to the ledger."""
 INTERVAL_EWMA_WEIGHT = 0.2
+MAX_INTERVAL_GROWTH = 4.0
+"""A longer gap counts as this multiple of the interval: a run whose memory was taken away pauses
+without its sampler being slow."""
 MAX_RETAINED_TEXTS = 2000
 
 TenantItem = tuple[str, str]
@@ -128,6 +131,7 @@
                 adopted_at=now,
                 deadline=now + max_wait_s,
                 tenant=submission.tenant,
+                max_tokens=size.max_tokens,
                 reused=tenant_item in self._seen_items,
                 partial=partial,
                 finished=item.item_id in reused_results,
@@ -373,15 +377,21 @@
         if run.events == 0:
             self._samplers.record_success(run.sampler_id)
         else:
-            stats = self.stats(run.sampler_id)
-            stats.measured = True
-            interval_s = now - run.last_event_at
-            stats.interval_s += (
-                INTERVAL_EWMA_WEIGHT * (interval_s - stats.interval_s) / max(1, stats.running)
-            )
+            self._measure_interval(open_item.model, run, now)
         run.events += 1
         run.last_event_at = now
 
+    def _measure_interval(self, model: str, run: ItemRun, now: float) -> None:
+        """Updates a sampler's event interval; a pause for a load says nothing about its speed."""
+        models = self.models_of(run.sampler_id)
+        if models.loading == model or run.last_event_at <= models.load_ended_at:
+            return
+        stats = self.stats(run.sampler_id)
+        stats.measured = True
+        interval_s = min(now - run.last_event_at, stats.interval_s * MAX_INTERVAL_GROWTH)
+        weight = INTERVAL_EWMA_WEIGHT / max(1, stats.running)
+        stats.interval_s += weight * (interval_s - stats.interval_s)
+
     def end_run(self, open_item: OpenItem, avoid: bool = False) -> None:
         """Ends a run; with `avoid` the item prefers any other sampler for its next run."""
         run = open_item.run
--- a/stileloom/jobs/start_order.py
+++ b/stileloom/jobs/start_order.py
@@ -15,14 +15,15 @@
 
 REMAINING_TO_GENERATED_RATIO = 0.5
 """Minimum estimate of the remaining output, as a fraction of the generated one. Lengths have heavy
-tails: what is longer than expected goes on for about half as long."""
+tails: what is longer than expected goes on for about half as long, within its limit."""
 
 
 def remaining_events(item: OpenItem) -> float:
     """Estimates how many events the rest of an item's text has."""
     generated = len(item.partial.parts)
     expected = item.expected_tokens / item.tokens_per_event
-    return max(expected - generated, generated * REMAINING_TO_GENERATED_RATIO)
+    most = max(0.0, item.max_tokens / item.tokens_per_event - generated)
+    return min(most, max(expected - generated, generated * REMAINING_TO_GENERATED_RATIO))
 
 
 def latest_start(item: OpenItem, interval_s: float) -> float:
--- a/stileloom/jobs/weight_loader.py
+++ b/stileloom/jobs/weight_loader.py
@@ -75,6 +75,7 @@
                 await self._await_version(load)
         finally:
             models.loading = None
+            models.load_ended_at = steady_time()
 
     async def _send_order(self, load: Load) -> OrderOutcome:
         sampler = self._samplers.get(load.sampler_id)
--- a/tests/test_item_scheduler.py
+++ b/tests/test_item_scheduler.py
@@ -169,6 +169,40 @@
             (item,) = fixture.scheduler.items.values()
             self.assertEqual(events_left, fixture.scheduler.events_left(item))
 
+    def test_an_item_is_not_expected_to_exceed_the_limit_of_its_output(self) -> None:
+        fixture = SchedulerFixture(entry("a"))
+        fixture.adopt(record("j", 1), sizes={"j-i0": ItemSize(500.0, max_tokens=5000.0)})
+        (item,) = fixture.scheduler.items.values()
+        for number in range(1, 91):
+            item.partial.add(number, "x", 1)
+        self.assertEqual(10.0, fixture.scheduler.events_left(item))
+
+    def test_a_sampler_that_loaded_weights_is_not_taken_for_slow(self) -> None:
+        fixture = SchedulerFixture(entry("a"))
+        fixture.adopt(record("j", 1))
+        fixture.starts()
+        (item,) = fixture.scheduler.items.values()
+        models = fixture.scheduler.models_of("a")
+        for number in range(1, 5):
+            fixture.scheduler.record_event(item, number * 0.05)
+        models.loading = "m"
+        fixture.scheduler.record_event(item, 1.2)
+        models.loading, models.load_ended_at = None, 1.25
+        fixture.scheduler.record_event(item, 1.3)
+        fixture.scheduler.record_event(item, 1.35)
+        self.assertAlmostEqual(0.05, fixture.scheduler.stats("a").interval_s, places=2)
+
+    def test_a_run_that_paused_once_does_not_make_its_sampler_slow(self) -> None:
+        fixture = SchedulerFixture(entry("a"))
+        fixture.adopt(record("j", 1))
+        fixture.starts()
+        (item,) = fixture.scheduler.items.values()
+        for number in range(1, 40):
+            fixture.scheduler.record_event(item, number * 0.05)
+        before = fixture.scheduler.stats("a").interval_s
+        fixture.scheduler.record_event(item, 39 * 0.05 + 1.2)
+        self.assertLess(fixture.scheduler.stats("a").interval_s, 2 * before)
+
     def test_a_moved_run_does_not_come_back_while_another_sampler_has_room(self) -> None:
         fixture = SchedulerFixture(entry("a"), entry("b"))
         fixture.adopt(record("j", 1))
@@ -316,5 +350,6 @@
     def test_a_length_hint_is_capped_by_the_token_limit(self) -> None:
         names = NativeDialect().names
         headers = {names.token_usage: "540,400", names.length_hint: "39450"}
-        self.assertEqual(ItemSize(400.0, 540.0), item_size(headers, names))
-        self.assertEqual(ItemSize(200.0, 540.0), item_size({names.token_usage: "540,400"}, names))
+        self.assertEqual(ItemSize(400.0, 540.0, 400.0), item_size(headers, names))
+        limited = {names.token_usage: "540,400"}
+        self.assertEqual(ItemSize(200.0, 540.0, 400.0), item_size(limited, names))
