As many samplers load a version ahead of its use as half of a job needs

Every sampler of a model loaded every version, which pauses or moves its runs and is paid beyond one trainer's share. The next job's longest items start first, on samplers that are ready; the others have loaded by the time the shorter ones start. A sampler that skips a version loads half as often.

--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -79,6 +79,8 @@
         self._shares = SamplerShares(self.models_of)
         self._retained_texts: dict[TenantItem, PartialText] = {}
         self._seen_items: set[TenantItem] = set()
+        self.items_per_job: dict[str, int] = {}
+        """Number of items of the last adopted job, by model."""
 
     # Jobs.
 
@@ -138,6 +140,7 @@
                 saved_parts=len(partial.parts) if saved is not None else 0,
             )
             self._seen_items.add(tenant_item)
+        self.items_per_job[submission.model] = len(submission.items)
         self._shares.set_demand(
             submission.model,
             sum(sizes.get(item.item_id, ItemSize()).expected_tokens for item in items),
--- a/stileloom/jobs/version_planner.py
+++ b/stileloom/jobs/version_planner.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
 from stileloom.api.dialect import LoadStrategy
@@ -21,6 +23,12 @@
 MIN_CONCURRENT_LOADS = 2
 LOAD_DELAY_S = 0.4
 """Delay of loads after an announcement, so that items of its step can arrive and start first."""
+READY_ITEM_SHARE = 0.5
+"""Samplers load a version ahead of its use until they have slots for this share of a job's items.
+
+The next job's longest items start first, on these samplers; the others have loaded by the time the
+shorter ones start. A sampler that skips a version this way loads half as often.
+"""
 MAX_EVACUATED_SLOT_SHARE = 0.4
 """A sampler's runs are moved before a load if they use at most this fraction of its slots."""
 
@@ -41,6 +49,23 @@
     """Runs to move to other samplers before the load."""
 
 
+class _Candidate(msgspec.Struct, frozen=True):
+    """A possible load."""
+
+    load: Load
+    is_required: bool
+    """Whether waiting items require the version."""
+    version: int
+    """The version that the sampler has."""
+    running: int
+    """Runs of the model on the sampler."""
+
+    @property
+    def order(self) -> tuple[bool, int, int, str]:
+        """Required loads first, then the samplers that can serve the fewest jobs."""
+        return (not self.is_required, self.version, self.running, self.load.sampler_id)
+
+
 class VersionPlanner:
     """Tracks the target version of each model and plans loads."""
 
@@ -76,23 +101,49 @@
             for sampler in samplers
             if self._scheduler.models_of(sampler.entry.sampler_id).loading is not None
         )
-        candidates: list[tuple[int, int, Load]] = []
+        candidates: list[_Candidate] = []
         for model in models:
             candidates += self._candidates(now, service, model, model in single_version_models)
-        candidates.sort(key=lambda entry: (entry[0], entry[1], entry[2].sampler_id))
+        candidates.sort(key=lambda candidate: candidate.order)
+        spare_loads = {model: self._loads_ahead(service, model) for model in models}
         chosen: list[Load] = []
         reserved_slots = 0
-        for _, _, load in candidates:
+        for candidate in candidates:
+            load = candidate.load
             if loading + len(chosen) >= self._max_loads(len(samplers)):
                 break
+            if not candidate.is_required and spare_loads[load.model] <= 0:
+                continue
             # Candidates were checked independently; together they may need more slots than free.
             if load.evacuate and not self._has_free_slots(load, now, reserved_slots):
                 continue
             self._scheduler.models_of(load.sampler_id).loading = load.model
             reserved_slots += len(load.evacuate)
+            spare_loads[load.model] -= 1
             chosen.append(load)
         return chosen
 
+    def _loads_ahead(self, service: str, model: str) -> int:
+        """How many samplers may load the target before an item requires it."""
+        target = self.targets.get(model, 0)
+        serving = [
+            sampler
+            for sampler in self._samplers.of_service(service)
+            if self._scheduler.serves(sampler.entry.sampler_id, model)
+        ]
+        items = self._scheduler.items_per_job.get(model)
+        if items is None or not serving:
+            return len(serving)
+        slots = max(1, serving[0].entry.slots)
+        needed = math.ceil(items * READY_ITEM_SHARE / slots)
+        ready = sum(1 for sampler in serving if self._is_ready(sampler, model, target))
+        return needed - ready
+
+    def _is_ready(self, sampler: TrackedSampler, model: str, version: int) -> bool:
+        """Whether a sampler has a version or is loading it."""
+        models = self._scheduler.models_of(sampler.entry.sampler_id)
+        return models.loading == model or models.versions.get(model, 0) >= version
+
     def _max_loads(self, samplers: int) -> int:
         return max_concurrent_loads(samplers) if self._switches.parallel_loads else 1
 
@@ -104,12 +155,12 @@
 
     def _candidates(
         self, now: float, service: str, model: str, single_version: bool
-    ) -> list[tuple[int, int, Load]]:
-        """Returns possible loads, each with its rank and the number of runs on its sampler."""
+    ) -> list[_Candidate]:
+        """Returns possible loads."""
         target = self.targets.get(model, 0)
         waiting = self._scheduler.waiting_items(model)
         required_version = max((item.min_version for item in waiting), default=0)
-        candidates: list[tuple[int, int, Load]] = []
+        candidates: list[_Candidate] = []
         for sampler in self._samplers.of_service(service):
             sampler_id = sampler.entry.sampler_id
             models = self._scheduler.models_of(sampler_id)
@@ -124,11 +175,10 @@
                 now, sampler, model, target, version < required_version, bool(waiting)
             )
             if load is not None:
-                rank = 0 if version < required_version else 1
                 running = self._scheduler.running_on(sampler_id, model)
                 if load.strategy is LoadStrategy.RETAIN and single_version:
                     load = msgspec.structs.replace(load, strategy=LoadStrategy.WAIT)
-                candidates.append((rank, running, load))
+                candidates.append(_Candidate(load, version < required_version, version, running))
         return candidates
 
     def _plan_load(
--- a/tests/test_item_scheduler.py
+++ b/tests/test_item_scheduler.py
@@ -301,6 +301,36 @@
         fixture.planner.set_target("m", 2, 0.0)
         self.assertEqual(9, len(fixture.loads(LOAD_DELAY_S + 0.1)))
 
+    def test_as_many_samplers_load_ahead_as_half_of_a_job_needs(self) -> None:
+        fixture = SchedulerFixture(*(entry(f"s{number:02}", slots=4) for number in range(24)))
+        fixture.adopt(record("j", 40))
+        fixture.planner.set_target("m", 2, 0.0)
+        fixture.scheduler.remove_job("j")
+        self.assertEqual(5, len(fixture.loads(LOAD_DELAY_S + 0.1)))
+        self.assertEqual([], fixture.loads(LOAD_DELAY_S + 0.2))
+
+    def test_samplers_that_skipped_a_version_load_the_next_one_first(self) -> None:
+        versions = {"a": 3, "b": 2, "c": 3, "d": 2}
+        fixture = SchedulerFixture(
+            *(entry(name, slots=2, versions={"m": held}) for name, held in versions.items())
+        )
+        fixture.adopt(record("j", 8))
+        fixture.planner.set_target("m", 4, 0.0)
+        fixture.scheduler.remove_job("j")
+        self.assertEqual(["b", "d"], [load[0] for load in fixture.loads(LOAD_DELAY_S + 0.1)])
+
+    def test_all_samplers_load_a_version_that_waiting_items_require(self) -> None:
+        fixture = SchedulerFixture(*(entry(f"s{number}") for number in range(4)))
+        fixture.adopt(record("j", 2, min_version=2))
+        fixture.planner.set_target("m", 2, 0.0)
+        first = fixture.loads(0.0)
+        self.assertEqual(2, len(first))
+        for load in first:
+            models = fixture.scheduler.models_of(load[0])
+            models.loading = None
+            models.record_version("m", 2)
+        self.assertEqual(2, len(fixture.loads(0.1)))
+
     def test_concurrent_evacuations_do_not_use_the_same_free_slots(self) -> None:
         """Guards against evacuations that together exceed the free slots."""
         fixture = SchedulerFixture(*(entry(name, slots=5) for name in "abcdefghij"))
