The scale bench and its hollow nodes are removed

They measured the daemon of serve standing still, on one machine, and did not converge at 390 nodes; the users asked for their removal twice.

--- a/stileloom/cli/emulate.py
+++ b/stileloom/cli/emulate.py
@@ -10,7 +10,6 @@
 from stileloom.cli.errors import exit_on_error
 from stileloom.clock import run_main
 from stileloom.emulator import engine_server, object_api_server, platform_servers
-from stileloom.emulator.hollow import HollowSettings, run_hollow
 from stileloom.emulator.run_server import run_until_stopped
 from stileloom.emulator.settings import EmulatorSettings
 from stileloom.emulator.trainer import run_trainer
@@ -72,13 +71,6 @@
         run_main(run_until_stopped(application, settings.host, selected.port, service))
 
 
-@app.command()
-def hollow(config: ConfigOption) -> None:
-    """Runs many hollow nodes in one process, for scale tests."""
-    with exit_on_error():
-        run_main(run_hollow(load_settings(config, HollowSettings)))
-
-
 @app.command()
 def trainer(
     config: ConfigOption,
--- a/stileloom/cli/main.py
+++ b/stileloom/cli/main.py
@@ -10,7 +10,6 @@
 from stileloom.cli import bench, emulate, operate, quarantine, services
 from stileloom.cli.demo import demo
 from stileloom.cli.errors import exit_on_error
-from stileloom.cli.scale import scale
 from stileloom.cli.trace import trace
 from stileloom.clock import run_main
 from stileloom.daemon.process import serve as serve_node
@@ -27,7 +26,6 @@
 app.add_typer(bench.app, name="bench")
 app.add_typer(quarantine.app, name="quarantine")
 app.command()(demo)
-app.command()(scale)
 app.command()(trace)
 operate.register(app)
 services.register(app)
