--- a/stileloom/daemon/leadership.py
+++ b/stileloom/daemon/leadership.py
@@ -16,6 +16,7 @@
 from stileloom.daemon.object_watch import ObjectWatcher
 from stileloom.duties.caller import DutyCaller
 from stileloom.duties.capacity import CapacityDuty
+from stileloom.duties.metrics import DutyMetrics
 from stileloom.duties.usage import UsageDuty
 from stileloom.errors import StileloomError
 from stileloom.events import LogEvent
@@ -59,6 +60,7 @@
         rng: random.Random,
         earliest_order_at: float,
         window_clock: WindowClock | None,
+        duty_metrics: DutyMetrics,
     ) -> None:
         self.epoch = driver.replica.epoch
         self.runner = JobRunner(
@@ -85,6 +87,7 @@
         self._driver = driver
         self._quarantine_service = quarantine
         self._log = log
+        self._duty_metrics = duty_metrics
         self._removal_finished: dict[str, bool] = {}
         """Whether the removal has been reported as finished, by node id."""
         for tracked in directory.samplers.all():
@@ -129,7 +132,12 @@
         driver, dialect, log = self._driver, self._dialect, self._log
         window = OrderWindow(settings.node_id, driver, settings.switches.order_windows)
         caller = DutyCaller(
-            split_address(duties.address), duties.calls_per_s, window, earliest_order_at, log
+            split_address(duties.address),
+            duties.calls_per_s,
+            window,
+            earliest_order_at,
+            log,
+            self._duty_metrics,
         )
         holder = DutyHolder(settings.node_id, self.epoch)
         if duties.orders_capacity:
--- a/stileloom/daemon/ledger_node.py
+++ b/stileloom/daemon/ledger_node.py
@@ -23,6 +23,7 @@
 from stileloom.daemon.process_metrics import ProcessMetrics
 from stileloom.daemon.signals import handle_signals
 from stileloom.daemon.store_cache import StoreCache
+from stileloom.duties.metrics import DutyMetrics
 from stileloom.events import LogEvent
 from stileloom.jobs.job_admission import JobAdmission
 from stileloom.jobs.job_ages import JobAges
@@ -64,6 +65,7 @@
         self._log = EventLog(settings.node_id)
         self._metrics_registry = CollectorRegistry()
         self._metrics = JobMetrics(self._metrics_registry)
+        self._duty_metrics = DutyMetrics(self._metrics_registry)
         process_metrics = ProcessMetrics(self._metrics_registry, self._log)
         self._cached_store = CachedObjectStore(
             store,
@@ -154,6 +156,7 @@
             lambda: replica.follower_lag,
         )
         self._driver = driver
+        self._duty_metrics.observe_unsent(lambda: len(driver.state.usage.unsent))
         self._service = JobService(
             _CallAddressLedger(driver, settings.calls_port),
             self._quarantine_service,
@@ -284,6 +287,7 @@
             self._rng,
             self._earliest_order_at(driver.state),
             self._window_clock,
+            self._duty_metrics,
         )
         self._service.usage = self._leadership.usage
         self._service.runner = self._leadership.runner
--- a/stileloom/duties/caller.py
+++ b/stileloom/duties/caller.py
@@ -7,6 +7,7 @@
 
 from stileloom.api.duties import DutyCall
 from stileloom.clock import steady_time
+from stileloom.duties.metrics import DutyMetrics
 from stileloom.events import LogEvent
 from stileloom.http1.caller import NotSent, send_request
 from stileloom.http1.pool import ConnectionPool
@@ -43,6 +44,7 @@
         window: OrderWindow,
         earliest_at: float,
         log: EventLog,
+        metrics: DutyMetrics,
     ) -> None:
         """`earliest_at` is when no call of an earlier holder can still count against this one."""
         self._address = address
@@ -50,11 +52,12 @@
         self._window = window
         self._earliest_at = earliest_at
         self._log = log
+        self._metrics = metrics
         self._pool = ConnectionPool()
         self._last_call_at = float("-inf")
 
-    async def call(self, call: DutyCall, detail: dict[str, object]) -> DutyOutcome:
-        """Makes a call; `detail` are log fields that say what it is about."""
+    async def call(self, duty: str, call: DutyCall, detail: dict[str, object]) -> DutyOutcome:
+        """Makes a call of a duty; `detail` are log fields that say what it is about."""
         now = steady_time()
         if now < self._earliest_at:
             return DutyOutcome.NOT_SENT
@@ -63,7 +66,8 @@
             return DutyOutcome.NOT_SENT
         self._last_call_at = steady_time()
         outcome, status = await self._send(call)
-        fields = {**detail, "outcome": outcome.value, "status": status}
+        self._metrics.calls.labels(duty, outcome.value).inc()
+        fields = {"duty": duty, **detail, "outcome": outcome.value, "status": status}
         self._log.emit(LogEvent.DUTY_CALLED, fields)
         return outcome
 
--- a/stileloom/duties/capacity.py
+++ b/stileloom/duties/capacity.py
@@ -19,6 +19,7 @@
 from stileloom.proxy.route_table import RouteTable
 from stileloom.proxy.sampler_table import SamplerTable
 
+DUTY = "capacity"
 STEP_INTERVAL_S = 0.2
 RETRY_DELAY_S = 0.4
 
@@ -54,7 +55,7 @@
             for order in self._due_orders():
                 outcome = await self._send(order)
                 if outcome is DutyOutcome.CONFLICT:
-                    fields: dict[str, object] = {"duty": "capacity", "fence": self._holder.fence}
+                    fields: dict[str, object] = {"duty": DUTY, "fence": self._holder.fence}
                     self._log.emit(LogEvent.DUTY_LOST, fields)
                     return
                 if outcome in (DutyOutcome.UNKNOWN, DutyOutcome.REFUSED):
@@ -95,13 +96,12 @@
     async def _send(self, order: CapacityOrder) -> DutyOutcome:
         call = self._dialect.capacity_call(order, self._holder)
         detail: dict[str, object] = {
-            "duty": "capacity",
             "service": order.service,
             "zone": order.zone,
             "samplers": order.samplers,
             "fence": self._holder.fence,
         }
-        outcome = await self._caller.call(call, detail)
+        outcome = await self._caller.call(DUTY, call, detail)
         if outcome in (DutyOutcome.ACCEPTED, DutyOutcome.UNKNOWN):
             acknowledged_at = steady_time() if outcome is DutyOutcome.ACCEPTED else None
             self._planners[order.service].record(order, acknowledged_at)
--- a/stileloom/duties/usage.py
+++ b/stileloom/duties/usage.py
@@ -16,6 +16,7 @@
 from stileloom.metering.authority import UsageAuthority
 from stileloom.metering.book import UsageRegistry
 
+DUTY = "usage"
 STEP_INTERVAL_S = 0.2
 RETRY_DELAY_S = 0.4
 
@@ -54,7 +55,7 @@
                 # Leadership was lost for a moment or for good; what is committed stays.
                 continue
             if outcome is DutyOutcome.CONFLICT:
-                fields: dict[str, object] = {"duty": "usage", "fence": self._holder.fence}
+                fields: dict[str, object] = {"duty": DUTY, "fence": self._holder.fence}
                 self._log.emit(LogEvent.DUTY_LOST, fields)
                 return
             if outcome in (DutyOutcome.UNKNOWN, DutyOutcome.REFUSED):
@@ -77,12 +78,8 @@
             return None
         report = UsageReport(window, self._registry.unsent[window])
         call = self._dialect.usage_call(report, self._holder)
-        detail: dict[str, object] = {
-            "duty": "usage",
-            "window": window,
-            "fence": self._holder.fence,
-        }
-        outcome = await self._caller.call(call, detail)
+        detail: dict[str, object] = {"window": window, "fence": self._holder.fence}
+        outcome = await self._caller.call(DUTY, call, detail)
         if outcome is DutyOutcome.ACCEPTED:
             await self._ledger.propose(MarkUsageSent(window))
         return outcome
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -9,6 +9,7 @@
 from prometheus_client import CollectorRegistry
 
 from stileloom.daemon.process_metrics import ProcessMetrics
+from stileloom.duties.metrics import DutyMetrics
 from stileloom.errors import ERROR_RESPONSES, ErrorKind
 from stileloom.events import LogEvent
 from stileloom.http.metrics import Metric
@@ -35,6 +36,7 @@
     ProxyMetrics(registry)
     QuarantineMetrics(registry)
     JobMetrics(registry)
+    DutyMetrics(registry)
     ProcessMetrics(registry, EventLog("n"))
     return {family.name: family.documentation for family in registry.collect()}
 
--- a/tests/test_metering.py
+++ b/tests/test_metering.py
@@ -9,6 +9,7 @@
 
 import msgspec
 import testtools
+from prometheus_client import CollectorRegistry
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 from tornado.netutil import bind_sockets
@@ -16,6 +17,7 @@
 from stileloom.api.duties import DutyHolder
 from stileloom.clock import steady_time
 from stileloom.duties.caller import DutyCaller
+from stileloom.duties.metrics import DutyMetrics
 from stileloom.duties.usage import UsageDuty
 from stileloom.errors import ErrorKind, StileloomError
 from stileloom.http.native_dialect import FENCE_HEADER, NativeDialect
@@ -272,6 +274,7 @@
                 OrderWindow("node", ledger),
                 steady_time() + earliest_in_s,
                 EventLog("node"),
+                DutyMetrics(CollectorRegistry()),
             )
             holder = DutyHolder("node", fence)
             duty = UsageDuty(
