Comparisons of two logs belong to the log

The replica asked its log entry by entry where the leader's differs; LedgerLog answers both questions now. Behaviour is unchanged, the ledger's tests and specifications pass.

--- a/stileloom/ledger/log.py
+++ b/stileloom/ledger/log.py
@@ -90,6 +90,24 @@
         del self._sizes[index - self.base_index - 1 :]
         self._voter_changes = [change for change in self._voter_changes if change.index < index]
 
+    def missing(self, entries: list[Entry]) -> list[Entry]:
+        """The entries from the first one on that the log lacks or holds with another epoch."""
+        for position, entry in enumerate(entries):
+            if entry.index > self.base_index and self.epoch_at(entry.index) != entry.epoch:
+                return entries[position:]
+        return []
+
+    def conflict_hint(self, previous: int, commit_index: int) -> int:
+        """The `previous_index` that the leader should try after it differed at `previous`.
+
+        The index before the first entry of the conflicting epoch, but not below the commit index.
+        """
+        hint = min(previous - 1, self.last_index)
+        conflicting = self.epoch_at(previous)
+        while hint > commit_index and self.epoch_at(hint) == conflicting:
+            hint -= 1
+        return max(hint, commit_index)
+
     def compact(self, snapshot: SnapshotRecord) -> None:
         """Replaces the log up to the snapshot's last index with the snapshot."""
         keep_from = snapshot.last_index - self.base_index
--- a/stileloom/ledger/replica.py
+++ b/stileloom/ledger/replica.py
@@ -581,7 +581,7 @@
         # Entries covered by the snapshot are committed and therefore match the leader's log.
         compacted = previous < self._log.base_index
         if not compacted and self._log.epoch_at(previous) != message.previous_epoch:
-            hint = self._conflict_hint(previous)
+            hint = self._log.conflict_hint(previous, self._commit_index)
             reply = AppendReply(self.epoch, self.local_voter, False, hint, message.nonce)
             return effects + self._writes.when_durable([Send(message.leader.node_id, reply)])
         match_index = previous + len(message.entries)
@@ -592,28 +592,13 @@
         reply = AppendReply(self.epoch, self.local_voter, True, match_index, message.nonce)
         return effects + self._writes.when_durable([Send(message.leader.node_id, reply)])
 
-    def _conflict_hint(self, previous: int) -> int:
-        """The `previous_index` that the leader should try next.
-
-        The index before the first entry of the conflicting epoch, but not below the commit index.
-        """
-        hint = min(previous - 1, self._log.last_index)
-        conflicting = self._log.epoch_at(previous)
-        while hint > self._commit_index and self._log.epoch_at(hint) == conflicting:
-            hint -= 1
-        return max(hint, self._commit_index)
-
     def _append_missing_entries(self, entries: list[Entry]) -> list[Effect]:
         """Appends the entries that the log lacks; truncates the log from a conflicting entry on."""
-        for position, entry in enumerate(entries):
-            if entry.index <= self._log.base_index:
-                continue
-            local_epoch = self._log.epoch_at(entry.index)
-            if local_epoch == entry.epoch:
-                continue
-            truncate = entry.index if local_epoch is not None else None
-            return self._append(entries[position:], truncate_from=truncate)
-        return []
+        missing = self._log.missing(entries)
+        if not missing:
+            return []
+        conflicts = missing[0].index <= self._log.last_index
+        return self._append(missing, truncate_from=missing[0].index if conflicts else None)
 
     def _on_snapshot_request(self, now: float, message: SnapshotRequest) -> list[Effect]:
         if message.epoch < self.epoch:
