A fence that was overtaken is not used again when the lease is regained

A leader whose lease lapses for a moment starts its work again in the same epoch, so with the same fence; a duty that had stopped for a higher fence would have called again. The process remembers fences that were refused. The start of duties has a module of its own, which daemon/leadership.py had grown by.

--- a/stileloom/daemon/leadership.py
+++ b/stileloom/daemon/leadership.py
@@ -10,29 +10,21 @@
 from stileloom.api.duties import DutyHolder
 from stileloom.api.object_store import ObjectEvent, ObjectRecord, ObjectStore
 from stileloom.background import BackgroundTasks
-from stileloom.clock import steady_time
 from stileloom.daemon.directory import Directory
+from stileloom.daemon.leader_duties import DutyDependencies, LeaderDuties
 from stileloom.daemon.ledger_driver import LedgerDriver
 from stileloom.daemon.object_watch import ObjectWatcher
-from stileloom.duties.caller import DutyCaller
-from stileloom.duties.capacity import CapacityDuty
-from stileloom.duties.metrics import DutyMetrics
-from stileloom.duties.usage import UsageDuty
 from stileloom.errors import StileloomError
 from stileloom.events import LogEvent
 from stileloom.jobs.job_ages import JobAges
 from stileloom.jobs.metrics import JobMetrics
-from stileloom.jobs.order_window import OrderWindow
 from stileloom.jobs.runner import JobRunner, RunnerDependencies
 from stileloom.ledger.commands import RetireNode
 from stileloom.logging import EventLog
-from stileloom.metering.authority import UsageAuthority
-from stileloom.metering.window_clock import WindowClock
 from stileloom.proxy.forwarder import Forwarder
 from stileloom.quarantine.authority import QuarantineService
 from stileloom.quarantine.guard import QuarantineGuard
-from stileloom.service_settings import DutySettings, ServiceSettings
-from stileloom.settings_file import split_address
+from stileloom.service_settings import ServiceSettings
 
 VERSIONS_BATCH_DELAY_S = 0.1
 REMOVALS_BATCH_DELAY_S = 0.5
@@ -59,8 +51,7 @@
         metrics: JobMetrics,
         rng: random.Random,
         earliest_order_at: float,
-        window_clock: WindowClock | None,
-        duty_metrics: DutyMetrics,
+        duty_dependencies: DutyDependencies,
     ) -> None:
         self.epoch = driver.replica.epoch
         self.runner = JobRunner(
@@ -87,7 +78,6 @@
         self._driver = driver
         self._quarantine_service = quarantine
         self._log = log
-        self._duty_metrics = duty_metrics
         self._removal_finished: dict[str, bool] = {}
         """Whether the removal has been reported as finished, by node id."""
         for tracked in directory.samplers.all():
@@ -112,62 +102,24 @@
             rng,
         )
         self._tasks = BackgroundTasks(log)
-        self.usage: UsageAuthority | None = None
-        """Set if usage is reported."""
-        if settings.duties is not None:
-            self._start_duties(
-                settings, settings.duties, directory, window_clock, earliest_order_at
-            )
-        for work in (versions.run(), removals.run(), self._run_removals(), self._run_expiry()):
-            self._tasks.spawn(work)
-
-    def _start_duties(
-        self,
-        settings: ServiceSettings,
-        duties: DutySettings,
-        directory: Directory,
-        window_clock: WindowClock | None,
-        earliest_order_at: float,
-    ) -> None:
-        driver, dialect, log = self._driver, self._dialect, self._log
-        window = OrderWindow(settings.node_id, driver, settings.switches.order_windows)
-        caller = DutyCaller(
-            split_address(duties.address),
-            duties.calls_per_s,
-            window,
+        self.duties = LeaderDuties(
+            settings,
+            DutyHolder(settings.node_id, self.epoch),
             earliest_order_at,
+            driver,
+            directory,
+            self.runner.scheduler,
+            dialect,
             log,
-            self._duty_metrics,
+            duty_dependencies,
         )
-        holder = DutyHolder(settings.node_id, self.epoch)
-        if duties.orders_capacity:
-            capacity = CapacityDuty(
-                holder,
-                directory.routes,
-                directory.samplers,
-                self.runner.scheduler,
-                driver,
-                caller,
-                dialect,
-                log,
-            )
-            self._tasks.spawn(capacity.run())
-        if window_clock is None:
-            return
-        registry = driver.state.usage
-        self.usage = UsageAuthority(
-            lambda: registry,
-            window_clock,
-            duties.usage_window_s,
-            duties.usage_due_s,
-            steady_time(),
-        )
-        usage = UsageDuty(holder, registry, self.usage, driver, caller, dialect, log)
-        self._tasks.spawn(usage.run())
+        for work in (versions.run(), removals.run(), self._run_removals(), self._run_expiry()):
+            self._tasks.spawn(work)
 
     def stop(self) -> None:
         """Stops all work of this term."""
         self._tasks.cancel()
+        self.duties.stop()
         self.runner.stop()
 
     # Versions.
--- a/stileloom/daemon/ledger_node.py
+++ b/stileloom/daemon/ledger_node.py
@@ -16,6 +16,7 @@
 from stileloom.clock import steady_time
 from stileloom.daemon.cached_store import CachedObjectStore
 from stileloom.daemon.directory import Directory
+from stileloom.daemon.leader_duties import DutyDependencies
 from stileloom.daemon.leadership import RETENTION_MARGIN_S, Leadership
 from stileloom.daemon.ledger_driver import LedgerDriver
 from stileloom.daemon.ledger_start import PeerDiscovery, open_ledger_with_retry
@@ -23,6 +24,7 @@
 from stileloom.daemon.process_metrics import ProcessMetrics
 from stileloom.daemon.signals import handle_signals
 from stileloom.daemon.store_cache import StoreCache
+from stileloom.duties.lost_fences import LostFences
 from stileloom.duties.metrics import DutyMetrics
 from stileloom.events import LogEvent
 from stileloom.jobs.job_admission import JobAdmission
@@ -65,7 +67,11 @@
         self._log = EventLog(settings.node_id)
         self._metrics_registry = CollectorRegistry()
         self._metrics = JobMetrics(self._metrics_registry)
-        self._duty_metrics = DutyMetrics(self._metrics_registry)
+        self._duty_dependencies = DutyDependencies(
+            DutyMetrics(self._metrics_registry),
+            LostFences(),
+            WindowClock(settings.usage_window_s) if settings.usage_window_s else None,
+        )
         process_metrics = ProcessMetrics(self._metrics_registry, self._log)
         self._cached_store = CachedObjectStore(
             store,
@@ -106,10 +112,6 @@
         self._reported_voters: list[Voter] = []
         self._order_windows = OrderWindows()
         self._job_ages = JobAges()
-        self._window_clock = (
-            WindowClock(settings.usage_window_s) if settings.usage_window_s else None
-        )
-        """Set if usage is reported."""
         self._ticker = Ticker(self._step, STEP_INTERVAL_S)
         self._driver: LedgerDriver | None = None
         self._service: JobService | None = None
@@ -156,7 +158,7 @@
             lambda: replica.follower_lag,
         )
         self._driver = driver
-        self._duty_metrics.observe_unsent(lambda: len(driver.state.usage.unsent))
+        self._duty_dependencies.metrics.observe_unsent(lambda: len(driver.state.usage.unsent))
         self._service = JobService(
             _CallAddressLedger(driver, settings.calls_port),
             self._quarantine_service,
@@ -230,8 +232,8 @@
     def _step(self) -> None:
         assert self._driver is not None
         self._store_cache.evict_idle()
-        if self._window_clock is not None:
-            self._window_clock.observe(steady_time(), time.time())
+        if self._duty_dependencies.window_clock is not None:
+            self._duty_dependencies.window_clock.observe(steady_time(), time.time())
         self._order_windows.observe(self._driver.state.order_windows, steady_time())
         self._job_ages.observe(self._driver.state.job_book, steady_time())
         is_active = self._driver.is_active_leader()
@@ -286,10 +288,9 @@
             self._metrics,
             self._rng,
             self._earliest_order_at(driver.state),
-            self._window_clock,
-            self._duty_metrics,
+            self._duty_dependencies,
         )
-        self._service.usage = self._leadership.usage
+        self._service.usage = self._leadership.duties.usage
         self._service.runner = self._leadership.runner
         self._log.emit(LogEvent.CONTROLLER_STARTED, {"epoch": self._leadership.epoch})
 
--- a/stileloom/duties/capacity.py
+++ b/stileloom/duties/capacity.py
@@ -12,6 +12,7 @@
 from stileloom.autoscaling.zone_plan import ZoneState
 from stileloom.clock import steady_time
 from stileloom.duties.caller import DutyCaller, DutyOutcome
+from stileloom.duties.lost_fences import LostFences
 from stileloom.events import LogEvent
 from stileloom.jobs.leader_ledger import LeaderLedger
 from stileloom.jobs.scheduler import ItemScheduler
@@ -35,6 +36,7 @@
         scheduler: ItemScheduler,
         ledger: LeaderLedger,
         caller: DutyCaller,
+        lost_fences: LostFences,
         dialect: Dialect,
         log: EventLog,
     ) -> None:
@@ -44,20 +46,22 @@
         self._scheduler = scheduler
         self._ledger = ledger
         self._caller = caller
+        self._lost_fences = lost_fences
         self._dialect = dialect
         self._log = log
         self._planners: dict[str, CapacityPlanner] = {}
 
     async def run(self) -> None:
         """Runs until cancelled, or until a holder with a higher fence is known."""
-        while True:
+        while (DUTY, self._holder.fence) not in self._lost_fences:
             await asyncio.sleep(STEP_INTERVAL_S)
             for order in self._due_orders():
                 outcome = await self._send(order)
                 if outcome is DutyOutcome.CONFLICT:
                     fields: dict[str, object] = {"duty": DUTY, "fence": self._holder.fence}
                     self._log.emit(LogEvent.DUTY_LOST, fields)
-                    return
+                    self._lost_fences.add(DUTY, self._holder.fence)
+                    break
                 if outcome in (DutyOutcome.UNKNOWN, DutyOutcome.REFUSED):
                     await asyncio.sleep(RETRY_DELAY_S)
 
--- a/stileloom/duties/usage.py
+++ b/stileloom/duties/usage.py
@@ -8,6 +8,7 @@
 from stileloom.api.duties import DutyHolder, UsageReport
 from stileloom.clock import steady_time
 from stileloom.duties.caller import DutyCaller, DutyOutcome
+from stileloom.duties.lost_fences import LostFences
 from stileloom.errors import StileloomError
 from stileloom.events import LogEvent
 from stileloom.jobs.leader_ledger import LeaderLedger
@@ -31,6 +32,7 @@
         authority: UsageAuthority,
         ledger: LeaderLedger,
         caller: DutyCaller,
+        lost_fences: LostFences,
         dialect: Dialect,
         log: EventLog,
     ) -> None:
@@ -39,12 +41,13 @@
         self._authority = authority
         self._ledger = ledger
         self._caller = caller
+        self._lost_fences = lost_fences
         self._dialect = dialect
         self._log = log
 
     async def run(self) -> None:
         """Runs until cancelled, or until a holder with a higher fence is known."""
-        while True:
+        while (DUTY, self._holder.fence) not in self._lost_fences:
             await asyncio.sleep(STEP_INTERVAL_S)
             if not self._ledger.is_active_leader():
                 continue
@@ -57,8 +60,8 @@
             if outcome is DutyOutcome.CONFLICT:
                 fields: dict[str, object] = {"duty": DUTY, "fence": self._holder.fence}
                 self._log.emit(LogEvent.DUTY_LOST, fields)
-                return
-            if outcome in (DutyOutcome.UNKNOWN, DutyOutcome.REFUSED):
+                self._lost_fences.add(DUTY, self._holder.fence)
+            elif outcome in (DutyOutcome.UNKNOWN, DutyOutcome.REFUSED):
                 await asyncio.sleep(RETRY_DELAY_S)
 
     async def _close_due_windows(self) -> None:
--- a/tests/test_metering.py
+++ b/tests/test_metering.py
@@ -17,6 +17,7 @@
 from stileloom.api.duties import DutyHolder
 from stileloom.clock import steady_time
 from stileloom.duties.caller import DutyCaller
+from stileloom.duties.lost_fences import LostFences
 from stileloom.duties.metrics import DutyMetrics
 from stileloom.duties.usage import UsageDuty
 from stileloom.errors import ErrorKind, StileloomError
@@ -256,8 +257,15 @@
     """The reports of one holder against the stand-in of the service."""
 
     def _play(
-        self, prepare: Any, until: Any, fence: int = 4, earliest_in_s: float = 0.0
+        self,
+        prepare: Any,
+        until: Any,
+        fence: int = 4,
+        earliest_in_s: float = 0.0,
+        lost_fences: LostFences | None = None,
     ) -> tuple[AccountingService, StateLedger, bool]:
+        lost_fences = lost_fences or LostFences()
+
         async def scenario() -> tuple[AccountingService, StateLedger, bool]:
             service = AccountingService()
             ledger = StateLedger()
@@ -278,7 +286,14 @@
             )
             holder = DutyHolder("node", fence)
             duty = UsageDuty(
-                holder, usage, authority, ledger, caller, NativeDialect(), EventLog("node")
+                holder,
+                usage,
+                authority,
+                ledger,
+                caller,
+                lost_fences,
+                NativeDialect(),
+                EventLog("node"),
             )
             task = asyncio.get_running_loop().create_task(duty.run())
             with contextlib.suppress(TimeoutError):
@@ -311,6 +326,15 @@
         self.assertEqual({}, service.accepted)
         self.assertEqual([200, 201], list(ledger.state.usage.unsent))
 
+    def test_a_fence_that_was_overtaken_is_not_used_again_when_the_lease_is_regained(self) -> None:
+        lost_fences = LostFences()
+        lost_fences.add("usage", 4)
+        service, _, ended = self._play(
+            lambda s, led: None, lambda s, led: bool(s.accepted), lost_fences=lost_fences
+        )
+        self.assertTrue(ended)
+        self.assertEqual({}, service.accepted)
+
     def test_a_node_that_lost_its_lead_calls_nobody(self) -> None:
         def prepare(service: AccountingService, ledger: StateLedger) -> None:
             ledger.active = False
