A leader commits alone once the other voter's disk is proved lost late

Of three ledger nodes one had retired, then the disk of one of the two voters was wiped while a command waited for it. The node came back 2 s later and its disk was proved lost, but the leader counted replicas only on replies and writes; the waiting command was older than COMMIT_TIMEOUT_S by then, so the leader neither acted nor wrote, and nothing counted again until all processes were killed. It counts once a disk is proved lost. The fault was there before; the test fails without the change for a node that is away for longer than that time, and passes for 0.2 s.

--- a/stileloom/ledger/replica.py
+++ b/stileloom/ledger/replica.py
@@ -489,7 +489,8 @@
         if self.role is not ReplicaRole.LEADER or message.learner in self.voters:
             return []
         self._voter_changes.standbys.record_hello(message.learner, now)
-        effects = self._replicate_to_standbys(now)
+        # A disk that was just proved lost may no longer be needed to commit what waits.
+        effects = self._advance_commit(now) + self._replicate_to_standbys(now)
         if message.learner not in self._replication.progress and self.is_active_leader(now):
             # A standby that hears from no leader for a while asks all nodes, and finds a successor.
             effects.append(self._announce_leader(message.learner))
--- a/tests/test_ledger_retirement.py
+++ b/tests/test_ledger_retirement.py
@@ -53,3 +53,25 @@
         voters = {voter.node_id for voter in replica.voters}
         self.assertEqual(set(), voters & set(replica.state.retired_nodes))
         self.assertEqual(4, len(voters))
+
+
+class SurvivorTest(testtools.TestCase):
+    """Two voters are left, and the disk of one is lost."""
+
+    def test_a_leader_commits_alone_although_the_lost_disk_is_proved_late(self) -> None:
+        """Guards against a leader whose waiting command keeps it from acting for good."""
+        for down_s in (0.2, constants.COMMIT_TIMEOUT_S + 1.0):
+            cluster = LedgerCluster("ab")
+            cluster.start("ab")
+            cluster.run_for(SETTLE_S)
+            leader = cluster.leader()
+            assert leader is not None
+            other = "b" if leader == "a" else "a"
+            cluster.kill(other)
+            cluster.replace_disk(other)
+            cluster.run_for(down_s)
+            returned_at = cluster.now
+            cluster.start(other)
+            cluster.run_for(SETTLE_S)
+            self.assertIsNotNone(cluster.leader())
+            self.assertGreater(cluster.committed_at[-1], returned_at)
