Mutants of the survivor, fences, capacity, intervals and loads; a test of the hysteresis

One was missed at first: the test of falling capacity allowed a decrease as soon as the peak had left its window. It asks for the delay after that as well now, which is stricter.

--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -46,6 +46,46 @@
 LEDGER_BLOBS = "tests/test_ledger_blobs.py"
 
 MUTANTS = [
+    Mutant(
+        "a leader does not count again once a disk is proved lost",
+        "two voters: the survivor goes on",
+        "stileloom/ledger/replica.py",
+        "        effects = self._advance_commit(now) + self._replicate_to_standbys(now)\n",
+        "        effects = self._replicate_to_standbys(now)\n",
+        "tests/test_ledger_retirement.py::SurvivorTest",
+    ),
+    Mutant(
+        "a fence that was overtaken is used again",
+        "fencing",
+        "stileloom/duties/usage.py",
+        "        while (DUTY, self._holder.fence) not in self._lost_fences:\n",
+        "        while True:\n",
+        "tests/test_metering.py::UsageDutyTest",
+    ),
+    Mutant(
+        "capacity falls between two steps",
+        "capacity covers the peak of open items",
+        "stileloom/autoscaling/capacity_planner.py",
+        "        return wanted if now >= since + DECREASE_DELAY_S else current\n",
+        "        return wanted\n",
+        "tests/test_autoscaling.py",
+    ),
+    Mutant(
+        "the pause of a load counts as the speed of its sampler",
+        "runs move to faster samplers only",
+        "stileloom/jobs/scheduler.py",
+        "        if models.loading == model or run.last_event_at <= models.load_ended_at:\n",
+        "        if False:\n",
+        "tests/test_item_scheduler.py",
+    ),
+    Mutant(
+        "every sampler loads every version",
+        "runs are paused for a load only where it is needed",
+        "stileloom/jobs/version_planner.py",
+        "            if not candidate.is_required and spare_loads[load.model] <= 0:\n",
+        "            if False:\n",
+        "tests/test_item_scheduler.py",
+    ),
     Mutant(
         "a key that nobody holds is accepted",
         "a request runs for the tenant that holds its key",
--- a/tests/test_autoscaling.py
+++ b/tests/test_autoscaling.py
@@ -110,7 +110,8 @@
         calm_at = 30.0
         fleet.play(DEMAND_WINDOW_S + DECREASE_DELAY_S + 5.0, 40, start=calm_at)
         first_decrease_at = min(now for now, order in fleet.sent if now > calm_at)
-        self.assertGreaterEqual(first_decrease_at, calm_at + DECREASE_DELAY_S)
+        peak_left_at = calm_at + DEMAND_WINDOW_S - STEP_S
+        self.assertGreaterEqual(first_decrease_at, peak_left_at + DECREASE_DELAY_S)
         fleet.play(20.0, 40, start=80.0)
         self.assertEqual(9, sum(fleet.listed.values()))
 
