Ledgers start on fleets with fewer disks than the voter set is meant to have

Cause: the first voter set was sealed only once 2 x losses_borne + 1 disks had joined. A fleet with four disks and two borne losses had no leader for good: callers of jobs were held until their deadline, and each waiting node read the record five times a second. Ruled out: several sealed sets, since sealing is a compare-and-swap on the same record as joining. Change: a set that gets no further voter is sealed after 4 s, or after 10 s while entries would be on fewer disks than the losses to be borne and one more; time without the store does not count. The leader adds later disks as it replaces voters. New jobs are refused at once, with a Retry-After, by a gateway that has found no leader for 3 s since its start.

--- a/stileloom/cli/operate.py
+++ b/stileloom/cli/operate.py
@@ -231,6 +231,7 @@
     console.print(
         f"leader {leader.leader}, epoch {leader.epoch}, revisions by zone {leader.zone_revisions}"
     )
+    console.print(f"ledger voters ({len(leader.voters)}): {', '.join(leader.voters)}")
     rounds = Table("round", "version", "bound", "open", "under way", "ready", "handed over")
     for row in leader.rounds:
         numbers = (row.version, row.staleness_bound, row.open_slots, row.under_way, row.ready)
--- a/stileloom/daemon/ledger_node.py
+++ b/stileloom/daemon/ledger_node.py
@@ -156,6 +156,7 @@
             lambda: replica.epoch,
             lambda: replica.commit_index,
             lambda: replica.follower_lag,
+            lambda: len(replica.voters),
         )
         self._driver = driver
         self._duty_dependencies.metrics.observe_unsent(lambda: len(driver.state.usage.unsent))
--- a/stileloom/daemon/ledger_start.py
+++ b/stileloom/daemon/ledger_start.py
@@ -9,11 +9,17 @@
 import msgspec
 
 from stileloom.api.object_store import ObjectRecord, ObjectStore
+from stileloom.clock import steady_time
 from stileloom.daemon.ledger_driver import LedgerDriver
 from stileloom.errors import ErrorKind, StileloomError
 from stileloom.events import LogEvent
 from stileloom.ledger import empty_ledger
-from stileloom.ledger.bootstrap import VoterSetRecord, join_voter_set
+from stileloom.ledger.bootstrap import (
+    IncompleteSetTimer,
+    VoterSetRecord,
+    join_voter_set,
+    seal_voter_set,
+)
 from stileloom.ledger.commands import Voter
 from stileloom.ledger.recovered import RecoveredLedger
 from stileloom.ledger.registration import LedgerRegistration, read_registrations
@@ -23,6 +29,10 @@
 
 VOTER_SET_NAME = "ledger"
 BOOTSTRAP_RETRY_S = 0.2
+MAX_BOOTSTRAP_RETRY_S = 1.0
+"""Interval of reads of a voter set that stays incomplete: with 0.2 s throughout, four nodes without
+a complete set made 400 calls to the store in 20 s."""
+BOOTSTRAP_BACKOFF = 1.25
 REGISTER_INTERVAL_S = 0.7
 DISK_RETRY_S = 0.3
 
@@ -77,7 +87,7 @@
         return OpenedLedger(identity, recovered, storage)
     voters: list[Voter] = []
     if settings.first_start:
-        voters = await agree_on_voters(store, voter_set_kind, identity, settings.voters)
+        voters = await agree_on_voters(store, voter_set_kind, identity, settings.voters, log)
     if identity not in voters:
         log.emit(LogEvent.VOTER_WITHOUT_DISK, {"disk": identity.disk_id})
     recovered = empty_ledger(voters)
@@ -86,9 +96,11 @@
 
 
 async def agree_on_voters(
-    store: ObjectStore, kind: str, local_voter: Voter, target_count: int
+    store: ObjectStore, kind: str, local_voter: Voter, target_count: int, log: EventLog
 ) -> list[Voter]:
     """Agrees on the initial voter set by compare-and-swap; retries while the store is down."""
+    timer = IncompleteSetTimer()
+    retry_s = BOOTSTRAP_RETRY_S
     while True:
         try:
             record = await store.get_object(kind, VOTER_SET_NAME)
@@ -96,18 +108,29 @@
             if current is not None and current.sealed:
                 return current.voters
             updated = join_voter_set(current, local_voter, target_count)
+            is_incomplete = False
+            if updated is None and current is not None and timer.is_due(steady_time(), current):
+                is_incomplete = True
+                updated = seal_voter_set(current)
             if updated is not None:
                 spec = msgspec.to_builtins(updated)
                 if record is None:
                     await store.create_object(kind, VOTER_SET_NAME, spec)
                 else:
                     await store.replace_object(kind, msgspec.structs.replace(record, spec=spec))
+                if is_incomplete:
+                    names = [voter.node_id for voter in updated.voters]
+                    fields: dict[str, object] = {"voters": names, "wanted": target_count}
+                    log.emit(LogEvent.VOTER_SET_INCOMPLETE, fields)
                 continue
         except StileloomError as error:
             # The object store is unavailable, or another node wrote first: read again.
-            if error.kind not in (ErrorKind.PLATFORM_UNAVAILABLE, ErrorKind.CONFLICT):
+            if error.kind is ErrorKind.PLATFORM_UNAVAILABLE:
+                timer.reset()
+            elif error.kind is not ErrorKind.CONFLICT:
                 raise
-        await asyncio.sleep(BOOTSTRAP_RETRY_S)
+        await asyncio.sleep(retry_s)
+        retry_s = min(MAX_BOOTSTRAP_RETRY_S, retry_s * BOOTSTRAP_BACKOFF)
 
 
 class PeerDiscovery:
--- a/stileloom/daemon/process.py
+++ b/stileloom/daemon/process.py
@@ -97,7 +97,7 @@
         identity = Voter(settings.node_id, uuid.uuid4().hex)
         storage.write_identity(identity)
     store = NativeObjectStore(object_api)
-    voters = await agree_on_voters(store, VOTER_SET_KIND, identity, settings.ledger.voters)
+    voters = await agree_on_voters(store, VOTER_SET_KIND, identity, settings.ledger.voters, log)
     if identity not in voters:
         log.emit(LogEvent.VOTER_WITHOUT_DISK, {"disk": identity.disk_id})
     recovered = empty_ledger(voters)
--- a/stileloom/jobs/client.py
+++ b/stileloom/jobs/client.py
@@ -28,6 +28,11 @@
 """Delay between two attempts."""
 SLOW_REPLY_S = 0.3
 """Time without a reply after which the client checks whether another node leads."""
+FIRST_LEADER_WAIT_S = 3.0
+"""Time without any leader since the start of this process after which new jobs are refused at once.
+A change of leader takes less, so its callers are still held until the next leader accepts them."""
+FIRST_LEADER_RETRY_AFTER_S = 1.0
+"""Retry hint while no leader was ever found: voters are missing, or all are unreachable."""
 RETRY_AFTER_S = 0.3
 """Retry hint to the caller if no leader answered."""
 
@@ -49,6 +54,8 @@
             nodes, self._connections, self._handle_failure, self._handle_answer
         )
         self._unresponsive: set[NodeAddress] = set()
+        self._has_found_leader = False
+        self._created_at = steady_time()
 
     async def call(self, request: JobRequest, request_id: str, timeout_s: float) -> JobReply:
         """Returns the leader's answer.
@@ -58,6 +65,8 @@
         NOT_RUN if no node can have executed the call, and UNKNOWN otherwise.
         """
         deadline = steady_time() + timeout_s
+        if isinstance(request, SubmitJobCall):
+            self._require_first_leader()
         may_have_run = False
         attempts = 0
         while (remaining_s := deadline - steady_time()) > 0:
@@ -78,6 +87,7 @@
                 raise StileloomError(ErrorKind.JOBS_FULL, reply.reason, Outcome.UNKNOWN)
             if not isinstance(reply, NotLeader | OutcomeUnknown):
                 self._nodes.leader = leader
+                self._has_found_leader = True
                 return reply
             may_have_run |= isinstance(reply, OutcomeUnknown)
             self._forget_leader(leader)
@@ -87,6 +97,16 @@
         detail = f"no ledger leader answered after {attempts} attempts"
         raise StileloomError(ErrorKind.LEDGER_UNAVAILABLE, detail, outcome, RETRY_AFTER_S)
 
+    def _require_first_leader(self) -> None:
+        """Raises LEDGER_UNAVAILABLE if no leader has answered since the start of this process."""
+        waited_s = steady_time() - self._created_at
+        if self._has_found_leader or self._nodes.leader or waited_s < FIRST_LEADER_WAIT_S:
+            return
+        detail = f"no ledger leader has answered for {waited_s:.0f} s"
+        raise StileloomError(
+            ErrorKind.LEDGER_UNAVAILABLE, detail, Outcome.NOT_RUN, FIRST_LEADER_RETRY_AFTER_S
+        )
+
     async def _find_leader(self, request_id: str, remaining_s: float) -> NodeAddress | None:
         """Returns the known leader or searches it; returns None after a pause if none is found."""
         if self._nodes.leader is not None:
--- a/stileloom/jobs/metrics.py
+++ b/stileloom/jobs/metrics.py
@@ -110,6 +110,11 @@
         self._committed = Gauge(
             "stileloom_replica_commit_index", "Committed entries at this replica", registry=registry
         )
+        self._voters = Gauge(
+            "stileloom_ledger_voters",
+            "Disks in the ledger's voter set, as this replica sees it",
+            registry=registry,
+        )
         self._lag = Gauge(
             "stileloom_replica_lag_entries",
             "Entries that the slowest follower lacks, at the leader",
@@ -122,9 +127,11 @@
         epoch: Callable[[], int],
         committed: Callable[[], int],
         lag: Callable[[], int],
+        voters: Callable[[], int],
     ) -> None:
         """Registers callbacks that read the state of the replica."""
         self._leader.set_function(lambda: float(leads()))
         self._epoch.set_function(epoch)
         self._committed.set_function(committed)
         self._lag.set_function(lag)
+        self._voters.set_function(voters)
--- a/tests/ledger_cluster.py
+++ b/tests/ledger_cluster.py
@@ -65,7 +65,9 @@
         state_bytes: int = 0,
         speeds: Speeds | None = None,
         seed: int = 1,
+        wanted: int = 0,
     ) -> None:
+        """`wanted` is the target size of the voter set, if it is not the initial one."""
         self.now = 0.0
         self.rng = random.Random(seed)
         self.speeds = speeds or Speeds()
@@ -79,7 +81,7 @@
         self.committed_at: list[float] = [0.0]
         self.leased_without_commit_s = 0.0
         """The longest time for which one node held its lease and committed nothing."""
-        self._target_voters = len(voters)
+        self._target_voters = wanted or len(voters)
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._order = 0
         self._link_free_at: dict[tuple[str, str], float] = {}
