A planning pass remembers which samplers can take which items

Cause: with 300 samplers and 2,400 open items each pass of the leader checked every pair. Ruled out: the ledger itself, which commits as long as the leader keeps its lease. Change: within a pass, samplers that accept an item are remembered by what the item requires, full ones are dropped, and runs are indexed by sampler.

--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -8,7 +8,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+import contextlib
+from collections.abc import Iterator, Mapping
 from collections.abc import Set as AbstractSet
 from types import MappingProxyType
 
@@ -25,6 +26,7 @@
     SamplerStats,
 )
 from stileloom.jobs.partial_text import PartialText
+from stileloom.jobs.planning_pass import PlanningPass
 from stileloom.jobs.registry import JobRecord
 from stileloom.jobs.sampler_shares import SamplerShares
 from stileloom.jobs.start_order import remaining_events, start_order
@@ -76,6 +78,7 @@
             sampler_id: SamplerStats(interval_s)
             for sampler_id, interval_s in (recorded_intervals_s or {}).items()
         }
+        self._pass: PlanningPass | None = None
         self._shares = SamplerShares(self.models_of)
         self._retained_texts: dict[TenantItem, PartialText] = {}
         self._seen_items: set[TenantItem] = set()
@@ -223,6 +226,10 @@
 
     def plan_starts(self, now: float, models: list[str]) -> list[PlannedRun]:
         """Selects runs to start now and counts them as running."""
+        with self.planning_pass(now):
+            return self._plan_starts(now, models)
+
+    def _plan_starts(self, now: float, models: list[str]) -> list[PlannedRun]:
         starts: list[PlannedRun] = []
         for model in models:
             for open_item in self.waiting_items(model):
@@ -234,6 +241,20 @@
                 starts.append(self._start(open_item, sampler.entry.sampler_id, now))
         return starts
 
+    @contextlib.contextmanager
+    def planning_pass(self, now: float) -> Iterator[None]:
+        """Remembers what is found out about samplers and runs; no run may end meanwhile."""
+        self._pass = PlanningPass(
+            self._samplers.of_service,
+            lambda item, sampler: self._accepts(item, sampler, now),
+            self._has_room,
+            self._has_free_slot,
+        )
+        try:
+            yield
+        finally:
+            self._pass = None
+
     def _start(self, open_item: OpenItem, sampler_id: str, now: float) -> PlannedRun:
         open_item.run = ItemRun(sampler_id, now, now)
         stats = self.stats(sampler_id)
@@ -244,28 +265,47 @@
         return PlannedRun(open_item, sampler_id, open_item.run)
 
     def _best_sampler(self, open_item: OpenItem, now: float) -> TrackedSampler | None:
-        candidates = [
+        candidates = self._candidates(open_item, now)
+        if not candidates:
+            return None
+        return min(candidates, key=lambda sampler: self._cost(open_item, sampler))
+
+    def _candidates(self, open_item: OpenItem, now: float) -> list[TrackedSampler]:
+        if self._pass is not None:
+            return self._pass.candidates(open_item)
+        return [
             sampler
             for sampler in self._samplers.of_service(open_item.service)
             if self._can_run(open_item, sampler, now)
         ]
-        if not candidates:
-            return None
-        return min(candidates, key=lambda sampler: self._cost(open_item, sampler))
 
     def _can_run(self, open_item: OpenItem, sampler: TrackedSampler, now: float) -> bool:
+        return (
+            self._has_free_slot(sampler)
+            and self._has_room(open_item, sampler)
+            and self._accepts(open_item, sampler, now)
+        )
+
+    def _has_free_slot(self, sampler: TrackedSampler) -> bool:
+        return self.stats(sampler.entry.sampler_id).running < sampler.entry.slots
+
+    def _has_room(self, open_item: OpenItem, sampler: TrackedSampler) -> bool:
+        """Whether the runs of a sampler leave memory for the item, and permit another run."""
+        stats = self.stats(sampler.entry.sampler_id)
+        if not stats.running:
+            return True
+        # After a failure one run is a probe.
+        if sampler.failures:
+            return False
+        return stats.tokens + open_item.estimated_tokens <= self._cache_tokens(open_item)
+
+    def _accepts(self, open_item: OpenItem, sampler: TrackedSampler, now: float) -> bool:
+        """Whether a sampler serves what the item requires, whatever runs there."""
         sampler_id = sampler.entry.sampler_id
         if not self.serves(sampler_id, open_item.model):
             return False
-        stats = self.stats(sampler_id)
-        if stats.running >= sampler.entry.slots or now < stats.refused_until:
-            return False
-        if sampler.avoid_until > now or (sampler.failures and stats.running):
-            # After a failure no run starts until the cooldown has passed; then one run is a probe.
-            return False
-        if stats.running and stats.tokens + open_item.estimated_tokens > self._cache_tokens(
-            open_item
-        ):
+        if now < self.stats(sampler_id).refused_until or sampler.avoid_until > now:
+            # After a failure no run starts until the cooldown has passed.
             return False
         models = self.models_of(sampler_id)
         if models.loading == open_item.model:
@@ -302,13 +342,14 @@
 
     def slow_runs(self, now: float) -> list[OpenItem]:
         """Returns runs that would finish sooner on another sampler, most remaining events first."""
-        slow = [
-            open_item
-            for open_item in self.items.values()
-            if open_item.run is not None
-            and self.models_of(open_item.run.sampler_id).loading != open_item.model
-            and self.faster_sampler(open_item, now) is not None
-        ]
+        with self.planning_pass(now):
+            slow = [
+                open_item
+                for open_item in self.items.values()
+                if open_item.run is not None
+                and self.models_of(open_item.run.sampler_id).loading != open_item.model
+                and self.faster_sampler(open_item, now) is not None
+            ]
         slow.sort(key=self.events_left, reverse=True)
         return slow
 
@@ -347,19 +388,28 @@
 
         `reserved_slots` is the number of free slots that are reserved for other runs.
         """
-        runs = [
+        runs = self._runs_on(sampler_id, model)
+        needed_slots = len(runs) + reserved_slots
+        free_slots = 0
+        samplers = self._samplers.all() if runs else []
+        if runs and self._pass is not None:
+            samplers = self._pass.with_free_slot(samplers)
+        for sampler in samplers:
+            if free_slots >= needed_slots:
+                break
+            other_id = sampler.entry.sampler_id
+            if other_id != sampler_id and all(self._can_run(item, sampler, now) for item in runs):
+                free_slots += sampler.entry.slots - self.stats(other_id).running
+        return runs if free_slots >= needed_slots else None
+
+    def _runs_on(self, sampler_id: str, model: str) -> list[OpenItem]:
+        if self._pass is not None:
+            return self._pass.runs_on(sampler_id, model, self.items.values())
+        return [
             item
             for item in self.items.values()
             if item.model == model and item.run is not None and item.run.sampler_id == sampler_id
         ]
-        free_slots = 0
-        for sampler in self._samplers.all():
-            other_id = sampler.entry.sampler_id
-            if other_id == sampler_id:
-                continue
-            if runs and all(self._can_run(item, sampler, now) for item in runs):
-                free_slots += sampler.entry.slots - self.stats(other_id).running
-        return runs if free_slots - reserved_slots >= len(runs) else None
 
     def items_to_save(self) -> list[OpenItem]:
         """Returns items with enough unsaved events to be written to the ledger."""
@@ -415,8 +465,4 @@
 
     def running_on(self, sampler_id: str, model: str) -> int:
         """Counts the runs of a model on a sampler."""
-        return sum(
-            1
-            for item in self.items.values()
-            if item.model == model and item.run is not None and item.run.sampler_id == sampler_id
-        )
+        return len(self._runs_on(sampler_id, model))
--- a/stileloom/jobs/version_planner.py
+++ b/stileloom/jobs/version_planner.py
@@ -95,6 +95,12 @@
         self, now: float, service: str, models: list[str], single_version_models: set[str]
     ) -> list[Load]:
         """Selects loads to order now and marks their samplers as loading."""
+        with self._scheduler.planning_pass(now):
+            return self._plan(now, service, models, single_version_models)
+
+    def _plan(
+        self, now: float, service: str, models: list[str], single_version_models: set[str]
+    ) -> list[Load]:
         samplers = self._samplers.of_service(service)
         loading = sum(
             1
