Load view: readings of samplers' load, with ages

No component reads the header in which samplers report their load, so a gateway balances by its own open requests, which are 0 or 1.

stileloom/load decodes the header and keeps the latest reading of each sampler's current incarnation. A reading has full weight for 0.3 s and none after 1.5 s; an older estimate equals the median of the readings of its service that have not expired. Nothing uses the view yet.

--- /dev/null
+++ b/stileloom/load/view.py
@@ -0,0 +1,186 @@
+"""What a process knows about the load of samplers. Performs no I/O.
+
+Handles uneven and changing speeds of samplers: each gateway alone sees few responses, so a reading
+counts by its age and gives way to the median of the service once it is old.
+"""
+
+from __future__ import annotations
+
+import math
+import statistics
+
+import msgspec
+
+from stileloom.api.sampler_directory import SamplerEntry
+from stileloom.load.readings import LoadReading
+
+FULL_WEIGHT_S = 0.3
+"""Age up to which a reading has full weight; slowness changes several times a second."""
+EXPIRY_S = 1.5
+"""Age from which a reading has no weight."""
+IN_USE_S = 10.0
+"""How long a fourth figure of a sampler keeps the view in use for its service."""
+PRUNE_INTERVAL_S = 1.0
+USUAL_SLOWNESS = 1.0
+
+
+class LoadEstimate(msgspec.Struct, frozen=True):
+    """Expected load of a sampler."""
+
+    occupancy: float
+    """Running and waiting requests for each slot, decayed with age towards that of the service."""
+    slowness: float
+    """Decayed with age towards the median of the service."""
+    age_s: float
+    """Age of the sampler's reading; inf if nothing is known."""
+    shared: bool
+    """Whether another node measured the reading."""
+
+
+class MeasuredReading(msgspec.Struct, frozen=True):
+    """The latest reading of a sampler's current incarnation."""
+
+    entry: SamplerEntry
+    reading: LoadReading
+    measured_at: float
+    shared: bool
+
+
+class _ServiceLoad(msgspec.Struct, frozen=True):
+    """Medians of the readings of a service that have not expired."""
+
+    computed_at: float
+    occupancy: float
+    slowness: float
+
+
+def weight_at(age_s: float) -> float:
+    """Weight of a reading of this age, from 1 to 0."""
+    return min(1.0, max(0.0, (EXPIRY_S - age_s) / (EXPIRY_S - FULL_WEIGHT_S)))
+
+
+class LoadView:
+    """The latest reading of each sampler, with its age."""
+
+    def __init__(self) -> None:
+        self._measured: dict[str, MeasuredReading] = {}
+        self._latest_start_ms: dict[str, int] = {}
+        """Latest start time by sampler id, kept after a removal: an earlier process may still
+        respond to requests that it received before."""
+        self._slowness_reported_at: dict[str, float] = {}
+        """When a sampler of a service last reported a fourth figure, by service."""
+        self._service_loads: dict[str, _ServiceLoad] = {}
+        self._pruned_at = -math.inf
+
+    def record(
+        self,
+        entry: SamplerEntry,
+        reading: LoadReading,
+        measured_at: float,
+        now: float,
+        shared: bool = False,
+    ) -> None:
+        """Records a reading, unless a newer one or one of a later incarnation is known."""
+        self._prune(now)
+        if not self._is_current(entry):
+            return
+        measured_at = min(measured_at, now)
+        service = entry.service
+        if reading.slowness is not None:
+            reported_at = self._slowness_reported_at.get(service, -math.inf)
+            self._slowness_reported_at[service] = max(reported_at, measured_at)
+        known = self._measured.get(entry.sampler_id)
+        if known is not None and known.measured_at > measured_at:
+            return
+        self._measured[entry.sampler_id] = MeasuredReading(entry, reading, measured_at, shared)
+        self._service_loads.pop(service, None)
+
+    def is_in_use(self, service: str, now: float) -> bool:
+        """Whether a sampler of the service reported a fourth figure in the last 10 s."""
+        return now - self._slowness_reported_at.get(service, -math.inf) <= IN_USE_S
+
+    def estimate(self, entry: SamplerEntry, now: float) -> LoadEstimate:
+        """Expected load of a sampler now."""
+        service = self._service_load(entry.service, now)
+        known = self.latest(entry)
+        if known is None:
+            return LoadEstimate(service.occupancy, service.slowness, math.inf, False)
+        age_s = max(0.0, now - known.measured_at)
+        weight = weight_at(age_s)
+        slowness = known.reading.slowness
+        if slowness is None:
+            slowness = service.slowness
+        return LoadEstimate(
+            weight * known.reading.occupancy + (1 - weight) * service.occupancy,
+            weight * slowness + (1 - weight) * service.slowness,
+            age_s,
+            known.shared,
+        )
+
+    def remove(self, sampler_id: str) -> None:
+        """Forgets the reading of a sampler that was removed or restarted."""
+        known = self._measured.pop(sampler_id, None)
+        if known is not None:
+            self._service_loads.pop(known.entry.service, None)
+
+    def on_listed(self, entry: SamplerEntry) -> None:
+        """Notes the incarnation that the directory lists; readings of earlier ones are dropped."""
+        self._is_current(entry)
+
+    def latest(self, entry: SamplerEntry) -> MeasuredReading | None:
+        """The latest reading of this incarnation, whatever its age."""
+        known = self._measured.get(entry.sampler_id)
+        if known is None or known.entry.incarnation != entry.incarnation:
+            return None
+        return known
+
+    def unexpired(self, now: float) -> list[MeasuredReading]:
+        """All readings that have not expired."""
+        return [known for known in self._measured.values() if now - known.measured_at < EXPIRY_S]
+
+    def has_full_or_slow_sampler(self, service: str, now: float) -> bool:
+        """Whether a reading that has not expired shows a full or slow sampler of the service."""
+        return any(
+            known.reading.is_full or known.reading.is_slow
+            for known in self.unexpired(now)
+            if known.entry.service == service
+        )
+
+    def _is_current(self, entry: SamplerEntry) -> bool:
+        """Whether no later incarnation is known; drops what is known of an earlier one."""
+        latest_start_ms = self._latest_start_ms.get(entry.sampler_id)
+        if latest_start_ms is not None and entry.born_ms < latest_start_ms:
+            return False
+        if latest_start_ms != entry.born_ms:
+            self._latest_start_ms[entry.sampler_id] = entry.born_ms
+            self.remove(entry.sampler_id)
+        return True
+
+    def _service_load(self, service: str, now: float) -> _ServiceLoad:
+        load = self._service_loads.get(service)
+        if load is None or load.computed_at != now:
+            readings = [
+                known.reading for known in self.unexpired(now) if known.entry.service == service
+            ]
+            occupancies = [reading.occupancy for reading in readings]
+            slownesses = [reading.slowness for reading in readings if reading.slowness is not None]
+            load = _ServiceLoad(
+                now,
+                statistics.median(occupancies) if occupancies else 0.0,
+                statistics.median(slownesses) if slownesses else USUAL_SLOWNESS,
+            )
+            self._service_loads[service] = load
+        return load
+
+    def _prune(self, now: float) -> None:
+        """Drops readings without weight, also of samplers that responded after their removal."""
+        if now < self._pruned_at + PRUNE_INTERVAL_S:
+            return
+        self._pruned_at = now
+        expired = [
+            sampler_id
+            for sampler_id, known in self._measured.items()
+            if now - known.measured_at > IN_USE_S
+        ]
+        for sampler_id in expired:
+            self.remove(sampler_id)
--- /dev/null
+++ b/tests/test_load_view.py
@@ -0,0 +1,154 @@
+"""What a process knows about the load of samplers, in virtual time."""
+
+from __future__ import annotations
+
+import math
+
+import testtools
+
+from stileloom.api.sampler_directory import SamplerEntry
+from stileloom.load import LoadReading, LoadView, decode_load
+
+
+def entry(sampler_id: str, born_ms: int = 1, service: str = "lookups") -> SamplerEntry:
+    """A listed sampler with 6 slots."""
+    return SamplerEntry(sampler_id, service, ("10.0.0.1", 1), "a", 6, False, {}, born_ms)
+
+
+def reading(running: int = 0, slowness: float | None = 1.0, waiting: int = 0) -> LoadReading:
+    """A reading of a sampler with 6 slots."""
+    return LoadReading(running, waiting, 6, slowness)
+
+
+class DecodeLoadTest(testtools.TestCase):
+    """Headers are written by other programs, so a wrong one must not count as a load."""
+
+    def test_three_and_four_figures(self) -> None:
+        self.assertEqual(LoadReading(3, 0, 8, None), decode_load("3,0,8"))
+        self.assertEqual(LoadReading(3, 1, 8, 2.5), decode_load(" 3, 1, 8, 250 "))
+
+    def test_malformed_headers(self) -> None:
+        malformed = [
+            "", "3", "3,0", "3,0,8,", ",0,8", "3,0,8,100,1", "3,0,8, 3,0,8", "-1,0,8", "+1,0,8",
+            "3,0,0", "3,0,8,0", "3,0,8,-5", "3,0,8,nan", "3,0,8,1e3", "3,0,8,2.5", "3;0;8",
+            "3,0,99999", "3,0,8,99999", "9" * 5000 + ",0,8", "٣,0,8", "1_0,0,8", "3,0,8\x00",
+        ]  # fmt: skip
+        for header in malformed:
+            self.assertIsNone(decode_load(header), header[:20])
+
+
+class LoadViewTest(testtools.TestCase):
+    """Readings by age and incarnation."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.view = LoadView()
+
+    def test_nothing_known(self) -> None:
+        estimate = self.view.estimate(entry("a"), 5.0)
+        self.assertEqual((0.0, 1.0, math.inf, False), (
+            estimate.occupancy, estimate.slowness, estimate.age_s, estimate.shared,
+        ))  # fmt: skip
+
+    def test_weight_falls_from_0_3_to_1_5_s(self) -> None:
+        """Guards against placement by figures that no longer hold."""
+        for at, slowness, name in ((10.0, 3.0, "a"), (11.4, 1.0, "b"), (11.4, 1.0, "c")):
+            self.view.record(entry(name), reading(6 if name == "a" else 0, slowness), at, at)
+        # At 10.9 s the median of a alone is 3, so ages are compared once b and c are known.
+        self.view.record(entry("a"), reading(6, 3.0), 11.4, 11.4)
+        for age_s, weight in ((0.0, 1.0), (0.3, 1.0), (0.9, 0.5), (1.2, 0.25)):
+            estimate = self.view.estimate(entry("a"), 11.4 + age_s)
+            self.assertAlmostEqual(weight, estimate.occupancy)
+            self.assertAlmostEqual(1.0 + 2.0 * weight, estimate.slowness)
+            self.assertAlmostEqual(age_s, estimate.age_s)
+
+    def test_expired_reading_equals_the_median_of_the_service(self) -> None:
+        self.view.record(entry("a"), reading(6, 3.0), 10.0, 10.0)
+        for name, slowness in (("b", 1.0), ("c", 1.2), ("d", 2.0)):
+            self.view.record(entry(name), reading(3, slowness), 11.4, 11.4)
+        self.view.record(entry("x", service="other"), reading(6, 9.0), 11.4, 11.4)
+        estimate = self.view.estimate(entry("a"), 11.5)
+        self.assertAlmostEqual(1.2, estimate.slowness)
+        self.assertAlmostEqual(0.5, estimate.occupancy)
+        self.assertEqual(1.2, self.view.estimate(entry("unknown"), 11.5).slowness)
+        # Once all have expired, nothing is known of the service.
+        estimate = self.view.estimate(entry("b"), 13.0)
+        self.assertEqual((0.0, 1.0), (estimate.occupancy, estimate.slowness))
+
+    def test_newer_reading_replaces_an_older_one(self) -> None:
+        """Responses may arrive in another order than the one in which they were measured."""
+        self.view.record(entry("a"), reading(1), 10.1, 10.1)
+        self.view.record(entry("a"), reading(5), 10.0, 10.2, shared=True)
+        self.assertAlmostEqual(1 / 6, self.view.estimate(entry("a"), 10.2).occupancy)
+        self.view.record(entry("a"), reading(5), 10.2, 10.2, shared=True)
+        estimate = self.view.estimate(entry("a"), 10.2)
+        self.assertAlmostEqual(5 / 6, estimate.occupancy)
+        self.assertTrue(estimate.shared)
+
+    def test_reading_from_the_future_counts_from_now(self) -> None:
+        """A wrong time must not keep a reading for ever."""
+        self.view.record(entry("a"), reading(5), 1000.0, 10.0)
+        self.assertEqual(0.0, self.view.estimate(entry("a"), 10.0).age_s)
+        self.view.record(entry("a"), reading(1), 10.5, 10.5)
+        self.assertAlmostEqual(1 / 6, self.view.estimate(entry("a"), 10.5).occupancy)
+
+    def test_restart_of_a_sampler_begins_a_new_record(self) -> None:
+        self.view.record(entry("a", 1), reading(6, 3.0), 10.0, 10.0)
+        self.assertEqual(math.inf, self.view.estimate(entry("a", 2), 10.0).age_s)
+        # Measured before the last reading of the earlier process, as ages of shared ones may say.
+        self.view.record(entry("a", 2), reading(1, 1.0), 9.9, 10.1, shared=True)
+        self.assertAlmostEqual(1 / 6, self.view.estimate(entry("a", 2), 10.1).occupancy)
+
+    def test_late_reading_of_an_earlier_incarnation_is_dropped(self) -> None:
+        self.view.record(entry("a", 2), reading(1), 10.0, 10.0)
+        self.view.record(entry("a", 1), reading(6, 3.0), 10.1, 10.1)
+        self.assertAlmostEqual(1 / 6, self.view.estimate(entry("a", 2), 10.1).occupancy)
+
+    def test_late_reading_after_the_directory_removed_and_listed_the_sampler(self) -> None:
+        """The earlier process may respond between its restart and the first new reading."""
+        self.view.record(entry("a", 1), reading(6, 3.0), 10.0, 10.0)
+        self.view.remove("a")
+        self.view.on_listed(entry("a", 2))
+        self.view.on_listed(entry("a", 1))
+        self.view.record(entry("a", 1), reading(6, 3.0), 20.1, 20.1)
+        self.assertEqual(1.0, self.view.estimate(entry("a", 2), 20.1).slowness)
+        self.assertEqual([], self.view.unexpired(20.1))
+        self.assertFalse(self.view.is_in_use("lookups", 20.1))
+
+    def test_removal(self) -> None:
+        self.view.record(entry("a"), reading(6, 3.0), 10.0, 10.0)
+        self.view.remove("a")
+        self.view.remove("never seen")
+        self.assertEqual(math.inf, self.view.estimate(entry("a"), 10.0).age_s)
+        self.assertFalse(self.view.has_full_or_slow_sampler("lookups", 10.0))
+
+    def test_in_use_from_a_fourth_figure_for_10_s(self) -> None:
+        self.view.record(entry("a"), reading(6, None), 10.0, 10.0)
+        self.assertFalse(self.view.is_in_use("lookups", 10.0))
+        self.view.record(entry("a"), reading(6, 1.0), 10.1, 10.1)
+        self.view.record(entry("a"), reading(6, None), 10.2, 10.2)
+        self.assertTrue(self.view.is_in_use("lookups", 10.1))
+        self.assertTrue(self.view.is_in_use("lookups", 20.0))
+        self.assertFalse(self.view.is_in_use("lookups", 20.2))
+        self.assertFalse(self.view.is_in_use("other", 10.1))
+
+    def test_full_or_slow(self) -> None:
+        cases = [
+            (reading(5, 1.49), False),
+            (reading(6, 1.0), True),
+            (reading(0, 1.0, waiting=1), True),
+            (reading(0, 1.5), True),
+            (reading(0, None), False),
+        ]
+        for figures, expected in cases:
+            view = LoadView()
+            view.record(entry("a"), figures, 10.0, 10.0)
+            self.assertEqual(expected, view.has_full_or_slow_sampler("lookups", 10.0), figures)
+            self.assertFalse(view.has_full_or_slow_sampler("lookups", 11.5), figures)
+
+    def test_memory_is_bounded_by_the_samplers_of_the_last_seconds(self) -> None:
+        """Samplers may respond after their removal, when nobody removes them again."""
+        for number in range(1000):
+            at = 10.0 + number
+            self.view.record(entry(f"s-{number}"), reading(), at, at)
+        self.assertLessEqual(len(self.view._measured), 12)
