Load view: record the responses of samplers

The load view had no sources. The forwarder (lookups, reward calls), the stream relay and the streams of items now record the load in the head of each response and refusal, with the time at which the head was received. Heads of another process at the address (421, another request id) do not count. One view per process (SamplerAccess.load); the directory removes samplers from it and names new incarnations.

--- a/stileloom/daemon/gateway.py
+++ b/stileloom/daemon/gateway.py
@@ -10,6 +10,7 @@
 
 from stileloom.api.dialect import Dialect
 from stileloom.api.object_store import ObjectStore
+from stileloom.api.sampler_directory import SamplerEntry
 from stileloom.background import BackgroundTasks
 from stileloom.clock import steady_time
 from stileloom.daemon.cached_store import CachedObjectStore, ledger_node_addresses
@@ -22,6 +23,7 @@
 from stileloom.events import LogEvent
 from stileloom.jobs.client import JobClient
 from stileloom.jobs.leader_search import LedgerNodes
+from stileloom.load import LoadView
 from stileloom.logging import EventLog
 from stileloom.metering.meter import UsageMeter
 from stileloom.metering.reporter import UsageReporter
@@ -94,6 +96,7 @@
             self._usage_reporter = UsageReporter(
                 settings.node_id, self._usage_meter, self._jobs, self._rng
             )
+        self._load = LoadView()
         access = SamplerAccess(
             settings.zone,
             self.directory.samplers,
@@ -103,9 +106,11 @@
             self._rng,
             self._guard,
             self._count_run,
+            self._load,
         )
         self._forwarder = Forwarder(access, switches.hedging)
         self._relay = StreamRelay(access)
+        self.directory.on_sampler_listed = self._on_sampler_listed
         self.directory.on_sampler_unlisted = self._on_sampler_unlisted
         self._job_calls = JobCalls(dialect, self._jobs, self._log, switches.kept_results)
         self.front = GatewayServer(
@@ -215,7 +220,11 @@
     def _has_open_work(self) -> bool:
         return self.front.open_requests > 0 or self._job_calls.pending_ends > 0
 
+    def _on_sampler_listed(self, entry: SamplerEntry) -> None:
+        self._load.on_listed(entry)
+
     def _on_sampler_unlisted(self, sampler_id: str) -> None:
+        self._load.remove(sampler_id)
         self._forwarder.close_connections(sampler_id)
         self._relay.close_connections(sampler_id)
 
--- a/stileloom/daemon/ledger_node.py
+++ b/stileloom/daemon/ledger_node.py
@@ -36,6 +36,7 @@
 from stileloom.ledger.order_windows import OrderWindows
 from stileloom.ledger.state import LedgerState
 from stileloom.ledger.wire import Sender
+from stileloom.load import LoadView
 from stileloom.logging import EventLog
 from stileloom.metering.window_clock import WindowClock
 from stileloom.proxy.forwarder import Forwarder
@@ -96,6 +97,7 @@
             QuarantineMetrics(self._metrics_registry),
             attempt_metrics.connection_opened,
         )
+        self._load = LoadView()
         access = SamplerAccess(
             settings.zone,
             self._directory.samplers,
@@ -104,6 +106,7 @@
             attempt_metrics,
             self._rng,
             self._guard,
+            load=self._load,
         )
         self._forwarder = Forwarder(access, switches.hedging)
         self._directory.on_sampler_listed = self._on_sampler_listed
@@ -313,10 +316,12 @@
         self._log.emit(LogEvent.CONTROLLER_STOPPED, {"reason": reason})
 
     def _on_sampler_listed(self, entry: SamplerEntry) -> None:
+        self._load.on_listed(entry)
         if self._leadership is not None:
             self._leadership.runner.on_sampler_listed(entry.sampler_id, entry.model_versions)
 
     def _on_sampler_unlisted(self, sampler_id: str) -> None:
+        self._load.remove(sampler_id)
         self._forwarder.close_connections(sampler_id)
         if self._leadership is not None:
             self._leadership.runner.on_sampler_removed(sampler_id)
--- a/stileloom/http1/buffered_response.py
+++ b/stileloom/http1/buffered_response.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from stileloom.clock import steady_time
 from stileloom.http1.connection import ExchangeEnd
 from stileloom.http1.response_decoder import ResponseHead
 
@@ -14,6 +15,8 @@
     def __init__(self) -> None:
         self.done: asyncio.Future[ExchangeEnd] = asyncio.get_running_loop().create_future()
         self.head: ResponseHead | None = None
+        self.head_at = 0.0
+        """When the head was received, in monotonic seconds."""
         self._parts: list[bytes] = []
 
     @property
@@ -29,6 +32,7 @@
     def on_head(self, head: ResponseHead) -> None:
         """Implements `ExchangeSink`."""
         self.head = head
+        self.head_at = steady_time()
 
     def on_body(self, data: bytes) -> None:
         """Implements `ExchangeSink`."""
--- a/stileloom/jobs/item_runs.py
+++ b/stileloom/jobs/item_runs.py
@@ -13,12 +13,15 @@
 from stileloom.events import LogEvent
 from stileloom.http1.connection import SamplerConnection
 from stileloom.http1.pool import ConnectionPool
+from stileloom.http1.response_decoder import ResponseHead
 from stileloom.jobs.item_request import encode_item_request
 from stileloom.jobs.item_stream import ItemStream, RunOutcome
 from stileloom.jobs.metrics import JobMetrics
 from stileloom.jobs.open_items import ItemKey, ItemRun, OpenItem, PlannedRun
 from stileloom.jobs.scheduler import ItemScheduler
 from stileloom.jobs.suspect_items import SuspectItems
+from stileloom.load import LoadView
+from stileloom.load.recording import record_response_load
 from stileloom.logging import EventLog
 from stileloom.proxy.sampler_table import SamplerTable
 
@@ -56,6 +59,7 @@
         tasks: BackgroundTasks,
         log: EventLog,
         metrics: JobMetrics,
+        load: LoadView,
     ) -> None:
         """`may_send` is checked before each send: the process may have been suspended."""
         self._scheduler = scheduler
@@ -69,6 +73,7 @@
         self._tasks = tasks
         self._log = log
         self._metrics = metrics
+        self._load = load
         self._connections: dict[ItemKey, SamplerConnection] = {}
 
     def __len__(self) -> int:
@@ -146,6 +151,7 @@
             self._names,
             lambda _: self._on_event(open_item, run),
             lambda outcome, detail: self._on_run_ended(start, entry, outcome, detail),
+            lambda head: self._record_load(entry, head),
         )
         self._connections[open_item.key] = connection
         self._metrics.runs_started.inc()
@@ -158,6 +164,10 @@
         )
         connection.exchange(request, stream)
 
+    def _record_load(self, entry: SamplerEntry, head: ResponseHead) -> None:
+        now = steady_time()
+        record_response_load(self._load, entry, head.headers, self._names, now, now)
+
     def _on_event(self, open_item: OpenItem, run: ItemRun) -> None:
         if open_item.run is not run:
             return
--- a/stileloom/jobs/item_stream.py
+++ b/stileloom/jobs/item_stream.py
@@ -41,7 +41,9 @@
         names: HeaderNames,
         on_event: Callable[[int], None],
         on_outcome: Callable[[RunOutcome, str], None],
+        on_sampler_head: Callable[[ResponseHead], None] = lambda head: None,
     ) -> None:
+        """`on_sampler_head` receives the head if the addressed sampler sent it for this item."""
         self.version = 0
         self._item_id = item_id
         self._partial = partial
@@ -49,6 +51,7 @@
         self._names = names
         self._on_event = on_event
         self._on_outcome = on_outcome
+        self._on_sampler_head = on_sampler_head
         self._parser = EventStreamParser(names.versions)
         self._head: ResponseHead | None = None
         self._ended = False
@@ -58,7 +61,10 @@
         self._head = head
         if head.headers.get(self._names.request_id, self._item_id) != self._item_id:
             self._finish(RunOutcome.BROKEN, "answer to another request")
-        elif head.status == 200:
+            return
+        if head.status != 421:
+            self._on_sampler_head(head)
+        if head.status == 200:
             text = head.headers.get(self._names.versions, "").strip()
             if not text.isdecimal():
                 self._finish(RunOutcome.BROKEN, "response has no weight version")
--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -133,6 +133,7 @@
             self._tasks,
             log,
             metrics,
+            dependencies.forwarder.load,
         )
         self._writer = ResultWriter(
             registry, ledger, self.scheduler, self._tasks, log, metrics, self._schedule_step
--- /dev/null
+++ b/stileloom/load/recording.py
@@ -0,0 +1,29 @@
+"""Records the load that a response of a sampler reports."""
+
+from __future__ import annotations
+
+from tornado.httputil import HTTPHeaders
+
+from stileloom.api.headers import HeaderNames
+from stileloom.api.sampler_directory import SamplerEntry
+from stileloom.load.readings import decode_load
+from stileloom.load.view import LoadView
+
+
+def record_response_load(
+    view: LoadView,
+    entry: SamplerEntry,
+    headers: HTTPHeaders,
+    names: HeaderNames,
+    measured_at: float,
+    now: float,
+) -> None:
+    """Records the load in the headers of a response, if it has a valid one.
+
+    `entry` is that of the attempt's start: the sampler may have been restarted since. Responses of
+    another process at the address (status 421) must not be passed.
+    """
+    header = headers.get(names.load)
+    reading = decode_load(header) if header is not None else None
+    if reading is not None:
+        view.record(entry, reading, measured_at, now)
--- a/stileloom/proxy/exchange.py
+++ b/stileloom/proxy/exchange.py
@@ -40,6 +40,8 @@
     """The sampler's entry when the attempt started."""
     started_at: float = 0.0
     """When the request was sent, in monotonic seconds."""
+    head_at: float = 0.0
+    """When the head of the response was received, in monotonic seconds."""
 
 
 async def run_exchange(
@@ -68,5 +70,7 @@
     if head.status == 421:
         return Attempt(sampler_id, AttemptOutcome.MISDIRECTED, head)
     if names.not_run in head.headers:
-        return Attempt(sampler_id, AttemptOutcome.REFUSED, head)
-    return Attempt(sampler_id, AttemptOutcome.ANSWERED, head, response.body)
+        return Attempt(sampler_id, AttemptOutcome.REFUSED, head, head_at=response.head_at)
+    return Attempt(
+        sampler_id, AttemptOutcome.ANSWERED, head, response.body, head_at=response.head_at
+    )
--- a/stileloom/proxy/forwarder.py
+++ b/stileloom/proxy/forwarder.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import msgspec
 
 from stileloom.api.routes import Route, RouteKind
+from stileloom.api.sampler_directory import SamplerEntry
 from stileloom.clock import steady_time
 from stileloom.errors import ErrorKind, StileloomError
 from stileloom.events import LogEvent
 from stileloom.http1.pool import ConnectionPool
 from stileloom.http1.request_encoder import encode_request
+from stileloom.load.recording import record_response_load
 from stileloom.proxy.admission import suspect_refusal, wait_or_refuse
 from stileloom.proxy.attempt_plan import AttemptPlan
 from stileloom.proxy.exchange import Attempt, AttemptOutcome, run_exchange
@@ -33,6 +36,9 @@
         self._rng = access.rng
         self._guard = access.guard
         self._count_run = access.count_run
+        self.load = access.load
+        self.on_lookup_active: Callable[[str], None] = lambda service: None
+        """Called with the service when a lookup arrives and whenever it makes progress."""
         self._hedges = hedges
         self._pool = ConnectionPool(access.metrics.connection_opened)
 
@@ -78,6 +84,7 @@
         failed_attempts = 0
         while True:
             now = steady_time()
+            self.on_lookup_active(plan.service)
             if now >= lookup.deadline_at:
                 raise self._deadline_error(plan)
             wake_at = lookup.deadline_at
@@ -236,10 +243,16 @@
                 lookup.method,
             )
             self._pool.release(entry.sampler_id, connection)
+            self._record_load(entry, attempt)
             return msgspec.structs.replace(attempt, entry=entry, started_at=started_at)
         finally:
             tracked.open_requests -= 1
 
+    def _record_load(self, entry: SamplerEntry, attempt: Attempt) -> None:
+        if attempt.outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.REFUSED) and attempt.head:
+            headers, names = attempt.head.headers, self._names
+            record_response_load(self.load, entry, headers, names, attempt.head_at, steady_time())
+
     def _encode(self, lookup: Lookup, sampler_id: str) -> bytes:
         names = self._names
         remaining_ms = max(1, int((lookup.deadline_at - steady_time()) * 1000))
--- a/stileloom/proxy/sampler_access.py
+++ b/stileloom/proxy/sampler_access.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from stileloom.api.headers import HeaderNames
+from stileloom.load import LoadView
 from stileloom.logging import EventLog
 from stileloom.proxy.metrics import AttemptMetrics
 from stileloom.proxy.sampler_table import SamplerTable
@@ -27,3 +28,5 @@
     guard: QuarantineGuard
     count_run: Callable[[str, float], None] = lambda tenant, began_at: None
     """Counts a request that a sampler began, by tenant and moment of the steady clock."""
+    load: LoadView = msgspec.field(default_factory=LoadView)
+    """What the process knows about the load of samplers."""
--- a/stileloom/proxy/stream_relay.py
+++ b/stileloom/proxy/stream_relay.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from stileloom.api.routes import Route
+from stileloom.api.sampler_directory import SamplerEntry
 from stileloom.clock import steady_time
 from stileloom.errors import ErrorKind, StileloomError
 from stileloom.events import LogEvent
@@ -23,6 +24,7 @@
 from stileloom.http1.pool import ConnectionPool
 from stileloom.http1.request_encoder import encode_request
 from stileloom.http1.response_decoder import ResponseHead
+from stileloom.load.recording import record_response_load
 from stileloom.proxy.admission import suspect_refusal, wait_or_refuse
 from stileloom.proxy.attempt_plan import AttemptPlan
 from stileloom.proxy.lookup import Lookup, LookupResponse
@@ -97,6 +99,7 @@
         self._rng = access.rng
         self._guard = access.guard
         self._count_run = access.count_run
+        self._load = access.load
         self._pool = ConnectionPool(access.metrics.connection_opened)
 
     def close_connections(self, sampler_id: str) -> None:
@@ -206,7 +209,7 @@
         connection.exchange(self._encode(lookup, entry.sampler_id, stream), response)
         complete = False
         try:
-            run = await self._read_response(lookup, response, stream, resumable)
+            run = await self._read_response(lookup, entry, response, stream, resumable)
             complete = run.end is not _RunEnd.BROKEN
         finally:
             tracked.open_requests -= 1
@@ -222,7 +225,12 @@
         return self._log_run(lookup, entry.sampler_id, run)
 
     async def _read_response(
-        self, lookup: Lookup, response: _ResponseQueue, stream: _StreamState, resumable: bool
+        self,
+        lookup: Lookup,
+        entry: SamplerEntry,
+        response: _ResponseQueue,
+        stream: _StreamState,
+        resumable: bool,
     ) -> _Run:
         head: ResponseHead | None = None
         body = b""
@@ -238,6 +246,9 @@
                 head = part
                 if self._is_for_other_request(head, lookup):
                     return _Run(_RunEnd.BROKEN, "response to another request")
+                if head.status != 421:
+                    now = steady_time()
+                    record_response_load(self._load, entry, head.headers, self._names, now, now)
                 if self._is_stream(head):
                     stream.begin(head)
             elif isinstance(part, bytes):
--- /dev/null
+++ b/tests/test_load_recording.py
@@ -0,0 +1,153 @@
+"""Where the readings of the load view come from: responses of samplers, without a network."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+
+import testtools
+from prometheus_client import CollectorRegistry
+from tornado.httputil import HTTPHeaders
+
+from stileloom.api.headers import HeaderNames
+from stileloom.api.routes import Route, RouteKind
+from stileloom.api.sampler_directory import SamplerEntry
+from stileloom.clock import steady_time
+from stileloom.errors import StileloomError
+from stileloom.http1.buffered_response import BufferedResponse
+from stileloom.http1.connection import ExchangeEnd
+from stileloom.http1.response_decoder import ResponseHead
+from stileloom.jobs.item_stream import ItemStream
+from stileloom.jobs.partial_text import PartialText
+from stileloom.load import LoadReading, LoadView
+from stileloom.load.recording import record_response_load
+from stileloom.logging import EventLog, configure_logs
+from stileloom.proxy.forwarder import Forwarder
+from stileloom.proxy.lookup import Lookup
+from stileloom.proxy.metrics import AttemptMetrics
+from stileloom.proxy.sampler_access import SamplerAccess
+from stileloom.proxy.sampler_table import SamplerTable
+from stileloom.quarantine.guard import QuarantineGuard
+from stileloom.quarantine.metrics import QuarantineMetrics
+from tests.runner_fixture import FakeQuarantineLedger
+
+NAMES = HeaderNames()
+ENTRY = SamplerEntry("s", "lookups", ("127.0.0.1", 1), "a", 6, False, {}, 7)
+
+
+class FakePool:
+    """Connections to samplers that respond at once with the next of the given heads."""
+
+    def __init__(self, heads: list[ResponseHead | None]) -> None:
+        self.heads = heads
+
+    async def acquire(self, sampler_id: str, address: tuple[str, int]) -> FakePool:
+        """Returns a connection."""
+        return self
+
+    def release(self, sampler_id: str, connection: FakePool) -> None:
+        """Takes a connection back."""
+
+    def close(self) -> None:
+        """Closes the connection."""
+
+    def exchange(self, request: bytes, response: BufferedResponse, method: str) -> None:
+        """Responds; None stands for a connection that breaks."""
+        head = self.heads.pop(0)
+        if head is not None:
+            response.on_head(head)
+        response.on_end(ExchangeEnd.COMPLETE if head is not None else ExchangeEnd.CUT)
+
+
+def head(status: int, load: str = "5,1,6,250", **headers: str) -> ResponseHead:
+    """A response head with a load."""
+    values = {NAMES.load: load} | {getattr(NAMES, name): text for name, text in headers.items()}
+    return ResponseHead(status, "", HTTPHeaders(values))
+
+
+class ForwarderTest(testtools.TestCase):
+    """Readings from the responses to lookups and reward calls."""
+
+    def forward(self, heads: list[ResponseHead | None]) -> LoadView:
+        """The view after one lookup that got these responses."""
+        configure_logs("error")
+        log = EventLog("node")
+        samplers = SamplerTable()
+        samplers.replace_all([ENTRY])
+        metrics = QuarantineMetrics(CollectorRegistry())
+        guard = QuarantineGuard(FakeQuarantineLedger(), log, metrics)
+        access = SamplerAccess(
+            "a",
+            samplers,
+            NAMES,
+            log,
+            AttemptMetrics(CollectorRegistry()),
+            random.Random(1),
+            guard,
+        )
+        self.active: list[str] = []
+
+        async def run() -> None:
+            forwarder = Forwarder(access)
+            forwarder._pool = FakePool(heads)  # type: ignore[assignment]
+            forwarder.on_lookup_active = self.active.append
+            now = steady_time()
+            lookup = Lookup("r", "GET", "/", [], b"", now, now + 5.0)
+            route = Route("r", "", "/", RouteKind.SAFE, [], 5.0, 2.0, 1)
+            with contextlib.suppress(StileloomError):
+                await forwarder.forward(lookup, route, "lookups")
+
+        asyncio.run(run())
+        return access.load
+
+    def test_a_response(self) -> None:
+        for status in (200, 404, 500):
+            known = self.forward([head(status)]).latest(ENTRY)
+            self.assertIsNotNone(known, status)
+            self.assertEqual(LoadReading(5, 1, 6, 2.5), known.reading)
+            self.assertFalse(known.shared)
+            self.assertLess(steady_time() - known.measured_at, 1.5)
+        self.assertIn("lookups", self.active)
+
+    def test_a_refusal_of_a_full_sampler(self) -> None:
+        """In a surge most responses are refusals, and they show best that a sampler is full."""
+        view = self.forward([head(503, not_run="1", load="6,0,6,100"), head(200, load="")])
+        known = view.latest(ENTRY)
+        self.assertIsNotNone(known)
+        self.assertTrue(known.reading.is_full)
+
+    def test_what_says_nothing_of_the_sampler(self) -> None:
+        """Another process at the address must not count for the listed one."""
+        for response in (head(421), None, head(200, request_id="other"), head(200, load="x")):
+            view = self.forward([response])
+            self.assertIsNone(view.latest(ENTRY), response)
+            self.assertFalse(view.is_in_use("lookups", steady_time()))
+
+
+class ItemStreamTest(testtools.TestCase):
+    """Readings from the heads of items' streams."""
+
+    def received(self, response: ResponseHead) -> LoadView:
+        """The view after the head of an item's response."""
+        view = LoadView()
+        stream = ItemStream(
+            "i",
+            PartialText(),
+            0,
+            NAMES,
+            lambda event_id: None,
+            lambda outcome, detail: None,
+            lambda head: record_response_load(view, ENTRY, head.headers, NAMES, 1.0, 1.0),
+        )
+        stream.on_head(response)
+        return view
+
+    def test_a_head_counts_at_once(self) -> None:
+        """A stream may last seconds, after which its head says nothing any more."""
+        for response in (head(200, request_id="i", versions="1"), head(503, not_run="1")):
+            self.assertIsNotNone(self.received(response).latest(ENTRY))
+
+    def test_what_says_nothing_of_the_sampler(self) -> None:
+        for response in (head(421), head(200, request_id="other", versions="1")):
+            self.assertIsNone(self.received(response).latest(ENTRY))
