Ledger registration: zone of the node

A gateway shares readings of load only with ledger nodes of its own zone, and did not know their zones. The entry of a ledger node in the object store now has its zone; an entry without one decodes with an empty zone, and earlier releases ignore the field.

.venv/bin/pytest tests/test_foreign_entries.py tests/test_peer_addresses.py tests/test_voter_bootstrap.py: all passed.

--- a/stileloom/daemon/ledger_start.py
+++ b/stileloom/daemon/ledger_start.py
@@ -172,6 +172,7 @@
             ledger=self._settings.ledger,
             calls=f"{self._settings.host}:{self._settings.calls_port}",
             disk=self._driver.replica.local_voter.disk_id,
+            zone=self._settings.zone,
         )
         spec = msgspec.to_builtins(registration)
         page = await self._store.list_objects(self._kind)
--- a/stileloom/ledger/registration.py
+++ b/stileloom/ledger/registration.py
@@ -21,6 +21,8 @@
     calls: str
     """Address for gateways."""
     disk: str
+    zone: str = ""
+    """Empty if an earlier release of the node wrote the entry."""
 
     @property
     def ledger_address(self) -> Address:
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -64,3 +64,11 @@
         found = read_registrations(records)
         self.assertEqual(["node-5"], list(found))
         self.assertEqual(("10.0.0.2", 2), found["node-5"].calls_address)
+
+    def test_entries_of_earlier_and_later_releases_decode(self) -> None:
+        """During an upgrade nodes of two releases read each other's entries."""
+        earlier = {"ledger": "10.0.0.2:1", "calls": "10.0.0.2:2", "disk": "d"}
+        specs = [earlier, earlier | {"zone": "a"}, earlier | {"zone": "a", "later": [1]}]
+        records = [ObjectRecord(f"node-{number}", 1, spec) for number, spec in enumerate(specs)]
+        found = read_registrations(records)
+        self.assertEqual(["", "a", "a"], [found[f"node-{number}"].zone for number in range(3)])
