Load view: share readings within a zone

A gateway gets a lookup about every ten seconds, so alone it learns too late which samplers are full or slow. While it forwards lookups of a service of which a sampler is full or slow, a gateway now sends the readings that it measured to one ledger node of its zone, chosen by rendezvous hashing, and receives newer ones. load/exchange.py decides; daemon/load_sharing.py carries out. At most one exchange in 0.2 s by gateway and service; after a failure the next node is asked after 0.5 s, doubling to 8 s. Ages are rounded up and the round trip is added, and a ledger node that was frozen ignores readings for 0.2 s, so that no reading looks newer than it is.

--- a/stileloom/daemon/cached_store.py
+++ b/stileloom/daemon/cached_store.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -116,6 +117,8 @@
         metrics: ProcessMetrics,
     ) -> None:
         self.nodes = CacheNodes(seeds)
+        self.on_nodes_read: Callable[[list[ObjectRecord]], None] = lambda records: None
+        """Called with the registrations of ledger nodes after each read."""
         self._store = store
         self._ledger_nodes_kind = ledger_nodes_kind
         self._bound_s = min(bounds.configuration_s, bounds.sampler_drain_s)
@@ -220,6 +223,7 @@
             page = await self.list_objects(self._ledger_nodes_kind)
         except StileloomError:
             return
+        self.on_nodes_read(page.records)
         addresses = ledger_node_addresses(page.records)
         if addresses:
             self.nodes.update_nodes(addresses)
--- a/stileloom/daemon/gateway.py
+++ b/stileloom/daemon/gateway.py
@@ -9,12 +9,13 @@
 from tornado.httpserver import HTTPServer
 
 from stileloom.api.dialect import Dialect
-from stileloom.api.object_store import ObjectStore
+from stileloom.api.object_store import ObjectRecord, ObjectStore
 from stileloom.api.sampler_directory import SamplerEntry
 from stileloom.background import BackgroundTasks
 from stileloom.clock import steady_time
 from stileloom.daemon.cached_store import CachedObjectStore, ledger_node_addresses
 from stileloom.daemon.directory import Directory
+from stileloom.daemon.load_sharing import LoadSharing
 from stileloom.daemon.metrics_server import start_metrics_server
 from stileloom.daemon.process_metrics import ProcessMetrics
 from stileloom.daemon.readiness import make_ready_server
@@ -23,7 +24,10 @@
 from stileloom.events import LogEvent
 from stileloom.jobs.client import JobClient
 from stileloom.jobs.leader_search import LedgerNodes
+from stileloom.ledger.registration import read_registrations
 from stileloom.load import LoadView
+from stileloom.load.exchange import LoadExchange, ReadingReceiver
+from stileloom.load.metrics import LoadMetrics
 from stileloom.logging import EventLog
 from stileloom.metering.meter import UsageMeter
 from stileloom.metering.reporter import UsageReporter
@@ -109,6 +113,15 @@
             self._load,
         )
         self._forwarder = Forwarder(access, switches.hedging)
+        self._load_receiver = ReadingReceiver(self._load, self.directory.samplers.entry_of)
+        self._load_exchange = LoadExchange(
+            self._load, self._load_receiver, self.directory.samplers.entries_of_service
+        )
+        self._load_sharing = LoadSharing(
+            self._load_exchange, self._log, LoadMetrics(self._metrics_registry, self._load)
+        )
+        self._forwarder.on_lookup_active = self._load_sharing.on_lookup_active
+        self._cached_store.on_nodes_read = self._update_sharing_nodes
         self._relay = StreamRelay(access)
         self.directory.on_sampler_listed = self._on_sampler_listed
         self.directory.on_sampler_unlisted = self._on_sampler_unlisted
@@ -187,6 +200,7 @@
     def abort(self) -> None:
         """Stops background work and closes the connections to ledger nodes."""
         self._tasks.cancel()
+        self._load_sharing.stop()
         self._job_calls.stop()
         self.directory.stop()
         self._guard.stop()
@@ -222,6 +236,7 @@
 
     def _on_sampler_listed(self, entry: SamplerEntry) -> None:
         self._load.on_listed(entry)
+        self._load_receiver.on_listed(entry, steady_time())
 
     def _on_sampler_unlisted(self, sampler_id: str) -> None:
         self._load.remove(sampler_id)
@@ -244,6 +259,17 @@
         except StileloomError:
             return
         self._ledger_nodes.update_addresses(list(ledger_node_addresses(page.records).values()))
+        self._update_sharing_nodes(page.records)
+
+    def _update_sharing_nodes(self, records: list[ObjectRecord]) -> None:
+        """Readings of load are shared within this gateway's zone only."""
+        self._load_exchange.update_nodes(
+            {
+                name: registration.calls_address
+                for name, registration in read_registrations(records).items()
+                if registration.zone == self._settings.zone
+            }
+        )
 
 
 async def serve_gateway(settings: ServiceSettings, store: ObjectStore, dialect: Dialect) -> None:
--- a/stileloom/daemon/ledger_node.py
+++ b/stileloom/daemon/ledger_node.py
@@ -37,6 +37,9 @@
 from stileloom.ledger.state import LedgerState
 from stileloom.ledger.wire import Sender
 from stileloom.load import LoadView
+from stileloom.load.exchange import LoadShareService
+from stileloom.load.messages import LoadShared, ShareLoadCall
+from stileloom.load.metrics import LoadMetrics
 from stileloom.logging import EventLog
 from stileloom.metering.window_clock import WindowClock
 from stileloom.proxy.forwarder import Forwarder
@@ -98,6 +101,8 @@
             attempt_metrics.connection_opened,
         )
         self._load = LoadView()
+        self._load_metrics = LoadMetrics(self._metrics_registry, self._load)
+        self._load_sharing = LoadShareService(self._load, self._directory.samplers.entry_of)
         access = SamplerAccess(
             settings.zone,
             self._directory.samplers,
@@ -190,9 +195,17 @@
     async def _handle_call(self, request: Request) -> Reply:
         if isinstance(request, ReadObjectsCall):
             return await self._store_cache.read(request)
+        if isinstance(request, ShareLoadCall):
+            return self._share_load(request)
         assert self._service is not None
         return await self._service.handle(request)
 
+    def _share_load(self, call: ShareLoadCall) -> LoadShared:
+        now = steady_time()
+        outcome = "served" if self._load_sharing.accepts_readings(now) else "ignored_after_stall"
+        self._load_metrics.exchanges.labels(outcome).inc()
+        return self._load_sharing.handle(call, now)
+
     def stop(self) -> None:
         """Requests a graceful shutdown, which transfers leadership first."""
         self._stopping.set()
@@ -236,6 +249,7 @@
     def _step(self) -> None:
         assert self._driver is not None
         self._store_cache.evict_idle()
+        self._load_sharing.step(steady_time())
         if self._duty_dependencies.window_clock is not None:
             self._duty_dependencies.window_clock.observe(steady_time(), time.time())
         self._order_windows.observe(self._driver.state.order_windows, steady_time())
@@ -317,6 +331,7 @@
 
     def _on_sampler_listed(self, entry: SamplerEntry) -> None:
         self._load.on_listed(entry)
+        self._load_sharing.receiver.on_listed(entry, steady_time())
         if self._leadership is not None:
             self._leadership.runner.on_sampler_listed(entry.sampler_id, entry.model_versions)
 
--- /dev/null
+++ b/stileloom/load/exchange.py
@@ -0,0 +1,268 @@
+"""Sharing of readings between the nodes of a zone. Performs no I/O.
+
+Handles surges in which samplers are full or slow: each gateway alone sees too few responses to know
+which. Gateways send the readings that they measured to one ledger node of their zone and receive
+those that others measured.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+
+import msgspec
+
+from stileloom.api.sampler_directory import SamplerEntry
+from stileloom.hashing import rendezvous_ranked
+from stileloom.load.messages import KnownReading, LoadShared, SharedReading, ShareLoadCall
+from stileloom.load.readings import LoadReading, make_reading
+from stileloom.load.view import EXPIRY_S, LoadView, MeasuredReading
+
+EXCHANGE_INTERVAL_S = 0.2
+"""Minimum time between two exchanges of a gateway for a service."""
+EXCHANGE_TIMEOUT_S = 0.2
+"""Time without a reply after which an exchange has failed."""
+BACKOFF_BASE_S = 0.5
+BACKOFF_MAX_S = 8.0
+PREFERRED_NODE_RETRY_S = 8.0
+"""How long another node is used before the preferred one is asked again.
+
+Gateways see each other's readings only if they use the same node.
+"""
+NEWER_BY_S = 0.02
+"""Differences below this come from the time that messages take: the reading is the same one."""
+MAX_READINGS = 256
+"""Limit of the readings in a message, and of those whose incarnation is not listed yet."""
+STALL_S = 0.3
+"""Time without a step after which a node may hold calls that were sent long ago."""
+STALL_RECOVERY_S = 0.2
+"""How long readings are ignored after a stall; the calls held up are handled within this time."""
+
+Address = tuple[str, int]
+EXPIRED_AGE_MS = round(EXPIRY_S * 1000)
+
+
+class Exchange(msgspec.Struct, frozen=True, eq=False):
+    """One exchange of a gateway with a ledger node."""
+
+    service: str
+    node: str
+    address: Address
+    call: ShareLoadCall
+    started_at: float
+    measured_at: dict[str, float]
+    """When the readings in the call were measured, by sampler id."""
+
+
+class _ServiceState(msgspec.Struct):
+    """A gateway's exchanges for one service."""
+
+    next_at: float = -math.inf
+    current: Exchange | None = None
+    node_rank: int = 0
+    """Position of the node in rendezvous order, modulo the number of nodes."""
+    preferred_at: float = -math.inf
+    """When the first node in rendezvous order is asked again."""
+    failures: int = 0
+    """Since the last successful exchange."""
+    sent: dict[str, float] = msgspec.field(default_factory=dict)
+    """When the last reading sent to `sent_to` was measured, by sampler id."""
+    sent_to: Address | None = None
+    """Node of the last successful exchange."""
+
+
+class ReadingReceiver:
+    """Records readings of other nodes in a view."""
+
+    def __init__(self, view: LoadView, entry_of: Callable[[str], SamplerEntry | None]) -> None:
+        self._view = view
+        self._entry_of = entry_of
+        self._unlisted: dict[tuple[str, int], tuple[LoadReading, float]] = {}
+        """Reading and its time, by sampler id and birth; the directory may list it later."""
+
+    def accept(self, readings: list[SharedReading], transit_s: float, now: float) -> None:
+        """Records readings; `transit_s` is the longest time that they may have been on their way.
+
+        Drops what has expired, is out of range or is of an earlier incarnation.
+        """
+        for shared in readings[:MAX_READINGS]:
+            reading = make_reading(
+                shared.running, shared.waiting, shared.slots, shared.slowness_percent
+            )
+            age_s = shared.age_ms / 1000 + transit_s
+            if reading is None or shared.age_ms < 0 or age_s >= EXPIRY_S:
+                continue
+            entry = self._entry_of(shared.sampler_id)
+            if entry is None or entry.born_ms < shared.born_ms:
+                self._keep_unlisted(shared, reading, now - age_s, now)
+            elif entry.born_ms == shared.born_ms:
+                self._view.record(entry, reading, now - age_s, now, shared=True)
+
+    def on_listed(self, entry: SamplerEntry, now: float) -> None:
+        """Records the reading that was kept until the directory listed this incarnation."""
+        kept = self._unlisted.pop((entry.sampler_id, entry.born_ms), None)
+        if kept is not None and now - kept[1] < EXPIRY_S:
+            self._view.record(entry, kept[0], kept[1], now, shared=True)
+
+    def _keep_unlisted(
+        self, shared: SharedReading, reading: LoadReading, measured_at: float, now: float
+    ) -> None:
+        self._unlisted = {
+            key: kept for key, kept in self._unlisted.items() if now - kept[1] < EXPIRY_S
+        }
+        key = (shared.sampler_id, shared.born_ms)
+        known = self._unlisted.get(key)
+        if known is not None and known[1] > measured_at:
+            return
+        if known is not None or len(self._unlisted) < MAX_READINGS:
+            self._unlisted[key] = (reading, measured_at)
+
+
+class LoadExchange:
+    """A gateway's side: when to exchange, with which node, and what."""
+
+    def __init__(
+        self,
+        view: LoadView,
+        receiver: ReadingReceiver,
+        entries_of: Callable[[str], list[SamplerEntry]],
+    ) -> None:
+        """`entries_of` returns the listed samplers of a service."""
+        self._view = view
+        self._receiver = receiver
+        self._entries_of = entries_of
+        self._nodes: dict[str, Address] = {}
+        self._services: dict[str, _ServiceState] = {}
+
+    def update_nodes(self, nodes: dict[str, Address]) -> None:
+        """Replaces the ledger nodes of this gateway's zone."""
+        if nodes == self._nodes:
+            return
+        self._nodes = dict(nodes)
+        for state in self._services.values():
+            state.node_rank = 0
+
+    def begin(self, service: str, now: float) -> Exchange | None:
+        """Starts an exchange if one is due; called while a lookup of the service is forwarded.
+
+        The caller must pass it to `complete` or `fail`.
+        """
+        if not self._nodes or not self._view.is_in_use(service, now):
+            return None
+        state = self._services.setdefault(service, _ServiceState())
+        if state.current is not None or now < state.next_at:
+            return None
+        if not self._view.has_full_or_slow_sampler(service, now):
+            return None
+        if state.node_rank and not state.failures and now >= state.preferred_at:
+            state.node_rank = 0
+        ranked = rendezvous_ranked(service, self._nodes)
+        node = ranked[state.node_rank % len(ranked)]
+        address = self._nodes[node]
+        sent = state.sent if state.sent_to == address else {}
+        call, measured_at = self._make_call(service, sent, now)
+        state.current = Exchange(service, node, address, call, now, measured_at)
+        state.next_at = now + EXCHANGE_INTERVAL_S
+        return state.current
+
+    def complete(self, exchange: Exchange, reply: LoadShared, now: float) -> None:
+        """Handles the reply of the node."""
+        state = self._services[exchange.service]
+        state.current = None
+        state.failures = 0
+        state.sent = exchange.measured_at
+        state.sent_to = exchange.address
+        # The whole round trip counts, so that a reply held up on its way makes nothing look newer.
+        self._receiver.accept(reply.readings, now - exchange.started_at, now)
+
+    def fail(self, exchange: Exchange, now: float) -> float:
+        """Handles a failed exchange; returns the delay before the next node is asked."""
+        state = self._services[exchange.service]
+        state.current = None
+        delay_s = min(BACKOFF_MAX_S, BACKOFF_BASE_S * 2.0 ** min(state.failures, 10))
+        state.failures += 1
+        state.node_rank += 1
+        state.sent_to = None
+        state.next_at = now + delay_s
+        state.preferred_at = now + PREFERRED_NODE_RETRY_S
+        return delay_s
+
+    def _make_call(
+        self, service: str, sent: dict[str, float], now: float
+    ) -> tuple[ShareLoadCall, dict[str, float]]:
+        readings: list[SharedReading] = []
+        known: list[KnownReading] = []
+        measured_at: dict[str, float] = {}
+        for entry in self._entries_of(service)[:MAX_READINGS]:
+            latest = self._view.latest(entry)
+            if latest is None or now - latest.measured_at >= EXPIRY_S:
+                known.append(KnownReading(entry.sampler_id, entry.born_ms, EXPIRED_AGE_MS))
+                continue
+            if not latest.shared:
+                measured_at[entry.sampler_id] = latest.measured_at
+            if latest.shared or sent.get(entry.sampler_id) == latest.measured_at:
+                age_ms = _age_ms(latest, now)
+                known.append(KnownReading(entry.sampler_id, entry.born_ms, age_ms))
+            else:
+                readings.append(encode_reading(latest, now))
+        return ShareLoadCall(readings, known), measured_at
+
+
+class LoadShareService:
+    """A ledger node's side: keeps readings of gateways and returns those of others."""
+
+    def __init__(self, view: LoadView, entry_of: Callable[[str], SamplerEntry | None]) -> None:
+        self.receiver = ReadingReceiver(view, entry_of)
+        self._view = view
+        self._entry_of = entry_of
+        self._stepped_at: float | None = None
+        self._ignore_until = -math.inf
+
+    def step(self, now: float) -> None:
+        """Called at short intervals; detects that this process was frozen.
+
+        Calls that arrived meanwhile were sent long before, which their ages do not show.
+        """
+        if self._stepped_at is not None and now - self._stepped_at >= STALL_S:
+            self._ignore_until = now + STALL_RECOVERY_S
+        self._stepped_at = now
+
+    def accepts_readings(self, now: float) -> bool:
+        """Whether the ages in calls can be relied upon."""
+        return now >= self._ignore_until
+
+    def handle(self, call: ShareLoadCall, now: float) -> LoadShared:
+        """Records the readings of a gateway and returns those that are newer than its own."""
+        if self.accepts_readings(now):
+            self.receiver.accept(call.readings, 0.0, now)
+        newer: list[SharedReading] = []
+        asked: list[SharedReading | KnownReading] = [*call.readings, *call.known]
+        for named in asked[:MAX_READINGS]:
+            entry = self._entry_of(named.sampler_id)
+            latest = self._view.latest(entry) if entry is not None else None
+            if latest is None or latest.entry.born_ms != named.born_ms:
+                continue
+            age_s = now - latest.measured_at
+            if age_s < EXPIRY_S and age_s + NEWER_BY_S < named.age_ms / 1000:
+                newer.append(encode_reading(latest, now))
+        return LoadShared(newer)
+
+
+def encode_reading(latest: MeasuredReading, now: float) -> SharedReading:
+    """A reading as it is sent to another node."""
+    reading = latest.reading
+    percent = None if reading.slowness is None else round(reading.slowness * 100)
+    return SharedReading(
+        latest.entry.sampler_id,
+        latest.entry.born_ms,
+        _age_ms(latest, now),
+        reading.running,
+        reading.waiting,
+        reading.slots,
+        percent,
+    )
+
+
+def _age_ms(latest: MeasuredReading, now: float) -> int:
+    """The age rounded up, so that no reading gets younger on its way."""
+    return math.ceil(max(0.0, now - latest.measured_at) * 1000)
--- a/stileloom/proxy/sampler_table.py
+++ b/stileloom/proxy/sampler_table.py
@@ -105,6 +105,15 @@
         """The sampler if it accepts requests, or None."""
         return self._tracked.get(sampler_id)
 
+    def entry_of(self, sampler_id: str) -> SamplerEntry | None:
+        """The entry of the sampler if it accepts requests, or None."""
+        tracked = self._tracked.get(sampler_id)
+        return tracked.entry if tracked is not None else None
+
+    def entries_of_service(self, service: str) -> list[SamplerEntry]:
+        """Entries of the samplers of a service that accept requests."""
+        return [tracked.entry for tracked in self.of_service(service)]
+
     def all(self) -> list[TrackedSampler]:
         """All samplers that accept requests."""
         return list(self._tracked.values())
--- a/stileloom/transport/call_frames.py
+++ b/stileloom/transport/call_frames.py
@@ -5,10 +5,11 @@
 import msgspec
 
 from stileloom.jobs.messages import JobReply, JobRequest
+from stileloom.load.messages import LoadShared, ShareLoadCall
 from stileloom.transport.cache_messages import CacheReply, ReadObjectsCall
 
-Request = JobRequest | ReadObjectsCall
-Reply = JobReply | CacheReply
+Request = JobRequest | ReadObjectsCall | ShareLoadCall
+Reply = JobReply | CacheReply | LoadShared
 
 
 class CallFrame(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -14,6 +14,8 @@
 from stileloom.events import LogEvent
 from stileloom.http.metrics import Metric
 from stileloom.jobs.metrics import JobMetrics
+from stileloom.load import LoadView
+from stileloom.load.metrics import LoadMetrics
 from stileloom.logging import EventLog
 from stileloom.proxy.metrics import ProxyMetrics
 from stileloom.quarantine.metrics import QuarantineMetrics
@@ -38,6 +40,7 @@
     JobMetrics(registry)
     DutyMetrics(registry)
     ProcessMetrics(registry, EventLog("n"))
+    LoadMetrics(registry, LoadView())
     return {family.name: family.documentation for family in registry.collect()}
 
 
--- /dev/null
+++ b/tests/test_load_exchange.py
@@ -0,0 +1,405 @@
+"""Sharing of readings within a zone, in virtual time; frames are encoded as they are sent."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+
+import msgspec
+import testtools
+
+from stileloom.api.sampler_directory import SamplerEntry
+from stileloom.hashing import rendezvous_ranked
+from stileloom.load import LoadReading, LoadView
+from stileloom.load.exchange import Exchange, LoadExchange, LoadShareService, ReadingReceiver
+from stileloom.load.messages import KnownReading, LoadShared, SharedReading, ShareLoadCall
+from stileloom.proxy.sampler_table import SamplerTable
+from stileloom.transport.call_frames import CallFrame, ReplyFrame
+from stileloom.transport.calls import FRAME_HEADER, encode_frame
+from stileloom.transport.compression import pack
+
+SERVICE = "lookups"
+FULL = LoadReading(6, 1, 6, 1.0)
+SLOW = LoadReading(2, 0, 6, 2.5)
+IDLE = LoadReading(2, 0, 6, 1.0)
+ROUND_TRIP_S = 0.002
+
+
+def entry(number: int, born_ms: int = 1_764_800_000_000) -> SamplerEntry:
+    """A sampler with an id of the length that a deployment uses."""
+    name = f"lookups-sampler-{number:03}"
+    return SamplerEntry(name, SERVICE, ("10.0.0.1", 80), "a", 6, False, {}, born_ms)
+
+
+def frame_size(message: object) -> int:
+    """Bytes of a message on the connection."""
+    return FRAME_HEADER.size + len(pack(msgspec.msgpack.encode(message)))
+
+
+class Node:
+    """A ledger node or a gateway with its view and its list of samplers."""
+
+    def __init__(self, entries: list[SamplerEntry]) -> None:
+        self.samplers = SamplerTable()
+        self.samplers.replace_all(entries)
+        self.view = LoadView()
+        self.receiver = ReadingReceiver(self.view, self.samplers.entry_of)
+        self.exchange = LoadExchange(self.view, self.receiver, self.samplers.entries_of_service)
+        self.service = LoadShareService(self.view, self.samplers.entry_of)
+
+    def list_sampler(self, listed: SamplerEntry, now: float) -> None:
+        """Applies a new entry of the directory, as the programs do."""
+        self.samplers.put(listed)
+        self.view.on_listed(listed)
+        self.receiver.on_listed(listed, now)
+        self.service.receiver.on_listed(listed, now)
+
+    def measure(self, number: int, reading: LoadReading, now: float) -> None:
+        """Records an own reading."""
+        self.view.record(entry(number), reading, now, now)
+
+
+class Zone:
+    """Gateways and ledger nodes of one zone, with a count of what is sent."""
+
+    def __init__(self, gateways: int, nodes: int = 2, samplers: int = 4) -> None:
+        entries = [entry(number) for number in range(samplers)]
+        names = [f"ledger-{number}" for number in range(nodes)]
+        self.nodes = {name: Node(entries) for name in names}
+        self.failing: dict[str, float] = {}
+        """Nodes that do not reply, with the time after which a call fails."""
+        self.gateways = [Node(entries) for _ in range(gateways)]
+        self.order = rendezvous_ranked(SERVICE, names)
+        addresses = {name: (f"10.0.1.{number}", 7) for number, name in enumerate(names)}
+        for gateway in self.gateways:
+            gateway.exchange.update_nodes(addresses)
+        self.calls: list[tuple[float, str]] = []
+        self.sent_bytes = 0
+
+    def forward(self, gateway: Node, now: float) -> Exchange | None:
+        """A lookup of the gateway arrives or makes progress; the exchange, if one is due."""
+        exchange = gateway.exchange.begin(SERVICE, now)
+        if exchange is None:
+            return None
+        self.calls.append((now, exchange.node))
+        frame = CallFrame(len(self.calls), exchange.call)
+        self.sent_bytes += frame_size(frame)
+        if exchange.node in self.failing:
+            gateway.exchange.fail(exchange, now + self.failing[exchange.node])
+            return exchange
+        received = msgspec.msgpack.decode(msgspec.msgpack.encode(frame), type=CallFrame).request
+        assert isinstance(received, ShareLoadCall)
+        shared = self.nodes[exchange.node].service.handle(received, now + ROUND_TRIP_S / 2)
+        answer = ReplyFrame(frame.number, shared)
+        self.sent_bytes += frame_size(answer)
+        reply = msgspec.msgpack.decode(msgspec.msgpack.encode(answer), type=ReplyFrame).reply
+        assert isinstance(reply, LoadShared)
+        gateway.exchange.complete(exchange, reply, now + ROUND_TRIP_S)
+        return exchange
+
+
+class SharingTest(testtools.TestCase):
+    """What gateways learn from each other, and when they ask."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.zone = Zone(2)
+        self.first, self.second = self.zone.gateways
+
+    def test_readings_of_one_gateway_reach_another(self) -> None:
+        """Without it, each gateway has to find out by itself that a sampler is slow."""
+        self.first.measure(0, SLOW, 10.0)
+        self.zone.forward(self.first, 10.0)
+        self.second.measure(1, FULL, 10.1)
+        self.zone.forward(self.second, 10.1)
+        estimate = self.second.view.estimate(entry(0), 10.11)
+        self.assertEqual((2.5, True), (estimate.slowness, estimate.shared))
+        self.assertAlmostEqual(0.11, estimate.age_s, delta=0.01)
+        # The first gateway gets the reading of the second one, and its own stays its own.
+        self.zone.forward(self.first, 10.3)
+        self.assertTrue(self.first.view.estimate(entry(1), 10.3).shared)
+        self.assertFalse(self.first.view.estimate(entry(0), 10.3).shared)
+
+    def test_a_reading_is_sent_once_and_never_passed_on(self) -> None:
+        """A reading that circulates would never expire."""
+        self.first.measure(0, SLOW, 10.0)
+        self.assertEqual(1, len(self.zone.forward(self.first, 10.0).call.readings))
+        self.assertEqual(0, len(self.zone.forward(self.first, 10.2).call.readings))
+        self.first.measure(0, SLOW, 10.3)
+        self.assertEqual(1, len(self.zone.forward(self.first, 10.4).call.readings))
+        self.second.measure(1, FULL, 10.4)
+        self.zone.forward(self.second, 10.4)
+        again = self.zone.forward(self.second, 10.6)
+        self.assertEqual([], again.call.readings)
+        now = 10.3
+        while now < 11.79:
+            now += 0.2
+            for gateway in self.zone.gateways:
+                self.zone.forward(gateway, now)
+        for node in (*self.zone.gateways, *self.zone.nodes.values()):
+            self.assertEqual([], node.view.unexpired(11.91))
+
+    def test_at_most_one_exchange_in_0_2_s(self) -> None:
+        for step in range(200):
+            now = 10.0 + step * 0.005
+            self.first.measure(0, FULL, now)
+            self.zone.forward(self.first, now)
+        times = [at for at, _ in self.zone.calls]
+        self.assertEqual(5, len(times))
+        for earlier, later in itertools.pairwise(times):
+            self.assertGreaterEqual(round(later - earlier, 6), 0.2)
+
+    def test_nothing_is_sent_unless_a_sampler_is_full_or_slow(self) -> None:
+        self.first.measure(0, IDLE, 10.0)
+        self.zone.forward(self.first, 10.0)
+        self.first.measure(0, FULL, 11.0)
+        self.zone.forward(self.first, 12.51)
+        self.assertEqual([], self.zone.calls)
+
+    def test_nothing_is_sent_without_a_fourth_figure(self) -> None:
+        """Requirement 9: such a deployment is served as before."""
+        for step in range(100):
+            now = 10.0 + step * 0.05
+            self.first.measure(step % 4, LoadReading(6, 3, 6, None), now)
+            self.zone.forward(self.first, now)
+        self.assertEqual([], self.zone.calls)
+
+    def test_nothing_is_sent_without_a_ledger_node_in_the_zone(self) -> None:
+        self.first.exchange.update_nodes({})
+        self.first.measure(0, FULL, 10.0)
+        self.assertIsNone(self.zone.forward(self.first, 10.0))
+
+
+class FailureTest(testtools.TestCase):
+    """Ledger nodes and gateways that fail; the gateway's own readings stay in use."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.zone = Zone(2)
+        self.first, self.second = self.zone.gateways
+
+    def run_surge(self, start: float, end: float) -> list[tuple[float, str]]:
+        """Calls of the first gateway, whose lookups make progress every 10 ms."""
+        before = len(self.zone.calls)
+        for step in range(round((end - start) / 0.01)):
+            now = start + step * 0.01
+            self.first.measure(0, FULL, now)
+            self.assertFalse(self.first.view.estimate(entry(0), now).shared)
+            self.zone.forward(self.first, now)
+        return self.zone.calls[before:]
+
+    def test_delay_doubles_from_0_5_to_8_s_over_the_nodes_in_rendezvous_order(self) -> None:
+        """Guards against calls to nodes that are lost, and against asking only one of them."""
+        for timeout_s in (0.0, 0.2):
+            self.zone = Zone(1)
+            self.first = self.zone.gateways[0]
+            self.zone.failing = {name: timeout_s for name in self.zone.nodes}
+            calls = self.run_surge(10.0, 50.0)
+            gaps = [later[0] - earlier[0] for earlier, later in itertools.pairwise(calls)]
+            expected = [0.5, 1.0, 2.0, 4.0, 8.0, 8.0, 8.0]
+            for gap, delay_s in zip(gaps, expected, strict=False):
+                self.assertAlmostEqual(delay_s + timeout_s, gap, delta=0.011)
+            self.assertGreaterEqual(len(gaps), 7)
+            ranks = [self.zone.order.index(name) for _, name in calls]
+            self.assertEqual([number % 2 for number in range(len(calls))], ranks)
+
+    def test_next_node_takes_over_and_the_preferred_one_returns(self) -> None:
+        """Gateways on different nodes do not see each other's readings."""
+        preferred, other = self.zone.order
+        self.zone.failing = {preferred: 0.2}
+        calls = self.run_surge(10.0, 12.0)
+        self.assertEqual(preferred, calls[0][1])
+        self.assertEqual({other}, {name for _, name in calls[1:]})
+        self.assertGreaterEqual(calls[1][0], 10.7)
+        self.assertLess(calls[1][0], 10.8)
+        # A further loss starts at the shortest delay again.
+        self.zone.failing = {other: 0.2}
+        calls = self.run_surge(12.0, 14.0)
+        self.assertEqual([other, preferred], [name for _, name in calls[:2]])
+        self.assertLess(calls[1][0], calls[0][0] + 0.72)
+        self.zone.failing = {}
+        calls = self.run_surge(14.0, 24.0)
+        self.assertEqual(preferred, calls[-1][1])
+
+    def test_restarted_node(self) -> None:
+        """Its readings are lost; those measured from then on reach the others as before."""
+        self.run_surge(10.0, 11.0)
+        node = self.zone.order[0]
+        self.zone.nodes[node] = Node([entry(number) for number in range(4)])
+        self.run_surge(11.0, 11.3)
+        self.second.measure(1, SLOW, 11.3)
+        self.zone.forward(self.second, 11.3)
+        self.assertTrue(self.second.view.estimate(entry(0), 11.3).shared)
+
+    def test_frozen_node_does_not_take_old_readings_for_new_ones(self) -> None:
+        """Calls that waited while the process was stopped say ages of the time before."""
+        node = self.zone.nodes[self.zone.order[0]]
+        for step in range(10):
+            node.service.step(10.0 + step * 0.1)
+        self.first.measure(0, SLOW, 11.0)
+        call = self.first.exchange.begin(SERVICE, 11.0).call
+        node.service.step(20.0)
+        node.service.handle(call, 20.0)
+        self.assertEqual([], node.view.unexpired(20.0))
+        for step in range(3):
+            node.service.step(20.1 + step * 0.1)
+        node.service.handle(call, 20.3)
+        self.assertEqual(1, len(node.view.unexpired(20.3)))
+
+    def test_reply_that_was_held_up_makes_nothing_newer(self) -> None:
+        """The gateway itself may have been frozen between the reply and its reading."""
+        self.first.measure(1, FULL, 10.0)
+        exchange = self.first.exchange.begin(SERVICE, 10.0)
+        shared = encoded(entry(0), age_ms=100)
+        self.first.exchange.complete(exchange, LoadShared([shared]), 10.19)
+        self.assertAlmostEqual(0.29, self.first.view.estimate(entry(0), 10.19).age_s)
+        self.first.measure(1, FULL, 10.5)
+        exchange = self.first.exchange.begin(SERVICE, 10.5)
+        self.first.exchange.complete(exchange, LoadShared([encoded(entry(2), age_ms=0)]), 15.0)
+        self.assertEqual([], self.first.view.unexpired(15.0))
+
+    def test_gateway_that_is_cut_off(self) -> None:
+        """It uses what it has until that expires, and then the median of what it measures."""
+        self.first.measure(0, SLOW, 10.0)
+        self.zone.forward(self.first, 10.0)
+        self.second.measure(1, FULL, 10.1)
+        self.zone.forward(self.second, 10.1)
+        self.zone.failing = {name: 0.2 for name in self.zone.nodes}
+        for step in range(1, 40):
+            now = 10.1 + step * 0.05
+            self.second.measure(1, FULL, now)
+            self.zone.forward(self.second, now)
+            estimate = self.second.view.estimate(entry(0), now)
+            if now < 10.3:
+                self.assertAlmostEqual(2.5, estimate.slowness)
+            if now > 11.51:
+                self.assertEqual(1.0, estimate.slowness)
+
+    def test_update_of_the_nodes_while_an_exchange_runs(self) -> None:
+        """A reading counts as sent only to the node that got it."""
+        self.first.measure(0, FULL, 10.0)
+        exchange = self.first.exchange.begin(SERVICE, 10.0)
+        self.first.exchange.update_nodes({"new": ("10.0.1.9", 7)})
+        self.first.exchange.complete(exchange, LoadShared([]), 10.01)
+        self.assertEqual(1, len(self.first.exchange.begin(SERVICE, 10.2).call.readings))
+
+
+def encoded(sampler: SamplerEntry, age_ms: int = 0, **fields: int) -> SharedReading:
+    """A reading as another node sends it."""
+    figures = {"running": 2, "waiting": 0, "slots": 6, "slowness_percent": 250} | fields
+    return SharedReading(sampler.sampler_id, sampler.born_ms, age_ms, **figures)
+
+
+class AcceptanceTest(testtools.TestCase):
+    """Which readings of other nodes are recorded."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.node = Node([entry(0, born_ms=5)])
+
+    def accept(self, *readings: SharedReading, now: float = 10.0) -> None:
+        """Passes readings of a gateway to the node."""
+        self.node.service.handle(ShareLoadCall(list(readings), []), now)
+
+    def test_expired_and_invalid_readings_are_dropped(self) -> None:
+        """A faulty node must not give a sampler a load that nobody measured."""
+        listed = entry(0, born_ms=5)
+        self.accept(
+            encoded(listed, age_ms=1500),
+            encoded(listed, age_ms=-1),
+            encoded(listed, slots=0),
+            encoded(listed, running=-1),
+            encoded(listed, slowness_percent=0),
+            encoded(listed, waiting=10**9),
+        )
+        self.assertEqual([], self.node.view.unexpired(10.0))
+        self.accept(encoded(listed, age_ms=1499))
+        self.assertEqual(1, len(self.node.view.unexpired(10.0)))
+
+    def test_an_earlier_incarnation_is_dropped(self) -> None:
+        self.accept(encoded(entry(0, born_ms=4)))
+        self.node.list_sampler(entry(0, born_ms=5), 10.0)
+        self.assertEqual([], self.node.view.unexpired(10.0))
+
+    def test_an_unknown_incarnation_counts_once_it_is_listed(self) -> None:
+        """A gateway may have heard of a restart before the ledger node has."""
+        restarted, new = entry(0, born_ms=6), entry(1)
+        self.accept(encoded(restarted, age_ms=100), encoded(new))
+        self.accept(encoded(restarted, age_ms=500, slowness_percent=900))
+        self.assertEqual([], self.node.view.unexpired(10.0))
+        self.assertFalse(self.node.view.is_in_use(SERVICE, 10.0))
+        self.node.list_sampler(restarted, 10.4)
+        estimate = self.node.view.estimate(restarted, 10.4)
+        self.assertEqual((2.5, True), (estimate.slowness, estimate.shared))
+        self.assertAlmostEqual(0.5, estimate.age_s)
+        self.node.list_sampler(new, 11.5)
+        self.assertEqual([], self.node.view.unexpired(11.5))
+
+    def test_unlisted_readings_are_bounded(self) -> None:
+        """A node whose directory is unavailable must not collect readings without limit."""
+        for number in range(2000):
+            self.accept(encoded(entry(number, born_ms=7)), now=10.0 + number * 1e-4)
+        self.assertLessEqual(len(self.node.service.receiver._unlisted), 256)
+
+
+class CostTest(testtools.TestCase):
+    """Requirement 7: bytes and calls at 76 and at 390 gateways; none of them leaves the zone."""
+
+    def test_at_most_20_bytes_for_a_reading_plus_ids(self) -> None:
+        largest = encoded(
+            entry(0), 1499, running=65535, waiting=65535, slots=65535, slowness_percent=65535
+        )
+        ids = len(entry(0).sampler_id) + len(msgspec.msgpack.encode(entry(0).born_ms))
+        self.assertLessEqual(len(msgspec.msgpack.encode(largest)) - ids, 20)
+        known = KnownReading(entry(0).sampler_id, entry(0).born_ms, 1500)
+        self.assertLessEqual(len(msgspec.msgpack.encode(known)) - ids, 20)
+
+    def test_frames_are_counted_as_they_are_sent(self) -> None:
+        call = ShareLoadCall([encoded(entry(number)) for number in range(9)], [])
+        frame = CallFrame(300, call)
+        self.assertEqual(len(asyncio.run(encode_frame(frame))), frame_size(frame))
+
+    def run_zone(self, gateways: int, lookups_per_s: float, readings: list[LoadReading]) -> Zone:
+        """Ten seconds of lookups that arrive at random at the gateways of a zone."""
+        rng = random.Random(1)
+        zone = Zone(gateways)
+        now = 10.0
+        events: list[tuple[float, int, bool]] = []
+        while now < 20.0:
+            now += rng.expovariate(lookups_per_s)
+            gateway = rng.randrange(gateways)
+            events += [(now, gateway, False), (now + 0.04, gateway, True)]
+        for at, number, responds in sorted(events):
+            gateway = zone.gateways[number]
+            if responds:
+                gateway.measure(rng.randrange(4), rng.choice(readings), at)
+                if readings is OVERLOADED:
+                    # The refused lookup tries another sampler; others end with their response.
+                    zone.forward(gateway, at)
+            else:
+                zone.forward(gateway, at)
+        return zone
+
+    def test_cost_of_a_surge_and_at_rest(self) -> None:
+        for total in (76, 390):
+            in_zone = -(-total // 4)
+            # The lookups of a surge grow with the gateways: 480/s are 80 times 6/s at 76 gateways.
+            for factor, readings in ((80, OVERLOADED), (1, CALM)):
+                zone = self.run_zone(in_zone, factor * 6.0 * total / 76 / 4, readings)
+                calls = len(zone.calls)
+                size = zone.sent_bytes / max(1, calls)
+                print(
+                    f"{total} gateways, {factor} x: {calls / 10 * 4:.0f} calls/s, "
+                    f"{size:.0f} bytes each with the reply, "
+                    f"{zone.sent_bytes / 10 * 4 / 1000:.0f} kB/s in all zones"
+                )
+                if readings is CALM:
+                    self.assertEqual(0, calls)
+                else:
+                    self.assertGreater(calls, 0)
+                    self.assertLessEqual(calls, in_zone * (10.0 / 0.2 + 1))
+
+
+OVERLOADED = [FULL, SLOW, IDLE]
+CALM = [IDLE]
