--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -44,6 +44,8 @@
 REPLICATION = "tests/test_ledger_replication.py"
 LEDGER_FILES = "tests/test_ledger_files.py"
 LEDGER_BLOBS = "tests/test_ledger_blobs.py"
+LOAD_VIEW = "tests/test_load_view.py"
+LOAD_EXCHANGE = "tests/test_load_exchange.py"
 
 MUTANTS = [
     Mutant(
@@ -919,6 +921,46 @@
         "enumerate(page.results, start=position + 1)",
         "tests/test_result_cache.py",
     ),
+    Mutant(
+        "readings do not expire",
+        "a reading of load counts by its age",
+        "stileloom/load/view.py",
+        "return min(1.0, max(0.0, (EXPIRY_S - age_s) / (EXPIRY_S - FULL_WEIGHT_S)))",
+        "return 1.0",
+        LOAD_VIEW,
+    ),
+    Mutant(
+        "a late reading of an earlier incarnation counts",
+        "a reading of load counts by its incarnation",
+        "stileloom/load/view.py",
+        "entry.born_ms < latest_start_ms:",
+        "False:",
+        LOAD_VIEW,
+    ),
+    Mutant(
+        "readings are sent at rest",
+        "readings are shared only when of use",
+        "stileloom/load/exchange.py",
+        "        if not self._view.has_full_or_slow_sampler(service, now):\n",
+        "        if False:\n",
+        LOAD_EXCHANGE,
+    ),
+    Mutant(
+        "received readings are passed on",
+        "no reading looks newer than it is",
+        "stileloom/load/exchange.py",
+        "            if latest.shared or sent",
+        "            if sent",
+        LOAD_EXCHANGE,
+    ),
+    Mutant(
+        "a node that was frozen takes old readings for new ones",
+        "no reading looks newer than it is",
+        "stileloom/load/exchange.py",
+        "            self._ignore_until = now + STALL_RECOVERY_S\n",
+        "            pass\n",
+        LOAD_EXCHANGE,
+    ),
 ]
 
 
