Load view: tests of the wiring, of a frozen node and of a deployment without fourth figures

The emulated sampler can send the load header (HttpSampler.load). Tests over sockets show that responses to lookups, items and reward calls are recorded, that readings pass through the ledger node, and that a node whose event loop stood still ignores the calls that arrived meanwhile. With three figures the forwarder sends the same 200 lookups to the same samplers as without the header.

--- a/stileloom/emulator/http_sampler.py
+++ b/stileloom/emulator/http_sampler.py
@@ -83,6 +83,8 @@
     ) -> None:
         self.sampler_id = sampler_id
         self.model_versions = dict(model_versions)
+        self.load: str | None = None
+        """Value of the load header of responses, which is absent if it is None."""
         self.faults = SamplerFaults()
         self.runs: list[RunRecord] = []
         self.completed_at: dict[str, float] = {}
@@ -193,6 +195,8 @@
         if self.faults.unresponsive:
             return
         headers = {names.request_id: request_id, names.signature: f"{self.sampler_id}/{request_id}"}
+        if self.load is not None:
+            headers[names.load] = self.load
         if self.faults.fail_status is not None:
             self._reply(request, self.faults.fail_status, headers)
         elif "model" in request.headers:
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -5,6 +5,8 @@
 import asyncio
 import itertools
 import random
+import time
+import tracemalloc
 
 import msgspec
 import testtools
@@ -76,9 +78,18 @@
             gateway.exchange.update_nodes(addresses)
         self.calls: list[tuple[float, str]] = []
         self.sent_bytes = 0
+        self.busy_s = 0.0
+        """Processor time of both sides, without the connections."""
 
     def forward(self, gateway: Node, now: float) -> Exchange | None:
         """A lookup of the gateway arrives or makes progress; the exchange, if one is due."""
+        started_at = time.process_time()
+        try:
+            return self._forward(gateway, now)
+        finally:
+            self.busy_s += time.process_time() - started_at
+
+    def _forward(self, gateway: Node, now: float) -> Exchange | None:
         exchange = gateway.exchange.begin(SERVICE, now)
         if exchange is None:
             return None
@@ -381,6 +392,21 @@
                 zone.forward(gateway, at)
         return zone
 
+    def test_memory_grows_with_samplers_only(self) -> None:
+        """A process keeps one reading of each sampler, however many responses it gets."""
+        sizes = []
+        for rounds in (1, 50):
+            tracemalloc.start()
+            node = Node([])
+            before, _ = tracemalloc.get_traced_memory()
+            for count in range(rounds):
+                for number in range(28):
+                    node.measure(number, SLOW, 10.0 + count * 0.1)
+            sizes.append(tracemalloc.get_traced_memory()[0] - before)
+            tracemalloc.stop()
+        print(f"view of 28 samplers: {sizes[0]} bytes after one reading each, {sizes[1]} after 50")
+        self.assertLess(sizes[1], 2 * sizes[0])
+
     def test_cost_of_a_surge_and_at_rest(self) -> None:
         for total in (76, 390):
             in_zone = -(-total // 4)
@@ -388,12 +414,13 @@
             for factor, readings in ((80, OVERLOADED), (1, CALM)):
                 zone = self.run_zone(in_zone, factor * 6.0 * total / 76 / 4, readings)
                 calls = len(zone.calls)
-                size = zone.sent_bytes / max(1, calls)
-                print(
-                    f"{total} gateways, {factor} x: {calls / 10 * 4:.0f} calls/s, "
-                    f"{size:.0f} bytes each with the reply, "
-                    f"{zone.sent_bytes / 10 * 4 / 1000:.0f} kB/s in all zones"
-                )
+                if calls:
+                    print(
+                        f"{total} gateways, {factor} x: {calls / 10 * 4:.0f} calls/s, "
+                        f"{zone.sent_bytes / calls:.0f} bytes each with the reply, "
+                        f"{zone.sent_bytes / 10 * 4 / 1000:.0f} kB/s in all zones, "
+                        f"{zone.busy_s / calls * 1e6:.0f} us of processor time each"
+                    )
                 if readings is CALM:
                     self.assertEqual(0, calls)
                 else:
--- a/tests/test_load_recording.py
+++ b/tests/test_load_recording.py
@@ -125,6 +125,59 @@
             self.assertFalse(view.is_in_use("lookups", steady_time()))
 
 
+class InactiveTest(testtools.TestCase):
+    """Requirement 9: samplers that report no fourth figure are served as before."""
+
+    def sends(self, load: str | None) -> list[str]:
+        """Samplers to which 200 lookups went, of which samplers refuse every third."""
+        configure_logs("error")
+        log = EventLog("node")
+        samplers = SamplerTable()
+        entries = [
+            SamplerEntry(f"s-{number}", "lookups", ("127.0.0.1", 1), "ab"[number % 2], 6, False, {})
+            for number in range(5)
+        ]
+        samplers.replace_all(entries)
+        metrics = QuarantineMetrics(CollectorRegistry())
+        guard = QuarantineGuard(FakeQuarantineLedger(), log, metrics)
+        rng = random.Random(1)
+        attempts = AttemptMetrics(CollectorRegistry())
+        access = SamplerAccess("a", samplers, NAMES, log, attempts, rng, guard)
+        sent: list[str] = []
+
+        class Pool(FakePool):
+            """Records to which sampler a request goes."""
+
+            async def acquire(self, sampler_id: str, address: tuple[str, int]) -> FakePool:
+                """Returns a connection."""
+                sent.append(sampler_id)
+                headers = {NAMES.load: load} if load is not None else {}
+                refused = len(sent) % 3 == 0
+                headers |= {NAMES.not_run: "1"} if refused else {}
+                status = 503 if refused else 200
+                self.heads = [ResponseHead(status, "", HTTPHeaders(headers))]
+                return self
+
+        async def run() -> None:
+            forwarder = Forwarder(access)
+            forwarder._pool = Pool([])  # type: ignore[assignment]
+            route = Route("r", "", "/", RouteKind.SAFE, [], 5.0, 2.0, 3)
+            for number in range(200):
+                now = steady_time()
+                lookup = Lookup(f"r-{number}", "GET", "/", [], b"", now, now + 5.0)
+                await forwarder.forward(lookup, route, "lookups")
+
+        asyncio.run(run())
+        if load is not None:
+            self.assertTrue(access.load.unexpired(steady_time()))
+        return sent
+
+    def test_same_sends_with_three_figures_as_without_a_header(self) -> None:
+        without_header = self.sends(None)
+        self.assertGreater(len(without_header), 250)
+        self.assertEqual(without_header, self.sends("6,3,6"))
+
+
 class ItemStreamTest(testtools.TestCase):
     """Readings from the heads of items' streams."""
 
--- a/tests/test_load_sharing.py
+++ b/tests/test_load_sharing.py
@@ -3,22 +3,26 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import testtools
 from prometheus_client import CollectorRegistry
 
+from stileloom.background import Ticker
 from stileloom.clock import steady_time
+from stileloom.daemon.ledger_node import STEP_INTERVAL_S
 from stileloom.daemon.load_sharing import LoadSharing
 from stileloom.jobs.messages import JobEnded
-from stileloom.load import LoadReading
-from stileloom.load.messages import LoadShared
+from stileloom.load import LoadReading, LoadView
+from stileloom.load.exchange import STALL_S
+from stileloom.load.messages import LoadShared, ShareLoadCall
 from stileloom.load.metrics import LoadMetrics
 from stileloom.logging import EventLog, configure_logs
 from stileloom.transport.call_frames import Reply, Request
-from stileloom.transport.calls import CallServer
+from stileloom.transport.calls import CallConnection, CallServer
 from tests.ports import free_port
 from tests.service_cluster import ServiceCluster, with_cluster
-from tests.test_load_exchange import FULL, SERVICE, Node, entry
+from tests.test_load_exchange import FULL, SERVICE, Node, encoded, entry
 
 HOST = "127.0.0.1"
 MARGIN_S = 2.0
@@ -41,6 +45,11 @@
     raise AssertionError
 
 
+def services_in(view: LoadView) -> list[str]:
+    """Services of which a sampler reported slowness in the last seconds."""
+    return [name for name in ("charts", "drafts") if view.is_in_use(name, steady_time())]
+
+
 class DriverTest(testtools.TestCase):
     """Outcomes of exchanges as they are counted."""
 
@@ -85,9 +94,64 @@
             self.assertEqual({outcome: 1.0}, asyncio.run(run(handler)))
 
 
+class FrozenNodeTest(testtools.TestCase):
+    """A node that stands still while calls arrive."""
+
+    def test_calls_that_arrived_meanwhile_are_handled_after_the_step_that_detects_it(self) -> None:
+        """Otherwise their readings would be taken for new ones."""
+
+        async def run(frozen_s: float) -> int:
+            node = Node([entry(0)])
+            service = node.service
+
+            async def handle(request: Request) -> Reply:
+                assert isinstance(request, ShareLoadCall)
+                return service.handle(request, steady_time())
+
+            server = CallServer(handle)
+            port = free_port()
+            await server.start(HOST, port)
+            ticker = Ticker(lambda: service.step(steady_time()), STEP_INTERVAL_S)
+            ticker.start()
+            await asyncio.sleep(2 * STEP_INTERVAL_S)
+            connection = await CallConnection.open((HOST, port))
+            call = ShareLoadCall([encoded(entry(0))], [])
+            pending = asyncio.get_running_loop().create_task(connection.call(call, MARGIN_S))
+            # The call is in the node's socket when the event loop stops.
+            await asyncio.sleep(0)
+            time.sleep(frozen_s)
+            await pending
+            ticker.stop()
+            connection.close()
+            server.stop()
+            return len(node.view.unexpired(steady_time()))
+
+        self.assertEqual(0, asyncio.run(run(STALL_S + STEP_INTERVAL_S)))
+
+
 class ProgramsTest(testtools.TestCase):
     """A gateway and the ledger node of its zone."""
 
+    def test_responses_to_lookups_items_and_reward_calls_are_recorded(self) -> None:
+        """Guards against sources that are tested but not wired in."""
+
+        async def scenario(cluster: ServiceCluster) -> None:
+            for sampler in cluster.samplers.values():
+                sampler.load = "2,0,4,180"
+            answer = await cluster.call("POST", "/charts/x", b"", request_id="r1")
+            self.assertEqual(200, answer.code)
+            self.assertEqual(["charts"], services_in(cluster.gateways[0]._load))
+            await cluster.submit("job", ["i1", "i2"], rewards=True)
+            await cluster.results("job", 2)
+            leader = cluster.leader()
+            assert leader is not None
+            view = cluster.ledger_nodes[leader]._load
+            self.assertEqual(["charts", "drafts"], services_in(view))
+            for known in view.unexpired(steady_time()):
+                self.assertEqual(LoadReading(2, 0, 4, 1.8), known.reading)
+
+        with_cluster(scenario)
+
     def test_readings_pass_through_the_ledger_node(self) -> None:
         """Guards against a part that is tested but not wired in."""
 
