Reward calls: a step looks at each waiting call once

Cause: each complete text and each answered call looked at all pending calls, and counted the slots of all samplers for each of them. A leader that took over 490 complete texts of one step stood for 0.6 s and lost its lease, again and again. Change: texts that are queued together are looked at once; after an answer a step ends at the first call that the freed window does not admit; slots are counted once a step.

--- a/stileloom/jobs/reward_caller.py
+++ b/stileloom/jobs/reward_caller.py
@@ -85,6 +85,7 @@
         """Whether this node still leads; it may have been suspended since its last step."""
         self._pending: dict[ItemKey, PendingReward] = {}
         self._windows: dict[str, RewardWindow] = {}
+        self._step_scheduled = False
 
     def __len__(self) -> int:
         """Returns the number of pending reward calls."""
@@ -106,7 +107,20 @@
                 "versions": list(open_item.partial.versions),
             },
         )
-        self.step(now)
+        self._schedule_step()
+
+    def _schedule_step(self) -> None:
+        """Starts due calls once all that are queued at this moment are known.
+
+        A leader that takes over may queue hundreds of calls at once.
+        """
+        if not self._step_scheduled:
+            self._step_scheduled = True
+            asyncio.get_running_loop().call_soon(self._run_scheduled_step)
+
+    def _run_scheduled_step(self) -> None:
+        self._step_scheduled = False
+        self.step(steady_time())
 
     def cancel(self, key: ItemKey) -> None:
         """Cancels the reward call of an item."""
@@ -119,11 +133,20 @@
         for key in list(self._pending):
             self.cancel(key)
 
-    def step(self, now: float) -> None:
-        """Starts due calls in the order they were queued, within the limit of each service."""
+    def step(self, now: float, freed_service: str = "") -> None:
+        """Starts due calls in the order they were queued, within the limit of each service.
+
+        With `freed_service`, in whose window a call has ended, the calls behind the first one that
+        this window does not admit are left for the next step: looking at all of them after each
+        answer would take longer than the leader's lease if hundreds wait.
+        """
         if not self._may_send():
             return
+        closed: set[str] = set()
+        total_slots: dict[str, int] = {}
         for pending in list(self._pending.values()):
+            if freed_service in closed:
+                break
             if pending.task is not None or now < pending.not_before:
                 continue
             route = self._routes.match(pending.call.host, pending.call.path)
@@ -131,8 +154,13 @@
                 # The call waits until a configuration change restores the route.
                 continue
             service = self._routes.choose_backend(route)
+            if service in closed:
+                continue
             window = self._windows.setdefault(service, RewardWindow())
-            if not window.may_start(now, self._total_slots(service)):
+            if service not in total_slots:
+                total_slots[service] = self._total_slots(service)
+            if not window.may_start(now, total_slots[service]):
+                closed.add(service)
                 continue
             window.running += 1
             pending.tries += 1
@@ -159,7 +187,7 @@
             window.running -= 1
         window.record_answer()
         self._handle_answer(pending, answer, route.max_attempts)
-        self.step(steady_time())
+        self.step(steady_time(), freed_service=service)
 
     def _on_task_done(self, pending: PendingReward, task: asyncio.Task[None]) -> None:
         """Logs an internal error and retries the call, so that the item still gets its score."""
