Items and lookups are placed by measured speed where samplers report it

Cause: an item's sampler was rated by a moving average over about five event gaps, which follows noise with a period of 0.6 s; a gateway balanced lookups by its own open requests, which are 0 or 1.

Both decide only where the load view is in use; no program passes a view yet.

--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -4,10 +4,15 @@
 accepts. Items start in the order of `start_order`. Among samplers with a free slot the one with the
 shortest event interval is preferred; samplers that have already processed the prompt of the item's
 group get a discount.
+
+Where samplers report how long work takes (`LoadView.is_in_use`), their machines are shared and
+their speed is noisy. There the interval is that of `SamplerSpeed`, and runs move only at the end of
+a step.
 """
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Mapping
 from collections.abc import Set as AbstractSet
 from types import MappingProxyType
@@ -27,7 +32,9 @@
 from stileloom.jobs.partial_text import PartialText
 from stileloom.jobs.registry import JobRecord
 from stileloom.jobs.sampler_shares import SamplerShares
+from stileloom.jobs.sampler_speed import SamplerSpeed
 from stileloom.jobs.start_order import remaining_events, start_order
+from stileloom.proxy.sampler_choice import LoadSource
 from stileloom.proxy.sampler_table import SamplerTable, TrackedSampler
 from stileloom.switches import ALL_ON, Switches
 
@@ -44,6 +51,8 @@
 MOVE_MIN_AGE_S = 0.7
 """A run that has just begun says little about its sampler."""
 MOVE_MIN_EVENTS_LEFT = 5.0
+LAST_ITEMS_SHARE = 0.1
+"""Share of a job's items without a result from which its runs may move, where speeds are noisy."""
 MAX_CACHE_FILL = 0.95
 MIN_EVENTS_PER_SAVE = 5
 """Number of unsaved events at which an item is saved to the ledger."""
@@ -65,8 +74,10 @@
         samplers: SamplerTable,
         recorded_intervals_s: dict[str, float] | None = None,
         switches: Switches = ALL_ON,
+        load_view: LoadSource | None = None,
     ) -> None:
         self._switches = switches
+        self._load_view = load_view
         self.items: dict[ItemKey, OpenItem] = {}
         self._models_by_sampler: dict[str, SamplerModels] = {}
         self.cache_tokens: dict[str, float] = {}
@@ -76,6 +87,9 @@
             sampler_id: SamplerStats(interval_s)
             for sampler_id, interval_s in (recorded_intervals_s or {}).items()
         }
+        self._speeds: dict[str, SamplerSpeed] = {}
+        self._job_sizes: dict[str, int] = {}
+        """Number of items of each open job."""
         self._shares = SamplerShares(self.models_of)
         self._retained_texts: dict[TenantItem, PartialText] = {}
         self._seen_items: set[TenantItem] = set()
@@ -141,6 +155,7 @@
             )
             self._seen_items.add(tenant_item)
         self.items_per_job[submission.model] = len(submission.items)
+        self._job_sizes[submission.job_id] = len(submission.items)
         self._shares.set_demand(
             submission.model,
             sum(sizes.get(item.item_id, ItemSize()).expected_tokens for item in items),
@@ -148,6 +163,7 @@
 
     def remove_job(self, job_id: str) -> list[OpenItem]:
         """Removes and returns the items of an ended job; the caller stops their runs."""
+        self._job_sizes.pop(job_id, None)
         removed = [item for key, item in self.items.items() if key[0] == job_id]
         for open_item in removed:
             del self.items[open_item.key]
@@ -180,6 +196,20 @@
             if (stats := self._stats.get(sampler.entry.sampler_id)) is not None and stats.measured
         }
 
+    def _speed(self, sampler_id: str) -> SamplerSpeed:
+        speed = self._speeds.get(sampler_id)
+        if speed is None:
+            speed = self._speeds[sampler_id] = SamplerSpeed(self.stats(sampler_id).interval_s)
+        return speed
+
+    def _is_rated_by_speed(self, service: str, now: float) -> bool:
+        return self._load_view is not None and self._load_view.is_in_use(service, now)
+
+    def _interval_s(self, sampler_id: str, by_speed: bool) -> float:
+        if by_speed:
+            return self._speed(sampler_id).interval_s()
+        return self.stats(sampler_id).interval_s
+
     def models_of(self, sampler_id: str) -> SamplerModels:
         """Returns the known model versions of a sampler; the entry is created on first use."""
         return self._models_by_sampler.setdefault(sampler_id, SamplerModels())
@@ -243,15 +273,40 @@
         stats.groups.add(open_item.item.group)
         return PlannedRun(open_item, sampler_id, open_item.run)
 
-    def _best_sampler(self, open_item: OpenItem, now: float) -> TrackedSampler | None:
+    def _best_sampler(
+        self, open_item: OpenItem, now: float, spare_only: bool = False
+    ) -> TrackedSampler | None:
+        """Returns the best sampler with a free slot; with `spare_only` of those that no waiting
+        item can use.
+        """
         candidates = [
             sampler
             for sampler in self._samplers.of_service(open_item.service)
             if self._can_run(open_item, sampler, now)
         ]
+        by_speed = self._is_rated_by_speed(open_item.service, now)
+        if spare_only and candidates:
+            waiting = self._items_without_run()
+            candidates = [
+                sampler for sampler in candidates if not self._has_use(sampler, waiting, now)
+            ]
         if not candidates:
             return None
-        return min(candidates, key=lambda sampler: self._cost(open_item, sampler))
+        return min(candidates, key=lambda sampler: self._cost(open_item, sampler, by_speed))
+
+    def _items_without_run(self) -> list[OpenItem]:
+        return [
+            item
+            for item in self.items.values()
+            if item.run is None and not item.finished and not item.partial.whole
+        ]
+
+    def _has_use(self, sampler: TrackedSampler, waiting: list[OpenItem], now: float) -> bool:
+        """Whether an item that waits could run on the sampler."""
+        return any(
+            item.service == sampler.entry.service and self._can_run(item, sampler, now)
+            for item in waiting
+        )
 
     def _can_run(self, open_item: OpenItem, sampler: TrackedSampler, now: float) -> bool:
         sampler_id = sampler.entry.sampler_id
@@ -276,15 +331,21 @@
         text_versions = open_item.partial.versions
         return not (open_item.single_version and text_versions and text_versions != [version])
 
-    def _cost(self, open_item: OpenItem, sampler: TrackedSampler) -> tuple[bool, float]:
+    def _cost(
+        self, open_item: OpenItem, sampler: TrackedSampler, by_speed: bool = False
+    ) -> tuple[bool, float, float]:
+        """With `by_speed` the fill only decides between samplers of the same speed."""
         stats = self.stats(sampler.entry.sampler_id)
         fill = stats.running / max(1, sampler.entry.slots)
+        avoid = sampler.entry.sampler_id == open_item.avoid_sampler_id
+        if by_speed:
+            return (avoid, self._interval_s(sampler.entry.sampler_id, by_speed), fill)
         slowdown = FULL_SAMPLER_SLOWDOWN if self._switches.fastest_first else 1.0
         cost = stats.interval_s * (1.0 + slowdown * fill)
         has_discount = self._switches.group_bonus and open_item.item.group
         if has_discount and open_item.item.group in stats.groups:
             cost *= SHARED_PROMPT_COST_FACTOR
-        return (sampler.entry.sampler_id == open_item.avoid_sampler_id, cost)
+        return (avoid, cost, 0.0)
 
     def unresponsive_runs(self, now: float) -> list[OpenItem]:
         """Returns runs that exceeded the event timeout and marks their samplers as failed."""
@@ -302,16 +363,32 @@
 
     def slow_runs(self, now: float) -> list[OpenItem]:
         """Returns runs that would finish sooner on another sampler, most remaining events first."""
+        open_by_job = self._open_items_by_job()
         slow = [
             open_item
             for open_item in self.items.values()
             if open_item.run is not None
+            and self._may_move(open_item, open_by_job, now)
             and self.models_of(open_item.run.sampler_id).loading != open_item.model
             and self.faster_sampler(open_item, now) is not None
         ]
         slow.sort(key=self.events_left, reverse=True)
         return slow
 
+    def _open_items_by_job(self) -> Counter[str]:
+        return Counter(item.key[0] for item in self.items.values() if not item.finished)
+
+    def _may_move(self, open_item: OpenItem, open_by_job: Counter[str], now: float) -> bool:
+        """Whether runs of the item's job may move.
+
+        Where speeds are noisy, only the last items of a step do: a move costs more than it gains
+        unless the step waits for the run.
+        """
+        if not self._is_rated_by_speed(open_item.service, now):
+            return True
+        job_id = open_item.key[0]
+        return open_by_job[job_id] <= LAST_ITEMS_SHARE * self._job_sizes.get(job_id, 0)
+
     def _cache_tokens(self, open_item: OpenItem) -> float:
         return self.cache_tokens.get(open_item.service, float("inf")) * MAX_CACHE_FILL
 
@@ -324,12 +401,15 @@
         run = open_item.run
         if run is None or run.events < 2 or now - run.started_at < MOVE_MIN_AGE_S:
             return None
-        current_interval_s = self.stats(run.sampler_id).interval_s
-        best = self._best_sampler(open_item, now)
+        by_speed = self._is_rated_by_speed(open_item.service, now)
+        if by_speed and not self._may_move(open_item, self._open_items_by_job(), now):
+            return None
+        current_interval_s = self._interval_s(run.sampler_id, by_speed)
+        best = self._best_sampler(open_item, now, spare_only=by_speed)
         if best is None:
             return None
         sampler_id = best.entry.sampler_id
-        best_interval_s = self.stats(sampler_id).interval_s
+        best_interval_s = self._interval_s(sampler_id, by_speed)
         gain_s = (current_interval_s - best_interval_s) * self.events_left(open_item)
         is_worthwhile = (
             current_interval_s > best_interval_s * MOVE_MIN_SPEEDUP and gain_s > MOVE_MIN_GAIN_S
@@ -389,6 +469,7 @@
         models = self.models_of(run.sampler_id)
         if models.loading == model or run.last_event_at <= models.load_ended_at:
             return
+        self._speed(run.sampler_id).record_gap(now - run.last_event_at, now)
         stats = self.stats(run.sampler_id)
         stats.measured = True
         interval_s = min(now - run.last_event_at, stats.interval_s * MAX_INTERVAL_GROWTH)
@@ -410,6 +491,7 @@
     def remove_sampler(self, sampler_id: str) -> None:
         """Removes the state of a sampler that is gone."""
         self._models_by_sampler.pop(sampler_id, None)
+        self._speeds.pop(sampler_id, None)
         if self.stats(sampler_id).running == 0:
             self._stats.pop(sampler_id, None)
 
--- a/stileloom/proxy/attempt_plan.py
+++ b/stileloom/proxy/attempt_plan.py
@@ -10,10 +10,14 @@
 
 import msgspec
 
+from stileloom.proxy.sampler_choice import RatedSampler, SamplerChoice
 from stileloom.proxy.sampler_table import SamplerTable, TrackedSampler
 
 HEDGE_DELAY_FRACTION = 0.45
 """Share of the target latency after which a hedged attempt starts."""
+MIN_HEDGE_DELAY_FRACTION = 0.3
+MAX_HEDGE_DELAY_FRACTION = 0.6
+"""Bounds of that share where it scales with the slowness of a sampler."""
 
 
 class AttemptPlan(msgspec.Struct):
@@ -38,6 +42,11 @@
     """When the request was sent, by sampler that may have begun to run it."""
     full: bool = False
     """Whether a sampler refused the lookup because it is full."""
+    drawn: list[RatedSampler] = msgspec.field(default_factory=list)
+    """Samplers that were drawn for the last attempt, the selected one first; empty without a load
+    view in use."""
+    hedge_delay_fraction: float = HEDGE_DELAY_FRACTION
+    """Share of the target latency after which the current first attempt is hedged."""
 
     def may_start(self) -> bool:
         """Whether another attempt is allowed."""
@@ -49,15 +58,20 @@
         """Earliest time of a hedged attempt, in monotonic seconds."""
         if not self.hedges:
             return float("inf")
-        return self.last_started_at + self.target_latency_s * HEDGE_DELAY_FRACTION
+        return self.last_started_at + self.target_latency_s * self.hedge_delay_fraction
 
     def select_sampler(
-        self, samplers: SamplerTable, now: float, rng: random.Random
+        self,
+        samplers: SamplerTable,
+        now: float,
+        rng: random.Random,
+        choice: SamplerChoice | None = None,
     ) -> TrackedSampler | None:
         """Selects the sampler for the next attempt, or None if there is no candidate.
 
         Samplers that were already tried are candidates only if there are no others and no attempt
-        is running.
+        is running. `choice` selects among the candidates if its load view is in use for the
+        service.
         """
         candidates = [
             tracked
@@ -77,6 +91,11 @@
             ]
         if not candidates:
             return None
+        if choice is not None and choice.is_in_use(self.service, now):
+            return self._choose(choice, candidates, now)
+        self.drawn = []
+        if not self.running:
+            self.hedge_delay_fraction = HEDGE_DELAY_FRACTION
 
         def cost(tracked: TrackedSampler) -> tuple[bool, float, bool, float]:
             load = tracked.open_requests / max(1, tracked.entry.slots)
@@ -86,6 +105,18 @@
 
         return min(candidates, key=cost)
 
+    def _choose(
+        self, choice: SamplerChoice, candidates: list[TrackedSampler], now: float
+    ) -> TrackedSampler:
+        self.drawn = choice.draw(candidates, self.zone, now)
+        selected = self.drawn[0]
+        if not self.running:
+            fraction = HEDGE_DELAY_FRACTION * selected.estimate.slowness
+            self.hedge_delay_fraction = min(
+                max(fraction, MIN_HEDGE_DELAY_FRACTION), MAX_HEDGE_DELAY_FRACTION
+            )
+        return selected.tracked
+
     def record_start(self, sampler_id: str, now: float) -> None:
         """Records the start of an attempt."""
         self.running += 1
--- /dev/null
+++ b/stileloom/proxy/sampler_choice.py
@@ -0,0 +1,94 @@
+"""Selects the sampler of a lookup by its expected time to completion. Performs no I/O.
+
+Answers a load in which samplers are uneven, slow for moments or full, while each of many gateways
+sees few lookups. The gateways know the same samplers to be free, so a gateway that sent to the best
+one would do what all others do. Two samplers are drawn at random, those that are expected to end
+sooner with greater probability, and the better of the two is selected.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import Protocol
+
+import msgspec
+
+from stileloom.api.sampler_directory import SamplerEntry
+from stileloom.proxy.sampler_table import TrackedSampler
+
+DRAWN = 2
+MIN_SLOWNESS = 0.01
+"""Smallest slowness that counts, so that a report of 0 gives no infinite weight."""
+
+
+class Estimate(Protocol):
+    """What is known about the load of a sampler."""
+
+    @property
+    def occupancy(self) -> float:
+        """Running and waiting requests by slots."""
+
+    @property
+    def slowness(self) -> float:
+        """How long work takes, relative to the usual time."""
+
+    @property
+    def age_s(self) -> float:
+        """Age of the reading."""
+
+
+class LoadSource(Protocol):
+    """Estimates of the load of samplers."""
+
+    def is_in_use(self, service: str, now: float) -> bool:
+        """Whether samplers of the service report how long work takes."""
+
+    def estimate(self, entry: SamplerEntry, now: float) -> Estimate:
+        """Estimates the load of a sampler."""
+
+
+class RatedSampler(msgspec.Struct, frozen=True):
+    """A sampler that was drawn, and the figures that determine the selection."""
+
+    tracked: TrackedSampler
+    estimate: Estimate
+    expected_time: float
+    """Expected time to completion in units of the usual work."""
+
+
+class SamplerChoice:
+    """Selects samplers with the figures of a load view."""
+
+    def __init__(self, view: LoadSource, rng: random.Random) -> None:
+        self._view = view
+        self._rng = rng
+
+    def is_in_use(self, service: str, now: float) -> bool:
+        """Whether samplers of the service are selected by their expected time to completion."""
+        return self._view.is_in_use(service, now)
+
+    def choose(self, candidates: list[TrackedSampler], zone: str, now: float) -> TrackedSampler:
+        """Selects one of the candidates, of which there is at least one."""
+        return self.draw(candidates, zone, now)[0].tracked
+
+    def draw(self, candidates: list[TrackedSampler], zone: str, now: float) -> list[RatedSampler]:
+        """Draws up to two candidates; returns them with the one to select first.
+
+        Samplers that failed recently are drawn only if there are no others.
+        """
+        healthy = [tracked for tracked in candidates if tracked.avoid_until <= now]
+        remaining = [self._rate(tracked, now) for tracked in healthy or candidates]
+        drawn: list[RatedSampler] = []
+        while remaining and len(drawn) < DRAWN:
+            weights = [1.0 / rated.expected_time for rated in remaining]
+            (position,) = self._rng.choices(range(len(remaining)), weights)
+            drawn.append(remaining.pop(position))
+        drawn.sort(key=lambda rated: (rated.expected_time, rated.tracked.entry.zone != zone))
+        return drawn
+
+    def _rate(self, tracked: TrackedSampler, now: float) -> RatedSampler:
+        estimate = self._view.estimate(tracked.entry, now)
+        slots = max(1, tracked.entry.slots)
+        excess = max(0.0, estimate.occupancy * slots + tracked.open_requests + 1 - slots)
+        slowness = max(MIN_SLOWNESS, estimate.slowness)
+        return RatedSampler(tracked, estimate, slowness * (1.0 + excess / slots))
