Placement uses the load view of the process

Cause: SamplerChoice and SamplerSpeed were not reached by any program.

Change: the forwarder, the stream relay and the scheduler of the leader get the load view of the process. The estimates are those of stileloom/load.

--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -95,7 +95,9 @@
             dependencies.metrics,
             dependencies.switches,
         )
-        self.scheduler = ItemScheduler(samplers, registry.interval_s, switches)
+        self.scheduler = ItemScheduler(
+            samplers, registry.interval_s, switches, dependencies.forwarder.load
+        )
         self.planner = VersionPlanner(self.scheduler, samplers, switches)
         self._switches = switches
         self._orders_allowed_at = dependencies.earliest_order_at
--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -34,7 +34,7 @@
 from stileloom.jobs.sampler_shares import SamplerShares
 from stileloom.jobs.sampler_speed import SamplerSpeed
 from stileloom.jobs.start_order import remaining_events, start_order
-from stileloom.proxy.sampler_choice import LoadSource
+from stileloom.load import LoadView
 from stileloom.proxy.sampler_table import SamplerTable, TrackedSampler
 from stileloom.switches import ALL_ON, Switches
 
@@ -74,7 +74,7 @@
         samplers: SamplerTable,
         recorded_intervals_s: dict[str, float] | None = None,
         switches: Switches = ALL_ON,
-        load_view: LoadSource | None = None,
+        load_view: LoadView | None = None,
     ) -> None:
         self._switches = switches
         self._load_view = load_view
--- a/stileloom/proxy/forwarder.py
+++ b/stileloom/proxy/forwarder.py
@@ -20,6 +20,7 @@
 from stileloom.proxy.exchange import Attempt, AttemptOutcome, run_exchange
 from stileloom.proxy.lookup import Lookup, LookupResponse
 from stileloom.proxy.sampler_access import SamplerAccess
+from stileloom.proxy.sampler_choice import SamplerChoice
 from stileloom.proxy.sampler_table import TrackedSampler
 from stileloom.quarantine.guard import Permit
 
@@ -37,6 +38,7 @@
         self._guard = access.guard
         self._count_run = access.count_run
         self.load = access.load
+        self._choice = SamplerChoice(access.load, access.rng)
         self.on_lookup_active: Callable[[str], None] = lambda service: None
         """Called with the service when a lookup arrives and whenever it makes progress."""
         self._hedges = hedges
@@ -139,7 +141,7 @@
         attempts: set[asyncio.Task[Attempt]],
         now: float,
     ) -> bool:
-        tracked = plan.select_sampler(self._samplers, now, self._rng)
+        tracked = plan.select_sampler(self._samplers, now, self._rng, self._choice)
         if tracked is None:
             return False
         plan.record_start(tracked.entry.sampler_id, now)
--- a/stileloom/proxy/sampler_choice.py
+++ b/stileloom/proxy/sampler_choice.py
@@ -9,49 +9,20 @@
 from __future__ import annotations
 
 import random
-from typing import Protocol
 
 import msgspec
 
-from stileloom.api.sampler_directory import SamplerEntry
+from stileloom.load import LoadEstimate, LoadView
 from stileloom.proxy.sampler_table import TrackedSampler
 
 DRAWN = 2
-MIN_SLOWNESS = 0.01
-"""Smallest slowness that counts, so that a report of 0 gives no infinite weight."""
-
-
-class Estimate(Protocol):
-    """What is known about the load of a sampler."""
-
-    @property
-    def occupancy(self) -> float:
-        """Running and waiting requests by slots."""
-
-    @property
-    def slowness(self) -> float:
-        """How long work takes, relative to the usual time."""
-
-    @property
-    def age_s(self) -> float:
-        """Age of the reading."""
-
-
-class LoadSource(Protocol):
-    """Estimates of the load of samplers."""
-
-    def is_in_use(self, service: str, now: float) -> bool:
-        """Whether samplers of the service report how long work takes."""
-
-    def estimate(self, entry: SamplerEntry, now: float) -> Estimate:
-        """Estimates the load of a sampler."""
 
 
 class RatedSampler(msgspec.Struct, frozen=True):
     """A sampler that was drawn, and the figures that determine the selection."""
 
     tracked: TrackedSampler
-    estimate: Estimate
+    estimate: LoadEstimate
     expected_time: float
     """Expected time to completion in units of the usual work."""
 
@@ -59,7 +30,7 @@
 class SamplerChoice:
     """Selects samplers with the figures of a load view."""
 
-    def __init__(self, view: LoadSource, rng: random.Random) -> None:
+    def __init__(self, view: LoadView, rng: random.Random) -> None:
         self._view = view
         self._rng = rng
 
@@ -90,5 +61,4 @@
         estimate = self._view.estimate(tracked.entry, now)
         slots = max(1, tracked.entry.slots)
         excess = max(0.0, estimate.occupancy * slots + tracked.open_requests + 1 - slots)
-        slowness = max(MIN_SLOWNESS, estimate.slowness)
-        return RatedSampler(tracked, estimate, slowness * (1.0 + excess / slots))
+        return RatedSampler(tracked, estimate, estimate.slowness * (1.0 + excess / slots))
--- a/stileloom/proxy/stream_relay.py
+++ b/stileloom/proxy/stream_relay.py
@@ -29,6 +29,7 @@
 from stileloom.proxy.attempt_plan import AttemptPlan
 from stileloom.proxy.lookup import Lookup, LookupResponse
 from stileloom.proxy.sampler_access import SamplerAccess
+from stileloom.proxy.sampler_choice import SamplerChoice
 from stileloom.proxy.sampler_table import TrackedSampler
 
 EVENT_TIMEOUT_S = 1.2
@@ -100,6 +101,7 @@
         self._guard = access.guard
         self._count_run = access.count_run
         self._load = access.load
+        self._choice = SamplerChoice(access.load, access.rng)
         self._pool = ConnectionPool(access.metrics.connection_opened)
 
     def close_connections(self, sampler_id: str) -> None:
@@ -130,7 +132,7 @@
                 if stream.started:
                     break
                 raise suspect_refusal(plan)
-            tracked = plan.select_sampler(self._samplers, steady_time(), self._rng)
+            tracked = plan.select_sampler(self._samplers, steady_time(), self._rng, self._choice)
             if tracked is None:
                 refusal = await self._wait_for_sampler(lookup, plan, stream)
                 if refusal is None:
