--- a/stileloom/jobs/sampler_speed.py
+++ b/stileloom/jobs/sampler_speed.py
@@ -23,13 +23,14 @@
     """The rated event interval of a sampler.
 
     The measured interval is the median of the windows' medians. It replaces the rated one once it
-    has differed by `MIN_CHANGE` to the same side in two consecutive windows. The first rating takes
-    two windows. Medians of an even count are the lower of the two middle values, because
-    disturbances only lengthen gaps.
+    and the window's own median have differed from it by `MIN_CHANGE` to the same side in two
+    consecutive windows. Until the first two
+    consecutive windows are complete, the rated interval follows each gap. Medians of an even count
+    are the lower of the two middle values, because disturbances only lengthen gaps.
     """
 
     def __init__(self, initial_s: float = INITIAL_INTERVAL_S) -> None:
-        """`initial_s` is used until the sampler is rated."""
+        """`initial_s` is used until the first gap."""
         self._rated_s = initial_s
         self._is_rated = False
         self._medians: dict[int, float] = {}
@@ -47,6 +48,8 @@
             self._close_window()
             self._window = window
         self._gaps.append(gap_s)
+        if not self._is_rated:
+            self._rated_s = median_low([*self._medians.values(), median_low(self._gaps)])
 
     def interval_s(self) -> float:
         """Returns the rated time between two events of a run."""
@@ -63,11 +66,13 @@
         self._gaps = []
         interval_s = median_low(self._medians.values())
         if not self._is_rated:
-            if is_consecutive:
-                self._is_rated = True
-                self._rated_s = interval_s
+            self._is_rated = is_consecutive
+            self._rated_s = interval_s
             return
         deviation = self._side(interval_s)
+        if deviation != self._side(self._medians[window]):
+            # Disturbances of earlier windows are still in the median of all.
+            deviation = 0
         if deviation and is_consecutive and deviation == self._deviation:
             self._rated_s = interval_s
             deviation = 0
