--- a/stileloom/jobs/result_writer.py
+++ b/stileloom/jobs/result_writer.py
@@ -8,6 +8,7 @@
 
 from stileloom.api.jobs import FinishedItem, ItemProgress
 from stileloom.background import BackgroundTasks
+from stileloom.clock import steady_time
 from stileloom.errors import StileloomError
 from stileloom.events import LogEvent
 from stileloom.jobs.leader_ledger import LeaderLedger
@@ -156,7 +157,7 @@
 
     def record_intervals(self) -> None:
         """Saves the measured event intervals if they changed."""
-        intervals = self._scheduler.measured_intervals()
+        intervals = self._scheduler.measured_intervals(steady_time())
         if _have_changed(intervals, self._registry.interval_s):
             self._tasks.spawn(self._commit_intervals(intervals))
 
--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -188,13 +188,16 @@
         """Returns the statistics of a sampler, created on first use."""
         return self._stats.setdefault(sampler_id, SamplerStats())
 
-    def measured_intervals(self) -> dict[str, float]:
+    def measured_intervals(self, now: float) -> dict[str, float]:
         """Returns the event interval of each known sampler for which it was measured."""
-        return {
-            sampler.entry.sampler_id: round(stats.interval_s, 4)
-            for sampler in self._samplers.all()
-            if (stats := self._stats.get(sampler.entry.sampler_id)) is not None and stats.measured
-        }
+        intervals: dict[str, float] = {}
+        for sampler in self._samplers.all():
+            sampler_id, service = sampler.entry.sampler_id, sampler.entry.service
+            stats = self._stats.get(sampler_id)
+            if stats is not None and stats.measured:
+                by_speed = self._is_rated_by_speed(service, now)
+                intervals[sampler_id] = round(self._interval_s(sampler_id, by_speed), 4)
+        return intervals
 
     def _speed(self, sampler_id: str) -> SamplerSpeed:
         speed = self._speeds.get(sampler_id)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -46,6 +46,8 @@
 LEDGER_BLOBS = "tests/test_ledger_blobs.py"
 LOAD_VIEW = "tests/test_load_view.py"
 LOAD_EXCHANGE = "tests/test_load_exchange.py"
+SAMPLER_CHOICE = "tests/test_sampler_choice.py"
+ITEM_PLACEMENT = "tests/test_item_placement.py"
 
 MUTANTS = [
     Mutant(
@@ -961,6 +963,70 @@
         "            pass\n",
         LOAD_EXCHANGE,
     ),
+    Mutant(
+        "every gateway selects the sampler that looks best",
+        "gateways do not all send to the one sampler that appears free",
+        "stileloom/proxy/sampler_choice.py",
+        "DRAWN = 2\n",
+        "DRAWN = 99\n",
+        f"{SAMPLER_CHOICE}::HerdTest",
+    ),
+    Mutant(
+        "the forwarder does not use the load view",
+        "lookups are placed where they end first",
+        "stileloom/proxy/forwarder.py",
+        "plan.select_sampler(self._samplers, now, self._rng, self._choice)",
+        "plan.select_sampler(self._samplers, now, self._rng)",
+        f"{SAMPLER_CHOICE}::ProgramsTest",
+    ),
+    Mutant(
+        "lookups are placed by load where no sampler reports how long work takes",
+        "a deployment without fourth figures is served as before",
+        "stileloom/proxy/attempt_plan.py",
+        "        if choice is not None and choice.is_in_use(self.service, now):\n",
+        "        if choice is not None:\n",
+        f"{SAMPLER_CHOICE}::UnchangedDecisionsTest",
+    ),
+    Mutant(
+        "the hedge delay is the same for slow samplers",
+        "a lookup at a slow sampler is hedged later",
+        "stileloom/proxy/attempt_plan.py",
+        "fraction = HEDGE_DELAY_FRACTION * selected.estimate.slowness",
+        "fraction = HEDGE_DELAY_FRACTION",
+        f"{SAMPLER_CHOICE}::ChoiceTest",
+    ),
+    Mutant(
+        "items are placed by speed where no sampler reports how long work takes",
+        "a deployment without fourth figures is served as before",
+        "stileloom/jobs/scheduler.py",
+        "return self._load_view is not None and self._load_view.is_in_use(service, now)",
+        "return self._load_view is not None",
+        f"{ITEM_PLACEMENT}::UnchangedDecisionsTest",
+    ),
+    Mutant(
+        "one window changes the rating of a sampler",
+        "noise moves no item",
+        "stileloom/jobs/sampler_speed.py",
+        "        if deviation and is_consecutive and deviation == self._deviation:\n",
+        "        if deviation:\n",
+        ITEM_PLACEMENT,
+    ),
+    Mutant(
+        "runs move at any time of a step",
+        "noise moves no item",
+        "stileloom/jobs/scheduler.py",
+        "LAST_ITEMS_SHARE = 0.1\n",
+        "LAST_ITEMS_SHARE = 1.0\n",
+        f"{ITEM_PLACEMENT}::MoveTest",
+    ),
+    Mutant(
+        "a run moves to a slot that a waiting item can use",
+        "a second run takes no slot from a waiting item",
+        "stileloom/jobs/scheduler.py",
+        "        if spare_only and candidates:\n",
+        "        if False:\n",
+        f"{ITEM_PLACEMENT}::MoveTest",
+    ),
 ]
 
 
--- a/tests/test_item_placement.py
+++ b/tests/test_item_placement.py
@@ -27,7 +27,7 @@
 )
 from stileloom.load import LoadReading, LoadView
 from stileloom.proxy.sampler_table import SamplerTable, TrackedSampler
-from tests.chain_simulation import ChainSimulation, Load
+from tests.chain_simulation import EVENT_S, ChainSimulation, Load
 from tests.test_item_scheduler import SchedulerFixture, entry, record
 
 SECONDS = 30.0
@@ -283,6 +283,23 @@
         return []
 
 
+class RecordedIntervalsTest(testtools.TestCase):
+    """Intervals that the leader saves for its successor."""
+
+    def test_noise_changes_no_recorded_interval(self) -> None:
+        """Guards against a commit every two seconds, and a new leader that begins with noise."""
+        recorded: dict[str, set[float]] = {"earlier": set(), "by speed": set()}
+        for name, make in (("earlier", ItemScheduler), ("by speed", by_speed)):
+            simulation = ChainSimulation(NOISE, 1, make)
+            for second in range(6, 16, 2):
+                simulation.run(float(second))
+                recorded[name].update(
+                    simulation.scheduler.measured_intervals(simulation.now).values()
+                )
+        self.assertEqual({EVENT_S}, recorded["by speed"])
+        self.assertGreater(len(recorded["earlier"]), 1)
+
+
 class Outcome(msgspec.Struct):
     """What trainers get from chains of steps with the same items."""
 
--- a/tests/test_item_scheduler.py
+++ b/tests/test_item_scheduler.py
@@ -131,11 +131,11 @@
         (item,) = fixture.scheduler.items.values()
         for number in range(1, 60):
             fixture.scheduler.record_event(item, number * 0.2)
-        measured = fixture.scheduler.measured_intervals()
+        measured = fixture.scheduler.measured_intervals(12.0)
         self.assertEqual([first], list(measured))
         later = ItemScheduler(fixture.samplers, measured)
         self.assertAlmostEqual(0.2, later.stats(first).interval_s, places=2)
-        self.assertEqual({}, later.measured_intervals())
+        self.assertEqual({}, later.measured_intervals(12.0))
 
     def test_slow_runs_do_not_all_move_to_the_same_free_slot(self) -> None:
         fixture = SchedulerFixture(entry("a", slots=2), entry("b", slots=1))
--- a/tests/test_sampler_choice.py
+++ b/tests/test_sampler_choice.py
@@ -13,11 +13,13 @@
 import testtools
 
 from stileloom.api.sampler_directory import SamplerEntry
+from stileloom.clock import steady_time
 from stileloom.load import LoadReading, LoadView
 from stileloom.proxy.attempt_plan import HEDGE_DELAY_FRACTION, AttemptPlan
 from stileloom.proxy.sampler_choice import SamplerChoice
 from stileloom.proxy.sampler_table import SamplerTable, TrackedSampler
 from tests.lookup_simulation import ZONES, Gateway, LookupLoad, LookupSimulation
+from tests.service_cluster import ServiceCluster, with_cluster
 
 SERVICE = "lookups"
 SLOTS = 6
@@ -203,6 +205,43 @@
         self.assertEqual([0.1, 0.1], [rated.estimate.age_s for rated in plan.drawn])
 
 
+class ProgramsTest(testtools.TestCase):
+    """A gateway and the leader."""
+
+    def test_lookups_and_items_are_placed_by_what_samplers_report(self) -> None:
+        """Guards against a part that is tested but not wired in."""
+
+        async def scenario(cluster: ServiceCluster) -> None:
+            gateway = cluster.gateways[0]
+            entries = gateway.directory.samplers.entries_of_service("charts")
+            for number, slow in enumerate(entries):
+                for listed in entries:
+                    slowness = SLOW if listed is slow else 1.0
+                    sampler = cluster.samplers[listed.sampler_id]
+                    sampler.load = f"0,0,4,{slowness * 100:.0f}"
+                    now = steady_time()
+                    gateway._load.record(listed, LoadReading(0, 0, 4, slowness), now, now)
+                runs_before = len(cluster.samplers[slow.sampler_id].runs)
+                for lookup in range(8):
+                    request_id = f"r{number}-{lookup}"
+                    answer = await cluster.call("POST", "/charts/x", b"", request_id=request_id)
+                    self.assertEqual(200, answer.code)
+                self.assertEqual(runs_before, len(cluster.samplers[slow.sampler_id].runs))
+            for sampler in cluster.samplers.values():
+                sampler.load = "0,0,4,100"
+            await cluster.submit("job", ["i1", "i2"])
+            await cluster.results("job", 2)
+            leader = cluster.leader()
+            assert leader is not None
+            service = cluster.ledger_nodes[leader]._service
+            assert service is not None
+            assert service.runner is not None
+            scheduler = service.runner.scheduler
+            self.assertTrue(scheduler._is_rated_by_speed("drafts", steady_time()))
+
+        with_cluster(scenario)
+
+
 class HerdTest(testtools.TestCase):
     """Gateways that choose at the same moment with the same readings (requirement 5)."""
 
