Placement: a full sampler counts as a wasted send, runs move before the awaited tenth

Second runs began when a tenth of all items was open, which is when a trainer that waits for 90 % of its groups already ends the step. Change: the excess is not divided by the slots; the last tenth is that of the items which the trainer waits for.

--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -18,7 +18,7 @@
 from collections.abc import Set as AbstractSet
 from types import MappingProxyType
 
-from stileloom.api.jobs import JobItem
+from stileloom.api.jobs import JobItem, JobSubmission
 from stileloom.jobs.model_versions import SamplerModels
 from stileloom.jobs.open_items import (
     DEFAULT_TOKENS_PER_EVENT,
@@ -54,7 +54,8 @@
 """A run that has just begun says little about its sampler."""
 MOVE_MIN_EVENTS_LEFT = 5.0
 LAST_ITEMS_SHARE = 0.1
-"""Share of a job's items without a result from which its runs may move, where speeds are noisy."""
+"""Share of the items that a trainer waits for from which their runs may move, where speeds are
+noisy."""
 MAX_CACHE_FILL = 0.95
 MIN_EVENTS_PER_SAVE = 5
 """Number of unsaved events at which an item is saved to the ledger."""
@@ -91,8 +92,8 @@
         }
         self._pass: PlanningPass | None = None
         self._speeds: dict[str, SamplerSpeed] = {}
-        self._job_sizes: dict[str, int] = {}
-        """Number of items of each open job."""
+        self._last_items: dict[str, float] = {}
+        """Number of open items from which runs of a job may move where speeds are noisy."""
         self._shares = SamplerShares(self.models_of)
         self._retained_texts: dict[TenantItem, PartialText] = {}
         self._seen_items: set[TenantItem] = set()
@@ -158,7 +159,7 @@
             )
             self._seen_items.add(tenant_item)
         self.items_per_job[submission.model] = len(submission.items)
-        self._job_sizes[submission.job_id] = len(submission.items)
+        self._last_items[submission.job_id] = _last_items(submission)
         self._shares.set_demand(
             submission.model,
             sum(sizes.get(item.item_id, ItemSize()).expected_tokens for item in items),
@@ -166,7 +167,7 @@
 
     def remove_job(self, job_id: str) -> list[OpenItem]:
         """Removes and returns the items of an ended job; the caller stops their runs."""
-        self._job_sizes.pop(job_id, None)
+        self._last_items.pop(job_id, None)
         removed = [item for key, item in self.items.items() if key[0] == job_id]
         for open_item in removed:
             del self.items[open_item.key]
@@ -434,9 +435,7 @@
         if not self._is_rated_by_speed(open_item.service, now):
             return True
         job_id = open_item.key[0]
-        return self._open_items_by_job()[job_id] <= LAST_ITEMS_SHARE * self._job_sizes.get(
-            job_id, 0
-        )
+        return self._open_items_by_job()[job_id] <= self._last_items.get(job_id, 0.0)
 
     def _cache_tokens(self, open_item: OpenItem) -> float:
         return self.cache_tokens.get(open_item.service, float("inf")) * MAX_CACHE_FILL
@@ -556,3 +555,14 @@
     def running_on(self, sampler_id: str, model: str) -> int:
         """Counts the runs of a model on a sampler."""
         return len(self._runs_on(sampler_id, model))
+
+
+def _last_items(submission: JobSubmission) -> float:
+    """Number of open items at which only `LAST_ITEMS_SHARE` of those that the trainer waits for
+    have no result; the trainer ends the step once it has the groups that it desires.
+    """
+    items = len(submission.items)
+    groups = len({item.group for item in submission.items})
+    desired = min(submission.desired_groups or groups, groups)
+    awaited = items * desired / max(1, groups)
+    return items - awaited + awaited * LAST_ITEMS_SHARE
--- a/stileloom/proxy/sampler_choice.py
+++ b/stileloom/proxy/sampler_choice.py
@@ -61,4 +61,6 @@
         estimate = self._view.estimate(tracked.entry, now)
         slots = max(1, tracked.entry.slots)
         excess = max(0.0, estimate.occupancy * slots + tracked.open_requests + 1 - slots)
-        return RatedSampler(tracked, estimate, estimate.slowness * (1.0 + excess / slots))
+        # A full sampler refuses the lookup, which costs another send: the excess is not divided by
+        # the slots.
+        return RatedSampler(tracked, estimate, estimate.slowness * (1.0 + excess))
--- a/tests/test_item_placement.py
+++ b/tests/test_item_placement.py
@@ -222,14 +222,17 @@
 class MoveTest(testtools.TestCase):
     """Second runs where the load view is in use."""
 
-    def fixture(self, items: int, gap_s: float = 0.15) -> SchedulerFixture:
-        """Items on two samplers, of which `slow` is steadily slow; all but one have results."""
+    def fixture(self, items: int, gap_s: float = 0.15, desired: int = 0) -> SchedulerFixture:
+        """Items on two samplers, of which `slow` is steadily slow; all but one have results.
+
+        The trainer waits for `desired` groups of one item each, 0 for all of them.
+        """
         fixture = SchedulerFixture(entry("slow", slots=1), entry("spare", slots=1))
         fixture.scheduler = by_speed(fixture.samplers)
         for name in ("slow", "spare"):
             fixture.scheduler.models_of(name).record_version("m", 1)
         fixture.scheduler.stats("spare").refused_until = 0.1
-        fixture.adopt(record("j", items), sizes={"j-i0": ItemSize(9000.0)})
+        fixture.adopt(record("j", items, desired_groups=desired), sizes={"j-i0": ItemSize(9000.0)})
         self.assertEqual({"j-i0": "slow"}, fixture.starts())
         item = fixture.scheduler.items["j", "j-i0"]
         for number in range(1, 21):
@@ -258,6 +261,17 @@
         self.finish(fixture, 2, 3)
         self.assertEqual("spare", self.moved_to(fixture))
 
+    def test_runs_move_before_the_trainer_has_the_groups_that_it_waits_for(self) -> None:
+        """Guards against second runs that begin only once the trainer has ended the step: of 18
+        awaited items of 20, the last tenth begins with 3 open ones.
+        """
+        for open_items, target in ((4, None), (3, "spare")):
+            fixture = self.fixture(20, desired=18)
+            self.finish(fixture, open_items, 20)
+            for number in range(1, open_items):
+                fixture.scheduler.items["j", f"j-i{number}"].partial.whole = True
+            self.assertEqual(target, self.moved_to(fixture))
+
     def test_a_run_does_not_move_to_a_slot_that_a_waiting_item_can_use(self) -> None:
         fixture = self.fixture(20)
         self.finish(fixture, 2, 20)
