Lookups wait in one admission queue per service

Cause: a lookup that found all samplers full tried each of them again every 5 ms, in no order, and Retry-After was the same for all callers.

Change: where the configuration has tenants, AdmissionQueue decides who waits, in which order, who tries the samplers next and who is refused at once; RetryBudget limits repeats and hedges. Both perform no I/O; AdmissionWaiters holds the futures and the timer. The Forwarder takes is_active(service, now); where it is false it decides as before. Lookups carry the priority of the tenant, else that of the route. Retry-After of refused jobs gets jitter where there are tenants.

The tenant's share precedes a return after a refusal in the order.

--- a/stileloom/api/routes.py
+++ b/stileloom/api/routes.py
@@ -8,6 +8,9 @@
 
 from stileloom.api.tenants import Tenant
 
+DEFAULT_PRIORITY = 5
+"""Priority of a route that names none; 0 is the most urgent, 9 the least."""
+
 
 class RouteKind(enum.Enum):
     """Execution semantics of a route's requests."""
@@ -40,7 +43,7 @@
     timeout_s: float
     target_latency_s: float
     max_attempts: int
-    priority: int = 5
+    priority: int = DEFAULT_PRIORITY
     resumable: bool = False
     single_version: bool = False
     max_wait_s: float = 60.0
--- a/stileloom/daemon/gateway.py
+++ b/stileloom/daemon/gateway.py
@@ -104,7 +104,7 @@
             self._guard,
             self._count_run,
         )
-        self._forwarder = Forwarder(access, switches.hedging)
+        self._forwarder = Forwarder(access, switches.hedging, self._uses_admission_queue)
         self._relay = StreamRelay(access)
         self.directory.on_sampler_unlisted = self._on_sampler_unlisted
         self._job_calls = JobCalls(dialect, self._jobs, self._log, switches.kept_results)
@@ -212,6 +212,9 @@
         if self._usage_meter is not None:
             self._usage_meter.count(tenant, began_at)
 
+    def _uses_admission_queue(self, service: str, now: float) -> bool:
+        return self.directory.routes.keys is not None
+
     def _has_open_work(self) -> bool:
         return self.front.open_requests > 0 or self._job_calls.pending_ends > 0
 
--- a/stileloom/daemon/ledger_node.py
+++ b/stileloom/daemon/ledger_node.py
@@ -105,7 +105,7 @@
             self._rng,
             self._guard,
         )
-        self._forwarder = Forwarder(access, switches.hedging)
+        self._forwarder = Forwarder(access, switches.hedging, self._uses_admission_queue)
         self._directory.on_sampler_listed = self._on_sampler_listed
         self._directory.on_sampler_unlisted = self._on_sampler_unlisted
         self._stopping = asyncio.Event()
@@ -163,7 +163,11 @@
         self._service = JobService(
             _CallAddressLedger(driver, settings.calls_port),
             self._quarantine_service,
-            JobAdmission(settings.limits, settings.bounds.job_retention_s + RETENTION_MARGIN_S),
+            JobAdmission(
+                settings.limits,
+                settings.bounds.job_retention_s + RETENTION_MARGIN_S,
+                self._has_tenants,
+            ),
             self._job_ages,
             self._log,
             self._metrics,
@@ -184,6 +188,12 @@
             {"role": "ledger", "zone": settings.zone, "voter": replica.is_voter},
         )
 
+    def _uses_admission_queue(self, service: str, now: float) -> bool:
+        return self._has_tenants()
+
+    def _has_tenants(self) -> bool:
+        return self._directory.routes.keys is not None
+
     async def _handle_call(self, request: Request) -> Reply:
         if isinstance(request, ReadObjectsCall):
             return await self._store_cache.read(request)
--- a/stileloom/jobs/job_admission.py
+++ b/stileloom/jobs/job_admission.py
@@ -10,11 +10,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import msgspec
 
 from stileloom.api.jobs import JobSubmission
 from stileloom.jobs.job_ages import JobAges
 from stileloom.jobs.registry import JobRegistry
+from stileloom.proxy.admission_queue import with_jitter
 
 DISK_SHARE = 0.5
 """Share of the disk for the blob log; the rest is for the journal, its copy and snapshots."""
@@ -47,7 +50,14 @@
 class JobAdmission:
     """Decides whether a new job fits."""
 
-    def __init__(self, limits: ResourceLimits, retention_s: float) -> None:
+    def __init__(
+        self,
+        limits: ResourceLimits,
+        retention_s: float,
+        has_tenants: Callable[[], bool] = lambda: False,
+    ) -> None:
+        """`has_tenants` tells whether the active configuration has tenants."""
+        self._has_tenants = has_tenants
         self._disk_bytes = limits.disk_mb * MEGABYTE * DISK_SHARE
         self._request_bytes = limits.memory_mb * MEGABYTE * REQUESTS_MEMORY_SHARE
         self._items = limits.memory_mb * MEGABYTE * ITEMS_MEMORY_SHARE / BYTES_PER_ITEM
@@ -57,6 +67,16 @@
         self, submission: JobSubmission, registry: JobRegistry, ages: JobAges, now: float
     ) -> JobRefusal | None:
         """Returns why a job is refused, or None if it fits."""
+        refusal = self._refusal(submission, registry, ages, now)
+        if refusal is None or refusal.retry_after_s is None or not self._has_tenants():
+            return refusal
+        # The jobs that are refused for the same reason would otherwise return together.
+        retry_after_s = with_jitter(refusal.retry_after_s, submission.job_id)
+        return JobRefusal(refusal.reason, retry_after_s)
+
+    def _refusal(
+        self, submission: JobSubmission, registry: JobRegistry, ages: JobAges, now: float
+    ) -> JobRefusal | None:
         added = submission_bytes(submission)
         return (
             self._refused_for_requests(added, registry)
--- a/stileloom/jobs/reward_caller.py
+++ b/stileloom/jobs/reward_caller.py
@@ -187,6 +187,7 @@
             now,
             now + remaining_s,
             tenant=pending.item.tenant,
+            priority=route.priority,
             check_send=self._check_send,
         )
         safe_route = msgspec.structs.replace(route, kind=RouteKind.SAFE)
--- a/stileloom/proxy/access_control.py
+++ b/stileloom/proxy/access_control.py
@@ -23,6 +23,10 @@
     priority: int | None = None
     """The tenant's priority; None if it has none."""
 
+    def priority_on(self, route: Route) -> int:
+        """The priority of its requests on a route."""
+        return route.priority if self.priority is None else self.priority
+
 
 class AccessControl:
     """Authenticates the requests of one gateway."""
--- a/stileloom/proxy/attempt_plan.py
+++ b/stileloom/proxy/attempt_plan.py
@@ -36,6 +36,8 @@
     """Samplers to which no connection could be opened; they are not candidates."""
     sent_at: dict[str, float] = msgspec.field(default_factory=dict)
     """When the request was sent, by sampler that may have begun to run it."""
+    sends: int = 0
+    """Number of sends, also of those that were refused."""
     full: bool = False
     """Whether a sampler refused the lookup because it is full."""
 
@@ -95,6 +97,7 @@
     def record_sent(self, sampler_id: str, now: float) -> None:
         """Records that the request was sent to a sampler."""
         self.sent_at[sampler_id] = now
+        self.sends += 1
 
     @property
     def began_at(self) -> float | None:
--- a/stileloom/proxy/forwarder.py
+++ b/stileloom/proxy/forwarder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import msgspec
 
@@ -13,6 +14,7 @@
 from stileloom.http1.pool import ConnectionPool
 from stileloom.http1.request_encoder import encode_request
 from stileloom.proxy.admission import suspect_refusal, wait_or_refuse
+from stileloom.proxy.admission_waiters import AdmissionWaiters, LookupAdmission
 from stileloom.proxy.attempt_plan import AttemptPlan
 from stileloom.proxy.exchange import Attempt, AttemptOutcome, run_exchange
 from stileloom.proxy.lookup import Lookup, LookupResponse
@@ -24,7 +26,13 @@
 class Forwarder:
     """Forwards lookups on its own connections to samplers."""
 
-    def __init__(self, access: SamplerAccess, hedges: bool = True) -> None:
+    def __init__(
+        self,
+        access: SamplerAccess,
+        hedges: bool = True,
+        is_active: Callable[[str, float], bool] = lambda service, now: False,
+    ) -> None:
+        """`is_active` tells whether lookups of a service use the admission queue."""
         self._zone = access.zone
         self._samplers = access.samplers
         self._names = access.names
@@ -34,6 +42,8 @@
         self._guard = access.guard
         self._count_run = access.count_run
         self._hedges = hedges
+        self._is_active = is_active
+        self._waiters = AdmissionWaiters(access.log, access.metrics)
         self._pool = ConnectionPool(access.metrics.connection_opened)
 
     def close_connections(self, sampler_id: str) -> None:
@@ -59,11 +69,20 @@
             hedges=self._hedges and not permit.suspected,
         )
         attempts: set[asyncio.Task[Attempt]] = set()
+        admission: LookupAdmission | None = None
+        if self._is_active(service, steady_time()):
+            admission = self._waiters.begin(lookup, plan)
         try:
-            return await self._run_attempts(lookup, plan, permit, attempts)
+            if admission is not None:
+                refusal = await admission.enter()
+                if refusal is not None:
+                    raise refusal
+            return await self._run_attempts(lookup, plan, permit, attempts, admission)
         finally:
             for task in attempts:
                 task.cancel()
+            if admission is not None:
+                admission.leave()
             if plan.began_at is not None:
                 self._count_run(lookup.tenant, plan.began_at)
 
@@ -73,6 +92,7 @@
         plan: AttemptPlan,
         permit: Permit,
         attempts: set[asyncio.Task[Attempt]],
+        admission: LookupAdmission | None,
     ) -> LookupResponse:
         last_failure: Attempt | None = None
         failed_attempts = 0
@@ -87,10 +107,15 @@
                 elif not permit.leaves_healthy_sampler(self._samplers, plan.service):
                     if not attempts:
                         raise suspect_refusal(plan)
-                elif self._start_attempt(lookup, plan, attempts, now):
+                elif admission is not None and not admission.may_send(now):
+                    if not attempts:
+                        return self._final_response(plan, last_failure, failed_attempts)
+                    plan.hedges = False
+                    continue
+                elif self._start_attempt(lookup, plan, attempts, admission, now):
                     continue
                 elif not attempts:
-                    refusal = await self._wait_for_sampler(lookup, plan)
+                    refusal = await self._wait_for_sampler(lookup, plan, admission)
                     if refusal is None:
                         continue
                     if last_failure is not None:
@@ -104,6 +129,8 @@
             for task in done:
                 attempts.discard(task)
                 attempt = task.result()
+                if admission is not None and attempt.outcome is AttemptOutcome.ANSWERED:
+                    admission.place_freed()
                 if attempt.outcome is AttemptOutcome.BROKEN and attempt.entry is not None:
                     await permit.on_attempt_failed(attempt.entry, attempt.started_at)
                     plan.hedges = plan.hedges and not permit.suspected
@@ -130,19 +157,31 @@
         lookup: Lookup,
         plan: AttemptPlan,
         attempts: set[asyncio.Task[Attempt]],
+        admission: LookupAdmission | None,
         now: float,
     ) -> bool:
+        if admission is not None and admission.round_ended(now):
+            return False
         tracked = plan.select_sampler(self._samplers, now, self._rng)
         if tracked is None:
             return False
+        if admission is not None:
+            admission.record_start(now)
         plan.record_start(tracked.entry.sampler_id, now)
         attempts.add(
             asyncio.get_running_loop().create_task(self._run_attempt(lookup, plan, tracked))
         )
         return True
 
-    async def _wait_for_sampler(self, lookup: Lookup, plan: AttemptPlan) -> StileloomError | None:
+    async def _wait_for_sampler(
+        self, lookup: Lookup, plan: AttemptPlan, admission: LookupAdmission | None
+    ) -> StileloomError | None:
         """Waits until samplers may be tried again, or returns the error to refuse with."""
+        if admission is not None and plan.full:
+            refusal = await admission.wait_for_slot()
+            if refusal is None:
+                plan.reset_refusals()
+            return refusal
         listed = len(self._samplers.of_service(plan.service))
         decision = wait_or_refuse(plan, listed, lookup.deadline_at, steady_time())
         if isinstance(decision, StileloomError):
--- a/stileloom/proxy/front.py
+++ b/stileloom/proxy/front.py
@@ -168,6 +168,7 @@
             arrived_at=request.arrived_at,
             deadline_at=max(earliest_end, context.deadline_at - DEADLINE_MARGIN_S),
             tenant=context.caller.tenant,
+            priority=context.caller.priority_on(route),
             caller_address=request.caller_address,
             check_send=self._access.key_check(context.caller),
         )
--- a/stileloom/proxy/lookup.py
+++ b/stileloom/proxy/lookup.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from stileloom.api.routes import DEFAULT_PRIORITY
 from stileloom.http1.response_decoder import ResponseHead
 from stileloom.quarantine.identity import identity_of
 
@@ -24,6 +25,8 @@
     """When the caller's or the route's timeout ends, in monotonic seconds."""
     tenant: str = ""
     """The tenant on whose behalf it runs; empty if it is anonymous."""
+    priority: int = DEFAULT_PRIORITY
+    """The tenant's priority, or that of the route if the tenant has none; 0 is the most urgent."""
     caller_address: str = ""
     """The caller's network address, for logs only."""
     check_send: Callable[[], None] = lambda: None
--- a/stileloom/proxy/metrics.py
+++ b/stileloom/proxy/metrics.py
@@ -7,6 +7,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 LATENCY_BUCKETS_S = (0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0)
+WAIT_BUCKETS_S = (0.001, 0.002, 0.005, 0.01, 0.015, 0.02, 0.025, 0.05, 0.1, 0.25)
 
 
 class AttemptMetrics:
@@ -24,6 +25,29 @@
             "Connections to samplers opened since the start",
             registry=registry,
         )
+        self.admission_queue_length = Gauge(
+            "stileloom_admission_queue_length",
+            "Lookups and reward calls that wait for a slot, by service",
+            ["service"],
+            registry=registry,
+        )
+        self.admission_wait = Histogram(
+            "stileloom_admission_wait_seconds",
+            "Time that lookups and reward calls waited for a turn, or until they were refused",
+            buckets=WAIT_BUCKETS_S,
+            registry=registry,
+        )
+        self.admission_refusals = Counter(
+            "stileloom_admission_refusals",
+            "Lookups and reward calls that the admission queue refused, by reason",
+            ["reason"],
+            registry=registry,
+        )
+        self.retry_budget_exhausted = Counter(
+            "stileloom_retry_budget_exhausted",
+            "Repeats and hedges that the retry budget did not allow",
+            registry=registry,
+        )
 
     def connection_opened(self) -> None:
         """Counts a new connection to a sampler."""
