Hedges are not stopped by the end of the admission wait

Cause: a lookup that a full sampler had refused before another one ran it counted as at the end of its round, so that it was never hedged. A repeat that found all samplers full was counted by the queue as a refusal, although its caller gets 502 without a Retry-After.

Change: the round ends only while no attempt runs or may have run; such a repeat ends without an offer to the queue.

--- a/stileloom/proxy/admission_waiters.py
+++ b/stileloom/proxy/admission_waiters.py
@@ -82,6 +82,10 @@
 
     async def wait_for_slot(self) -> StileloomError | None:
         """Waits for another turn after all samplers were full, or returns the error."""
+        if self._plan.possible_runs and steady_time() >= self._waiting.wait_until:
+            # Its caller is not told to return, so that the queue need not count it as refused.
+            detail = f"{self._plan.possible_runs} attempts failed; samplers are full"
+            return StileloomError(ErrorKind.SAMPLER_FAILED, detail)
         return await self._wait(msgspec.structs.replace(self._waiting, found_full=True))
 
     async def _wait(self, waiting: WaitingLookup) -> StileloomError | None:
@@ -128,7 +132,7 @@
     def round_ended(self, now: float) -> bool:
         """Whether the lookup tries no further samplers before its next turn or its refusal."""
         plan = self._plan
-        if not plan.full or plan.possible_runs:
+        if not plan.full or self._is_repeat():
             return False
         sends_at_turn = self._sends_at_turn
         if sends_at_turn is not None and plan.sends - sends_at_turn >= MAX_SENDS_PER_TURN:
