--- a/tests/test_job_admission.py
+++ b/tests/test_job_admission.py
@@ -109,6 +109,29 @@
         self.assertEqual(float("inf"), ledger.submit(job("never", room + 1, 1), 30.0))
 
 
+class JitterTest(testtools.TestCase):
+    """Retry-After of jobs that are refused together."""
+
+    def retry_after_s(self, has_tenants: bool) -> set[float]:
+        ledger = Ledger(ResourceLimits(memory_mb=1.0))
+        ledger.admission = JobAdmission(
+            ResourceLimits(memory_mb=1.0), RETENTION_S, lambda: has_tenants
+        )
+        room = int(REQUESTS_MEMORY_SHARE * MEGABYTE)
+        ledger.submit(job("a", 10, room // 11), 0.0)
+        waits = [ledger.submit(job(f"b{number}", 10, room // 11), 0.0) for number in range(20)]
+        self.assertEqual(float("inf"), ledger.submit(job("never", 1, room + 1), 0.0))
+        return {wait for wait in waits if wait is not None}
+
+    def test_with_tenants_their_callers_do_not_return_together(self) -> None:
+        waits = self.retry_after_s(has_tenants=True)
+        self.assertGreater(max(waits) - min(waits), OPEN_JOBS_RETRY_S / 4)
+        self.assertTrue(all(OPEN_JOBS_RETRY_S <= wait <= 1.5 * OPEN_JOBS_RETRY_S for wait in waits))
+
+    def test_without_tenants_it_is_as_before(self) -> None:
+        self.assertEqual({OPEN_JOBS_RETRY_S}, self.retry_after_s(has_tenants=False))
+
+
 class OverloadTest(testtools.TestCase):
     """Jobs at twice the rate that retention can free, from callers that return when told."""
 
--- a/tests/virtual_lookups.py
+++ b/tests/virtual_lookups.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import hashlib
 import random
 import selectors
 from collections.abc import Callable, Coroutine
@@ -35,6 +36,8 @@
 
 SERVICE = "charts"
 NAMES = HeaderNames()
+Work = Callable[[int, float], float]
+"""Duration of the work that begins at a time, by the sampler's number."""
 TRIP_S = 0.0007
 """Time of a message between a gateway and a sampler."""
 CALLER_TRIP_S = 0.001
@@ -74,8 +77,7 @@
 
     number: int
     slots: int
-    work_s: Callable[[int, float], float]
-    """Duration of the work that begins at a time, by the sampler's number."""
+    work_s: Work
     status: int = 200
     running: int = 0
     received: int = 0
@@ -170,7 +172,7 @@
         gateways: int,
         samplers: int = 5,
         slots: int = 6,
-        work_s: Callable[[int, float], float] = lambda number, now: 0.0357,
+        work_s: Work = lambda number, now: 0.0357,
         target_s: float = 0.186,
         deadline_s: float = 1.507,
         max_attempts: int = 3,
@@ -179,6 +181,7 @@
         self.rng = random.Random(seed)
         self.samplers = [Sampler(number, slots, work_s) for number in range(samplers)]
         self.calls: list[Call] = []
+        self.log = mock.Mock(spec=EventLog)
         self.deadline_s = deadline_s
         self.route = Route(
             name="charts",
@@ -198,11 +201,10 @@
         for number, sampler in enumerate(self.samplers):
             name = f"s{number}"
             table.put(SamplerEntry(name, SERVICE, (name, 0), "a", sampler.slots, False, {}))
-        log = mock.Mock(spec=EventLog)
         metrics = AttemptMetrics(registry)
-        guard = QuarantineGuard(mock.Mock(), log, QuarantineMetrics(registry))
+        guard = QuarantineGuard(mock.Mock(), self.log, QuarantineMetrics(registry))
         rng = random.Random(self.rng.random())
-        access = SamplerAccess("a", table, NAMES, log, metrics, rng, guard)
+        access = SamplerAccess("a", table, NAMES, self.log, metrics, rng, guard)
         return Forwarder(access, True, lambda service, now: active)
 
     def run(self, loads: list[Load], returns: bool = True) -> list[Call]:
@@ -283,3 +285,29 @@
 
     def total(self, name: str) -> int:
         return sum(getattr(sampler, name) for sampler in self.samplers)
+
+    def digest(self) -> str:
+        """Digest of all decisions: what each sampler received when, and what callers got."""
+        seen: list[Any] = [sampler.trace for sampler in self.samplers]
+        seen += [
+            (call.status, call.error, call.retry_after_s, round(call.took_s, 6))
+            for call in self.calls
+        ]
+        return hashlib.sha256(repr(seen).encode()).hexdigest()
+
+
+def noisy_work(usual_s: float, share: float, seed: int = 1) -> Work:
+    """Work that takes 2.5 times as long at a different share of the samplers every 0.6 s."""
+
+    def work_s(number: int, now: float) -> float:
+        slow = random.Random(f"{seed}/{int(now / 0.6)}/{number}").random() < share
+        return usual_s * (2.5 if slow else 1.0)
+
+    return work_s
+
+
+def mixed_decisions(fleet: Fleet) -> str:
+    """Digest of a load with waits, refusals, repeats, hedges and failures."""
+    fleet.samplers[0].status = 500
+    fleet.run([Load(1000, 0.0, 1.0, gateways=range(6)), Load(100, 1.0, 2.0, gateways=range(6))])
+    return fleet.digest()
