--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -298,6 +298,48 @@
         "    if not listed:\n",
         f"{ADMISSION}::DecisionTest::test_a_lookup_without_reachable_samplers_is_refused_at_once",
     ),
+    Mutant(
+        "a returned caller goes before tenants with fewer lookups in progress",
+        "in a surge slots are used in order",
+        "stileloom/proxy/admission_queue.py",
+        "return (lookup.priority, load, not entry.returned,",
+        "return (lookup.priority, not entry.returned, load,",
+        f"{ADMISSION}::TenantTest::test_a_flood_at_one_gateway_beyond_the_capacity",
+    ),
+    Mutant(
+        "a lookup waits although its turn can not come in time",
+        "in a surge the rest is refused in time",
+        "stileloom/proxy/admission_queue.py",
+        "if known and now + expected_wait_s > waiting.wait_until:",
+        "if known and now > waiting.wait_until:",
+        "tests/test_admission_queue.py::OfferTest"
+        "::test_a_lookup_whose_expected_wait_is_too_long_is_refused_at_once",
+    ),
+    Mutant(
+        "a lookup that leaves keeps the turn that it has not used",
+        "in a surge slots are used in order",
+        "stileloom/proxy/admission_waiters.py",
+        "        if unused_turn:\n",
+        "        if False:\n",
+        f"{ADMISSION}::WaitingTest::test_a_key_that_is_revoked_while_its_lookup_waits_runs_nothing",
+    ),
+    Mutant(
+        "the lookup of a caller that has left stays in the queue",
+        "in a surge slots are used in order",
+        "stileloom/proxy/admission_queue.py",
+        "        self._waiting.pop(request_id, None)\n",
+        "",
+        f"{ADMISSION}::WaitingTest::test_a_caller_that_leaves_is_out_of_the_queue_at_once",
+    ),
+    Mutant(
+        "repeats and hedges have no budget",
+        "in a surge slots are used in order",
+        "stileloom/proxy/retry_budget.py",
+        "return len(self._repeats) + 1 <= limit",
+        "return True",
+        f"{ADMISSION}::RetryBudgetTest"
+        "::test_repeats_are_at_most_a_fifth_and_failures_are_the_samplers_own",
+    ),
     Mutant(
         "a gateway keeps the ends that it sees to itself",
         "poison requests",
