The admission queue keeps the latest end of its waits instead of searching it

Cause: each call of the queue went through all waiting lookups to find it.

Change: the latest end is kept while lookups wait.

--- a/stileloom/proxy/admission_queue.py
+++ b/stileloom/proxy/admission_queue.py
@@ -120,6 +120,9 @@
         self._last_try_at = float("-inf")
         self._freed_at: deque[float] = deque()
         self._backlog = _BacklogTime()
+        self._waits_end_at = float("-inf")
+        """Latest end of a wait since the queue was empty. A process that was suspended has not had
+        lookups waiting for longer than that."""
         self._refused_at: OrderedDict[str, float] = OrderedDict()
         """Time of the last refusal by identity, oldest first."""
         self._returns_at: list[float] = []
@@ -150,6 +153,7 @@
             reason = RefusalReason.EXPECTED_WAIT
             return self._refuse(entry, position, expected_wait_s, reason, now)
         self._waiting[waiting.request_id] = entry
+        self._waits_end_at = max(self._waits_end_at, waiting.wait_until)
         self._update_backlog(now)
         return Queued(position, expected_wait_s)
 
@@ -255,12 +259,9 @@
     # Rate.
 
     def _update_backlog(self, now: float) -> None:
+        self._backlog.update(now, self._waits_end_at, waiting=bool(self._waiting))
         if not self._waiting:
-            self._backlog.update(now, now, waiting=False)
-            return
-        # A process that was suspended has not served for longer than its lookups may wait.
-        ends_at = max(entry.lookup.wait_until for entry in self._waiting.values())
-        self._backlog.update(now, ends_at, waiting=True)
+            self._waits_end_at = float("-inf")
 
     def _drop_old_moments(self, now: float) -> None:
         while self._freed_at and self._freed_at[0] <= now - RATE_WINDOW_S:
