--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -521,6 +521,21 @@
         # nobody waiting; the earlier design would send some 10,000 times.
         self.assertLess(fleet.total("refused"), 0.8 / 0.005 * 3 + 5 * 50)
 
+    def test_two_lookups_with_one_request_id_wait_independently(self) -> None:
+        """Guards against a caller that repeats its id and is never answered."""
+
+        async def scenario(fleet: Fleet) -> None:
+            calls = [Call(1, "", 5, 0.0) for _ in range(3)]
+            tasks = [asyncio.ensure_future(fleet.send(call, 0)) for call in calls]
+            await asyncio.sleep(0.016)
+            # The third may have its turn.
+            self.assertGreaterEqual(self.queue_length(fleet), 2.0)
+            tasks[0].cancel()
+            await asyncio.wait(tasks)
+            self.assertEqual(["", "overloaded", "overloaded"], [call.error for call in calls])
+
+        self.run_full(scenario)
+
     def test_a_deadline_ends_the_wait(self) -> None:
         async def scenario(fleet: Fleet) -> None:
             fleet.deadline_s = 0.015
