--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -350,6 +350,28 @@
         self.assertGreaterEqual(before.in_time(before.calls), 0.95)
         self.assertLessEqual(longest_refusal_s(now), REFUSED_WITHIN_S)
 
+    def test_a_surge_of_80_times_in_the_second_deployment(self) -> None:
+        """One zone of 76 gateways surges; half of the 4 samplers, with 28 ms of work, are slow."""
+        work_s = 0.028
+        target_s = 0.178
+        seconds = 2.0
+        loads = [
+            Load(480.0, 0.0, seconds, gateways=range(19)),
+            Load(80.0, 0.0, seconds, "rewards", gateways=range(1)),
+        ]
+        before, now = run_both(
+            loads,
+            76,
+            lambda number, now: work_s * (2.5 if number % 2 else 1.0),
+            samplers=4,
+            target_s=target_s,
+            deadline_s=2.013,
+        )
+        possible = min(len(now.calls), 4 * 6 / work_s * (2 + 2 / 2.5) / 4 * seconds)
+        self.assertGreaterEqual(now.in_time(now.calls) * len(now.calls), 0.95 * possible)
+        self.assertLessEqual(longest_refusal_s(now), target_s / 8)
+        self.assertLess(now.total("refused"), before.total("refused"))
+
     def test_one_gateway_runs_as_much_as_the_samplers_can(self) -> None:
         """Guards against slots that stay free while lookups wait for their turns.
 
