Items of several tenants start by priority and dominant share

Cause: items started in the order of latest start alone, so a tenant with many items filled the slots and the cache memory of all samplers, and no priority had an effect. Change: stileloom/fairness/ with DominantShares and FairOrder. Where the configuration has tenants and items of two tenants or priorities wait for the same model, plan_starts takes items from FairOrder. Aging (0.5 s for each step) makes an item equal to more urgent ones and never places it before them, since the backlog of a tenant that sends too much is always the oldest.

--- /dev/null
+++ b/stileloom/fairness/__init__.py
@@ -0,0 +1,1 @@
+"""Fair shares: divides the samplers of a service between tenants. Performs no I/O."""
--- a/stileloom/jobs/open_items.py
+++ b/stileloom/jobs/open_items.py
@@ -48,6 +48,11 @@
     adopted_at: float
     deadline: float
     tenant: str = ""
+    priority: int = 5
+    """Of the tenant, else of the route; 0 is the most urgent."""
+    waiting_since: float = 0.0
+    """When its job was submitted, in monotonic seconds; unlike `adopted_at` it survives a change of
+    leader."""
     max_tokens: float = float("inf")
     """Limit of the output; generation stops there."""
     reused: bool = False
--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -1,9 +1,10 @@
 """Assigns items to samplers and decides when a run moves. Performs no I/O and reads no clock.
 
 An item only runs on a sampler that is assigned to its model and has a version that its job
-accepts. Items start in the order of `start_order`. Among samplers with a free slot the one with the
-shortest event interval is preferred; samplers that have already processed the prompt of the item's
-group get a discount.
+accepts. Items start in the order of `start_order`; where the configuration has tenants, items of
+several tenants or priorities start in that of `FairOrder`. Among samplers with a free slot the one
+with the shortest event interval is preferred; samplers that have already processed the prompt of
+the item's group get a discount.
 """
 
 from __future__ import annotations
@@ -13,6 +14,10 @@
 from types import MappingProxyType
 
 from stileloom.api.jobs import JobItem
+from stileloom.fairness.order import FairOrder
+from stileloom.fairness.priority import DEFAULT_PRIORITY
+from stileloom.fairness.shares import DominantShares, Usage
+from stileloom.fairness.tenant_load import TenantLoad, tenant_loads
 from stileloom.jobs.model_versions import SamplerModels
 from stileloom.jobs.open_items import (
     DEFAULT_TOKENS_PER_EVENT,
@@ -77,6 +82,10 @@
             for sampler_id, interval_s in (recorded_intervals_s or {}).items()
         }
         self._shares = SamplerShares(self.models_of)
+        self.has_tenants = False
+        """Whether the configuration has tenants; without them no priority has an effect."""
+        self._tenant_shares: dict[str, DominantShares] = {}
+        """By service."""
         self._retained_texts: dict[TenantItem, PartialText] = {}
         self._seen_items: set[TenantItem] = set()
         self.items_per_job: dict[str, int] = {}
@@ -97,11 +106,14 @@
         tokens_per_event: float = DEFAULT_TOKENS_PER_EVENT,
         reused_results: AbstractSet[str] = frozenset(),
         texts_of_other_jobs: Mapping[str, PartialText] = MappingProxyType({}),
+        priority: int = DEFAULT_PRIORITY,
+        age_s: float = 0.0,
     ) -> None:
         """Adds those of the job's items that have no listed result.
 
         Items in `reused_results` are about to be listed and do not run. `texts_of_other_jobs` are
-        saved in the ledger, for items whose text this leader has not seen itself.
+        saved in the ledger, for items whose text this leader has not seen itself. `age_s` is the
+        time since the job was submitted.
         """
         submission = record.submission
         for item in items:
@@ -133,6 +145,8 @@
                 adopted_at=now,
                 deadline=now + max_wait_s,
                 tenant=submission.tenant,
+                priority=priority,
+                waiting_since=now - age_s,
                 max_tokens=size.max_tokens,
                 reused=tenant_item in self._seen_items,
                 partial=partial,
@@ -207,15 +221,17 @@
 
     def waiting_items(self, model: str) -> list[OpenItem]:
         """Returns the items of a model that are ready to run, in start order."""
-        items = [
+        return start_order(self._waiting_items(model), self._shortest_interval_s())
+
+    def _waiting_items(self, model: str | None = None) -> list[OpenItem]:
+        return [
             item
             for item in self.items.values()
-            if item.model == model
+            if (model is None or item.model == model)
             and item.run is None
             and not item.finished
             and not item.partial.whole
         ]
-        return start_order(items, self._shortest_interval_s())
 
     def _shortest_interval_s(self) -> float:
         measured = [stats.interval_s for stats in self._stats.values() if stats.measured]
@@ -225,21 +241,65 @@
         """Selects runs to start now and counts them as running."""
         starts: list[PlannedRun] = []
         for model in models:
-            for open_item in self.waiting_items(model):
-                if now < open_item.not_before:
-                    continue
+            due = [item for item in self._waiting_items(model) if now >= item.not_before]
+            if self.has_tenants and len({(item.tenant, item.priority) for item in due}) > 1:
+                for service in sorted({item.service for item in due}):
+                    items = [item for item in due if item.service == service]
+                    starts += self._plan_fair_starts(service, items, now)
+                continue
+            for open_item in start_order(due, self._shortest_interval_s()):
                 sampler = self._best_sampler(open_item, now)
                 if sampler is None:
                     continue
                 starts.append(self._start(open_item, sampler.entry.sampler_id, now))
         return starts
 
+    def _plan_fair_starts(
+        self, service: str, items: list[OpenItem], now: float
+    ) -> list[PlannedRun]:
+        starts: list[PlannedRun] = []
+        if not self._has_free_slot(service):
+            return starts
+        self._update_capacity(service)
+        order = FairOrder(items, self._shares_of(service), self._shortest_interval_s(), now)
+        while self._has_free_slot(service) and (open_item := order.next()) is not None:
+            sampler = self._best_sampler(open_item, now)
+            if sampler is None:
+                order.passed_over(open_item)
+                continue
+            starts.append(self._start(open_item, sampler.entry.sampler_id, now))
+            order.started(open_item)
+        return starts
+
+    def _shares_of(self, service: str) -> DominantShares:
+        return self._tenant_shares.setdefault(service, DominantShares())
+
+    def _update_capacity(self, service: str) -> None:
+        samplers = self._samplers.of_service(service)
+        slots = sum(sampler.entry.slots for sampler in samplers)
+        tokens = len(samplers) * self.cache_tokens.get(service, float("inf")) if samplers else 0.0
+        self._shares_of(service).set_capacity(Usage(slots, tokens))
+
+    def _has_free_slot(self, service: str) -> bool:
+        return any(
+            self.stats(sampler.entry.sampler_id).running < sampler.entry.slots
+            for sampler in self._samplers.of_service(service)
+        )
+
+    def tenant_loads(self) -> list[TenantLoad]:
+        """Waiting items and dominant share of each tenant, by service."""
+        for service in self._tenant_shares:
+            self._update_capacity(service)
+        return tenant_loads(self._waiting_items(), self._tenant_shares)
+
     def _start(self, open_item: OpenItem, sampler_id: str, now: float) -> PlannedRun:
         open_item.run = ItemRun(sampler_id, now, now)
         stats = self.stats(sampler_id)
         stats.running += 1
         open_item.run.tokens = open_item.estimated_tokens
         stats.tokens += open_item.run.tokens
+        usage = Usage(1.0, open_item.run.tokens)
+        self._shares_of(open_item.service).acquire(open_item.tenant, usage)
         stats.groups.add(open_item.item.group)
         return PlannedRun(open_item, sampler_id, open_item.run)
 
@@ -405,6 +465,8 @@
         stats = self.stats(run.sampler_id)
         stats.running -= 1
         stats.tokens -= run.tokens
+        usage = Usage(1.0, run.tokens)
+        self._shares_of(open_item.service).release(open_item.tenant, usage)
         open_item.run = None
 
     def remove_sampler(self, sampler_id: str) -> None:
