Priorities are read from the configuration and passed on to samplers

Cause: samplers admit by Request-Priority, but nothing set it, and a caller's own value reached them. Change: the leader reads the priority of the tenant, else of the route, when it adopts a job and again after each change of the configuration. Items, reward calls and lookups carry it if the configuration has tenants; a caller's value is then dropped. Without tenants headers stay as they are.

--- a/stileloom/jobs/item_request.py
+++ b/stileloom/jobs/item_request.py
@@ -9,11 +9,17 @@
 
 
 def encode_item_request(
-    open_item: OpenItem, host: str, sampler_id: str, remaining_s: float, names: HeaderNames
+    open_item: OpenItem,
+    host: str,
+    sampler_id: str,
+    remaining_s: float,
+    names: HeaderNames,
+    has_tenants: bool = False,
 ) -> bytes:
     """Encodes the item's headers and body; headers set here replace those of the same name.
 
-    `remaining_s` is the time until the item's deadline.
+    `remaining_s` is the time until the item's deadline. The priority is sent if the configuration
+    has tenants; elsewhere the header belongs to callers and samplers.
     """
     item = open_item.item
     replaced = {
@@ -26,6 +32,8 @@
     }
     if open_item.tenant:
         replaced.add(CREDENTIALS_HEADER.lower())
+    if has_tenants:
+        replaced.add(names.priority.lower())
     headers = [("Host", host), (names.request_id, item.item_id)]
     headers += [
         (name, value)
@@ -34,6 +42,8 @@
     ]
     if open_item.tenant:
         headers.append((names.tenant, open_item.tenant))
+    if has_tenants:
+        headers.append((names.priority, str(open_item.priority)))
     remaining_ms = max(1, int(remaining_s * 1000))
     headers += [(names.deadline_ms, str(remaining_ms)), (names.expect_sampler, sampler_id)]
     if open_item.partial.last_event_id is not None:
--- a/stileloom/jobs/item_runs.py
+++ b/stileloom/jobs/item_runs.py
@@ -154,7 +154,12 @@
             self._metrics.queue_wait.observe(steady_time() - open_item.adopted_at)
         remaining_s = open_item.deadline - steady_time()
         request = encode_item_request(
-            open_item, self._host_of(open_item), entry.sampler_id, remaining_s, self._names
+            open_item,
+            self._host_of(open_item),
+            entry.sampler_id,
+            remaining_s,
+            self._names,
+            self._scheduler.has_tenants,
         )
         connection.exchange(request, stream)
 
--- a/stileloom/jobs/metrics.py
+++ b/stileloom/jobs/metrics.py
@@ -6,6 +6,8 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
+from stileloom.fairness.tenant_load import TenantLoad, largest_by_share, largest_by_waiting
+
 EVENT_BUCKETS_S = (0.02, 0.04, 0.06, 0.1, 0.15, 0.3, 0.6, 1.0, 2.0, 5.0)
 SYNC_BUCKETS_S = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5, 1.0)
 JOB_BUCKETS_S = (1.0, 2.0, 3.0, 4.0, 5.0, 7.5, 10.0, 15.0, 30.0)
@@ -95,6 +97,20 @@
         self.items_running = Gauge(
             "stileloom_items_running", "Items that run at a sampler now", registry=registry
         )
+        self._tenant_items_waiting = Gauge(
+            "stileloom_tenant_items_waiting",
+            "Waiting items of the ten tenants with the most of them, at the leader, by tenant and"
+            " service",
+            ["tenant", "service"],
+            registry=registry,
+        )
+        self._tenant_share = Gauge(
+            "stileloom_tenant_dominant_share",
+            "Dominant share of the ten tenants with the greatest, at the leader, by tenant and"
+            " service",
+            ["tenant", "service"],
+            registry=registry,
+        )
         self.sampler_version = Gauge(
             "stileloom_sampler_version",
             "Newest weight version seen at a sampler, by sampler and model",
@@ -121,6 +137,15 @@
             registry=registry,
         )
 
+    def set_tenant_loads(self, loads: list[TenantLoad]) -> None:
+        """Replaces the series of tenants; their number is bounded."""
+        self._tenant_items_waiting.clear()
+        self._tenant_share.clear()
+        for load in largest_by_waiting(loads):
+            self._tenant_items_waiting.labels(load.tenant, load.service).set(load.waiting)
+        for load in largest_by_share(loads):
+            self._tenant_share.labels(load.tenant, load.service).set(load.share)
+
     def observe_replica(
         self,
         leads: Callable[[], bool],
--- a/stileloom/jobs/reward_caller.py
+++ b/stileloom/jobs/reward_caller.py
@@ -20,6 +20,7 @@
 from stileloom.clock import steady_time
 from stileloom.errors import ErrorKind, Outcome, StileloomError
 from stileloom.events import LogEvent
+from stileloom.fairness.priority import priority_of
 from stileloom.jobs.metrics import JobMetrics
 from stileloom.jobs.open_items import ItemKey, OpenItem
 from stileloom.jobs.reward_window import RewardWindow
@@ -178,6 +179,9 @@
         headers = [("Host", call.host), (self._names.request_id, call.request_id)]
         if pending.item.tenant:
             headers.append((self._names.tenant, pending.item.tenant))
+        if self._routes.keys is not None:
+            priority = priority_of(self._routes.configuration, pending.item.tenant, route)
+            headers.append((self._names.priority, str(priority)))
         lookup = Lookup(
             call.request_id,
             "POST",
--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -19,6 +19,9 @@
 from stileloom.background import MAX_TRACEBACK_LENGTH, BackgroundTasks
 from stileloom.clock import steady_time
 from stileloom.events import LogEvent
+from stileloom.fairness.order import MAX_AGING_S
+from stileloom.fairness.priority import priority_of
+from stileloom.fairness.tenant_load import largest_by_waiting
 from stileloom.http1.pool import ConnectionPool
 from stileloom.jobs.intake import item_size, reusable_results, saved_texts
 from stileloom.jobs.item_runs import ItemRuns
@@ -52,6 +55,9 @@
 """Period at which the measured event intervals of samplers are saved for the next leader."""
 JOB_AGE_SAVE_PERIOD_S = 2.0
 """Period at which the ages of open jobs are saved; a new leader's count may lack that much."""
+TENANT_REPORT_PERIOD_S = 1.0
+"""Period at which the metrics of tenants are set."""
+TENANT_LOG_PERIOD_S = 10.0
 START_DELAY_S = 0.2
 VERSION_LIST_TIMEOUT_S = 0.6
 """Time after which a new leader orders loads even without the list of announced versions."""
@@ -114,6 +120,10 @@
         self._next_progress_save_at = 0.0
         self._next_event_interval_save_at = steady_time() + EVENT_INTERVAL_SAVE_PERIOD_S
         self._next_job_age_save_at = steady_time() + JOB_AGE_SAVE_PERIOD_S
+        self._next_tenant_report_at = 0.0
+        self._next_tenant_log_at = 0.0
+        self._priorities_version = 0
+        """Version of the configuration from which the priorities of items were read."""
         self._version_list_deadline = steady_time() + VERSION_LIST_TIMEOUT_S
         self._starts_allowed_at = steady_time() + START_DELAY_S
         """Delays the first runs, because samplers may be about to load weights."""
@@ -164,6 +174,7 @@
     def stop(self) -> None:
         """Closes all streams and cancels all tasks at the end of the leadership."""
         self._stopped = True
+        self._metrics.set_tenant_loads([])
         self._runs.close()
         self._rewards.stop()
         self._tasks.cancel()
@@ -221,6 +232,7 @@
         now = steady_time()
         self._remove_ended_jobs()
         self._job_ages.observe(self._registry, now)
+        self._run_logged(self._update_priorities)
         for record in list(self._registry.jobs.values()):
             if self._may_run(record):
                 self._run_logged(self._adopt, record, now)
@@ -234,6 +246,54 @@
             trace = "".join(traceback.format_exception(error))[-MAX_TRACEBACK_LENGTH:]
             self._log.emit(LogEvent.INTERNAL_FAULT, {"error": repr(error), "trace": trace})
 
+    def _update_priorities(self) -> None:
+        """Reads the priorities of items again after a change of the configuration."""
+        if self._priorities_version == self._routes.version:
+            return
+        self._priorities_version = self._routes.version
+        self.scheduler.has_tenants = self._routes.keys is not None
+        priorities: dict[str, int] = {}
+        for open_item in self.scheduler.items.values():
+            job_id = open_item.key[0]
+            record = self._registry.jobs.get(job_id)
+            if record is None:
+                continue
+            if job_id not in priorities:
+                route = self._route_of(record)
+                # Without its route a job keeps its priority, as it keeps its limits.
+                priorities[job_id] = (
+                    self._priority_of(record, route) if route is not None else open_item.priority
+                )
+            open_item.priority = priorities[job_id]
+
+    def _priority_of(self, record: JobRecord, route: Route) -> int:
+        return priority_of(self._routes.configuration, record.submission.tenant, route)
+
+    def _report_tenants(self, now: float) -> None:
+        if not self.scheduler.has_tenants:
+            self._metrics.set_tenant_loads([])
+            return
+        loads = self.scheduler.tenant_loads()
+        self._metrics.set_tenant_loads(loads)
+        if now < self._next_tenant_log_at:
+            return
+        for load in largest_by_waiting(loads):
+            waited_s = now - load.waiting_since
+            if waited_s < MAX_AGING_S:
+                continue
+            self._next_tenant_log_at = now + TENANT_LOG_PERIOD_S
+            self._log.emit(
+                LogEvent.TENANT_WAITING,
+                {
+                    "tenant": load.tenant,
+                    "service": load.service,
+                    "waiting": load.waiting,
+                    "waited_ms": round(waited_s * 1000),
+                    "priority": load.priority,
+                    "share": round(load.share, 4),
+                },
+            )
+
     def _run_open_items(self, now: float) -> None:
         for open_item in list(self.scheduler.items.values()):
             if now >= open_item.deadline and not open_item.finished:
@@ -252,6 +312,9 @@
             self._next_progress_save_at = now + PROGRESS_SAVE_PERIOD_S
             if self._switches.saved_events:
                 self._writer.save_progress()
+        if now >= self._next_tenant_report_at:
+            self._next_tenant_report_at = now + TENANT_REPORT_PERIOD_S
+            self._report_tenants(now)
         if now >= self._next_event_interval_save_at and self._switches.recorded_paces:
             self._next_event_interval_save_at = now + EVENT_INTERVAL_SAVE_PERIOD_S
             self._writer.record_intervals()
@@ -326,18 +389,21 @@
         items = self._registry.load_items(record)
         sizes = {item.item_id: item_size(item.headers, names) for item in items}
         self.planner.set_target(submission.model, submission.min_version, now)
+        age_s = self._job_ages.age_s(submission.job_id, now)
         self.scheduler.adopt_job(
             record,
             items,
             route.backends[0].service,
             route.single_version,
             route.max_attempts,
-            route.max_wait_s + DEADLINE_MARGIN_S - self._job_ages.age_s(submission.job_id, now),
+            route.max_wait_s + DEADLINE_MARGIN_S - age_s,
             sizes,
             now,
             self._tokens_per_event(route.backends[0].service),
             {finished.item_id for finished in reusable},
             saved_texts(self._registry, record) if self._switches.kept_texts else {},
+            self._priority_of(record, route),
+            age_s,
         )
         self._log.emit(
             LogEvent.JOB_ADOPTED,
--- a/stileloom/proxy/access_control.py
+++ b/stileloom/proxy/access_control.py
@@ -10,6 +10,7 @@
 from stileloom.api.headers import HeaderNames
 from stileloom.api.routes import Route, RouteKind
 from stileloom.api.tenants import ANONYMOUS
+from stileloom.fairness.priority import effective_priority
 from stileloom.proxy.route_table import RouteTable
 from stileloom.tenants.credentials import CREDENTIALS_HEADER, unauthenticated
 
@@ -75,10 +76,15 @@
         return lambda: self.check_key(caller)
 
     def headers_for_sampler(
-        self, headers: Iterable[tuple[str, str]], caller: Caller
+        self, headers: Iterable[tuple[str, str]], caller: Caller, route: Route
     ) -> list[tuple[str, str]]:
-        """Replaces the caller's credentials by the name of its tenant."""
-        return with_tenant(headers, caller.tenant, self._names, self._routes.keys is not None)
+        """Replaces the caller's credentials by the name of its tenant, and sets the priority."""
+        has_tenants = self._routes.keys is not None
+        kept = with_tenant(headers, caller.tenant, self._names, has_tenants)
+        if not has_tenants:
+            return kept
+        priority = effective_priority(caller.priority, route)
+        return with_priority(kept, priority, self._names)
 
 
 def with_tenant(
@@ -93,3 +99,11 @@
         withheld.add(CREDENTIALS_HEADER.lower())
     kept = [(name, value) for name, value in headers if name.lower() not in withheld]
     return [*kept, (names.tenant, tenant)] if tenant else kept
+
+
+def with_priority(
+    headers: Iterable[tuple[str, str]], priority: int, names: HeaderNames
+) -> list[tuple[str, str]]:
+    """Returns the headers with this priority; one sent by the caller never reaches a sampler."""
+    kept = [(name, value) for name, value in headers if name.lower() != names.priority.lower()]
+    return [*kept, (names.priority, str(priority))]
--- a/stileloom/proxy/front.py
+++ b/stileloom/proxy/front.py
@@ -163,7 +163,7 @@
             request_id=context.request_id,
             method=request.method,
             target=request.target,
-            headers=self._access.headers_for_sampler(headers, context.caller),
+            headers=self._access.headers_for_sampler(headers, context.caller, route),
             body=request.body,
             arrived_at=request.arrived_at,
             deadline_at=max(earliest_end, context.deadline_at - DEADLINE_MARGIN_S),
@@ -202,7 +202,9 @@
         if error.kind is not ErrorKind.QUARANTINED or context is None:
             return {}
         request = context.request
-        headers = self._access.headers_for_sampler(request.headers.get_all(), context.caller)
+        headers = self._access.headers_for_sampler(
+            request.headers.get_all(), context.caller, context.route
+        )
         tenant = context.caller.tenant
         identity = identity_of(request.method, request.target, headers, request.body, tenant)
         return {"identity": identity}
--- a/tests/service_cluster.py
+++ b/tests/service_cluster.py
@@ -283,6 +283,8 @@
             all_headers["Authorization"] = headers["authorization"]
         if "tenant" in headers:
             all_headers[names.tenant] = headers["tenant"]
+        if "priority" in headers:
+            all_headers[names.priority] = headers["priority"]
         if "deadline_ms" in headers:
             all_headers[names.deadline_ms] = headers["deadline_ms"]
         request = HTTPRequest(
