A test that a leader and its successor divide slots between tenants

Cause: no test went through the runner's planning step with tenants in its configuration. Change: two tenants with six items each on four slots, before and after a change of leader. Result: .venv/bin/pytest tests/test_tenant_priority.py tests/test_docs.py: 17 passed. Two runs of each tenant with tenants in the configuration, four of the first one without, for both leaders.

--- a/tests/test_tenant_priority.py
+++ b/tests/test_tenant_priority.py
@@ -161,6 +161,34 @@
 
         asyncio.run(scenario())
 
+    def test_a_leader_and_its_successor_divide_the_slots_between_tenants(self) -> None:
+        """Guards against a leader that does not pass its configuration on to the order of starts.
+
+        Without tenants the items of the first job start first, as all have the same length.
+        """
+
+        async def scenario(has_tenants: bool) -> list[dict[str, int]]:
+            fixture = self._fixture()
+            found = []
+            with fixture.clock():
+                if has_tenants:
+                    fixture.routes.adopt(with_tenants(fixture.routes, 2, a=None, b=None))
+                self._submit(fixture, "a", 6)
+                fixture.step(0.1)
+                self._submit(fixture, "b", 6)
+                for _ in range(2):
+                    fixture.runner.on_versions_listed()
+                    fixture.step(1.0)
+                    items = fixture.runner.scheduler.items.values()
+                    running = [item.tenant for item in items if item.run is not None]
+                    found.append({name: running.count(name) for name in ("a", "b")})
+                    fixture.change_leader()
+                fixture.runner.stop()
+            return found
+
+        self.assertEqual([{"a": 2, "b": 2}] * 2, asyncio.run(scenario(True)))
+        self.assertEqual([{"a": 4, "b": 0}] * 2, asyncio.run(scenario(False)))
+
     def test_a_new_leader_continues_the_wait_of_an_item(self) -> None:
         """Guards against changes of leader that restart the aging of items."""
 
