The comparison with deficit round robin has a load beyond all shares

Cause: the three loads do not tell the two ways apart: both keep the others' items in time. Change: a fourth load in which every tenant sends more than its share and one needs much memory. Result: .venv/bin/pytest -s tests/test_fairness.py::AlternativeTest: 1 passed.

--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -515,6 +515,10 @@
             "1.5 times the capacity": (uneven_tenants(1.5), ""),
             "surge of one tenant": (uneven_tenants(0.8, "t3"), "t3"),
             "much cache memory": ([*NARROW, WIDE], "wide"),
+            "all beyond their share, one with much cache memory": (
+                [TenantTraffic(f"n{n}", 20.0, 4, prompt_tokens=500.0) for n in range(4)] + [WIDE],
+                "wide",
+            ),
         }
         for label, (tenants, excluded) in loads.items():
             others = [tenant.name for tenant in tenants if tenant.name != excluded]
