--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -44,6 +44,8 @@
 REPLICATION = "tests/test_ledger_replication.py"
 LEDGER_FILES = "tests/test_ledger_files.py"
 LEDGER_BLOBS = "tests/test_ledger_blobs.py"
+FAIRNESS = "tests/test_fairness.py"
+TENANT_PRIORITY = "tests/test_tenant_priority.py"
 
 MUTANTS = [
     Mutant(
@@ -919,6 +921,62 @@
         "enumerate(page.results, start=position + 1)",
         "tests/test_result_cache.py",
     ),
+    Mutant(
+        "the tenant with the greatest share starts first",
+        "fair shares",
+        "stileloom/fairness/order.py",
+        "return (self._shares.share(tenant),",
+        "return (-self._shares.share(tenant),",
+        f"{FAIRNESS}::FairOrderTest",
+    ),
+    Mutant(
+        "waiting items do not age",
+        "fair shares",
+        "stileloom/fairness/order.py",
+        "steps = int(max(0.0, now - item.waiting_since) / AGING_INTERVAL_S)",
+        "steps = 0",
+        f"{FAIRNESS}::FairOrderTest",
+    ),
+    Mutant(
+        "an aged item starts before more urgent ones",
+        "fair shares",
+        "stileloom/fairness/order.py",
+        "priority = min(self._unfinished, default=self._priority)",
+        "priority = min(self._later, default=self._priority)",
+        f"{FAIRNESS}::FairOrderTest",
+    ),
+    Mutant(
+        "cache memory does not count",
+        "fair shares",
+        "stileloom/fairness/shares.py",
+        "            _fraction(held.tokens, self._capacity.tokens),\n",
+        "            0.0,\n",
+        f"{FAIRNESS}::DominantSharesTest",
+    ),
+    Mutant(
+        "priorities decide without tenants",
+        "without tenants nothing changes",
+        "stileloom/jobs/scheduler.py",
+        "if self.has_tenants and len(",
+        "if len(",
+        f"{FAIRNESS}::EquivalenceTest",
+    ),
+    Mutant(
+        "a caller's own priority reaches a sampler",
+        "samplers get the configured priority",
+        "stileloom/proxy/access_control.py",
+        "if name.lower() != names.priority.lower()]",
+        "]",
+        f"{TENANT_PRIORITY}::HeadersTest",
+    ),
+    Mutant(
+        "priorities are not read again",
+        "samplers get the configured priority",
+        "stileloom/jobs/runner.py",
+        "            open_item.priority = priorities[job_id]\n",
+        "            pass\n",
+        f"{TENANT_PRIORITY}::RunnerTest",
+    ),
 ]
 
 
