Gateways apply the limits on callers where `[callers] limited = true`

Change: CallerServer accepts connections, reports the state of each one and the bytes held for it, and closes or refuses what the decisions name. The settings are `[callers] limited` and `[limits] memory_mb, descriptors`. Without the setting, the servers are the same as before, and the gauges are not registered.

--- a/stileloom/daemon/gateway.py
+++ b/stileloom/daemon/gateway.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from functools import partial
 
 from prometheus_client import CollectorRegistry
 from tornado.httpserver import HTTPServer
@@ -11,8 +12,12 @@
 from stileloom.api.dialect import Dialect
 from stileloom.api.object_store import ObjectStore
 from stileloom.background import BackgroundTasks
+from stileloom.callers.limits import MEGABYTE, CallerLimits
+from stileloom.callers.metrics import CallerMetrics
 from stileloom.clock import steady_time
 from stileloom.daemon.cached_store import CachedObjectStore, ledger_node_addresses
+from stileloom.daemon.caller_server import BACKLOG, CallerServer, resident_bytes
+from stileloom.daemon.descriptors import listen_plainly, listen_sparingly
 from stileloom.daemon.directory import Directory
 from stileloom.daemon.metrics_server import start_metrics_server
 from stileloom.daemon.process_metrics import ProcessMetrics
@@ -121,11 +126,15 @@
         self._last_refresh_at = float("-inf")
         self._created_at = steady_time()
         self._tasks = BackgroundTasks(self._log)
+        self._caller_server: CallerServer | None = None
+        """Set once it listens, if callers are limited."""
 
     async def run(self) -> None:
         """Serves until `stop` is called; returns after the drain."""
         started_at = steady_time()
         servers = self._listen()
+        if self._caller_server is not None:
+            self._tasks.spawn(self._caller_server.watch(self._max_header_bytes))
         self.started.set()
         self.directory.start()
         self._guard.start()
@@ -143,7 +152,8 @@
         self._log.emit(LogEvent.NODE_STOPPED, {"lived_s": uptime_s})
 
     def _listen(self) -> list[HTTPServer]:
-        front = HTTPServer(
+        limited = self._settings.callers.limited
+        front = (CallerServer if limited else HTTPServer)(
             self.front,
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=self.front.max_body_bytes,
@@ -151,18 +161,39 @@
             idle_connection_timeout=self.front.idle_timeout_s + IDLE_TIMEOUT_MARGIN_S,
         )
         host, port = split_address(self._settings.front)
-        front.listen(port, address=host, backlog=1024)
+        listen = listen_plainly
+        if isinstance(front, CallerServer):
+            front.limit(self._caller_limits(), self._log, CallerMetrics(self._metrics_registry))
+            front.listen_to_callers(host, port)
+            self._caller_server = front
+            listen = partial(listen_sparingly, front.free_descriptor)
+        else:
+            front.listen(port, address=host, backlog=BACKLOG)
         ready = make_ready_server(self._is_ready)
         host, port = split_address(self._settings.ready)
-        ready.listen(port, address=host)
+        listen(ready, host, port)
         servers = [front, ready]
         if self._settings.metrics_port:
             metrics = start_metrics_server(
-                self._metrics_registry, self._settings.host, self._settings.metrics_port, self._log
+                self._metrics_registry,
+                self._settings.host,
+                self._settings.metrics_port,
+                self._log,
+                listen,
             )
             servers += [metrics] if metrics is not None else []
         return servers
 
+    def _caller_limits(self) -> CallerLimits:
+        limits = self._settings.limits
+        return CallerLimits.of_machine(
+            limits.descriptors, limits.memory_mb * MEGABYTE, resident_bytes()
+        )
+
+    def _max_header_bytes(self) -> int:
+        configuration = self.directory.routes.configuration
+        return MAX_HEADER_BYTES if configuration is None else configuration.limits.max_header_bytes
+
     def _is_ready(self) -> bool:
         return (
             not self.front.draining
--- a/stileloom/daemon/metrics_server.py
+++ b/stileloom/daemon/metrics_server.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from prometheus_client import CollectorRegistry, generate_latest
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 
+from stileloom.daemon.descriptors import listen_plainly
 from stileloom.events import LogEvent
 from stileloom.logging import EventLog
 
@@ -13,7 +16,11 @@
 
 
 def start_metrics_server(
-    registry: CollectorRegistry, host: str, port: int, log: EventLog
+    registry: CollectorRegistry,
+    host: str,
+    port: int,
+    log: EventLog,
+    listen: Callable[[HTTPServer, str, int], None] = listen_plainly,
 ) -> HTTPServer | None:
     """Starts a server that answers any request with all metrics.
 
@@ -29,7 +36,7 @@
 
     server = HTTPServer(answer)
     try:
-        server.listen(port, address=host)
+        listen(server, host, port)
     except OSError as error:
         fields: dict[str, object] = {"error": f"cannot serve metrics on port {port}: {error}"}
         log.emit(LogEvent.INTERNAL_FAULT, fields)
--- a/stileloom/jobs/job_admission.py
+++ b/stileloom/jobs/job_admission.py
@@ -35,6 +35,8 @@
 
     memory_mb: float = 0.0
     disk_mb: float = 0.0
+    descriptors: int = 0
+    """Gateway: descriptors of the process, for the limits on callers."""
 
 
 class JobRefusal(msgspec.Struct, frozen=True):
--- a/stileloom/service_settings.py
+++ b/stileloom/service_settings.py
@@ -32,6 +32,13 @@
     """Time after submission of a job for which its results stay readable."""
 
 
+class CallerSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Gateway: treatment of callers."""
+
+    limited: bool = False
+    """Whether connections of callers are limited (`callers/limits.py`)."""
+
+
 class DutySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The operator's service to which one node at a time makes calls."""
 
@@ -77,7 +84,9 @@
     """Number of simultaneous ledger node failures to tolerate (f); the voter set has 2f + 1."""
     bounds: TimeBounds = TimeBounds()
     limits: ResourceLimits = ResourceLimits()
-    """Ledger node: memory and disk of the machine, for the admission of jobs."""
+    """Ledger node: memory and disk of the machine, for the admission of jobs. Gateway: memory and
+    descriptors, for the limits on callers."""
+    callers: CallerSettings = CallerSettings()
     duties: DutySettings | None = None
     """None if there is no such service."""
     switches: Switches = Switches()
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -8,6 +8,7 @@
 import testtools
 from prometheus_client import CollectorRegistry
 
+from stileloom.callers.metrics import CallerMetrics
 from stileloom.daemon.process_metrics import ProcessMetrics
 from stileloom.duties.metrics import DutyMetrics
 from stileloom.errors import ERROR_RESPONSES, ErrorKind
@@ -33,6 +34,7 @@
 def service_metrics() -> dict[str, str]:
     """Names and meanings of the metrics of gateways and ledger nodes."""
     registry = CollectorRegistry()
+    CallerMetrics(registry)
     ProxyMetrics(registry)
     QuarantineMetrics(registry)
     JobMetrics(registry)
