A stream stops reading from its sampler while its caller does not read

Cause: the relay read as fast as the sampler wrote and held what the caller had not read.

Change: with limits on callers, the relay pauses the connection to the sampler while more than 64 KiB wait for the caller, and ends the stream after 2 s in this state, without blame for the sampler.

--- a/stileloom/http1/connection.py
+++ b/stileloom/http1/connection.py
@@ -91,6 +91,16 @@
         self._decoder = ResponseDecoder(method)
         self._transport.write(request)
 
+    def pause_reading(self) -> None:
+        """Stops reading the response, so that the sampler's writes wait."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Continues after `pause_reading`."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
     def close(self) -> None:
         """Aborts the connection; the sink of an exchange in progress is not notified.
 
--- a/stileloom/proxy/front.py
+++ b/stileloom/proxy/front.py
@@ -255,6 +255,11 @@
 
     # Implementation of `StreamWriter`.
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that wait for the caller; only the streams of `CallerServer` count them."""
+        return int(getattr(getattr(self._connection, "stream", None), "unsent_bytes", 0))
+
     def start(self, head: ResponseHead) -> None:
         """Sends the head of the response."""
         self._streaming = True
--- a/stileloom/proxy/stream_relay.py
+++ b/stileloom/proxy/stream_relay.py
@@ -18,7 +18,7 @@
 from stileloom.clock import steady_time
 from stileloom.errors import ErrorKind, StileloomError
 from stileloom.events import LogEvent
-from stileloom.http1.connection import ExchangeEnd
+from stileloom.http1.connection import ExchangeEnd, SamplerConnection
 from stileloom.http1.event_stream import EventSplitter
 from stileloom.http1.pool import ConnectionPool
 from stileloom.http1.request_encoder import encode_request
@@ -37,9 +37,20 @@
 EVENT_STREAM_TYPE = "text/event-stream"
 
 
+MAX_UNSENT_BYTES = 65_536
+"""While more than this waits for the caller, no more is read from the sampler."""
+UNSENT_TIMEOUT_S = 2.0
+"""Time in this state after which the stream ends, before the sampler closes an unread response."""
+UNSENT_CHECK_INTERVAL_S = 0.02
+
+
 class StreamWriter(Protocol):
     """The caller's side of a stream."""
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that wait for the caller; always 0 unless callers are limited."""
+
     def start(self, head: ResponseHead) -> None:
         """Sends the response head."""
 
@@ -59,6 +70,8 @@
     """A complete response that is not a stream, such as an error of the sampler."""
     REFUSED = "refused"
     BROKEN = "broken"
+    UNREAD = "unread"
+    """The caller does not read the stream."""
 
 
 class _Run(msgspec.Struct):
@@ -143,6 +156,9 @@
                 permit.record_success()
                 writer.end_stream()
                 return None
+            if last_run.end is _RunEnd.UNREAD:
+                writer.abort()
+                return None
         return self._finish_incomplete(plan, stream, last_run)
 
     def _finish_incomplete(
@@ -206,8 +222,8 @@
         connection.exchange(self._encode(lookup, entry.sampler_id, stream), response)
         complete = False
         try:
-            run = await self._read_response(lookup, response, stream, resumable)
-            complete = run.end is not _RunEnd.BROKEN
+            run = await self._read_response(lookup, response, stream, resumable, connection)
+            complete = run.end not in (_RunEnd.BROKEN, _RunEnd.UNREAD)
         finally:
             tracked.open_requests -= 1
             if not complete:
@@ -222,7 +238,12 @@
         return self._log_run(lookup, entry.sampler_id, run)
 
     async def _read_response(
-        self, lookup: Lookup, response: _ResponseQueue, stream: _StreamState, resumable: bool
+        self,
+        lookup: Lookup,
+        response: _ResponseQueue,
+        stream: _StreamState,
+        resumable: bool,
+        connection: SamplerConnection,
     ) -> _Run:
         head: ResponseHead | None = None
         body = b""
@@ -247,11 +268,28 @@
                         self._count_run(lookup.tenant, steady_time())
                     if not stream.forward_events(part):
                         return _Run(_RunEnd.BROKEN, "event id did not increase")
+                    if stream.writer.unsent_bytes > MAX_UNSENT_BYTES and not await self._wait_read(
+                        lookup, stream.writer, connection
+                    ):
+                        return _Run(_RunEnd.UNREAD, "the caller does not read")
                 else:
                     body += part
             else:
                 return self._classify(head, body, part, stream)
 
+    async def _wait_read(
+        self, lookup: Lookup, writer: StreamWriter, connection: SamplerConnection
+    ) -> bool:
+        """Reads nothing from the sampler until the caller has read; False after the timeout."""
+        connection.pause_reading()
+        ends_at = min(steady_time() + UNSENT_TIMEOUT_S, lookup.deadline_at)
+        while writer.unsent_bytes > MAX_UNSENT_BYTES:
+            if steady_time() >= ends_at:
+                return False
+            await asyncio.sleep(UNSENT_CHECK_INTERVAL_S)
+        connection.resume_reading()
+        return True
+
     def _is_for_other_request(self, head: ResponseHead, lookup: Lookup) -> bool:
         return head.headers.get(self._names.request_id, lookup.request_id) != lookup.request_id
 
--- a/tests/service_cluster.py
+++ b/tests/service_cluster.py
@@ -224,6 +224,10 @@
         for file in folder.iterdir():
             file.unlink()
 
+    def settings(self, name: str) -> ServiceSettings:
+        """Returns the settings of a node."""
+        return self._settings[name]
+
     def restart(self, name: str) -> None:
         """Starts a killed ledger node again."""
         settings = self._settings[name]
@@ -242,8 +246,8 @@
                 return name
         return None
 
-    def start_gateway(self, name: str) -> Gateway:
-        """Starts a gateway and appends it to `gateways`."""
+    def start_gateway(self, name: str, **changes: Any) -> Gateway:
+        """Starts a gateway with changed settings and appends it to `gateways`."""
         front = free_port()
         settings = ServiceSettings(
             node_id=name,
@@ -255,7 +259,9 @@
             ready=f"{HOST}:{free_port()}",
             calls_port=self._calls_port,
             bounds=BOUNDS,
+            **changes,
         )
+        self._settings[name] = settings
         gateway = Gateway(settings, NativeObjectStore(self.api), NativeDialect())
         self.gateways.append(gateway)
         self.front_ports.append(front)
