--- a/stileloom/callers/limits.py
+++ b/stileloom/callers/limits.py
@@ -26,9 +26,10 @@
 """Copies of a body while its request runs: the encoded request, the response, and parts of either
 one. Without a limit on these copies, a gateway of 88 MB took 93 MB under 60 bodies of 400 kB."""
 CONNECTION_BYTES = 12_000
-"""Memory of an open connection: 900 took 10.6 MB. It is taken from the room for copies."""
-MIN_COPIES_SHARE = 0.25
-"""Share of the room for copies that connections leave."""
+"""Memory of an open connection: 900 took 10.6 MB. It is taken from the bytes that may be held and
+from the room for copies; otherwise a gateway of 88 MB with 980 connections reached 87 MB."""
+MIN_ROOM_SHARE = 0.4
+"""Share of these that is left with any number of connections."""
 MIN_HELD_BYTES = MEGABYTE
 """Lower bound for a process that uses nearly all of its memory at its start."""
 IDLE_AFTER_S = 1.0
@@ -280,15 +281,17 @@
         return Refuse(limit, self._retry_after_s())
 
     def _has_room_to_run(self, request_bytes: int) -> bool:
-        """The copies and the connections together get the same share as the bytes held.
+        """The copies get the same share as the bytes held.
 
         A request that runs alone always has room, however large it is.
         """
-        limit = self._limits.held_bytes
-        left = limit - len(self._connections) * CONNECTION_BYTES
         needed = self._copied_bytes + request_bytes * FORWARDING_COPIES
-        room = max(limit * MIN_COPIES_SHARE, left)
-        return not limit or not self._copied_bytes or needed <= room
+        return not self._limits.held_bytes or not self._copied_bytes or needed <= self._room()
+
+    def _room(self) -> float:
+        """The limit on the bytes held with the present number of connections."""
+        limit = self._limits.held_bytes
+        return max(limit * MIN_ROOM_SHARE, limit - len(self._connections) * CONNECTION_BYTES)
 
     def _set_copied(self, connection: _Connection, count: int) -> None:
         self._copied_bytes += count - connection.copied_bytes
@@ -296,7 +299,7 @@
 
     def _free_bytes(self, now: float) -> list[Close]:
         closes: list[Close] = []
-        while self._limits.held_bytes and self.held_bytes > self._limits.held_bytes:
+        while self._limits.held_bytes and self.held_bytes > self._room():
             connection = self._largest_to_close(now)
             if connection is None:
                 break
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -34,6 +34,7 @@
 PROMISES = "tests/test_promises.py"
 REWARDS = "tests/test_rewards.py"
 LEDGER = "tests/test_ledger.py"
+CALLER_LIMITS = "tests/test_caller_limits.py"
 QUARANTINE = "tests/test_quarantine.py"
 BOOK = "tests/test_quarantine_book.py"
 CANCELLATION = "tests/test_cancellation.py"
@@ -46,6 +47,38 @@
 LEDGER_BLOBS = "tests/test_ledger_blobs.py"
 
 MUTANTS = [
+    Mutant(
+        "running requests are closed for a new connection",
+        "a request under way is not cut for a connection",
+        "stileloom/callers/limits.py",
+        "        sending = self._by_state[CallerState.HEADER].oldest(address)\n",
+        "        sending = self._by_state[CallerState.RUNNING].oldest(address)\n",
+        CALLER_LIMITS,
+    ),
+    Mutant(
+        "a refusal is sent into a response",
+        "a refused request has not run",
+        "stileloom/callers/limits.py",
+        "        has_part = connection.state in (CallerState.HEADER, CallerState.BODY)\n",
+        "        has_part = True\n",
+        CALLER_LIMITS,
+    ),
+    Mutant(
+        "the progress of a response does not count",
+        "a ready response is delivered while it is read at all",
+        "stileloom/callers/limits.py",
+        "        elif state is CallerState.RESPONSE and held_bytes < connection.held_bytes:\n",
+        "        elif False:\n",
+        CALLER_LIMITS,
+    ),
+    Mutant(
+        "a request that a limit ended runs",
+        "a refused request has not run",
+        "stileloom/daemon/caller_server.py",
+        "        if not self._connection.closing:\n            self._inner.finish()\n",
+        "        self._inner.finish()\n",
+        "tests/test_callers.py::LimitsTest::test_complete_requests_without_room_are_refused",
+    ),
     Mutant(
         "a leader does not count again once a disk is proved lost",
         "two voters: the survivor goes on",
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -290,6 +290,16 @@
         body = callers.open_in(CallerState.BODY, MEGABYTE)
         self.assertEqual([], callers.change(body, CallerState.RUNNING, MEGABYTE))
 
+    def test_many_connections_leave_less_room_but_not_none(self) -> None:
+        """Connections take memory themselves: 900 of them took 10.6 MB."""
+        callers = Callers(self.LIMITS)
+        for _ in range(900):
+            callers.open_in(CallerState.IDLE)
+        body = callers.open_in(CallerState.BODY, 3 * MEGABYTE)
+        self.assertEqual(
+            [(body, Limit.HELD_BYTES)], callers.change(body, CallerState.BODY, 5 * MEGABYTE)
+        )
+
     def test_many_large_header_sections_stay_below_the_limit(self) -> None:
         callers = Callers(self.LIMITS)
         for _ in range(500):
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -230,6 +230,30 @@
 
         self.run_scenario(scenario)
 
+    def test_complete_requests_without_room_are_refused(self) -> None:
+        """What does not fit beside the copies of running requests must not run, and says so."""
+
+        async def scenario(cluster: ServiceCluster) -> None:
+            for name in ("chart-1", "chart-2"):
+                cluster.samplers[name].faults.work_s = 0.5
+            # Less than the process uses, so that the lower bound of 1 MB applies.
+            gateway = await start_limited(cluster, ResourceLimits(memory_mb=1.0))
+            body = b"x" * 200_000
+            first = asyncio.ensure_future(
+                cluster.call("POST", "/charts/7", body, LIMITED_GATEWAY, request_id="first")
+            )
+            await cluster.wait_until(lambda: gateway.front.open_requests == 1)
+            second = await cluster.call(
+                "POST", "/charts/7", body, LIMITED_GATEWAY, request_id="second"
+            )
+            self.assertEqual((503, "close"), (second.code, second.headers["Connection"]))
+            self.assertIn("Retry-After", second.headers)
+            self.assertEqual(200, (await first).code)
+            runs = [run for sampler in cluster.samplers.values() for run in sampler.runs]
+            self.assertEqual({"first"}, {run.request_id for run in runs})
+
+        self.run_scenario(scenario)
+
     def test_header_section_over_the_configured_limit_ends_its_connection(self) -> None:
         async def scenario(cluster: ServiceCluster) -> None:
             gateway = await start_limited(cluster)
