A test shows that a request which a limit ends when it is complete is not run

Cause: the mutant that passes such a request on was missed: over sockets its task is cancelled before it sends anything.

Change: a test without sockets; the mutant names it. The test over sockets uses open connections.

--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -77,7 +77,7 @@
         "stileloom/daemon/caller_server.py",
         "        if not self._connection.closing:\n            self._inner.finish()\n",
         "        self._inner.finish()\n",
-        "tests/test_callers.py::LimitsTest::test_complete_requests_without_room_are_refused",
+        "tests/test_callers.py::RefusedRequestTest",
     ),
     Mutant(
         "a leader does not count again once a disk is proved lost",
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -10,6 +10,7 @@
 import json
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
+from functools import partial
 from unittest import mock
 
 import msgspec
@@ -23,6 +24,7 @@
     ConnectionLimits,
 )
 from stileloom.clock import steady_time
+from stileloom.daemon.caller_server import _LimitedExchange
 from stileloom.daemon.gateway import Gateway
 from stileloom.events import LogEvent
 from stileloom.http.native_dialect import NativeDialect
@@ -234,10 +236,15 @@
         """What does not fit beside the copies of running requests must not run, and says so."""
 
         async def scenario(cluster: ServiceCluster) -> None:
-            for name in ("chart-1", "chart-2"):
-                cluster.samplers[name].faults.work_s = 0.5
+            samplers = [cluster.samplers[name] for name in ("chart-1", "chart-2")]
             # Less than the process uses, so that the lower bound of 1 MB applies.
             gateway = await start_limited(cluster, ResourceLimits(memory_mb=1.0))
+            # Connections to both samplers are open, so that a request that runs is sent at once.
+            while not all(sampler.runs for sampler in samplers):
+                await self.lookups_in_time(cluster, 1)
+            for sampler in samplers:
+                sampler.faults.work_s = 0.5
+                sampler.runs.clear()
             body = b"x" * 200_000
             first = asyncio.ensure_future(
                 cluster.call("POST", "/charts/7", body, LIMITED_GATEWAY, request_id="first")
@@ -249,7 +256,7 @@
             self.assertEqual((503, "close"), (second.code, second.headers["Connection"]))
             self.assertIn("Retry-After", second.headers)
             self.assertEqual(200, (await first).code)
-            runs = [run for sampler in cluster.samplers.values() for run in sampler.runs]
+            runs = [run for sampler in samplers for run in sampler.runs]
             self.assertEqual({"first"}, {run.request_id for run in runs})
 
         self.run_scenario(scenario)
@@ -338,6 +345,26 @@
         self.run_scenario(scenario)
 
 
+class RefusedRequestTest(testtools.TestCase):
+    """A request that a limit ends at the moment at which it is complete."""
+
+    def test_it_is_not_passed_on(self) -> None:
+        """It would run until its connection is closed, although its refusal says that it did not.
+
+        Over sockets the order of the event loop mostly hides this.
+        """
+        for ended_by_other in (True, False):
+            connection = mock.Mock(closing=ended_by_other)
+            connection.on_request_complete.side_effect = partial(
+                setattr, connection, "closing", True
+            )
+            inner = mock.Mock()
+            exchange = _LimitedExchange(connection, inner)
+            exchange.data_received(b"x" * 10_000)
+            exchange.finish()
+            inner.finish.assert_not_called()
+
+
 class SlowStreamTest(testtools.TestCase):
     """Streams whose callers read slowly or not at all."""
 
