--- a/stileloom/proxy/front.py
+++ b/stileloom/proxy/front.py
@@ -258,6 +258,11 @@
 
     # Implementation of `StreamWriter`.
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that wait for the caller; only the streams of `CallerServer` count them."""
+        return int(getattr(getattr(self._connection, "stream", None), "unsent_bytes", 0))
+
     def start(self, head: ResponseHead) -> None:
         """Sends the head of the response."""
         self._streaming = True
@@ -319,6 +324,8 @@
 
     def on_connection_close(self) -> None:
         """Called by tornado when the connection closed before the request was complete."""
+        # The exchange may be part of a reference cycle, which would keep the body.
+        self._parts.clear()
         self._on_disconnect()
 
     def _on_disconnect(self) -> None:
