A gateway searches the leader before it refuses a job for want of one

Cause: the time without a leader was counted from the start of the process, so a gateway whose first call came later than 3 s after its start refused it although a leader was there. Change: it counts from the first search that failed, and the search of the call itself comes first.

--- a/stileloom/jobs/client.py
+++ b/stileloom/jobs/client.py
@@ -29,8 +29,9 @@
 SLOW_REPLY_S = 0.3
 """Time without a reply after which the client checks whether another node leads."""
 FIRST_LEADER_WAIT_S = 3.0
-"""Time without any leader since the start of this process after which new jobs are refused at once.
-A change of leader takes less, so its callers are still held until the next leader accepts them."""
+"""Time since the first search that found no leader, none having been found since the start of this
+process, after which new jobs are refused by the next search that fails. A change of leader takes
+less, so its callers are still held until the next leader accepts them."""
 FIRST_LEADER_RETRY_AFTER_S = 1.0
 """Retry hint while no leader was ever found: voters are missing, or all are unreachable."""
 RETRY_AFTER_S = 0.3
@@ -55,7 +56,7 @@
         )
         self._unresponsive: set[NodeAddress] = set()
         self._has_found_leader = False
-        self._created_at = steady_time()
+        self._first_failed_search_at: float | None = None
 
     async def call(self, request: JobRequest, request_id: str, timeout_s: float) -> JobReply:
         """Returns the leader's answer.
@@ -65,14 +66,14 @@
         NOT_RUN if no node can have executed the call, and UNKNOWN otherwise.
         """
         deadline = steady_time() + timeout_s
-        if isinstance(request, SubmitJobCall):
-            self._require_first_leader()
         may_have_run = False
         attempts = 0
         while (remaining_s := deadline - steady_time()) > 0:
             searched = self._nodes.leader is None
             leader = await self._find_leader(request_id, remaining_s)
             if leader is None:
+                if isinstance(request, SubmitJobCall) and not may_have_run:
+                    self._refuse_without_first_leader()
                 continue
             attempts += 1
             try:
@@ -97,12 +98,15 @@
         detail = f"no ledger leader answered after {attempts} attempts"
         raise StileloomError(ErrorKind.LEDGER_UNAVAILABLE, detail, outcome, RETRY_AFTER_S)
 
-    def _require_first_leader(self) -> None:
-        """Raises LEDGER_UNAVAILABLE if no leader has answered since the start of this process."""
-        waited_s = steady_time() - self._created_at
-        if self._has_found_leader or self._nodes.leader or waited_s < FIRST_LEADER_WAIT_S:
+    def _refuse_without_first_leader(self) -> None:
+        """Raises LEDGER_UNAVAILABLE if no leader was ever found, and searches fail for a while."""
+        now = steady_time()
+        if self._first_failed_search_at is None:
+            self._first_failed_search_at = now
+        waited_s = now - self._first_failed_search_at
+        if self._has_found_leader or waited_s < FIRST_LEADER_WAIT_S:
             return
-        detail = f"no ledger leader has answered for {waited_s:.0f} s"
+        detail = f"no ledger leader was found for {waited_s:.0f} s"
         raise StileloomError(
             ErrorKind.LEDGER_UNAVAILABLE, detail, Outcome.NOT_RUN, FIRST_LEADER_RETRY_AFTER_S
         )
