Slow callers in the soak, at a gateway with limits

Cause: the soak's callers all send and read at once, and no gateway of it had limits on callers.

Change: one of the gateways has limits, and callers that send header sections and bodies slowly, read slowly or read nothing; its memory is judged before the recovery.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -20,11 +20,12 @@
 from stileloom.clock import steady_time
 from stileloom.logging import configure_logs
 from tests.soak.callers import Callers, configuration
-from tests.soak.deployment import GATEWAYS, Deployment
+from tests.soak.deployment import GATEWAY_MEMORY_MB, GATEWAYS, LIMITED_GATEWAY, Deployment
 from tests.soak.faults import FaultSchedule
 from tests.soak.job_ends import LEDGER
 from tests.soak.poison import PoisonLookup
 from tests.soak.record import Record
+from tests.soak.slow_callers import SlowCallers
 
 FAILED_SEEDS = Path(__file__).with_name("failed_seeds.toml")
 READY_S = 30.0
@@ -62,10 +63,14 @@
             watch = loop.create_task(self._watch_programs())
             stalls = loop.create_task(self._watch_stalls())
             self.callers.start()
+            slow_callers = SlowCallers(self.deployment.fronts[LIMITED_GATEWAY - 1])
+            slow_callers.start()
             replacing = loop.create_task(self.poison.replace_ended())
             arriving = loop.create_task(self.poison.arrive())
             await self.faults.run(seconds)
             arriving.cancel()
+            await slow_callers.stop()
+            self._judge_memory()
             await self.callers.finish()
             await self._recover()
             await self._judge_poison()
@@ -81,6 +86,13 @@
         finally:
             await self.deployment.stop()
 
+    def _judge_memory(self) -> None:
+        """A gateway over its memory would be killed."""
+        peak_mb = self.deployment.programs[f"gateway-{LIMITED_GATEWAY}"].peak_mb()
+        self.record.counts["largest limited gateway in MB"] = peak_mb
+        if peak_mb > GATEWAY_MEMORY_MB:
+            self.record.breaks("a limited gateway keeps within its memory", f"{peak_mb} MB")
+
     async def _judge_poison(self) -> None:
         programs = self.deployment.programs.items()
         lives = sum(program.lives for name, program in programs if name.startswith("gateway"))
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -28,6 +28,13 @@
 MOST_LEDGER_NODES = 8
 """Over the whole run, with those that replace others."""
 GATEWAYS = 2
+LIMITED_GATEWAY = 1
+"""Number of the gateway with limits on callers."""
+GATEWAY_MEMORY_MB = 110
+LIMITED: dict[str, object] = {
+    "callers": {"limited": True},
+    "limits": {"memory_mb": GATEWAY_MEMORY_MB, "descriptors": 1638},
+}
 SAMPLERS = {"charts": 2, "drafts": 3}
 EVENT_INTERVAL_S = 0.02
 """Slow enough that a large job has items waiting for longer than ends are judged."""
@@ -162,6 +169,7 @@
             store=await self._store_address(name),
             front=f"{HOST}:{front}",
             ready=f"{HOST}:{free_port()}",
+            **(LIMITED if number == LIMITED_GATEWAY else {}),
         )
 
     def _settings(self, program: Program, **fields: object) -> None:
@@ -279,4 +287,6 @@
         return str(value).lower()
     if isinstance(value, list):
         return "[" + ", ".join(_toml(item) for item in value) + "]"
+    if isinstance(value, dict):
+        return "{" + ", ".join(f"{name} = {_toml(item)}" for name, item in value.items()) + "}"
     return f'"{value}"' if isinstance(value, str) else str(value)
