Planning compares at most 64 samplers for an item and starts at most 200 runs at once

Cause: where samplers have more slots than there are items, each waiting and each running item was compared with every free sampler. Change: runs on samplers within the factor of a move of the fastest free one are skipped; of more than 64 samplers the fastest are compared; after 200 starts of a model the rest waits for the next step, 5 ms later.

--- a/stileloom/jobs/planning_pass.py
+++ b/stileloom/jobs/planning_pass.py
@@ -14,6 +14,10 @@
 from stileloom.jobs.open_items import OpenItem
 from stileloom.proxy.sampler_table import TrackedSampler
 
+MAX_CANDIDATES = 64
+"""Samplers that are compared for one item. With a thousand samplers and a thousand items, comparing
+all would take seconds; the samplers that were fastest when the pass began are compared."""
+
 _Requirement = tuple[str, str, int, tuple[int, ...] | None]
 
 
@@ -26,8 +30,11 @@
         accepts: Callable[[OpenItem, TrackedSampler], bool],
         has_room: Callable[[OpenItem, TrackedSampler], bool],
         has_free_slot: Callable[[TrackedSampler], bool],
+        interval_s: Callable[[TrackedSampler], float],
     ) -> None:
         """`accepts` ignores what starts change; `has_room` checks only that."""
+        self._interval_s = interval_s
+        self._shortest_interval_s: dict[str, float] = {}
         self.usable_by_waiting: set[str] | None = None
         """Samplers on which a waiting item could start; None until it is asked for."""
         self.open_by_job: Counter[str] | None = None
@@ -45,15 +52,41 @@
         requirement = _requirement(open_item)
         accepting = self._accepting.get(requirement)
         if accepting is None:
-            accepting = [
-                sampler
-                for sampler in self._samplers_of(open_item.service)
-                if self._has_free_slot(sampler) and self._accepts(open_item, sampler)
-            ]
-        else:
-            accepting = [sampler for sampler in accepting if self._has_free_slot(sampler)]
-        self._accepting[requirement] = accepting
-        return [sampler for sampler in accepting if self._has_room(open_item, sampler)]
+            accepting = self._accepting[requirement] = self._accepting_samplers(open_item)
+        found: list[TrackedSampler] = []
+        with_free_slot: list[TrackedSampler] = []
+        looked_at = 0
+        for sampler in accepting:
+            looked_at += 1
+            if not self._has_free_slot(sampler):
+                continue
+            with_free_slot.append(sampler)
+            if self._has_room(open_item, sampler):
+                found.append(sampler)
+                if len(found) == MAX_CANDIDATES:
+                    break
+        if len(with_free_slot) < looked_at:
+            accepting[:looked_at] = with_free_slot
+        return found
+
+    def _accepting_samplers(self, open_item: OpenItem) -> list[TrackedSampler]:
+        accepting = [
+            sampler
+            for sampler in self._samplers_of(open_item.service)
+            if self._has_free_slot(sampler) and self._accepts(open_item, sampler)
+        ]
+        if len(accepting) > MAX_CANDIDATES:
+            accepting.sort(key=self._interval_s)
+        return accepting
+
+    def shortest_interval_s(self, service: str) -> float:
+        """The interval of the fastest sampler of a service with a free slot, or infinity."""
+        shortest_s = self._shortest_interval_s.get(service)
+        if shortest_s is None:
+            free = [s for s in self._samplers_of(service) if self._has_free_slot(s)]
+            shortest_s = min(map(self._interval_s, free), default=float("inf"))
+            self._shortest_interval_s[service] = shortest_s
+        return shortest_s
 
     def with_free_slot(self, samplers: Iterable[TrackedSampler]) -> list[TrackedSampler]:
         """Those of all samplers that have a free slot."""
--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -36,7 +36,7 @@
 from stileloom.jobs.registry import JobRecord, JobRegistry
 from stileloom.jobs.result_writer import ResultWriter
 from stileloom.jobs.reward_caller import RewardCaller
-from stileloom.jobs.scheduler import ItemScheduler
+from stileloom.jobs.scheduler import MAX_STARTS_PER_PASS, ItemScheduler
 from stileloom.jobs.suspect_items import SuspectItems
 from stileloom.jobs.version_planner import Load, VersionPlanner
 from stileloom.jobs.weight_loader import WeightLoader
@@ -361,7 +361,10 @@
                     open_item.not_before = 0.0
                 self._tasks.spawn(self._load(load))
         if now >= self._starts_allowed_at:
-            self._runs.start(self.scheduler.plan_starts(now, models))
+            starts = self.scheduler.plan_starts(now, models)
+            self._runs.start(starts)
+            if len(starts) >= MAX_STARTS_PER_PASS:
+                self._schedule_step()
 
     def _remove_ended_jobs(self) -> None:
         jobs = self._registry.jobs
--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -69,6 +69,8 @@
 """A longer gap counts as this multiple of the interval: a run whose memory was taken away pauses
 without its sampler being slow."""
 MAX_RETAINED_TEXTS = 2000
+MAX_STARTS_PER_PASS = 200
+"""Starts that are planned at once, for each model; the leader must renew its lease in between."""
 
 TenantItem = tuple[str, str]
 """Tenant and item id: texts are kept for later jobs of the same tenant only."""
@@ -289,6 +291,8 @@
                     starts += self._plan_fair_starts(service, items, now)
                 continue
             for open_item in start_order(due, self._shortest_interval_s()):
+                if len(starts) >= MAX_STARTS_PER_PASS:
+                    break
                 sampler = self._best_sampler(open_item, now)
                 if sampler is None:
                     continue
@@ -303,6 +307,9 @@
             lambda item, sampler: self._accepts(item, sampler, now),
             self._has_room,
             self._has_free_slot,
+            lambda sampler: self._interval_s(
+                sampler.entry.sampler_id, self._is_rated_by_speed(sampler.entry.service, now)
+            ),
         )
         try:
             yield
@@ -317,7 +324,10 @@
             return starts
         self._update_capacity(service)
         order = FairOrder(items, self._shares_of(service), self._shortest_interval_s(), now)
-        while self._service_has_free_slot(service) and (open_item := order.next()) is not None:
+        while len(starts) < MAX_STARTS_PER_PASS and self._service_has_free_slot(service):
+            open_item = order.next()
+            if open_item is None:
+                break
             sampler = self._best_sampler(open_item, now)
             if sampler is None:
                 order.passed_over(open_item)
@@ -510,6 +520,10 @@
         if not self._may_move(open_item, now):
             return None
         current_interval_s = self._interval_s(run.sampler_id, by_speed)
+        if self._pass is not None:
+            shortest_s = self._pass.shortest_interval_s(open_item.service)
+            if current_interval_s <= shortest_s * MOVE_MIN_SPEEDUP:
+                return None
         best = self._best_sampler(open_item, now, spare_only=by_speed)
         if best is None:
             return None
