At most 32 slow runs are looked for in a step

Change: runs are examined with the most remaining events first, and the search ends after 32; a step moves three. Result: tests of planning, scheduler, placement and start order pass.

--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -69,6 +69,7 @@
 """A longer gap counts as this multiple of the interval: a run whose memory was taken away pauses
 without its sampler being slow."""
 MAX_RETAINED_TEXTS = 2000
+MAX_SLOW_RUNS = 32
 MAX_STARTS_PER_PASS = 200
 """Starts that are planned at once, for each model; the leader must renew its lease in between."""
 
@@ -473,16 +474,24 @@
         return unresponsive
 
     def slow_runs(self, now: float) -> list[OpenItem]:
-        """Returns runs that would finish sooner on another sampler, most remaining events first."""
+        """Returns runs that would finish sooner on another sampler, most remaining events first.
+
+        At most `MAX_SLOW_RUNS` are returned: a step moves three, so that more are never used.
+        """
+        running = [item for item in self.items.values() if item.run is not None]
+        running.sort(key=self.events_left, reverse=True)
+        slow: list[OpenItem] = []
         with self.planning_pass(now):
-            slow = [
-                open_item
-                for open_item in self.items.values()
-                if open_item.run is not None
-                and self.models_of(open_item.run.sampler_id).loading != open_item.model
-                and self.faster_sampler(open_item, now) is not None
-            ]
-        slow.sort(key=self.events_left, reverse=True)
+            for open_item in running:
+                run = open_item.run
+                if (
+                    run is not None
+                    and self.models_of(run.sampler_id).loading != open_item.model
+                    and self.faster_sampler(open_item, now) is not None
+                ):
+                    slow.append(open_item)
+                    if len(slow) == MAX_SLOW_RUNS:
+                        break
         return slow
 
     def _open_items_by_job(self) -> Counter[str]:
