Load sharing: any exception of a call is a failed exchange

Cause: only CallFailed was handled. A registered port of 99999 or -5, a host label of 70 characters or a sampler born at 2**64 ms or later raised another exception, after which the service counted as in an exchange until the gateway restarted.

Samplers whose birth does not fit into 64 bits are left out of the call.

--- a/stileloom/daemon/load_sharing.py
+++ b/stileloom/daemon/load_sharing.py
@@ -47,6 +47,11 @@
         except CallFailed as failure:
             self._on_failure(exchange, "no_reply" if failure.sent else "lost", str(failure))
             return
+        except Exception as error:
+            # The address is what another program registered: a wrong port or host name raises
+            # other exceptions, after which the service must not count as in an exchange for ever.
+            self._on_failure(exchange, "error", repr(error))
+            return
         if not isinstance(reply, LoadShared):
             self._on_failure(exchange, "invalid", type(reply).__name__)
             return
--- a/stileloom/load/exchange.py
+++ b/stileloom/load/exchange.py
@@ -193,7 +193,8 @@
         readings: list[SharedReading] = []
         known: list[KnownReading] = []
         measured_at: dict[str, float] = {}
-        for entry in self._entries_of(service)[:MAX_READINGS]:
+        entries = [entry for entry in self._entries_of(service) if _is_encodable(entry)]
+        for entry in entries[:MAX_READINGS]:
             latest = self._view.latest(entry)
             if latest is None or now - latest.measured_at >= EXPIRY_S:
                 known.append(KnownReading(entry.sampler_id, entry.born_ms, EXPIRED_AGE_MS))
@@ -263,6 +264,11 @@
     )
 
 
+def _is_encodable(entry: SamplerEntry) -> bool:
+    """Whether a message can carry the birth, an integer of any size that another program wrote."""
+    return -(2**63) <= entry.born_ms < 2**64
+
+
 def _age_ms(latest: MeasuredReading, now: float) -> int:
     """The age rounded up, so that no reading gets younger on its way."""
     return math.ceil(max(0.0, now - latest.measured_at) * 1000)
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -181,6 +181,15 @@
         self.first.measure(0, FULL, 10.0)
         self.assertIsNone(self.zone.forward(self.first, 10.0))
 
+    def test_sampler_whose_birth_does_not_fit_into_a_message_is_left_out(self) -> None:
+        """One wrong entry of the directory must not prevent the sharing of the others."""
+        zone = Zone(1)
+        gateway = zone.gateways[0]
+        for number, born_ms in ((5, 2**64), (6, -(2**63) - 1)):
+            gateway.list_sampler(entry(number, born_ms), 10.0)
+        gateway.measure(0, FULL, 10.0)
+        self.assertEqual(1, len(zone.forward(gateway, 10.0).call.readings))
+
 
 class FailureTest(testtools.TestCase):
     """Ledger nodes and gateways that fail; the gateway's own readings stay in use."""
--- a/tests/test_load_sharing.py
+++ b/tests/test_load_sharing.py
@@ -93,6 +93,29 @@
         for handler, outcome in cases:
             self.assertEqual({outcome: 1.0}, asyncio.run(run(handler)))
 
+    def test_address_that_cannot_be_used(self) -> None:
+        """An exception of another kind must not end the sharing of the service."""
+        configure_logs("error")
+
+        async def run(address: tuple[str, int]) -> None:
+            gateway = Node([entry(0)])
+            gateway.exchange.update_nodes({"n": address})
+            metrics = LoadMetrics(CollectorRegistry(), gateway.view)
+            sharing = LoadSharing(gateway.exchange, EventLog("g"), metrics)
+            gateway.measure(0, FULL, steady_time())
+            sharing.on_lookup_active(SERVICE)
+            failed = metrics.exchanges.labels("error")
+            async with asyncio.timeout(MARGIN_S):
+                while not failed._value.get():
+                    await asyncio.sleep(0.01)
+            later = steady_time() + 1.0
+            gateway.measure(0, FULL, later)
+            self.assertIsNotNone(gateway.exchange.begin(SERVICE, later))
+            sharing.stop()
+
+        for address in ((HOST, 99999), (HOST, -5), ("a" * 70 + ".example", 80)):
+            asyncio.run(run(address))
+
 
 class FrozenNodeTest(testtools.TestCase):
     """A node that stands still while calls arrive."""
