Load sharing: no reading gets younger on its way to the ledger node

Cause: the node takes the age of a reading as it was when the call was sent. A call of 150 ms made a reading 150 ms younger for other gateways, and the gateway's own reading came back as a newer one of another gateway.

Change: the last round trip, at most the timeout of an exchange, is added to the ages sent. A gateway ignores readings that are not newer than its own by more than the round trip of the exchange that sent it; after a call without a reply, by more than the expiry.

--- a/stileloom/load/exchange.py
+++ b/stileloom/load/exchange.py
@@ -69,6 +69,13 @@
     """When the last reading sent to `sent_to` was measured, by sampler id."""
     sent_to: Address | None = None
     """Node of the last successful exchange."""
+    round_trip_s: float = 0.0
+    """Of the last successful exchange."""
+    own_until: dict[tuple[Address, str, int], float] = msgspec.field(default_factory=dict)
+    """Time up to which a node may take an own reading to be measured, by node, sampler and birth.
+
+    The node sees a reading younger than it is by the time of the call's way to it.
+    """
 
 
 class ReadingReceiver:
@@ -160,7 +167,7 @@
         node = ranked[state.node_rank % len(ranked)]
         address = self._nodes[node]
         sent = state.sent if state.sent_to == address else {}
-        call, measured_at = self._make_call(service, sent, now)
+        call, measured_at = self._make_call(service, sent, state.round_trip_s, now)
         state.current = Exchange(service, node, address, call, now, measured_at)
         state.next_at = now + EXCHANGE_INTERVAL_S
         return state.current
@@ -173,12 +180,24 @@
         state.sent = exchange.measured_at
         state.sent_to = exchange.address
         # The whole round trip counts, so that a reply held up on its way makes nothing look newer.
-        self._receiver.accept(reply.readings, now - exchange.started_at, now)
+        round_trip_s = now - exchange.started_at
+        # Longer if this gateway was frozen meanwhile, which says nothing about the next call.
+        state.round_trip_s = min(EXCHANGE_TIMEOUT_S, round_trip_s)
+        _extend_own_until(state, exchange, round_trip_s, now)
+        others = [
+            shared
+            for shared in reply.readings
+            if now - shared.age_ms / 1000 - round_trip_s
+            > state.own_until.get((exchange.address, shared.sampler_id, shared.born_ms), -math.inf)
+        ]
+        self._receiver.accept(others, round_trip_s, now)
 
     def fail(self, exchange: Exchange, now: float) -> float:
         """Handles a failed exchange; returns the delay before the next node is asked."""
         state = self._services[exchange.service]
         state.current = None
+        # The node may have received the call at any later time.
+        _extend_own_until(state, exchange, EXPIRY_S, now)
         delay_s = min(BACKOFF_MAX_S, BACKOFF_BASE_S * 2.0 ** min(state.failures, 10))
         state.failures += 1
         state.node_rank += 1
@@ -188,7 +207,7 @@
         return delay_s
 
     def _make_call(
-        self, service: str, sent: dict[str, float], now: float
+        self, service: str, sent: dict[str, float], round_trip_s: float, now: float
     ) -> tuple[ShareLoadCall, dict[str, float]]:
         readings: list[SharedReading] = []
         known: list[KnownReading] = []
@@ -205,7 +224,8 @@
                 age_ms = _age_ms(latest, now)
                 known.append(KnownReading(entry.sampler_id, entry.born_ms, age_ms))
             else:
-                readings.append(encode_reading(latest, now))
+                # The way to the node takes at most a round trip, which its clock does not show.
+                readings.append(encode_reading(latest, now + round_trip_s))
         return ShareLoadCall(readings, known), measured_at
 
 
@@ -235,6 +255,7 @@
     def handle(self, call: ShareLoadCall, now: float) -> LoadShared:
         """Records the readings of a gateway and returns those that are newer than its own."""
         if self.accepts_readings(now):
+            # The gateway has added the time of the way to the ages.
             self.receiver.accept(call.readings, 0.0, now)
         newer: list[SharedReading] = []
         asked: list[SharedReading | KnownReading] = [*call.readings, *call.known]
@@ -249,6 +270,19 @@
         return LoadShared(newer)
 
 
+def _extend_own_until(
+    state: _ServiceState, exchange: Exchange, transit_s: float, now: float
+) -> None:
+    """Notes that the readings of a call may have been on their way for this time."""
+    state.own_until = {
+        key: until for key, until in state.own_until.items() if now - until < EXPIRY_S
+    }
+    for shared in exchange.call.readings:
+        key = (exchange.address, shared.sampler_id, shared.born_ms)
+        until = exchange.measured_at[shared.sampler_id] + transit_s
+        state.own_until[key] = max(until, state.own_until.get(key, -math.inf))
+
+
 def encode_reading(latest: MeasuredReading, now: float) -> SharedReading:
     """A reading as it is sent to another node."""
     reading = latest.reading
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -78,6 +78,8 @@
             gateway.exchange.update_nodes(addresses)
         self.calls: list[tuple[float, str]] = []
         self.sent_bytes = 0
+        self.out_s = self.back_s = ROUND_TRIP_S / 2
+        """Time that a call and its reply take."""
         self.busy_s = 0.0
         """Processor time of both sides, without the connections."""
 
@@ -101,12 +103,12 @@
             return exchange
         received = msgspec.msgpack.decode(msgspec.msgpack.encode(frame), type=CallFrame).request
         assert isinstance(received, ShareLoadCall)
-        shared = self.nodes[exchange.node].service.handle(received, now + ROUND_TRIP_S / 2)
+        shared = self.nodes[exchange.node].service.handle(received, now + self.out_s)
         answer = ReplyFrame(frame.number, shared)
         self.sent_bytes += frame_size(answer)
         reply = msgspec.msgpack.decode(msgspec.msgpack.encode(answer), type=ReplyFrame).reply
         assert isinstance(reply, LoadShared)
-        gateway.exchange.complete(exchange, reply, now + ROUND_TRIP_S)
+        gateway.exchange.complete(exchange, reply, now + self.out_s + self.back_s)
         return exchange
 
 
@@ -190,6 +192,53 @@
         gateway.measure(0, FULL, 10.0)
         self.assertEqual(1, len(zone.forward(gateway, 10.0).call.readings))
 
+    def test_own_reading_does_not_come_back_as_that_of_another_gateway(self) -> None:
+        """A slow way to the node makes the node take the reading for a younger one."""
+        self.zone.out_s, self.zone.back_s = 0.15, 0.01
+        self.first.measure(0, SLOW, 10.0)
+        self.zone.forward(self.first, 10.0)
+        self.zone.out_s, self.zone.back_s = 0.001, 0.002
+        # A reading measured meanwhile must not give way to the earlier one either.
+        for now, measured_at in ((10.2, 10.0), (10.4, 10.1)):
+            self.first.view.record(entry(0), SLOW, measured_at, now)
+            self.zone.forward(self.first, now)
+            estimate = self.first.view.estimate(entry(0), now + 0.01)
+            self.assertFalse(estimate.shared)
+            self.assertAlmostEqual(now + 0.01 - measured_at, estimate.age_s)
+        # A reading that another gateway measured later is taken.
+        self.second.measure(0, IDLE, 10.45)
+        self.second.measure(1, FULL, 10.45)
+        self.zone.forward(self.second, 10.45)
+        self.zone.forward(self.first, 10.6)
+        self.assertTrue(self.first.view.estimate(entry(0), 10.61).shared)
+
+    def test_own_reading_does_not_come_back_after_a_call_without_a_reply(self) -> None:
+        """The node may have received the call after the gateway gave it up."""
+        zone = Zone(1, nodes=1)
+        gateway = zone.gateways[0]
+        gateway.measure(0, SLOW, 10.0)
+        exchange = gateway.exchange.begin(SERVICE, 10.0)
+        gateway.exchange.fail(exchange, 10.2)
+        zone.nodes[exchange.node].service.handle(exchange.call, 10.3)
+        zone.forward(gateway, 10.75)
+        self.assertFalse(gateway.view.estimate(entry(0), 10.76).shared)
+
+    def test_readings_do_not_get_younger_on_a_slow_way_to_the_node(self) -> None:
+        """Otherwise other gateways would give full weight to figures that no longer hold."""
+        for out_s, back_s in ((0.15, 0.01), (0.01, 0.15)):
+            zone = Zone(2)
+            first, second = zone.gateways
+            for now in (10.0, 10.4):
+                zone.out_s, zone.back_s = out_s, back_s
+                first.measure(0, SLOW, now)
+                zone.forward(first, now)
+            zone.out_s, zone.back_s = 0.001, 0.001
+            second.measure(1, FULL, 10.6)
+            zone.forward(second, 10.6)
+            estimate = second.view.estimate(entry(0), 10.61)
+            self.assertTrue(estimate.shared)
+            self.assertGreaterEqual(estimate.age_s, 0.21)
+
 
 class FailureTest(testtools.TestCase):
     """Ledger nodes and gateways that fail; the gateway's own readings stay in use."""
