Load view: responses that waited for a frozen process are not recorded

Cause: only ledger nodes detected stalls, and only for received readings. A gateway or leader that was frozen recorded the heads of responses that had waited in its sockets as new, and shared them.

Change: the stall detector is a class of its own (load/stall.py), held by the load view and asked by record_response_load. It also covers the time before the first step after a stall, because the event loop reads sockets before it runs timers, and heads whose body ends later. Gateways step it every 0.1 s. LoadShareService uses the same detector; the existing mutant follows it to its new file.

--- a/stileloom/daemon/gateway.py
+++ b/stileloom/daemon/gateway.py
@@ -11,7 +11,7 @@
 from stileloom.api.dialect import Dialect
 from stileloom.api.object_store import ObjectRecord, ObjectStore
 from stileloom.api.sampler_directory import SamplerEntry
-from stileloom.background import BackgroundTasks
+from stileloom.background import BackgroundTasks, Ticker
 from stileloom.clock import steady_time
 from stileloom.daemon.cached_store import CachedObjectStore, ledger_node_addresses
 from stileloom.daemon.directory import Directory
@@ -49,6 +49,7 @@
 DRAIN_NOTICE_S = 2.5
 """How long a draining gateway accepts requests, so that load balancers can redirect callers."""
 LEDGER_NODES_REFRESH_INTERVAL_S = 1.0
+STALL_CHECK_INTERVAL_S = 0.1
 QUARANTINE_LIST_TIMEOUT_S = 1.0
 """How long readiness waits for the list of quarantined requests, which a leader answers within some
 50 ms. Afterwards the gateway becomes ready without it, because lookups must be served even when
@@ -138,6 +139,9 @@
         metrics.observe_open(lambda: self.front.open_requests)
         self._last_refresh_at = float("-inf")
         self._created_at = steady_time()
+        self._stall_ticker = Ticker(
+            lambda: self._load.stalls.step(steady_time()), STALL_CHECK_INTERVAL_S
+        )
         self._tasks = BackgroundTasks(self._log)
 
     async def run(self) -> None:
@@ -147,6 +151,7 @@
         self.started.set()
         self.directory.start()
         self._guard.start()
+        self._stall_ticker.start()
         self._refresh_ledger_nodes()
         if self._usage_reporter is not None:
             self._tasks.spawn(self._usage_reporter.run())
@@ -200,6 +205,7 @@
     def abort(self) -> None:
         """Stops background work and closes the connections to ledger nodes."""
         self._tasks.cancel()
+        self._stall_ticker.stop()
         self._load_sharing.stop()
         self._job_calls.stop()
         self.directory.stop()
--- a/stileloom/load/exchange.py
+++ b/stileloom/load/exchange.py
@@ -33,10 +33,6 @@
 """Differences below this come from the time that messages take: the reading is the same one."""
 MAX_READINGS = 256
 """Limit of the readings in a message, and of those whose incarnation is not listed yet."""
-STALL_S = 0.3
-"""Time without a step after which a node may hold calls that were sent long ago."""
-STALL_RECOVERY_S = 0.2
-"""How long readings are ignored after a stall; the calls held up are handled within this time."""
 
 Address = tuple[str, int]
 EXPIRED_AGE_MS = round(EXPIRY_S * 1000)
@@ -236,21 +232,17 @@
         self.receiver = ReadingReceiver(view, entry_of)
         self._view = view
         self._entry_of = entry_of
-        self._stepped_at: float | None = None
-        self._ignore_until = -math.inf
 
     def step(self, now: float) -> None:
         """Called at short intervals; detects that this process was frozen.
 
         Calls that arrived meanwhile were sent long before, which their ages do not show.
         """
-        if self._stepped_at is not None and now - self._stepped_at >= STALL_S:
-            self._ignore_until = now + STALL_RECOVERY_S
-        self._stepped_at = now
+        self._view.stalls.step(now)
 
     def accepts_readings(self, now: float) -> bool:
         """Whether the ages in calls can be relied upon."""
-        return now >= self._ignore_until
+        return self._view.stalls.is_reliable(now)
 
     def handle(self, call: ShareLoadCall, now: float) -> LoadShared:
         """Records the readings of a gateway and returns those that are newer than its own."""
--- a/stileloom/load/recording.py
+++ b/stileloom/load/recording.py
@@ -20,10 +20,12 @@
 ) -> None:
     """Records the load in the headers of a response, if it has a valid one.
 
+    Drops the response if it may have waited for this process while that was frozen.
+
     `entry` is that of the attempt's start: the sampler may have been restarted since. Responses of
     another process at the address (status 421) must not be passed.
     """
     header = headers.get(names.load)
     reading = decode_load(header) if header is not None else None
-    if reading is not None:
+    if reading is not None and view.stalls.is_reliable(measured_at):
         view.record(entry, reading, measured_at, now)
--- a/stileloom/load/view.py
+++ b/stileloom/load/view.py
@@ -13,6 +13,7 @@
 
 from stileloom.api.sampler_directory import SamplerEntry
 from stileloom.load.readings import LoadReading
+from stileloom.load.stall import StallDetector
 
 FULL_WEIGHT_S = 0.3
 """Age up to which a reading has full weight; slowness changes several times a second."""
@@ -63,6 +64,8 @@
     """The latest reading of each sampler, with its age."""
 
     def __init__(self) -> None:
+        self.stalls = StallDetector()
+        """Stalls of this process; whoever records or receives readings asks it first."""
         self._measured: dict[str, MeasuredReading] = {}
         self._latest_start_ms: dict[str, int] = {}
         """Latest start time by sampler id, kept after a removal: an earlier process may still
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -939,6 +939,22 @@
         "False:",
         LOAD_VIEW,
     ),
+    Mutant(
+        "a process that was frozen records old responses as new",
+        "no reading looks newer than it is",
+        "stileloom/load/recording.py",
+        " and view.stalls.is_reliable(measured_at)",
+        "",
+        "tests/test_load_recording.py",
+    ),
+    Mutant(
+        "a gateway does not notice that it was frozen",
+        "no reading looks newer than it is",
+        "stileloom/daemon/gateway.py",
+        "        self._stall_ticker.start()\n",
+        "",
+        "tests/test_load_sharing.py::ProgramsTest",
+    ),
     Mutant(
         "readings are sent at rest",
         "readings are shared only when of use",
@@ -958,7 +974,7 @@
     Mutant(
         "a node that was frozen takes old readings for new ones",
         "no reading looks newer than it is",
-        "stileloom/load/exchange.py",
+        "stileloom/load/stall.py",
         "            self._ignore_until = now + STALL_RECOVERY_S\n",
         "            pass\n",
         LOAD_EXCHANGE,
--- a/tests/test_load_recording.py
+++ b/tests/test_load_recording.py
@@ -125,6 +125,44 @@
             self.assertFalse(view.is_in_use("lookups", steady_time()))
 
 
+class StallTest(testtools.TestCase):
+    """Guards against loads that count as new because this process was frozen when they arrived."""
+
+    def record(self, view: LoadView, received_at: float, now: float) -> bool:
+        """Whether a response that was received at this time is recorded."""
+        view.remove(ENTRY.sampler_id)
+        record_response_load(view, ENTRY, head(200).headers, NAMES, received_at, now)
+        return view.latest(ENTRY) is not None
+
+    def test_responses_that_waited_during_a_stall(self) -> None:
+        view = LoadView()
+        for step in range(10):
+            view.stalls.step(10.0 + step * 0.1)
+        self.assertTrue(self.record(view, 10.95, 10.95))
+        # The event loop reads sockets before it runs the timer that steps.
+        self.assertFalse(self.record(view, 20.0, 20.0))
+        view.stalls.step(20.0)
+        self.assertFalse(self.record(view, 20.0, 20.0))
+        self.assertFalse(self.record(view, 20.19, 20.19))
+        for step in range(1, 10):
+            view.stalls.step(20.0 + step * 0.1)
+        # The body of a response may end long after its head was received.
+        self.assertFalse(self.record(view, 20.0, 20.9))
+        self.assertTrue(self.record(view, 20.21, 20.9))
+        self.assertTrue(self.record(view, 10.5, 20.9))
+
+    def test_a_second_stall_does_not_hide_the_first(self) -> None:
+        view = LoadView()
+        for at in (10.0, 20.0, 20.1, 20.2, 20.9, 21.0, 21.1):
+            view.stalls.step(at)
+        self.assertFalse(self.record(view, 20.0, 21.1))
+        self.assertTrue(self.record(view, 21.11, 21.11))
+
+    def test_responses_count_in_a_process_without_steps(self) -> None:
+        """Tools that use the forwarder alone do not step."""
+        self.assertTrue(self.record(LoadView(), 10.0, 10.0))
+
+
 class InactiveTest(testtools.TestCase):
     """Requirement 9: samplers that report no fourth figure are served as before."""
 
--- a/tests/test_load_sharing.py
+++ b/tests/test_load_sharing.py
@@ -10,13 +10,14 @@
 
 from stileloom.background import Ticker
 from stileloom.clock import steady_time
+from stileloom.daemon.gateway import STALL_CHECK_INTERVAL_S
 from stileloom.daemon.ledger_node import STEP_INTERVAL_S
 from stileloom.daemon.load_sharing import LoadSharing
 from stileloom.jobs.messages import JobEnded
 from stileloom.load import LoadReading, LoadView
-from stileloom.load.exchange import STALL_S
 from stileloom.load.messages import LoadShared, ShareLoadCall
 from stileloom.load.metrics import LoadMetrics
+from stileloom.load.stall import STALL_S
 from stileloom.logging import EventLog, configure_logs
 from stileloom.transport.call_frames import Reply, Request
 from stileloom.transport.calls import CallConnection, CallServer
@@ -175,6 +176,28 @@
 
         with_cluster(scenario)
 
+    def test_a_gateway_notices_that_it_was_frozen(self) -> None:
+        """Guards against a stall detector that is tested but not wired in."""
+
+        async def scenario(cluster: ServiceCluster) -> None:
+            views = [gateway._load for gateway in cluster.gateways]
+            views += [node._load for node in cluster.ledger_nodes.values()]
+
+            def are_reliable() -> bool:
+                return all(view.stalls.is_reliable(steady_time()) for view in views)
+
+            await asyncio.sleep(3 * STALL_CHECK_INTERVAL_S)
+            await cluster.wait_until(are_reliable)
+            time.sleep(STALL_S + STALL_CHECK_INTERVAL_S)
+            received_at = steady_time()
+            # Before and after the first step that follows the stall.
+            for _ in range(2):
+                self.assertFalse(any(view.stalls.is_reliable(received_at) for view in views))
+                await asyncio.sleep(0.01)
+            await cluster.wait_until(are_reliable)
+
+        with_cluster(scenario)
+
     def test_readings_pass_through_the_ledger_node(self) -> None:
         """Guards against a part that is tested but not wired in."""
 
