Load sharing: an exchange is considered after the recorded response

Cause: exchanges started only when a lookup arrived or tried again, before its last response.

Change: the forwarder reports the lookup as active once more when it has recorded a response.

Result: the new test failed before and passes now (.venv/bin/pytest -q tests/test_load_recording.py); the new mutant is caught.

--- a/stileloom/proxy/forwarder.py
+++ b/stileloom/proxy/forwarder.py
@@ -254,6 +254,8 @@
         if attempt.outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.REFUSED) and attempt.head:
             headers, names = attempt.head.headers, self._names
             record_response_load(self.load, entry, headers, names, attempt.head_at, steady_time())
+            # Its load may be the news that other gateways lack; the next lookup may be far off.
+            self.on_lookup_active(entry.service)
 
     def _encode(self, lookup: Lookup, sampler_id: str) -> bytes:
         names = self._names
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -955,6 +955,14 @@
         "",
         "tests/test_load_sharing.py::ProgramsTest",
     ),
+    Mutant(
+        "the load in a response waits for the next lookup",
+        "readings are shared while they count",
+        "stileloom/proxy/forwarder.py",
+        "            self.on_lookup_active(entry.service)\n",
+        "",
+        "tests/test_load_recording.py",
+    ),
     Mutant(
         "readings are sent at rest",
         "readings are shared only when of use",
--- a/tests/test_load_recording.py
+++ b/tests/test_load_recording.py
@@ -87,11 +87,18 @@
             guard,
         )
         self.active: list[str] = []
+        self.known_when_active: list[bool] = []
+        """Whether the load of the sampler was known when an exchange could start."""
 
         async def run() -> None:
             forwarder = Forwarder(access)
             forwarder._pool = FakePool(heads)  # type: ignore[assignment]
-            forwarder.on_lookup_active = self.active.append
+
+            def on_lookup_active(service: str) -> None:
+                self.active.append(service)
+                self.known_when_active.append(access.load.latest(ENTRY) is not None)
+
+            forwarder.on_lookup_active = on_lookup_active
             now = steady_time()
             lookup = Lookup("r", "GET", "/", [], b"", now, now + 5.0)
             route = Route("r", "", "/", RouteKind.SAFE, [], 5.0, 2.0, 1)
@@ -110,6 +117,12 @@
             self.assertLess(steady_time() - known.measured_at, 1.5)
         self.assertIn("lookups", self.active)
 
+    def test_the_last_response_can_be_shared_at_once(self) -> None:
+        """Otherwise its load waits for the gateway's next lookup, which may come seconds later."""
+        self.forward([head(200)])
+        self.assertFalse(self.known_when_active[0])
+        self.assertTrue(self.known_when_active[-1])
+
     def test_a_refusal_of_a_full_sampler(self) -> None:
         """In a surge most responses are refusals, and they show best that a sampler is full."""
         view = self.forward([head(503, not_run="1", load="6,0,6,100"), head(200, load="")])
