Load view: estimates use the median of the other samplers

Cause: a single reading was its own median. If only a slow sampler was known, all others were estimated as slow, so that it was not avoided, and its own estimate never returned to the usual.

Change: the median of a service leaves out the sampler's own reading.

--- a/stileloom/load/view.py
+++ b/stileloom/load/view.py
@@ -1,13 +1,13 @@
 """What a process knows about the load of samplers. Performs no I/O.
 
 Handles uneven and changing speeds of samplers: each gateway alone sees few responses, so a reading
-counts by its age and gives way to the median of the service once it is old.
+counts by its age and gives way to the median of the other samplers of the service once it is old.
 """
 
 from __future__ import annotations
 
 import math
-import statistics
+from bisect import bisect_left
 
 import msgspec
 
@@ -23,15 +23,17 @@
 """How long a fourth figure of a sampler keeps the view in use for its service."""
 PRUNE_INTERVAL_S = 1.0
 USUAL_SLOWNESS = 1.0
+MIN_OTHERS = 2
+"""Readings from which the median of a service is taken; a single one would be its own median."""
 
 
 class LoadEstimate(msgspec.Struct, frozen=True):
     """Expected load of a sampler."""
 
     occupancy: float
-    """Running and waiting requests for each slot, decayed with age towards that of the service."""
+    """Running and waiting requests for each slot, decayed with age towards that of the others."""
     slowness: float
-    """Decayed with age towards the median of the service."""
+    """Decayed with age towards the median of the other samplers of the service."""
     age_s: float
     """Age of the sampler's reading; inf if nothing is known."""
     shared: bool
@@ -48,11 +50,11 @@
 
 
 class _ServiceLoad(msgspec.Struct, frozen=True):
-    """Medians of the readings of a service that have not expired."""
+    """The readings of a service that have not expired, each figure in ascending order."""
 
     computed_at: float
-    occupancy: float
-    slowness: float
+    occupancies: list[float]
+    slownesses: list[float]
 
 
 def weight_at(age_s: float) -> float:
@@ -60,6 +62,23 @@
     return min(1.0, max(0.0, (EXPIRY_S - age_s) / (EXPIRY_S - FULL_WEIGHT_S)))
 
 
+def median_of_others(ordered: list[float], own: float | None, default: float) -> float:
+    """Median of figures in ascending order without the own one, which is one of them if given.
+
+    `default` if there are fewer than `MIN_OTHERS`.
+    """
+    skipped = bisect_left(ordered, own) if own is not None else len(ordered)
+    count = len(ordered) - (own is not None)
+    if count < MIN_OTHERS:
+        return default
+
+    def at(position: int) -> float:
+        return ordered[position if position < skipped else position + 1]
+
+    middle = count // 2
+    return at(middle) if count % 2 else (at(middle - 1) + at(middle)) / 2
+
+
 class LoadView:
     """The latest reading of each sampler, with its age."""
 
@@ -106,16 +125,23 @@
         """Expected load of a sampler now."""
         service = self._service_load(entry.service, now)
         known = self.latest(entry)
+        # A reading of another incarnation is not one of another sampler either.
+        counted = self._measured.get(entry.sampler_id)
+        own_occupancy, own_slowness = None, None
+        if counted is not None and now - counted.measured_at < EXPIRY_S:
+            own_occupancy, own_slowness = counted.reading.occupancy, counted.reading.slowness
+        usual_occupancy = median_of_others(service.occupancies, own_occupancy, 0.0)
+        usual_slowness = median_of_others(service.slownesses, own_slowness, USUAL_SLOWNESS)
         if known is None:
-            return LoadEstimate(service.occupancy, service.slowness, math.inf, False)
+            return LoadEstimate(usual_occupancy, usual_slowness, math.inf, False)
         age_s = max(0.0, now - known.measured_at)
         weight = weight_at(age_s)
         slowness = known.reading.slowness
         if slowness is None:
-            slowness = service.slowness
+            slowness = usual_slowness
         return LoadEstimate(
-            weight * known.reading.occupancy + (1 - weight) * service.occupancy,
-            weight * slowness + (1 - weight) * service.slowness,
+            weight * known.reading.occupancy + (1 - weight) * usual_occupancy,
+            weight * slowness + (1 - weight) * usual_slowness,
             age_s,
             known.shared,
         )
@@ -165,12 +191,10 @@
             readings = [
                 known.reading for known in self.unexpired(now) if known.entry.service == service
             ]
-            occupancies = [reading.occupancy for reading in readings]
-            slownesses = [reading.slowness for reading in readings if reading.slowness is not None]
             load = _ServiceLoad(
                 now,
-                statistics.median(occupancies) if occupancies else 0.0,
-                statistics.median(slownesses) if slownesses else USUAL_SLOWNESS,
+                sorted(reading.occupancy for reading in readings),
+                sorted(reading.slowness for reading in readings if reading.slowness is not None),
             )
             self._service_loads[service] = load
         return load
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -931,6 +931,22 @@
         "return 1.0",
         LOAD_VIEW,
     ),
+    Mutant(
+        "a single reading is its own median",
+        "a sampler known to be slow is avoided",
+        "stileloom/load/view.py",
+        "MIN_OTHERS = 2\n",
+        "MIN_OTHERS = 1\n",
+        LOAD_VIEW,
+    ),
+    Mutant(
+        "the median of the others has the own reading",
+        "a sampler known to be slow is avoided",
+        "stileloom/load/view.py",
+        "skipped = bisect_left(ordered, own) if own is not None else len(ordered)",
+        "skipped = len(ordered)",
+        LOAD_VIEW,
+    ),
     Mutant(
         "a late reading of an earlier incarnation counts",
         "a reading of load counts by its incarnation",
--- a/tests/test_load_view.py
+++ b/tests/test_load_view.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import statistics
 
 import testtools
 
@@ -20,6 +21,11 @@
     return LoadReading(running, waiting, 6, slowness)
 
 
+def rounded(slowness: float) -> int:
+    """Running requests of a sampler in the test of medians."""
+    return round(slowness * 2)
+
+
 class DecodeLoadTest(testtools.TestCase):
     """Headers are written by other programs, so a wrong one must not count as a load."""
 
@@ -75,6 +81,40 @@
         estimate = self.view.estimate(entry("b"), 13.0)
         self.assertEqual((0.0, 1.0), (estimate.occupancy, estimate.slowness))
 
+    def test_a_single_slow_sampler_does_not_make_the_others_slow(self) -> None:
+        """Otherwise all seem equal, and the sampler known to be slow is not avoided."""
+        self.view.record(entry("a"), reading(6, 2.5), 10.0, 10.0)
+        unknown = self.view.estimate(entry("b"), 10.0)
+        self.assertEqual((0.0, 1.0), (unknown.occupancy, unknown.slowness))
+        # The own reading gives way to what is usual, not to itself.
+        aged = self.view.estimate(entry("a"), 10.9)
+        self.assertAlmostEqual(0.5, aged.occupancy)
+        self.assertAlmostEqual(1.75, aged.slowness)
+        self.view.record(entry("b"), reading(3, 2.0), 10.0, 10.0)
+        self.assertEqual(2.25, self.view.estimate(entry("c"), 10.0).slowness)
+        self.assertAlmostEqual(1.75, self.view.estimate(entry("a"), 10.9).slowness)
+
+    def test_the_median_leaves_out_the_own_reading(self) -> None:
+        """A sampler's own old figure must not hold up its return to what is usual."""
+        figures = {"a": 3.0, "b": 1.0, "c": 1.4, "d": 1.4, "e": 2.0}
+        for name, slowness in figures.items():
+            self.view.record(entry(name), reading(rounded(slowness), slowness), 10.0, 10.0)
+        for name, slowness in figures.items():
+            others = [other for key, other in figures.items() if key != name]
+            estimate = self.view.estimate(entry(name), 10.9)
+            self.assertAlmostEqual((slowness + statistics.median(others)) / 2, estimate.slowness)
+            expected = (rounded(slowness) + statistics.median(map(rounded, others))) / 12
+            self.assertAlmostEqual(expected, estimate.occupancy)
+        self.assertEqual(1.4, self.view.estimate(entry("unknown"), 10.9).slowness)
+
+    def test_figures_that_most_samplers_do_not_report(self) -> None:
+        """A fourth figure of one sampler says nothing about those that report three."""
+        self.view.record(entry("a"), reading(6, 2.5), 10.0, 10.0)
+        for name in ("b", "c", "d"):
+            self.view.record(entry(name), reading(3, None), 10.0, 10.0)
+        estimate = self.view.estimate(entry("b"), 10.0)
+        self.assertEqual((0.5, 1.0), (estimate.occupancy, estimate.slowness))
+
     def test_newer_reading_replaces_an_older_one(self) -> None:
         """Responses may arrive in another order than the one in which they were measured."""
         self.view.record(entry("a"), reading(1), 10.1, 10.1)
