Load sharing: own readings are sent again unless the node kept them

Cause: a completed exchange marked the readings of its call as sent, also if the node ignored them after a stall or restarted later. Other gateways did not get them before they expired.

Change: LoadShared has a second field, kept_ms: for how long the node has kept all readings that it received, None if it ignored those of the call. It is left out of the message in the usual case, so that replies keep their size, and a reply of an earlier release counts as a confirmation. A gateway sends its unexpired readings again unless they were sent within that time.

--- a/stileloom/load/exchange.py
+++ b/stileloom/load/exchange.py
@@ -38,6 +38,13 @@
 EXPIRED_AGE_MS = round(EXPIRY_S * 1000)
 
 
+class SentReading(msgspec.Struct, frozen=True):
+    """An own reading that was sent."""
+
+    measured_at: float
+    sent_at: float
+
+
 class Exchange(msgspec.Struct, frozen=True, eq=False):
     """One exchange of a gateway with a ledger node."""
 
@@ -46,8 +53,8 @@
     address: Address
     call: ShareLoadCall
     started_at: float
-    measured_at: dict[str, float]
-    """When the readings in the call were measured, by sampler id."""
+    own: dict[str, SentReading]
+    """Own readings that were sent in this call or earlier to this node, by sampler id."""
 
 
 class _ServiceState(msgspec.Struct):
@@ -61,8 +68,8 @@
     """When the first node in rendezvous order is asked again."""
     failures: int = 0
     """Since the last successful exchange."""
-    sent: dict[str, float] = msgspec.field(default_factory=dict)
-    """When the last reading sent to `sent_to` was measured, by sampler id."""
+    sent: dict[str, SentReading] = msgspec.field(default_factory=dict)
+    """The last own readings that `sent_to` has confirmed, by sampler id."""
     sent_to: Address | None = None
     """Node of the last successful exchange."""
     round_trip_s: float = 0.0
@@ -163,8 +170,8 @@
         node = ranked[state.node_rank % len(ranked)]
         address = self._nodes[node]
         sent = state.sent if state.sent_to == address else {}
-        call, measured_at = self._make_call(service, sent, state.round_trip_s, now)
-        state.current = Exchange(service, node, address, call, now, measured_at)
+        call, own = self._make_call(service, sent, state.round_trip_s, now)
+        state.current = Exchange(service, node, address, call, now, own)
         state.next_at = now + EXCHANGE_INTERVAL_S
         return state.current
 
@@ -173,7 +180,7 @@
         state = self._services[exchange.service]
         state.current = None
         state.failures = 0
-        state.sent = exchange.measured_at
+        state.sent = _confirmed(exchange, reply, now)
         state.sent_to = exchange.address
         # The whole round trip counts, so that a reply held up on its way makes nothing look newer.
         round_trip_s = now - exchange.started_at
@@ -203,26 +210,30 @@
         return delay_s
 
     def _make_call(
-        self, service: str, sent: dict[str, float], round_trip_s: float, now: float
-    ) -> tuple[ShareLoadCall, dict[str, float]]:
+        self, service: str, sent: dict[str, SentReading], round_trip_s: float, now: float
+    ) -> tuple[ShareLoadCall, dict[str, SentReading]]:
         readings: list[SharedReading] = []
         known: list[KnownReading] = []
-        measured_at: dict[str, float] = {}
+        own: dict[str, SentReading] = {}
         entries = [entry for entry in self._entries_of(service) if _is_encodable(entry)]
         for entry in entries[:MAX_READINGS]:
             latest = self._view.latest(entry)
             if latest is None or now - latest.measured_at >= EXPIRY_S:
                 known.append(KnownReading(entry.sampler_id, entry.born_ms, EXPIRED_AGE_MS))
                 continue
+            earlier = sent.get(entry.sampler_id)
+            is_sent = earlier is not None and earlier.measured_at == latest.measured_at
             if not latest.shared:
-                measured_at[entry.sampler_id] = latest.measured_at
-            if latest.shared or sent.get(entry.sampler_id) == latest.measured_at:
+                own[entry.sampler_id] = (
+                    earlier if earlier and is_sent else SentReading(latest.measured_at, now)
+                )
+            if latest.shared or is_sent:
                 age_ms = _age_ms(latest, now)
                 known.append(KnownReading(entry.sampler_id, entry.born_ms, age_ms))
             else:
                 # The way to the node takes at most a round trip, which its clock does not show.
                 readings.append(encode_reading(latest, now + round_trip_s))
-        return ShareLoadCall(readings, known), measured_at
+        return ShareLoadCall(readings, known), own
 
 
 class LoadShareService:
@@ -232,6 +243,8 @@
         self.receiver = ReadingReceiver(view, entry_of)
         self._view = view
         self._entry_of = entry_of
+        self._started_at: float | None = None
+        """When the first call was handled; earlier ones were received by an earlier process."""
 
     def step(self, now: float) -> None:
         """Called at short intervals; detects that this process was frozen.
@@ -246,7 +259,12 @@
 
     def handle(self, call: ShareLoadCall, now: float) -> LoadShared:
         """Records the readings of a gateway and returns those that are newer than its own."""
+        if self._started_at is None:
+            self._started_at = now
+        kept_ms = None
         if self.accepts_readings(now):
+            kept_s = min(now - self._started_at, self._view.stalls.reliable_for_s(now), EXPIRY_S)
+            kept_ms = math.floor(kept_s * 1000)
             # The gateway has added the time of the way to the ages.
             self.receiver.accept(call.readings, 0.0, now)
         newer: list[SharedReading] = []
@@ -259,7 +277,7 @@
             age_s = now - latest.measured_at
             if age_s < EXPIRY_S and age_s + NEWER_BY_S < named.age_ms / 1000:
                 newer.append(encode_reading(latest, now))
-        return LoadShared(newer)
+        return LoadShared(newer, kept_ms)
 
 
 def _extend_own_until(
@@ -271,10 +289,22 @@
     }
     for shared in exchange.call.readings:
         key = (exchange.address, shared.sampler_id, shared.born_ms)
-        until = exchange.measured_at[shared.sampler_id] + transit_s
+        until = exchange.own[shared.sampler_id].measured_at + transit_s
         state.own_until[key] = max(until, state.own_until.get(key, -math.inf))
 
 
+def _confirmed(exchange: Exchange, reply: LoadShared, now: float) -> dict[str, SentReading]:
+    """The own readings that the node has; it may have been restarted since it received them."""
+    if reply.kept_ms is None:
+        return {}
+    kept_since = now - reply.kept_ms / 1000
+    return {
+        sampler_id: sent
+        for sampler_id, sent in exchange.own.items()
+        if sent.sent_at == exchange.started_at or sent.sent_at >= kept_since
+    }
+
+
 def encode_reading(latest: MeasuredReading, now: float) -> SharedReading:
     """A reading as it is sent to another node."""
     reading = latest.reading
--- a/stileloom/load/messages.py
+++ b/stileloom/load/messages.py
@@ -37,7 +37,12 @@
     """The other samplers of the service; those in `readings` are not repeated."""
 
 
-class LoadShared(msgspec.Struct, frozen=True, tag=True):
+class LoadShared(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
     """Readings that are newer than those of the gateway."""
 
     readings: list[SharedReading]
+    kept_ms: int | None = 1500
+    """For how long the node has kept all readings that it received, at most their expiry.
+
+    None if it ignored those of this call.
+    """
--- a/stileloom/load/stall.py
+++ b/stileloom/load/stall.py
@@ -39,6 +39,10 @@
             self._ignore_until = now + STALL_RECOVERY_S
         self._stepped_at = now
 
+    def reliable_for_s(self, now: float) -> float:
+        """For how long the answer of `is_reliable` has been true."""
+        return now - self._ignore_until if self.is_reliable(now) else 0.0
+
     def is_reliable(self, received_at: float) -> bool:
         """Whether a message that was received at this time did not wait for a frozen process.
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -979,6 +979,22 @@
         "",
         "tests/test_load_recording.py",
     ),
+    Mutant(
+        "readings that a node lost count as sent",
+        "readings are shared while they count",
+        "stileloom/load/exchange.py",
+        "if sent.sent_at == exchange.started_at or sent.sent_at >= kept_since",
+        "if True",
+        LOAD_EXCHANGE,
+    ),
+    Mutant(
+        "readings that a node ignored count as sent",
+        "readings are shared while they count",
+        "stileloom/load/exchange.py",
+        "    if reply.kept_ms is None:\n        return {}\n",
+        "    if reply.kept_ms is None:\n        return exchange.own\n",
+        LOAD_EXCHANGE,
+    ),
     Mutant(
         "readings are sent at rest",
         "readings are shared only when of use",
@@ -991,8 +1007,8 @@
         "received readings are passed on",
         "no reading looks newer than it is",
         "stileloom/load/exchange.py",
-        "            if latest.shared or sent",
-        "            if sent",
+        "            if latest.shared or is_sent",
+        "            if is_sent",
         LOAD_EXCHANGE,
     ),
     Mutant(
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -301,6 +301,42 @@
         self.zone.forward(self.second, 11.3)
         self.assertTrue(self.second.view.estimate(entry(0), 11.3).shared)
 
+    def test_a_restarted_node_gets_the_readings_that_it_lost(self) -> None:
+        """They count as sent, so that other gateways would not get them until they expire."""
+        node = self.zone.order[0]
+        self.first.measure(0, SLOW, 10.0)
+        self.zone.forward(self.first, 10.0)
+        self.zone.nodes[node] = Node([entry(number) for number in range(4)])
+        self.zone.forward(self.first, 10.2)
+        self.assertEqual([], self.zone.nodes[node].view.unexpired(10.2))
+        self.assertEqual(1, len(self.zone.forward(self.first, 10.4).call.readings))
+        self.assertEqual([], self.zone.forward(self.first, 10.6).call.readings)
+        known = self.zone.nodes[node].view.latest(entry(0))
+        self.assertAlmostEqual(10.0, known.measured_at, delta=0.005)
+
+    def test_readings_that_a_node_ignored_after_a_stall_are_sent_again(self) -> None:
+        service = self.zone.nodes[self.zone.order[0]].service
+        for at in (8.0, 10.0):
+            service.step(at)
+        self.first.measure(0, SLOW, 10.0)
+        self.assertEqual(1, len(self.zone.forward(self.first, 10.0).call.readings))
+        service.step(10.2)
+        self.assertEqual(1, len(self.zone.forward(self.first, 10.2).call.readings))
+        service.step(10.4)
+        self.assertEqual([], self.zone.forward(self.first, 10.4).call.readings)
+        self.second.measure(1, FULL, 10.4)
+        self.zone.forward(self.second, 10.4)
+        self.assertTrue(self.second.view.estimate(entry(0), 10.41).shared)
+
+    def test_a_reply_of_an_earlier_release_confirms_what_was_sent(self) -> None:
+        """Nodes are replaced one by one; an earlier one does not say what it keeps."""
+        encoded_reply = msgspec.msgpack.encode({"type": "LoadShared", "readings": []})
+        reply = msgspec.msgpack.decode(encoded_reply, type=LoadShared)
+        self.first.measure(0, SLOW, 10.0)
+        exchange = self.first.exchange.begin(SERVICE, 10.0)
+        self.first.exchange.complete(exchange, reply, 10.002)
+        self.assertEqual([], self.first.exchange.begin(SERVICE, 10.2).call.readings)
+
     def test_frozen_node_does_not_take_old_readings_for_new_ones(self) -> None:
         """Calls that waited while the process was stopped say ages of the time before."""
         node = self.zone.nodes[self.zone.order[0]]
