Load sharing: a preferred node that stays lost is asked ever less often

Cause: the preferred node was asked again every 8 s for ever, which costs a failed call and interrupts the sharing for half a second each time.

Change: its failures in succession double the pause from 8 s up to a minute; a success or a change of the nodes resets it. Failures of other nodes no longer put off the preferred one.

--- a/stileloom/load/exchange.py
+++ b/stileloom/load/exchange.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from stileloom.api.sampler_directory import SamplerEntry
-from stileloom.hashing import rendezvous_ranked
+from stileloom.hashing import rendezvous_owner, rendezvous_ranked
 from stileloom.load.messages import KnownReading, LoadShared, SharedReading, ShareLoadCall
 from stileloom.load.readings import LoadReading, make_reading
 from stileloom.load.view import EXPIRY_S, LoadView, MeasuredReading
@@ -25,10 +25,13 @@
 BACKOFF_BASE_S = 0.5
 BACKOFF_MAX_S = 8.0
 PREFERRED_NODE_RETRY_S = 8.0
-"""How long another node is used before the preferred one is asked again.
+"""How long another node is used before the preferred one is asked again, after its first failure.
 
-Gateways see each other's readings only if they use the same node.
+Gateways see each other's readings only if they use the same node. The pause is that of the longest
+backoff, because each attempt at a lost node interrupts the sharing for at least `BACKOFF_BASE_S`.
 """
+PREFERRED_NODE_RETRY_MAX_S = 60.0
+"""Bound of that pause, which doubles with each failure in succession."""
 NEWER_BY_S = 0.02
 """Differences below this come from the time that messages take: the reading is the same one."""
 MAX_READINGS = 256
@@ -66,6 +69,8 @@
     """Position of the node in rendezvous order, modulo the number of nodes."""
     preferred_at: float = -math.inf
     """When the first node in rendezvous order is asked again."""
+    preferred_failures: int = 0
+    """Of that node, since its last successful exchange."""
     failures: int = 0
     """Since the last successful exchange."""
     sent: dict[str, SentReading] = msgspec.field(default_factory=dict)
@@ -151,6 +156,8 @@
         self._nodes = dict(nodes)
         for state in self._services.values():
             state.node_rank = 0
+            state.preferred_at = -math.inf
+            state.preferred_failures = 0
 
     def begin(self, service: str, now: float) -> Exchange | None:
         """Starts an exchange if one is due; called while a lookup of the service is forwarded.
@@ -180,6 +187,8 @@
         state = self._services[exchange.service]
         state.current = None
         state.failures = 0
+        if self._is_preferred(exchange):
+            state.preferred_failures = 0
         state.sent = _confirmed(exchange, reply, now)
         state.sent_to = exchange.address
         # The whole round trip counts, so that a reply held up on its way makes nothing look newer.
@@ -206,9 +215,15 @@
         state.node_rank += 1
         state.sent_to = None
         state.next_at = now + delay_s
-        state.preferred_at = now + PREFERRED_NODE_RETRY_S
+        if self._is_preferred(exchange):
+            pause_s = PREFERRED_NODE_RETRY_S * 2.0 ** min(state.preferred_failures, 10)
+            state.preferred_at = now + min(PREFERRED_NODE_RETRY_MAX_S, pause_s)
+            state.preferred_failures += 1
         return delay_s
 
+    def _is_preferred(self, exchange: Exchange) -> bool:
+        return rendezvous_owner(exchange.service, self._nodes) == exchange.node
+
     def _make_call(
         self, service: str, sent: dict[str, SentReading], round_trip_s: float, now: float
     ) -> tuple[ShareLoadCall, dict[str, SentReading]]:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -995,6 +995,14 @@
         "    if reply.kept_ms is None:\n        return exchange.own\n",
         LOAD_EXCHANGE,
     ),
+    Mutant(
+        "a lost node is asked every eight seconds for ever",
+        "a lost node is asked ever less often",
+        "stileloom/load/exchange.py",
+        "            state.preferred_failures += 1\n",
+        "",
+        LOAD_EXCHANGE,
+    ),
     Mutant(
         "readings are sent at rest",
         "readings are shared only when of use",
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -291,6 +291,28 @@
         calls = self.run_surge(14.0, 24.0)
         self.assertEqual(preferred, calls[-1][1])
 
+    def test_a_preferred_node_that_stays_lost_is_asked_ever_less_often(self) -> None:
+        """Each attempt costs a call and interrupts the sharing for half a second."""
+        preferred, other = self.zone.order
+        self.zone.failing = {preferred: 0.2}
+        calls = self.run_surge(10.0, 200.0)
+        asked = [at for at, name in calls if name == preferred]
+        pauses = [later - earlier for earlier, later in itertools.pairwise(asked)]
+        for pause_s, expected in zip(pauses, (8.0, 16.0, 32.0, 60.0, 60.0), strict=False):
+            self.assertAlmostEqual(expected + 0.2, pause_s, delta=0.25)
+        self.assertEqual(6, len(asked))
+        # After its return, the next loss begins with the shortest pause.
+        self.zone.failing = {}
+        self.assertEqual(preferred, self.run_surge(200.0, 250.0)[-1][1])
+        self.zone.failing = {preferred: 0.2}
+        asked = [at for at, name in self.run_surge(250.0, 260.0) if name == preferred]
+        self.assertEqual(2, len(asked))
+        self.assertAlmostEqual(8.2, asked[1] - asked[0], delta=0.25)
+        # A failure of the other node does not put off the preferred one.
+        self.zone.failing = {other: 0.2}
+        self.run_surge(260.0, 261.0)
+        self.assertEqual(preferred, self.run_surge(261.0, 262.0)[-1][1])
+
     def test_restarted_node(self) -> None:
         """Its readings are lost; those measured from then on reach the others as before."""
         self.run_surge(10.0, 11.0)
