Load view: wrong figures of a sampler attract no lookups

Cause: a fourth figure of 1 counted as a hundred times the usual speed, and a sampler that reported too many slots appeared free.

Change: slowness is at least 0.5. Occupancy is per slot of the smaller of the reported and the listed slots, at least 1.

--- a/stileloom/load/readings.py
+++ b/stileloom/load/readings.py
@@ -8,6 +8,10 @@
 
 MAX_FIGURE = 65_535
 """Larger figures are taken for malformed; each figure fits into three bytes of a message."""
+MIN_SLOWNESS = 0.5
+"""Smaller figures count as this one. Speeds begin at 0.7 of the mean; a sampler that reports a
+hundred times the usual speed by mistake would attract all lookups.
+"""
 SLOW_FROM = 1.5
 """Slowness from which a sampler counts as slow."""
 _HEADER = re.compile(
@@ -24,11 +28,6 @@
     slowness: float | None
     """How long work takes compared with the usual time; None if the sampler does not report it."""
 
-    @property
-    def occupancy(self) -> float:
-        """Running and waiting requests for each slot."""
-        return (self.running + self.waiting) / self.slots
-
     @property
     def is_full(self) -> bool:
         """Whether a further request would have to wait."""
@@ -50,7 +49,7 @@
         return LoadReading(running, waiting, slots, None)
     if not 1 <= slowness_percent <= MAX_FIGURE:
         return None
-    return LoadReading(running, waiting, slots, slowness_percent / 100)
+    return LoadReading(running, waiting, slots, max(MIN_SLOWNESS, slowness_percent / 100))
 
 
 def decode_load(header: str) -> LoadReading | None:
--- a/stileloom/load/view.py
+++ b/stileloom/load/view.py
@@ -48,6 +48,16 @@
     measured_at: float
     shared: bool
 
+    @property
+    def occupancy(self) -> float:
+        """Running and waiting requests for each slot.
+
+        The smaller of the slots reported and listed counts, so that a sampler that reports too many
+        by mistake does not appear free.
+        """
+        reading = self.reading
+        return (reading.running + reading.waiting) / max(1, min(reading.slots, self.entry.slots))
+
 
 class _ServiceLoad(msgspec.Struct, frozen=True):
     """The readings of a service that have not expired, each figure in ascending order."""
@@ -129,7 +139,7 @@
         counted = self._measured.get(entry.sampler_id)
         own_occupancy, own_slowness = None, None
         if counted is not None and now - counted.measured_at < EXPIRY_S:
-            own_occupancy, own_slowness = counted.reading.occupancy, counted.reading.slowness
+            own_occupancy, own_slowness = counted.occupancy, counted.reading.slowness
         usual_occupancy = median_of_others(service.occupancies, own_occupancy, 0.0)
         usual_slowness = median_of_others(service.slownesses, own_slowness, USUAL_SLOWNESS)
         if known is None:
@@ -140,7 +150,7 @@
         if slowness is None:
             slowness = usual_slowness
         return LoadEstimate(
-            weight * known.reading.occupancy + (1 - weight) * usual_occupancy,
+            weight * known.occupancy + (1 - weight) * usual_occupancy,
             weight * slowness + (1 - weight) * usual_slowness,
             age_s,
             known.shared,
@@ -188,13 +198,12 @@
     def _service_load(self, service: str, now: float) -> _ServiceLoad:
         load = self._service_loads.get(service)
         if load is None or load.computed_at != now:
-            readings = [
-                known.reading for known in self.unexpired(now) if known.entry.service == service
-            ]
+            unexpired = [known for known in self.unexpired(now) if known.entry.service == service]
+            slownesses = [known.reading.slowness for known in unexpired]
             load = _ServiceLoad(
                 now,
-                sorted(reading.occupancy for reading in readings),
-                sorted(reading.slowness for reading in readings if reading.slowness is not None),
+                sorted(known.occupancy for known in unexpired),
+                sorted(slowness for slowness in slownesses if slowness is not None),
             )
             self._service_loads[service] = load
         return load
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -947,6 +947,14 @@
         "skipped = len(ordered)",
         LOAD_VIEW,
     ),
+    Mutant(
+        "a sampler that reports too many slots appears free",
+        "a wrong figure attracts no lookups",
+        "stileloom/load/view.py",
+        "min(reading.slots, self.entry.slots)",
+        "reading.slots",
+        LOAD_VIEW,
+    ),
     Mutant(
         "a late reading of an earlier incarnation counts",
         "a reading of load counts by its incarnation",
--- a/tests/test_load_view.py
+++ b/tests/test_load_view.py
@@ -5,6 +5,7 @@
 import math
 import statistics
 
+import msgspec
 import testtools
 
 from stileloom.api.sampler_directory import SamplerEntry
@@ -33,6 +34,13 @@
         self.assertEqual(LoadReading(3, 0, 8, None), decode_load("3,0,8"))
         self.assertEqual(LoadReading(3, 1, 8, 2.5), decode_load(" 3, 1, 8, 250 "))
 
+    def test_a_fourth_figure_below_one_half_counts_as_one_half(self) -> None:
+        """A sampler that reports 1 by mistake would attract all lookups as the fastest one."""
+        for header, slowness in (("0,0,8,1", 0.5), ("0,0,8,50", 0.5), ("0,0,8,59", 0.59)):
+            decoded = decode_load(header)
+            assert decoded is not None
+            self.assertEqual(slowness, decoded.slowness)
+
     def test_malformed_headers(self) -> None:
         malformed = [
             "", "3", "3,0", "3,0,8,", ",0,8", "3,0,8,100,1", "3,0,8, 3,0,8", "-1,0,8", "+1,0,8",
@@ -115,6 +123,14 @@
         estimate = self.view.estimate(entry("b"), 10.0)
         self.assertEqual((0.5, 1.0), (estimate.occupancy, estimate.slowness))
 
+    def test_occupancy_counts_the_smaller_of_the_slots_reported_and_listed(self) -> None:
+        """A sampler that reports 65,535 slots by mistake would appear free."""
+        listed = msgspec.structs.replace(entry("none"), slots=0)
+        cases = [(entry("a"), 65_535, 2.0), (entry("b"), 3, 4.0), (listed, 8, 12.0)]
+        for sampler, slots, occupancy in cases:
+            self.view.record(sampler, LoadReading(11, 1, slots, 1.0), 10.0, 10.0)
+            self.assertEqual(occupancy, self.view.estimate(sampler, 10.0).occupancy)
+
     def test_newer_reading_replaces_an_older_one(self) -> None:
         """Responses may arrive in another order than the one in which they were measured."""
         self.view.record(entry("a"), reading(1), 10.1, 10.1)
