Load view: only listed samplers count for the service

Cause: a late response of a removed sampler counted again for 1.5 s, in the medians of the service and for the start of exchanges.

Change: the load view of a program asks the list of samplers (argument entry_of) which readings count. A sampler that is listed again counts with its reading.

--- a/stileloom/daemon/gateway.py
+++ b/stileloom/daemon/gateway.py
@@ -101,7 +101,7 @@
             self._usage_reporter = UsageReporter(
                 settings.node_id, self._usage_meter, self._jobs, self._rng
             )
-        self._load = LoadView()
+        self._load = LoadView(self.directory.samplers.entry_of)
         access = SamplerAccess(
             settings.zone,
             self.directory.samplers,
--- a/stileloom/daemon/ledger_node.py
+++ b/stileloom/daemon/ledger_node.py
@@ -100,7 +100,7 @@
             QuarantineMetrics(self._metrics_registry),
             attempt_metrics.connection_opened,
         )
-        self._load = LoadView()
+        self._load = LoadView(self._directory.samplers.entry_of)
         self._load_metrics = LoadMetrics(self._metrics_registry, self._load)
         self._load_sharing = LoadShareService(self._load, self._directory.samplers.entry_of)
         access = SamplerAccess(
--- a/stileloom/load/view.py
+++ b/stileloom/load/view.py
@@ -8,6 +8,7 @@
 
 import math
 from bisect import bisect_left
+from collections.abc import Callable
 
 import msgspec
 
@@ -63,6 +64,7 @@
     """The readings of a service that have not expired, each figure in ascending order."""
 
     computed_at: float
+    sampler_ids: set[str]
     occupancies: list[float]
     slownesses: list[float]
 
@@ -92,7 +94,9 @@
 class LoadView:
     """The latest reading of each sampler, with its age."""
 
-    def __init__(self) -> None:
+    def __init__(self, entry_of: Callable[[str], SamplerEntry | None] | None = None) -> None:
+        """`entry_of` returns the listed sampler of an id; without it, all count as listed."""
+        self._entry_of = entry_of
         self.stalls = StallDetector()
         """Stalls of this process; whoever records or receives readings asks it first."""
         self._measured: dict[str, MeasuredReading] = {}
@@ -138,7 +142,7 @@
         # A reading of another incarnation is not one of another sampler either.
         counted = self._measured.get(entry.sampler_id)
         own_occupancy, own_slowness = None, None
-        if counted is not None and now - counted.measured_at < EXPIRY_S:
+        if counted is not None and entry.sampler_id in service.sampler_ids:
             own_occupancy, own_slowness = counted.occupancy, counted.reading.slowness
         usual_occupancy = median_of_others(service.occupancies, own_occupancy, 0.0)
         usual_slowness = median_of_others(service.slownesses, own_slowness, USUAL_SLOWNESS)
@@ -181,10 +185,22 @@
         """Whether a reading that has not expired shows a full or slow sampler of the service."""
         return any(
             known.reading.is_full or known.reading.is_slow
-            for known in self.unexpired(now)
-            if known.entry.service == service
+            for known in self._listed_of(service, now)
         )
 
+    def _listed_of(self, service: str, now: float) -> list[MeasuredReading]:
+        """Unexpired readings of the listed samplers of a service.
+
+        Removed samplers may still respond to requests that they received before.
+        """
+        return [
+            known
+            for sampler_id, known in self._measured.items()
+            if known.entry.service == service
+            and now - known.measured_at < EXPIRY_S
+            and (self._entry_of is None or self._entry_of(sampler_id) is not None)
+        ]
+
     def _is_current(self, entry: SamplerEntry) -> bool:
         """Whether no later incarnation is known; drops what is known of an earlier one."""
         latest_start_ms = self._latest_start_ms.get(entry.sampler_id)
@@ -198,11 +214,12 @@
     def _service_load(self, service: str, now: float) -> _ServiceLoad:
         load = self._service_loads.get(service)
         if load is None or load.computed_at != now:
-            unexpired = [known for known in self.unexpired(now) if known.entry.service == service]
-            slownesses = [known.reading.slowness for known in unexpired]
+            counted = self._listed_of(service, now)
+            slownesses = [known.reading.slowness for known in counted]
             load = _ServiceLoad(
                 now,
-                sorted(known.occupancy for known in unexpired),
+                {known.entry.sampler_id for known in counted},
+                sorted(known.occupancy for known in counted),
                 sorted(slowness for slowness in slownesses if slowness is not None),
             )
             self._service_loads[service] = load
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -955,6 +955,14 @@
         "reading.slots",
         LOAD_VIEW,
     ),
+    Mutant(
+        "a late response of a removed sampler counts",
+        "only listed samplers count",
+        "stileloom/daemon/gateway.py",
+        "LoadView(self.directory.samplers.entry_of)",
+        "LoadView()",
+        "tests/test_load_sharing.py::ProgramsTest",
+    ),
     Mutant(
         "a late reading of an earlier incarnation counts",
         "a reading of load counts by its incarnation",
--- a/tests/test_load_sharing.py
+++ b/tests/test_load_sharing.py
@@ -222,5 +222,9 @@
             await cluster.remove_sampler_entry(entries[0].sampler_id)
             for gateway in cluster.gateways:
                 self.assertIsNone(gateway._load.latest(entries[0]))
+                now = steady_time()
+                gateway._load.record(entries[0], LoadReading(4, 1, 4, 2.5), now, now)
+                gateway._load.remove(entries[1].sampler_id)
+                self.assertFalse(gateway._load.has_full_or_slow_sampler("charts", now))
 
         with_cluster(scenario)
--- a/tests/test_load_view.py
+++ b/tests/test_load_view.py
@@ -178,6 +178,21 @@
         self.assertEqual(math.inf, self.view.estimate(entry("a"), 10.0).age_s)
         self.assertFalse(self.view.has_full_or_slow_sampler("lookups", 10.0))
 
+    def test_late_response_of_a_removed_sampler(self) -> None:
+        """It must neither start exchanges nor change what is usual for the others."""
+        listed = {name: entry(name) for name in "abc"}
+        view = LoadView(listed.get)
+        view.record(entry("gone"), reading(6, 5.0), 10.0, 10.0)
+        view.record(entry("a"), reading(0, 1.0), 10.0, 10.0)
+        self.assertFalse(view.has_full_or_slow_sampler("lookups", 10.0))
+        view.record(entry("b"), reading(0, 1.2), 10.0, 10.0)
+        self.assertAlmostEqual(1.1, view.estimate(entry("c"), 10.0).slowness)
+        # A removed sampler decays towards the usual of all that are listed.
+        self.assertAlmostEqual(3.05, view.estimate(entry("gone"), 10.9).slowness)
+        listed["gone"] = entry("gone")
+        self.assertTrue(view.has_full_or_slow_sampler("lookups", 10.1))
+        self.assertAlmostEqual(1.2, view.estimate(entry("c"), 10.1).slowness)
+
     def test_in_use_from_a_fourth_figure_for_10_s(self) -> None:
         self.view.record(entry("a"), reading(6, None), 10.0, 10.0)
         self.assertFalse(self.view.is_in_use("lookups", 10.0))
