Ledger registration: a zone of a wrong type does not hide the node

Cause: an entry whose zone was not a text was malformed as a whole, so that jobs, caches and peers lost the node over a field that only load sharing reads.

Change: a zone of a wrong type counts as none.

Result: the new test failed before and passes now (.venv/bin/pytest -q tests/test_foreign_entries.py).

--- a/stileloom/ledger/registration.py
+++ b/stileloom/ledger/registration.py
@@ -22,7 +22,7 @@
     """Address for gateways."""
     disk: str
     zone: str = ""
-    """Empty if an earlier release of the node wrote the entry."""
+    """Empty if the entry has none, as those of earlier releases, or one of a wrong type."""
 
     @property
     def ledger_address(self) -> Address:
@@ -50,6 +50,9 @@
 
 
 def _parse(spec: Any) -> LedgerRegistration | None:
+    if isinstance(spec, dict) and not isinstance(spec.get("zone", ""), str):
+        # Jobs, caches and peers need the addresses only.
+        spec = spec | {"zone": ""}
     try:
         registration = msgspec.convert(spec, LedgerRegistration)
         _ = registration.ledger_address, registration.calls_address
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -72,3 +72,12 @@
         records = [ObjectRecord(f"node-{number}", 1, spec) for number, spec in enumerate(specs)]
         found = read_registrations(records)
         self.assertEqual(["", "a", "a"], [found[f"node-{number}"].zone for number in range(3)])
+
+    def test_a_zone_of_a_wrong_type_does_not_hide_the_addresses(self) -> None:
+        """Jobs, caches and peers would lose the node over a field that only load sharing reads."""
+        valid = {"ledger": "10.0.0.1:80", "calls": "10.0.0.1:81", "disk": "d"}
+        for zone in (None, 7, ["a"], {"name": "a"}):
+            record = ObjectRecord("node", 1, valid | {"zone": zone})
+            found = read_registrations([record])
+            self.assertEqual(["node"], list(found), zone)
+            self.assertEqual("", found["node"].zone)
