Load sharing: ledger nodes are read again after a failure or when none is known

Cause: with the switch store_cache off, a gateway reads the registrations of ledger nodes at its start and when a call about a job fails. A node that registered later was not found for sharing.

Change: a failed exchange requests a refresh, as does an exchange that would be due while no node of the zone is known, the latter once in 8 s. The gateway's limit of one read a second holds.

--- a/stileloom/daemon/gateway.py
+++ b/stileloom/daemon/gateway.py
@@ -122,6 +122,7 @@
             self._load_exchange, self._log, LoadMetrics(self._metrics_registry, self._load)
         )
         self._forwarder.on_lookup_active = self._load_sharing.on_lookup_active
+        self._load_sharing.on_nodes_needed = self._refresh_ledger_nodes
         self._cached_store.on_nodes_read = self._update_sharing_nodes
         self._relay = StreamRelay(access)
         self.directory.on_sampler_listed = self._on_sampler_listed
--- a/stileloom/daemon/load_sharing.py
+++ b/stileloom/daemon/load_sharing.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from stileloom.background import BackgroundTasks
 from stileloom.clock import steady_time
 from stileloom.events import LogEvent
@@ -20,6 +22,8 @@
     """
 
     def __init__(self, exchange: LoadExchange, log: EventLog, metrics: LoadMetrics) -> None:
+        self.on_nodes_needed: Callable[[], None] = lambda: None
+        """Called when the ledger nodes of the zone should be read again."""
         self._exchange = exchange
         self._log = log
         self._metrics = metrics
@@ -30,9 +34,12 @@
 
     def on_lookup_active(self, service: str) -> None:
         """Starts an exchange if one is due; called while a lookup of the service is forwarded."""
-        exchange = self._exchange.begin(service, steady_time())
+        now = steady_time()
+        exchange = self._exchange.begin(service, now)
         if exchange is not None:
             self._tasks.spawn(self._run(exchange))
+        elif self._exchange.needs_nodes(service, now):
+            self.on_nodes_needed()
 
     def stop(self) -> None:
         """Cancels exchanges and closes the connections."""
@@ -67,6 +74,7 @@
         delay_s = self._exchange.fail(exchange, steady_time())
         self._metrics.exchanges.labels(outcome).inc()
         self._chosen.pop(exchange.service, None)
+        self.on_nodes_needed()
         self._log.emit(
             LogEvent.LOAD_NODE_LOST,
             {
--- a/stileloom/load/exchange.py
+++ b/stileloom/load/exchange.py
@@ -148,6 +148,7 @@
         self._entries_of = entries_of
         self._nodes: dict[str, Address] = {}
         self._services: dict[str, _ServiceState] = {}
+        self._nodes_needed_at = -math.inf
 
     def update_nodes(self, nodes: dict[str, Address]) -> None:
         """Replaces the ledger nodes of this gateway's zone."""
@@ -159,6 +160,18 @@
             state.preferred_at = -math.inf
             state.preferred_failures = 0
 
+    def needs_nodes(self, service: str, now: float) -> bool:
+        """Whether an exchange would be due but no node is known; true once in `BACKOFF_MAX_S`.
+
+        A zone may have no ledger node, and reads of the registrations have a cost.
+        """
+        if self._nodes or now < self._nodes_needed_at or not self._view.is_in_use(service, now):
+            return False
+        if not self._view.has_full_or_slow_sampler(service, now):
+            return False
+        self._nodes_needed_at = now + BACKOFF_MAX_S
+        return True
+
     def begin(self, service: str, now: float) -> Exchange | None:
         """Starts an exchange if one is due; called while a lookup of the service is forwarded.
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1019,6 +1019,14 @@
         "",
         LOAD_EXCHANGE,
     ),
+    Mutant(
+        "a node that registers later is not found for sharing",
+        "readings are shared while they count",
+        "stileloom/daemon/gateway.py",
+        "        self._load_sharing.on_nodes_needed = self._refresh_ledger_nodes\n",
+        "",
+        "tests/test_load_sharing.py::ProgramsTest",
+    ),
     Mutant(
         "readings are sent at rest",
         "readings are shared only when of use",
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -178,6 +178,21 @@
             self.zone.forward(self.first, now)
         self.assertEqual([], self.zone.calls)
 
+    def test_nodes_are_needed_only_where_an_exchange_would_be_due(self) -> None:
+        """A zone may have no ledger node, and each read of the registrations has a cost."""
+        self.first.measure(0, FULL, 10.0)
+        self.assertFalse(self.first.exchange.needs_nodes(SERVICE, 10.0))
+        self.first.exchange.update_nodes({})
+        self.second.exchange.update_nodes({})
+        self.second.measure(0, IDLE, 10.0)
+        self.assertFalse(self.second.exchange.needs_nodes(SERVICE, 10.0))
+        needed = 0
+        for step in range(200):
+            now = 10.0 + step * 0.1
+            self.first.measure(0, FULL, now)
+            needed += self.first.exchange.needs_nodes(SERVICE, now)
+        self.assertEqual(3, needed)
+
     def test_nothing_is_sent_without_a_ledger_node_in_the_zone(self) -> None:
         self.first.exchange.update_nodes({})
         self.first.measure(0, FULL, 10.0)
--- a/tests/test_load_sharing.py
+++ b/tests/test_load_sharing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 
 import testtools
@@ -198,6 +199,24 @@
 
         with_cluster(scenario)
 
+    def test_a_gateway_without_nodes_or_with_lost_ones_reads_them_again(self) -> None:
+        """With the switch store_cache off nothing else reads them after the start."""
+
+        async def scenario(cluster: ServiceCluster) -> None:
+            gateway = cluster.gateways[0]
+            gateway._cached_store.on_nodes_read = lambda records: None
+            (listed, _) = gateway.directory.samplers.entries_of_service("charts")
+            lost = {"lost": (HOST, free_port())}
+            for nodes in ({}, lost):
+                gateway._load_exchange.update_nodes(nodes)
+                gateway._last_refresh_at = -math.inf
+                now = steady_time()
+                gateway._load.record(listed, LoadReading(4, 1, 4, 2.5), now, now)
+                gateway._forwarder.on_lookup_active("charts")
+                await cluster.wait_until(lambda: gateway._load_exchange._nodes not in ({}, lost))
+
+        with_cluster(scenario)
+
     def test_readings_pass_through_the_ledger_node(self) -> None:
         """Guards against a part that is tested but not wired in."""
 
