Load sharing: all samplers of a large service are shared in turn

Cause: a call names at most 256 samplers, always the first ones; the rest was never shared.

Change: successive calls pass through the samplers of a service. What earlier calls sent stays confirmed until it expires.

--- a/stileloom/load/exchange.py
+++ b/stileloom/load/exchange.py
@@ -77,6 +77,8 @@
     """The last own readings that `sent_to` has confirmed, by sampler id."""
     sent_to: Address | None = None
     """Node of the last successful exchange."""
+    next_entry: int = 0
+    """Position of the first sampler of the next call, where they do not all fit into one."""
     round_trip_s: float = 0.0
     """Of the last successful exchange."""
     own_until: dict[tuple[Address, str, int], float] = msgspec.field(default_factory=dict)
@@ -190,7 +192,8 @@
         node = ranked[state.node_rank % len(ranked)]
         address = self._nodes[node]
         sent = state.sent if state.sent_to == address else {}
-        call, own = self._make_call(service, sent, state.round_trip_s, now)
+        entries = self._next_entries(service, state)
+        call, own = self._make_call(entries, sent, state.round_trip_s, now)
         state.current = Exchange(service, node, address, call, now, own)
         state.next_at = now + EXCHANGE_INTERVAL_S
         return state.current
@@ -202,7 +205,9 @@
         state.failures = 0
         if self._is_preferred(exchange):
             state.preferred_failures = 0
-        state.sent = _confirmed(exchange, reply, now)
+        # Earlier calls were about other samplers if they do not all fit into one.
+        kept = state.sent if state.sent_to == exchange.address else {}
+        state.sent = _confirmed(kept | exchange.own, exchange, reply, now)
         state.sent_to = exchange.address
         # The whole round trip counts, so that a reply held up on its way makes nothing look newer.
         round_trip_s = now - exchange.started_at
@@ -237,14 +242,26 @@
     def _is_preferred(self, exchange: Exchange) -> bool:
         return rendezvous_owner(exchange.service, self._nodes) == exchange.node
 
+    def _next_entries(self, service: str, state: _ServiceState) -> list[SamplerEntry]:
+        """The samplers of the next call; successive calls pass through all of a service."""
+        entries = [entry for entry in self._entries_of(service) if _is_encodable(entry)]
+        if len(entries) <= MAX_READINGS:
+            return entries
+        first = state.next_entry % len(entries)
+        state.next_entry = first + MAX_READINGS
+        return [*entries[first:], *entries[:first]][:MAX_READINGS]
+
     def _make_call(
-        self, service: str, sent: dict[str, SentReading], round_trip_s: float, now: float
+        self,
+        entries: list[SamplerEntry],
+        sent: dict[str, SentReading],
+        round_trip_s: float,
+        now: float,
     ) -> tuple[ShareLoadCall, dict[str, SentReading]]:
         readings: list[SharedReading] = []
         known: list[KnownReading] = []
         own: dict[str, SentReading] = {}
-        entries = [entry for entry in self._entries_of(service) if _is_encodable(entry)]
-        for entry in entries[:MAX_READINGS]:
+        for entry in entries:
             latest = self._view.latest(entry)
             if latest is None or now - latest.measured_at >= EXPIRY_S:
                 known.append(KnownReading(entry.sampler_id, entry.born_ms, EXPIRED_AGE_MS))
@@ -321,15 +338,18 @@
         state.own_until[key] = max(until, state.own_until.get(key, -math.inf))
 
 
-def _confirmed(exchange: Exchange, reply: LoadShared, now: float) -> dict[str, SentReading]:
+def _confirmed(
+    readings: dict[str, SentReading], exchange: Exchange, reply: LoadShared, now: float
+) -> dict[str, SentReading]:
     """The own readings that the node has; it may have been restarted since it received them."""
     if reply.kept_ms is None:
         return {}
     kept_since = now - reply.kept_ms / 1000
     return {
         sampler_id: sent
-        for sampler_id, sent in exchange.own.items()
-        if sent.sent_at == exchange.started_at or sent.sent_at >= kept_since
+        for sampler_id, sent in readings.items()
+        if now - sent.measured_at < EXPIRY_S
+        and (sent.sent_at == exchange.started_at or sent.sent_at >= kept_since)
     }
 
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -999,8 +999,8 @@
         "readings that a node lost count as sent",
         "readings are shared while they count",
         "stileloom/load/exchange.py",
-        "if sent.sent_at == exchange.started_at or sent.sent_at >= kept_since",
-        "if True",
+        "sent.sent_at == exchange.started_at or sent.sent_at >= kept_since",
+        "True",
         LOAD_EXCHANGE,
     ),
     Mutant(
@@ -1027,6 +1027,14 @@
         "",
         "tests/test_load_sharing.py::ProgramsTest",
     ),
+    Mutant(
+        "only the first samplers of a large service are shared",
+        "readings are shared while they count",
+        "stileloom/load/exchange.py",
+        "        state.next_entry = first + MAX_READINGS\n",
+        "",
+        LOAD_EXCHANGE,
+    ),
     Mutant(
         "readings are sent at rest",
         "readings are shared only when of use",
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -178,6 +178,22 @@
             self.zone.forward(self.first, now)
         self.assertEqual([], self.zone.calls)
 
+    def test_all_samplers_of_a_large_service_are_shared_in_turn(self) -> None:
+        """A message holds 256 readings; the samplers beyond that would never be shared."""
+        zone = Zone(2, samplers=600)
+        first, second = zone.gateways
+        # The node handled a call before; it does not confirm what was sent before its first call.
+        second.measure(0, SLOW, 8.0)
+        zone.forward(second, 8.0)
+        for number in range(600):
+            first.measure(number, SLOW, 10.0)
+        sizes = [len(zone.forward(first, 10.0 + step * 0.2).call.readings) for step in range(4)]
+        self.assertEqual([256, 256, 88, 0], sizes)
+        second.measure(0, SLOW, 10.5)
+        for step in range(3):
+            zone.forward(second, 10.6 + step * 0.2)
+        self.assertEqual(600, len(second.view.unexpired(11.1)))
+
     def test_nodes_are_needed_only_where_an_exchange_would_be_due(self) -> None:
         """A zone may have no ledger node, and each read of the registrations has a cost."""
         self.first.measure(0, FULL, 10.0)
