Load sharing: unlisted readings are pruned once for each call

Cause: each reading of an unlisted incarnation pruned the whole collection, which is quadratic.

Change: a call prunes once.

--- a/stileloom/load/exchange.py
+++ b/stileloom/load/exchange.py
@@ -102,6 +102,9 @@
 
         Drops what has expired, is out of range or is of an earlier incarnation.
         """
+        self._unlisted = {
+            key: kept for key, kept in self._unlisted.items() if now - kept[1] < EXPIRY_S
+        }
         for shared in readings[:MAX_READINGS]:
             reading = make_reading(
                 shared.running, shared.waiting, shared.slots, shared.slowness_percent
@@ -111,7 +114,7 @@
                 continue
             entry = self._entry_of(shared.sampler_id)
             if entry is None or entry.born_ms < shared.born_ms:
-                self._keep_unlisted(shared, reading, now - age_s, now)
+                self._keep_unlisted(shared, reading, now - age_s)
             elif entry.born_ms == shared.born_ms:
                 self._view.record(entry, reading, now - age_s, now, shared=True)
 
@@ -122,11 +125,8 @@
             self._view.record(entry, kept[0], kept[1], now, shared=True)
 
     def _keep_unlisted(
-        self, shared: SharedReading, reading: LoadReading, measured_at: float, now: float
+        self, shared: SharedReading, reading: LoadReading, measured_at: float
     ) -> None:
-        self._unlisted = {
-            key: kept for key, kept in self._unlisted.items() if now - kept[1] < EXPIRY_S
-        }
         key = (shared.sampler_id, shared.born_ms)
         known = self._unlisted.get(key)
         if known is not None and known[1] > measured_at:
