Load view: starts of removed samplers are forgotten after a minute

Cause: the start time of each sampler id was kept for ever.

Change: pruning notes removals and forgets the start of a sampler removed more than 60 s ago.

Result: the new test failed before; 75 passed (.venv/bin/pytest -q tests/test_docs.py tests/test_load_view.py tests/test_load_exchange.py tests/test_load_recording.py tests/test_load_sharing.py).

--- a/stileloom/load/view.py
+++ b/stileloom/load/view.py
@@ -23,6 +23,8 @@
 IN_USE_S = 10.0
 """How long a fourth figure of a sampler keeps the view in use for its service."""
 PRUNE_INTERVAL_S = 1.0
+REMOVED_S = 60.0
+"""How long the start of a removed sampler is kept; no request of before is answered later."""
 USUAL_SLOWNESS = 1.0
 MIN_OTHERS = 2
 """Readings from which the median of a service is taken; a single one would be its own median."""
@@ -103,6 +105,8 @@
         self._latest_start_ms: dict[str, int] = {}
         """Latest start time by sampler id, kept after a removal: an earlier process may still
         respond to requests that it received before."""
+        self._removed: dict[str, float | None] = {}
+        """Removed samplers, with the time at which pruning first saw the removal."""
         self._slowness_reported_at: dict[str, float] = {}
         """When a sampler of a service last reported a fourth figure, by service."""
         self._service_loads: dict[str, _ServiceLoad] = {}
@@ -162,12 +166,17 @@
 
     def remove(self, sampler_id: str) -> None:
         """Forgets the reading of a sampler that was removed or restarted."""
+        self._removed.setdefault(sampler_id, None)
+        self._forget(sampler_id)
+
+    def _forget(self, sampler_id: str) -> None:
         known = self._measured.pop(sampler_id, None)
         if known is not None:
             self._service_loads.pop(known.entry.service, None)
 
     def on_listed(self, entry: SamplerEntry) -> None:
         """Notes the incarnation that the directory lists; readings of earlier ones are dropped."""
+        self._removed.pop(entry.sampler_id, None)
         self._is_current(entry)
 
     def latest(self, entry: SamplerEntry) -> MeasuredReading | None:
@@ -208,7 +217,7 @@
             return False
         if latest_start_ms != entry.born_ms:
             self._latest_start_ms[entry.sampler_id] = entry.born_ms
-            self.remove(entry.sampler_id)
+            self._forget(entry.sampler_id)
         return True
 
     def _service_load(self, service: str, now: float) -> _ServiceLoad:
@@ -236,4 +245,12 @@
             if now - known.measured_at > IN_USE_S
         ]
         for sampler_id in expired:
-            self.remove(sampler_id)
+            self._forget(sampler_id)
+            if self._entry_of is not None and self._entry_of(sampler_id) is None:
+                self._removed.setdefault(sampler_id, None)
+        for sampler_id, removed_at in list(self._removed.items()):
+            if removed_at is None:
+                self._removed[sampler_id] = now
+            elif now - removed_at > REMOVED_S:
+                del self._removed[sampler_id]
+                self._latest_start_ms.pop(sampler_id, None)
--- a/tests/test_load_view.py
+++ b/tests/test_load_view.py
@@ -217,6 +217,25 @@
             self.assertEqual(expected, view.has_full_or_slow_sampler("lookups", 10.0), figures)
             self.assertFalse(view.has_full_or_slow_sampler("lookups", 11.5), figures)
 
+    def test_starts_of_removed_samplers_are_forgotten_after_a_minute(self) -> None:
+        """Ids of samplers are used once in some deployments, so starts would collect for ever."""
+        view = LoadView({}.get)
+        for number in range(300):
+            at = 10.0 + number
+            view.on_listed(entry(f"s-{number}"))
+            view.record(entry(f"s-{number}"), reading(), at, at)
+            view.remove(f"s-{number}")
+            # A response that arrives after the removal.
+            view.record(entry(f"s-{number}"), reading(), at + 0.5, at + 0.5)
+        self.assertLessEqual(len(view._latest_start_ms), 75)
+        self.assertLessEqual(len(view._removed), 75)
+        # Within the minute, an earlier process does not count.
+        view.on_listed(entry("x", 2))
+        view.remove("x")
+        view.record(entry("y"), reading(), 350.0, 350.0)
+        view.record(entry("x", 1), reading(), 360.0, 360.0)
+        self.assertIsNone(view.latest(entry("x", 1)))
+
     def test_memory_is_bounded_by_the_samplers_of_the_last_seconds(self) -> None:
         """Samplers may respond after their removal, when nobody removes them again."""
         for number in range(1000):
