Load view: readings are indexed by service

Cause: medians and the search for full or slow samplers scanned the readings of all services.

Change: an index by service beside the readings by sampler id.

Result: 76 passed (.venv/bin/pytest -q tests/test_docs.py tests/test_load_view.py tests/test_load_exchange.py tests/test_load_recording.py tests/test_load_sharing.py), with a new test of a sampler that moves to another service.

--- a/stileloom/load/view.py
+++ b/stileloom/load/view.py
@@ -102,6 +102,8 @@
         self.stalls = StallDetector()
         """Stalls of this process; whoever records or receives readings asks it first."""
         self._measured: dict[str, MeasuredReading] = {}
+        self._by_service: dict[str, dict[str, MeasuredReading]] = {}
+        """The same readings by service, so that a decision looks at those of its service only."""
         self._latest_start_ms: dict[str, int] = {}
         """Latest start time by sampler id, kept after a removal: an earlier process may still
         respond to requests that it received before."""
@@ -132,7 +134,10 @@
         known = self._measured.get(entry.sampler_id)
         if known is not None and known.measured_at > measured_at:
             return
-        self._measured[entry.sampler_id] = MeasuredReading(entry, reading, measured_at, shared)
+        self._forget(entry.sampler_id)
+        latest = MeasuredReading(entry, reading, measured_at, shared)
+        self._measured[entry.sampler_id] = latest
+        self._by_service.setdefault(service, {})[entry.sampler_id] = latest
         self._service_loads.pop(service, None)
 
     def is_in_use(self, service: str, now: float) -> bool:
@@ -172,7 +177,11 @@
     def _forget(self, sampler_id: str) -> None:
         known = self._measured.pop(sampler_id, None)
         if known is not None:
-            self._service_loads.pop(known.entry.service, None)
+            service = known.entry.service
+            self._service_loads.pop(service, None)
+            del self._by_service[service][sampler_id]
+            if not self._by_service[service]:
+                del self._by_service[service]
 
     def on_listed(self, entry: SamplerEntry) -> None:
         """Notes the incarnation that the directory lists; readings of earlier ones are dropped."""
@@ -204,9 +213,8 @@
         """
         return [
             known
-            for sampler_id, known in self._measured.items()
-            if known.entry.service == service
-            and now - known.measured_at < EXPIRY_S
+            for sampler_id, known in self._by_service.get(service, {}).items()
+            if now - known.measured_at < EXPIRY_S
             and (self._entry_of is None or self._entry_of(sampler_id) is not None)
         ]
 
--- a/tests/test_load_view.py
+++ b/tests/test_load_view.py
@@ -242,3 +242,12 @@
             at = 10.0 + number
             self.view.record(entry(f"s-{number}"), reading(), at, at)
         self.assertLessEqual(len(self.view._measured), 12)
+
+    def test_a_sampler_that_moves_to_another_service(self) -> None:
+        """Its reading must not stay in the index of the earlier service."""
+        self.view.record(entry("a", 1), reading(6, 3.0), 10.0, 10.0)
+        self.view.record(entry("a", 1, "other"), reading(6, 3.0), 10.1, 10.1)
+        self.assertFalse(self.view.has_full_or_slow_sampler("lookups", 10.1))
+        self.assertTrue(self.view.has_full_or_slow_sampler("other", 10.1))
+        self.view.remove("a")
+        self.assertEqual({}, self.view._by_service)
