Load view: tests name the failure that they guard against; reasons of constants

Cause: tests without a stated failure, figurative wording, modules that did not name their load, and constants without a reason.

Change: comments, doc comments and names of tests only.

--- a/stileloom/daemon/load_sharing.py
+++ b/stileloom/daemon/load_sharing.py
@@ -1,4 +1,7 @@
-"""Carries out the exchanges of load readings that a gateway decides on."""
+"""Carries out the exchanges of load readings that a gateway decides on.
+
+Handles surges in which samplers are full or slow; the rules are in `load/exchange.py`.
+"""
 
 from __future__ import annotations
 
--- a/stileloom/load/exchange.py
+++ b/stileloom/load/exchange.py
@@ -23,7 +23,9 @@
 EXCHANGE_TIMEOUT_S = 0.2
 """Time without a reply after which an exchange has failed."""
 BACKOFF_BASE_S = 0.5
+"""Delay after the first failure; a node that restarts is often back within it."""
 BACKOFF_MAX_S = 8.0
+"""Bound of the delay, so that sharing resumes soon after all nodes of a zone were lost."""
 PREFERRED_NODE_RETRY_S = 8.0
 """How long another node is used before the preferred one is asked again, after its first failure.
 
--- a/stileloom/load/recording.py
+++ b/stileloom/load/recording.py
@@ -1,4 +1,7 @@
-"""Records the load that a response of a sampler reports."""
+"""Records the load that a response of a sampler reports. Performs no I/O.
+
+Handles uneven and changing speeds of samplers, which their responses show without further calls.
+"""
 
 from __future__ import annotations
 
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -391,7 +391,7 @@
         self.assertEqual([], self.first.exchange.begin(SERVICE, 10.2).call.readings)
 
     def test_frozen_node_does_not_take_old_readings_for_new_ones(self) -> None:
-        """Calls that waited while the process was stopped say ages of the time before."""
+        """The ages in calls that waited while the process was stopped are too small."""
         node = self.zone.nodes[self.zone.order[0]]
         for step in range(10):
             node.service.step(10.0 + step * 0.1)
@@ -476,12 +476,13 @@
         self.assertEqual(1, len(self.node.view.unexpired(10.0)))
 
     def test_an_earlier_incarnation_is_dropped(self) -> None:
+        """Otherwise a restarted sampler would be avoided for the load of its earlier process."""
         self.accept(encoded(entry(0, born_ms=4)))
         self.node.list_sampler(entry(0, born_ms=5), 10.0)
         self.assertEqual([], self.node.view.unexpired(10.0))
 
     def test_an_unknown_incarnation_counts_once_it_is_listed(self) -> None:
-        """A gateway may have heard of a restart before the ledger node has."""
+        """The entry of a restarted sampler may reach a gateway before the ledger node."""
         restarted, new = entry(0, born_ms=6), entry(1)
         self.accept(encoded(restarted, age_ms=100), encoded(new))
         self.accept(encoded(restarted, age_ms=500, slowness_percent=900))
--- a/tests/test_load_recording.py
+++ b/tests/test_load_recording.py
@@ -109,6 +109,7 @@
         return access.load
 
     def test_a_response(self) -> None:
+        """Guards against loads that count for some statuses only, or as measured by others."""
         for status in (200, 404, 500):
             known = self.forward([head(status)]).latest(ENTRY)
             self.assertIsNotNone(known, status)
@@ -130,7 +131,7 @@
         self.assertIsNotNone(known)
         self.assertTrue(known.reading.is_full)
 
-    def test_what_says_nothing_of_the_sampler(self) -> None:
+    def test_responses_without_a_valid_load_of_the_sampler(self) -> None:
         """Another process at the address must not count for the listed one."""
         for response in (head(421), None, head(200, request_id="other"), head(200, load="x")):
             view = self.forward([response])
@@ -248,10 +249,10 @@
         return view
 
     def test_a_head_counts_at_once(self) -> None:
-        """A stream may last seconds, after which its head says nothing any more."""
+        """A stream may last seconds, after which the load in its head is too old."""
         for response in (head(200, request_id="i", versions="1"), head(503, not_run="1")):
             self.assertIsNotNone(self.received(response).latest(ENTRY))
 
-    def test_what_says_nothing_of_the_sampler(self) -> None:
+    def test_responses_without_a_valid_load_of_the_sampler(self) -> None:
         for response in (head(421), head(200, request_id="other", versions="1")):
             self.assertIsNone(self.received(response).latest(ENTRY))
--- a/tests/test_load_sharing.py
+++ b/tests/test_load_sharing.py
@@ -120,7 +120,7 @@
 
 
 class FrozenNodeTest(testtools.TestCase):
-    """A node that stands still while calls arrive."""
+    """A node whose process is blocked while calls arrive."""
 
     def test_calls_that_arrived_meanwhile_are_handled_after_the_step_that_detects_it(self) -> None:
         """Otherwise their readings would be taken for new ones."""
--- a/tests/test_load_view.py
+++ b/tests/test_load_view.py
@@ -59,6 +59,7 @@
         self.view = LoadView()
 
     def test_nothing_known(self) -> None:
+        """A sampler that has not responded yet must not look full or slow."""
         estimate = self.view.estimate(entry("a"), 5.0)
         self.assertEqual((0.0, 1.0, math.inf, False), (
             estimate.occupancy, estimate.slowness, estimate.age_s, estimate.shared,
@@ -77,6 +78,7 @@
             self.assertAlmostEqual(age_s, estimate.age_s)
 
     def test_expired_reading_equals_the_median_of_the_service(self) -> None:
+        """Guards against a sampler that is avoided for long because it once was slow."""
         self.view.record(entry("a"), reading(6, 3.0), 10.0, 10.0)
         for name, slowness in (("b", 1.0), ("c", 1.2), ("d", 2.0)):
             self.view.record(entry(name), reading(3, slowness), 11.4, 11.4)
@@ -149,6 +151,7 @@
         self.assertAlmostEqual(1 / 6, self.view.estimate(entry("a"), 10.5).occupancy)
 
     def test_restart_of_a_sampler_begins_a_new_record(self) -> None:
+        """The new process does not have the load of the earlier one."""
         self.view.record(entry("a", 1), reading(6, 3.0), 10.0, 10.0)
         self.assertEqual(math.inf, self.view.estimate(entry("a", 2), 10.0).age_s)
         # Measured before the last reading of the earlier process, as ages of shared ones may say.
@@ -156,6 +159,7 @@
         self.assertAlmostEqual(1 / 6, self.view.estimate(entry("a", 2), 10.1).occupancy)
 
     def test_late_reading_of_an_earlier_incarnation_is_dropped(self) -> None:
+        """It would replace the load of the new process."""
         self.view.record(entry("a", 2), reading(1), 10.0, 10.0)
         self.view.record(entry("a", 1), reading(6, 3.0), 10.1, 10.1)
         self.assertAlmostEqual(1 / 6, self.view.estimate(entry("a", 2), 10.1).occupancy)
@@ -172,6 +176,7 @@
         self.assertFalse(self.view.is_in_use("lookups", 20.1))
 
     def test_removal(self) -> None:
+        """A removed sampler must neither start exchanges nor pass its load to a later one."""
         self.view.record(entry("a"), reading(6, 3.0), 10.0, 10.0)
         self.view.remove("a")
         self.view.remove("never seen")
@@ -194,6 +199,7 @@
         self.assertAlmostEqual(1.2, view.estimate(entry("c"), 10.1).slowness)
 
     def test_in_use_from_a_fourth_figure_for_10_s(self) -> None:
+        """Requirement 9: without a fourth figure nothing changes."""
         self.view.record(entry("a"), reading(6, None), 10.0, 10.0)
         self.assertFalse(self.view.is_in_use("lookups", 10.0))
         self.view.record(entry("a"), reading(6, 1.0), 10.1, 10.1)
@@ -204,6 +210,7 @@
         self.assertFalse(self.view.is_in_use("other", 10.1))
 
     def test_full_or_slow(self) -> None:
+        """Guards against exchanges at rest, and against a surge without exchanges."""
         cases = [
             (reading(5, 1.49), False),
             (reading(6, 1.0), True),
