Load view: mutants and tests for rules that no test guarded

Cause: tests passed without the step of a ledger node's stall detector, without max in LoadView.record and without the limit of readings in a message. FrozenNodeTest had no positive control.

--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -498,6 +498,13 @@
         self.node.list_sampler(new, 11.5)
         self.assertEqual([], self.node.view.unexpired(11.5))
 
+    def test_at_most_256_readings_of_a_message_count(self) -> None:
+        """A faulty node must not take the processor time of another with one message."""
+        entries = [entry(number) for number in range(300)]
+        node = Node(entries)
+        node.service.handle(ShareLoadCall([encoded(one) for one in entries], []), 10.0)
+        self.assertEqual(256, len(node.view.unexpired(10.0)))
+
     def test_unlisted_readings_are_bounded(self) -> None:
         """A node whose directory is unavailable must not collect readings without limit."""
         for number in range(2000):
--- a/tests/test_load_sharing.py
+++ b/tests/test_load_sharing.py
@@ -152,6 +152,7 @@
             return len(node.view.unexpired(steady_time()))
 
         self.assertEqual(0, asyncio.run(run(STALL_S + STEP_INTERVAL_S)))
+        self.assertEqual(1, asyncio.run(run(0.0)))
 
 
 class ProgramsTest(testtools.TestCase):
--- a/tests/test_load_view.py
+++ b/tests/test_load_view.py
@@ -209,6 +209,12 @@
         self.assertFalse(self.view.is_in_use("lookups", 20.2))
         self.assertFalse(self.view.is_in_use("other", 10.1))
 
+    def test_an_older_fourth_figure_does_not_shorten_the_use(self) -> None:
+        """Shared readings may arrive later than newer own ones."""
+        self.view.record(entry("a"), reading(6, 1.0), 10.1, 10.1)
+        self.view.record(entry("b"), reading(6, 1.0), 9.0, 10.2, shared=True)
+        self.assertTrue(self.view.is_in_use("lookups", 20.0))
+
     def test_full_or_slow(self) -> None:
         """Guards against exchanges at rest, and against a surge without exchanges."""
         cases = [
