Load sharing: tests and mutants of the least difference and of the rounding of ages

Cause: tests passed with NEWER_BY_S = 0 and with ages rounded to the nearest millisecond.

Change: two tests, two mutants.

--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1059,6 +1059,22 @@
         "for shared in readings:",
         LOAD_EXCHANGE,
     ),
+    Mutant(
+        "the same reading is returned with each exchange",
+        "readings are shared only when of use",
+        "stileloom/load/exchange.py",
+        "NEWER_BY_S = 0.02\n",
+        "NEWER_BY_S = 0.0\n",
+        LOAD_EXCHANGE,
+    ),
+    Mutant(
+        "ages are rounded to the nearest millisecond",
+        "no reading looks newer than it is",
+        "stileloom/load/exchange.py",
+        "math.ceil(max(0.0, now - latest.measured_at) * 1000)",
+        "round(max(0.0, now - latest.measured_at) * 1000)",
+        LOAD_EXCHANGE,
+    ),
     Mutant(
         "readings are sent at rest",
         "readings are shared only when of use",
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -498,6 +498,23 @@
         self.node.list_sampler(new, 11.5)
         self.assertEqual([], self.node.view.unexpired(11.5))
 
+    def test_a_reading_that_differs_by_the_time_of_messages_is_not_returned(self) -> None:
+        """The same reading would be returned with each exchange."""
+        listed = entry(0, born_ms=5)
+        self.node.view.record(listed, SLOW, 10.0, 10.0)
+        for age_ms, returned in ((115, 0), (125, 1)):
+            known = KnownReading(listed.sampler_id, 5, age_ms)
+            reply = self.node.service.handle(ShareLoadCall([], [known]), 10.1)
+            self.assertEqual(returned, len(reply.readings))
+
+    def test_ages_are_rounded_up(self) -> None:
+        """A reading that loses part of a millisecond with each message gets younger."""
+        listed = entry(0, born_ms=5)
+        self.node.view.record(listed, SLOW, 10.0, 10.0)
+        known = KnownReading(listed.sampler_id, 5, 1500)
+        (returned,) = self.node.service.handle(ShareLoadCall([], [known]), 10.1002).readings
+        self.assertEqual(101, returned.age_ms)
+
     def test_at_most_256_readings_of_a_message_count(self) -> None:
         """A faulty node must not take the processor time of another with one message."""
         entries = [entry(number) for number in range(300)]
