--- a/stileloom/daemon/load_sharing.py
+++ b/stileloom/daemon/load_sharing.py
@@ -1,7 +1,12 @@
-"""Carries out the exchanges of load readings that a gateway decides on."""
+"""Carries out the exchanges of load readings that a gateway decides on.
+
+Handles surges in which samplers are full or slow; the rules are in `load/exchange.py`.
+"""
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from stileloom.background import BackgroundTasks
 from stileloom.clock import steady_time
 from stileloom.events import LogEvent
@@ -20,6 +25,8 @@
     """
 
     def __init__(self, exchange: LoadExchange, log: EventLog, metrics: LoadMetrics) -> None:
+        self.on_nodes_needed: Callable[[], None] = lambda: None
+        """Called when the ledger nodes of the zone should be read again."""
         self._exchange = exchange
         self._log = log
         self._metrics = metrics
@@ -30,9 +37,12 @@
 
     def on_lookup_active(self, service: str) -> None:
         """Starts an exchange if one is due; called while a lookup of the service is forwarded."""
-        exchange = self._exchange.begin(service, steady_time())
+        now = steady_time()
+        exchange = self._exchange.begin(service, now)
         if exchange is not None:
             self._tasks.spawn(self._run(exchange))
+        elif self._exchange.needs_nodes(service, now):
+            self.on_nodes_needed()
 
     def stop(self) -> None:
         """Cancels exchanges and closes the connections."""
@@ -47,6 +57,11 @@
         except CallFailed as failure:
             self._on_failure(exchange, "no_reply" if failure.sent else "lost", str(failure))
             return
+        except Exception as error:
+            # The address is what another program registered: a wrong port or host name raises
+            # other exceptions, after which the service must not count as in an exchange for ever.
+            self._on_failure(exchange, "error", repr(error))
+            return
         if not isinstance(reply, LoadShared):
             self._on_failure(exchange, "invalid", type(reply).__name__)
             return
@@ -62,6 +77,7 @@
         delay_s = self._exchange.fail(exchange, steady_time())
         self._metrics.exchanges.labels(outcome).inc()
         self._chosen.pop(exchange.service, None)
+        self.on_nodes_needed()
         self._log.emit(
             LogEvent.LOAD_NODE_LOST,
             {
