Record decisions at gateways and the leader, and serve them on the metrics port

Change: gateways record each lookup that was answered or refused, with the sampler that answered and its figures in the load view; the leader records each start of an item and each refused job. Requests without a valid key or route are left out, so that they do not displace the records of tenants. Processes serve the records at /decisions on their metrics port.

--- a/stileloom/daemon/gateway.py
+++ b/stileloom/daemon/gateway.py
@@ -20,6 +20,7 @@
 from stileloom.daemon.process_metrics import ProcessMetrics
 from stileloom.daemon.readiness import make_ready_server
 from stileloom.daemon.signals import handle_signals
+from stileloom.decisions import DecisionLog
 from stileloom.errors import StileloomError
 from stileloom.events import LogEvent
 from stileloom.jobs.client import JobClient
@@ -101,6 +102,7 @@
                 settings.node_id, self._usage_meter, self._jobs, self._rng
             )
         self._load = LoadView()
+        self._decisions = DecisionLog()
         access = SamplerAccess(
             settings.zone,
             self.directory.samplers,
@@ -134,6 +136,7 @@
             self._job_calls,
             self._log,
             metrics,
+            self._decisions,
         )
         metrics.observe_open(lambda: self.front.open_requests)
         self._last_refresh_at = float("-inf")
@@ -176,7 +179,11 @@
         servers = [front, ready]
         if self._settings.metrics_port:
             metrics = start_metrics_server(
-                self._metrics_registry, self._settings.host, self._settings.metrics_port, self._log
+                self._metrics_registry,
+                self._settings.host,
+                self._settings.metrics_port,
+                self._log,
+                self._decisions,
             )
             servers += [metrics] if metrics is not None else []
         return servers
--- a/stileloom/daemon/leadership.py
+++ b/stileloom/daemon/leadership.py
@@ -14,6 +14,7 @@
 from stileloom.daemon.leader_duties import DutyDependencies, LeaderDuties
 from stileloom.daemon.ledger_driver import LedgerDriver
 from stileloom.daemon.object_watch import ObjectWatcher
+from stileloom.decisions import NO_DECISIONS, DecisionRecorder
 from stileloom.errors import StileloomError
 from stileloom.events import LogEvent
 from stileloom.jobs.job_ages import JobAges
@@ -52,6 +53,7 @@
         rng: random.Random,
         earliest_order_at: float,
         duty_dependencies: DutyDependencies,
+        decisions: DecisionRecorder = NO_DECISIONS,
     ) -> None:
         self.epoch = driver.replica.epoch
         self.runner = JobRunner(
@@ -70,6 +72,7 @@
                 log=log,
                 metrics=metrics,
                 switches=settings.switches,
+                decisions=decisions,
             )
         )
         self._retention_s = settings.bounds.job_retention_s + RETENTION_MARGIN_S
--- a/stileloom/daemon/ledger_node.py
+++ b/stileloom/daemon/ledger_node.py
@@ -24,6 +24,7 @@
 from stileloom.daemon.process_metrics import ProcessMetrics
 from stileloom.daemon.signals import handle_signals
 from stileloom.daemon.store_cache import StoreCache
+from stileloom.decisions import DecisionLog
 from stileloom.duties.lost_fences import LostFences
 from stileloom.duties.metrics import DutyMetrics
 from stileloom.events import LogEvent
@@ -71,6 +72,7 @@
         self._log = EventLog(settings.node_id)
         self._metrics_registry = CollectorRegistry()
         self._metrics = JobMetrics(self._metrics_registry)
+        self._decisions = DecisionLog()
         self._duty_dependencies = DutyDependencies(
             DutyMetrics(self._metrics_registry),
             LostFences(),
@@ -175,13 +177,18 @@
             self._job_ages,
             self._log,
             self._metrics,
+            self._decisions,
         )
         self._call_server = CallServer(self._handle_call, compress)
         await self._call_server.start(settings.listen_host, settings.calls_port)
         await driver.start(settings.listen_host)
         if settings.metrics_port:
             self._metrics_server = start_metrics_server(
-                self._metrics_registry, settings.listen_host, settings.metrics_port, self._log
+                self._metrics_registry,
+                settings.listen_host,
+                settings.metrics_port,
+                self._log,
+                self._decisions,
             )
         self._directory.start()
         discovery = PeerDiscovery(settings, self._store, kinds.ledger_nodes, driver, self._log)
@@ -307,6 +314,7 @@
             self._rng,
             self._earliest_order_at(driver.state),
             self._duty_dependencies,
+            self._decisions,
         )
         self._service.usage = self._leadership.duties.usage
         self._service.runner = self._leadership.runner
--- a/stileloom/jobs/item_runs.py
+++ b/stileloom/jobs/item_runs.py
@@ -10,10 +10,12 @@
 from stileloom.api.sampler_directory import SamplerEntry
 from stileloom.background import BackgroundTasks
 from stileloom.clock import steady_time
+from stileloom.decisions import NO_DECISIONS, DecisionRecorder
 from stileloom.events import LogEvent
 from stileloom.http1.connection import SamplerConnection
 from stileloom.http1.pool import ConnectionPool
 from stileloom.http1.response_decoder import ResponseHead
+from stileloom.jobs.decisions import item_started
 from stileloom.jobs.item_request import encode_item_request
 from stileloom.jobs.item_stream import ItemStream, RunOutcome
 from stileloom.jobs.metrics import JobMetrics
@@ -60,6 +62,7 @@
         log: EventLog,
         metrics: JobMetrics,
         load: LoadView,
+        decisions: DecisionRecorder = NO_DECISIONS,
     ) -> None:
         """`may_send` is checked before each send: the process may have been suspended."""
         self._scheduler = scheduler
@@ -74,6 +77,7 @@
         self._log = log
         self._metrics = metrics
         self._load = load
+        self._decisions = decisions
         self._connections: dict[ItemKey, SamplerConnection] = {}
 
     def __len__(self) -> int:
@@ -89,6 +93,7 @@
     def start(self, starts: list[PlannedRun]) -> None:
         """Starts planned runs."""
         self._log_started_runs(starts)
+        self._record_decisions(starts)
         for start in starts:
             self._tasks.spawn(self._run_item(start))
 
@@ -235,6 +240,12 @@
             },
         )
 
+    def _record_decisions(self, starts: list[PlannedRun]) -> None:
+        now = steady_time()
+        for start in starts:
+            stats = self._scheduler.stats(start.sampler_id)
+            self._decisions.record(item_started(start, stats, now))
+
     def _log_started_runs(self, starts: list[PlannedRun]) -> None:
         """Logs one line per job and sampler, because a step may start dozens of runs."""
         items_by_target: dict[tuple[str, str], list[OpenItem]] = {}
--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -18,6 +18,7 @@
 from stileloom.api.routes import Route, RouteKind, Service
 from stileloom.background import MAX_TRACEBACK_LENGTH, BackgroundTasks
 from stileloom.clock import steady_time
+from stileloom.decisions import NO_DECISIONS, DecisionRecorder
 from stileloom.events import LogEvent
 from stileloom.http1.pool import ConnectionPool
 from stileloom.jobs.intake import item_size, reusable_results, saved_texts
@@ -78,6 +79,7 @@
     log: EventLog
     metrics: JobMetrics
     switches: Switches
+    decisions: DecisionRecorder = NO_DECISIONS
 
 
 class JobRunner:
@@ -134,6 +136,7 @@
             log,
             metrics,
             dependencies.forwarder.load,
+            dependencies.decisions,
         )
         self._writer = ResultWriter(
             registry, ledger, self.scheduler, self._tasks, log, metrics, self._schedule_step
--- a/stileloom/jobs/service.py
+++ b/stileloom/jobs/service.py
@@ -8,8 +8,10 @@
 from stileloom.api.jobs import JobSubmission
 from stileloom.blobs import BlobUnavailable
 from stileloom.clock import steady_time
+from stileloom.decisions import NO_DECISIONS, DecisionRecorder
 from stileloom.errors import StileloomError
 from stileloom.events import LogEvent
+from stileloom.jobs.decisions import job_refused
 from stileloom.jobs.job_admission import JobAdmission
 from stileloom.jobs.job_ages import JobAges
 from stileloom.jobs.leader_ledger import LeaderLedger
@@ -77,6 +79,7 @@
         ages: JobAges,
         log: EventLog,
         metrics: JobMetrics,
+        decisions: DecisionRecorder = NO_DECISIONS,
     ) -> None:
         self.usage: UsageAuthority | None = None
         """Set while this node is the leader and reports usage."""
@@ -90,6 +93,7 @@
         self._ledger = ledger
         self._quarantine = quarantine
         self._log = log
+        self._decisions = decisions
 
     @property
     def runner(self) -> JobRunner | None:
@@ -191,6 +195,7 @@
         if refusal is None:
             return None
         self._metrics.jobs_refused.inc()
+        self._decisions.record(job_refused(submission, refusal, steady_time()))
         self._log.emit(
             LogEvent.JOB_REFUSED,
             {
--- a/stileloom/proxy/caller_messages.py
+++ b/stileloom/proxy/caller_messages.py
@@ -6,6 +6,7 @@
 from tornado.httputil import HTTPHeaders
 
 from stileloom.api.routes import Route
+from stileloom.decisions import LookupDecision
 from stileloom.errors import ErrorKind, StileloomError
 from stileloom.proxy.access_control import Caller
 
@@ -55,6 +56,14 @@
     """Version of the configuration that the route and the caller were taken from."""
     deadline_at: float
     """When the caller's or the route's timeout ends, in monotonic seconds."""
+    decision: LookupDecision = msgspec.field(default_factory=LookupDecision)
+    """What is decided about a lookup; not used for jobs."""
+
+    @property
+    def priority(self) -> int:
+        """The tenant's priority, or that of the route if the tenant has none."""
+        own = self.caller.priority
+        return own if own is not None else self.route.priority
 
 
 class CallerResponse(msgspec.Struct, frozen=True):
--- a/stileloom/proxy/forwarder.py
+++ b/stileloom/proxy/forwarder.py
@@ -10,6 +10,7 @@
 from stileloom.api.routes import Route, RouteKind
 from stileloom.api.sampler_directory import SamplerEntry
 from stileloom.clock import steady_time
+from stileloom.decisions import CandidateLoad, candidate_load
 from stileloom.errors import ErrorKind, StileloomError
 from stileloom.events import LogEvent
 from stileloom.http1.pool import ConnectionPool
@@ -117,6 +118,7 @@
                 if self._apply_outcome(lookup, plan, attempt) and attempt.head is not None:
                     if attempt.head.status < 500:
                         permit.record_success()
+                        lookup.decision.answered_by = attempt.sampler_id
                         self._log_response(lookup, plan, attempt)
                         return LookupResponse(attempt.head, attempt.body)
                     last_failure = attempt
@@ -143,11 +145,15 @@
         if tracked is None:
             return False
         plan.record_start(tracked.entry.sampler_id, now)
+        lookup.decision.record_selection(now, [self._candidate(tracked.entry, now)])
         attempts.add(
             asyncio.get_running_loop().create_task(self._run_attempt(lookup, plan, tracked))
         )
         return True
 
+    def _candidate(self, entry: SamplerEntry, now: float) -> CandidateLoad:
+        return candidate_load(entry, self.load.estimate(entry, now))
+
     async def _wait_for_sampler(self, lookup: Lookup, plan: AttemptPlan) -> StileloomError | None:
         """Waits until samplers may be tried again, or returns the error to refuse with."""
         listed = len(self._samplers.of_service(plan.service))
--- a/stileloom/proxy/front.py
+++ b/stileloom/proxy/front.py
@@ -18,7 +18,8 @@
 from stileloom.api.dialect import Dialect
 from stileloom.api.routes import IngressLimits, Route, RouteKind
 from stileloom.clock import steady_time
-from stileloom.errors import ErrorKind, Outcome, StileloomError, problem_document
+from stileloom.decisions import NO_DECISIONS, DecisionRecorder
+from stileloom.errors import ErrorKind, Outcome, Problem, StileloomError, problem_document
 from stileloom.events import LogEvent
 from stileloom.http1.request_encoder import end_to_end_headers
 from stileloom.http1.response_decoder import ResponseHead
@@ -60,6 +61,7 @@
         jobs: JobCalls,
         log: EventLog,
         metrics: ProxyMetrics,
+        decisions: DecisionRecorder = NO_DECISIONS,
     ) -> None:
         self.draining = False
         """Whether responses carry `Connection: close`."""
@@ -75,6 +77,7 @@
         self._jobs = jobs
         self._log = log
         self._metrics = metrics
+        self._decisions = decisions
         self._open_requests = 0
 
     @property
@@ -170,21 +173,51 @@
             tenant=context.caller.tenant,
             caller_address=request.caller_address,
             check_send=self._access.key_check(context.caller),
+            decision=context.decision,
         )
         service = self._routes.choose_backend(route)
+        self._begin_decision(context, service)
         response: LookupResponse | None
         if route.kind is RouteKind.STREAMING and writer is not None:
             response = await self._relay.relay(lookup, route, service, writer)
             if response is None:
                 self._metrics.requests.labels(route.name, "200").inc()
+                self._record_answer(context, None)
                 return None
         else:
             response = await self._forwarder.forward(lookup, route, service)
         head = response.head
         headers = end_to_end_headers(head.headers.get_all(), head.headers.get("Connection", ""))
         self._metrics.requests.labels(route.name, str(head.status)).inc()
+        self._record_answer(context, head.status)
         return CallerResponse(head.status, head.reason, headers, response.body)
 
+    # Decision records.
+
+    def _begin_decision(self, context: RequestContext, service: str) -> None:
+        decision = context.decision
+        decision.service = service
+        decision.tenant = context.caller.tenant
+        decision.priority = context.priority
+
+    def _record_answer(self, context: RequestContext, status: int | None) -> None:
+        """Records an answered lookup; `status` is None for a stream."""
+        arrived_at, now = context.request.arrived_at, steady_time()
+        record = context.decision.answered(context.request_id, arrived_at, now, status)
+        self._decisions.record(record)
+
+    def _record_refusal(self, context: RequestContext | None, problem: Problem) -> None:
+        """Records a refused lookup.
+
+        Requests without a valid key or route are left out: they would displace the records of
+        tenants.
+        """
+        if context is None or context.route.kind is RouteKind.BATCH:
+            return
+        arrived_at, now = context.request.arrived_at, steady_time()
+        record = context.decision.refused(context.request_id, arrived_at, now, problem)
+        self._decisions.record(record)
+
     # Failures.
 
     def log_internal_error(self, request: CallerRequest, error: Exception) -> None:
@@ -237,6 +270,7 @@
         if status in (429, 503) and problem.retry_after_s is not None:
             headers.append(("Retry-After", f"{problem.retry_after_s:g}"))
         problem.status = status
+        self._record_refusal(context, problem)
         return CallerResponse(status, problem.title, headers, msgspec.json.encode(problem))
 
 
--- a/stileloom/proxy/lookup.py
+++ b/stileloom/proxy/lookup.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from stileloom.decisions import LookupDecision
 from stileloom.http1.response_decoder import ResponseHead
 from stileloom.quarantine.identity import identity_of
 
@@ -28,6 +29,8 @@
     """The caller's network address, for logs only."""
     check_send: Callable[[], None] = lambda: None
     """Called right before each attempt is sent; the `StileloomError` it raises ends the lookup."""
+    decision: LookupDecision = msgspec.field(default_factory=LookupDecision)
+    """What is decided about it, for its decision record."""
 
     def identity(self) -> str:
         """Digest that is equal for all retries of the request; hashes the complete body."""
--- a/stileloom/proxy/stream_relay.py
+++ b/stileloom/proxy/stream_relay.py
@@ -17,6 +17,7 @@
 from stileloom.api.routes import Route
 from stileloom.api.sampler_directory import SamplerEntry
 from stileloom.clock import steady_time
+from stileloom.decisions import candidate_load
 from stileloom.errors import ErrorKind, StileloomError
 from stileloom.events import LogEvent
 from stileloom.http1.connection import ExchangeEnd
@@ -139,11 +140,14 @@
                     return last_run.response
                 raise refusal
             started_at = steady_time()
+            estimate = self._load.estimate(tracked.entry, started_at)
+            lookup.decision.record_selection(started_at, [candidate_load(tracked.entry, estimate)])
             last_run = await self._run(lookup, plan, tracked, stream, route.resumable)
             if last_run.end is _RunEnd.BROKEN:
                 await permit.on_attempt_failed(tracked.entry, started_at)
             if last_run.end is _RunEnd.COMPLETE:
                 permit.record_success()
+                lookup.decision.answered_by = tracked.entry.sampler_id
                 writer.end_stream()
                 return None
         return self._finish_incomplete(plan, stream, last_run)
--- a/tests/runner_fixture.py
+++ b/tests/runner_fixture.py
@@ -14,6 +14,7 @@
 from stileloom.api.routes import Backend, Engine, Route, RouteConfiguration, RouteKind, Service
 from stileloom.api.sampler_directory import SamplerEntry
 from stileloom.clock import steady_time
+from stileloom.decisions import DecisionLog
 from stileloom.http.native_dialect import NativeDialect
 from stileloom.jobs.job_admission import JobAdmission, ResourceLimits
 from stileloom.jobs.job_ages import JobAges
@@ -130,6 +131,7 @@
         self.samplers = SamplerTable()
         self.samplers.replace_all(list(samplers))
         self.ledger = FakeLedger(self.state)
+        self.decisions = DecisionLog()
         self._log = EventLog("node")
         self.runner = self._new_runner()
 
@@ -151,6 +153,7 @@
             self.job_ages,
             self._log,
             JobMetrics(CollectorRegistry()),
+            self.decisions,
         )
         service.runner = self.runner
         return service
@@ -202,6 +205,7 @@
                 log=self._log,
                 metrics=JobMetrics(CollectorRegistry()),
                 switches=ALL_ON,
+                decisions=self.decisions,
             )
         )
         for tracked in self.samplers.all():
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import gc
 import math
 import time
@@ -20,9 +21,13 @@
     candidate_load,
 )
 from stileloom.decisions.log import MAX_BYTES, MAX_RECORDS
-from stileloom.decisions.records import DecisionsPage
+from stileloom.decisions.records import DecisionsPage, ServedDecision
 from stileloom.errors import ErrorKind, StileloomError, problem_document
+from stileloom.jobs.job_admission import ResourceLimits
+from stileloom.jobs.messages import JobRefused, SubmitJobCall
 from stileloom.load import LoadEstimate
+from stileloom.logging import configure_logs
+from tests.runner_fixture import MODEL, SERVICE, RunnerFixture, submission
 
 KEPT_RECORDS = 2000
 KEPT_BYTES = 400_000
@@ -142,6 +147,47 @@
         self.assertIs(DecisionKind.LOOKUP_ANSWERED, decision.answered("r", 9.0, 10.0, None).kind)
 
 
+class LeaderTest(testtools.TestCase):
+    """Records of the leader."""
+
+    def test_each_start_of_an_item_has_the_figures_of_its_sampler(self) -> None:
+        async def scenario() -> list[ServedDecision]:
+            sampler = SamplerEntry("s", SERVICE, ("127.0.0.1", 1), "a", 4, False, {MODEL: 1})
+            fixture = RunnerFixture(sampler)
+            fixture.submit(submission("j", ["i1", "i2"]))
+            with fixture.clock():
+                fixture.step()
+                fixture.runner.on_versions_listed()
+                fixture.step(1.0)
+            fixture.runner.stop()
+            return fixture.decisions.page("j", fixture.now).records
+
+        configure_logs("error")
+        records = asyncio.run(scenario())
+        self.assertEqual({"i1", "i2"}, {record.request for record in records})
+        for record in records:
+            self.assertIs(DecisionKind.ITEM_STARTED, record.kind)
+            self.assertEqual(
+                ("s", SERVICE, 0), (record.sampler, record.service, record.after_events)
+            )
+            self.assertEqual((45, 2), (record.event_interval_ms, record.running_there))
+            self.assertIsNotNone(record.wait_ms)
+
+    def test_a_refused_job_has_its_reason_and_retry_after(self) -> None:
+        async def scenario() -> None:
+            fixture = RunnerFixture()
+            service = fixture.service(ResourceLimits(memory_mb=0.0001))
+            reply = await service.handle(SubmitJobCall(submission("j", ["i1", "i2"])))
+            self.assertIsInstance(reply, JobRefused)
+            (record,) = fixture.decisions.page("j", fixture.now).records
+            self.assertIs(DecisionKind.JOB_REFUSED, record.kind)
+            self.assertEqual(reply, JobRefused(record.reason, record.retry_after_s))
+            fixture.runner.stop()
+
+        configure_logs("error")
+        asyncio.run(scenario())
+
+
 class CostTest(testtools.TestCase):
     """Time and memory of recording; run with -s to see the figures."""
 
