stileloom explain-request: the decisions about a request

Cause: operators need the decisions as a table or as JSON. Change: the command reads /decisions of a gateway or ledger node. Processes of the test cluster have a metrics port.

--- a/stileloom/cli/main.py
+++ b/stileloom/cli/main.py
@@ -10,6 +10,7 @@
 from stileloom.cli import bench, emulate, operate, quarantine, services
 from stileloom.cli.demo import demo
 from stileloom.cli.errors import exit_on_error
+from stileloom.cli.explain_request import explain_request
 from stileloom.cli.trace import trace
 from stileloom.clock import run_main
 from stileloom.daemon.process import serve as serve_node
@@ -27,6 +28,7 @@
 app.add_typer(quarantine.app, name="quarantine")
 app.command()(demo)
 app.command()(trace)
+app.command()(explain_request)
 operate.register(app)
 services.register(app)
 
--- a/stileloom/cli/operate.py
+++ b/stileloom/cli/operate.py
@@ -48,7 +48,8 @@
         app.command()(command)
 
 
-def _print_json(value: object) -> None:
+def print_json(value: object) -> None:
+    """Prints a value as indented JSON."""
     typer.echo(msgspec.json.format(msgspec.json.encode(value), indent=2).decode())
 
 
@@ -170,7 +171,7 @@
         if name is not None and not selected:
             raise StileloomError(ErrorKind.UNKNOWN_OBJECT, name)
         if output is Output.JSON:
-            _print_json({"revision": listed.revision, "objects": selected})
+            print_json({"revision": listed.revision, "objects": selected})
             return
         table = Table("kind", "name", "revision", "spec")
         for stored in selected:
@@ -209,7 +210,7 @@
     with exit_on_error():
         current = run_main(_read_status(HttpCaller([server])))
         if output is Output.JSON:
-            _print_json(current)
+            print_json(current)
         else:
             _print_status(Console(), current)
 
@@ -272,7 +273,7 @@
         response = run_main(HttpCaller([server]).call("POST", "/v1/explain", body))
         explanation = msgspec.json.decode(response.body, type=Explanation)
         if output is Output.JSON:
-            _print_json(explanation)
+            print_json(explanation)
             return
         console = Console()
         console.print(
--- a/tests/service_cluster.py
+++ b/tests/service_cluster.py
@@ -83,6 +83,8 @@
         self.ledger_nodes: dict[str, LedgerNode] = {}
         self.gateways: list[Gateway] = []
         self.front_ports: list[int] = []
+        self.metrics_addresses: dict[str, str] = {}
+        """By name of the process."""
         self._gateway_count = gateways
         self._ledger_hosts = ledger_hosts
         self._losses_borne = losses_borne
@@ -210,6 +212,7 @@
             calls_port=self._calls_port,
             data_folder=str(Path(self._folder.name) / name),
             first_start=first_start,
+            metrics_port=self._metrics_port(name, host),
             losses_borne=self._losses_borne,
             bounds=BOUNDS,
         )
@@ -254,6 +257,7 @@
             front=f"{HOST}:{front}",
             ready=f"{HOST}:{free_port()}",
             calls_port=self._calls_port,
+            metrics_port=self._metrics_port(name, HOST),
             bounds=BOUNDS,
         )
         gateway = Gateway(settings, NativeObjectStore(self.api), NativeDialect())
@@ -262,6 +266,11 @@
         self._tasks[name] = asyncio.get_running_loop().create_task(gateway.run())
         return gateway
 
+    def _metrics_port(self, name: str, host: str) -> int:
+        """The port for metrics; a process that starts again keeps it."""
+        address = self.metrics_addresses.setdefault(name, f"{host}:{free_port(host)}")
+        return split_address(address)[1]
+
     # Callers.
 
     async def call(
