Decision records: mutants, cost with a load view, and an error for other addresses

Cause: the cost test left out the estimates of the load view, and the command ended with a decoding error if the address was not a metrics port. Change: the cost test takes the figures from a view of 28 samplers at a new time for each lookup. Three mutants: credentials recorded, no limit on bytes, the last attempt described instead of the one that answered. The three mutants are caught (tests.mutants.run of each).

--- a/stileloom/cli/explain_request.py
+++ b/stileloom/cli/explain_request.py
@@ -39,7 +39,7 @@
     with exit_on_error():
         path = f"/decisions?{urlencode({'request': request_id})}"
         response = run_main(HttpCaller([address]).call("GET", path))
-        page = msgspec.json.decode(response.body, type=DecisionsPage)
+        page = _decode(response.body, address)
         if not page.records:
             raise StileloomError(ErrorKind.UNKNOWN_OBJECT, _not_found(request_id, page))
         if output is Output.JSON:
@@ -50,6 +50,14 @@
             console.print(decision_table(record))
 
 
+def _decode(body: bytes, address: str) -> DecisionsPage:
+    try:
+        return msgspec.json.decode(body, type=DecisionsPage)
+    except msgspec.DecodeError as error:
+        detail = f"{address} is not the metrics address of a gateway or ledger node"
+        raise StileloomError(ErrorKind.BAD_REQUEST, detail) from error
+
+
 def _not_found(request_id: str, page: DecisionsPage) -> str:
     reach = ""
     if page.oldest_age_s is not None:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -35,6 +35,7 @@
 REWARDS = "tests/test_rewards.py"
 LEDGER = "tests/test_ledger.py"
 QUARANTINE = "tests/test_quarantine.py"
+DECISIONS = "tests/test_decisions.py"
 BOOK = "tests/test_quarantine_book.py"
 CANCELLATION = "tests/test_cancellation.py"
 ADMISSION = "tests/test_admission.py"
@@ -961,6 +962,30 @@
         "            pass\n",
         LOAD_EXCHANGE,
     ),
+    Mutant(
+        "a decision record holds the credentials of its request",
+        "decision records hold no key, header or body",
+        "stileloom/proxy/front.py",
+        "decision.tenant = context.caller.tenant",
+        "decision.tenant = context.request.headers.get('Authorization', '')",
+        "tests/test_explain_request.py",
+    ),
+    Mutant(
+        "decision records are limited by number alone",
+        "decision records have bounded memory",
+        "stileloom/decisions/log.py",
+        " or self.held_bytes > self._max_bytes:",
+        ":",
+        DECISIONS,
+    ),
+    Mutant(
+        "a decision record describes the last attempt",
+        "a decision record describes the attempt that answered",
+        "stileloom/decisions/lookup.py",
+        "self._selections.get(self.answered_by, self._last)",
+        "self._last",
+        DECISIONS,
+    ),
 ]
 
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -25,7 +25,7 @@
 from stileloom.errors import ErrorKind, StileloomError, problem_document
 from stileloom.jobs.job_admission import ResourceLimits
 from stileloom.jobs.messages import JobRefused, SubmitJobCall
-from stileloom.load import LoadEstimate
+from stileloom.load import LoadEstimate, LoadReading, LoadView
 from stileloom.logging import configure_logs
 from tests.runner_fixture import MODEL, SERVICE, RunnerFixture, submission
 
@@ -215,15 +215,28 @@
         for number in range(count):
             log.record(records[number % 100])
         kept_s = time.process_time() - started_at
+        view = LoadView()
+        samplers = [entry(f"i-{number:010x}") for number in range(28)]
+        for sampler in samplers:
+            view.record(sampler, LoadReading(5, 0, 6, 2.5), 1.0, 1.0)
         started_at = time.process_time()
         for number in range(count):
-            log.record(lookup_record(number))
+            # A new time for each lookup, so that the view computes its medians again.
+            now = 1.0 + number * 1e-5
+            decision = LookupDecision("survey-team", "charts", 3)
+            drawn = samplers[number % 14 : number % 14 + 2]
+            decision.record_selection(
+                now, [candidate_load(sampler, view.estimate(sampler, now)) for sampler in drawn]
+            )
+            decision.answered_by = drawn[0].sampler_id
+            log.record(decision.answered(f"{number:016x}", now, now, 200))
         all_s = time.process_time() - started_at
         started_at = time.process_time()
         log.page(f"{count - 1:016x}", 0.0)
         page_s = time.process_time() - started_at
         print(
-            f"\nkeeping a record: {kept_s / count * 1e6:.1f} us; with collecting two candidates: "
+            f"\nkeeping a record: {kept_s / count * 1e6:.1f} us; "
+            f"with collecting two candidates of 28 samplers: "
             f"{all_s / count * 1e6:.1f} us; a page of one request: {page_s * 1e3:.2f} ms"
         )
         self.assertEqual(KEPT_RECORDS, len(log))
--- a/tests/test_explain_request.py
+++ b/tests/test_explain_request.py
@@ -112,6 +112,11 @@
             self.assertEqual(3, code)
             self.assertIn("no decision about unknown among the 4 kept", errors)
 
+            ready = cluster.gateways[0]._settings.ready
+            code, _, errors = await explain(ready, "no")
+            self.assertEqual(2, code)
+            self.assertIn("not the metrics address", errors)
+
         with_cluster(scenario)
 
     def test_streams_are_recorded(self) -> None:
