--- a/stileloom/cli/explain_request.py
+++ b/stileloom/cli/explain_request.py
@@ -34,7 +34,7 @@
 ) -> None:
     """Shows the decisions about a request that a gateway or the ledger's leader has kept.
 
-    Example: stileloom explain-request 10.0.0.7:7600 9c41d07be2a35f68
+    Example: stileloom explain-request 10.0.0.7:9100 9c41d07be2a35f68
     """
     with exit_on_error():
         path = f"/decisions?{urlencode({'request': request_id})}"
