--- a/stileloom/jobs/planning_pass.py
+++ b/stileloom/jobs/planning_pass.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 
 from stileloom.jobs.open_items import OpenItem
@@ -27,6 +28,10 @@
         has_free_slot: Callable[[TrackedSampler], bool],
     ) -> None:
         """`accepts` ignores what starts change; `has_room` checks only that."""
+        self.usable_by_waiting: set[str] | None = None
+        """Samplers on which a waiting item could start; None until it is asked for."""
+        self.open_by_job: Counter[str] | None = None
+        """Number of items without a result, by job; None until it is asked for."""
         self._samplers_of = samplers_of
         self._accepts = accepts
         self._has_room = has_room
--- a/tests/test_explain_request.py
+++ b/tests/test_explain_request.py
@@ -79,8 +79,13 @@
             own = {"authorization": bearer(KEY)}
             for name in ("chart-1", "chart-2"):
                 cluster.samplers[name].load = "3,1,4,180"
-            for request_id in ("first", "second", "third [1]"):
-                await cluster.call("POST", "/charts/7", b"x", request_id=request_id, **own)
+            charts = [cluster.samplers[name] for name in ("chart-1", "chart-2")]
+            earlier = 0
+            while not all(sampler.runs for sampler in charts):
+                # Until there is a reading of each sampler, whichever the next lookup gets.
+                await cluster.call("POST", "/charts/7", b"x", request_id=f"r{earlier}", **own)
+                earlier += 1
+            await cluster.call("POST", "/charts/7", b"x", request_id="third [1]", **own)
             for name in ("chart-1", "chart-2"):
                 cluster.samplers[name].faults.refuse = True
             refused = await cluster.call("POST", "/charts/7", b"x", request_id="no", **own)
@@ -110,7 +115,7 @@
 
             code, _, errors = await explain(address, "unknown")
             self.assertEqual(3, code)
-            self.assertIn("no decision about unknown among the 4 kept", errors)
+            self.assertIn(f"no decision about unknown among the {earlier + 2} kept", errors)
 
             ready = cluster.gateways[0]._settings.ready
             code, _, errors = await explain(ready, "no")
