Decision records: the two candidates that were drawn

Cause: placement draws two samplers for an attempt; the record had the figures of the selected one only. Change: the record takes both from the attempt's plan with their expected times. Without a load view in use it has the selected sampler with the estimate of the view, as before.

--- a/stileloom/proxy/forwarder.py
+++ b/stileloom/proxy/forwarder.py
@@ -10,7 +10,6 @@
 from stileloom.api.routes import Route, RouteKind
 from stileloom.api.sampler_directory import SamplerEntry
 from stileloom.clock import steady_time
-from stileloom.decisions import CandidateLoad, candidate_load
 from stileloom.errors import ErrorKind, StileloomError
 from stileloom.events import LogEvent
 from stileloom.http1.pool import ConnectionPool
@@ -18,6 +17,7 @@
 from stileloom.load.recording import record_response_load
 from stileloom.proxy.admission import suspect_refusal, wait_or_refuse
 from stileloom.proxy.attempt_plan import AttemptPlan
+from stileloom.proxy.decisions import attempt_candidates
 from stileloom.proxy.exchange import Attempt, AttemptOutcome, run_exchange
 from stileloom.proxy.lookup import Lookup, LookupResponse
 from stileloom.proxy.sampler_access import SamplerAccess
@@ -147,15 +147,13 @@
         if tracked is None:
             return False
         plan.record_start(tracked.entry.sampler_id, now)
-        lookup.decision.record_selection(now, [self._candidate(tracked.entry, now)])
+        candidates = attempt_candidates(plan, tracked.entry, self.load, now)
+        lookup.decision.record_selection(now, candidates)
         attempts.add(
             asyncio.get_running_loop().create_task(self._run_attempt(lookup, plan, tracked))
         )
         return True
 
-    def _candidate(self, entry: SamplerEntry, now: float) -> CandidateLoad:
-        return candidate_load(entry, self.load.estimate(entry, now))
-
     async def _wait_for_sampler(self, lookup: Lookup, plan: AttemptPlan) -> StileloomError | None:
         """Waits until samplers may be tried again, or returns the error to refuse with."""
         listed = len(self._samplers.of_service(plan.service))
--- a/stileloom/proxy/stream_relay.py
+++ b/stileloom/proxy/stream_relay.py
@@ -17,7 +17,6 @@
 from stileloom.api.routes import Route
 from stileloom.api.sampler_directory import SamplerEntry
 from stileloom.clock import steady_time
-from stileloom.decisions import candidate_load
 from stileloom.errors import ErrorKind, StileloomError
 from stileloom.events import LogEvent
 from stileloom.http1.connection import ExchangeEnd
@@ -28,6 +27,7 @@
 from stileloom.load.recording import record_response_load
 from stileloom.proxy.admission import suspect_refusal, wait_or_refuse
 from stileloom.proxy.attempt_plan import AttemptPlan
+from stileloom.proxy.decisions import attempt_candidates
 from stileloom.proxy.lookup import Lookup, LookupResponse
 from stileloom.proxy.sampler_access import SamplerAccess
 from stileloom.proxy.sampler_choice import SamplerChoice
@@ -142,8 +142,8 @@
                     return last_run.response
                 raise refusal
             started_at = steady_time()
-            estimate = self._load.estimate(tracked.entry, started_at)
-            lookup.decision.record_selection(started_at, [candidate_load(tracked.entry, estimate)])
+            candidates = attempt_candidates(plan, tracked.entry, self._load, started_at)
+            lookup.decision.record_selection(started_at, candidates)
             last_run = await self._run(lookup, plan, tracked, stream, route.resumable)
             if last_run.end is _RunEnd.BROKEN:
                 await permit.on_attempt_failed(tracked.entry, started_at)
--- a/tests/test_explain_request.py
+++ b/tests/test_explain_request.py
@@ -98,7 +98,10 @@
             self.assertEqual(
                 ("survey", 5, "charts"), (record.tenant, record.priority, record.service)
             )
-            self.assertEqual(record.sampler, record.candidates[0].sampler)
+            drawn = [candidate.sampler for candidate in record.candidates]
+            self.assertEqual(record.sampler, drawn[0])
+            self.assertEqual({"chart-1", "chart-2"}, set(drawn))
+            self.assertIsNotNone(record.candidates[0].expected_percent)
             self.assertEqual(100, record.candidates[0].occupancy_percent)
             self.assertEqual(180, record.candidates[0].slowness_percent)
             self.assertIsNotNone(record.candidates[0].age_ms)
