Decision records of items: the interval by which the sampler was rated

Cause: where speeds are in use the leader rates samplers by the median over seconds, while the record had the moving average, which did not decide.

--- a/stileloom/jobs/decisions.py
+++ b/stileloom/jobs/decisions.py
@@ -5,15 +5,17 @@
 from stileloom.api.jobs import JobSubmission
 from stileloom.decisions import DecisionKind, DecisionRecord
 from stileloom.jobs.job_admission import JobRefusal
-from stileloom.jobs.open_items import PlannedRun, SamplerStats
+from stileloom.jobs.open_items import PlannedRun
+from stileloom.jobs.scheduler import ItemScheduler
 
 
-def item_started(start: PlannedRun, stats: SamplerStats, now: float) -> DecisionRecord:
-    """The record of an item whose run is about to start; `stats` are those of its sampler.
+def item_started(start: PlannedRun, scheduler: ItemScheduler, now: float) -> DecisionRecord:
+    """The record of an item whose run is about to start, with the figures of its sampler.
 
     The wait is that of the first run: later ones continue the item.
     """
-    item = start.item
+    item, sampler_id = start.item, start.sampler_id
+    interval_s = scheduler.event_interval_s(sampler_id, item.service, now)
     return DecisionRecord(
         kind=DecisionKind.ITEM_STARTED,
         request=item.key[1],
@@ -21,9 +23,9 @@
         tenant=item.tenant,
         service=item.service,
         wait_ms=None if item.has_run else round((now - item.adopted_at) * 1000),
-        sampler=start.sampler_id,
-        event_interval_ms=round(stats.interval_s * 1000),
-        running_there=stats.running,
+        sampler=sampler_id,
+        event_interval_ms=round(interval_s * 1000),
+        running_there=scheduler.stats(sampler_id).running,
         after_events=len(item.partial.parts),
         at=now,
     )
--- a/stileloom/jobs/item_runs.py
+++ b/stileloom/jobs/item_runs.py
@@ -243,8 +243,7 @@
     def _record_decisions(self, starts: list[PlannedRun]) -> None:
         now = steady_time()
         for start in starts:
-            stats = self._scheduler.stats(start.sampler_id)
-            self._decisions.record(item_started(start, stats, now))
+            self._decisions.record(item_started(start, self._scheduler, now))
 
     def _log_started_runs(self, starts: list[PlannedRun]) -> None:
         """Logs one line per job and sampler, because a step may start dozens of runs."""
--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -211,6 +211,10 @@
     def _is_rated_by_speed(self, service: str, now: float) -> bool:
         return self._load_view is not None and self._load_view.is_in_use(service, now)
 
+    def event_interval_s(self, sampler_id: str, service: str, now: float) -> float:
+        """The time between events by which a sampler of the service is rated now."""
+        return self._interval_s(sampler_id, self._is_rated_by_speed(service, now))
+
     def _interval_s(self, sampler_id: str, by_speed: bool) -> float:
         if by_speed:
             return self._speed(sampler_id).interval_s()
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -25,8 +25,10 @@
 from stileloom.errors import ErrorKind, StileloomError, problem_document
 from stileloom.jobs.job_admission import ResourceLimits
 from stileloom.jobs.messages import JobRefused, SubmitJobCall
+from stileloom.jobs.scheduler import ItemScheduler
 from stileloom.load import LoadEstimate, LoadReading, LoadView
 from stileloom.logging import configure_logs
+from stileloom.proxy.sampler_table import SamplerTable
 from tests.runner_fixture import MODEL, SERVICE, RunnerFixture, submission
 
 KEPT_RECORDS = 2000
@@ -173,6 +175,19 @@
             self.assertEqual((45, 2), (record.event_interval_ms, record.running_there))
             self.assertIsNotNone(record.wait_ms)
 
+    def test_the_interval_is_the_one_by_which_the_sampler_was_rated(self) -> None:
+        """The moving average follows noise, and is not what decides where speeds are in use."""
+        view = LoadView()
+        sampler = SamplerEntry("s", SERVICE, ("127.0.0.1", 1), "a", 4, False, {MODEL: 1})
+        scheduler = ItemScheduler(SamplerTable(), load_view=view)
+        scheduler.stats("s").interval_s = 0.06
+        self.assertEqual(0.06, scheduler.event_interval_s("s", SERVICE, 1.0))
+        view.record(sampler, LoadReading(1, 0, 4, 2.5), 1.0, 1.0)
+        self.assertEqual(0.06, scheduler.event_interval_s("s", SERVICE, 1.0))
+        scheduler.stats("s").interval_s = 0.2
+        self.assertEqual(0.06, scheduler.event_interval_s("s", SERVICE, 1.0))
+        self.assertEqual(0.2, scheduler.event_interval_s("s", "other", 1.0))
+
     def test_a_refused_job_has_its_reason_and_retry_after(self) -> None:
         async def scenario() -> None:
             fixture = RunnerFixture()
