--- a/stileloom/daemon/gateway.py
+++ b/stileloom/daemon/gateway.py
@@ -114,7 +114,7 @@
             self._count_run,
             self._load,
         )
-        self._forwarder = Forwarder(access, switches.hedging)
+        self._forwarder = Forwarder(access, switches.hedging, self._uses_admission_queue)
         self._load_receiver = ReadingReceiver(self._load, self.directory.samplers.entry_of)
         self._load_exchange = LoadExchange(
             self._load, self._load_receiver, self.directory.samplers.entries_of_service
@@ -238,6 +238,10 @@
         if self._usage_meter is not None:
             self._usage_meter.count(tenant, began_at)
 
+    def _uses_admission_queue(self, service: str, now: float) -> bool:
+        has_tenants = self.directory.routes.keys is not None
+        return has_tenants or self._load.is_in_use(service, now)
+
     def _has_open_work(self) -> bool:
         return self.front.open_requests > 0 or self._job_calls.pending_ends > 0
 
