--- a/stileloom/decisions/lookup.py
+++ b/stileloom/decisions/lookup.py
@@ -33,7 +33,7 @@
     share: float | None = None
     """Number of the tenant's lookups in progress."""
     queue_position: int | None = None
-    """Number of lookups ahead of it when it began to wait."""
+    """Number of lookups ahead of it when it came to the admission queue."""
     attempts: int = 0
     answered_by: str = ""
     """The sampler whose response goes to the caller, once it is complete."""
@@ -41,6 +41,15 @@
     """Latest selection of each sampler, in the order of their first selection."""
     _last: _Selection | None = None
 
+    def record_admission(self, share: float, queue_position: int) -> None:
+        """Records the tenant's share and the lookups ahead when the lookup first came to a queue.
+
+        Later waits of a lookup that found all samplers full are left out.
+        """
+        if self.queue_position is None:
+            self.share = share
+            self.queue_position = queue_position
+
     def record_selection(self, now: float, candidates: list[CandidateLoad]) -> None:
         """Records that the first of the candidates was selected for an attempt."""
         sampler = candidates[0].sampler
--- a/stileloom/decisions/records.py
+++ b/stileloom/decisions/records.py
@@ -57,7 +57,7 @@
     share: float | None = None
     """Dominant share of the tenant; for lookups the number of its lookups in progress."""
     queue_position: int | None = None
-    """Number of requests ahead of it when it began to wait."""
+    """Number of requests ahead of it when it came to a queue."""
     wait_ms: int | None = None
     """Time until the sampler was selected or the request was refused."""
     sampler: str = ""
--- a/stileloom/proxy/admission_queue.py
+++ b/stileloom/proxy/admission_queue.py
@@ -132,6 +132,10 @@
         """Returns the number of waiting lookups."""
         return len(self._waiting)
 
+    def in_progress(self, tenant: str) -> int:
+        """Number of the tenant's lookups that were let through and have not ended."""
+        return self._in_progress_of[tenant]
+
     # Decisions.
 
     def offer(self, waiting: WaitingLookup, now: float) -> Admission:
--- a/stileloom/proxy/admission_waiters.py
+++ b/stileloom/proxy/admission_waiters.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from stileloom.clock import steady_time
+from stileloom.decisions import LookupDecision
 from stileloom.errors import ErrorKind, StileloomError
 from stileloom.events import LogEvent
 from stileloom.logging import EventLog
@@ -93,7 +94,7 @@
         # Left unset while it waits: a lookup that is cancelled then has no turn to pass on.
         self._sends_at_turn = None
         try:
-            decision = await self._service.wait(waiting)
+            decision = await self._service.wait(waiting, self._lookup.decision)
         except asyncio.CancelledError:
             if self._service.was_handed_out(waiting.request_id):
                 self._sends_at_turn = self._plan.sends
@@ -187,9 +188,14 @@
         self._ids.add(unused)
         return unused
 
-    async def wait(self, waiting: WaitingLookup) -> Admitted | Refused | None:
+    async def wait(
+        self, waiting: WaitingLookup, record: LookupDecision
+    ) -> Admitted | Refused | None:
         """Returns how the wait ended; None if the lookup was handed out to try the samplers."""
+        share = float(self._queue.in_progress(waiting.tenant))
         decision = self._queue.offer(waiting, steady_time())
+        position = 0 if isinstance(decision, Admitted) else decision.position
+        record.record_admission(share, position)
         if isinstance(decision, Admitted | Refused):
             return decision
         future: asyncio.Future[Refused | None] = asyncio.get_running_loop().create_future()
--- a/stileloom/proxy/caller_messages.py
+++ b/stileloom/proxy/caller_messages.py
@@ -59,12 +59,6 @@
     decision: LookupDecision = msgspec.field(default_factory=LookupDecision)
     """What is decided about a lookup; not used for jobs."""
 
-    @property
-    def priority(self) -> int:
-        """The tenant's priority, or that of the route if the tenant has none."""
-        own = self.caller.priority
-        return own if own is not None else self.route.priority
-
 
 class CallerResponse(msgspec.Struct, frozen=True):
     """A response to the caller."""
--- a/stileloom/proxy/front.py
+++ b/stileloom/proxy/front.py
@@ -199,7 +199,7 @@
         decision = context.decision
         decision.service = service
         decision.tenant = context.caller.tenant
-        decision.priority = context.priority
+        decision.priority = context.caller.priority_on(context.route)
 
     def _record_answer(self, context: RequestContext, status: int | None) -> None:
         """Records an answered lookup; `status` is None for a stream."""
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -130,6 +130,14 @@
         self.assertEqual(("a", 100, 2), (record.sampler, record.wait_ms, record.attempts))
         self.assertEqual(100, record.candidates[0].age_ms)
 
+    def test_the_first_wait_in_the_queue_counts(self) -> None:
+        """A lookup that found all samplers full waits again, then usually at the head."""
+        decision = LookupDecision()
+        decision.record_admission(3.0, 12)
+        decision.record_admission(4.0, 0)
+        record = decision.answered("r", 9.0, 10.0, 200)
+        self.assertEqual((12, 3.0), (record.queue_position, record.share))
+
     def test_a_sampler_without_a_reading_has_no_age(self) -> None:
         unknown = LoadEstimate(0.0, 1.0, math.inf, False)
         self.assertIsNone(candidate_load(entry("a"), unknown).age_ms)
--- a/tests/test_explain_request.py
+++ b/tests/test_explain_request.py
@@ -116,6 +116,8 @@
             self.assertEqual("overloaded", record["reason"])
             self.assertEqual(float(refused.headers["Retry-After"]), record["retry_after_s"])
 
+            self.assertEqual((0, 0.0), (record["queue_position"], record["share"]))
+
             code, _, errors = await explain(address, "unknown")
             self.assertEqual(3, code)
             self.assertIn(f"no decision about unknown among the {earlier + 2} kept", errors)
