Decision records of items: priority and dominant share

Cause: fair shares decide which items start, and the records lacked what they decide by. Change: a start has the priority of its item and, where there are tenants, the dominant share of its tenant.

--- a/stileloom/decisions/records.py
+++ b/stileloom/decisions/records.py
@@ -55,7 +55,8 @@
     service: str = ""
     priority: int | None = None
     share: float | None = None
-    """Dominant share of the tenant; for lookups the number of its lookups in progress."""
+    """For items the dominant share of the tenant, with all runs planned in the same step; for
+    lookups the number of the tenant's lookups in progress."""
     queue_position: int | None = None
     """Number of requests ahead of it when it came to a queue."""
     wait_ms: int | None = None
--- a/stileloom/jobs/decisions.py
+++ b/stileloom/jobs/decisions.py
@@ -22,6 +22,8 @@
         job=item.key[0],
         tenant=item.tenant,
         service=item.service,
+        priority=item.priority,
+        share=scheduler.dominant_share(item),
         wait_ms=None if item.has_run else round((now - item.adopted_at) * 1000),
         sampler=sampler_id,
         event_interval_ms=round(interval_s * 1000),
--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 from collections import Counter
 from collections.abc import Iterator, Mapping
 from collections.abc import Set as AbstractSet
@@ -342,6 +343,14 @@
     def _service_has_free_slot(self, service: str) -> bool:
         return any(self._has_free_slot(sampler) for sampler in self._samplers.of_service(service))
 
+    def dominant_share(self, open_item: OpenItem) -> float | None:
+        """The share of an item's tenant with its runs now; None without tenants or samplers."""
+        if not self.has_tenants:
+            return None
+        self._update_capacity(open_item.service)
+        share = self._shares_of(open_item.service).share(open_item.tenant)
+        return share if math.isfinite(share) else None
+
     def tenant_loads(self) -> list[TenantLoad]:
         """Waiting items and dominant share of each tenant, by service."""
         for service in self._tenant_shares:
--- a/tests/test_explain_request.py
+++ b/tests/test_explain_request.py
@@ -70,6 +70,8 @@
             self.assertEqual(["ok", "no"], [record.request for record in page_of(gateway).records])
             (started,) = page_of(ledger).records
             self.assertEqual(("survey", "i1"), (started.tenant, started.request))
+            # One of the eight slots of both samplers, which is more than its share of the cache.
+            self.assertEqual((5, 0.125), (started.priority, started.share))
 
         with_cluster(scenario)
 
