--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -18,6 +18,7 @@
 from stileloom.api.routes import Route, RouteKind, Service
 from stileloom.background import MAX_TRACEBACK_LENGTH, BackgroundTasks
 from stileloom.clock import steady_time
+from stileloom.decisions import NO_DECISIONS, DecisionRecorder
 from stileloom.events import LogEvent
 from stileloom.fairness.order import MAX_AGING_S
 from stileloom.fairness.priority import priority_of
@@ -84,6 +85,7 @@
     log: EventLog
     metrics: JobMetrics
     switches: Switches
+    decisions: DecisionRecorder = NO_DECISIONS
 
 
 class JobRunner:
@@ -146,6 +148,7 @@
             log,
             metrics,
             dependencies.forwarder.load,
+            dependencies.decisions,
         )
         self._writer = ResultWriter(
             registry, ledger, self.scheduler, self._tasks, log, metrics, self._schedule_step
--- a/stileloom/proxy/forwarder.py
+++ b/stileloom/proxy/forwarder.py
@@ -18,6 +18,7 @@
 from stileloom.proxy.admission import suspect_refusal, wait_or_refuse
 from stileloom.proxy.admission_waiters import AdmissionWaiters, LookupAdmission
 from stileloom.proxy.attempt_plan import AttemptPlan
+from stileloom.proxy.decisions import attempt_candidates
 from stileloom.proxy.exchange import Attempt, AttemptOutcome, run_exchange
 from stileloom.proxy.lookup import Lookup, LookupResponse
 from stileloom.proxy.sampler_access import SamplerAccess
@@ -145,6 +146,7 @@
                 if self._apply_outcome(lookup, plan, attempt) and attempt.head is not None:
                     if attempt.head.status < 500:
                         permit.record_success()
+                        lookup.decision.answered_by = attempt.sampler_id
                         self._log_response(lookup, plan, attempt)
                         return LookupResponse(attempt.head, attempt.body)
                     last_failure = attempt
@@ -176,6 +178,8 @@
         if admission is not None:
             admission.record_start(now)
         plan.record_start(tracked.entry.sampler_id, now)
+        candidates = attempt_candidates(plan, tracked.entry, self.load, now)
+        lookup.decision.record_selection(now, candidates)
         attempts.add(
             asyncio.get_running_loop().create_task(self._run_attempt(lookup, plan, tracked))
         )
--- a/stileloom/proxy/stream_relay.py
+++ b/stileloom/proxy/stream_relay.py
@@ -27,6 +27,7 @@
 from stileloom.load.recording import record_response_load
 from stileloom.proxy.admission import suspect_refusal, wait_or_refuse
 from stileloom.proxy.attempt_plan import AttemptPlan
+from stileloom.proxy.decisions import attempt_candidates
 from stileloom.proxy.lookup import Lookup, LookupResponse
 from stileloom.proxy.sampler_access import SamplerAccess
 from stileloom.proxy.sampler_choice import SamplerChoice
@@ -154,11 +155,14 @@
                     return last_run.response
                 raise refusal
             started_at = steady_time()
+            candidates = attempt_candidates(plan, tracked.entry, self._load, started_at)
+            lookup.decision.record_selection(started_at, candidates)
             last_run = await self._run(lookup, plan, tracked, stream, route.resumable)
             if last_run.end is _RunEnd.BROKEN:
                 await permit.on_attempt_failed(tracked.entry, started_at)
             if last_run.end is _RunEnd.COMPLETE:
                 permit.record_success()
+                lookup.decision.answered_by = tracked.entry.sampler_id
                 writer.end_stream()
                 return None
             if last_run.end is _RunEnd.UNREAD:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -36,6 +36,7 @@
 LEDGER = "tests/test_ledger.py"
 CALLER_LIMITS = "tests/test_caller_limits.py"
 QUARANTINE = "tests/test_quarantine.py"
+DECISIONS = "tests/test_decisions.py"
 BOOK = "tests/test_quarantine_book.py"
 CANCELLATION = "tests/test_cancellation.py"
 ADMISSION = "tests/test_admission.py"
@@ -1176,6 +1177,30 @@
         "            pass\n",
         LOAD_EXCHANGE,
     ),
+    Mutant(
+        "a decision record holds the credentials of its request",
+        "decision records hold no key, header or body",
+        "stileloom/proxy/front.py",
+        "decision.tenant = context.caller.tenant",
+        "decision.tenant = context.request.headers.get('Authorization', '')",
+        "tests/test_explain_request.py",
+    ),
+    Mutant(
+        "decision records are limited by number alone",
+        "decision records have bounded memory",
+        "stileloom/decisions/log.py",
+        " or self.held_bytes > self._max_bytes:",
+        ":",
+        DECISIONS,
+    ),
+    Mutant(
+        "a decision record describes the last attempt",
+        "a decision record describes the attempt that answered",
+        "stileloom/decisions/lookup.py",
+        "self._selections.get(self.answered_by, self._last)",
+        "self._last",
+        DECISIONS,
+    ),
     Mutant(
         "every gateway selects the sampler that looks best",
         "gateways do not all send to the one sampler that appears free",
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -30,7 +30,6 @@
 from stileloom.http.native_dialect import NativeDialect
 from stileloom.jobs.job_admission import ResourceLimits
 from stileloom.service_settings import CallerSettings
-from tests.ports import free_port
 from tests.service_cluster import HOST, HOSTNAME, ServiceCluster, configuration, with_cluster
 
 LIMITED = CallerSettings(limited=True)
@@ -53,7 +52,6 @@
         "gateway-limited",
         callers=CallerSettings(limited=limited),
         limits=limits,
-        metrics_port=free_port(),
     )
     await cluster.wait_until(lambda: gateway.directory.is_initialized)
     await cluster.wait_until(lambda: len(gateway.directory.samplers.of_service("charts")) == 2)
