Admission queue: the time of a caller counts from its first request

Cause: callers that returned went first although their own targets had passed, and Retry-After could exceed the target.

Change: the first arrival is kept with the refused identity. Within a priority and a tenant's share, lookups that can still meet their target go before those that cannot, then callers that returned, then the latest start time from the first request. Retry-After lets the caller meet its target if a slot is expected early enough, and is the drain time otherwise.

--- a/stileloom/proxy/admission_queue.py
+++ b/stileloom/proxy/admission_queue.py
@@ -27,6 +27,14 @@
 RATE_WINDOW_S = 2.0
 RETRY_AFTER_MIN_FRACTION = 0.25
 """Lower bound of Retry-After as a share of the target latency."""
+LATEST_RETURN_FRACTION = 0.625
+"""Share of the target latency, from the first request, up to which a return can meet the target: a
+wait of an eighth, then half of the target. The rest is for another wait and the work, 0.19 of the
+target. With 0.5, at 1.5 times the capacity and 15 gateways, 0.662 instead of 0.676 of the callers
+were answered in time."""
+LATEST_START_FRACTION = LATEST_RETURN_FRACTION + MAX_WAIT_FRACTION
+"""Share of the target latency, from the first request, after which a lookup that starts counts as
+unable to meet its target."""
 RETRY_AFTER_MAX_S = 2.0
 RETRY_AFTER_JITTER = 0.5
 """Callers that are refused together must not return together."""
@@ -100,9 +108,23 @@
 
     lookup: WaitingLookup
     identity: str
+    first_arrived_at: float
+    """Arrival of the caller's first request, which is earlier if the caller returned."""
     returned: bool
     sequence: int
 
+    def can_meet_target(self, now: float) -> bool:
+        """Whether it ends in time if it starts now, counted from the caller's first request."""
+        target_s = self.lookup.target_latency_s
+        return now - self.first_arrived_at <= target_s * LATEST_START_FRACTION
+
+
+class _Refusal(msgspec.Struct, frozen=True):
+    """What is kept of a refused request."""
+
+    first_arrived_at: float
+    refused_at: float
+
 
 class AdmissionQueue:
     """Lookups of one service at one process that wait for a slot."""
@@ -123,10 +145,12 @@
         self._waits_end_at = float("-inf")
         """Latest end of a wait since the queue was empty. A process that was suspended has not had
         lookups waiting for longer than that."""
-        self._refused_at: OrderedDict[str, float] = OrderedDict()
-        """Time of the last refusal by identity, oldest first."""
+        self._refused: OrderedDict[str, _Refusal] = OrderedDict()
+        """The last refusal by identity, oldest first."""
         self._returns_at: list[float] = []
         """Heap of the moments at which callers that were refused may return."""
+        self._returns_in_time_at: list[float] = []
+        """Heap of those moments of `_returns_at` at which the target can still be met."""
 
     def __len__(self) -> int:
         """Returns the number of waiting lookups."""
@@ -144,7 +168,7 @@
             self._add_to_progress(waiting)
             return Admitted()
         entry = self._entry(waiting, now)
-        position = self._position(entry)
+        position = self._position(entry, now)
         expected_wait_s = self._expected_wait_s(position, now)
         if now >= waiting.wait_until:
             return self._refuse(entry, position, expected_wait_s, self._end_reason(waiting), now)
@@ -176,7 +200,7 @@
         in_time = [entry for entry in self._waiting.values() if now < entry.lookup.wait_until]
         if not in_time:
             return None
-        lookup = min(in_time, key=self._order).lookup
+        lookup = min(in_time, key=lambda entry: self._order(entry, now)).lookup
         del self._waiting[lookup.request_id]
         self._turns = min(max(0, self._turns - 1), len(self._waiting))
         self._last_try_at = now
@@ -196,7 +220,7 @@
         """Removes and refuses the lookups that have waited as long as they may."""
         self._update_backlog(now)
         ended = [entry for entry in self._waiting.values() if now >= entry.lookup.wait_until]
-        positions = {entry.sequence: self._position(entry) for entry in ended}
+        positions = {entry.sequence: self._position(entry, now) for entry in ended}
         for entry in ended:
             del self._waiting[entry.lookup.request_id]
         self._turns = min(self._turns, len(self._waiting))
@@ -224,25 +248,40 @@
     def _entry(self, waiting: WaitingLookup, now: float) -> _Entry:
         self._sequence += 1
         identity = waiting.identity()
-        refused_at = self._refused_at.get(identity)
-        returned = refused_at is not None and now - refused_at <= RETURN_WINDOW_S
-        return _Entry(waiting, identity, returned, self._sequence)
-
-    def _order(self, entry: _Entry) -> tuple[int, float, bool, float, int]:
+        refusal = self._refused.get(identity)
+        returned = refusal is not None and now - refusal.refused_at <= RETURN_WINDOW_S
+        first_arrived_at = waiting.arrived_at
+        if returned and refusal is not None:
+            first_arrived_at = min(first_arrived_at, refusal.first_arrived_at)
+        return _Entry(waiting, identity, first_arrived_at, returned, self._sequence)
+
+    def _order(self, entry: _Entry, now: float) -> tuple[int, float, bool, bool, float, int]:
         """The sort key; the smallest goes first.
 
         The share of the tenant precedes the return after a refusal. A tenant that floods returns as
         often as it is refused: the other way round, at one gateway and one tenant at 50 times its
         rate, 59 % of the others' lookups were answered in time instead of all.
+
+        Callers that can no longer meet their target, counted from their first request, would take
+        slots from those that can: at 1.5 times the capacity and one gateway, 23 % of the callers
+        were answered in time when all that returned went first, and 69 % by the earlier design.
         """
         lookup = entry.lookup
         load = self._in_progress_of[lookup.tenant] / self._weights.get(lookup.tenant, 1.0)
-        latest_start_at = lookup.arrived_at + lookup.target_latency_s
-        return (lookup.priority, load, not entry.returned, latest_start_at, entry.sequence)
-
-    def _position(self, entry: _Entry) -> int:
-        order = self._order(entry)
-        return sum(self._order(other) < order for other in self._waiting.values())
+        too_late = not entry.can_meet_target(now)
+        latest_start_at = entry.first_arrived_at + lookup.target_latency_s
+        return (
+            lookup.priority,
+            load,
+            too_late,
+            not entry.returned,
+            latest_start_at,
+            entry.sequence,
+        )
+
+    def _position(self, entry: _Entry, now: float) -> int:
+        order = self._order(entry, now)
+        return sum(self._order(other, now) < order for other in self._waiting.values())
 
     def _add_to_progress(self, lookup: WaitingLookup) -> None:
         self._in_progress[lookup.request_id] = lookup.tenant
@@ -303,16 +342,38 @@
         now: float,
     ) -> Refused:
         lookup = entry.lookup
-        while self._returns_at and self._returns_at[0] <= now:
-            heapq.heappop(self._returns_at)
-        drain_s = (len(self._waiting) + len(self._returns_at) + 1) / self._drain_rate(now)
-        shortest_s = lookup.target_latency_s * RETRY_AFTER_MIN_FRACTION
-        bounded_s = min(max(drain_s, shortest_s), RETRY_AFTER_MAX_S)
-        retry_after_s = with_jitter(bounded_s, lookup.request_id)
+        retry_after_s = self._return_in_time_s(entry, now)
+        if retry_after_s is None:
+            drain_s = self._drain_s(len(self._waiting), self._returns_at, now)
+            shortest_s = lookup.target_latency_s * RETRY_AFTER_MIN_FRACTION
+            bounded_s = min(max(drain_s, shortest_s), RETRY_AFTER_MAX_S)
+            retry_after_s = with_jitter(bounded_s, lookup.request_id)
+        else:
+            heapq.heappush(self._returns_in_time_at, now + retry_after_s)
         heapq.heappush(self._returns_at, now + retry_after_s)
-        self._remember(entry.identity, now)
+        self._remember(entry, now)
         return Refused(retry_after_s, reason, position, expected_wait_s)
 
+    def _return_in_time_s(self, entry: _Entry, now: float) -> float | None:
+        """Retry-After that lets the caller meet its target, if a slot is expected early enough.
+
+        Only lookups that can meet their target as well are ahead of one that returns in time.
+        """
+        target_s = entry.lookup.target_latency_s
+        latest_s = entry.first_arrived_at + target_s * LATEST_RETURN_FRACTION - now
+        ahead = sum(other.can_meet_target(now) for other in self._waiting.values())
+        drain_s = self._drain_s(ahead, self._returns_in_time_at, now)
+        earliest_s = max(drain_s, target_s * RETRY_AFTER_MIN_FRACTION)
+        if earliest_s > latest_s:
+            return None
+        return with_jitter(earliest_s, entry.lookup.request_id, latest_s)
+
+    def _drain_s(self, waiting: int, returns_at: list[float], now: float) -> float:
+        """The time in which waiting lookups, refused ones and one more get slots."""
+        while returns_at and returns_at[0] <= now:
+            heapq.heappop(returns_at)
+        return (waiting + len(returns_at) + 1) / self._drain_rate(now)
+
     def _drain_rate(self, now: float) -> float:
         """The rate; without a freed slot, the highest rate that the wait so far allows."""
         rate = self._rate(now)
@@ -321,11 +382,11 @@
         backlog_s = self._backlog.duration_s(now - RATE_WINDOW_S)
         return 1.0 / backlog_s if backlog_s > 0.0 else float("inf")
 
-    def _remember(self, identity: str, now: float) -> None:
-        self._refused_at[identity] = now
-        self._refused_at.move_to_end(identity)
-        while len(self._refused_at) > MAX_REFUSED_IDENTITIES:
-            self._refused_at.popitem(last=False)
+    def _remember(self, entry: _Entry, now: float) -> None:
+        self._refused[entry.identity] = _Refusal(entry.first_arrived_at, now)
+        self._refused.move_to_end(entry.identity)
+        while len(self._refused) > MAX_REFUSED_IDENTITIES:
+            self._refused.popitem(last=False)
 
 
 class _BacklogTime:
@@ -363,7 +424,8 @@
         return max(0.0, total_s)
 
 
-def with_jitter(retry_after_s: float, request_id: str) -> float:
-    """Multiplies a Retry-After by 1 to 1.5, by a hash of the request id."""
+def with_jitter(retry_after_s: float, request_id: str, most_s: float = float("inf")) -> float:
+    """Multiplies a Retry-After by 1 to 1.5 but not beyond `most_s`, by a hash of the request id."""
     share = xxhash.xxh3_64_intdigest(request_id.encode()) / 2**64
-    return round(retry_after_s * (1.0 + RETRY_AFTER_JITTER * share), 3)
+    longest_s = min(retry_after_s * (1.0 + RETRY_AFTER_JITTER), most_s)
+    return round(retry_after_s + (longest_s - retry_after_s) * share, 3)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -306,10 +306,19 @@
         "a returned caller goes before tenants with fewer lookups in progress",
         "in a surge slots are used in order",
         "stileloom/proxy/admission_queue.py",
-        "return (lookup.priority, load, not entry.returned,",
-        "return (lookup.priority, not entry.returned, load,",
+        "            load,\n            too_late,\n            not entry.returned,\n",
+        "            too_late,\n            not entry.returned,\n            load,\n",
         f"{ADMISSION}::TenantTest::test_a_flood_at_one_gateway_beyond_the_capacity",
     ),
+    Mutant(
+        "a caller that can no longer meet its target goes before new lookups",
+        "in a surge slots are used in order",
+        "stileloom/proxy/admission_queue.py",
+        "            too_late,\n",
+        "            False,\n",
+        "tests/test_admission_queue.py::OrderTest"
+        "::test_who_can_no_longer_meet_the_target_goes_last",
+    ),
     Mutant(
         "a lookup waits although its turn can not come in time",
         "in a surge the rest is refused in time",
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -372,23 +372,22 @@
         self.assertLessEqual(longest_refusal_s(now), target_s / 8)
         self.assertLess(now.total("refused"), before.total("refused"))
 
-    def test_one_gateway_runs_as_much_as_the_samplers_can(self) -> None:
-        """Guards against slots that stay free while lookups wait for their turns.
+    def test_callers_are_answered_in_time_from_their_first_request(self) -> None:
+        """Guards against slots for callers that returned too late for their targets.
 
-        In time is counted from the request that was answered: the queue's Retry-After under a
-        sustained overload exceeds the target latency.
+        Also guards against slots that stay free while lookups wait for their turns.
         """
         seconds = 2.0
-        before, now = run_both([Load(1.5 * CAPACITY, 0.0, seconds)], gateways=1)
-        answered = [call for call in now.calls if call.status == 200]
-        latencies = [
-            call.took_s - (call.returned_at - call.arrived_at if call.returned_at else 0.0)
-            for call in answered
-        ]
-        in_time = sum(latency <= TARGET_LATENCY_S for latency in latencies)
-        self.assertGreaterEqual(in_time, 0.95 * CAPACITY * seconds)
-        self.assertLessEqual(longest_refusal_s(now), REFUSED_WITHIN_S)
-        self.assertLess(now.total("refused"), before.total("refused") / 4)
+        for gateways in (1, 15, GATEWAYS):
+            load = Load(1.5 * CAPACITY, 0.0, seconds, gateways=range(gateways))
+            before, now = run_both([load], gateways)
+            answered = now.in_time(now.calls) * len(now.calls)
+            self.assertGreaterEqual(answered, 0.95 * CAPACITY * seconds)
+            self.assertGreaterEqual(answered, 0.95 * before.in_time(before.calls) * len(now.calls))
+            self.assertLessEqual(longest_refusal_s(now), REFUSED_WITHIN_S)
+            self.assertLess(now.total("refused"), before.total("refused"))
+            if gateways == 1:
+                self.assertLess(now.total("refused"), before.total("refused") / 4)
 
 
 class TenantTest(testtools.TestCase):
--- a/tests/test_admission_queue.py
+++ b/tests/test_admission_queue.py
@@ -144,7 +144,7 @@
 
     def test_among_equals_who_returned_goes_first_then_the_latest_start(self) -> None:
         queue = AdmissionQueue()
-        refused = queue.offer(lookup("first", -1.0, identity="x"), -0.5)
+        refused = queue.offer(lookup("first", -0.1, identity="x"), -0.05)
         self.assertIsInstance(refused, Refused)
         queue.offer(lookup("later", 0.002), 0.002)
         queue.offer(lookup("earlier", 0.001), 0.002)
@@ -154,17 +154,47 @@
     def test_a_return_counts_for_five_seconds(self) -> None:
         for elapsed_s, expected in ((RETURN_WINDOW_S, "x"), (RETURN_WINDOW_S + 0.01, "y")):
             queue = AdmissionQueue()
-            queue.offer(lookup("x", -elapsed_s - 1.0), -elapsed_s)
-            queue.offer(lookup("y", -0.001), 0.0)
-            queue.offer(lookup("x"), 0.0)
+            first = lookup("x", -elapsed_s - 1.0, deadline_s=0.5, target_s=20.0)
+            self.assertIsInstance(queue.offer(first, -elapsed_s), Refused)
+            queue.offer(lookup("y", -0.001, target_s=20.0), 0.0)
+            queue.offer(lookup("x", target_s=20.0), 0.0)
             self.assertEqual(expected, self.order(queue)[0])
 
+    def test_who_can_no_longer_meet_the_target_goes_last(self) -> None:
+        """Guards against slots for callers that are late already while others become late."""
+        queue = AdmissionQueue()
+        for name, arrived_at in (("late", -TARGET_S), ("in time", -TARGET_S / 2)):
+            refused = queue.offer(lookup(name, arrived_at), arrived_at + WAIT_S)
+            self.assertIsInstance(refused, Refused)
+        for name in ("late", "new", "in time"):
+            queue.offer(lookup(name), 0.0)
+        self.assertEqual(["in time", "new", "late"], self.order(queue))
+
+    def test_a_caller_becomes_late_while_it_waits(self) -> None:
+        queue = AdmissionQueue()
+        queue.offer(lookup("x", -0.7 * TARGET_S), -0.5 * TARGET_S)
+        queue.offer(lookup("x"), 0.0)
+        queue.offer(lookup("new", 0.001), 0.001)
+        ready = queue.next_ready(0.06 * TARGET_S)
+        assert ready is not None
+        self.assertEqual("new", ready.request_id)
+
+    def test_the_time_of_a_caller_counts_from_its_first_request(self) -> None:
+        """Guards against a second refusal that makes a late caller appear new."""
+        queue = AdmissionQueue()
+        for arrived_at in (-1.0, -0.5):
+            refused = queue.offer(lookup("x", arrived_at), arrived_at + WAIT_S)
+            self.assertIsInstance(refused, Refused)
+        queue.offer(lookup("x"), 0.0)
+        queue.offer(lookup("new", 0.001), 0.001)
+        self.assertEqual(["new", "x"], self.order(queue))
+
     def test_the_number_of_identities_is_bounded(self) -> None:
         """Guards against memory that grows with the number of refused callers."""
         queue = AdmissionQueue()
         for number in range(MAX_REFUSED_IDENTITIES + 10):
             queue.offer(lookup(f"r{number}", -1.0), 0.0)
-        self.assertEqual(MAX_REFUSED_IDENTITIES, len(queue._refused_at))
+        self.assertEqual(MAX_REFUSED_IDENTITIES, len(queue._refused))
 
 
 class TurnTest(testtools.TestCase):
@@ -284,6 +314,22 @@
         self.assertAlmostEqual(0.5, values[49], delta=0.02)
         self.assertAlmostEqual(RETRY_AFTER_MAX_S, values[-1], places=2)
 
+    def test_a_caller_that_can_meet_its_target_returns_early_enough(self) -> None:
+        """Guards against a Retry-After beyond the target where a slot is expected before."""
+        queue = backlogged_queue(200.0)
+        values = []
+        for number in range(100):
+            decision = queue.offer(lookup(f"a{number}", 1.0), 1.0)
+            if isinstance(decision, Refused):
+                values.append(decision.retry_after_s)
+        # A caller that returns waits an eighth again, so that a quarter is left for the work.
+        early = [value for value in values if value <= TARGET_S * 0.625]
+        self.assertGreaterEqual(min(early), TARGET_S / 4)
+        # As many as get slots until then; the others return when the backlog has drained.
+        self.assertAlmostEqual(200.0 * TARGET_S * 0.625, len(early) + 4, delta=2)
+        self.assertEqual(early, values[: len(early)])
+        self.assertGreater(max(values), 0.4)
+
     def test_refusals_whose_time_has_passed_no_longer_count(self) -> None:
         queue = backlogged_queue(100.0)
         self.refused_after(queue, 20, 1.0)
