Admission queue: callers that can meet their target return in the later part of the time left

Cause: the rate that one gateway measures leaves out the lookups of other gateways, so callers returned before slots were free.

Change: such a Retry-After is at least 0.6 of the longest one.

--- a/stileloom/proxy/admission_queue.py
+++ b/stileloom/proxy/admission_queue.py
@@ -32,6 +32,11 @@
 wait of an eighth, then half of the target. The rest is for another wait and the work, 0.19 of the
 target. With 0.5, at 1.5 times the capacity and 15 gateways, 0.662 instead of 0.676 of the callers
 were answered in time."""
+EARLIEST_RETURN_FRACTION = 0.6
+"""Lower bound of a Retry-After that lets the caller meet its target, as a share of the longest one.
+Slots that are expected earlier go to lookups of other gateways. In a burst of 1.8 times the
+capacity for 0.2 s at 71 gateways, 0.820 of the callers were answered in time, and 0.773 without
+it. With 0.67, fewer were in time with slow samplers: 0.979 instead of 0.988."""
 LATEST_START_FRACTION = LATEST_RETURN_FRACTION + MAX_WAIT_FRACTION
 """Share of the target latency, from the first request, after which a lookup that starts counts as
 unable to meet its target."""
@@ -366,6 +371,7 @@
         earliest_s = max(drain_s, target_s * RETRY_AFTER_MIN_FRACTION)
         if earliest_s > latest_s:
             return None
+        earliest_s = max(earliest_s, latest_s * EARLIEST_RETURN_FRACTION)
         return with_jitter(earliest_s, entry.lookup.request_id, latest_s)
 
     def _drain_s(self, waiting: int, returns_at: list[float], now: float) -> float:
