--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -14,7 +14,6 @@
 from __future__ import annotations
 
 import contextlib
-import math
 from collections import Counter
 from collections.abc import Iterator, Mapping
 from collections.abc import Set as AbstractSet
@@ -23,8 +22,8 @@
 from stileloom.api.jobs import JobItem, JobSubmission
 from stileloom.fairness.order import FairOrder
 from stileloom.fairness.priority import DEFAULT_PRIORITY
-from stileloom.fairness.shares import DominantShares, Usage
-from stileloom.fairness.tenant_load import TenantLoad, tenant_loads
+from stileloom.fairness.service_shares import ServiceShares
+from stileloom.fairness.tenant_load import TenantLoad
 from stileloom.jobs.model_versions import SamplerModels
 from stileloom.jobs.open_items import (
     DEFAULT_TOKENS_PER_EVENT,
@@ -72,7 +71,8 @@
 MAX_RETAINED_TEXTS = 2000
 MAX_SLOW_RUNS = 32
 MAX_STARTS_PER_PASS = 200
-"""Starts that are planned at once, for each model; the leader must renew its lease in between."""
+"""Starts that are planned at once, with several tenants for each model. The leader renews its lease
+in between."""
 
 TenantItem = tuple[str, str]
 """Tenant and item id: texts are kept for later jobs of the same tenant only."""
@@ -106,8 +106,7 @@
         self._shares = SamplerShares(self.models_of)
         self.has_tenants = False
         """Whether the configuration has tenants; without them no priority has an effect."""
-        self._tenant_shares: dict[str, DominantShares] = {}
-        """By service."""
+        self._tenant_shares = ServiceShares(samplers, self.cache_tokens)
         self._retained_texts: dict[TenantItem, PartialText] = {}
         self._seen_items: set[TenantItem] = set()
         self.items_per_job: dict[str, int] = {}
@@ -328,8 +327,8 @@
         starts: list[PlannedRun] = []
         if not self._service_has_free_slot(service):
             return starts
-        self._update_capacity(service)
-        order = FairOrder(items, self._shares_of(service), self._shortest_interval_s(), now)
+        shares = self._tenant_shares.current(service)
+        order = FairOrder(items, shares, self._shortest_interval_s(), now)
         while len(starts) < MAX_STARTS_PER_PASS and self._service_has_free_slot(service):
             open_item = order.next()
             if open_item is None:
@@ -342,15 +341,6 @@
             order.started(open_item)
         return starts
 
-    def _shares_of(self, service: str) -> DominantShares:
-        return self._tenant_shares.setdefault(service, DominantShares())
-
-    def _update_capacity(self, service: str) -> None:
-        samplers = self._samplers.of_service(service)
-        slots = sum(sampler.entry.slots for sampler in samplers)
-        tokens = len(samplers) * self.cache_tokens.get(service, float("inf")) if samplers else 0.0
-        self._shares_of(service).set_capacity(Usage(slots, tokens))
-
     def _service_has_free_slot(self, service: str) -> bool:
         return any(self._has_free_slot(sampler) for sampler in self._samplers.of_service(service))
 
@@ -358,15 +348,11 @@
         """The share of an item's tenant with its runs now; None without tenants or samplers."""
         if not self.has_tenants:
             return None
-        self._update_capacity(open_item.service)
-        share = self._shares_of(open_item.service).share(open_item.tenant)
-        return share if math.isfinite(share) else None
+        return self._tenant_shares.share_of(open_item)
 
     def tenant_loads(self) -> list[TenantLoad]:
         """Waiting items and dominant share of each tenant, by service."""
-        for service in self._tenant_shares:
-            self._update_capacity(service)
-        return tenant_loads(self._waiting_items(), self._tenant_shares)
+        return self._tenant_shares.loads(self._waiting_items())
 
     def _start(self, open_item: OpenItem, sampler_id: str, now: float) -> PlannedRun:
         open_item.run = ItemRun(sampler_id, now, now)
@@ -374,8 +360,7 @@
         stats.running += 1
         open_item.run.tokens = open_item.estimated_tokens
         stats.tokens += open_item.run.tokens
-        usage = Usage(1.0, open_item.run.tokens)
-        self._shares_of(open_item.service).acquire(open_item.tenant, usage)
+        self._tenant_shares.start_run(open_item, open_item.run.tokens)
         stats.groups.add(open_item.item.group)
         return PlannedRun(open_item, sampler_id, open_item.run)
 
@@ -636,8 +621,7 @@
         stats = self.stats(run.sampler_id)
         stats.running -= 1
         stats.tokens -= run.tokens
-        usage = Usage(1.0, run.tokens)
-        self._shares_of(open_item.service).release(open_item.tenant, usage)
+        self._tenant_shares.end_run(open_item, run.tokens)
         open_item.run = None
 
     def remove_sampler(self, sampler_id: str) -> None:
