--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1330,6 +1330,47 @@
         "            pass\n",
         f"{TENANT_PRIORITY}::RunnerTest",
     ),
+    Mutant(
+        "time without the store counts for an incomplete voter set",
+        "an incomplete voter set waits for all that can join",
+        "stileloom/ledger/bootstrap.py",
+        '        """Starts the wait anew, because the record could not be read."""\n'
+        "        self._since = None\n",
+        '        """Starts the wait anew, because the record could not be read."""\n',
+        "tests/test_voter_bootstrap.py::TimerTest",
+    ),
+    Mutant(
+        "an incomplete voter set is never sealed",
+        "a fleet with few disks has a ledger",
+        "stileloom/ledger/bootstrap.py",
+        "        return now >= self._since + wait_s\n",
+        "        return False\n",
+        "tests/test_voter_bootstrap.py::TimerTest",
+    ),
+    Mutant(
+        "a gateway that found a leader before refuses jobs during elections",
+        "jobs wait for the next leader",
+        "stileloom/jobs/client.py",
+        "if self._has_found_leader or waited_s < FIRST_LEADER_WAIT_S:",
+        "if waited_s < FIRST_LEADER_WAIT_S:",
+        "tests/test_voter_bootstrap.py::LateGatewayTest",
+    ),
+    Mutant(
+        "a planning pass checks every pair of item and sampler",
+        "planning does not outlast the leader's lease",
+        "stileloom/jobs/planning_pass.py",
+        "        if accepting is None:\n",
+        "        if True:\n",
+        "tests/test_planning_pass.py",
+    ),
+    Mutant(
+        "an answered reward call looks at all that wait",
+        "reward calls do not outlast the leader's lease",
+        "stileloom/jobs/reward_caller.py",
+        "            if freed_service in closed:\n",
+        "            if False:\n",
+        "tests/test_reward_load.py",
+    ),
 ]
 
 
--- a/tests/test_voter_bootstrap.py
+++ b/tests/test_voter_bootstrap.py
@@ -16,7 +16,7 @@
 from stileloom.jobs import client as client_module
 from stileloom.jobs.client import JobClient
 from stileloom.jobs.leader_search import LedgerNodes
-from stileloom.jobs.messages import JobReply, JobTaken, SubmitJobCall
+from stileloom.jobs.messages import JobReply, JobTaken, NotLeader, SubmitJobCall
 from stileloom.ledger import bootstrap
 from stileloom.ledger.bootstrap import (
     FEW_VOTERS_WAIT_S,
@@ -259,6 +259,28 @@
 
         self.assertEqual(JobTaken(), asyncio.run(run()))
 
+    def test_a_job_is_held_while_a_leader_that_was_found_is_replaced(self) -> None:
+        """Guards against jobs refused during an election."""
+
+        async def run() -> JobReply:
+            client = JobClient(LedgerNodes([("127.0.0.1", 1)]), EventLog("gateway"), lambda: None)
+            leader = ("127.0.0.1", 1)
+            found = mock.AsyncMock(side_effect=[leader, None, None, leader])
+            replies = mock.AsyncMock(side_effect=[JobTaken(), NotLeader(""), JobTaken()])
+            with (
+                mock.patch.object(client_module, "FIRST_LEADER_WAIT_S", 0.0),
+                mock.patch.object(client._search, "find", found),
+                mock.patch.object(client, "_call_node", replies),
+            ):
+                submission = record("j", 1, step=1).submission
+                try:
+                    await client.call(SubmitJobCall(submission), "j", 1.0)
+                    return await client.call(SubmitJobCall(submission), "j", 2.0)
+                finally:
+                    client.close()
+
+        self.assertEqual(JobTaken(), asyncio.run(run()))
+
 
 class PollingTest(testtools.TestCase):
     """Calls to the store while a set is incomplete."""
