Items are logged as sent once they are sent, and long waits say why

A postponed item carries its reason in place of an item_stopped line for a run that never began. No decision is changed.

--- a/stileloom/jobs/item_runs.py
+++ b/stileloom/jobs/item_runs.py
@@ -19,7 +19,7 @@
 from stileloom.jobs.item_request import encode_item_request
 from stileloom.jobs.item_stream import ItemStream, RunOutcome
 from stileloom.jobs.metrics import JobMetrics
-from stileloom.jobs.open_items import ItemKey, ItemRun, OpenItem, PlannedRun
+from stileloom.jobs.open_items import ItemKey, ItemRun, OpenItem, PlannedRun, WaitReason
 from stileloom.jobs.scheduler import ItemScheduler
 from stileloom.jobs.suspect_items import SuspectItems
 from stileloom.load import LoadView
@@ -30,6 +30,8 @@
 RUN_RETRY_DELAY_S = 0.05
 REFUSAL_BACKOFF_S = 0.15
 MAX_REJECTIONS = 1
+SENT_LOG_DELAY_S = 0.01
+"""Runs that are sent within this time share a log line: a step may start dozens of them."""
 
 
 class RunListener(Protocol):
@@ -79,6 +81,9 @@
         self._load = load
         self._decisions = decisions
         self._connections: dict[ItemKey, SamplerConnection] = {}
+        self._unlogged: dict[tuple[str, str, int], list[tuple[str, int]]] = {}
+        """Items that were sent, each with the event after which it continues, by job, sampler and
+        version."""
 
     def __len__(self) -> int:
         """Returns the number of runs with an open stream."""
@@ -86,13 +91,13 @@
 
     def close(self) -> None:
         """Closes all streams."""
+        self._log_sent_items()
         for connection in self._connections.values():
             connection.close()
         self._connections.clear()
 
     def start(self, starts: list[PlannedRun]) -> None:
         """Starts planned runs."""
-        self._log_started_runs(starts)
         self._record_decisions(starts)
         for start in starts:
             self._tasks.spawn(self._run_item(start))
@@ -142,6 +147,7 @@
             if open_item.run is run:
                 self._scheduler.end_run(open_item, avoid=True)
                 open_item.not_before = steady_time() + RUN_RETRY_DELAY_S
+                open_item.delay_reason = WaitReason.DELAYED
             return
         if open_item.run is not run or not self._may_send():
             self._pool.release(entry.sampler_id, connection)
@@ -173,6 +179,8 @@
             self._scheduler.has_tenants,
         )
         connection.exchange(request, stream)
+        run.sent = True
+        self._log_sent_item(open_item, entry.sampler_id)
 
     def _record_load(self, entry: SamplerEntry, head: ResponseHead) -> None:
         now = steady_time()
@@ -212,6 +220,7 @@
             return
         self._log_failed_run(open_item, sampler_id, outcome, detail)
         open_item.not_before = now + RUN_RETRY_DELAY_S
+        open_item.delay_reason = WaitReason.DELAYED
         if outcome is RunOutcome.BROKEN:
             self._suspects.on_run_broken(open_item, entry, now - start.run.started_at)
         if outcome is RunOutcome.REFUSED:
@@ -250,21 +259,25 @@
         for start in starts:
             self._decisions.record(item_started(start, self._scheduler, now))
 
-    def _log_started_runs(self, starts: list[PlannedRun]) -> None:
-        """Logs one line per job and sampler, because a step may start dozens of runs."""
-        items_by_target: dict[tuple[str, str], list[OpenItem]] = {}
-        for start in starts:
-            items_by_target.setdefault((start.item.key[0], start.sampler_id), []).append(start.item)
-        for (job_id, sampler_id), items in items_by_target.items():
-            versions = self._scheduler.models_of(sampler_id).versions
+    def _log_sent_item(self, open_item: OpenItem, sampler_id: str) -> None:
+        if not self._unlogged:
+            asyncio.get_running_loop().call_later(SENT_LOG_DELAY_S, self._log_sent_items)
+        version = self._scheduler.models_of(sampler_id).versions.get(open_item.model, 0)
+        sent = self._unlogged.setdefault((open_item.key[0], sampler_id, version), [])
+        sent.append((open_item.item.item_id, open_item.partial.last_event_id or 0))
+
+    def _log_sent_items(self) -> None:
+        """Logs one line for each job, sampler and version."""
+        unlogged, self._unlogged = self._unlogged, {}
+        for (job_id, sampler_id, version), sent in unlogged.items():
             self._log.emit(
                 LogEvent.ITEMS_SENT,
                 {
                     "job": job_id,
                     "sampler": sampler_id,
-                    "items": [item.item.item_id for item in items],
-                    "after_events": [item.partial.last_event_id or 0 for item in items],
-                    "version": versions.get(items[0].model, 0),
+                    "items": [item_id for item_id, _ in sent],
+                    "after_events": [event_id for _, event_id in sent],
+                    "version": version,
                     "running_there": self._scheduler.stats(sampler_id).running,
                 },
             )
--- a/stileloom/jobs/metrics.py
+++ b/stileloom/jobs/metrics.py
@@ -50,6 +50,22 @@
             buckets=EVENT_BUCKETS_S,
             registry=registry,
         )
+        self._items_waiting = Gauge(
+            "stileloom_items_waiting",
+            "Open items whose text is incomplete and of which no run was sent",
+            registry=registry,
+        )
+        self._longest_item_wait = Gauge(
+            "stileloom_item_longest_wait_seconds",
+            "Longest time that such an item has been without a run",
+            registry=registry,
+        )
+        self.item_long_waits = Counter(
+            "stileloom_item_long_waits",
+            "Long waits in the reports of each second, by what the item waits for",
+            ["reason"],
+            registry=registry,
+        )
         self.jobs_refused = Counter(
             "stileloom_jobs_refused", "Jobs refused for want of room", registry=registry
         )
@@ -137,6 +153,11 @@
             registry=registry,
         )
 
+    def set_item_waits(self, waiting: int, longest_s: float) -> None:
+        """Sets how many items have no run, and the longest of their waits in seconds."""
+        self._items_waiting.set(waiting)
+        self._longest_item_wait.set(longest_s)
+
     def set_tenant_loads(self, loads: list[TenantLoad]) -> None:
         """Replaces the series of tenants; their number is bounded."""
         self._tenant_items_waiting.clear()
--- a/stileloom/jobs/open_items.py
+++ b/stileloom/jobs/open_items.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import enum
+
 import msgspec
 
 from stileloom.api.jobs import JobItem
@@ -31,6 +33,33 @@
     """Limit of the output."""
 
 
+class WaitReason(enum.Enum):
+    """Why an item has no run: the obstacle at the sampler that meets most of the conditions."""
+
+    DELAYED = "delayed"
+    """The delay after its last run has not passed."""
+    QUARANTINED = "quarantined"
+    ISOLATED = "isolated"
+    """Another suspect runs on the sampler."""
+    NO_SAMPLER = "no_sampler"
+    """The service has no sampler that accepts requests."""
+    OTHER_MODEL = "other_model"
+    """All samplers are assigned to other models."""
+    AVOIDED = "avoided"
+    """The samplers failed or refused a run a moment ago."""
+    LOADING = "loading"
+    OLD_VERSION = "old_version"
+    """The samplers' weights are older than the job accepts."""
+    OTHER_VERSION = "other_version"
+    """The text was begun with other weights, and the route requires a single version."""
+    NO_SLOT = "no_slot"
+    PROBED = "probed"
+    """The sampler failed, and its one run since then has no event yet."""
+    NO_MEMORY = "no_memory"
+    STARTING = "starting"
+    """A sampler can run it: the run is planned, connects, or starts with the next step."""
+
+
 class OpenItem(msgspec.Struct):
     """An item without a listed result."""
 
@@ -61,6 +90,8 @@
     failures: int = 0
     rejections: int = 0
     not_before: float = 0.0
+    delay_reason: WaitReason = WaitReason.DELAYED
+    """Why it does not start before `not_before`."""
     run: ItemRun | None = None
     finished: bool = False
     """Whether its result was submitted to the ledger."""
@@ -71,6 +102,12 @@
     saved_parts: int = 0
     """Number of events that are saved in the ledger or are being saved."""
 
+    @property
+    def waits_for_run(self) -> bool:
+        """Whether its text is incomplete and no sampler has been asked for the rest."""
+        has_run = self.run is not None and self.run.sent
+        return not (has_run or self.finished or self.partial.whole)
+
     @property
     def estimated_tokens(self) -> float:
         """Estimates the tokens that a run of the item occupies in a sampler's cache."""
@@ -86,6 +123,8 @@
     last_event_at: float
     events: int = 0
     tokens: float = 0.0
+    sent: bool = False
+    """Whether the request was written to a connection."""
 
 
 class PlannedRun(msgspec.Struct, frozen=True):
--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -26,6 +26,7 @@
 from stileloom.http1.pool import ConnectionPool
 from stileloom.jobs.intake import item_size, reusable_results, saved_texts
 from stileloom.jobs.item_runs import ItemRuns
+from stileloom.jobs.item_waits import ItemWaits
 from stileloom.jobs.job_ages import JobAges
 from stileloom.jobs.leader_ledger import LeaderLedger
 from stileloom.jobs.metrics import JobMetrics
@@ -133,8 +134,9 @@
         """Delays the first runs, because samplers may be about to load weights."""
         self._tasks = BackgroundTasks(log)
         self._suspects = SuspectItems(
-            dependencies.guard, self.scheduler, self._host_of, self._tasks, log
+            dependencies.guard, self.scheduler, self._host_of, self._tasks
         )
+        self._waits = ItemWaits(self.scheduler, log, metrics)
         self._runs = ItemRuns(
             self.scheduler,
             samplers,
@@ -314,6 +316,7 @@
         self._rewards.step(now)
         self._metrics.items_open.set(len(self.scheduler.items))
         self._metrics.items_running.set(len(self._runs))
+        self._waits.observe(now)
         if now >= self._next_progress_save_at:
             self._next_progress_save_at = now + PROGRESS_SAVE_PERIOD_S
             if self._switches.saved_events:
--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -34,6 +34,7 @@
     OpenItem,
     PlannedRun,
     SamplerStats,
+    WaitReason,
 )
 from stileloom.jobs.partial_text import PartialText
 from stileloom.jobs.planning_pass import PlanningPass
@@ -426,20 +427,57 @@
 
     def _accepts(self, open_item: OpenItem, sampler: TrackedSampler, now: float) -> bool:
         """Whether a sampler serves what the item requires, whatever runs there."""
+        return self._mismatch(open_item, sampler, now) is None
+
+    def _mismatch(
+        self, open_item: OpenItem, sampler: TrackedSampler, now: float
+    ) -> WaitReason | None:
+        """Returns what the item requires and the sampler does not serve, or None."""
         sampler_id = sampler.entry.sampler_id
         if not self.serves(sampler_id, open_item.model):
-            return False
+            return WaitReason.OTHER_MODEL
         if now < self.stats(sampler_id).refused_until or sampler.avoid_until > now:
             # After a failure no run starts until the cooldown has passed.
-            return False
+            return WaitReason.AVOIDED
         models = self.models_of(sampler_id)
         if models.loading == open_item.model:
-            return False
+            return WaitReason.LOADING
         version = models.versions.get(open_item.model, 0)
         if version < open_item.min_version:
-            return False
+            return WaitReason.OLD_VERSION
         text_versions = open_item.partial.versions
-        return not (open_item.single_version and text_versions and text_versions != [version])
+        if open_item.single_version and text_versions and text_versions != [version]:
+            return WaitReason.OTHER_VERSION
+        return None
+
+    def wait_reason(self, open_item: OpenItem, now: float) -> WaitReason:
+        """Returns why an item has no run."""
+        if now < open_item.not_before:
+            return open_item.delay_reason
+        order = list(WaitReason)
+        reasons = [
+            self._obstacle(open_item, sampler, now)
+            for sampler in self._samplers.of_service(open_item.service)
+        ]
+        return max(reasons, key=order.index, default=WaitReason.NO_SAMPLER)
+
+    def _obstacle(self, open_item: OpenItem, sampler: TrackedSampler, now: float) -> WaitReason:
+        """Returns why an item does not start on a sampler."""
+        mismatch = self._mismatch(open_item, sampler, now)
+        if mismatch is not None:
+            return mismatch
+        if not self._has_free_slot(sampler):
+            return WaitReason.NO_SLOT
+        if not self._has_room(open_item, sampler):
+            return WaitReason.PROBED if sampler.failures else WaitReason.NO_MEMORY
+        return WaitReason.STARTING
+
+    def free_slots(self, service: str) -> int:
+        """Counts the slots of a service's samplers that no run uses."""
+        return sum(
+            max(0, sampler.entry.slots - self.stats(sampler.entry.sampler_id).running)
+            for sampler in self._samplers.of_service(service)
+        )
 
     def _cost(
         self, open_item: OpenItem, sampler: TrackedSampler, by_speed: bool = False
--- a/stileloom/jobs/suspect_items.py
+++ b/stileloom/jobs/suspect_items.py
@@ -7,10 +7,8 @@
 from stileloom.api.sampler_directory import SamplerEntry
 from stileloom.background import BackgroundTasks
 from stileloom.clock import steady_time
-from stileloom.events import LogEvent
-from stileloom.jobs.open_items import ItemKey, OpenItem
+from stileloom.jobs.open_items import ItemKey, OpenItem, WaitReason
 from stileloom.jobs.scheduler import ItemScheduler
-from stileloom.logging import EventLog
 from stileloom.quarantine.book import MIN_PUBLISHED_CRASHES
 from stileloom.quarantine.guard import CRASH_ATTRIBUTION_WINDOW_S, QuarantineGuard
 from stileloom.quarantine.identity import identity_of
@@ -31,13 +29,11 @@
         scheduler: ItemScheduler,
         host_of: Callable[[OpenItem], str],
         tasks: BackgroundTasks,
-        log: EventLog,
     ) -> None:
         self._guard = guard
         self._scheduler = scheduler
         self._host_of = host_of
         self._tasks = tasks
-        self._log = log
         self._suspect_by_sampler: dict[str, ItemKey] = {}
         """The suspect that runs on a sampler, or ran there last."""
 
@@ -52,11 +48,13 @@
             return True
         identity = self._identity(open_item)
         if view.is_quarantined(identity):
-            self._postpone_quarantined(open_item, identity)
+            # Checked again because a complete answer, evidence against another request or an
+            # operator may lift the quarantine. The item is given up at its deadline.
+            self._postpone(open_item, QUARANTINE_CHECK_INTERVAL_S, WaitReason.QUARANTINED)
             return False
         suspected = len(view.crashed_samplers(identity)) >= MIN_PUBLISHED_CRASHES
         if suspected and not self._reserve_sampler(open_item, sampler_id):
-            self._postpone(open_item, ISOLATION_RETRY_S, avoid=True)
+            self._postpone(open_item, ISOLATION_RETRY_S, WaitReason.ISOLATED)
             return False
         return True
 
@@ -96,24 +94,7 @@
         self._suspect_by_sampler[sampler_id] = suspect.key
         return True
 
-    def _postpone_quarantined(self, open_item: OpenItem, identity: str) -> None:
-        """Postpones a quarantined item; it is given up at its deadline.
-
-        The quarantine is checked again because a complete answer, evidence against another request
-        or an operator may lift it.
-        """
-        self._postpone(open_item, QUARANTINE_CHECK_INTERVAL_S, avoid=False)
-        self._log.emit(
-            LogEvent.ITEM_STOPPED,
-            {
-                "item": open_item.item.item_id,
-                "job": open_item.key[0],
-                "events": len(open_item.partial.parts),
-                "identity": identity,
-                "reason": self._guard.refusal(identity).detail,
-            },
-        )
-
-    def _postpone(self, open_item: OpenItem, delay_s: float, avoid: bool) -> None:
-        self._scheduler.end_run(open_item, avoid=avoid)
+    def _postpone(self, open_item: OpenItem, delay_s: float, reason: WaitReason) -> None:
+        self._scheduler.end_run(open_item, avoid=reason is WaitReason.ISOLATED)
         open_item.not_before = steady_time() + delay_s
+        open_item.delay_reason = reason
