--- a/tests/service_cluster.py
+++ b/tests/service_cluster.py
@@ -20,7 +20,7 @@
 from stileloom.daemon.ledger_node import LedgerNode
 from stileloom.daemon.native_object_store import NativeObjectStore
 from stileloom.daemon.platform_client import ObjectApi
-from stileloom.emulator.http_sampler import HttpSampler
+from stileloom.emulator.http_sampler import EVENT_INTERVAL_S, HttpSampler
 from stileloom.http.native_dialect import NativeDialect
 from stileloom.logging import configure_logs
 from stileloom.service_settings import ServiceSettings, TimeBounds
@@ -80,6 +80,8 @@
         self, gateways: int = 2, ledger_hosts: list[str] = LEDGER_HOSTS, losses_borne: int = 1
     ) -> None:
         self.samplers: dict[str, HttpSampler] = {}
+        self.event_interval_s = EVENT_INTERVAL_S
+        """Of samplers that are added from now on."""
         self.ledger_nodes: dict[str, LedgerNode] = {}
         self.gateways: list[Gateway] = []
         self.front_ports: list[int] = []
@@ -170,7 +172,7 @@
     async def add_sampler(self, name: str, service: str) -> HttpSampler:
         """Starts a sampler and registers it in the object store."""
         versions = {MODEL: 1} if service == "drafts" else {}
-        sampler = HttpSampler(name, versions)
+        sampler = HttpSampler(name, versions, event_interval_s=self.event_interval_s)
         # The port stays reserved after the sampler has stopped, so that a concurrent test run
         # cannot start a sampler with the same id on it and receive requests of this run.
         port = sampler.listen(HOST, free_port())
--- a/tests/test_item_scheduler.py
+++ b/tests/test_item_scheduler.py
@@ -53,11 +53,12 @@
         now: float = 0.0,
         sizes: dict[str, ItemSize] | None = None,
         tokens_per_event: float = 50.0,
+        single_version: bool = False,
     ) -> None:
         """Adopts a job."""
         items = job.submission.items
         self.scheduler.adopt_job(
-            job, items, SERVICE, False, 3, 60.0, sizes or {}, now, tokens_per_event
+            job, items, SERVICE, single_version, 3, 60.0, sizes or {}, now, tokens_per_event
         )
 
     def starts(self, now: float = 0.0) -> dict[str, str]:
