Items under which samplers crashed are run again

Cause: crashes of samplers counted against the items that ran there. After three an item was quarantined under the digest of its content, in the ledger, so that later jobs and new leaders held it too; nothing grants an item a trial. After two, a sampler ran one such item at a time, so a step whose samplers had crashed twice waited for itself.

Change: items are no suspects. An accepted item is owed, and callers never hand in items that crash samplers, so a crash is no evidence against it. Evidence against lookups is unchanged, and no item can be mistaken for their cause any more: crashes under a lookup and items lead to the lookup after three. Broken runs without an event are repeated after a delay that doubles up to 1 s, which limits how fast an item could take samplers down.

--- a/stileloom/daemon/leadership.py
+++ b/stileloom/daemon/leadership.py
@@ -24,7 +24,6 @@
 from stileloom.logging import EventLog
 from stileloom.proxy.forwarder import Forwarder
 from stileloom.quarantine.authority import QuarantineService
-from stileloom.quarantine.guard import QuarantineGuard
 from stileloom.service_settings import ServiceSettings
 
 VERSIONS_BATCH_DELAY_S = 0.1
@@ -46,7 +45,6 @@
         job_ages: JobAges,
         directory: Directory,
         forwarder: Forwarder,
-        guard: QuarantineGuard,
         quarantine: QuarantineService,
         log: EventLog,
         metrics: JobMetrics,
@@ -67,7 +65,6 @@
                 routes=directory.routes,
                 samplers=directory.samplers,
                 forwarder=forwarder,
-                guard=guard,
                 dialect=dialect,
                 log=log,
                 metrics=metrics,
--- a/stileloom/daemon/ledger_node.py
+++ b/stileloom/daemon/ledger_node.py
@@ -317,7 +317,6 @@
             self._job_ages,
             self._directory,
             self._forwarder,
-            self._guard,
             self._quarantine_service,
             self._log,
             self._metrics,
--- a/stileloom/jobs/item_runs.py
+++ b/stileloom/jobs/item_runs.py
@@ -19,15 +19,19 @@
 from stileloom.jobs.item_request import encode_item_request
 from stileloom.jobs.item_stream import ItemStream, RunOutcome
 from stileloom.jobs.metrics import JobMetrics
-from stileloom.jobs.open_items import ItemKey, ItemRun, OpenItem, PlannedRun, WaitReason
+from stileloom.jobs.open_items import ItemKey, ItemRun, OpenItem, PlannedRun
 from stileloom.jobs.scheduler import ItemScheduler
-from stileloom.jobs.suspect_items import SuspectItems
 from stileloom.load import LoadView
 from stileloom.load.recording import record_response_load
 from stileloom.logging import EventLog
 from stileloom.proxy.sampler_table import SamplerTable
 
 RUN_RETRY_DELAY_S = 0.05
+"""Delay before an item whose run failed may run again."""
+MAX_RUN_RETRY_DELAY_S = 1.0
+"""The delay doubles with each broken run without an event, up to this. It limits how fast an item
+takes samplers down if it should crash them; an accepted item is never refused a run."""
+MAX_DOUBLINGS = 8
 REFUSAL_BACKOFF_S = 0.15
 MAX_REJECTIONS = 1
 SENT_LOG_DELAY_S = 0.01
@@ -54,7 +58,6 @@
         self,
         scheduler: ItemScheduler,
         samplers: SamplerTable,
-        suspects: SuspectItems,
         pool: ConnectionPool,
         names: HeaderNames,
         host_of: Callable[[OpenItem], str],
@@ -69,7 +72,6 @@
         """`may_send` is checked before each send: the process may have been suspended."""
         self._scheduler = scheduler
         self._samplers = samplers
-        self._suspects = suspects
         self._pool = pool
         self._names = names
         self._host_of = host_of
@@ -135,8 +137,6 @@
             self._scheduler.end_run(open_item)
             return
         entry = sampler.entry
-        if not self._suspects.may_start(open_item, entry.sampler_id):
-            return
         try:
             connection = await self._pool.acquire(entry.sampler_id, entry.address)
         except (OSError, TimeoutError) as error:
@@ -147,7 +147,6 @@
             if open_item.run is run:
                 self._scheduler.end_run(open_item, avoid=True)
                 open_item.not_before = steady_time() + RUN_RETRY_DELAY_S
-                open_item.delay_reason = WaitReason.DELAYED
             return
         if open_item.run is not run or not self._may_send():
             self._pool.release(entry.sampler_id, connection)
@@ -161,7 +160,7 @@
             open_item.min_version,
             self._names,
             lambda _: self._on_event(open_item, run),
-            lambda outcome, detail: self._on_run_ended(start, entry, outcome, detail),
+            lambda outcome, detail: self._on_run_ended(start, outcome, detail),
             lambda head: self._record_load(entry, head),
         )
         self._connections[open_item.key] = connection
@@ -194,9 +193,7 @@
         metric.observe(now - run.last_event_at)
         self._scheduler.record_event(open_item, now)
 
-    def _on_run_ended(
-        self, start: PlannedRun, entry: SamplerEntry, outcome: RunOutcome, detail: str
-    ) -> None:
+    def _on_run_ended(self, start: PlannedRun, outcome: RunOutcome, detail: str) -> None:
         open_item = start.item
         sampler_id = start.sampler_id
         if open_item.run is not start.run:
@@ -214,15 +211,11 @@
         self._metrics.runs_ended.labels(outcome.value).inc()
         if outcome is RunOutcome.COMPLETE:
             self._samplers.record_success(sampler_id)
-            self._suspects.on_complete_text(open_item)
             open_item.partial.whole = True
             self._listener.on_complete_text(open_item)
             return
         self._log_failed_run(open_item, sampler_id, outcome, detail)
-        open_item.not_before = now + RUN_RETRY_DELAY_S
-        open_item.delay_reason = WaitReason.DELAYED
-        if outcome is RunOutcome.BROKEN:
-            self._suspects.on_run_broken(open_item, entry, now - start.run.started_at)
+        open_item.not_before = now + self._retry_delay_s(open_item, start.run, outcome)
         if outcome is RunOutcome.REFUSED:
             self._scheduler.stats(sampler_id).refused_until = now + REFUSAL_BACKOFF_S
         elif outcome is RunOutcome.MISDIRECTED:
@@ -239,6 +232,15 @@
                 )
         self._listener.on_slot_free()
 
+    def _retry_delay_s(self, open_item: OpenItem, run: ItemRun, outcome: RunOutcome) -> float:
+        """Returns the delay before the next run, after one that ended with `outcome`."""
+        if outcome is not RunOutcome.BROKEN or run.events:
+            open_item.broken_runs = 0
+            return RUN_RETRY_DELAY_S
+        doublings = min(open_item.broken_runs, MAX_DOUBLINGS)
+        open_item.broken_runs += 1
+        return min(MAX_RUN_RETRY_DELAY_S, RUN_RETRY_DELAY_S * 2**doublings)
+
     def _log_failed_run(
         self, open_item: OpenItem, sampler_id: str, outcome: RunOutcome, detail: str
     ) -> None:
--- a/stileloom/jobs/open_items.py
+++ b/stileloom/jobs/open_items.py
@@ -38,9 +38,6 @@
 
     DELAYED = "delayed"
     """The delay after its last run has not passed."""
-    QUARANTINED = "quarantined"
-    ISOLATED = "isolated"
-    """Another suspect runs on the sampler."""
     NO_SAMPLER = "no_sampler"
     """The service has no sampler that accepts requests."""
     OTHER_MODEL = "other_model"
@@ -89,9 +86,9 @@
     partial: PartialText = msgspec.field(default_factory=PartialText)
     failures: int = 0
     rejections: int = 0
+    broken_runs: int = 0
+    """Broken runs in a row in which no event came."""
     not_before: float = 0.0
-    delay_reason: WaitReason = WaitReason.DELAYED
-    """Why it does not start before `not_before`."""
     run: ItemRun | None = None
     finished: bool = False
     """Whether its result was submitted to the ledger."""
--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -39,7 +39,6 @@
 from stileloom.jobs.result_writer import ResultWriter
 from stileloom.jobs.reward_caller import RewardCaller
 from stileloom.jobs.scheduler import MAX_STARTS_PER_PASS, ItemScheduler
-from stileloom.jobs.suspect_items import SuspectItems
 from stileloom.jobs.version_planner import Load, VersionPlanner
 from stileloom.jobs.weight_loader import WeightLoader
 from stileloom.ledger.commands import ForgetJob
@@ -47,7 +46,6 @@
 from stileloom.proxy.forwarder import Forwarder
 from stileloom.proxy.route_table import RouteTable
 from stileloom.proxy.sampler_table import SamplerTable
-from stileloom.quarantine.guard import QuarantineGuard
 from stileloom.switches import Switches
 
 DEADLINE_MARGIN_S = 2.0
@@ -81,7 +79,6 @@
     routes: RouteTable
     samplers: SamplerTable
     forwarder: Forwarder
-    guard: QuarantineGuard
     dialect: Dialect
     log: EventLog
     metrics: JobMetrics
@@ -133,14 +130,10 @@
         self._starts_allowed_at = steady_time() + START_DELAY_S
         """Delays the first runs, because samplers may be about to load weights."""
         self._tasks = BackgroundTasks(log)
-        self._suspects = SuspectItems(
-            dependencies.guard, self.scheduler, self._host_of, self._tasks
-        )
         self._waits = ItemWaits(self.scheduler, log, metrics)
         self._runs = ItemRuns(
             self.scheduler,
             samplers,
-            self._suspects,
             self._pool,
             dialect.names,
             self._host_of,
@@ -207,7 +200,6 @@
 
     def on_sampler_removed(self, sampler_id: str) -> None:
         """Handles a sampler that is draining or gone; its runs continue while events arrive."""
-        self._suspects.remove_sampler(sampler_id)
         self._pool.close_connections(sampler_id)
         self._loader.remove_sampler(sampler_id)
 
--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -453,7 +453,7 @@
     def wait_reason(self, open_item: OpenItem, now: float) -> WaitReason:
         """Returns why an item has no run."""
         if now < open_item.not_before:
-            return open_item.delay_reason
+            return WaitReason.DELAYED
         order = list(WaitReason)
         reasons = [
             self._obstacle(open_item, sampler, now)
