Reward calls of accepted items are not quarantined

A reward call under which three samplers crashed was refused for two minutes and longer, so that its item had no result although its text was whole.

Cause: the leader sent reward calls through the guard of lookups. No caller repeats them, so a refusal is a wait, not an answer.

Evidence: test_a_reward_call_under_which_samplers_crashed_is_sent_again failed (no result within 5 s).

Change: a ledger node admits its calls through UnrestrictedGuard; calls whose attempts all broke are repeated after a delay that doubles up to 2 s. Gateways are unchanged.

Result: the test passes, with test_rewards, test_reward_load, test_end_events.

--- a/stileloom/daemon/ledger_node.py
+++ b/stileloom/daemon/ledger_node.py
@@ -46,10 +46,9 @@
 from stileloom.proxy.forwarder import Forwarder
 from stileloom.proxy.metrics import AttemptMetrics
 from stileloom.proxy.sampler_access import SamplerAccess
+from stileloom.quarantine.admission import UnrestrictedGuard
 from stileloom.quarantine.authority import QuarantineService
 from stileloom.quarantine.book import QuarantineRegistry
-from stileloom.quarantine.guard import QuarantineGuard
-from stileloom.quarantine.metrics import QuarantineMetrics
 from stileloom.service_settings import ServiceSettings
 from stileloom.settings_file import split_address
 from stileloom.transport.cache_messages import ReadObjectsCall
@@ -96,12 +95,6 @@
         )
         attempt_metrics = AttemptMetrics(self._metrics_registry)
         self._quarantine_service = QuarantineService(self, self._log)
-        self._guard = QuarantineGuard(
-            self._quarantine_service,
-            self._log,
-            QuarantineMetrics(self._metrics_registry),
-            attempt_metrics.connection_opened,
-        )
         self._load = LoadView(self._directory.samplers.entry_of)
         self._load_metrics = LoadMetrics(self._metrics_registry, self._load)
         self._load_sharing = LoadShareService(self._load, self._directory.samplers.entry_of)
@@ -112,7 +105,7 @@
             self._log,
             attempt_metrics,
             self._rng,
-            self._guard,
+            UnrestrictedGuard(),
             load=self._load,
         )
         self._forwarder = Forwarder(access, switches.hedging, self._uses_admission_queue)
@@ -257,7 +250,6 @@
         if self._driver is not None:
             self._driver.stop()
         self._directory.stop()
-        self._guard.stop()
         self._store_cache.stop()
         self._cached_store.close()
 
@@ -285,15 +277,8 @@
             self._log.emit(LogEvent.VOTERS_CHANGED, {"voters": names})
         self._quarantine_service.step()
         if self._leadership is not None:
-            self._update_guard()
             self._leadership.runner.step()
 
-    def _update_guard(self) -> None:
-        """Applies the replica's quarantine list to the local guard if it has changed."""
-        quarantine = self.quarantine()
-        if quarantine.revision != self._guard.view.revision:
-            self._guard.apply_listing(quarantine.listing(time.time()))
-
     def is_active_leader(self) -> bool:
         """Whether this node's replica leads and holds its lease now."""
         return self._driver is not None and self._driver.is_active_leader()
--- a/stileloom/jobs/reward_caller.py
+++ b/stileloom/jobs/reward_caller.py
@@ -32,8 +32,9 @@
 
 RETRY_S = 0.1
 """Delay before a call that returned no score is retried."""
-QUARANTINE_RETRY_S = 2.0
-"""Delay before a call that was rejected as quarantined is retried."""
+MAX_RETRY_S = 2.0
+"""The delay doubles with each call in a row whose attempts all broke, up to this: such a call may
+have cost samplers, and is owed nevertheless."""
 FAILED_STATUS = 500
 
 
@@ -57,6 +58,8 @@
     """Number of failed attempts."""
     tries: int = 0
     """Number of times the call was forwarded, each with one or more attempts."""
+    retry_s: float = RETRY_S
+    """Delay before the next call, if all attempts of the current one break."""
     not_before: float = 0.0
     task: asyncio.Task[None] | None = None
 
@@ -181,8 +184,9 @@
             now = steady_time()
             window.record_overload(now)
             self._schedule_retry(pending, now, f"{error.kind.value}: {error.detail}")
-            if error.kind is ErrorKind.QUARANTINED:
-                pending.not_before = now + QUARANTINE_RETRY_S
+            if error.kind is ErrorKind.SAMPLER_FAILED:
+                pending.not_before = now + pending.retry_s
+                pending.retry_s = min(MAX_RETRY_S, 2 * pending.retry_s)
             return
         finally:
             window.running -= 1
@@ -233,6 +237,7 @@
     def _handle_answer(
         self, pending: PendingReward, answer: LookupResponse, max_attempts: int
     ) -> None:
+        pending.retry_s = RETRY_S
         status = answer.head.status
         score = answer.head.headers.get(self._names.signature, "")
         pending.failures += answer.failed_attempts
--- a/stileloom/proxy/forwarder.py
+++ b/stileloom/proxy/forwarder.py
@@ -24,7 +24,7 @@
 from stileloom.proxy.sampler_access import SamplerAccess
 from stileloom.proxy.sampler_choice import SamplerChoice
 from stileloom.proxy.sampler_table import TrackedSampler
-from stileloom.quarantine.guard import Permit
+from stileloom.quarantine.admission import RequestPermit
 
 
 class Forwarder:
@@ -98,7 +98,7 @@
         self,
         lookup: Lookup,
         plan: AttemptPlan,
-        permit: Permit,
+        permit: RequestPermit,
         attempts: set[asyncio.Task[Attempt]],
         admission: LookupAdmission | None,
     ) -> LookupResponse:
--- a/stileloom/proxy/sampler_access.py
+++ b/stileloom/proxy/sampler_access.py
@@ -12,7 +12,7 @@
 from stileloom.logging import EventLog
 from stileloom.proxy.metrics import AttemptMetrics
 from stileloom.proxy.sampler_table import SamplerTable
-from stileloom.quarantine.guard import QuarantineGuard
+from stileloom.quarantine.admission import RequestGuard
 
 
 class SamplerAccess(msgspec.Struct, frozen=True):
@@ -25,7 +25,7 @@
     log: EventLog
     metrics: AttemptMetrics
     rng: random.Random
-    guard: QuarantineGuard
+    guard: RequestGuard
     count_run: Callable[[str, float], None] = lambda tenant, began_at: None
     """Counts a request that a sampler began, by tenant and moment of the steady clock."""
     load: LoadView = msgspec.field(default_factory=LoadView)
