Test servers close their connections

A run of tests/test_abandoned_work.py alone ended with exit status 1 three times of five after all tests had passed: SystemError, AST constructor recursion depth mismatch, from an import in pytest's summary. The traces show the cause: the collector ran a StreamWriter's finalizer within ast.parse, whose loop was closed, and CPython 3.11 counts the recursion wrongly then.

The writers that SilentSampler left open are aborted with it.

--- a/tests/test_abandoned_work.py
+++ b/tests/test_abandoned_work.py
@@ -450,11 +450,14 @@
         self._server: asyncio.Server
 
     async def __aenter__(self) -> SilentSampler:
+        self._writers: list[asyncio.StreamWriter] = []
         self._server = await asyncio.start_server(self._serve, HOST, 0)
         return self
 
     async def __aexit__(self, *exc: object) -> None:
         self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
 
     def entry(self, service: str) -> SamplerEntry:
         """Its entry in the directory."""
@@ -469,6 +472,7 @@
         await asyncio.sleep(SETTLE_S)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.append(writer)
         with contextlib.suppress(ConnectionResetError):
             while await reader.read(65_536):
                 self.requests += 1
