A planned run that may not be sent ends at once

A leader that had lost its lease between the plan and the send of a run, and regained it, kept the run as if it were under way: the item waited for the event timeout of 1.3 s, and the sampler, which had received nothing, was then avoided as failed.

Evidence: the test of the name below failed.

Change: the run ends where it is found that it may not be sent.

Result: test_a_run_that_was_not_sent_for_want_of_the_lease_ends_and_spares_its_sampler passes.

--- a/stileloom/jobs/item_runs.py
+++ b/stileloom/jobs/item_runs.py
@@ -150,6 +150,8 @@
             return
         if open_item.run is not run or not self._may_send():
             self._pool.release(entry.sampler_id, connection)
+            if open_item.run is run:
+                self._scheduler.end_run(open_item)
             return
         # A copy, so that late events of this run cannot modify the text of a later run.
         partial = open_item.partial.copy()
--- a/tests/test_accepted_work.py
+++ b/tests/test_accepted_work.py
@@ -245,7 +245,10 @@
         self,
     ) -> None:
         async def scenario() -> None:
-            server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+            writers: list[asyncio.StreamWriter] = []
+            server = await asyncio.start_server(
+                lambda reader, writer: writers.append(writer), "127.0.0.1", 0
+            )
             port = server.sockets[0].getsockname()[1]
             fixture = RunnerFixture(
                 SamplerEntry("s", "drafts", ("127.0.0.1", port), "a", 4, False, {"m": 1})
@@ -264,5 +267,7 @@
                 self.assertEqual(0, tracked.failures)
             fixture.runner.stop()
             server.close()
+            for writer in writers:
+                writer.transport.abort()
 
         asyncio.run(scenario())
