A sampler that failed takes items again beside an older run

Cause: after a failure a sampler gets one run as a probe until a first event comes. A run that was under way already is no such probe but takes its place: its events did not count, so the free slots stayed empty until it had ended.

--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -630,10 +630,12 @@
         run = open_item.run
         if run is None:
             return
-        if run.events == 0:
-            self._samplers.record_success(run.sampler_id)
-        else:
+        if run.events:
             self._measure_interval(open_item.model, run, now)
+        # An older run also shows that a sampler works, once the failure is not recent any more:
+        # else its free slots would stay empty until that run has ended.
+        if run.events == 0 or self._samplers.is_past_cooldown(run.sampler_id, now):
+            self._samplers.record_success(run.sampler_id)
         run.events += 1
         run.last_event_at = now
 
--- a/stileloom/proxy/sampler_table.py
+++ b/stileloom/proxy/sampler_table.py
@@ -137,6 +137,11 @@
             tracked.failures += 1
             tracked.avoid_until = now + FAILURE_COOLDOWN_S
 
+    def is_past_cooldown(self, sampler_id: str, now: float) -> bool:
+        """Whether a sampler has failed since its last response, and may be tried again."""
+        tracked = self._tracked.get(sampler_id)
+        return tracked is not None and tracked.failures > 0 and now >= tracked.avoid_until
+
     def record_success(self, sampler_id: str) -> None:
         """Records a response: the sampler is no longer avoided."""
         tracked = self._tracked.get(sampler_id)
