A text whose version no sampler has is dropped

On a route with a single version, an item whose run broke off before the samplers moved to the next version fitted no sampler any more and waited until its job ended. The same held for a text with two versions.

Change: an item that is due and whose text no listed sampler can continue for 1 s begins with the first event again. While a sampler of the version is only full, the text is kept.

--- a/stileloom/jobs/open_items.py
+++ b/stileloom/jobs/open_items.py
@@ -89,6 +89,8 @@
     broken_runs: int = 0
     """Broken runs in a row in which no event came."""
     not_before: float = 0.0
+    due_since: float | None = None
+    """When it was first found due to start since its last run, in monotonic seconds."""
     run: ItemRun | None = None
     finished: bool = False
     """Whether its result was submitted to the ledger."""
@@ -99,6 +101,11 @@
     saved_parts: int = 0
     """Number of events that are saved in the ledger or are being saved."""
 
+    def discard_text(self) -> None:
+        """Drops the partial text: the next run begins with the first event."""
+        self.partial = PartialText()
+        self.saved_parts = 0
+
     @property
     def waits_for_run(self) -> bool:
         """Whether its text is incomplete and no sampler has been asked for the rest."""
--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -71,6 +71,9 @@
 without its sampler being slow."""
 MAX_RETAINED_TEXTS = 2000
 MAX_SLOW_RUNS = 32
+UNUSABLE_TEXT_RETENTION_S = 1.0
+"""How long an item waits for a sampler that can continue its text. A sampler that restarts keeps its
+version, but may be away for longer than the text is worth."""
 MAX_STARTS_PER_PASS = 200
 """Starts that are planned at once, with several tenants for each model. The leader renews its lease
 in between."""
@@ -290,7 +293,7 @@
     def _plan_starts(self, now: float, models: list[str]) -> list[PlannedRun]:
         starts: list[PlannedRun] = []
         for model in models:
-            due = [item for item in self._waiting_items(model) if now >= item.not_before]
+            due = self._due_items(model, now)
             if self.has_tenants and len({(item.tenant, item.priority) for item in due}) > 1:
                 for service in sorted({item.service for item in due}):
                     items = [item for item in due if item.service == service]
@@ -305,6 +308,28 @@
                 starts.append(self._start(open_item, sampler.entry.sampler_id, now))
         return starts
 
+    def _due_items(self, model: str, now: float) -> list[OpenItem]:
+        due = [item for item in self._waiting_items(model) if now >= item.not_before]
+        for item in due:
+            if item.due_since is None:
+                item.due_since = now
+            elif (
+                now - item.due_since >= UNUSABLE_TEXT_RETENTION_S
+                and item.single_version
+                and not self._text_has_sampler(item)
+            ):
+                item.discard_text()
+        return due
+
+    def _text_has_sampler(self, open_item: OpenItem) -> bool:
+        """Whether a listed sampler has the version of the item's text, whatever runs there."""
+        versions = open_item.partial.versions
+        return not versions or any(
+            versions == [self.models_of(sampler.entry.sampler_id).versions.get(open_item.model, 0)]
+            for sampler in self._samplers.of_service(open_item.service)
+            if self.serves(sampler.entry.sampler_id, open_item.model)
+        )
+
     @contextlib.contextmanager
     def planning_pass(self, now: float) -> Iterator[None]:
         """Remembers what is found out about samplers and runs; no run may end meanwhile."""
@@ -357,6 +382,7 @@
 
     def _start(self, open_item: OpenItem, sampler_id: str, now: float) -> PlannedRun:
         open_item.run = ItemRun(sampler_id, now, now)
+        open_item.due_since = None
         stats = self.stats(sampler_id)
         stats.running += 1
         open_item.run.tokens = open_item.estimated_tokens
