An item that does not fit the estimated memory starts after two seconds

An item whose estimate exceeds the memory that smaller runs leave waited for an idle sampler, however long the smaller ones went on.

Change: after 2 s without a run it starts in a free slot. The estimate is only a preference: a sampler without memory preempts its newest run, which then waits at the sampler.

Result: test_an_item_larger_than_the_free_memory_starts_beside_endless_smaller_ones failed before (not started within 5 s) and passes.

--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -74,6 +74,9 @@
 UNUSABLE_TEXT_RETENTION_S = 1.0
 """How long an item waits for a sampler that can continue its text. A sampler that restarts keeps its
 version, but may be away for longer than the text is worth."""
+MAX_MEMORY_WAIT_S = 2.0
+"""After this wait an item starts in a free slot although the estimates leave no memory for it. A
+sampler without memory preempts its newest run, which waits there."""
 MAX_STARTS_PER_PASS = 200
 """Starts that are planned at once, with several tenants for each model. The leader renews its lease
 in between."""
@@ -336,7 +339,7 @@
         self._pass = PlanningPass(
             self._samplers.of_service,
             lambda item, sampler: self._accepts(item, sampler, now),
-            self._has_room,
+            lambda item, sampler: self._has_room(item, sampler, now),
             self._has_free_slot,
             lambda sampler: self._interval_s(
                 sampler.entry.sampler_id, self._is_rated_by_speed(sampler.entry.service, now)
@@ -434,14 +437,14 @@
     def _can_run(self, open_item: OpenItem, sampler: TrackedSampler, now: float) -> bool:
         return (
             self._has_free_slot(sampler)
-            and self._has_room(open_item, sampler)
+            and self._has_room(open_item, sampler, now)
             and self._accepts(open_item, sampler, now)
         )
 
     def _has_free_slot(self, sampler: TrackedSampler) -> bool:
         return self.stats(sampler.entry.sampler_id).running < sampler.entry.slots
 
-    def _has_room(self, open_item: OpenItem, sampler: TrackedSampler) -> bool:
+    def _has_room(self, open_item: OpenItem, sampler: TrackedSampler, now: float) -> bool:
         """Whether the runs of a sampler leave memory for the item, and permit another run."""
         stats = self.stats(sampler.entry.sampler_id)
         if not stats.running:
@@ -449,6 +452,8 @@
         # After a failure one run is a probe.
         if sampler.failures:
             return False
+        if open_item.due_since is not None and now - open_item.due_since >= MAX_MEMORY_WAIT_S:
+            return True
         return stats.tokens + open_item.estimated_tokens <= self._cache_tokens(open_item)
 
     def _accepts(self, open_item: OpenItem, sampler: TrackedSampler, now: float) -> bool:
@@ -494,7 +499,7 @@
             return mismatch
         if not self._has_free_slot(sampler):
             return WaitReason.NO_SLOT
-        if not self._has_room(open_item, sampler):
+        if not self._has_room(open_item, sampler, now):
             return WaitReason.PROBED if sampler.failures else WaitReason.NO_MEMORY
         return WaitReason.STARTING
 
