Responses of samplers are limited in size on every path

Bytes that are no answer may come without end, in a head or a body, until the caller closes.

Cause: only a head line, a head and a chunk line had a limit. Figures of over 4,300 digits raised out of data_received.

Change: a response has limits for heads with interim heads, trailers, body with its chunk framing (32 MiB for lookups and rewards, 1 MiB for reports, orders and duty calls, 32 MiB for the store), for what comes between two numbered events, for the body that takes the place of a stream, for the text of an item (16 MiB, then the text is dropped and the item begins anew elsewhere) and for the digits of a figure. Beyond one of them the exchange ends as broken and its connection is reset, as for other garbage. Responses in progress share an eighth of the process's memory; beyond it the largest one is cut. Events that arrive together are passed on in one write.

--- a/stileloom/daemon/gateway.py
+++ b/stileloom/daemon/gateway.py
@@ -28,6 +28,7 @@
 from stileloom.decisions import DecisionLog
 from stileloom.errors import StileloomError
 from stileloom.events import LogEvent
+from stileloom.http1.response_memory import ResponseMemory
 from stileloom.jobs.client import JobClient
 from stileloom.jobs.leader_search import LedgerNodes
 from stileloom.ledger.registration import read_registrations
@@ -119,6 +120,7 @@
             self._guard,
             self._count_run,
             self._load,
+            ResponseMemory.of_process(settings.limits.memory_mb),
         )
         self._forwarder = Forwarder(access, switches.hedging, self._uses_admission_queue)
         self._load_receiver = ReadingReceiver(self._load, self.directory.samplers.entry_of)
--- a/stileloom/daemon/ledger_node.py
+++ b/stileloom/daemon/ledger_node.py
@@ -28,6 +28,7 @@
 from stileloom.duties.lost_fences import LostFences
 from stileloom.duties.metrics import DutyMetrics
 from stileloom.events import LogEvent
+from stileloom.http1.response_memory import ResponseMemory
 from stileloom.jobs.job_admission import JobAdmission
 from stileloom.jobs.job_ages import JobAges
 from stileloom.jobs.metrics import JobMetrics
@@ -107,6 +108,7 @@
             self._rng,
             UnrestrictedGuard(),
             load=self._load,
+            response_memory=ResponseMemory.of_process(settings.limits.memory_mb),
         )
         self._forwarder = Forwarder(access, switches.hedging, self._uses_admission_queue)
         self._directory.on_sampler_listed = self._on_sampler_listed
--- a/stileloom/http1/buffered_response.py
+++ b/stileloom/http1/buffered_response.py
@@ -7,12 +7,17 @@
 from stileloom.clock import steady_time
 from stileloom.http1.connection import ExchangeEnd
 from stileloom.http1.response_decoder import ResponseHead
+from stileloom.http1.response_memory import ResponseMemory
 
 
 class BufferedResponse:
-    """An `ExchangeSink` that buffers a response; `done` resolves when the exchange ends."""
+    """An `ExchangeSink` that buffers a response; `done` resolves when the exchange ends.
 
-    def __init__(self) -> None:
+    `memory` may end it early as malformed; then its connection must be closed.
+    """
+
+    def __init__(self, memory: ResponseMemory | None = None) -> None:
+        self._memory = memory
         self.done: asyncio.Future[ExchangeEnd] = asyncio.get_running_loop().create_future()
         self.head: ResponseHead | None = None
         self.head_at = 0.0
@@ -36,9 +41,24 @@
 
     def on_body(self, data: bytes) -> None:
         """Implements `ExchangeSink`."""
+        if self.done.done():
+            return
         self._parts.append(data)
+        if self._memory is not None:
+            self._memory.grow(self._cut, len(data))
 
     def on_end(self, end: ExchangeEnd) -> None:
         """Implements `ExchangeSink`."""
+        self.release_memory()
         if not self.done.done():
             self.done.set_result(end)
+
+    def release_memory(self) -> None:
+        """Stops counting this response; called for an exchange that was abandoned."""
+        if self._memory is not None:
+            self._memory.release(self._cut)
+
+    def _cut(self) -> None:
+        self._parts.clear()
+        if not self.done.done():
+            self.done.set_result(ExchangeEnd.MALFORMED)
--- a/stileloom/http1/caller.py
+++ b/stileloom/http1/caller.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from stileloom.http1.buffered_response import BufferedResponse
+from stileloom.http1.limits import MAX_CONTROL_RESPONSE_BYTES
 from stileloom.http1.pool import ConnectionPool
 from stileloom.http1.request_encoder import encode_request
 from stileloom.http1.response_decoder import ResponseHead
@@ -34,6 +35,7 @@
     body: bytes,
     timeout_s: float,
     may_send: Callable[[], bool] = lambda: True,
+    max_body_bytes: int = MAX_CONTROL_RESPONSE_BYTES,
 ) -> HttpResponse | None:
     """Sends a request; returns None if connecting fails or no complete response arrives in time.
 
@@ -52,7 +54,8 @@
         pool.release(sampler_id, connection)
         raise NotSent
     response = BufferedResponse()
-    connection.exchange(encode_request(method, target, all_headers, body), response)
+    request = encode_request(method, target, all_headers, body)
+    connection.exchange(request, response, max_body_bytes=max_body_bytes)
     try:
         async with asyncio.timeout(timeout_s):
             await response.done
--- a/stileloom/http1/connection.py
+++ b/stileloom/http1/connection.py
@@ -20,7 +20,7 @@
 TCP_KEEPALIVE_PROBES = 2
 IDLE_TIMEOUT_MARGIN_S = 1.0
 """Reuse of a connection stops this long before the idle timeout in its Keep-Alive header."""
-_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
+_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=([0-9]{1,9})")
 
 
 class ExchangeEnd(enum.Enum):
@@ -84,11 +84,20 @@
             and steady_time() < self._reusable_until
         )
 
-    def exchange(self, request: bytes, sink: ExchangeSink, method: str = "GET") -> None:
-        """Sends a request and passes its response to `sink`."""
+    def exchange(
+        self,
+        request: bytes,
+        sink: ExchangeSink,
+        method: str = "GET",
+        max_body_bytes: int | None = None,
+    ) -> None:
+        """Sends a request and passes its response to `sink`.
+
+        A response with a longer body ends as malformed; None for a sink that does not keep it.
+        """
         assert self._sink is None and self._transport is not None
         self._sink = sink
-        self._decoder = ResponseDecoder(method)
+        self._decoder = ResponseDecoder(method, max_body_bytes)
         self._transport.write(request)
 
     def pause_reading(self) -> None:
--- a/stileloom/http1/response_decoder.py
+++ b/stileloom/http1/response_decoder.py
@@ -11,8 +11,13 @@
 import msgspec
 from tornado.httputil import HTTPHeaders
 
-MAX_HEAD_BYTES = 65_536
-MAX_CHUNK_LINE_BYTES = 256
+from stileloom.http1.limits import (
+    MAX_CHUNK_LINE_BYTES,
+    MAX_HEAD_BYTES,
+    MAX_TRAILER_BYTES,
+    parse_figure,
+)
+
 _STATUS_LINE = re.compile(rb"^HTTP/1\.[01] ([1-9][0-9][0-9])(?: ([^\r\n]*))?$")
 _HEX = re.compile(rb"^[0-9a-fA-F]{1,8}$")
 
@@ -43,12 +48,18 @@
 class ResponseDecoder:
     """Decodes the head and the body of one response."""
 
-    def __init__(self, method: str = "GET") -> None:
+    def __init__(self, method: str = "GET", max_body_bytes: int | None = None) -> None:
+        """`max_body_bytes` includes the framing of chunks; None for a body that is not kept."""
         self._method = method
+        self._max_body_bytes = max_body_bytes
         self.head: ResponseHead | None = None
         self._buffer = bytearray()
         self._stage = _Stage.HEAD
         self._remaining = 0
+        self._head_bytes = 0
+        """Bytes of the heads read so far, with those of interim responses."""
+        self._body_bytes = 0
+        self._trailer_bytes = 0
 
     @property
     def done(self) -> bool:
@@ -89,18 +100,25 @@
         if self._stage is _Stage.TRAILER:
             return self._read_trailer()
         if self._stage is _Stage.UNTIL_CLOSE and self._buffer:
+            self._count_body(len(self._buffer))
             parts.append(bytes(self._buffer))
             self._buffer.clear()
         return False
 
+    def _count_body(self, count: int) -> None:
+        self._body_bytes += count
+        if self._max_body_bytes is not None and self._body_bytes > self._max_body_bytes:
+            raise MalformedResponse(f"body exceeds {self._max_body_bytes} bytes")
+
     def _read_head(self) -> bool:
         end = self._buffer.find(b"\r\n\r\n")
         if end < 0:
-            if len(self._buffer) > MAX_HEAD_BYTES or not b"HTTP/1.".startswith(
-                bytes(self._buffer[:7])
-            ):
-                raise MalformedResponse("invalid or oversized response head")
+            if not b"HTTP/1.".startswith(bytes(self._buffer[:7])):
+                raise MalformedResponse("invalid response head")
+            self._check_head(len(self._buffer))
             return False
+        self._head_bytes += end + 4
+        self._check_head(0)
         head = bytes(self._buffer[:end])
         del self._buffer[: end + 4]
         status_line, _, rest = head.partition(b"\r\n")
@@ -119,6 +137,10 @@
         self._select_framing(status, headers)
         return True
 
+    def _check_head(self, unread_bytes: int) -> None:
+        if self._head_bytes + unread_bytes > MAX_HEAD_BYTES:
+            raise MalformedResponse(f"response head exceeds {MAX_HEAD_BYTES} bytes")
+
     def _select_framing(self, status: int, headers: HTTPHeaders) -> None:
         lengths = headers.get_list("Content-Length")
         transfer_encoding = headers.get("Transfer-Encoding")
@@ -132,9 +154,12 @@
                 )
             self._stage = _Stage.CHUNK_SIZE
         elif lengths:
-            if len(set(lengths)) != 1 or not lengths[0].isdecimal():
-                raise MalformedResponse(f"invalid Content-Length: {lengths}")
-            self._remaining = int(lengths[0])
+            length = parse_figure(lengths[0])
+            if len(set(lengths)) != 1 or length is None:
+                raise MalformedResponse(f"invalid Content-Length: {lengths[0][:80]!r}")
+            if self._max_body_bytes is not None and length > self._max_body_bytes:
+                raise MalformedResponse(f"body of {length} bytes, limit {self._max_body_bytes}")
+            self._remaining = length
             self._stage = _Stage.LENGTH if self._remaining else _Stage.DONE
         else:
             self._stage = _Stage.UNTIL_CLOSE
@@ -145,6 +170,7 @@
         part = bytes(self._buffer[: self._remaining])
         del self._buffer[: self._remaining]
         self._remaining -= len(part)
+        self._count_body(len(part))
         parts.append(part)
         if self._remaining == 0:
             in_chunk = self._stage is _Stage.CHUNK_DATA
@@ -165,6 +191,7 @@
         line = self._read_line()
         if line is None:
             return False
+        self._count_body(len(line) + 4)
         digits = line.partition(b";")[0].strip()
         if not _HEX.match(digits):
             raise MalformedResponse(f"invalid chunk size: {digits!r}")
@@ -188,4 +215,7 @@
         if not line:
             self._stage = _Stage.DONE
             return False
+        self._trailer_bytes += len(line) + 2
+        if self._trailer_bytes > MAX_TRAILER_BYTES:
+            raise MalformedResponse(f"trailers exceed {MAX_TRAILER_BYTES} bytes")
         return True
--- a/stileloom/jobs/item_runs.py
+++ b/stileloom/jobs/item_runs.py
@@ -203,10 +203,15 @@
             return
         connection = self._connections.pop(open_item.key, None)
         now = steady_time()
-        failed = outcome in (RunOutcome.FAILED, RunOutcome.BROKEN, RunOutcome.REFUSED)
+        failed = outcome in (
+            RunOutcome.FAILED,
+            RunOutcome.BROKEN,
+            RunOutcome.TOO_LONG,
+            RunOutcome.REFUSED,
+        )
         self._scheduler.end_run(open_item, avoid=failed)
         if connection is not None:
-            if outcome in (RunOutcome.TOO_OLD, RunOutcome.BROKEN):
+            if outcome in (RunOutcome.TOO_OLD, RunOutcome.TOO_LONG, RunOutcome.BROKEN):
                 connection.close()
             else:
                 asyncio.get_running_loop().call_soon(self._pool.release, sampler_id, connection)
@@ -218,6 +223,8 @@
             return
         self._log_failed_run(open_item, sampler_id, outcome, detail)
         open_item.not_before = now + self._retry_delay_s(open_item, start.run, outcome)
+        if outcome is RunOutcome.TOO_LONG:
+            open_item.discard_text()
         if outcome is RunOutcome.REFUSED:
             self._scheduler.stats(sampler_id).refused_until = now + REFUSAL_BACKOFF_S
         elif outcome is RunOutcome.MISDIRECTED:
--- a/stileloom/jobs/item_stream.py
+++ b/stileloom/jobs/item_stream.py
@@ -8,9 +8,13 @@
 from stileloom.api.headers import HeaderNames
 from stileloom.http1.connection import ExchangeEnd
 from stileloom.http1.event_stream import EventStreamParser, MalformedEvent
+from stileloom.http1.limits import MAX_ERROR_BYTES, parse_figure
 from stileloom.http1.response_decoder import ResponseHead
 from stileloom.jobs.partial_text import BrokenChain, PartialText
 
+MAX_TEXT_BYTES = 16 * 1024 * 1024
+"""Text of one item, in characters. Results and saved texts pass through the ledger's memory."""
+
 
 class RunOutcome(enum.Enum):
     """Outcome of a run."""
@@ -24,6 +28,8 @@
     """Status 500: counts as a failed attempt of the item."""
     IMPOSSIBLE = "impossible"
     """Status 422: the sampler can never run the item."""
+    TOO_LONG = "too_long"
+    """The text exceeds `MAX_TEXT_BYTES`; it is dropped."""
     TOO_OLD = "too_old"
     """The sampler's weights are older than the job accepts."""
     BROKEN = "broken"
@@ -53,6 +59,8 @@
         self._on_outcome = on_outcome
         self._on_sampler_head = on_sampler_head
         self._parser = EventStreamParser(names.versions)
+        self._text_bytes = sum(len(part) for part in partial.parts)
+        self._error_bytes = 0
         self._head: ResponseHead | None = None
         self._ended = False
 
@@ -65,15 +73,20 @@
         if head.status != 421:
             self._on_sampler_head(head)
         if head.status == 200:
-            text = head.headers.get(self._names.versions, "").strip()
-            if not text.isdecimal():
+            version = parse_figure(head.headers.get(self._names.versions, "").strip())
+            if version is None:
                 self._finish(RunOutcome.BROKEN, "response has no weight version")
             else:
-                self._update_version(int(text))
+                self._update_version(version)
 
     def on_body(self, data: bytes) -> None:
         """Handles a part of the body."""
-        if self._ended or self._head is None or self._head.status != 200:
+        if self._ended or self._head is None:
+            return
+        if self._head.status != 200:
+            self._error_bytes += len(data)
+            if self._error_bytes > MAX_ERROR_BYTES:
+                self._finish(RunOutcome.BROKEN, f"response exceeds {MAX_ERROR_BYTES} bytes")
             return
         try:
             for event in self._parser.feed(data):
@@ -81,6 +94,10 @@
                     self._update_version(event.version)
                 if self._ended:
                     return
+                self._text_bytes += len(event.data)
+                if self._text_bytes > MAX_TEXT_BYTES:
+                    self._finish(RunOutcome.TOO_LONG, f"text exceeds {MAX_TEXT_BYTES} bytes")
+                    return
                 self._partial.add(event.event_id, event.data, self.version)
                 self._on_event(event.event_id)
         except (MalformedEvent, BrokenChain) as error:
--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -72,8 +72,8 @@
 MAX_RETAINED_TEXTS = 2000
 MAX_SLOW_RUNS = 32
 UNUSABLE_TEXT_RETENTION_S = 1.0
-"""How long an item waits for a sampler that can continue its text. A sampler that restarts keeps its
-version, but may be away for longer than the text is worth."""
+"""How long an item waits for a sampler that can continue its text. A sampler that restarts keeps
+its version, but may be away for longer than the text is worth."""
 MAX_MEMORY_WAIT_S = 2.0
 """After this wait an item starts in a free slot although the estimates leave no memory for it. A
 sampler without memory preempts its newest run, which waits there."""
--- a/stileloom/proxy/exchange.py
+++ b/stileloom/proxy/exchange.py
@@ -11,7 +11,9 @@
 from stileloom.api.sampler_directory import SamplerEntry
 from stileloom.http1.buffered_response import BufferedResponse
 from stileloom.http1.connection import ExchangeEnd, SamplerConnection
+from stileloom.http1.limits import MAX_RESPONSE_BYTES
 from stileloom.http1.response_decoder import ResponseHead
+from stileloom.http1.response_memory import ResponseMemory
 
 
 class AttemptOutcome(enum.Enum):
@@ -51,17 +53,20 @@
     request_id: str,
     names: HeaderNames,
     method: str = "GET",
+    memory: ResponseMemory | None = None,
 ) -> Attempt:
     """Sends a request on a connection and classifies the outcome."""
-    response = BufferedResponse()
-    connection.exchange(request, response, method)
+    response = BufferedResponse(memory)
+    connection.exchange(request, response, method, MAX_RESPONSE_BYTES)
     try:
         end = await response.done
     except asyncio.CancelledError:
         connection.close()
+        response.release_memory()
         raise
     head = response.head
     if end is not ExchangeEnd.COMPLETE or head is None:
+        connection.close()
         return Attempt(sampler_id, AttemptOutcome.BROKEN, detail=end.value)
     if head.headers.get(names.request_id, request_id) != request_id:
         # A late response to an earlier request. The outcome of this one is unknown.
--- a/stileloom/proxy/forwarder.py
+++ b/stileloom/proxy/forwarder.py
@@ -53,6 +53,7 @@
         self._is_active = is_active
         self._waiters = AdmissionWaiters(access.log, access.metrics)
         self._pool = ConnectionPool(access.metrics.connection_opened)
+        self._response_memory = access.response_memory
 
     def close_connections(self, sampler_id: str) -> None:
         """Closes the keep-alive connections of a removed sampler."""
@@ -285,6 +286,7 @@
                 lookup.request_id,
                 self._names,
                 lookup.method,
+                self._response_memory,
             )
             self._pool.release(entry.sampler_id, connection)
             self._record_load(entry, attempt)
--- a/stileloom/proxy/sampler_access.py
+++ b/stileloom/proxy/sampler_access.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from stileloom.api.headers import HeaderNames
+from stileloom.http1.response_memory import ResponseMemory
 from stileloom.load import LoadView
 from stileloom.logging import EventLog
 from stileloom.proxy.metrics import AttemptMetrics
@@ -30,3 +31,5 @@
     """Counts a request that a sampler began, by tenant and moment of the steady clock."""
     load: LoadView = msgspec.field(default_factory=LoadView)
     """What the process knows about the load of samplers."""
+    response_memory: ResponseMemory = msgspec.field(default_factory=ResponseMemory)
+    """Memory of the responses that the process is receiving."""
--- a/stileloom/proxy/stream_relay.py
+++ b/stileloom/proxy/stream_relay.py
@@ -20,7 +20,8 @@
 from stileloom.errors import ErrorKind, StileloomError
 from stileloom.events import LogEvent
 from stileloom.http1.connection import ExchangeEnd, SamplerConnection
-from stileloom.http1.event_stream import EventSplitter
+from stileloom.http1.event_stream import EventSplitter, MalformedEvent
+from stileloom.http1.limits import MAX_ERROR_BYTES
 from stileloom.http1.pool import ConnectionPool
 from stileloom.http1.request_encoder import encode_request
 from stileloom.http1.response_decoder import ResponseHead
@@ -279,14 +280,18 @@
                     if not stream.counted:
                         stream.counted = True
                         self._count_run(lookup.tenant, steady_time())
-                    if not stream.forward_events(part):
-                        return _Run(_RunEnd.BROKEN, "event id did not increase")
+                    try:
+                        stream.forward_events(part)
+                    except MalformedEvent as error:
+                        return _Run(_RunEnd.BROKEN, str(error))
                     if stream.writer.unsent_bytes > MAX_UNSENT_BYTES and not await self._wait_read(
                         lookup, stream.writer, connection
                     ):
                         return _Run(_RunEnd.UNREAD, "the caller does not read")
                 else:
                     body += part
+                    if len(body) > MAX_ERROR_BYTES:
+                        return _Run(_RunEnd.BROKEN, f"response exceeds {MAX_ERROR_BYTES} bytes")
             else:
                 return self._classify(head, body, part, stream)
 
@@ -374,12 +379,15 @@
             self.started = True
             self.writer.start(head)
 
-    def forward_events(self, data: bytes) -> bool:
-        """Forwards complete events; returns False if an event id does not increase."""
+    def forward_events(self, data: bytes) -> None:
+        """Forwards complete events. Raises `MalformedEvent` also if an id does not increase."""
+        forwarded: list[bytes] = []
         for event in self._splitter.feed(data):
             if event.event_id is not None:
                 if self.last_event_id is not None and event.event_id <= self.last_event_id:
-                    return False
+                    self.writer.write(b"".join(forwarded))
+                    raise MalformedEvent("event id did not increase")
                 self.last_event_id = event.event_id
-            self.writer.write(event.raw)
-        return True
+            forwarded.append(event.raw)
+        if forwarded:
+            self.writer.write(b"".join(forwarded))
