An odd object in the store costs only itself

What callers saw: reported by another operator, not seen here yet. One odd entry among those of the samplers, and the machines that read the list ended again and again or stopped following it.

Cause: a list or watch response was decoded as a whole. One entry nested in 1,200 levels or more, a number out of range or bytes that are not UTF-8 made all of it unreadable, again at each retry. Integers beyond 64 bits passed, and then could not be encoded for the nodes that read through a cache. An address without a valid port raised ValueError in stileloom's own dialect, which ended the watch task: the node went on with the samplers that it knew.

Change: a response that cannot be decoded is split into slices without recursion (http/json_slices.py), and each object is decoded alone. Beyond limits of size, depth (32), number and integers it is read as one without content, which replaces what its name stood for. A sampler's entry has limits of its own: id, slots, versions, time of birth, port. What an object causes in a callback is logged and does not end the watch. An entry that cannot be decoded is logged once for each of its revisions.

--- a/stileloom/daemon/directory.py
+++ b/stileloom/daemon/directory.py
@@ -8,7 +8,7 @@
 
 from stileloom.api.dialect import Dialect
 from stileloom.api.object_store import ObjectEvent, ObjectRecord, ObjectStore
-from stileloom.api.sampler_directory import SamplerEntry
+from stileloom.api.sampler_directory import SamplerEntry, check_entry
 from stileloom.background import BackgroundTasks
 from stileloom.daemon.object_watch import ObjectWatcher
 from stileloom.daemon.process_metrics import ProcessMetrics
@@ -21,6 +21,7 @@
 
 BATCHING_DELAY_FRACTION = 0.1
 """Delay after a change, as a fraction of the time bound; lets one call fetch several changes."""
+MAX_REPORTED_OBJECTS = 1000
 
 
 class Directory:
@@ -42,6 +43,8 @@
         self.on_routes_changed: Callable[[], None] = lambda: None
         self._dialect = dialect
         self._log = log
+        self._undecodable: dict[tuple[str, str], int] = {}
+        """Revisions of the objects that were reported as undecodable, by kind and name."""
         self._tasks = BackgroundTasks(log)
         kinds = dialect.kinds
 
@@ -151,15 +154,23 @@
     def _decode(self, record: ObjectRecord) -> SamplerEntry | None:
         try:
             entry = self._dialect.decode_sampler(record)
+            check_entry(entry)
         except StileloomError as error:
             self._report_undecodable("sampler", record, error)
             return None
+        self._undecodable.pop(("sampler", record.name), None)
         if self.samplers.get(entry.sampler_id) is None and not entry.draining:
             fields: dict[str, object] = {"sampler": entry.sampler_id, "service": entry.service}
             self._log.emit(LogEvent.SAMPLER_LISTED, fields)
         return entry
 
     def _report_undecodable(self, what: str, record: ObjectRecord, error: StileloomError) -> None:
+        """Logs an object that cannot be decoded, once for each of its revisions."""
+        if self._undecodable.get((what, record.name)) == record.revision:
+            return
+        self._undecodable[(what, record.name)] = record.revision
+        while len(self._undecodable) > MAX_REPORTED_OBJECTS:
+            self._undecodable.pop(next(iter(self._undecodable)))
         self._log.emit(
             LogEvent.OBJECT_NOT_UNDERSTOOD,
             {
--- a/stileloom/daemon/object_watch.py
+++ b/stileloom/daemon/object_watch.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import random
+import traceback
 from collections.abc import Awaitable, Callable
 
 from stileloom.api.object_store import ObjectEvent, ObjectRecord, ObjectStore
+from stileloom.background import MAX_TRACEBACK_LENGTH
 from stileloom.clock import steady_time
 from stileloom.errors import ErrorKind, StileloomError
 from stileloom.events import LogEvent
@@ -16,6 +18,7 @@
 """Must be below the time bounds, because only the end of a watch reveals a lost connection."""
 RETRY_MIN_S = 0.15
 RETRY_MAX_S = 0.8
+MAX_ERROR_LENGTH = 200
 MAX_DOUBLINGS = 8
 """Limits the exponent, which would otherwise overflow a float after many failures."""
 
@@ -63,7 +66,12 @@
                 await self._poll()
                 self._record_outcome(self._kind, "answered")
                 self._record_success()
-            except StileloomError as error:
+            except Exception as error:
+                # Objects may come from any writer: what they cause must not end the watch.
+                if not isinstance(error, StileloomError):
+                    self._log_internal_error(error)
+                    error = StileloomError(ErrorKind.INTERNAL, repr(error))
+                    self._revision = None
                 self._record_outcome(self._kind, error.kind.value)
                 if error.kind is ErrorKind.HISTORY_LOST:
                     self._revision = None
@@ -89,11 +97,19 @@
         self._revision = max(self._revision, batch.store_revision)
         self._report_unreadable(batch.unreadable)
         for event in batch.events:
-            self._on_event(event)
+            try:
+                self._on_event(event)
+            except Exception as error:
+                self._log_internal_error(error, event.record.name)
         if batch.events:
             # Changes arrive in bursts; the delay lets one call fetch several of them.
             await self._sleep(self._batch_delay_s * self._rng.uniform(0.8, 1.0))
 
+    def _log_internal_error(self, error: Exception, name: str = "") -> None:
+        trace = "".join(traceback.format_exception(error))[-MAX_TRACEBACK_LENGTH:]
+        fields = {"kind": self._kind, "name": name, "error": repr(error)[:MAX_ERROR_LENGTH]}
+        self._log.emit(LogEvent.INTERNAL_FAULT, {**fields, "trace": trace})
+
     def _record_success(self) -> None:
         if self._failures:
             self._log.emit(LogEvent.STORE_REGAINED, {"kind": self._kind, "after": self._failures})
--- a/stileloom/daemon/platform_client.py
+++ b/stileloom/daemon/platform_client.py
@@ -9,6 +9,9 @@
 
 from stileloom.api.objects import Configuration, Machine, ObjectKind, parse_spec
 from stileloom.errors import ErrorKind, Outcome, StileloomError
+from stileloom.http.decoding import decode
+from stileloom.http.json_slices import elements, is_deeper_than, members
+from stileloom.http.object_limits import MAX_OBJECT_DEPTH, has_unsupported_integer
 
 WATCH_WAIT_S = 1.0
 REQUEST_TIMEOUT_S = 3.0
@@ -33,6 +36,13 @@
     objects: list[StoredObject]
 
 
+class _RawList(msgspec.Struct, frozen=True):
+    """All objects at one revision, not decoded yet."""
+
+    revision: int
+    objects: list[msgspec.Raw]
+
+
 class ObjectApi:
     """A client of the object API."""
 
@@ -57,7 +67,7 @@
         response = await self._fetch("GET", path, timeout_s=REQUEST_TIMEOUT_S + wait_s)
         if response.code == 204:
             return None
-        return msgspec.json.decode(response.body, type=ObjectList)
+        return decode_objects(response.body)
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """Returns one object or None. Raises `StileloomError` (PLATFORM_UNAVAILABLE)."""
@@ -67,12 +77,12 @@
             if error.kind is ErrorKind.UNKNOWN_OBJECT:
                 return None
             raise
-        return msgspec.json.decode(response.body, type=StoredObject)
+        return _decode_object(response.body)
 
     async def list(self) -> ObjectList:
         """Lists all objects. Raises `StileloomError` (PLATFORM_UNAVAILABLE)."""
         response = await self._fetch("GET", "/objects")
-        return msgspec.json.decode(response.body, type=ObjectList)
+        return decode_objects(response.body)
 
     async def write(
         self,
@@ -159,6 +169,43 @@
         return msgspec.json.decode(response.body, type=list[Machine])
 
 
+def decode_objects(body: bytes) -> ObjectList:
+    """Decodes a list; an object that cannot be used loses its content, and hides no other.
+
+    Raises `StileloomError` (PLATFORM_UNAVAILABLE).
+    """
+    try:
+        raw = decode(body, _RawList)
+    except StileloomError:
+        raw = _split_list(body)
+    return ObjectList(raw.revision, [_decode_object(bytes(item)) for item in raw.objects])
+
+
+def _split_list(body: bytes) -> _RawList:
+    try:
+        fields = members(body)
+        revision = decode(fields.get("revision", b""), int)
+        objects = elements(fields.get("objects", b""))
+    except StileloomError as error:
+        raise _unavailable(error.detail) from error
+    return _RawList(revision, [msgspec.Raw(item) for item in objects])
+
+
+def _decode_object(document: bytes) -> StoredObject:
+    """Decodes an object; without its content if that is beyond the limits."""
+    try:
+        if not is_deeper_than(document, MAX_OBJECT_DEPTH):
+            stored = decode(document, StoredObject)
+            if not has_unsupported_integer(stored.spec):
+                return stored
+        fields = members(document)
+        del fields["spec"]
+        named = {name: decode(value, object) for name, value in fields.items()}
+        return msgspec.convert({**named, "spec": {}}, StoredObject)
+    except (StileloomError, KeyError, msgspec.ValidationError) as error:
+        raise _unavailable(f"object API: {error}") from error
+
+
 def _unavailable(detail: str) -> StileloomError:
     return StileloomError(ErrorKind.PLATFORM_UNAVAILABLE, detail, Outcome.UNKNOWN)
 
--- a/stileloom/http/native_dialect.py
+++ b/stileloom/http/native_dialect.py
@@ -108,10 +108,14 @@
     def decode_sampler(self, record: ObjectRecord) -> SamplerEntry:
         """Implements `Dialect`."""
         body = convert(record.spec, SamplerBody)
+        try:
+            address = split_address(body.address)
+        except ValueError as error:
+            raise StileloomError(ErrorKind.OBJECT_INVALID, str(error)) from error
         return SamplerEntry(
             record.name,
             body.service,
-            split_address(body.address),
+            address,
             body.zone,
             body.slots,
             body.draining,
--- a/stileloom/settings_file.py
+++ b/stileloom/settings_file.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from pathlib import Path
 from typing import Annotated, TypeVar
 
@@ -9,7 +10,9 @@
 
 from stileloom.errors import ErrorKind, StileloomError
 
-Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+MAX_PORT = 65_535
+_PORT = re.compile(r"[0-9]{1,5}")
+Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
 Address = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$")]
 """IP address and port, such as `10.0.0.7:7400`."""
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=63, pattern=r"^[a-z0-9][a-z0-9.-]*$")]
@@ -46,6 +49,8 @@
 
 
 def split_address(address: str) -> tuple[str, int]:
-    """Splits an address into host and port. Raises `ValueError` if the port is missing."""
+    """Splits an address into host and port. Raises `ValueError` if the port is not one."""
     host, _, port = address.rpartition(":")
+    if not _PORT.fullmatch(port) or not 1 <= int(port) <= MAX_PORT:
+        raise ValueError(f"invalid port: {port[:20]!r}")
     return host.strip("[]"), int(port)
