A report that cannot be decoded is no report

What callers saw: nothing yet; found beside the odd entries of the store. Bytes that are no report raised out of the task of a load, which ended without an outcome and without a pause, and was planned again with the next step.

Change: such a report is logged and counts as none; the load is postponed. Versions beyond 2^53 and negative ones are refused.

--- a/stileloom/jobs/engine_control.py
+++ b/stileloom/jobs/engine_control.py
@@ -8,8 +8,12 @@
 import msgspec
 
 from stileloom.api.dialect import Dialect, EngineCall, LoadOrder, SamplerReport
+from stileloom.api.sampler_directory import MAX_VERSION
+from stileloom.errors import StileloomError
+from stileloom.events import LogEvent
 from stileloom.http1.caller import HttpResponse, NotSent, send_request
 from stileloom.http1.pool import ConnectionPool
+from stileloom.logging import EventLog
 
 CONTROL_TIMEOUT_S = 1.0
 
@@ -48,16 +52,26 @@
 class EngineControl:
     """Sends control calls over keep-alive connections."""
 
-    def __init__(self, dialect: Dialect, pool: ConnectionPool) -> None:
+    def __init__(self, dialect: Dialect, pool: ConnectionPool, log: EventLog) -> None:
         self._dialect = dialect
         self._pool = pool
+        self._log = log
 
     async def report(self, target: ControlTarget) -> SamplerReport | None:
         """Returns the sampler's report, or None if there was no valid answer."""
         answer = await self._call(target, self._dialect.report_call())
         if answer is None or answer.head.status != 200:
             return None
-        return self._dialect.decode_report(answer.body)
+        try:
+            report = self._dialect.decode_report(answer.body)
+        except StileloomError as error:
+            self._log.emit(
+                LogEvent.OBJECT_NOT_UNDERSTOOD,
+                {"what": "report", "name": target.sampler_id, "detail": error.detail},
+            )
+            return None
+        figures = [report.orders_taken, *report.model_versions.values()]
+        return report if all(0 <= figure <= MAX_VERSION for figure in figures) else None
 
     async def order(
         self, target: ControlTarget, order: LoadOrder, may_send: Callable[[], bool]
--- a/stileloom/jobs/weight_loader.py
+++ b/stileloom/jobs/weight_loader.py
@@ -46,7 +46,7 @@
         self._scheduler = scheduler
         self._planner = planner
         self._samplers = samplers
-        self._control = EngineControl(dialect, pool)
+        self._control = EngineControl(dialect, pool, log)
         self._log = log
         self._metrics = metrics
         self._window = OrderWindow(node_id, ledger, order_windows)
