--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -50,6 +50,9 @@
 LOAD_EXCHANGE = "tests/test_load_exchange.py"
 SAMPLER_CHOICE = "tests/test_sampler_choice.py"
 ITEM_PLACEMENT = "tests/test_item_placement.py"
+ACCEPTED_WORK = "tests/test_accepted_work.py"
+ENDLESS_RESPONSES = "tests/test_endless_responses.py"
+ODD_ENTRIES = "tests/test_odd_entries.py"
 FAIRNESS = "tests/test_fairness.py"
 TENANT_PRIORITY = "tests/test_tenant_priority.py"
 
@@ -1371,6 +1374,104 @@
         "            if False:\n",
         "tests/test_reward_load.py",
     ),
+    Mutant(
+        "broken runs are repeated without a growing delay",
+        "an accepted item waits for a bounded time",
+        "stileloom/jobs/item_runs.py",
+        "        doublings = min(open_item.broken_runs, MAX_DOUBLINGS)\n",
+        "        doublings = 0\n",
+        f"{QUARANTINE}::PoisonItemTest",
+    ),
+    Mutant(
+        "reward calls are refused after crashes",
+        "an accepted item waits for a bounded time",
+        "stileloom/quarantine/admission.py",
+        "    attempts_left = sys.maxsize\n",
+        "    attempts_left = 0\n",
+        f"{ACCEPTED_WORK}::CrashedItemTest::"
+        "test_a_reward_call_under_which_samplers_crashed_is_sent_again",
+    ),
+    Mutant(
+        "a text without a sampler of its version is kept",
+        "an accepted item waits for a bounded time",
+        "stileloom/jobs/scheduler.py",
+        "                item.discard_text()\n",
+        "                pass\n",
+        f"{ACCEPTED_WORK}::WaitingItemTest",
+    ),
+    Mutant(
+        "only the first event of a run shows that its sampler works",
+        "an accepted item waits for a bounded time",
+        "stileloom/jobs/scheduler.py",
+        "if run.events == 0 or self._samplers.is_past_cooldown(run.sampler_id, now):",
+        "if run.events == 0:",
+        f"{ACCEPTED_WORK}::WaitingItemTest",
+    ),
+    Mutant(
+        "an estimate of memory holds an item for ever",
+        "an accepted item waits for a bounded time",
+        "stileloom/jobs/scheduler.py",
+        "now - open_item.due_since >= MAX_MEMORY_WAIT_S",
+        "False",
+        f"{ACCEPTED_WORK}::WaitingItemTest",
+    ),
+    Mutant(
+        "a run that may not be sent counts as under way",
+        "an accepted item waits for a bounded time",
+        "stileloom/jobs/item_runs.py",
+        "            if open_item.run is run:\n                self._scheduler.end_run(open_item)\n"
+        "            return\n",
+        "            return\n",
+        f"{ACCEPTED_WORK}::WaitingItemTest",
+    ),
+    Mutant(
+        "a body has no limit",
+        "a response has an end",
+        "stileloom/http1/response_decoder.py",
+        "if self._max_body_bytes is not None and self._body_bytes > self._max_body_bytes:",
+        "if False:",
+        f"{ENDLESS_RESPONSES}::EndlessResponseTest::test_lookups",
+    ),
+    Mutant(
+        "interim heads do not count",
+        "a response has an end",
+        "stileloom/http1/response_decoder.py",
+        "        self._head_bytes += end + 4\n",
+        "",
+        f"{ENDLESS_RESPONSES}::EndlessResponseTest::test_lookups",
+    ),
+    Mutant(
+        "an event has no limit",
+        "a response has an end",
+        "stileloom/http1/event_stream.py",
+        "if self._bytes_since_event + unread_bytes > MAX_EVENT_BYTES:",
+        "if False:",
+        f"{ENDLESS_RESPONSES}::EndlessResponseTest::test_item_runs",
+    ),
+    Mutant(
+        "an object may be nested without a limit",
+        "an odd object costs only itself",
+        "stileloom/http/json_slices.py",
+        "            if depth > limit:\n                return True\n",
+        "",
+        f"{ODD_ENTRIES}",
+    ),
+    Mutant(
+        "integers of any size are passed on",
+        "an odd object costs only itself",
+        "stileloom/http/object_limits.py",
+        "            return True\n",
+        "            pass\n",
+        f"{ODD_ENTRIES}::PlatformStoreTest",
+    ),
+    Mutant(
+        "an exception in a callback ends the watch",
+        "an odd object costs only itself",
+        "stileloom/daemon/object_watch.py",
+        "except Exception as error:\n                self._log_internal_error(error, event",
+        "except KeyError as error:\n                self._log_internal_error(error, event",
+        "tests/test_object_watch.py",
+    ),
 ]
 
 
--- a/tests/test_object_watch.py
+++ b/tests/test_object_watch.py
@@ -13,6 +13,9 @@
 from stileloom.errors import ErrorKind, StileloomError
 from stileloom.logging import EventLog
 
+CAUSES_ERROR = "causes-error"
+"""Name of an object of which the first report raises an unexpected exception."""
+
 
 class ScriptedStore:
     """An object store that returns prepared answers in order and then blocks."""
@@ -53,14 +56,24 @@
     async def run() -> list[tuple[Any, ...]]:
         store = ScriptedStore(answers)
 
+        def report(record: ObjectRecord) -> None:
+            if record.name == CAUSES_ERROR and CAUSES_ERROR not in reported:
+                reported.append(record.name)
+                raise OverflowError("too large")
+            reported.append(record.name)
+
+        def report_all(records: list[ObjectRecord]) -> None:
+            for record in records:
+                report(record)
+
         async def no_sleep(seconds: float) -> None:
             await asyncio.sleep(0)
 
         watcher = ObjectWatcher(
             store,  # type: ignore[arg-type]
             "things",
-            lambda records: reported.extend(record.name for record in records),
-            lambda event: reported.append(event.record.name),
+            report_all,
+            lambda event: report(event.record),
             1.0,
             EventLog("n"),
             random.Random(1),
@@ -115,3 +128,16 @@
         calls, reported = run_watcher(answers)
         self.assertEqual(["a"], reported)
         self.assertEqual(("watch", 7, WATCH_WAIT_S), calls[-1])
+
+    def test_an_exception_over_a_change_spares_the_changes_after_it(self) -> None:
+        names = [CAUSES_ERROR, "b"]
+        events = [ObjectEvent(False, ObjectRecord(name, 8, {})) for name in names]
+        calls, reported = run_watcher([ObjectPage([], 7), WatchBatch(events, 8)])
+        self.assertEqual(names, reported)
+        self.assertEqual(("watch", 8, WATCH_WAIT_S), calls[-1])
+
+    def test_an_exception_over_a_list_is_followed_by_another_list(self) -> None:
+        page = ObjectPage([ObjectRecord(CAUSES_ERROR, 3, {}), ObjectRecord("b", 3, {})], 7)
+        calls, reported = run_watcher([page, page])
+        self.assertEqual([("list",), ("list",), ("watch", 7, WATCH_WAIT_S)], calls[:3])
+        self.assertEqual([CAUSES_ERROR, CAUSES_ERROR, "b"], reported)
