--- a/tests/test_load_recording.py
+++ b/tests/test_load_recording.py
@@ -30,7 +30,7 @@
 from stileloom.proxy.sampler_table import SamplerTable
 from stileloom.quarantine.guard import QuarantineGuard
 from stileloom.quarantine.metrics import QuarantineMetrics
-from tests.runner_fixture import FakeQuarantineLedger
+from tests.test_quarantine_guard import FakeLedger as FakeQuarantineLedger
 
 NAMES = HeaderNames()
 ENTRY = SamplerEntry("s", "lookups", ("127.0.0.1", 1), "a", 6, False, {}, 7)
@@ -52,7 +52,9 @@
     def close(self) -> None:
         """Closes the connection."""
 
-    def exchange(self, request: bytes, response: BufferedResponse, method: str) -> None:
+    def exchange(
+        self, request: bytes, response: BufferedResponse, method: str, max_body_bytes: int
+    ) -> None:
         """Responds; None stands for a connection that breaks."""
         head = self.heads.pop(0)
         if head is not None:
--- a/tests/virtual_lookups.py
+++ b/tests/virtual_lookups.py
@@ -117,7 +117,9 @@
         self._sampler = sampler
         self._sink: ExchangeSink | None = None
 
-    def exchange(self, request: bytes, sink: ExchangeSink, method: str) -> None:
+    def exchange(
+        self, request: bytes, sink: ExchangeSink, method: str, max_body_bytes: int
+    ) -> None:
         self._sink = sink
         loop = asyncio.get_running_loop()
         loop.call_later(TRIP_S, self._sampler.receive, self, request)
