A request that is cleared twice by one command does not end the ledger

Cause: two good answers of one suspect within the 20 ms of a report put its identity twice into one ClearSuspects. QuarantineRegistry.clear checked all identities first and then removed each of them: KeyError.

Change: a repeated identity is cleared once, which also lets journals that hold such a command be read; the guard reports an identity once.

--- a/stileloom/quarantine/book.py
+++ b/stileloom/quarantine/book.py
@@ -88,7 +88,7 @@
 
     def clear(self, identities: list[str]) -> list[str]:
         """Clears suspects after a successful response or release; returns the known ones."""
-        cleared = [identity for identity in identities if identity in self.suspects]
+        cleared = [identity for identity in dict.fromkeys(identities) if identity in self.suspects]
         for identity in cleared:
             if len(self.suspects.pop(identity).ends) >= MIN_PUBLISHED_CRASHES:
                 self.revision += 1
--- a/stileloom/quarantine/guard.py
+++ b/stileloom/quarantine/guard.py
@@ -234,7 +234,8 @@
             self._report_success(identity)
 
     def _report_success(self, identity: str) -> None:
-        self._unreported_successes.append(identity)
+        if identity not in self._unreported_successes:
+            self._unreported_successes.append(identity)
         self._schedule_report()
 
     def _schedule_report(self) -> None:
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -20,6 +20,7 @@
 from stileloom.clock import steady_time
 from stileloom.logging import configure_logs
 from tests.soak.callers import Callers, configuration
+from tests.soak.crash_rows import CrashRows
 from tests.soak.deployment import GATEWAY_MEMORY_MB, GATEWAYS, LIMITED_GATEWAY, Deployment
 from tests.soak.faults import FaultSchedule
 from tests.soak.job_ends import LEDGER
@@ -51,6 +52,7 @@
         self.callers = Callers(self.deployment, self.record, rng, item_bytes)
         self.faults = FaultSchedule(self.deployment, self.record, rng)
         self.poison = PoisonLookup(self.deployment, self.callers, self.record, seed)
+        self.crash_rows = CrashRows(self.deployment, self.record, seed)
         self._watching = True
 
     async def run(self, seconds: float) -> None:
@@ -67,8 +69,11 @@
             slow_callers.start()
             replacing = loop.create_task(self.poison.replace_ended())
             arriving = loop.create_task(self.poison.arrive())
+            crashing = loop.create_task(self.crash_rows.run())
             await self.faults.run(seconds)
             arriving.cancel()
+            crashing.cancel()
+            await self.crash_rows.finish()
             await slow_callers.stop()
             self._judge_memory()
             await self.callers.finish()
