What an item requires of a sampler is a part of its own

test_item_scheduler, test_item_placement, test_item_waits and test_planning_pass pass; the last one counts calls of SamplerFit.has_free_slot now.

--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -39,6 +39,7 @@
 from stileloom.jobs.partial_text import PartialText
 from stileloom.jobs.planning_pass import PlanningPass
 from stileloom.jobs.registry import JobRecord
+from stileloom.jobs.sampler_fit import SamplerFit
 from stileloom.jobs.sampler_shares import SamplerShares
 from stileloom.jobs.sampler_speed import SamplerSpeed
 from stileloom.jobs.start_order import remaining_events, start_order
@@ -62,7 +63,6 @@
 LAST_ITEMS_SHARE = 0.1
 """Share of the items that a trainer waits for from which their runs may move, where speeds are
 noisy."""
-MAX_CACHE_FILL = 0.95
 MIN_EVENTS_PER_SAVE = 5
 """Number of unsaved events at which an item is saved to the ledger."""
 INTERVAL_EWMA_WEIGHT = 0.2
@@ -74,9 +74,6 @@
 UNUSABLE_TEXT_RETENTION_S = 1.0
 """How long an item waits for a sampler that can continue its text. A sampler that restarts keeps
 its version, but may be away for longer than the text is worth."""
-MAX_MEMORY_WAIT_S = 2.0
-"""After this wait an item starts in a free slot although the estimates leave no memory for it. A
-sampler without memory preempts its newest run, which waits there."""
 MAX_STARTS_PER_PASS = 200
 """Starts that are planned at once, with several tenants for each model. The leader renews its lease
 in between."""
@@ -114,6 +111,7 @@
         self.has_tenants = False
         """Whether the configuration has tenants; without them no priority has an effect."""
         self._tenant_shares = ServiceShares(samplers, self.cache_tokens)
+        self._fit = SamplerFit(samplers, self.stats, self.models_of, self.serves, self.cache_tokens)
         self._retained_texts: dict[TenantItem, PartialText] = {}
         self._seen_items: set[TenantItem] = set()
         self.items_per_job: dict[str, int] = {}
@@ -319,28 +317,19 @@
             elif (
                 now - item.due_since >= UNUSABLE_TEXT_RETENTION_S
                 and item.single_version
-                and not self._text_has_sampler(item)
+                and not self._fit.can_continue_text(item)
             ):
                 item.discard_text()
         return due
 
-    def _text_has_sampler(self, open_item: OpenItem) -> bool:
-        """Whether a listed sampler has the version of the item's text, whatever runs there."""
-        versions = open_item.partial.versions
-        return not versions or any(
-            versions == [self.models_of(sampler.entry.sampler_id).versions.get(open_item.model, 0)]
-            for sampler in self._samplers.of_service(open_item.service)
-            if self.serves(sampler.entry.sampler_id, open_item.model)
-        )
-
     @contextlib.contextmanager
     def planning_pass(self, now: float) -> Iterator[None]:
         """Remembers what is found out about samplers and runs; no run may end meanwhile."""
         self._pass = PlanningPass(
             self._samplers.of_service,
-            lambda item, sampler: self._accepts(item, sampler, now),
-            lambda item, sampler: self._has_room(item, sampler, now),
-            self._has_free_slot,
+            lambda item, sampler: self._fit.accepts(item, sampler, now),
+            lambda item, sampler: self._fit.has_room(item, sampler, now),
+            self._fit.has_free_slot,
             lambda sampler: self._interval_s(
                 sampler.entry.sampler_id, self._is_rated_by_speed(sampler.entry.service, now)
             ),
@@ -371,7 +360,9 @@
         return starts
 
     def _service_has_free_slot(self, service: str) -> bool:
-        return any(self._has_free_slot(sampler) for sampler in self._samplers.of_service(service))
+        return any(
+            self._fit.has_free_slot(sampler) for sampler in self._samplers.of_service(service)
+        )
 
     def dominant_share(self, open_item: OpenItem) -> float | None:
         """The share of an item's tenant with its runs now; None without tenants or samplers."""
@@ -435,80 +426,15 @@
         ]
 
     def _can_run(self, open_item: OpenItem, sampler: TrackedSampler, now: float) -> bool:
-        return (
-            self._has_free_slot(sampler)
-            and self._has_room(open_item, sampler, now)
-            and self._accepts(open_item, sampler, now)
-        )
-
-    def _has_free_slot(self, sampler: TrackedSampler) -> bool:
-        return self.stats(sampler.entry.sampler_id).running < sampler.entry.slots
-
-    def _has_room(self, open_item: OpenItem, sampler: TrackedSampler, now: float) -> bool:
-        """Whether the runs of a sampler leave memory for the item, and permit another run."""
-        stats = self.stats(sampler.entry.sampler_id)
-        if not stats.running:
-            return True
-        # After a failure one run is a probe.
-        if sampler.failures:
-            return False
-        if open_item.due_since is not None and now - open_item.due_since >= MAX_MEMORY_WAIT_S:
-            return True
-        return stats.tokens + open_item.estimated_tokens <= self._cache_tokens(open_item)
-
-    def _accepts(self, open_item: OpenItem, sampler: TrackedSampler, now: float) -> bool:
-        """Whether a sampler serves what the item requires, whatever runs there."""
-        return self._mismatch(open_item, sampler, now) is None
-
-    def _mismatch(
-        self, open_item: OpenItem, sampler: TrackedSampler, now: float
-    ) -> WaitReason | None:
-        """Returns what the item requires and the sampler does not serve, or None."""
-        sampler_id = sampler.entry.sampler_id
-        if not self.serves(sampler_id, open_item.model):
-            return WaitReason.OTHER_MODEL
-        if now < self.stats(sampler_id).refused_until or sampler.avoid_until > now:
-            # After a failure no run starts until the cooldown has passed.
-            return WaitReason.AVOIDED
-        models = self.models_of(sampler_id)
-        if models.loading == open_item.model:
-            return WaitReason.LOADING
-        version = models.versions.get(open_item.model, 0)
-        if version < open_item.min_version:
-            return WaitReason.OLD_VERSION
-        text_versions = open_item.partial.versions
-        if open_item.single_version and text_versions and text_versions != [version]:
-            return WaitReason.OTHER_VERSION
-        return None
+        return self._fit.can_run(open_item, sampler, now)
 
     def wait_reason(self, open_item: OpenItem, now: float) -> WaitReason:
         """Returns why an item has no run."""
-        if now < open_item.not_before:
-            return WaitReason.DELAYED
-        order = list(WaitReason)
-        reasons = [
-            self._obstacle(open_item, sampler, now)
-            for sampler in self._samplers.of_service(open_item.service)
-        ]
-        return max(reasons, key=order.index, default=WaitReason.NO_SAMPLER)
-
-    def _obstacle(self, open_item: OpenItem, sampler: TrackedSampler, now: float) -> WaitReason:
-        """Returns why an item does not start on a sampler."""
-        mismatch = self._mismatch(open_item, sampler, now)
-        if mismatch is not None:
-            return mismatch
-        if not self._has_free_slot(sampler):
-            return WaitReason.NO_SLOT
-        if not self._has_room(open_item, sampler, now):
-            return WaitReason.PROBED if sampler.failures else WaitReason.NO_MEMORY
-        return WaitReason.STARTING
+        return self._fit.wait_reason(open_item, now)
 
     def free_slots(self, service: str) -> int:
         """Counts the slots of a service's samplers that no run uses."""
-        return sum(
-            max(0, sampler.entry.slots - self.stats(sampler.entry.sampler_id).running)
-            for sampler in self._samplers.of_service(service)
-        )
+        return self._fit.free_slots(service)
 
     def _cost(
         self, open_item: OpenItem, sampler: TrackedSampler, by_speed: bool = False
@@ -580,9 +506,6 @@
         job_id = open_item.key[0]
         return self._open_items_by_job()[job_id] <= self._last_items.get(job_id, 0.0)
 
-    def _cache_tokens(self, open_item: OpenItem) -> float:
-        return self.cache_tokens.get(open_item.service, float("inf")) * MAX_CACHE_FILL
-
     def events_left(self, open_item: OpenItem) -> float:
         """Estimates the number of remaining events."""
         return max(MOVE_MIN_EVENTS_LEFT, remaining_events(open_item))
--- a/tests/test_planning_pass.py
+++ b/tests/test_planning_pass.py
@@ -11,6 +11,7 @@
 
 from stileloom.jobs.open_items import ItemSize
 from stileloom.jobs.planning_pass import MAX_CANDIDATES
+from stileloom.jobs.sampler_fit import SamplerFit
 from stileloom.jobs.scheduler import MAX_SLOW_RUNS, MAX_STARTS_PER_PASS, ItemScheduler
 from tests.test_item_scheduler import SERVICE, SchedulerFixture, entry, record
 
@@ -89,14 +90,14 @@
                 fixture.scheduler.record_event(item, 0.1 * event)
         fixture.planner.set_target("m", 2, 0.0)
         checks = 0
-        check = ItemScheduler._has_free_slot
+        check = SamplerFit.has_free_slot
 
-        def counted(scheduler: ItemScheduler, sampler: object) -> bool:
+        def counted(fit: SamplerFit, sampler: object) -> bool:
             nonlocal checks
             checks += 1
-            return check(scheduler, sampler)  # type: ignore[arg-type]
+            return check(fit, sampler)  # type: ignore[arg-type]
 
-        with mock.patch.object(ItemScheduler, "_has_free_slot", counted):
+        with mock.patch.object(SamplerFit, "has_free_slot", counted):
             fixture.scheduler.slow_runs(2.0)
             fixture.starts(2.0)
             fixture.loads(2.0)
