The estimated memory gives way only on samplers with most slots free

What callers saw: nothing; found by EquivalenceTest. An item that had waited two seconds started in any free slot, so that under load, where waits of that length are usual, every sampler would have been filled beyond its memory and preempted runs.

Change: the estimate gives way only where fewer than half of the slots are used. That is also where a wait counts as lost.

EquivalenceTest compared with an earlier design in which no wait is known, and failed since the estimate gives way.

--- a/stileloom/jobs/sampler_fit.py
+++ b/stileloom/jobs/sampler_fit.py
@@ -10,8 +10,8 @@
 
 MAX_CACHE_FILL = 0.95
 MAX_MEMORY_WAIT_S = 2.0
-"""After this wait an item starts in a free slot although the estimates leave no memory for it. A
-sampler without memory preempts its newest run, which waits there."""
+"""After this wait an item starts on a sampler with most slots free although the estimates leave no
+memory for it. A sampler without memory preempts its newest run, which waits there."""
 
 
 class SamplerFit:
@@ -52,7 +52,8 @@
         # After a failure one run is a probe.
         if sampler.failures:
             return False
-        if open_item.due_since is not None and now - open_item.due_since >= MAX_MEMORY_WAIT_S:
+        waited_s = now - open_item.due_since if open_item.due_since is not None else 0.0
+        if waited_s >= MAX_MEMORY_WAIT_S and 2 * stats.running < sampler.entry.slots:
             return True
         return stats.tokens + open_item.estimated_tokens <= self._memory_of(open_item)
 
--- a/tests/test_accepted_work.py
+++ b/tests/test_accepted_work.py
@@ -241,6 +241,17 @@
         fixture.adopt(record("new", 1), sizes={"new-i0": ItemSize(100.0, 900.0)})
         self.first_start(fixture, running)
 
+    def test_the_estimated_memory_holds_items_while_a_sampler_is_half_full(self) -> None:
+        """Guards against preempted runs under load."""
+        fixture = SchedulerFixture(entry("a", slots=4))
+        fixture.scheduler.cache_tokens[SERVICE] = 1000
+        sizes = {f"old-i{number}": ItemSize(100.0, 400.0) for number in range(2)}
+        fixture.adopt(record("old", 2), sizes=sizes)
+        self.assertEqual(2, len(fixture.starts()))
+        fixture.adopt(record("new", 1), sizes={"new-i0": ItemSize(100.0, 900.0)})
+        for step in range(round(MAX_WAIT_S / STEP_S)):
+            self.assertEqual({}, fixture.starts(step * STEP_S))
+
     def test_a_run_that_was_not_sent_for_want_of_the_lease_ends_and_spares_its_sampler(
         self,
     ) -> None:
