Objects of the largest size that a store keeps are read

Found reading the diff: a store keeps objects of 1,048,576 bytes, and the limit was exactly that of the encoded object with its metadata, so that a configuration of the full size would have been read as one without content.

The limit is 4 MiB now. test_the_largest_object_that_a_store_keeps_is_read_whole is new; on the code before it fails by construction (not run there).

--- a/stileloom/http/object_limits.py
+++ b/stileloom/http/object_limits.py
@@ -8,7 +8,8 @@
 
 from typing import Any
 
-MAX_OBJECT_BYTES = 1024 * 1024
+MAX_OBJECT_BYTES = 4 * 1024 * 1024
+"""Stores keep objects of about 1 MiB at most; their encoding may add to that."""
 MAX_OBJECT_DEPTH = 32
 MAX_LISTED_OBJECTS = 50_000
 """Objects of one kind; the others are ignored. Far more than a deployment has samplers."""
