--- a/stileloom/jobs/engine_control.py
+++ b/stileloom/jobs/engine_control.py
@@ -9,7 +9,7 @@
 
 from stileloom.api.dialect import Dialect, EngineCall, LoadOrder, SamplerReport
 from stileloom.api.sampler_directory import MAX_VERSION
-from stileloom.errors import StileloomError
+from stileloom.errors import ErrorKind, StileloomError
 from stileloom.events import LogEvent
 from stileloom.http1.caller import HttpResponse, NotSent, send_request
 from stileloom.http1.pool import ConnectionPool
@@ -64,14 +64,14 @@
             return None
         try:
             report = self._dialect.decode_report(answer.body)
+            _check_report(report)
         except StileloomError as error:
             self._log.emit(
                 LogEvent.OBJECT_NOT_UNDERSTOOD,
                 {"what": "report", "name": target.sampler_id, "detail": error.detail},
             )
             return None
-        figures = [report.orders_taken, *report.model_versions.values()]
-        return report if all(0 <= figure <= MAX_VERSION for figure in figures) else None
+        return report
 
     async def order(
         self, target: ControlTarget, order: LoadOrder, may_send: Callable[[], bool]
@@ -106,3 +106,10 @@
             CONTROL_TIMEOUT_S,
             may_send,
         )
+
+
+def _check_report(report: SamplerReport) -> None:
+    """Raises `StileloomError` (OBJECT_INVALID) if a figure is out of range."""
+    for figure in (report.orders_taken, *report.model_versions.values()):
+        if not 0 <= figure <= MAX_VERSION:
+            raise StileloomError(ErrorKind.OBJECT_INVALID, "a figure is out of range")
