A run that was not sent leaves no line that it was stopped

No sampler had seen them.

Ruled out: item_run_failed, which is written for a failed connection, says so in its detail; decision records tell decisions, not sends.

Change: a planned run is dropped without a line.

Result: test_a_run_is_logged_as_sent_and_as_stopped_only_after_it_was_sent failed before (one item_stopped where none was due) and passes.

--- a/stileloom/jobs/item_runs.py
+++ b/stileloom/jobs/item_runs.py
@@ -105,12 +105,15 @@
             self._tasks.spawn(self._run_item(start))
 
     def stop(self, open_item: OpenItem, reason: str, avoid: bool = False) -> None:
-        """Stops a run by closing its connection; the partial text is kept."""
+        """Stops a run by closing its connection; the partial text is kept.
+
+        A planned run that was not sent is dropped without a line: no sampler has seen it.
+        """
         connection = self._connections.pop(open_item.key, None)
         if connection is not None:
             connection.close()
         run = open_item.run
-        if run is not None:
+        if run is not None and run.sent:
             self._metrics.runs_stopped.labels(reason).inc()
             self._log.emit(
                 LogEvent.ITEM_STOPPED,
--- a/tests/test_item_waits.py
+++ b/tests/test_item_waits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from unittest import mock
 
 import testtools
@@ -12,6 +13,7 @@
 from stileloom.jobs.item_waits import LONG_WAIT_S, ItemWaits
 from stileloom.jobs.metrics import JobMetrics
 from stileloom.jobs.open_items import WaitReason
+from tests.runner_fixture import RunnerFixture, submission
 from tests.test_item_scheduler import SchedulerFixture, entry, record
 
 
@@ -94,3 +96,37 @@
             ],
             reasons,
         )
+
+
+class RunLogTest(testtools.TestCase):
+    """Lines about runs say what samplers saw."""
+
+    def test_a_run_is_logged_as_sent_and_as_stopped_only_after_it_was_sent(self) -> None:
+        async def scenario(wait_s: float) -> list[LogEvent]:
+            writers: list[asyncio.StreamWriter] = []
+            server = await asyncio.start_server(
+                lambda reader, writer: writers.append(writer), "127.0.0.1", 0
+            )
+            address = server.sockets[0].getsockname()[:2]
+            fixture = RunnerFixture(SamplerEntry("s", "drafts", address, "a", 4, False, {"m": 1}))
+            fixture.submit(submission("job", ["i"]))
+            lines: list[LogEvent] = []
+            with (
+                fixture.clock(),
+                mock.patch(
+                    "stileloom.logging.EventLog.emit",
+                    lambda log, event, fields: lines.append(event),
+                ),
+            ):
+                fixture.step(1.0)
+                await asyncio.sleep(wait_s)
+                fixture.runner.stop_job("job")
+                fixture.runner.stop()
+            server.close()
+            for writer in writers:
+                writer.transport.abort()
+            return [e for e in lines if e in (LogEvent.ITEMS_SENT, LogEvent.ITEM_STOPPED)]
+
+        self.assertEqual([], asyncio.run(scenario(0.0)))
+        sent = [LogEvent.ITEMS_SENT, LogEvent.ITEM_STOPPED]
+        self.assertEqual(sent, asyncio.run(scenario(0.1)))
