--- a/tests/test_accepted_work.py
+++ b/tests/test_accepted_work.py
@@ -158,14 +158,22 @@
             items = [f"i{number}" for number in range(12)]
             await cluster.submit("job", items)
             crashed = 0
+            items_on_crashed = 0
             for number in range(8):
                 set_crash_targets(cluster, POISON)
                 await send_poison(cluster, number, number % 2)
+                items_on_crashed += sum(
+                    run.request_id in items
+                    for sampler in cluster.samplers.values()
+                    if sampler.crashed_by
+                    for run in sampler.runs
+                )
                 crashed += await replace_crashed(cluster, "drafts", POISON)
                 # The gateways' views of the quarantine follow the ledger.
                 await asyncio.sleep(0.1)
             self.assertLessEqual(crashed, CRASH_THRESHOLD)
             self.assertGreater(crashed, 0)
+            self.assertGreater(items_on_crashed, 0)
             for gateway in cluster.gateways:
                 self.assertEqual(1, gateway._guard.view.quarantined_count)
             results = await cluster.results("job", len(items))
