The test of reward calls without a lease covers the lease lost while connecting

What was wrong: 'make mutants' missed one of its mutants, a leader without its lease that sends reward calls. The test took the lease away before the call's first step, so that an earlier check answered and the one before the send was never reached.

Ruled out: that the product is wrong.

Change: a third case takes the lease away once a connection is open.

--- a/tests/test_abandoned_work.py
+++ b/tests/test_abandoned_work.py
@@ -17,6 +17,7 @@
 from stileloom.clock import steady_time
 from stileloom.http1.buffered_response import BufferedResponse
 from stileloom.http1.connection import SamplerConnection
+from stileloom.http1.pool import ConnectionPool
 from stileloom.jobs.intake import item_size
 from stileloom.jobs.job_ages import JobAges
 from stileloom.jobs.messages import (
@@ -292,15 +293,19 @@
         super().setUp()
         configure_logs("error")
 
-    def received_after_lease(self, lost_before_text: bool) -> int:
-        """The bytes of a reward call that a sampler receives from a leader without a lease."""
+    def received_after_lease(self, lost: str) -> int:
+        """The bytes of a reward call that a sampler receives from a leader that loses its lease
+        before the text is complete, before the call starts, or while it connects.
+        """
 
         async def scenario() -> int:
             received: list[int] = []
 
+            writers: list[asyncio.StreamWriter] = []
+
             async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                writers.append(writer)
                 received.append(len(await reader.read(65_536)))
-                writer.close()
 
             server = await asyncio.start_server(serve, HOST, 0)
             address = server.sockets[0].getsockname()
@@ -309,20 +314,36 @@
             fixture.step()
             (item,) = fixture.runner.scheduler.items.values()
             item.partial.add(1, "x", 1)
-            fixture.ledger.leads = not lost_before_text
-            fixture.runner.on_complete_text(item)
-            fixture.ledger.leads = False
-            await asyncio.sleep(0.3)
+            acquire = ConnectionPool.acquire
+
+            async def lose_lease_while_connecting(
+                pool: ConnectionPool, sampler_id: str, address: tuple[str, int]
+            ) -> SamplerConnection:
+                connection = await acquire(pool, sampler_id, address)
+                fixture.ledger.leads = False
+                return connection
+
+            with mock.patch.object(ConnectionPool, "acquire", lose_lease_while_connecting):
+                fixture.ledger.leads = lost != "before the text"
+                fixture.runner.on_complete_text(item)
+                if lost == "before the call":
+                    fixture.ledger.leads = False
+                await asyncio.sleep(0.3)
+            self.assertFalse(fixture.ledger.leads)
             fixture.runner.stop()
+            fixture.forwarder.close_connections("c")
             server.close()
+            for writer in writers:
+                writer.transport.abort()
+            await asyncio.sleep(0)
             return sum(received)
 
         return asyncio.run(scenario())
 
     def test_no_reward_call_is_sent_without_a_lease(self) -> None:
         """Neither a new call nor an attempt of one that has started."""
-        for lost_before_text in (True, False):
-            self.assertEqual(0, self.received_after_lease(lost_before_text), lost_before_text)
+        for lost in ("before the text", "before the call", "while it connects"):
+            self.assertEqual(0, self.received_after_lease(lost), lost)
 
 
 class CarriedItemTest(testtools.TestCase):
