--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,130 +1,119 @@
-"""Samplers send some answers twice; a request that may run once runs at two samplers."""
+"""A batch route moves to another service, and the samplers of the old one are taken away."""
 
 from __future__ import annotations
 
 import asyncio
 import sys
-from collections import Counter
+import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from standins2.caller import configuration  # noqa: E402
+from standins2.caller import (  # noqa: E402
+    Job,
+    Trainer,
+    configuration,
+    model_service,
+    rollout_route,
+)
 from standins2.case import TROUBLE, Case, run_case  # noqa: E402
-from standins2.http import CallFailed, call  # noqa: E402
-from standins2.platform import HOST  # noqa: E402
+from standins2.platform import CannotRun  # noqa: E402
 from standins2.sampler import Sampler  # noqa: E402
 
-PREFIX = "/moves/"
-SAMPLERS = 5
-FAULTY = 3
-EXCESS_SHARE = 0.03
-LOOKUP_S = 0.03
-CALLERS = 6
-GATEWAYS = 2
-EPISODES = 12
-EPISODE_S = 5.0
-PAUSE_S = 2.0
-DEADLINE_MS = 2000
+PREFIX = "/drafts/"
+MODEL = "m0"
+SAMPLERS = {"pool-a": 1, "pool-b": 7}
+"""One sampler of eight is taken away: an eighth."""
+OLD, NEW = SAMPLERS
+SLOTS = 4
+ITEMS = 16
+EVENTS = 50
+MOVE_AFTER_S = 1.0
+CONFIG_S = 2.0
+DRAIN_S = 2.0
+DEADLINE_S = 25.0
+UNSERVED_S = 5.0
 
 
 async def play(case: Case) -> bool:
-    """Callers send requests that may run once, a little more than the samplers can take."""
+    """A job is taken; then the operator moves its route and empties the old service."""
     deployment = case.deployment
-    route = {
-        "name": "moves",
-        "host": HOST,
-        "pathPrefix": PREFIX,
-        "routeType": "unsafe",
-        "timeoutMs": 2000,
-        "targetLatencyMs": 400,
-        "priority": 2,
-        "service": "move-app",
-        "maxAttempts": 2,
-    }
-    service = {"name": "move-app", "healthPath": "/healthz", "maxConnections": 100}
-    await deployment.start(configuration(1, [route], [service]))
-    for number in range(SAMPLERS):
-        sampler = Sampler(
-            deployment.store,
-            f"i-{number}",
-            "move-app",
-            "zone-a",
-            case.record.note,
-            slots=1,
-            lookup_s=LOOKUP_S,
-        )
-        await case.add_sampler(sampler)
-    await asyncio.sleep(1.5)
-    statuses: dict[str, int | None] = {}
-    callers = [asyncio.create_task(send(case, n, statuses)) for n in range(CALLERS)]
-    for episode in range(1, EPISODES + 1):
-        await play_episode(case, episode)
-        if broken_requests(case, statuses):
-            break
-    for caller in callers:
-        caller.cancel()
-    await asyncio.sleep(0.5)
-    return is_broken(case, statuses)
-
-
-async def play_episode(case: Case, episode: int) -> None:
-    """Three of the five samplers send 3 in 100 of their answers twice for some seconds."""
+    services = [model_service(name, SLOTS, [MODEL]) for name in SAMPLERS]
+    route = rollout_route(PREFIX, OLD, deadlineMs=DEADLINE_S * 1000, maxWaitS=60.0)
+    await deployment.start(configuration(1, [route], services))
+    for name, count in SAMPLERS.items():
+        for number in range(count):
+            sampler = Sampler(
+                deployment.store,
+                f"{name}-{number}",
+                name,
+                "zone-a",
+                case.record.note,
+                SLOTS,
+                {MODEL: 1},
+            )
+            await case.add_sampler(sampler)
+    trainer = Trainer(deployment)
+    job = Job("job-0", {f"a-{n}": EVENTS for n in range(ITEMS)})
+    sent_at = time.perf_counter()
+    if not await trainer.submit(job, PREFIX, MODEL, 0, 1):
+        raise CannotRun("the job was not taken")
     if TROUBLE:
-        case.record.note(f"episode {episode} begins")
-        for sampler in case.samplers[:FAULTY]:
-            sampler.excess_share = EXCESS_SHARE
-    await asyncio.sleep(EPISODE_S)
-    for sampler in case.samplers:
-        sampler.excess_share = 0.0
-    await asyncio.sleep(PAUSE_S)
-
-
-async def send(case: Case, caller: int, statuses: dict[str, int | None]) -> None:
-    """Sends one request after the other, each with an id of its own, and repeats none."""
-    number = 0
-    while True:
-        number += 1
-        request_id = f"c{caller}-{number}"
-        headers = {"Host": HOST, "Request-Id": request_id, "Deadline-Ms": str(DEADLINE_MS)}
-        try:
-            target = f"{PREFIX}{request_id}"
-            front = case.deployment.front(caller % GATEWAYS)
-            answer = await call(front, "POST", target, headers, b"x", 3.0)
-            statuses[request_id] = answer.status
-        except CallFailed:
-            statuses[request_id] = None
-        case.record.note(f"{request_id} answered {statuses[request_id]}")
-
-
-def broken_requests(case: Case, statuses: dict[str, int | None]) -> dict[str, list[str]]:
-    """Where the requests ran that break a rule.
-
-    TWICE: a request that is not idempotent has run more than once. REFUSED: it is answered 429,
-    503, 408 or 421 and has run.
+        await asyncio.sleep(MOVE_AFTER_S)
+        await move_route(case, route, services)
+    await trainer.read_until(job, ITEMS, DEADLINE_S - (time.perf_counter() - sent_at))
+    broken = is_broken(case, job)
+    if broken:
+        await show_that_new_service_works(case, trainer)
+    return broken
+
+
+async def move_route(case: Case, route: dict[str, object], services: list[object]) -> None:
+    """The route goes to the other service; a configuration's time later the old one drains."""
+    moved = {**route, "service": NEW}
+    case.deployment.store.put("config", "main", configuration(4, [moved], services))
+    case.record.note(f"configuration 4 is acknowledged: the route goes to {NEW}")
+    await asyncio.sleep(CONFIG_S + 0.5)
+    old = [sampler for sampler in case.samplers if sampler.service == OLD]
+    await asyncio.gather(*(sampler.drain_and_leave(DRAIN_S) for sampler in old))
+
+
+def is_broken(case: Case, job: Job) -> bool:
+    """LOST: a step runs out of time while an item has been at no sampler for 5 s.
+
+    No sampler has finished it, others of the step had begun, and the samplers were under half full.
     """
-    runs: dict[str, list[str]] = {}
-    for sampler in case.samplers:
-        for run in sampler.runs:
-            runs.setdefault(run.request_id, []).append(sampler.sampler_id)
-    return {
-        request_id: ran
-        for request_id, ran in runs.items()
-        if len(ran) > 1 or statuses.get(request_id) in (408, 421, 429, 503)
-    }
-
-
-def is_broken(case: Case, statuses: dict[str, int | None]) -> bool:
-    """Notes the requests that break a rule; whether there are any."""
-    broken = broken_requests(case, statuses)
-    for request_id, ran in broken.items():
-        status = statuses.get(request_id)
-        case.record.note(f"BROKEN: {request_id} ran at {ran} and was answered {status}")
-    answers = dict(Counter(statuses.values()))
-    case.record.note(f"{len(statuses)} requests, answers {answers}; {len(broken)} broken")
-    return bool(broken)
+    now = time.perf_counter()
+    runs = [run for sampler in case.samplers for run in sampler.runs]
+    listed = {result["id"] for result in job.results}
+    last_run = {run.request_id: run.at for run in runs}
+    serving = [sampler for sampler in case.samplers if sampler.is_serving]
+    running = sum(sampler.running for sampler in serving)
+    waiting = [
+        item_id
+        for item_id in job.items
+        if item_id not in listed
+        and now - last_run.get(item_id, float("-inf")) > UNSERVED_S + EVENTS * 0.05
+    ]
+    case.record.note(
+        f"the step is out of time: {len(listed)} of {ITEMS} items listed, {len(waiting)} at no "
+        f"sampler for {UNSERVED_S} s; {running} of {len(serving) * SLOTS} slots in use"
+    )
+    under_half_full = 2 * running < len(serving) * SLOTS
+    broken = bool(waiting) and bool(last_run) and under_half_full
+    if broken:
+        case.record.note(f"BROKEN: accepted and not run: {waiting}")
+    return broken
+
+
+async def show_that_new_service_works(case: Case, trainer: Trainer) -> None:
+    """Another job of the same route runs at once."""
+    job = Job("job-1", {"b-0": 5, "b-1": 5})
+    taken = await trainer.submit(job, PREFIX, MODEL, 1, 1)
+    done = taken and await trainer.read_until(job, 2, 10.0)
+    case.record.note(f"a new job of the route is served: {done}")
 
 
 if __name__ == "__main__":
-    run_case(FOLDER, play, gateways=GATEWAYS)
+    run_case(FOLDER, play)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,10 +1,10 @@
-"""A batch route moves to another service, and the samplers of the old one are taken away."""
+"""The ledger's leader is stopped right after a sampler has loaded a version."""
 
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
-import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -23,96 +23,80 @@
 
 PREFIX = "/drafts/"
 MODEL = "m0"
-SAMPLERS = {"pool-a": 1, "pool-b": 7}
-"""One sampler of eight is taken away: an eighth."""
-OLD, NEW = SAMPLERS
-SLOTS = 4
-ITEMS = 16
-EVENTS = 50
-MOVE_AFTER_S = 1.0
-CONFIG_S = 2.0
-DRAIN_S = 2.0
-DEADLINE_S = 25.0
-UNSERVED_S = 5.0
+SAMPLERS = 3
+SLOTS = 8
+ITEMS = 6
+EVENTS = 150
+ROUNDS = 5
+STOP_AFTER_ORDER_S = 1.0
+"""A load takes 0.9 s; the sampler's next write to the store follows within its heartbeat."""
+CATCH_UP_S = 5.2
 
 
 async def play(case: Case) -> bool:
-    """A job is taken; then the operator moves its route and empties the old service."""
+    """One step a round; in each, the next version is named while the step runs."""
     deployment = case.deployment
-    services = [model_service(name, SLOTS, [MODEL]) for name in SAMPLERS]
-    route = rollout_route(PREFIX, OLD, deadlineMs=DEADLINE_S * 1000, maxWaitS=60.0)
-    await deployment.start(configuration(1, [route], services))
-    for name, count in SAMPLERS.items():
-        for number in range(count):
-            sampler = Sampler(
-                deployment.store,
-                f"{name}-{number}",
-                name,
-                "zone-a",
-                case.record.note,
-                SLOTS,
-                {MODEL: 1},
-            )
-            await case.add_sampler(sampler)
+    route = rollout_route(PREFIX, "lm", singleVersion=True)
+    await deployment.start(configuration(1, [route], [model_service("lm", SLOTS, [MODEL])]))
+    for number in range(SAMPLERS):
+        sampler = Sampler(
+            deployment.store, f"i-{number}", "lm", "zone-a", case.record.note, SLOTS, {MODEL: 1}
+        )
+        await case.add_sampler(sampler)
     trainer = Trainer(deployment)
-    job = Job("job-0", {f"a-{n}": EVENTS for n in range(ITEMS)})
-    sent_at = time.perf_counter()
-    if not await trainer.submit(job, PREFIX, MODEL, 0, 1):
-        raise CannotRun("the job was not taken")
+    for step in range(1, ROUNDS + 1):
+        if await play_step(case, trainer, step):
+            return True
+    return False
+
+
+async def play_step(case: Case, trainer: Trainer, step: int) -> bool:
+    """A step allows the version before the newest one; its route wants a single one."""
+    record, deployment = case.record, case.deployment
+    job = Job(f"job-{step}", {f"s{step}-{n}": EVENTS for n in range(ITEMS)})
+    if not await trainer.submit(job, PREFIX, MODEL, step, max(1, step - 1)):
+        raise CannotRun(f"{job.job_id} was not taken")
+    await asyncio.sleep(0.5)
+    ordered = asyncio.Event()
+    for sampler in case.samplers:
+        sampler.order_accepted = ordered.set
+    deployment.store.put("versions", MODEL, {"model": MODEL, "version": step + 1})
+    record.note(f"version {step + 1} is named")
+    async with asyncio.timeout(10.0):
+        await ordered.wait()
     if TROUBLE:
-        await asyncio.sleep(MOVE_AFTER_S)
-        await move_route(case, route, services)
-    await trainer.read_until(job, ITEMS, DEADLINE_S - (time.perf_counter() - sent_at))
-    broken = is_broken(case, job)
-    if broken:
-        await show_that_new_service_works(case, trainer)
-    return broken
-
-
-async def move_route(case: Case, route: dict[str, object], services: list[object]) -> None:
-    """The route goes to the other service; a configuration's time later the old one drains."""
-    moved = {**route, "service": NEW}
-    case.deployment.store.put("config", "main", configuration(4, [moved], services))
-    case.record.note(f"configuration 4 is acknowledged: the route goes to {NEW}")
-    await asyncio.sleep(CONFIG_S + 0.5)
-    old = [sampler for sampler in case.samplers if sampler.service == OLD]
-    await asyncio.gather(*(sampler.drain_and_leave(DRAIN_S) for sampler in old))
+        await asyncio.sleep(STOP_AFTER_ORDER_S)
+        await restart_leader(case)
+    if not await trainer.read_until(job, ITEMS, 30.0):
+        raise CannotRun(f"{job.job_id} has no results")
+    await trainer.end(job)
+    return is_broken(case, job)
+
+
+async def restart_leader(case: Case) -> None:
+    """The machine that leads is stopped and started again."""
+    leader = case.deployment.leader()
+    if leader is None:
+        raise CannotRun("no leader")
+    case.record.note(f"SIGTERM to {leader.name}, which leads")
+    leader.send(signal.SIGTERM)
+    await leader.ended(8.0)
+    leader.settings["bootstrap"] = False
+    leader.start()
+    case.record.note(f"{leader.name} starts again")
+    await asyncio.sleep(CATCH_UP_S)
 
 
 def is_broken(case: Case, job: Job) -> bool:
-    """LOST: a step runs out of time while an item has been at no sampler for 5 s.
-
-    No sampler has finished it, others of the step had begun, and the samplers were under half full.
-    """
-    now = time.perf_counter()
-    runs = [run for sampler in case.samplers for run in sampler.runs]
-    listed = {result["id"] for result in job.results}
-    last_run = {run.request_id: run.at for run in runs}
-    serving = [sampler for sampler in case.samplers if sampler.is_serving]
-    running = sum(sampler.running for sampler in serving)
-    waiting = [
-        item_id
-        for item_id in job.items
-        if item_id not in listed
-        and now - last_run.get(item_id, float("-inf")) > UNSERVED_S + EVENTS * 0.05
+    """VERSION: a result of a route with `singleVersion` carries several versions."""
+    several = [
+        result
+        for result in job.results
+        if result["state"] == "succeeded" and len(result["versions"]) > 1
     ]
-    case.record.note(
-        f"the step is out of time: {len(listed)} of {ITEMS} items listed, {len(waiting)} at no "
-        f"sampler for {UNSERVED_S} s; {running} of {len(serving) * SLOTS} slots in use"
-    )
-    under_half_full = 2 * running < len(serving) * SLOTS
-    broken = bool(waiting) and bool(last_run) and under_half_full
-    if broken:
-        case.record.note(f"BROKEN: accepted and not run: {waiting}")
-    return broken
-
-
-async def show_that_new_service_works(case: Case, trainer: Trainer) -> None:
-    """Another job of the same route runs at once."""
-    job = Job("job-1", {"b-0": 5, "b-1": 5})
-    taken = await trainer.submit(job, PREFIX, MODEL, 1, 1)
-    done = taken and await trainer.read_until(job, 2, 10.0)
-    case.record.note(f"a new job of the route is served: {done}")
+    for result in several:
+        case.record.note(f"BROKEN: {result['id']} succeeded with versions {result['versions']}")
+    return bool(several)
 
 
 if __name__ == "__main__":
--- a/review/standins2/http.py
+++ b/review/standins2/http.py
@@ -20,8 +20,6 @@
     writer: asyncio.StreamWriter
     closed: asyncio.Event
     """Set once the peer has closed or reset the connection."""
-    connection: dict[str, bytes]
-    """What a faulty server keeps for the next request on this connection."""
 
 
 @dataclass
@@ -59,16 +57,15 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
-        connection: dict[str, bytes] = {}
         try:
             while True:
-                request = await _read_request(reader, writer, connection)
+                request = await _read_request(reader, writer)
                 if request is None:
                     return
                 response = await self._run(reader, request)
                 if response is None:
                     return
-                writer.write(encode_response(response))
+                writer.write(_encode_response(response))
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             return
@@ -91,14 +88,14 @@
 
 
 async def _read_request(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, connection: dict[str, bytes]
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
 ) -> Request | None:
     head = await reader.readuntil(b"\r\n\r\n")
     first, *lines = head.decode("latin1").rstrip("\r\n").split("\r\n")
     method, target, _ = first.split(" ")
     headers = _headers(lines)
     body = await reader.readexactly(int(headers.get("content-length", "0")))
-    return Request(method, target, headers, body, writer, asyncio.Event(), connection)
+    return Request(method, target, headers, body, writer, asyncio.Event())
 
 
 def _headers(lines: list[str]) -> dict[str, str]:
@@ -106,8 +103,7 @@
     return {name.strip().lower(): value.strip() for name, _, value in pairs}
 
 
-def encode_response(response: Response) -> bytes:
-    """Encodes a response."""
+def _encode_response(response: Response) -> bytes:
     lines = [f"HTTP/1.1 {response.status} -", f"Content-Length: {len(response.body)}"]
     lines += [f"{name}: {value}" for name, value in response.headers.items()]
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin1") + response.body
--- a/review/standins2/sampler.py
+++ b/review/standins2/sampler.py
@@ -11,11 +11,12 @@
 from dataclasses import dataclass
 from typing import Any
 
-from standins2.http import Request, Response, Server, encode_response
+from standins2.http import Request, Response, Server
 from standins2.store import Store
 
 HEARTBEAT_S = 1.2
 LOAD_S = 0.9
+SPOILED_BODY = b"these bytes belong to no request"
 
 
 @dataclass(frozen=True)
@@ -35,7 +36,10 @@
 
 
 class Sampler:
-    """One incarnation. A body `events=N` asks a model sampler for N events."""
+    """One incarnation.
+
+    A body `events=N` asks a model sampler for N events; `Work-S` says how long a lookup works.
+    """
 
     def __init__(
         self,
@@ -55,11 +59,13 @@
         self.service = service
         self.models = dict(models or {})
         self.runs: list[Run] = []
+        self.completed_at: dict[str, float] = {}
+        """When the work on a lookup ended, by request id."""
         self.running = 0
         self.order_accepted: Callable[[], None] = lambda: None
         self.is_serving = True
-        self.excess_share = 0.0
-        """Share of its answers that come again, where the next one on the connection is due."""
+        self.spoiled_share = 0.0
+        """Share of its lookups that are answered with bytes that are no answer in the protocol."""
         self._store = store
         self._zone = zone
         self._note = note
@@ -148,18 +154,15 @@
             return self._order(json.loads(request.body))
         model = request.headers.get("model", "")
         echo = {"Request-Id": request.headers.get("request-id", "")}
-        if (excess := request.connection.pop("excess", None)) is not None:
-            self._note(f"{self.sampler_id} sends an earlier answer again before {echo}")
-            request.writer.write(excess)
         if self._loading == model or self.running >= self._slots:
-            return self._answer(request, Response(503, b"", {"Not-Executed": "1", **echo}))
+            return Response(503, b"", {"Not-Executed": "1", **echo})
         self.running += 1
         self._running_by_model[model] = self._running_by_model.get(model, 0) + 1
         try:
             if model:
                 await self._stream(request, model)
                 return None
-            return self._answer(request, await self._lookup(request))
+            return await self._lookup(request)
         finally:
             self.running -= 1
             self._running_by_model[model] -= 1
@@ -209,17 +212,15 @@
         self._loading = None
         self._note(f"{self.sampler_id} has version {version}")
 
-    def _answer(self, request: Request, response: Response) -> Response:
-        """Keeps a copy of some answers, as a faulty sampler does."""
-        if self._rng.random() < self.excess_share:
-            request.connection["excess"] = encode_response(response)
-        return response
-
     async def _lookup(self, request: Request) -> Response:
         request_id = request.headers["request-id"]
         self.runs.append(Run(time.perf_counter(), request_id, 0, 0))
         self._note(f"{self.sampler_id} runs lookup {request_id}")
-        await asyncio.sleep(self._lookup_s)
+        await asyncio.sleep(float(request.headers.get("work-s", self._lookup_s)))
+        self.completed_at[request_id] = time.perf_counter()
+        if self._rng.random() < self.spoiled_share:
+            self._note(f"{self.sampler_id} spoils its answer to {request_id}")
+            return Response(200, SPOILED_BODY)
         headers = {"Request-Id": request_id, "Response-Stamp": f"{self.sampler_id}.{request_id}"}
         return Response(200, self._lookup_body, headers)
 
