A response counts as an answer only with its request's id and, for a success, a signature

Cause: a response without a request id was taken for one with the right id, and the signature was looked for at the reward calls alone. Each of three readers (lookups, callers' streams, item runs) had its own check.

Change: http1/answer.py decides for all readers what a head says: an answer repeats the id; a success is signed and does not say that the request did not run. What is no answer ends the attempt as broken: a safe request is tried again within its attempts and its deadline, any other ends as unknown, an item runs again after its last event, and the sampler is avoided as after any fault. The emulated sampler and the fakes of older tests now repeat the id and sign, as the protocol asks; their checks are unchanged.

--- a/stileloom/emulator/http_sampler.py
+++ b/stileloom/emulator/http_sampler.py
@@ -141,14 +141,15 @@
     async def _handle(self, request: HTTPServerRequest) -> None:
         names = self._names
         expected = request.headers.get(names.expect_sampler, self.sampler_id)
+        not_run = {names.request_id: request.headers.get(names.request_id, ""), names.not_run: "1"}
         if expected != self.sampler_id:
-            self._reply(request, 421, {names.not_run: "1"})
+            self._reply(request, 421, not_run)
         elif request.path == REPORT_TARGET:
             self._reply(request, 200, {}, msgspec.json.encode(self._report()))
         elif request.path == ORDER_TARGET:
             self._reply(request, self._order(msgspec.json.decode(request.body, type=LoadOrder)), {})
         elif self.faults.refuse:
-            self._reply(request, 503, {names.not_run: "1"})
+            self._reply(request, 503, not_run)
         else:
             await self._run(request)
 
--- a/stileloom/jobs/item_stream.py
+++ b/stileloom/jobs/item_stream.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from stileloom.api.headers import HeaderNames
+from stileloom.http1.answer import AnswerKind, NotAnAnswer, classify_answer
 from stileloom.http1.connection import ExchangeEnd
 from stileloom.http1.event_stream import EventStreamParser, MalformedEvent
 from stileloom.http1.limits import MAX_ERROR_BYTES, parse_figure
@@ -62,15 +63,18 @@
         self._text_bytes = sum(len(part) for part in partial.parts)
         self._error_bytes = 0
         self._head: ResponseHead | None = None
+        self._kind = AnswerKind.RAN
         self._ended = False
 
     def on_head(self, head: ResponseHead) -> None:
         """Handles the status and headers."""
         self._head = head
-        if head.headers.get(self._names.request_id, self._item_id) != self._item_id:
-            self._finish(RunOutcome.BROKEN, "answer to another request")
+        try:
+            self._kind = classify_answer(head, self._item_id, self._names)
+        except NotAnAnswer as error:
+            self._finish(RunOutcome.BROKEN, str(error))
             return
-        if head.status != 421:
+        if self._kind is not AnswerKind.MISDIRECTED:
             self._on_sampler_head(head)
         if head.status == 200:
             version = parse_figure(head.headers.get(self._names.versions, "").strip())
@@ -119,9 +123,9 @@
 
     def _classify_status(self, head: ResponseHead) -> tuple[RunOutcome, str]:
         detail = str(head.status)
-        if head.status == 421:
+        if self._kind is AnswerKind.MISDIRECTED:
             return RunOutcome.MISDIRECTED, detail
-        if self._names.not_run in head.headers:
+        if self._kind is AnswerKind.NOT_RUN:
             return RunOutcome.REFUSED, detail
         if head.status == 500:
             return RunOutcome.FAILED, detail
--- a/stileloom/proxy/exchange.py
+++ b/stileloom/proxy/exchange.py
@@ -9,6 +9,7 @@
 
 from stileloom.api.headers import HeaderNames
 from stileloom.api.sampler_directory import SamplerEntry
+from stileloom.http1.answer import AnswerKind, NotAnAnswer, classify_answer
 from stileloom.http1.buffered_response import BufferedResponse
 from stileloom.http1.connection import ExchangeEnd, SamplerConnection
 from stileloom.http1.limits import MAX_RESPONSE_BYTES
@@ -27,7 +28,7 @@
     NOT_CONNECTED = "not_connected"
     """No connection could be opened; nothing was sent."""
     BROKEN = "broken"
-    """The connection broke; the request may have run."""
+    """There was no answer, or the response was none; the request may have run."""
 
 
 class Attempt(msgspec.Struct, frozen=True):
@@ -68,13 +69,14 @@
     if end is not ExchangeEnd.COMPLETE or head is None:
         connection.close()
         return Attempt(sampler_id, AttemptOutcome.BROKEN, detail=end.value)
-    if head.headers.get(names.request_id, request_id) != request_id:
-        # A late response to an earlier request. The outcome of this one is unknown.
+    try:
+        kind = classify_answer(head, request_id, names)
+    except NotAnAnswer as error:
         connection.close()
-        return Attempt(sampler_id, AttemptOutcome.BROKEN, detail="response to another request")
-    if head.status == 421:
+        return Attempt(sampler_id, AttemptOutcome.BROKEN, detail=str(error))
+    if kind is AnswerKind.MISDIRECTED:
         return Attempt(sampler_id, AttemptOutcome.MISDIRECTED, head)
-    if names.not_run in head.headers:
+    if kind is AnswerKind.NOT_RUN:
         return Attempt(sampler_id, AttemptOutcome.REFUSED, head, head_at=response.head_at)
     return Attempt(
         sampler_id, AttemptOutcome.ANSWERED, head, response.body, head_at=response.head_at
--- a/stileloom/proxy/stream_relay.py
+++ b/stileloom/proxy/stream_relay.py
@@ -19,6 +19,7 @@
 from stileloom.clock import steady_time
 from stileloom.errors import ErrorKind, StileloomError
 from stileloom.events import LogEvent
+from stileloom.http1.answer import AnswerKind, NotAnAnswer, classify_answer
 from stileloom.http1.connection import ExchangeEnd, SamplerConnection
 from stileloom.http1.event_stream import EventSplitter, MalformedEvent
 from stileloom.http1.limits import MAX_ERROR_BYTES
@@ -257,6 +258,7 @@
         connection: SamplerConnection,
     ) -> _Run:
         head: ResponseHead | None = None
+        kind = AnswerKind.RAN
         body = b""
         while True:
             remaining_s = lookup.deadline_at - steady_time()
@@ -268,9 +270,11 @@
                 return _Run(_RunEnd.BROKEN, "unresponsive")
             if isinstance(part, ResponseHead):
                 head = part
-                if self._is_for_other_request(head, lookup):
-                    return _Run(_RunEnd.BROKEN, "response to another request")
-                if head.status != 421:
+                try:
+                    kind = classify_answer(head, lookup.request_id, self._names)
+                except NotAnAnswer as error:
+                    return _Run(_RunEnd.BROKEN, str(error))
+                if kind is not AnswerKind.MISDIRECTED:
                     now = steady_time()
                     record_response_load(self._load, entry, head.headers, self._names, now, now)
                 if self._is_stream(head):
@@ -293,7 +297,7 @@
                     if len(body) > MAX_ERROR_BYTES:
                         return _Run(_RunEnd.BROKEN, f"response exceeds {MAX_ERROR_BYTES} bytes")
             else:
-                return self._classify(head, body, part, stream)
+                return self._classify(head, kind, body, part, stream)
 
     async def _wait_read(
         self, lookup: Lookup, writer: StreamWriter, connection: SamplerConnection
@@ -308,16 +312,18 @@
         connection.resume_reading()
         return True
 
-    def _is_for_other_request(self, head: ResponseHead, lookup: Lookup) -> bool:
-        return head.headers.get(self._names.request_id, lookup.request_id) != lookup.request_id
-
     def _is_stream(self, head: ResponseHead) -> bool:
         return head.status == 200 and EVENT_STREAM_TYPE in head.headers.get(
             "Content-Type", EVENT_STREAM_TYPE
         )
 
     def _classify(
-        self, head: ResponseHead | None, body: bytes, end: ExchangeEnd, stream: _StreamState
+        self,
+        head: ResponseHead | None,
+        kind: AnswerKind,
+        body: bytes,
+        end: ExchangeEnd,
+        stream: _StreamState,
     ) -> _Run:
         if head is None or end is not ExchangeEnd.COMPLETE:
             return _Run(_RunEnd.BROKEN, end.value)
@@ -325,7 +331,7 @@
             if stream.has_partial:
                 return _Run(_RunEnd.BROKEN, "stream ended within an event")
             return _Run(_RunEnd.COMPLETE)
-        if head.status == 421 or self._names.not_run in head.headers:
+        if kind is not AnswerKind.RAN:
             return _Run(_RunEnd.REFUSED, str(head.status))
         return _Run(_RunEnd.RESPONSE, str(head.status), LookupResponse(head, body))
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -55,6 +55,7 @@
 ODD_ENTRIES = "tests/test_odd_entries.py"
 FAIRNESS = "tests/test_fairness.py"
 TENANT_PRIORITY = "tests/test_tenant_priority.py"
+ANSWERS = "tests/test_answers.py"
 
 MUTANTS = [
     Mutant(
@@ -649,8 +650,8 @@
     Mutant(
         "a late answer to another request is passed on",
         "whole answers (routes)",
-        "stileloom/proxy/exchange.py",
-        "if head.headers.get(names.request_id, request_id) != request_id:",
+        "stileloom/http1/answer.py",
+        "if answered_id != request_id:",
         "if False:",
         "tests/test_http1.py",
     ),
@@ -1496,6 +1497,30 @@
         "except KeyError as error:\n                self._log_internal_error(error, event",
         "tests/test_object_watch.py",
     ),
+    Mutant(
+        "a success without a signature is an answer",
+        "only answers are passed on",
+        "stileloom/http1/answer.py",
+        "if 200 <= head.status < 300 and not head.headers.get(names.signature):",
+        "if False:",
+        ANSWERS,
+    ),
+    Mutant(
+        "a response without a request id is an answer",
+        "only answers are passed on",
+        "stileloom/http1/answer.py",
+        "head.headers.get(names.request_id)",
+        "head.headers.get(names.request_id, request_id)",
+        ANSWERS,
+    ),
+    Mutant(
+        "a success may say that the request did not run",
+        "only answers are passed on",
+        "stileloom/http1/answer.py",
+        "if head.status < LOWEST_ERROR_STATUS and not_run:",
+        "if False:",
+        ANSWERS,
+    ),
 ]
 
 
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -33,7 +33,11 @@
 FILL = b"x" * 65_536
 CHUNK = b"10000\r\n" + FILL + b"\r\n"
 VERSION = NAMES.versions.encode()
-STREAM = OK + VERSION + b": 1\r\nContent-Type: text/event-stream\r\n\r\n"
+SIGNED = NAMES.signature.encode() + b": signed\r\n" + NAMES.request_id.encode()
+STREAM_HEADERS = VERSION + b": 1\r\nContent-Type: text/event-stream\r\n\r\n"
+ITEM = OK + SIGNED + b": i\r\n"
+ITEM_STREAM = ITEM + STREAM_HEADERS
+CALLER_STREAM = OK + SIGNED + b": endless\r\n" + STREAM_HEADERS
 
 ENDLESS_BODIES = {
     "chunked body": (CHUNKED, CHUNK),
@@ -144,10 +148,11 @@
                 self.assertIsNone(self.end_of(call, start, repeated, MEBIBYTE))
 
     def test_item_runs(self) -> None:
-        failure = b"HTTP/1.1 500 Internal Server Error\r\nTransfer-Encoding: chunked\r\n\r\n"
+        failure = b"HTTP/1.1 500 Internal Server Error\r\n" + NAMES.request_id.encode() + b": i\r\n"
+        failure += b"Transfer-Encoding: chunked\r\n\r\n"
         for name, (start, repeated) in {
-            "event without an end": (STREAM, FILL),
-            "empty events": (STREAM, b"\n\n" * 10_000),
+            "event without an end": (ITEM_STREAM, FILL),
+            "empty events": (ITEM_STREAM, b"\n\n" * 10_000),
             "body of a failure": (failure, CHUNK),
             **ENDLESS_HEADS,
         }.items():
@@ -157,16 +162,16 @@
 
     def test_an_item_run_of_endless_events(self) -> None:
         events = b"".join(b"id: %d\ndata: %s\n\n" % (n, b"x" * 65_536) for n in range(1, 400))
-        outcome = self.end_of(item_run, STREAM + events, FILL, 32 * MEBIBYTE)
+        outcome = self.end_of(item_run, ITEM_STREAM + events, FILL, 32 * MEBIBYTE)
         self.assertIs(RunOutcome.TOO_LONG, outcome)
 
     def test_figures_of_thousands_of_digits(self) -> None:
         digits = b"9" * 5000
         for name, start in {
-            "content length": OK + b"Content-Length: " + digits + b"\r\n\r\n",
-            "weight version": OK + VERSION + b": " + digits + b"\r\n\r\n",
-            "event id": STREAM + b"id: " + digits + b"\ndata: x\n\n",
-            "version of an event": STREAM + VERSION.lower() + b": " + digits + b"\nid: 1\n\n",
+            "content length": ITEM + b"Content-Length: " + digits + b"\r\n\r\n",
+            "weight version": ITEM + VERSION + b": " + digits + b"\r\n\r\n",
+            "event id": ITEM_STREAM + b"id: " + digits + b"\ndata: x\n\n",
+            "version of an event": ITEM_STREAM + VERSION.lower() + b": " + digits + b"\nid: 1\n\n",
         }.items():
             with self.subTest(name):
                 self.assertIs(
@@ -187,7 +192,7 @@
         routes["routes"][0]["backends"] = [{"service": "endless", "weight": 1}]
         routes["services"].append({"name": "endless", "max_connections": 50})
         await cluster.write("configuration", "main", routes)
-        async with EndlessSampler(STREAM, repeated) as sampler:
+        async with EndlessSampler(CALLER_STREAM, repeated) as sampler:
             host, port = sampler.address
             entry = {"service": "endless", "address": f"{host}:{port}", "zone": "a", "slots": 4}
             await cluster.write("samplers", "endless", {**entry, "model_versions": {}})
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -162,8 +162,8 @@
 
 def ok(request_id: str, body: bytes = b"x") -> bytes:
     """A complete response."""
-    head = f"HTTP/1.1 200 OK\r\n{NAMES.request_id}: {request_id}\r\nContent-Length: {len(body)}"
-    return head.encode() + b"\r\n\r\n" + body
+    head = f"HTTP/1.1 200 OK\r\n{NAMES.request_id}: {request_id}\r\n{NAMES.signature}: signed\r\n"
+    return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
 
 
 class ConnectionTest(testtools.TestCase):
@@ -213,8 +213,9 @@
             with_peer(responding_peer(response, then_close=True), scenario)
 
     def test_refused_and_misdirected_requests(self) -> None:
-        refused = f"HTTP/1.1 503 No\r\n{NAMES.not_run}: 1\r\nContent-Length: 0\r\n\r\n"
-        other = "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n"
+        fields = f"{NAMES.request_id}: a\r\nContent-Length: 0\r\n"
+        refused = f"HTTP/1.1 503 No\r\n{NAMES.not_run}: 1\r\n{fields}\r\n"
+        other = f"HTTP/1.1 421 No\r\n{fields}\r\n"
         for response, expected in (
             (refused, AttemptOutcome.REFUSED),
             (other, AttemptOutcome.MISDIRECTED),
--- a/tests/test_item_stream.py
+++ b/tests/test_item_stream.py
@@ -32,7 +32,7 @@
 
     def head(self, status: int = 200, **headers: str) -> None:
         """Passes a response head to the stream."""
-        values = {NAMES.request_id: "i", NAMES.versions: "1"}
+        values = {NAMES.request_id: "i", NAMES.signature: "signed", NAMES.versions: "1"}
         values |= {getattr(NAMES, name): value for name, value in headers.items()}
         self.stream.on_head(ResponseHead(status, "", HTTPHeaders(values)))
 
--- a/tests/test_load_recording.py
+++ b/tests/test_load_recording.py
@@ -64,7 +64,8 @@
 
 def head(status: int, load: str = "5,1,6,250", **headers: str) -> ResponseHead:
     """A response head with a load."""
-    values = {NAMES.load: load} | {getattr(NAMES, name): text for name, text in headers.items()}
+    values = {NAMES.load: load, NAMES.request_id: "r", NAMES.signature: "signed"}
+    values |= {getattr(NAMES, name): text for name, text in headers.items()}
     return ResponseHead(status, "", HTTPHeaders(values))
 
 
@@ -205,7 +206,8 @@
             async def acquire(self, sampler_id: str, address: tuple[str, int]) -> FakePool:
                 """Returns a connection."""
                 sent.append(sampler_id)
-                headers = {NAMES.load: load} if load is not None else {}
+                headers = {NAMES.request_id: "r", NAMES.signature: "signed"}
+                headers |= {NAMES.load: load} if load is not None else {}
                 refused = len(sent) % 3 == 0
                 headers |= {NAMES.not_run: "1"} if refused else {}
                 status = 503 if refused else 200
@@ -218,7 +220,7 @@
             route = Route("r", "", "/", RouteKind.SAFE, [], 5.0, 2.0, 3)
             for number in range(200):
                 now = steady_time()
-                lookup = Lookup(f"r-{number}", "GET", "/", [], b"", now, now + 5.0)
+                lookup = Lookup("r", "GET", f"/{number}", [], b"", now, now + 5.0)
                 await forwarder.forward(lookup, route, "lookups")
 
         asyncio.run(run())
@@ -252,9 +254,11 @@
 
     def test_a_head_counts_at_once(self) -> None:
         """A stream may last seconds, after which the load in its head is too old."""
-        for response in (head(200, request_id="i", versions="1"), head(503, not_run="1")):
+        refusal = head(503, request_id="i", not_run="1")
+        for response in (head(200, request_id="i", versions="1"), refusal):
             self.assertIsNotNone(self.received(response).latest(ENTRY))
 
     def test_responses_without_a_valid_load_of_the_sampler(self) -> None:
-        for response in (head(421), head(200, request_id="other", versions="1")):
+        misdirected = head(421, request_id="i")
+        for response in (misdirected, head(200, request_id="other", versions="1")):
             self.assertIsNone(self.received(response).latest(ENTRY))
--- a/tests/virtual_lookups.py
+++ b/tests/virtual_lookups.py
@@ -116,18 +116,22 @@
         self.usable = True
         self._sampler = sampler
         self._sink: ExchangeSink | None = None
+        self._headers: dict[str, str] = {}
+        """Headers that each answer to the current request has."""
 
     def exchange(
         self, request: bytes, sink: ExchangeSink, method: str, max_body_bytes: int
     ) -> None:
         self._sink = sink
+        request_id = f"r{request.split(b' ', 2)[1].decode().removeprefix('/')}"
+        self._headers = {NAMES.request_id: request_id, NAMES.signature: "signed"}
         loop = asyncio.get_running_loop()
         loop.call_later(TRIP_S, self._sampler.receive, self, request)
 
     def respond(self, status: int, headers: dict[str, str]) -> None:
         sink, self._sink = self._sink, None
         if sink is not None:
-            sink.on_head(ResponseHead(status, "", HTTPHeaders(headers)))
+            sink.on_head(ResponseHead(status, "", HTTPHeaders(self._headers | headers)))
             sink.on_end(ExchangeEnd.COMPLETE)
 
     def close(self) -> None:
