Open items follow the configuration in force

Cause: the leader copied service, limits and wait of the route when it adopted a job and kept them for its leadership; only priorities were read again. A new leader read the new values, so the same job went on after an election.

Change: jobs/job_terms.py reads what a route and its service set for a job. A run goes on where it is; the next one, also one that resumes it, follows the new terms. A run is charged to the service at which it began. Without its route a job keeps its terms, as before.

--- a/stileloom/fairness/service_shares.py
+++ b/stileloom/fairness/service_shares.py
@@ -10,7 +10,7 @@
 
 from stileloom.fairness.shares import DominantShares, Usage
 from stileloom.fairness.tenant_load import TenantLoad, tenant_loads
-from stileloom.jobs.open_items import OpenItem
+from stileloom.jobs.open_items import ItemRun, OpenItem
 from stileloom.proxy.sampler_table import SamplerTable
 
 
@@ -23,13 +23,13 @@
         self._cache_tokens = cache_tokens
         self._shares: dict[str, DominantShares] = {}
 
-    def start_run(self, item: OpenItem, tokens: float) -> None:
-        """Adds a run, which occupies a slot and so many tokens."""
-        self._of(item.service).acquire(item.tenant, Usage(1.0, tokens))
+    def start_run(self, tenant: str, run: ItemRun) -> None:
+        """Adds a run, which occupies a slot and its tokens."""
+        self._of(run.service).acquire(tenant, Usage(1.0, run.tokens))
 
-    def end_run(self, item: OpenItem, tokens: float) -> None:
-        """Removes a run; the tokens are those with which it was added."""
-        self._of(item.service).release(item.tenant, Usage(1.0, tokens))
+    def end_run(self, tenant: str, run: ItemRun) -> None:
+        """Removes a run."""
+        self._of(run.service).release(tenant, Usage(1.0, run.tokens))
 
     def current(self, service: str) -> DominantShares:
         """The shares of the capacity that is listed now."""
--- a/stileloom/jobs/open_items.py
+++ b/stileloom/jobs/open_items.py
@@ -123,6 +123,8 @@
     """A run of an item on a sampler."""
 
     sampler_id: str
+    service: str
+    """Service of the sampler; that of the item may have changed since the start."""
     started_at: float
     last_event_at: float
     events: int = 0
--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -15,23 +15,22 @@
 
 from stileloom.api.dialect import Dialect
 from stileloom.api.jobs import FinishedItem, ItemState
-from stileloom.api.routes import Route, RouteKind, Service
+from stileloom.api.routes import Service
 from stileloom.background import MAX_TRACEBACK_LENGTH, BackgroundTasks
 from stileloom.clock import steady_time
 from stileloom.decisions import NO_DECISIONS, DecisionRecorder
 from stileloom.events import LogEvent
 from stileloom.fairness.order import MAX_AGING_S
-from stileloom.fairness.priority import priority_of
 from stileloom.fairness.tenant_load import largest_by_waiting
 from stileloom.http1.pool import ConnectionPool
 from stileloom.jobs.intake import item_size, reusable_results, saved_texts
 from stileloom.jobs.item_runs import ItemRuns
 from stileloom.jobs.item_waits import ItemWaits
 from stileloom.jobs.job_ages import JobAges
+from stileloom.jobs.job_terms import JobTerms, apply_terms, job_terms
 from stileloom.jobs.leader_ledger import LeaderLedger
 from stileloom.jobs.metrics import JobMetrics
 from stileloom.jobs.open_items import (
-    DEFAULT_TOKENS_PER_EVENT,
     OpenItem,
     PlannedRun,
 )
@@ -48,8 +47,6 @@
 from stileloom.proxy.sampler_table import SamplerTable
 from stileloom.switches import Switches
 
-DEADLINE_MARGIN_S = 2.0
-"""Time after the maximum wait of its route at which an item is given up."""
 PROGRESS_SAVE_PERIOD_S = 0.25
 EVENT_INTERVAL_SAVE_PERIOD_S = 2.0
 """Period at which the measured event intervals of samplers are saved for the next leader."""
@@ -124,8 +121,10 @@
         self._next_job_age_save_at = steady_time() + JOB_AGE_SAVE_PERIOD_S
         self._next_tenant_report_at = 0.0
         self._next_tenant_log_at = 0.0
-        self._priorities_version = 0
-        """Version of the configuration from which the priorities of items were read."""
+        self._terms_version = 0
+        """Version of the configuration from which the terms of open items were read."""
+        self._terms: dict[str, JobTerms] = {}
+        """Terms of each adopted job."""
         self._version_list_deadline = steady_time() + VERSION_LIST_TIMEOUT_S
         self._starts_allowed_at = steady_time() + START_DELAY_S
         """Delays the first runs, because samplers may be about to load weights."""
@@ -232,7 +231,7 @@
         now = steady_time()
         self._remove_ended_jobs()
         self._job_ages.observe(self._registry, now)
-        self._run_logged(self._update_priorities)
+        self._run_logged(self._apply_configuration)
         for record in list(self._registry.jobs.values()):
             if self._may_run(record):
                 self._run_logged(self._adopt, record, now)
@@ -246,28 +245,33 @@
             trace = "".join(traceback.format_exception(error))[-MAX_TRACEBACK_LENGTH:]
             self._log.emit(LogEvent.INTERNAL_FAULT, {"error": repr(error), "trace": trace})
 
-    def _update_priorities(self) -> None:
-        """Reads the priorities of items again after a change of the configuration."""
-        if self._priorities_version == self._routes.version:
+    def _apply_configuration(self) -> None:
+        """Applies a changed configuration to the open items."""
+        if self._terms_version == self._routes.version:
             return
-        self._priorities_version = self._routes.version
+        self._terms_version = self._routes.version
         self.scheduler.has_tenants = self._routes.keys is not None
-        priorities: dict[str, int] = {}
-        for open_item in self.scheduler.items.values():
-            job_id = open_item.key[0]
+        changed: set[str] = set()
+        for job_id, former in self._terms.items():
             record = self._registry.jobs.get(job_id)
-            if record is None:
-                continue
-            if job_id not in priorities:
-                route = self._route_of(record)
-                # Without its route a job keeps its priority, as it keeps its limits.
-                priorities[job_id] = (
-                    self._priority_of(record, route) if route is not None else open_item.priority
-                )
-            open_item.priority = priorities[job_id]
-
-    def _priority_of(self, record: JobRecord, route: Route) -> int:
-        return priority_of(self._routes.configuration, record.submission.tenant, route)
+            terms = job_terms(self._routes, record.submission) if record is not None else None
+            # Without its route a job keeps its terms.
+            if terms is not None and terms != former:
+                self._terms[job_id] = terms
+                changed.add(job_id)
+                self._log_changed_terms(job_id, former, terms)
+        for open_item in self.scheduler.items.values():
+            if open_item.key[0] in changed:
+                apply_terms(open_item, self._terms[open_item.key[0]])
+
+    def _log_changed_terms(self, job_id: str, former: JobTerms, terms: JobTerms) -> None:
+        changes = {
+            name: [getattr(former, name), getattr(terms, name)]
+            for name in JobTerms.__struct_fields__
+            if getattr(former, name) != getattr(terms, name)
+        }
+        fields = {"job": job_id, "configuration": self._routes.version, "changes": changes}
+        self._log.emit(LogEvent.JOB_TERMS_CHANGED, fields)
 
     def _report_tenants(self, now: float) -> None:
         if not self.scheduler.has_tenants:
@@ -383,10 +387,11 @@
         )
         if is_adopted or not first_item_id:
             return
-        route = self._route_of(record)
-        if route is None:
+        terms = job_terms(self._routes, submission)
+        if terms is None:
             return
-        reusable = reusable_results(self._registry, record, route.single_version)
+        self._terms[submission.job_id] = terms
+        reusable = reusable_results(self._registry, record, terms.single_version)
         for finished in reusable:
             self._writer.queue_result(submission.job_id, finished)
         names = self._dialect.names
@@ -397,16 +402,11 @@
         self.scheduler.adopt_job(
             record,
             items,
-            route.backends[0].service,
-            route.single_version,
-            route.max_attempts,
-            route.max_wait_s + DEADLINE_MARGIN_S - age_s,
+            terms,
             sizes,
             now,
-            self._tokens_per_event(route.backends[0].service),
             {finished.item_id for finished in reusable},
             saved_texts(self._registry, record) if self._switches.kept_texts else {},
-            self._priority_of(record, route),
             age_s,
         )
         self._log.emit(
@@ -425,18 +425,9 @@
             if open_item is not None and open_item.partial.whole and not open_item.finished:
                 self.on_complete_text(open_item)
 
-    def _tokens_per_event(self, service_name: str) -> float:
-        service = self._routes.service(service_name)
-        if service is None or service.engine is None:
-            return DEFAULT_TOKENS_PER_EVENT
-        return service.engine.tokens_per_event
-
-    def _route_of(self, record: JobRecord) -> Route | None:
-        route = self._routes.match(record.submission.host, record.submission.path)
-        return route if route is not None and route.kind is RouteKind.BATCH else None
-
     def _remove_job(self, job_id: str) -> None:
         removed = self.scheduler.remove_job(job_id)
+        self._terms.pop(job_id, None)
         if removed:
             self._metrics.job_time.observe(steady_time() - removed[0].adopted_at)
         for open_item in removed:
--- a/stileloom/jobs/scheduler.py
+++ b/stileloom/jobs/scheduler.py
@@ -21,12 +21,11 @@
 
 from stileloom.api.jobs import JobItem, JobSubmission
 from stileloom.fairness.order import FairOrder
-from stileloom.fairness.priority import DEFAULT_PRIORITY
 from stileloom.fairness.service_shares import ServiceShares
 from stileloom.fairness.tenant_load import TenantLoad
+from stileloom.jobs.job_terms import JobTerms
 from stileloom.jobs.model_versions import SamplerModels
 from stileloom.jobs.open_items import (
-    DEFAULT_TOKENS_PER_EVENT,
     INITIAL_INTERVAL_S,
     ItemKey,
     ItemRun,
@@ -123,16 +122,11 @@
         self,
         record: JobRecord,
         items: list[JobItem],
-        service: str,
-        single_version: bool,
-        max_attempts: int,
-        max_wait_s: float,
+        terms: JobTerms,
         sizes: dict[str, ItemSize],
         now: float,
-        tokens_per_event: float = DEFAULT_TOKENS_PER_EVENT,
         reused_results: AbstractSet[str] = frozenset(),
         texts_of_other_jobs: Mapping[str, PartialText] = MappingProxyType({}),
-        priority: int = DEFAULT_PRIORITY,
         age_s: float = 0.0,
     ) -> None:
         """Adds those of the job's items that have no listed result.
@@ -153,7 +147,9 @@
             if retained is None and other is not None:
                 retained = other.copy()
             partial = saved.copy() if saved is not None else retained
-            if partial is None or not partial.satisfies(submission.min_version, single_version):
+            if partial is None or not partial.satisfies(
+                submission.min_version, terms.single_version
+            ):
                 partial = PartialText()
             size = sizes.get(item.item_id, ItemSize())
             self.items[key] = OpenItem(
@@ -162,16 +158,16 @@
                 model=submission.model,
                 step=submission.step,
                 min_version=submission.min_version,
-                single_version=single_version,
-                service=service,
-                max_attempts=max_attempts,
+                single_version=terms.single_version,
+                service=terms.service,
+                max_attempts=terms.max_attempts,
                 expected_tokens=size.expected_tokens,
                 prompt_tokens=size.prompt_tokens,
-                tokens_per_event=tokens_per_event,
+                tokens_per_event=terms.tokens_per_event,
                 adopted_at=now,
-                deadline=now + max_wait_s,
+                deadline=now - age_s + terms.give_up_after_s,
                 tenant=submission.tenant,
-                priority=priority,
+                priority=terms.priority,
                 waiting_since=now - age_s,
                 max_tokens=size.max_tokens,
                 reused=tenant_item in self._seen_items,
@@ -375,13 +371,13 @@
         return self._tenant_shares.loads(self._waiting_items())
 
     def _start(self, open_item: OpenItem, sampler_id: str, now: float) -> PlannedRun:
-        open_item.run = ItemRun(sampler_id, now, now)
+        open_item.run = ItemRun(sampler_id, open_item.service, now, now)
         open_item.due_since = None
         stats = self.stats(sampler_id)
         stats.running += 1
         open_item.run.tokens = open_item.estimated_tokens
         stats.tokens += open_item.run.tokens
-        self._tenant_shares.start_run(open_item, open_item.run.tokens)
+        self._tenant_shares.start_run(open_item.tenant, open_item.run)
         stats.groups.add(open_item.item.group)
         return PlannedRun(open_item, sampler_id, open_item.run)
 
@@ -615,7 +611,7 @@
         stats = self.stats(run.sampler_id)
         stats.running -= 1
         stats.tokens -= run.tokens
-        self._tenant_shares.end_run(open_item, run.tokens)
+        self._tenant_shares.end_run(open_item.tenant, run)
         open_item.run = None
 
     def remove_sampler(self, sampler_id: str) -> None:
--- a/tests/chain_simulation.py
+++ b/tests/chain_simulation.py
@@ -15,6 +15,7 @@
 
 from stileloom.api.jobs import JobItem, JobSubmission
 from stileloom.api.sampler_directory import SamplerEntry
+from stileloom.jobs.job_terms import JobTerms
 from stileloom.jobs.open_items import ItemSize, OpenItem
 from stileloom.jobs.registry import JobRecord
 from stileloom.jobs.scheduler import ItemScheduler
@@ -136,7 +137,11 @@
         sizes = {item.item_id: self._draw(item.item_id) for item in items}
         submission = JobSubmission(f"job-{step}", "h", "/p", step, MODEL, 1, 1, items)
         self.scheduler.adopt_job(
-            JobRecord(submission), items, SERVICE, False, 3, 60.0, sizes, self.now, TOKENS_PER_EVENT
+            JobRecord(submission),
+            items,
+            JobTerms(SERVICE, False, 3, 60.0, TOKENS_PER_EVENT),
+            sizes,
+            self.now,
         )
 
     def _draw(self, item_id: str) -> ItemSize:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -56,6 +56,7 @@
 FAIRNESS = "tests/test_fairness.py"
 TENANT_PRIORITY = "tests/test_tenant_priority.py"
 ANSWERS = "tests/test_answers.py"
+CHANGED_TERMS = "tests/test_changed_terms.py"
 
 MUTANTS = [
     Mutant(
@@ -1329,9 +1330,9 @@
     Mutant(
         "priorities are not read again",
         "samplers get the configured priority",
-        "stileloom/jobs/runner.py",
-        "            open_item.priority = priorities[job_id]\n",
-        "            pass\n",
+        "stileloom/jobs/job_terms.py",
+        "    open_item.priority = terms.priority\n",
+        "",
         f"{TENANT_PRIORITY}::RunnerTest",
     ),
     Mutant(
@@ -1521,6 +1522,30 @@
         "if False:",
         ANSWERS,
     ),
+    Mutant(
+        "open items keep the terms of their adoption",
+        "accepted items follow the configuration in force",
+        "stileloom/jobs/runner.py",
+        "if terms is not None and terms != former:",
+        "if False:",
+        CHANGED_TERMS,
+    ),
+    Mutant(
+        "open items keep the service of their adoption",
+        "accepted items follow the configuration in force",
+        "stileloom/jobs/job_terms.py",
+        "    open_item.service = terms.service\n",
+        "",
+        CHANGED_TERMS,
+    ),
+    Mutant(
+        "open items keep the deadline of their adoption",
+        "accepted items follow the configuration in force",
+        "stileloom/jobs/job_terms.py",
+        "    open_item.deadline = open_item.waiting_since + terms.give_up_after_s\n",
+        "",
+        CHANGED_TERMS,
+    ),
 ]
 
 
--- a/tests/tenant_simulation.py
+++ b/tests/tenant_simulation.py
@@ -13,6 +13,7 @@
 
 from stileloom.api.jobs import JobItem, JobSubmission
 from stileloom.api.sampler_directory import SamplerEntry
+from stileloom.jobs.job_terms import JobTerms
 from stileloom.jobs.open_items import ItemSize, OpenItem
 from stileloom.jobs.registry import JobRecord
 from stileloom.jobs.scheduler import ItemScheduler
@@ -163,18 +164,10 @@
     def _adopt(self, job_id: str) -> None:
         record, sizes, submitted_at = self._jobs[job_id]
         age_s = self.now - submitted_at
+        priority = self._traffic[record.submission.tenant].priority
+        terms = JobTerms(SERVICE, False, 3, self._max_wait_s, TOKENS_PER_EVENT, priority)
         self.scheduler.adopt_job(
-            record,
-            record.submission.items,
-            SERVICE,
-            False,
-            3,
-            self._max_wait_s - age_s,
-            sizes,
-            self.now,
-            TOKENS_PER_EVENT,
-            priority=self._traffic[record.submission.tenant].priority,
-            age_s=age_s,
+            record, record.submission.items, terms, sizes, self.now, age_s=age_s
         )
 
     def _change_leader(self) -> None:
--- a/tests/test_abandoned_work.py
+++ b/tests/test_abandoned_work.py
@@ -20,6 +20,7 @@
 from stileloom.http1.pool import ConnectionPool
 from stileloom.jobs.intake import item_size
 from stileloom.jobs.job_ages import JobAges
+from stileloom.jobs.job_terms import DEADLINE_MARGIN_S
 from stileloom.jobs.messages import (
     EndJobCall,
     JobEnded,
@@ -32,7 +33,7 @@
 from stileloom.jobs.open_items import ItemSize, OpenItem
 from stileloom.jobs.partial_text import PartialText
 from stileloom.jobs.registry import MAX_ENDED_JOBS_WITH_TEXTS, JobRegistry
-from stileloom.jobs.runner import DEADLINE_MARGIN_S, PROGRESS_SAVE_PERIOD_S
+from stileloom.jobs.runner import PROGRESS_SAVE_PERIOD_S
 from stileloom.jobs.scheduler import MIN_EVENTS_PER_SAVE
 from stileloom.ledger.commands import EndJob, ForgetJob, RecordResults
 from stileloom.logging import configure_logs
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -12,6 +12,7 @@
 from stileloom.fairness.order import AGING_INTERVAL_S, MAX_AGING_S, FairOrder, aged_priority
 from stileloom.fairness.shares import DominantShares, Usage
 from stileloom.jobs import scheduler as scheduler_module
+from stileloom.jobs.job_terms import JobTerms
 from stileloom.jobs.open_items import ItemSize, OpenItem
 from stileloom.jobs.scheduler import ItemScheduler
 from stileloom.jobs.start_order import start_order
@@ -266,10 +267,10 @@
                 for fixture in (new, old):
                     fixture.scheduler.cache_tokens[SERVICE] = 5000.0
                     job = record(job_id, count, tenant=tenant, **fields)
+                    terms = JobTerms(SERVICE, False, 3, 60.0, 50.0, priority)
                     fixture.scheduler.adopt_job(
-                        job, job.submission.items, SERVICE, False, 3, 60.0, sizes, now, 50.0,
-                        priority=priority, age_s=number % 3,
-                    )  # fmt: skip
+                        job, job.submission.items, terms, sizes, now, age_s=number % 3
+                    )
             running = [key for key, item in old.scheduler.items.items() if item.run is not None]
             for key in running:
                 event = rng.random()
--- a/tests/test_item_scheduler.py
+++ b/tests/test_item_scheduler.py
@@ -9,6 +9,7 @@
 from stileloom.api.sampler_directory import SamplerEntry
 from stileloom.http.native_dialect import NativeDialect
 from stileloom.jobs.intake import item_size
+from stileloom.jobs.job_terms import JobTerms
 from stileloom.jobs.model_versions import assign_samplers
 from stileloom.jobs.open_items import ItemSize
 from stileloom.jobs.registry import JobRecord, JobRegistry
@@ -56,10 +57,8 @@
         single_version: bool = False,
     ) -> None:
         """Adopts a job."""
-        items = job.submission.items
-        self.scheduler.adopt_job(
-            job, items, SERVICE, single_version, 3, 60.0, sizes or {}, now, tokens_per_event
-        )
+        terms = JobTerms(SERVICE, single_version, 3, 60.0, tokens_per_event)
+        self.scheduler.adopt_job(job, job.submission.items, terms, sizes or {}, now)
 
     def starts(self, now: float = 0.0) -> dict[str, str]:
         """Starts the due items; returns the sampler by item id."""
