Texts of routes with a single version are continued and listed under one version

Cause: a new leader knows the versions of samplers from their entries, which follow a load by up to a heartbeat. It resumed saved texts at a sampler that had loaded the next version. The request said nothing about the version that it expects, the response was checked against the oldest accepted version only, and a complete text was listed whatever its versions.

Change: the promise does not rest on what the leader believes. Versions that responses show count at once. A 421 with the id of the addressed sampler is its refusal, and no sign that another one has the address: it was taken out of use until its end. The emulated sampler knows the expected version.

--- a/stileloom/emulator/http_sampler.py
+++ b/stileloom/emulator/http_sampler.py
@@ -35,6 +35,8 @@
     """Requests are refused with the header that says they were not run."""
     unresponsive: bool = False
     """Requests are accepted and never answered."""
+    ignore_expected_version: bool = False
+    """Requests run whatever version they expect."""
     work_s: float = 0.0
     """Duration of a lookup."""
     crash_targets: frozenset[str] = frozenset()
@@ -143,16 +145,23 @@
         expected = request.headers.get(names.expect_sampler, self.sampler_id)
         not_run = {names.request_id: request.headers.get(names.request_id, ""), names.not_run: "1"}
         if expected != self.sampler_id:
-            self._reply(request, 421, not_run)
+            self._reply(request, 421, not_run | {names.sampler_id: self.sampler_id})
         elif request.path == REPORT_TARGET:
             self._reply(request, 200, {}, msgspec.json.encode(self._report()))
         elif request.path == ORDER_TARGET:
             self._reply(request, self._order(msgspec.json.decode(request.body, type=LoadOrder)), {})
+        elif not self._has_expected_version(request):
+            self._reply(request, 421, not_run | {names.sampler_id: self.sampler_id})
         elif self.faults.refuse:
             self._reply(request, 503, not_run)
         else:
             await self._run(request)
 
+    def _has_expected_version(self, request: HTTPServerRequest) -> bool:
+        expected = request.headers.get(self._names.expect_version)
+        version = self.model_versions.get(request.headers.get("model", ""), 0)
+        return expected in (None, str(version)) or self.faults.ignore_expected_version
+
     def _report(self) -> SamplerReport:
         return SamplerReport(
             dict(self.model_versions), steady_time() < self._loading_until, len(self.orders)
--- a/stileloom/http1/answer.py
+++ b/stileloom/http1/answer.py
@@ -32,8 +32,10 @@
     """Another sampler has the address (status 421); the request did not run."""
 
 
-def classify_answer(head: ResponseHead, request_id: str, names: HeaderNames) -> AnswerKind:
-    """Classifies the head of a response to a request. Raises `NotAnAnswer`."""
+def classify_answer(
+    head: ResponseHead, request_id: str, sampler_id: str, names: HeaderNames
+) -> AnswerKind:
+    """Classifies the head of a response to a request to a sampler. Raises `NotAnAnswer`."""
     answered_id = head.headers.get(names.request_id)
     if answered_id is None:
         raise NotAnAnswer(f"status {head.status} without a request id")
@@ -45,5 +47,7 @@
     if 200 <= head.status < 300 and not head.headers.get(names.signature):
         raise NotAnAnswer(f"status {head.status} without a signature")
     if head.status == MISDIRECTED_STATUS:
-        return AnswerKind.MISDIRECTED
+        # The addressed sampler itself refuses a request that expects other weights.
+        is_addressed = head.headers.get(names.sampler_id) == sampler_id
+        return AnswerKind.NOT_RUN if is_addressed else AnswerKind.MISDIRECTED
     return AnswerKind.NOT_RUN if not_run else AnswerKind.RAN
--- a/stileloom/jobs/item_request.py
+++ b/stileloom/jobs/item_request.py
@@ -30,6 +30,8 @@
         names.tenant.lower(),
         "host",
     }
+    if open_item.required_version is not None:
+        replaced.add(names.expect_version.lower())
     if open_item.tenant:
         replaced.add(CREDENTIALS_HEADER.lower())
     if has_tenants:
@@ -46,6 +48,9 @@
         headers.append((names.priority, str(open_item.priority)))
     remaining_ms = max(1, int(remaining_s * 1000))
     headers += [(names.deadline_ms, str(remaining_ms)), (names.expect_sampler, sampler_id)]
+    if open_item.required_version is not None:
+        # The version that this node believes the sampler to have may be out of date.
+        headers.append((names.expect_version, str(open_item.required_version)))
     if open_item.partial.last_event_id is not None:
         headers.append((names.last_event_id, str(open_item.partial.last_event_id)))
     return encode_request("POST", item.path, headers, item.body)
--- a/stileloom/jobs/item_runs.py
+++ b/stileloom/jobs/item_runs.py
@@ -34,6 +34,13 @@
 MAX_DOUBLINGS = 8
 REFUSAL_BACKOFF_S = 0.15
 MAX_REJECTIONS = 1
+_UNFINISHED_RUNS = (
+    RunOutcome.TOO_OLD,
+    RunOutcome.TOO_LONG,
+    RunOutcome.OTHER_VERSION,
+    RunOutcome.BROKEN,
+)
+"""Outcomes after which the sampler may still be sending."""
 SENT_LOG_DELAY_S = 0.01
 """Runs that are sent within this time share a log line: a step may start dozens of them."""
 
@@ -67,9 +74,12 @@
         log: EventLog,
         metrics: JobMetrics,
         load: LoadView,
+        on_version: Callable[[str, str, int], None],
         decisions: DecisionRecorder = NO_DECISIONS,
     ) -> None:
-        """`may_send` is checked before each send: the process may have been suspended."""
+        """`may_send` is checked before each send: the process may have been suspended.
+        `on_version` receives the version of a model that a response shows a sampler to have, or
+        an older one."""
         self._scheduler = scheduler
         self._samplers = samplers
         self._pool = pool
@@ -81,6 +91,7 @@
         self._log = log
         self._metrics = metrics
         self._load = load
+        self._on_version = on_version
         self._decisions = decisions
         self._connections: dict[ItemKey, SamplerConnection] = {}
         self._unlogged: dict[tuple[str, str, int], list[tuple[str, int]]] = {}
@@ -167,6 +178,9 @@
             lambda _: self._on_event(open_item, run),
             lambda outcome, detail: self._on_run_ended(start, outcome, detail),
             lambda head: self._record_load(entry, head),
+            open_item.single_version,
+            lambda version: self._on_version(entry.sampler_id, open_item.model, version),
+            entry.sampler_id,
         )
         self._connections[open_item.key] = connection
         self._metrics.runs_started.inc()
@@ -211,10 +225,11 @@
             RunOutcome.BROKEN,
             RunOutcome.TOO_LONG,
             RunOutcome.REFUSED,
+            RunOutcome.OTHER_VERSION,
         )
         self._scheduler.end_run(open_item, avoid=failed)
         if connection is not None:
-            if outcome in (RunOutcome.TOO_OLD, RunOutcome.TOO_LONG, RunOutcome.BROKEN):
+            if outcome in _UNFINISHED_RUNS:
                 connection.close()
             else:
                 asyncio.get_running_loop().call_soon(self._pool.release, sampler_id, connection)
--- a/stileloom/jobs/item_stream.py
+++ b/stileloom/jobs/item_stream.py
@@ -6,7 +6,12 @@
 from collections.abc import Callable
 
 from stileloom.api.headers import HeaderNames
-from stileloom.http1.answer import AnswerKind, NotAnAnswer, classify_answer
+from stileloom.http1.answer import (
+    MISDIRECTED_STATUS,
+    AnswerKind,
+    NotAnAnswer,
+    classify_answer,
+)
 from stileloom.http1.connection import ExchangeEnd
 from stileloom.http1.event_stream import EventStreamParser, MalformedEvent
 from stileloom.http1.limits import MAX_ERROR_BYTES, parse_figure
@@ -24,13 +29,15 @@
     REFUSED = "refused"
     """The sampler did not run the item."""
     MISDIRECTED = "misdirected"
-    """The address belongs to another sampler or another version of the weights."""
+    """The address belongs to another sampler."""
     FAILED = "failed"
     """Status 500: counts as a failed attempt of the item."""
     IMPOSSIBLE = "impossible"
     """Status 422: the sampler can never run the item."""
     TOO_LONG = "too_long"
     """The text exceeds `MAX_TEXT_BYTES`; it is dropped."""
+    OTHER_VERSION = "other_version"
+    """The sampler's weights differ from those of the text, which must have a single version."""
     TOO_OLD = "too_old"
     """The sampler's weights are older than the job accepts."""
     BROKEN = "broken"
@@ -49,8 +56,12 @@
         on_event: Callable[[int], None],
         on_outcome: Callable[[RunOutcome, str], None],
         on_sampler_head: Callable[[ResponseHead], None] = lambda head: None,
+        single_version: bool = False,
+        on_version: Callable[[int], None] = lambda version: None,
+        sampler_id: str = "",
     ) -> None:
-        """`on_sampler_head` receives the head if the addressed sampler sent it for this item."""
+        """`on_sampler_head` receives the head if the addressed sampler sent it for this item, and
+        `on_version` each version that the sampler has at least."""
         self.version = 0
         self._item_id = item_id
         self._partial = partial
@@ -59,6 +70,13 @@
         self._on_event = on_event
         self._on_outcome = on_outcome
         self._on_sampler_head = on_sampler_head
+        self._single_version = single_version
+        self._on_version = on_version
+        self._sampler_id = sampler_id
+        self._expected_version = (
+            partial.versions[-1] if single_version and partial.versions else None
+        )
+        """The version that the request expects, if any."""
         self._parser = EventStreamParser(names.versions)
         self._text_bytes = sum(len(part) for part in partial.parts)
         self._error_bytes = 0
@@ -70,7 +88,7 @@
         """Handles the status and headers."""
         self._head = head
         try:
-            self._kind = classify_answer(head, self._item_id, self._names)
+            self._kind = classify_answer(head, self._item_id, self._sampler_id, self._names)
         except NotAnAnswer as error:
             self._finish(RunOutcome.BROKEN, str(error))
             return
@@ -123,6 +141,10 @@
 
     def _classify_status(self, head: ResponseHead) -> tuple[RunOutcome, str]:
         detail = str(head.status)
+        if self._expected_version is not None and self._has_other_version(head):
+            # Versions of a sampler never decrease.
+            self._on_version(self._expected_version + 1)
+            return RunOutcome.OTHER_VERSION, f"{detail}, not version {self._expected_version}"
         if self._kind is AnswerKind.MISDIRECTED:
             return RunOutcome.MISDIRECTED, detail
         if self._kind is AnswerKind.NOT_RUN:
@@ -133,10 +155,23 @@
             return RunOutcome.IMPOSSIBLE, detail
         return RunOutcome.BROKEN, detail
 
+    def _has_other_version(self, head: ResponseHead) -> bool:
+        """Whether the addressed sampler refuses the version that the request expects."""
+        answering_id = head.headers.get(self._names.sampler_id, self._sampler_id)
+        return head.status == MISDIRECTED_STATUS and answering_id == self._sampler_id
+
+    def _conflicts(self, version: int) -> bool:
+        """Whether an event of this version would add a second one to a single-version text."""
+        return self._single_version and self._partial.versions not in ([], [version])
+
     def _update_version(self, version: int) -> None:
         self.version = version
+        self._on_version(version)
         if version < self._min_version:
             self._finish(RunOutcome.TOO_OLD, f"version {version} below {self._min_version}")
+        elif self._conflicts(version):
+            versions = ", ".join(map(str, self._partial.versions))
+            self._finish(RunOutcome.OTHER_VERSION, f"version {version} after {versions}")
 
     def _finish(self, outcome: RunOutcome, detail: str) -> None:
         if not self._ended:
--- a/stileloom/jobs/open_items.py
+++ b/stileloom/jobs/open_items.py
@@ -106,6 +106,12 @@
         self.partial = PartialText()
         self.saved_parts = 0
 
+    @property
+    def required_version(self) -> int | None:
+        """The only version that may continue the text, or None if any accepted one may."""
+        versions = self.partial.versions
+        return versions[-1] if self.single_version and versions else None
+
     @property
     def waits_for_run(self) -> bool:
         """Whether its text is incomplete and no sampler has been asked for the rest."""
--- a/stileloom/jobs/runner.py
+++ b/stileloom/jobs/runner.py
@@ -16,6 +16,7 @@
 from stileloom.api.dialect import Dialect
 from stileloom.api.jobs import FinishedItem, ItemState
 from stileloom.api.routes import Service
+from stileloom.api.sampler_directory import MAX_VERSION
 from stileloom.background import MAX_TRACEBACK_LENGTH, BackgroundTasks
 from stileloom.clock import steady_time
 from stileloom.decisions import NO_DECISIONS, DecisionRecorder
@@ -142,6 +143,7 @@
             log,
             metrics,
             dependencies.forwarder.load,
+            self._on_version_shown,
             dependencies.decisions,
         )
         self._writer = ResultWriter(
@@ -197,6 +199,14 @@
         """Records the versions of a sampler that the directory lists."""
         self._loader.record_versions(sampler_id, versions)
 
+    def _on_version_shown(self, sampler_id: str, model: str, version: int) -> None:
+        """Records a version that the response to an item shows a sampler to have at least.
+
+        The directory may know an older one: a sampler writes its entry some time after a load.
+        """
+        if version <= MAX_VERSION and self._samplers.get(sampler_id) is not None:
+            self._loader.record_versions(sampler_id, {model: version})
+
     def on_sampler_removed(self, sampler_id: str) -> None:
         """Handles a sampler that is draining or gone; its runs continue while events arrive."""
         self._pool.close_connections(sampler_id)
@@ -449,6 +459,8 @@
         if self.scheduler.items.get(open_item.key) is not open_item:
             # The job has ended, or the result was listed by another leader.
             return
+        if not self._is_acceptable(open_item):
+            return
         reward = open_item.item.reward
         if reward is None:
             self._finish(open_item, ItemState.SUCCEEDED, "")
@@ -456,6 +468,26 @@
         self._writer.queue_complete_text(open_item)
         self._rewards.request_score(open_item, reward)
 
+    def _is_acceptable(self, open_item: OpenItem) -> bool:
+        """Whether the versions of a complete text are those that its job accepts now.
+
+        Otherwise the text is discarded, so that the item runs again.
+        """
+        partial = open_item.partial
+        if partial.satisfies(open_item.min_version, open_item.single_version):
+            return True
+        fields = {
+            "item": open_item.item.item_id,
+            "job": open_item.key[0],
+            "versions": list(partial.versions),
+            "min_version": open_item.min_version,
+            "single_version": open_item.single_version,
+        }
+        self._log.emit(LogEvent.ITEM_TEXT_DISCARDED, fields)
+        open_item.discard_text()
+        self._schedule_step()
+        return False
+
     def on_run_limit(self, open_item: OpenItem, reason: str) -> None:
         """Gives up an item that has failed or been rejected as often as its route allows."""
         self._finish(open_item, ItemState.GIVEN_UP, reason)
@@ -466,6 +498,8 @@
 
     def on_scored(self, open_item: OpenItem, score: str) -> None:
         """Lists a complete text with its score."""
+        if not self._is_acceptable(open_item):
+            return
         self._finish(open_item, ItemState.SUCCEEDED, "", score)
 
     def on_reward_failed(self, open_item: OpenItem, reason: str) -> None:
--- a/stileloom/proxy/exchange.py
+++ b/stileloom/proxy/exchange.py
@@ -70,7 +70,7 @@
         connection.close()
         return Attempt(sampler_id, AttemptOutcome.BROKEN, detail=end.value)
     try:
-        kind = classify_answer(head, request_id, names)
+        kind = classify_answer(head, request_id, sampler_id, names)
     except NotAnAnswer as error:
         connection.close()
         return Attempt(sampler_id, AttemptOutcome.BROKEN, detail=str(error))
--- a/stileloom/proxy/stream_relay.py
+++ b/stileloom/proxy/stream_relay.py
@@ -271,7 +271,7 @@
             if isinstance(part, ResponseHead):
                 head = part
                 try:
-                    kind = classify_answer(head, lookup.request_id, self._names)
+                    kind = classify_answer(head, lookup.request_id, entry.sampler_id, self._names)
                 except NotAnAnswer as error:
                     return _Run(_RunEnd.BROKEN, str(error))
                 if kind is not AnswerKind.MISDIRECTED:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -57,6 +57,7 @@
 TENANT_PRIORITY = "tests/test_tenant_priority.py"
 ANSWERS = "tests/test_answers.py"
 CHANGED_TERMS = "tests/test_changed_terms.py"
+SINGLE_VERSION = "tests/test_single_version.py"
 
 MUTANTS = [
     Mutant(
@@ -1546,6 +1547,38 @@
         "",
         CHANGED_TERMS,
     ),
+    Mutant(
+        "a text goes on under any version",
+        "results of a single version",
+        "stileloom/jobs/item_stream.py",
+        "return self._single_version and self._partial.versions not in ([], [version])",
+        "return False",
+        "tests/test_item_stream.py",
+    ),
+    Mutant(
+        "a complete text is listed whatever its versions",
+        "results of a single version",
+        "stileloom/jobs/runner.py",
+        "if partial.satisfies(open_item.min_version, open_item.single_version):",
+        "if True:",
+        f"{SINGLE_VERSION} -k two_versions",
+    ),
+    Mutant(
+        "a sampler that refuses a version counts as gone",
+        "results of a single version",
+        "stileloom/http1/answer.py",
+        "return AnswerKind.NOT_RUN if is_addressed else AnswerKind.MISDIRECTED",
+        "return AnswerKind.MISDIRECTED",
+        "tests/test_http1.py tests/test_item_stream.py",
+    ),
+    Mutant(
+        "items do not say which version they expect",
+        "results of a single version",
+        "stileloom/jobs/item_request.py",
+        "        headers.append((names.expect_version, str(open_item.required_version)))\n",
+        "        pass\n",
+        SINGLE_VERSION,
+    ),
 ]
 
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -216,9 +216,11 @@
         fields = f"{NAMES.request_id}: a\r\nContent-Length: 0\r\n"
         refused = f"HTTP/1.1 503 No\r\n{NAMES.not_run}: 1\r\n{fields}\r\n"
         other = f"HTTP/1.1 421 No\r\n{fields}\r\n"
+        other_version = f"HTTP/1.1 421 No\r\n{NAMES.sampler_id}: s\r\n{fields}\r\n"
         for response, expected in (
             (refused, AttemptOutcome.REFUSED),
             (other, AttemptOutcome.MISDIRECTED),
+            (other_version, AttemptOutcome.REFUSED),
         ):
 
             async def scenario(address: tuple[str, int]) -> None:
--- a/tests/test_item_stream.py
+++ b/tests/test_item_stream.py
@@ -17,10 +17,16 @@
 class Run:
     """An item stream that records its events and outcomes."""
 
-    def __init__(self, partial: PartialText | None = None, min_version: int = 1) -> None:
+    def __init__(
+        self,
+        partial: PartialText | None = None,
+        min_version: int = 1,
+        single_version: bool = False,
+    ) -> None:
         self.partial = partial or PartialText()
         self.events: list[int] = []
         self.outcomes: list[RunOutcome] = []
+        self.versions: list[int] = []
         self.stream = ItemStream(
             "i",
             self.partial,
@@ -28,6 +34,9 @@
             NAMES,
             self.events.append,
             lambda outcome, detail: self.outcomes.append(outcome),
+            single_version=single_version,
+            on_version=self.versions.append,
+            sampler_id="s",
         )
 
     def head(self, status: int = 200, **headers: str) -> None:
@@ -112,3 +121,31 @@
         run.head(503, not_run="1")
         run.stream.on_end(ExchangeEnd.COMPLETE)
         self.assertEqual([RunOutcome.REFUSED], run.outcomes)
+
+    def test_status_421_tells_another_version_from_another_sampler(self) -> None:
+        """A sampler that refuses a version must not count as gone."""
+        text = PartialText(["d1"], 1, [3])
+        for single_version, headers, outcome, versions in (
+            (True, {"sampler_id": "s"}, RunOutcome.OTHER_VERSION, [4]),
+            (True, {}, RunOutcome.OTHER_VERSION, [4]),
+            (True, {"sampler_id": "t"}, RunOutcome.MISDIRECTED, []),
+            (False, {"sampler_id": "s"}, RunOutcome.REFUSED, []),
+            (False, {}, RunOutcome.MISDIRECTED, []),
+        ):
+            run = Run(text.copy(), single_version=single_version)
+            run.head(421, not_run="1", **headers)
+            run.stream.on_end(ExchangeEnd.COMPLETE)
+            self.assertEqual(([outcome], versions), (run.outcomes, run.versions), headers)
+
+    def test_a_text_of_a_single_version_ends_before_an_event_of_another_one(self) -> None:
+        for partial, versions in (
+            (PartialText(), ["1"]),
+            (PartialText(["d1"], 1, [1]), ["1", "2"]),
+        ):
+            for stated in versions:
+                run = Run(partial.copy(), single_version=True)
+                run.head(versions=stated)
+                following = (partial.last_event_id or 0) + 1
+                run.stream.on_body(event(following) + event(following + 1, version=2))
+                self.assertEqual([RunOutcome.OTHER_VERSION], run.outcomes)
+                self.assertEqual([1], run.partial.versions)
