A lookup that a sampler did not answer in time has an unknown outcome

What callers saw: the problem document of a 504 said "outcome": "not_run" for a lookup that samplers had got and had not answered. An unsafe lookup that is sent again on that word runs twice.

Cause: the default outcome of deadline_passed is not_run, which holds for requests that never reached a sampler; the forwarder did not state another one.

Evidence: test_a_lookup_that_times_out_logs_the_samplers_it_tried, with a check of the outcome, fails before ("not_run" in the body) and passes now. It came up with a test of requests that a stopped gateway accepts late.

Change: the error states the unknown outcome once an attempt was made.

--- a/stileloom/proxy/forwarder.py
+++ b/stileloom/proxy/forwarder.py
@@ -10,7 +10,7 @@
 from stileloom.api.routes import Route, RouteKind
 from stileloom.api.sampler_directory import SamplerEntry
 from stileloom.clock import steady_time
-from stileloom.errors import ErrorKind, StileloomError
+from stileloom.errors import ErrorKind, Outcome, StileloomError
 from stileloom.events import LogEvent
 from stileloom.http1.pool import ConnectionPool
 from stileloom.http1.request_encoder import encode_request
@@ -216,7 +216,8 @@
     def _deadline_error(self, plan: AttemptPlan) -> StileloomError:
         if plan.possible_runs or plan.running:
             tried = ", ".join(sorted(plan.tried - plan.refused_by))
-            return StileloomError(ErrorKind.DEADLINE_PASSED, f"no answer in time from {tried}")
+            detail = f"no answer in time from {tried}"
+            return StileloomError(ErrorKind.DEADLINE_PASSED, detail, Outcome.UNKNOWN)
         return StileloomError(ErrorKind.OVERLOADED, "not started before the deadline")
 
     def _apply_outcome(self, lookup: Lookup, plan: AttemptPlan, attempt: Attempt) -> bool:
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -72,6 +72,8 @@
                     "POST", "/charts/7", b"x", request_id="r1", deadline_ms="1500"
                 )
             self.assertEqual(504, answer.code)
+            # Both samplers may have run it.
+            self.assertIn(b'"outcome":"unknown"', answer.body)
             (detail,) = details
             self.assertIn("chart-1", detail)
             self.assertIn("chart-2", detail)
