A stopped gateway answers every request before its end

Cause: the drain ended a constant 1.5 s before the end of the grace, which is before the last sixth of a grace of 8 s, and closed connections without a word. Requests were accepted for a constant 2.5 s whether or not they could end.

Change: daemon/drain.py derives all times from the grace. Requests run on until 15/16 of it; then those without an answer get 504 with an unknown outcome, and streams that have begun are broken off. While it drains, a gateway refuses as not run, with an answer on the connection, every request that comes after the notice or whose target latency does not fit, and gives samplers deadlines before its own end. The last report of usage has half of the time that is left. A 503 with an unknown outcome becomes 504 for all requests but reads of jobs, GET lookups included. drain_finished says how many requests were cut.

--- a/stileloom/daemon/gateway.py
+++ b/stileloom/daemon/gateway.py
@@ -20,6 +20,7 @@
 from stileloom.daemon.caller_server import BACKLOG, CallerServer, resident_bytes
 from stileloom.daemon.descriptors import listen_plainly, listen_sparingly
 from stileloom.daemon.directory import Directory
+from stileloom.daemon.drain import DrainSchedule
 from stileloom.daemon.load_sharing import LoadSharing
 from stileloom.daemon.metrics_server import start_metrics_server
 from stileloom.daemon.process_metrics import ProcessMetrics
@@ -51,10 +52,6 @@
 from stileloom.settings_file import split_address
 
 DRAIN_POLL_S = 0.05
-DRAIN_MARGIN_S = 1.5
-"""Part of the grace period that is reserved for closing connections."""
-DRAIN_NOTICE_S = 2.5
-"""How long a draining gateway accepts requests, so that load balancers can redirect callers."""
 LEDGER_NODES_REFRESH_INTERVAL_S = 1.0
 STALL_CHECK_INTERVAL_S = 0.1
 QUARANTINE_LIST_TIMEOUT_S = 1.0
@@ -76,6 +73,8 @@
         self._metrics_registry = CollectorRegistry()
         self.started = asyncio.Event()
         self._stopping = asyncio.Event()
+        self._stopped_at = 0.0
+        """When the drain was asked for, in monotonic seconds."""
         metrics = ProxyMetrics(self._metrics_registry)
         process_metrics = ProcessMetrics(self._metrics_registry, self._log)
         seeds = settings.peer_call_addresses
@@ -238,7 +237,9 @@
 
     def stop(self) -> None:
         """Starts the drain."""
-        self._stopping.set()
+        if not self._stopping.is_set():
+            self._stopped_at = steady_time()
+            self._stopping.set()
 
     def abort(self) -> None:
         """Stops background work and closes the connections to ledger nodes."""
@@ -256,20 +257,20 @@
         self._log.emit(LogEvent.SETTINGS_RELOADED, {})
 
     async def _drain(self) -> None:
-        """Reports not ready, serves during the drain notice, then completes open requests."""
-        self.front.draining = True
-        drain_started_at = steady_time()
+        """Reports not ready, serves during the notice, and answers all requests before the end."""
+        schedule = DrainSchedule.of_grace(self._stopped_at, self._settings.bounds.stop_grace_s)
+        self.front.begin_drain(schedule.cut_at)
         self._log.emit(LogEvent.DRAIN_STARTED, {"open": self.front.open_requests})
-        deadline = drain_started_at + self._settings.bounds.stop_grace_s - DRAIN_MARGIN_S
-        await asyncio.sleep(DRAIN_NOTICE_S)
+        await asyncio.sleep(schedule.refuse_at - steady_time())
         # New requests are rejected from here on: one that arrives while its connection is closed
         # has not run.
         self.front.closing = True
-        while self._has_open_work() and steady_time() < deadline:
-            await asyncio.sleep(DRAIN_POLL_S)
+        while self._has_open_work() and steady_time() < schedule.cut_at:
+            await asyncio.sleep(min(DRAIN_POLL_S, max(0.0, schedule.cut_at - steady_time())))
+        cut = await self.front.cut_requests()
         if self._usage_reporter is not None:
-            await self._usage_reporter.flush()
-        self._log.emit(LogEvent.DRAIN_FINISHED, {"open": self.front.open_requests})
+            await self._usage_reporter.flush(schedule.killed_at - steady_time())
+        self._log.emit(LogEvent.DRAIN_FINISHED, {"cut": cut, "open": self.front.open_requests})
 
     def _count_run(self, tenant: str, began_at: float) -> None:
         if self._usage_meter is not None:
--- a/stileloom/metering/reporter.py
+++ b/stileloom/metering/reporter.py
@@ -14,7 +14,9 @@
 REPORT_INTERVAL_S = 1.0
 """Also bounds the requests that are missing from the reports if the process is killed."""
 CALL_TIMEOUT_S = 1.5
-FINAL_CALL_TIMEOUT_S = 2.0
+MAX_FINAL_CALL_TIMEOUT_S = 2.0
+FINAL_CALL_SHARE = 0.5
+"""Of the time that is left to the process."""
 SOURCE_BYTES = 4
 NO_REQUEST_ID = ""
 
@@ -37,9 +39,10 @@
             self._meter.observe_clock()
             await self._report(CALL_TIMEOUT_S, is_final=False)
 
-    async def flush(self) -> None:
-        """Commits the totals at the end of the process."""
-        await self._report(FINAL_CALL_TIMEOUT_S, is_final=True)
+    async def flush(self, left_s: float) -> None:
+        """Commits the totals at the end of a process that is killed after `left_s` seconds."""
+        timeout_s = min(MAX_FINAL_CALL_TIMEOUT_S, FINAL_CALL_SHARE * left_s)
+        await self._report(timeout_s, is_final=True)
 
     async def _report(self, timeout_s: float, is_final: bool) -> None:
         totals = self._meter.tally.totals()
--- a/stileloom/proxy/front.py
+++ b/stileloom/proxy/front.py
@@ -3,16 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+import math
 
 import msgspec
 from tornado.httputil import (
     HTTPConnection,
-    HTTPHeaders,
-    HTTPMessageDelegate,
     HTTPServerConnectionDelegate,
-    RequestStartLine,
-    ResponseStartLine,
 )
 
 from stileloom.api.dialect import Dialect
@@ -22,9 +18,9 @@
 from stileloom.errors import ErrorKind, Outcome, Problem, StileloomError, problem_document
 from stileloom.events import LogEvent
 from stileloom.http1.request_encoder import end_to_end_headers
-from stileloom.http1.response_decoder import ResponseHead
 from stileloom.logging import EventLog
 from stileloom.proxy.access_control import AccessControl
+from stileloom.proxy.caller_exchange import CallerExchange
 from stileloom.proxy.caller_messages import (
     DEADLINE_MARGIN_S,
     MIN_TIMEOUT_S,
@@ -46,7 +42,10 @@
 JOB_CALL_LABEL = "job call"
 """Stands for the route in metrics of requests that have none."""
 UNKNOWN_OUTCOME_STATUS = 504
-"""Replaces 503 for a job call whose outcome is unknown, since 503 implies that it did not run."""
+"""Replaces 503 if the outcome is unknown, since 503 implies that the request did not run. Reads of
+jobs keep it: they change nothing."""
+CUT_TIMEOUT_S = 0.1
+"""For the last answers of requests that are cut; they are written at once."""
 
 
 class GatewayServer(HTTPServerConnectionDelegate):
@@ -78,16 +77,43 @@
         self._log = log
         self._metrics = metrics
         self._decisions = decisions
-        self._open_requests = 0
+        self._cut_at = math.inf
+        """When a draining gateway cuts open requests, in monotonic seconds."""
+        self._open: set[CallerExchange] = set()
+        """Complete requests without a final response."""
 
     @property
     def open_requests(self) -> int:
         """Number of requests without a final response."""
-        return self._open_requests
+        return len(self._open)
 
-    def start_request(self, server_conn: object, request_conn: HTTPConnection) -> _CallerExchange:
+    def begin_drain(self, cut_at: float) -> None:
+        """Announces the end on each connection; requests that cannot end until then are refused."""
+        self.draining = True
+        self._cut_at = cut_at
+
+    async def cut_requests(self) -> int:
+        """Ends all open requests; their callers learn that the outcome is unknown.
+
+        Streams that have begun are aborted. Returns the number of requests.
+        """
+        exchanges = list(self._open)
+        tasks = [exchange.cut() for exchange in exchanges]
+        if tasks:
+            await asyncio.wait(tasks, timeout=CUT_TIMEOUT_S)
+        return len(exchanges)
+
+    def opened(self, exchange: CallerExchange) -> None:
+        """Counts a complete request as open."""
+        self._open.add(exchange)
+
+    def closed(self, exchange: CallerExchange) -> None:
+        """Stops counting a request that has its final response, or whose caller has left."""
+        self._open.discard(exchange)
+
+    def start_request(self, server_conn: object, request_conn: HTTPConnection) -> CallerExchange:
         """Called by tornado for each new request."""
-        return _CallerExchange(self, request_conn)
+        return CallerExchange(self, request_conn)
 
     async def serve(
         self, request: CallerRequest, writer: StreamWriter | None = None
@@ -96,13 +122,10 @@
 
         Cancelled when the caller disconnects.
         """
-        self._open_requests += 1
         context: RequestContext | None = None
         try:
             if self.closing:
-                raise StileloomError(
-                    ErrorKind.DRAINING, "the gateway is shutting down", None, CLOSING_RETRY_AFTER_S
-                )
+                raise _draining("the gateway is shutting down")
             call = self._dialect.job_call(request.method, request.target, request.headers)
             if call is not None:
                 self._require_configuration()
@@ -115,7 +138,6 @@
         except StileloomError as error:
             return self._refuse(request, error, context)
         finally:
-            self._open_requests -= 1
             route_name = context.route.name if context is not None else JOB_CALL_LABEL
             self._metrics.latency.labels(route_name).observe(steady_time() - request.arrived_at)
 
@@ -158,6 +180,8 @@
     ) -> CallerResponse | None:
         request = context.request
         route = context.route
+        if request.arrived_at + route.target_latency_s > self._cut_at:
+            raise _draining("the gateway ends before the request can be expected to")
         headers = end_to_end_headers(
             request.headers.get_all(), request.headers.get("Connection", "")
         )
@@ -169,7 +193,9 @@
             headers=self._access.headers_for_sampler(headers, context.caller, route),
             body=request.body,
             arrived_at=request.arrived_at,
-            deadline_at=max(earliest_end, context.deadline_at - DEADLINE_MARGIN_S),
+            deadline_at=max(
+                earliest_end, min(context.deadline_at, self._cut_at) - DEADLINE_MARGIN_S
+            ),
             tenant=context.caller.tenant,
             priority=context.caller.priority_on(route),
             caller_address=request.caller_address,
@@ -243,14 +269,26 @@
         identity = identity_of(request.method, request.target, headers, request.body, tenant)
         return {"identity": identity}
 
+    def cut_response(self, request: CallerRequest) -> CallerResponse:
+        """The response to a request that is cut while it may be running."""
+        detail = "the gateway ended before the request did"
+        return self._refuse(
+            request, StileloomError(ErrorKind.DRAINING, detail, Outcome.UNKNOWN), None
+        )
+
+    def _is_job_read(self, request: CallerRequest) -> bool:
+        call = None
+        if request.method == "GET":
+            call = self._dialect.job_call(request.method, request.target, request.headers)
+        return call is not None
+
     def _refuse(
         self, request: CallerRequest, error: StileloomError, context: RequestContext | None
     ) -> CallerResponse:
         problem = problem_document(error)
         status = problem.status
-        if status == 503 and error.outcome is Outcome.UNKNOWN:
-            is_read = request.method == "GET"
-            status = 503 if is_read else UNKNOWN_OUTCOME_STATUS
+        if status == 503 and error.outcome is Outcome.UNKNOWN and not self._is_job_read(request):
+            status = UNKNOWN_OUTCOME_STATUS
         self._metrics.refusals.labels(error.kind.value).inc()
         self._log.emit(
             LogEvent.REQUEST_REFUSED,
@@ -277,115 +315,6 @@
         return CallerResponse(status, problem.title, headers, msgspec.json.encode(problem))
 
 
-class _CallerExchange(HTTPMessageDelegate):
-    """One request on a caller's connection; implements `StreamWriter`."""
-
-    def __init__(self, front: GatewayServer, connection: HTTPConnection) -> None:
-        self._front = front
-        self._connection = connection
-        self._start: RequestStartLine | None = None
-        self._headers = HTTPHeaders()
-        self._parts: list[bytes] = []
-        self._size = 0
-        self._task: asyncio.Task[None] | None = None
-        self._streaming = False
-
-    # Implementation of `StreamWriter`.
-
-    @property
-    def unsent_bytes(self) -> int:
-        """Bytes that wait for the caller; only the streams of `CallerServer` count them."""
-        return int(getattr(getattr(self._connection, "stream", None), "unsent_bytes", 0))
-
-    def start(self, head: ResponseHead) -> None:
-        """Sends the head of the response."""
-        self._streaming = True
-        headers = HTTPHeaders()
-        for name, value in end_to_end_headers(
-            head.headers.get_all(), head.headers.get("Connection", "")
-        ):
-            headers.add(name, value)
-        if self._front.draining:
-            headers["Connection"] = "close"
-        start_line = ResponseStartLine("HTTP/1.1", head.status, head.reason)
-        self._connection.write_headers(start_line, headers)
-
-    def write(self, data: bytes) -> None:
-        """Sends events."""
-        self._connection.write(data)
-
-    def end_stream(self) -> None:
-        """Ends the response as complete."""
-        self._connection.finish()
-
-    def abort(self) -> None:
-        """Aborts the response: without the last chunk the caller detects the truncation."""
-        stream = getattr(self._connection, "stream", None)
-        if stream is not None:
-            stream.close()
-
-    def headers_received(
-        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
-    ) -> None:
-        """Called by tornado with the request's head."""
-        assert isinstance(start_line, RequestStartLine)
-        self._start = start_line
-        self._headers = headers
-
-    def data_received(self, chunk: bytes) -> None:
-        """Called by tornado with a part of the body."""
-        self._size += len(chunk)
-        self._parts.append(chunk)
-
-    def finish(self) -> None:
-        """Called by tornado when the request is complete."""
-        assert self._start is not None
-        request = CallerRequest(
-            self._start.method,
-            self._start.path,
-            self._headers,
-            b"".join(self._parts),
-            steady_time(),
-            getattr(getattr(self._connection, "context", None), "remote_ip", "") or "",
-        )
-        self._parts.clear()
-        set_close_callback: Callable[[Callable[[], None]], None] | None = getattr(
-            self._connection, "set_close_callback", None
-        )
-        if set_close_callback is not None:
-            set_close_callback(self._on_disconnect)
-        self._task = asyncio.get_running_loop().create_task(self._serve(request))
-
-    def on_connection_close(self) -> None:
-        """Called by tornado when the connection closed before the request was complete."""
-        # The exchange may be part of a reference cycle, which would keep the body.
-        self._parts.clear()
-        self._on_disconnect()
-
-    def _on_disconnect(self) -> None:
-        if self._task is not None:
-            self._task.cancel()
-
-    async def _serve(self, request: CallerRequest) -> None:
-        try:
-            response = await self._front.serve(request, self)
-        except asyncio.CancelledError:
-            raise
-        except Exception as error:
-            self._front.log_internal_error(request, error)
-            if self._streaming:
-                self.abort()
-                return
-            response = CallerResponse(500, "Internal Server Error", [], b"")
-        if response is None:
-            return
-        headers = HTTPHeaders()
-        for name, value in response.headers:
-            headers.add(name, value)
-        headers["Content-Length"] = str(len(response.body))
-        if self._front.draining:
-            headers["Connection"] = "close"
-        start_line = ResponseStartLine("HTTP/1.1", response.status, response.reason)
-        body = response.body if request.method != "HEAD" else b""
-        self._connection.write_headers(start_line, headers, body)
-        self._connection.finish()
+def _draining(detail: str) -> StileloomError:
+    """The refusal of a request that has not run."""
+    return StileloomError(ErrorKind.DRAINING, detail, None, CLOSING_RETRY_AFTER_S)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -58,6 +58,7 @@
 ANSWERS = "tests/test_answers.py"
 CHANGED_TERMS = "tests/test_changed_terms.py"
 SINGLE_VERSION = "tests/test_single_version.py"
+DRAIN = "tests/test_drain.py"
 
 MUTANTS = [
     Mutant(
@@ -1579,6 +1580,46 @@
         "        pass\n",
         SINGLE_VERSION,
     ),
+    Mutant(
+        "a stopped gateway cuts requests before the last sixth of its grace",
+        "each request gets an answer before the end of its gateway",
+        "stileloom/daemon/drain.py",
+        "CLOSING_SHARE = 1 / 16",
+        "CLOSING_SHARE = 0.2",
+        DRAIN,
+    ),
+    Mutant(
+        "open requests are closed without an answer",
+        "each request gets an answer before the end of its gateway",
+        "stileloom/daemon/gateway.py",
+        "        cut = await self.front.cut_requests()\n",
+        "        cut = 0\n",
+        DRAIN,
+    ),
+    Mutant(
+        "a sampler gets a deadline after the end of its gateway",
+        "each request gets an answer before the end of its gateway",
+        "stileloom/proxy/front.py",
+        "min(context.deadline_at, self._cut_at)",
+        "context.deadline_at",
+        DRAIN,
+    ),
+    Mutant(
+        "requests that cannot end in time are passed on",
+        "each request gets an answer before the end of its gateway",
+        "stileloom/proxy/front.py",
+        "if request.arrived_at + route.target_latency_s > self._cut_at:",
+        "if False:",
+        DRAIN,
+    ),
+    Mutant(
+        "a lookup without an answer in time counts as not run",
+        "outcomes are true",
+        "stileloom/proxy/forwarder.py",
+        "return StileloomError(ErrorKind.DEADLINE_PASSED, detail, Outcome.UNKNOWN)",
+        "return StileloomError(ErrorKind.DEADLINE_PASSED, detail)",
+        "tests/test_services.py -k times_out",
+    ),
 ]
 
 
