--- a/stileloom/http1/response_decoder.py
+++ b/stileloom/http1/response_decoder.py
@@ -18,7 +18,8 @@
     parse_figure,
 )
 
-_STATUS_LINE = re.compile(rb"^HTTP/1\.[01] ([1-9][0-9][0-9])(?: ([^\r\n]*))?$")
+_STATUS_LINE = re.compile(rb"^HTTP/1\.[01] ([1-5][0-9][0-9])(?: ([^\r\n]*))?$")
+"""Statuses are 100 to 599 (RFC 9110, section 15)."""
 _HEX = re.compile(rb"^[0-9a-fA-F]{1,8}$")
 
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1620,6 +1620,14 @@
         "return StileloomError(ErrorKind.DEADLINE_PASSED, detail)",
         "tests/test_services.py -k times_out",
     ),
+    Mutant(
+        "statuses above 599 are answers",
+        "only answers are passed on",
+        "stileloom/http1/response_decoder.py",
+        "([1-5][0-9][0-9])",
+        "([1-9][0-9][0-9])",
+        ANSWERS,
+    ),
 ]
 
 
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -22,6 +22,8 @@
 
 DATA = ["first", "second", "third"]
 SPOILED = b"these bytes belong to no request"
+NO_STATUSES = ("000", "099", "101", "600", "700", "999")
+"""101 answers a request for another protocol, which is never made."""
 BODY = b"looked up"
 
 
@@ -52,6 +54,16 @@
     return respond
 
 
+def cut_head(end: bytes) -> Responder:
+    """A correct response that ends within its head, with a part of `end` or right before it."""
+
+    def respond(request: ReceivedRequest) -> bytes:
+        whole = answer(request, body=BODY, versions="1")
+        return whole[: whole.index(end) + len(end) // 2]
+
+    return respond
+
+
 NO_ANSWERS: dict[str, Responder] = {
     "success without an id and a signature": spoiled(request_id=None, signature=None),
     "success without a signature": spoiled(signature=None),
@@ -63,6 +75,15 @@
     "failure without an id": spoiled("404", request_id=None),
     "refusal without an id": spoiled("503", request_id=None, signature=None, not_run="1"),
     "misdirected without an id": spoiled("421", request_id=None, signature=None),
+    **{f"status {status}": spoiled(status) for status in NO_STATUSES},
+    "bytes that are no response": lambda request: SPOILED,
+    "head cut within a line": cut_head(b"Content-Le"),
+    "head cut after a line": cut_head(b"\r\nContent-Le"),
+    "head cut before its last line end": cut_head(b"\r\n\r\n"),
+    "interim response alone": lambda request: b"HTTP/1.1 100 Continue\r\n\r\n",
+    "interim response and a cut head": lambda request: (
+        b"HTTP/1.1 103 Early Hints\r\n\r\n" + cut_head(b"\r\n\r\n")(request)
+    ),
 }
 
 Scenario = Callable[[ServiceCluster, RawSampler, str], Awaitable[None]]
