An order is not executed only on the sampler's word

What operators saw: an order whose answer was 204 or 302 was logged as refused and ordered again after 1.2 s; so was a duty call that was answered with 3xx. Neither answer says that it was not carried out.

Cause: every status below 500 that is not known counted as a rejection.

The duty call was changed with it and has no test of its own for this.

Change: 4xx rejects, any other status that is not known leaves the outcome unknown: the sampler's report decides, as after a lost answer.

--- a/stileloom/duties/caller.py
+++ b/stileloom/duties/caller.py
@@ -93,4 +93,4 @@
             return DutyOutcome.ACCEPTED, status
         if status == 409:
             return DutyOutcome.CONFLICT, status
-        return (DutyOutcome.REFUSED if status < 500 else DutyOutcome.UNKNOWN), status
+        return (DutyOutcome.REFUSED if 400 <= status < 500 else DutyOutcome.UNKNOWN), status
--- a/stileloom/jobs/engine_control.py
+++ b/stileloom/jobs/engine_control.py
@@ -30,7 +30,8 @@
     GONE = "gone"
     """The address belongs to another sampler."""
     UNKNOWN = "unknown"
-    """No answer or a server error; the order may still be executed, even seconds later."""
+    """No answer, or one that is neither an acceptance nor a rejection; the order may still be
+    executed, even seconds later."""
 
 
 _OUTCOMES = {
@@ -84,9 +85,9 @@
         if answer is None:
             return OrderOutcome.UNKNOWN
         status = answer.head.status
-        if status >= 500:
-            return OrderOutcome.UNKNOWN
-        return _OUTCOMES.get(status, OrderOutcome.REFUSED)
+        # Only a status of a rejected request says that the order is not executed.
+        is_rejected = 400 <= status < 500
+        return _OUTCOMES.get(status, OrderOutcome.REFUSED if is_rejected else OrderOutcome.UNKNOWN)
 
     async def _call(
         self,
--- a/stileloom/proxy/caller_exchange.py
+++ b/stileloom/proxy/caller_exchange.py
@@ -24,7 +24,7 @@
 
 
 class CallerExchange(HTTPMessageDelegate):
-    """Implements `StreamWriter` for a request whose response is a stream."""
+    """Receives a request from tornado; implements `StreamWriter` for a response in parts."""
 
     def __init__(self, front: GatewayServer, connection: HTTPConnection) -> None:
         self._front = front
